Add converter: failures to and from Connect errors

Cause: server, client and dispatcher need one mapping of failures, with the verdict, retry-after and ticket kept, and one rule for endpoint errors. Change: common/converter with ToConnect, FromConnect, FromEndpoint, Refusal and HTTPClient (no redirects, since the proof from a failed dial needs that). Conclusion: NotRun from endpoints only with a RefusalDetail or a dial that failed; CodeUnavailable is kept for NotRun so that general clients and balancers retry nothing else.

--- /dev/null
+++ b/common/converter/converter_test.go
@@ -0,0 +1,178 @@
+package converter_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+
+	"github.com/jackdawthread/jackdawthread/common/classifier"
+	"github.com/jackdawthread/jackdawthread/common/converter"
+	"github.com/jackdawthread/jackdawthread/wire/callerwire"
+	"github.com/jackdawthread/jackdawthread/wire/callerwire/callerwireconnect"
+	"github.com/jackdawthread/jackdawthread/wire/enginewire"
+	"github.com/jackdawthread/jackdawthread/wire/enginewire/enginewireconnect"
+)
+
+// failingHost answers each call with err.
+type failingHost struct {
+	callerwireconnect.UnimplementedCallerServiceHandler
+	err error
+}
+
+func (h *failingHost) Call(context.Context, *connect.Request[callerwire.CallRequest]) (*connect.Response[callerwire.CallResponse], error) {
+	return nil, converter.ToConnect(h.err)
+}
+
+func (h *failingHost) Generate(context.Context, *connect.Request[callerwire.GenerateRequest], *connect.ServerStream[callerwire.GenerateResponse]) error {
+	return converter.ToConnect(h.err)
+}
+
+func TestRoundTrip(t *testing.T) {
+	failures := []*classifier.Error{
+		classifier.NotRun(classifier.ReasonQueueFull, 1500*time.Millisecond, "queue is full"),
+		classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "engine was lost"),
+		classifier.Ran(classifier.ReasonTicketUsed, "ticket was used"),
+		{Verdict: classifier.VerdictNotRun, Reason: classifier.ReasonTicketRequired, Ticket: "t-1", Message: "a ticket is needed"},
+	}
+	for _, f := range failures {
+		t.Run(string(f.Reason), func(t *testing.T) {
+			client := serveCaller(t, &failingHost{err: fmt.Errorf("wrapped: %w", f)})
+			_, err := client.Call(t.Context(), connect.NewRequest(&callerwire.CallRequest{}))
+			assertFailure(t, converter.FromConnect(err), f)
+			stream, err := client.Generate(t.Context(), connect.NewRequest(&callerwire.GenerateRequest{}))
+			if err == nil {
+				stream.Receive()
+				err = stream.Err()
+			}
+			assertFailure(t, converter.FromConnect(err), f)
+		})
+	}
+}
+
+func TestUnclassifiedErrorMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	failure := converter.FromConnect(converter.ToConnect(errors.New("surprise")))
+	is.Equal(failure.Verdict, classifier.VerdictMayHaveRun)
+	is.Equal(failure.Reason, classifier.ReasonInternal)
+	is.True(converter.ToConnect(nil) == nil)
+	is.True(converter.FromConnect(nil) == nil)
+	is.True(converter.FromEndpoint(nil) == nil)
+}
+
+func TestRetryAfterHeader(t *testing.T) {
+	is := is.New(t)
+	err := converter.ToConnect(classifier.NotRun(classifier.ReasonLimit, 1001*time.Millisecond, "limit"))
+	is.Equal(err.Meta().Get("Retry-After"), "2")
+	is.Equal(err.Code(), connect.CodeResourceExhausted)
+}
+
+func TestUnavailableOnlyWhereNotRun(t *testing.T) {
+	is := is.New(t)
+	lost := classifier.MayHaveRun(classifier.ReasonHostUnreachable, 0, "host was lost")
+	is.Equal(converter.CodeOf(lost), connect.CodeAborted)
+	unreached := classifier.NotRun(classifier.ReasonHostUnreachable, 0, "no host")
+	is.Equal(converter.CodeOf(unreached), connect.CodeUnavailable)
+}
+
+// failingEngine answers each prefill with err, or by breaking the connection.
+type failingEngine struct {
+	enginewireconnect.UnimplementedEngineServiceHandler
+	err error
+}
+
+func (e *failingEngine) Prefill(context.Context, *connect.Request[enginewire.PrefillRequest]) (*connect.Response[enginewire.PrefillResponse], error) {
+	if e.err == nil {
+		panic(http.ErrAbortHandler)
+	}
+	return nil, e.err
+}
+
+func TestFromEndpoint(t *testing.T) {
+	refusal := connect.NewError(connect.CodeResourceExhausted, errors.New("full"))
+	detail, err := connect.NewErrorDetail(&enginewire.RefusalDetail{Reason: "memory-full"})
+	is.New(t).NoErr(err)
+	refusal.AddDetail(detail)
+	t.Run("refusal", func(t *testing.T) {
+		err := prefill(t, serveEngine(t, &failingEngine{err: refusal}))
+		assertVerdict(t, err, classifier.VerdictNotRun, classifier.ReasonEndpointRefused)
+		reason, ok := converter.Refusal(err)
+		is.New(t).True(ok && reason == "memory-full")
+	})
+	t.Run("error without refusal", func(t *testing.T) {
+		plain := connect.NewError(connect.CodeResourceExhausted, errors.New("full"))
+		err := prefill(t, serveEngine(t, &failingEngine{err: plain}))
+		assertVerdict(t, err, classifier.VerdictMayHaveRun, classifier.ReasonEndpointFailed)
+	})
+	t.Run("reset", func(t *testing.T) {
+		err := prefill(t, serveEngine(t, &failingEngine{}))
+		assertVerdict(t, err, classifier.VerdictMayHaveRun, classifier.ReasonEndpointFailed)
+	})
+	t.Run("nothing listens", func(t *testing.T) {
+		err := prefill(t, "http://"+closedAddress(t))
+		assertVerdict(t, err, classifier.VerdictNotRun, classifier.ReasonEndpointFailed)
+	})
+	t.Run("redirect to nowhere", func(t *testing.T) {
+		target := "http://" + closedAddress(t)
+		server := httptest.NewServer(http.RedirectHandler(target, http.StatusTemporaryRedirect))
+		t.Cleanup(server.Close)
+		err := prefill(t, server.URL)
+		assertVerdict(t, err, classifier.VerdictMayHaveRun, classifier.ReasonEndpointFailed)
+	})
+}
+
+func assertFailure(t *testing.T, got, want *classifier.Error) {
+	t.Helper()
+	is := is.New(t)
+	is.Equal(got.Verdict, want.Verdict)
+	is.Equal(got.Reason, want.Reason)
+	is.Equal(got.RetryAfter, want.RetryAfter)
+	is.Equal(got.Ticket, want.Ticket)
+	is.Equal(got.Message, want.Message)
+}
+
+func assertVerdict(t *testing.T, err error, v classifier.Verdict, r classifier.Reason) {
+	t.Helper()
+	is := is.New(t)
+	failure := converter.FromEndpoint(err)
+	is.Equal(failure.Verdict, v)
+	is.Equal(failure.Reason, r)
+}
+
+func serveCaller(t *testing.T, h *failingHost) callerwireconnect.CallerServiceClient {
+	t.Helper()
+	_, handler := callerwireconnect.NewCallerServiceHandler(h)
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return callerwireconnect.NewCallerServiceClient(server.Client(), server.URL)
+}
+
+func serveEngine(t *testing.T, e *failingEngine) string {
+	t.Helper()
+	_, handler := enginewireconnect.NewEngineServiceHandler(e)
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+func prefill(t *testing.T, url string) error {
+	t.Helper()
+	client := enginewireconnect.NewEngineServiceClient(converter.HTTPClient(http.DefaultTransport), url)
+	_, err := client.Prefill(t.Context(), connect.NewRequest(&enginewire.PrefillRequest{}))
+	return err
+}
+
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	defer func() { is.New(t).NoErr(l.Close()) }()
+	return l.Addr().String()
+}
