--- /dev/null
+++ b/parser/check_customers.go
@@ -0,0 +1,84 @@
+package parser
+
+import "github.com/jackdawthread/jackdawthread/common/identifier"
+
+func (c *checker) checkContracts() {
+	names := firstPlace[string]{}
+	for i, t := range c.file.Contracts {
+		if names.take(t.Name, i) {
+			c.document.Addf(key("contract", i, "name"), "expected names that differ, %q is declared twice", t.Name)
+		}
+		c.needService(key("contract", i, "service"), t.Service)
+		for _, k := range []string{"start", "end"} {
+			if path := key("contract", i, k); !c.document.Has(path) {
+				c.document.Addf(path, "expected a value, but the key is missing or empty")
+			}
+		}
+		if t.Borrower == c.file.Firm {
+			c.document.Addf(key("contract", i, "borrower"), "expected a firm other than %q", c.file.Firm)
+		}
+		if t.Start == t.End && c.document.Has(key("contract", i, "end")) {
+			c.document.Addf(key("contract", i, "end"), "expected a time other than the start")
+		}
+		c.firms[t.Borrower] = true
+	}
+	c.checkShares()
+}
+
+// lends tells whether the contract lends at time of day t.
+func (t *Contract) lends(at TimeOfDay) bool {
+	if t.Start <= t.End {
+		return at >= t.Start && at < t.End
+	}
+	return at >= t.Start || at < t.End
+}
+
+// maxContracts bounds the contracts of one file.
+const maxContracts = 1_000
+
+// checkShares checks that no service lends more than it has. The lent share
+// is highest at the start of a contract.
+func (c *checker) checkShares() {
+	const rounding = 1e-9
+	if len(c.file.Contracts) > maxContracts {
+		c.document.Addf("contract", "expected at most %d contracts, got %d", maxContracts, len(c.file.Contracts))
+		return
+	}
+	for i, t := range c.file.Contracts {
+		lent := 0.0
+		for _, other := range c.file.Contracts {
+			if other.Service == t.Service && other.lends(t.Start) {
+				lent += other.Share
+			}
+		}
+		if lent > 1+rounding && t.Share <= 1 {
+			c.document.Addf(key("contract", i, "share"), "expected at most 1 lent of service %q at any time, got %.4g at the start of %q", t.Service, lent, t.Name)
+		}
+	}
+}
+
+func (c *checker) checkCustomers() {
+	names := firstPlace[identifier.Customer]{}
+	for i := range c.file.Customers {
+		u := &c.file.Customers[i]
+		if (u.Name == "") == (len(u.Names) == 0) {
+			c.document.Addf(key("customer", i, "name"), "expected either name or names")
+		}
+		for _, name := range u.All() {
+			if names.take(name, i) {
+				c.document.Addf(key("customer", i, "name"), "expected names that differ, %q is declared twice", name)
+			}
+		}
+		if !c.firms[u.Firm] {
+			c.document.Addf(key("customer", i, "firm"), "expected the firm %q or the borrower of a contract, got %q", c.file.Firm, u.Firm)
+		}
+	}
+}
+
+// All gives the names of the customers that the table declares.
+func (u *Customer) All() []identifier.Customer {
+	if u.Name != "" {
+		return []identifier.Customer{u.Name}
+	}
+	return u.Names
+}
