--- /dev/null
+++ b/messenger/messenger_test.go
@@ -0,0 +1,149 @@
+package messenger_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/tinylib/msgp/msgp"
+	"go.uber.org/goleak"
+
+	"github.com/jackdawthread/jackdawthread/common/classifier"
+	"github.com/jackdawthread/jackdawthread/common/grouper"
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/messenger"
+	"github.com/jackdawthread/jackdawthread/peerwire"
+)
+
+// testHost is a messenger that listens on loopback.
+type testHost struct {
+	*messenger.Messenger
+	address identifier.Address
+	group   *grouper.Group
+}
+
+func startHost(t testing.TB, name identifier.Host, o messenger.Options, handle func(*messenger.Messenger)) *testHost {
+	t.Helper()
+	g := grouper.New(context.Background())
+	self := messenger.Peer{Host: name, Incarnation: identifier.NewIncarnation(), DataCenter: "tw-north-1"}
+	m := messenger.New(self, o, g)
+	if handle != nil {
+		handle(m)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.Serve(ln)
+	t.Cleanup(func() {
+		m.Close()
+		_ = g.Wait()
+	})
+	return &testHost{Messenger: m, address: identifier.Address(ln.Addr().String()), group: g}
+}
+
+func echo(m *messenger.Messenger) {
+	m.Handle(peerwire.KindAsk, func(_ context.Context, _ messenger.Peer, payload []byte) (msgp.Marshaler, error) {
+		return msgp.Raw(payload), nil
+	})
+}
+
+func text(s string) msgp.Raw {
+	return msgp.AppendString(nil, s)
+}
+
+func isVerdict(t *testing.T, err error, verdict classifier.Verdict, reason classifier.Reason) {
+	t.Helper()
+	is := is.New(t)
+	is.Helper()
+	e, ok := errors.AsType[*classifier.Error](err)
+	is.True(ok)
+	is.Equal(e.Verdict, verdict)
+	is.Equal(e.Reason, reason)
+}
+
+func TestCall(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	t.Run("replies", func(t *testing.T) {
+		is := is.New(t)
+		b := startHost(t, "b", messenger.Options{}, echo)
+		a := startHost(t, "a", messenger.Options{}, nil)
+		var reply msgp.Raw
+		is.NoErr(a.Call(t.Context(), b.address, peerwire.KindAsk, text("slots"), &reply))
+		is.Equal([]byte(reply), []byte(text("slots")))
+	})
+	t.Run("refuses an unknown kind", func(t *testing.T) {
+		b := startHost(t, "b", messenger.Options{}, nil)
+		a := startHost(t, "a", messenger.Options{}, nil)
+		err := a.Call(t.Context(), b.address, peerwire.KindAsk, text(""), nil)
+		isVerdict(t, err, classifier.VerdictNotRun, classifier.ReasonBadRequest)
+	})
+	t.Run("keeps a handler's verdict", func(t *testing.T) {
+		is := is.New(t)
+		b := startHost(t, "b", messenger.Options{}, func(m *messenger.Messenger) {
+			m.Handle(peerwire.KindAsk, func(context.Context, messenger.Peer, []byte) (msgp.Marshaler, error) {
+				return nil, &classifier.Error{
+					Verdict: classifier.VerdictRan, Reason: classifier.ReasonTicketUsed, RetryAfter: time.Second, Ticket: "t", Message: "used",
+				}
+			})
+		})
+		a := startHost(t, "a", messenger.Options{}, nil)
+		err := a.Call(t.Context(), b.address, peerwire.KindAsk, text(""), nil)
+		isVerdict(t, err, classifier.VerdictRan, classifier.ReasonTicketUsed)
+		e, _ := errors.AsType[*classifier.Error](err)
+		is.Equal(e.RetryAfter, time.Second)
+		is.Equal(e.Ticket, identifier.Ticket("t"))
+	})
+	t.Run("gives NotRun when nobody listens", func(t *testing.T) {
+		a := startHost(t, "a", messenger.Options{}, nil)
+		err := a.Call(t.Context(), "127.0.0.1:1", peerwire.KindAsk, text(""), nil)
+		isVerdict(t, err, classifier.VerdictNotRun, classifier.ReasonHostUnreachable)
+	})
+	t.Run("cancels the handler", func(t *testing.T) {
+		ended := make(chan struct{})
+		b := startHost(t, "b", messenger.Options{}, func(m *messenger.Messenger) {
+			m.Handle(peerwire.KindAsk, func(ctx context.Context, _ messenger.Peer, _ []byte) (msgp.Marshaler, error) {
+				<-ctx.Done()
+				close(ended)
+				return nil, ctx.Err()
+			})
+		})
+		a := startHost(t, "a", messenger.Options{}, nil)
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		err := a.Call(ctx, b.address, peerwire.KindAsk, text(""), nil)
+		isVerdict(t, err, classifier.VerdictMayHaveRun, classifier.ReasonDeadline)
+		<-ended
+	})
+	t.Run("refuses a large message", func(t *testing.T) {
+		b := startHost(t, "b", messenger.Options{}, echo)
+		a := startHost(t, "a", messenger.Options{MaxFrameBytes: 1000}, nil)
+		err := a.Call(t.Context(), b.address, peerwire.KindAsk, text(string(make([]byte, 1000))), nil)
+		isVerdict(t, err, classifier.VerdictNotRun, classifier.ReasonTooLarge)
+	})
+	t.Run("refuses another firm", func(t *testing.T) {
+		b := startHost(t, "b", messenger.Options{Firm: "tamsui"}, echo)
+		a := startHost(t, "a", messenger.Options{Firm: "snyrtinams"}, nil)
+		err := a.Call(t.Context(), b.address, peerwire.KindAsk, text(""), nil)
+		isVerdict(t, err, classifier.VerdictNotRun, classifier.ReasonHostUnreachable)
+	})
+}
+
+func BenchmarkCall(b *testing.B) {
+	server := startHost(b, "b", messenger.Options{}, echo)
+	client := startHost(b, "a", messenger.Options{}, nil)
+	request := text("a request of ordinary length, some sixty bytes of it as here")
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		var reply msgp.Raw
+		for pb.Next() {
+			if err := client.Call(b.Context(), server.address, peerwire.KindAsk, request, &reply); err != nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+}
