--- /dev/null
+++ b/allocator/grant.go
@@ -0,0 +1,113 @@
+package allocator
+
+import (
+	"time"
+
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/compiler"
+)
+
+// grant is a running attempt.
+type grant struct {
+	attempt identifier.Attempt
+	urgency compiler.Urgency
+	firm    identifier.Firm
+	prefill *endpoint // nil once the KV cache is transferred
+	decode  *endpoint
+	pieces  identifier.Pieces
+	// transfer is the pieces that are still to pass the link.
+	transfer identifier.Pieces
+	phase    Phase
+	since    time.Time
+}
+
+func (p *Pool) grant(a *Ask, plan plan, now time.Time) {
+	g := &grant{
+		attempt:  a.Attempt,
+		urgency:  a.Urgency,
+		firm:     p.firm(a.Firm),
+		prefill:  plan.prefill,
+		decode:   plan.decode,
+		pieces:   plan.decodePieces,
+		transfer: plan.promptPieces,
+		phase:    PhaseGranted,
+		since:    now,
+	}
+	p.enter(g, plan.promptPieces, now)
+	plan.prefill.charge(plan.prefillTokens, now)
+	p.refresh(plan.prefill, now)
+	p.choice.Placed(a.Blocks, plan.prefill.index, now)
+	p.emit(Granted{
+		Attempt: a.Attempt,
+		Prefill: plan.prefill.name,
+		Decode:  plan.decode.name,
+		Wait:    plan.wait,
+		Lease:   p.options.Lease,
+		Pieces:  plan.decodePieces,
+	})
+}
+
+// enter counts a grant at its endpoints, on the link and at its home.
+func (p *Pool) enter(g *grant, promptPieces identifier.Pieces, now time.Time) {
+	p.grants[g.attempt] = g
+	p.use(g.firm)
+	p.link.outstanding += g.transfer
+	p.homeOf(g.attempt.Incarnation, now).enter(g)
+	if g.prefill != nil {
+		g.prefill.hold(g, promptPieces)
+		g.prefill.health.entered(now)
+		p.refresh(g.prefill, now)
+	}
+	if g.decode != nil {
+		g.decode.hold(g, g.pieces)
+		g.decode.health.entered(now)
+		p.refresh(g.decode, now)
+	}
+}
+
+// advance moves a grant to a later phase.
+func (p *Pool) advance(g *grant, phase Phase, now time.Time) {
+	if phase <= g.phase {
+		return
+	}
+	g.phase = phase
+	if phase != PhaseTransferred {
+		return
+	}
+	p.link.outstanding -= g.transfer
+	g.transfer = 0
+	if e := g.prefill; e != nil {
+		g.prefill = nil
+		e.release(g)
+		e.health.succeeded()
+		p.refresh(e, now)
+	}
+}
+
+// drop ends a grant.
+func (p *Pool) drop(g *grant, now time.Time) {
+	delete(p.grants, g.attempt)
+	p.used[g.firm]--
+	p.link.outstanding -= g.transfer
+	if h := p.homes[g.attempt.Incarnation]; h != nil {
+		h.leave(g)
+	}
+	for _, e := range [...]*endpoint{g.prefill, g.decode} {
+		if e != nil {
+			e.release(g)
+			p.refresh(e, now)
+		}
+	}
+}
+
+// use counts a slot for a firm.
+func (p *Pool) use(f identifier.Firm) {
+	if _, ok := p.used[f]; !ok {
+		p.firms = append(p.firms, f)
+	}
+	p.used[f]++
+}
+
+func (p *Pool) emit(a Action) {
+	p.actions = append(p.actions, a)
+}
--- /dev/null
+++ b/router/baselines.go
@@ -0,0 +1,83 @@
+package router
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+)
+
+// stateless is embedded by policies that learn nothing from placements.
+type stateless struct{}
+
+// Placed implements Policy.
+func (stateless) Placed([]identifier.BlockHash, int32, time.Time) {}
+
+// RoundRobin picks the endpoints in turn.
+type RoundRobin struct {
+	stateless
+	next int32
+}
+
+// Pick implements Policy.
+func (p *RoundRobin) Pick(t *Table, q Query, _ time.Time) (endpoint int32, cachedBlocks int, ok bool) {
+	count := int32(len(t.rank))
+	for range count {
+		chosen := p.next % count
+		p.next = (chosen + 1) % count
+		if t.Has(chosen) && !q.excludes(chosen) {
+			return chosen, 0, true
+		}
+	}
+	return 0, 0, false
+}
+
+// LeastLoad picks the endpoint with the least load in the table.
+type LeastLoad struct{ stateless }
+
+// Pick implements Policy.
+func (LeastLoad) Pick(t *Table, q Query, _ time.Time) (endpoint int32, cachedBlocks int, ok bool) {
+	best, found := int32(0), false
+	for place := range t.Len() {
+		e := t.At(place)
+		if q.excludes(e) {
+			continue
+		}
+		if !found || t.Load(e) < t.Load(best) {
+			best, found = e, true
+		}
+		if place == 0 {
+			break // the head of the heap has the least load
+		}
+	}
+	return best, 0, found
+}
+
+// PowerOfTwo picks the less loaded of two endpoints drawn at random.
+type PowerOfTwo struct {
+	stateless
+	random *rand.Rand
+}
+
+// NewPowerOfTwo gives the policy; the seed decides all its draws.
+func NewPowerOfTwo(seed uint64) *PowerOfTwo {
+	return &PowerOfTwo{random: rand.New(rand.NewPCG(seed, 0))}
+}
+
+// Pick implements Policy.
+func (p *PowerOfTwo) Pick(t *Table, q Query, _ time.Time) (endpoint int32, cachedBlocks int, ok bool) {
+	best, found := int32(0), false
+	for range 2 + len(q.Exclude) {
+		if t.Len() == 0 {
+			break
+		}
+		e := t.At(p.random.IntN(t.Len()))
+		if q.excludes(e) {
+			continue
+		}
+		if !found || t.Load(e) < t.Load(best) {
+			best, found = e, true
+		}
+	}
+	return best, 0, found
+}
