--- /dev/null
+++ b/emulator/platform_hosts.go
@@ -0,0 +1,87 @@
+package emulator
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jackdawthread/jackdawthread/wire/platformwire"
+)
+
+// Kinds of hosts in the host list.
+const (
+	HostKindEntry    = "entry"
+	HostKindEndpoint = "endpoint"
+)
+
+// SetHosts replaces the host list; readers see it a lag later.
+func (p *Platform) SetHosts(hosts []*platformwire.Host) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.addHosts(hosts)
+}
+
+// SetHost enters or replaces one host; readers see it a lag later.
+func (p *Platform) SetHost(h *platformwire.Host) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	hosts := p.newestHosts()
+	i := slices.IndexFunc(hosts, func(o *platformwire.Host) bool { return o.GetName() == h.GetName() })
+	if i < 0 {
+		p.addHosts(append(hosts, h))
+		return
+	}
+	hosts[i] = h
+	p.addHosts(hosts)
+}
+
+// RemoveHost takes a host off the list; readers see it a lag later.
+func (p *Platform) RemoveHost(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	hosts := p.newestHosts()
+	p.addHosts(slices.DeleteFunc(hosts, func(o *platformwire.Host) bool { return o.GetName() == name }))
+}
+
+// newestHosts gives a copy of the newest list. The mutex is held.
+func (p *Platform) newestHosts() []*platformwire.Host {
+	if len(p.hosts) == 0 {
+		return nil
+	}
+	return slices.Clone(p.hosts[len(p.hosts)-1].hosts)
+}
+
+// addHosts enters a list and forgets those that no reader sees any more. The
+// mutex is held.
+func (p *Platform) addHosts(hosts []*platformwire.Host) {
+	now := time.Now()
+	copied := make([]*platformwire.Host, len(hosts))
+	for i, h := range hosts {
+		copied[i] = proto.CloneOf(h)
+	}
+	p.hosts = append(p.hosts, hostList{copied, now.Add(p.settings.HostLag)})
+	for len(p.hosts) > 1 && !p.hosts[1].visible.After(now) {
+		p.hosts = p.hosts[1:]
+	}
+}
+
+// ListHosts gives the host list as it was a lag ago.
+func (p *Platform) ListHosts(context.Context, *connect.Request[platformwire.ListHostsRequest]) (*connect.Response[platformwire.ListHostsResponse], error) {
+	if err := p.begin(&p.hostLists); err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := &platformwire.ListHostsResponse{}
+	now := time.Now()
+	for _, l := range slices.Backward(p.hosts) {
+		if !l.visible.After(now) {
+			m.Hosts = l.hosts
+			break
+		}
+	}
+	return connect.NewResponse(m), nil
+}
