--- a/common/decoder/validate.go
+++ b/common/decoder/validate.go
@@ -84,9 +84,9 @@
 	case "oneof":
 		return "expected one of " + quoteAll(strings.Fields(f.Param())) + got
 	case "min":
-		return "expected at least " + f.Param() + " entries" + got
+		return "expected " + f.Param() + " or more entries" + got
 	case "max":
-		return "expected at most " + f.Param() + " entries" + got
+		return "expected " + f.Param() + " or fewer entries" + got
 	default:
 		return "expected " + comparison(f.Tag()) + f.Param() + got
 	}
--- a/parser/check_customers.go
+++ b/parser/check_customers.go
@@ -66,7 +66,7 @@
 		}
 		for _, name := range u.All() {
 			if names.take(name, i) {
-				c.document.Addf(key("customer", i, "name"), "expected names that differ, %q is declared twice", name)
+				c.document.Addf(key("customer", i, u.nameKey()), "expected names that differ, %q is declared twice", name)
 			}
 		}
 		if !c.firms[u.Firm] {
@@ -82,3 +82,11 @@
 	}
 	return u.Names
 }
+
+// nameKey gives the key that holds the names.
+func (u *Customer) nameKey() string {
+	if u.Name != "" {
+		return "name"
+	}
+	return "names"
+}
--- a/parser/check_endpoints.go
+++ b/parser/check_endpoints.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/jackdawthread/jackdawthread/common/decoder"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 )
 
@@ -36,7 +37,7 @@
 }
 
 func (c *checker) checkSingles(i int, e *Endpoint, names firstPlace[identifier.Endpoint], addresses firstPlace[identifier.Address]) {
-	if e.Count < 1 || e.Name == "" || e.Address == "" {
+	if e.Count < 1 || e.Name == "" || !decoder.IsAddress(string(e.Address)) {
 		return
 	}
 	singles, err := e.Expand()
@@ -94,7 +95,7 @@
 		roles[e.Service] = append(roles[e.Service], e.Role)
 	}
 	for i, s := range c.file.Services {
-		if c.services[s.Name] == nil {
+		if s.Name == "" {
 			continue
 		}
 		for _, needed := range neededRoles(s.Kind) {
