--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings_test
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -85,7 +86,7 @@
 func TestUnknownVariable(t *testing.T) {
 	is := is.New(t)
 	_, err := settings.FromBytes("s.toml", []byte(good), []string{"JACKDAWTHREAD_HOTS=x"}, nil)
-	problems := err.(decoder.Problems)
+	problems, _ := errors.AsType[decoder.Problems](err)
 	is.Equal(len(problems), 1)
 	is.Equal(problems[0].Origin, "environment JACKDAWTHREAD_HOTS")
 	is.Equal(problems[0].Key, "hots")
