--- /dev/null
+++ b/cmd/emulator/plain.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"context"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/jackdawthread/jackdawthread/common/grouper"
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/emulator"
+)
+
+func plainCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "plain",
+		Usage: "run one instance of a plain service, which records its calls",
+		Flags: append(endpointFlags(),
+			&cli.DurationFlag{Name: "latency", Usage: "time that a call takes"},
+			&cli.IntFlag{Name: "concurrency", Usage: "calls that run at once; 0: no bound"},
+			&cli.Float64Flag{Name: "refuse", Usage: "share of calls refused before they run"},
+			&cli.Float64Flag{Name: "reset-before", Usage: "share of connections cut before the call runs"},
+			&cli.Float64Flag{Name: "reset-after", Usage: "share of connections cut after the call ran"},
+			&cli.Uint64Flag{Name: "seed", Usage: "seed of the faults"},
+		),
+		Action: runPlain,
+	}
+}
+
+func runPlain(ctx context.Context, c *cli.Command) error {
+	p := emulator.NewPlain(emulator.PlainSettings{
+		Name:        identifier.Endpoint(c.String("name")),
+		Latency:     c.Duration("latency"),
+		Concurrency: c.Int("concurrency"),
+		Seed:        c.Uint64("seed"),
+	})
+	p.SetFaults(emulator.PlainFaults{
+		Refuse:      c.Float64("refuse"),
+		ResetBefore: c.Float64("reset-before"),
+		ResetAfter:  c.Float64("reset-after"),
+	})
+	g := grouper.New(ctx)
+	leaving := false
+	onSignal(g, syscall.SIGUSR1, func() {
+		leaving = !leaving
+		p.SetLeaving(leaving)
+	})
+	return serveUntilDone(ctx, c.Root().Writer, g, c.String("name"), c.String("listen"), p.Handler())
+}
--- a/emulator/platform_hosts.go
+++ b/emulator/platform_hosts.go
@@ -8,6 +8,8 @@
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/compiler"
 	"github.com/jackdawthread/jackdawthread/wire/platformwire"
 )
 
@@ -17,6 +19,21 @@
 	HostKindEndpoint = "endpoint"
 )
 
+// EndpointHost gives the entry of an endpoint that is reached at an address.
+func EndpointHost(e *compiler.Endpoint, address identifier.Address) *platformwire.Host {
+	state := platformwire.HostState_HOST_STATE_LIVE
+	if e.Leaving {
+		state = platformwire.HostState_HOST_STATE_LEAVING
+	}
+	return &platformwire.Host{
+		Name:       string(e.Name),
+		Address:    string(address),
+		DataCenter: string(e.DataCenter),
+		State:      state,
+		Kind:       HostKindEndpoint,
+	}
+}
+
 // SetHosts replaces the host list; readers see it a lag later.
 func (p *Platform) SetHosts(hosts []*platformwire.Host) {
 	p.mu.Lock()
--- a/emulator/site.go
+++ b/emulator/site.go
@@ -11,7 +11,6 @@
 	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/compiler"
-	"github.com/jackdawthread/jackdawthread/wire/platformwire"
 )
 
 // anyPort is the address of an endpoint whose port the system picks.
@@ -35,6 +34,8 @@
 	PlatformAddress string
 	// NoPlatform leaves the platform out.
 	NoPlatform bool
+	// Weights that models are loaded from; nil: the site's own platform's.
+	Weights WeightSource
 	// Scale divides the times and multiplies the rates of engines and
 	// links; 0: 1.
 	Scale float64
@@ -154,8 +155,8 @@
 }
 
 func (t *Site) engineDeps() EngineDeps {
-	d := EngineDeps{Links: t.Links, Client: t.client}
-	if t.Platform != nil {
+	d := EngineDeps{Links: t.Links, Client: t.client, Weights: t.settings.Weights}
+	if d.Weights == nil && t.Platform != nil {
 		d.Weights = NewWeightSource(t.client, t.PlatformAddress)
 	}
 	return d
@@ -180,20 +181,9 @@
 }
 
 func (t *Site) tellPlatform(e *compiler.Endpoint, address identifier.Address) {
-	if t.Platform == nil {
-		return
-	}
-	state := platformwire.HostState_HOST_STATE_LIVE
-	if e.Leaving {
-		state = platformwire.HostState_HOST_STATE_LEAVING
+	if t.Platform != nil {
+		t.Platform.SetHost(EndpointHost(e, address))
 	}
-	t.Platform.SetHost(&platformwire.Host{
-		Name:       string(e.Name),
-		Address:    string(address),
-		DataCenter: string(e.DataCenter),
-		State:      state,
-		Kind:       HostKindEndpoint,
-	})
 }
 
 // Addresses gives where the endpoints are reached.
