Add gossiper: membership, payloads and leaving marks between hosts

Cause: hosts need to know their peers, to own roles by rendezvous hashing. Change: a pure machine (probes along rings inside a data center, relayed probes, suspicion, refutation, bridges and leases between data centers, piggybacked and flooded news, comparison by bucket hashes) and a shell over messenger and timer. KindNews and KindSync are added to peerwire.

--- /dev/null
+++ b/gossiper/gossiper_test.go
@@ -0,0 +1,111 @@
+package gossiper_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/jackdawthread/jackdawthread/common/grouper"
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/gossiper"
+	"github.com/jackdawthread/jackdawthread/messenger"
+	"github.com/jackdawthread/jackdawthread/timer"
+)
+
+// process is a gossiper with its messenger on loopback.
+type process struct {
+	*gossiper.Gossiper
+	self  gossiper.Member
+	group *grouper.Group
+}
+
+// fast makes membership act within a test's patience.
+var fast = gossiper.Options{
+	Tick:             10 * time.Millisecond,
+	Period:           50 * time.Millisecond,
+	ProbeTimeout:     100 * time.Millisecond,
+	SuspicionTimeout: 200 * time.Millisecond,
+	SeedPeriod:       100 * time.Millisecond,
+}
+
+func startProcess(t *testing.T, name identifier.Host, seeds ...identifier.Address) *process {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &process{group: grouper.New(context.Background())}
+	p.self = gossiper.Member{
+		Host:        name,
+		Incarnation: identifier.NewIncarnation(),
+		DataCenter:  "tw-north-1",
+		Address:     identifier.Address(ln.Addr().String()),
+	}
+	peer := messenger.Peer{Host: name, Incarnation: p.self.Incarnation, DataCenter: p.self.DataCenter}
+	m := messenger.New(peer, messenger.Options{}, p.group)
+	p.Gossiper = gossiper.New(p.self, fast, m, timer.New(p.group), p.group)
+	m.Serve(ln)
+	p.Seed(seeds)
+	t.Cleanup(p.stop)
+	return p
+}
+
+func (p *process) stop() {
+	p.group.Stop()
+	_ = p.group.Wait()
+}
+
+// eventually waits for a condition of real processes.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("never: %s", what)
+}
+
+func isLive(p *process, count int) func() bool {
+	return func() bool { return len(p.View().Live("tw-north-1")) == count }
+}
+
+func TestGossiper(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	t.Run("joins, marks, leaves and dies", func(t *testing.T) {
+		is := is.New(t)
+		var all []*process
+		var seed []identifier.Address
+		for i := range 4 {
+			p := startProcess(t, identifier.Host(fmt.Sprintf("entry-%d", i)), seed...)
+			seed = []identifier.Address{p.self.Address}
+			all = append(all, p)
+		}
+		for _, p := range all {
+			eventually(t, "four live", isLive(p, 4))
+		}
+		all[0].MarkLeaving("engine-1", 7)
+		is.True(all[0].View().Leaving("engine-1"))
+		all[1].Publish(gossiper.Payload{Revision: 7, Readiness: gossiper.ReadinessReady, Digest: []byte("load")})
+		for _, p := range all {
+			eventually(t, "mark", func() bool { return p.View().Leaving("engine-1") })
+			eventually(t, "payload", func() bool {
+				n, _ := p.View().ByHost("entry-1")
+				return n.Revision == 7 && string(n.Digest) == "load"
+			})
+		}
+		all[1].Leave(t.Context())
+		eventually(t, "three live", isLive(all[0], 3))
+		all[2].stop()
+		eventually(t, "two live", isLive(all[0], 2))
+		eventually(t, "dead", func() bool {
+			n, ok := all[0].View().ByIncarnation(all[2].self.Incarnation)
+			return ok && n.State == gossiper.StateDead
+		})
+	})
+}
--- /dev/null
+++ b/gossiper/perform.go
@@ -0,0 +1,161 @@
+package gossiper
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+	"go.uber.org/zap"
+
+	"github.com/jackdawthread/jackdawthread/common/classifier"
+	"github.com/jackdawthread/jackdawthread/messenger"
+	"github.com/jackdawthread/jackdawthread/peerwire"
+)
+
+// syncTimeout bounds a comparison with a peer.
+const syncTimeout = 5 * time.Second
+
+// perform carries actions out, without waiting for those that need the
+// network.
+func (g *Gossiper) perform(actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case SendProbe:
+			g.group.Run(func(ctx context.Context) { g.probe(ctx, a) })
+		case SendProbeFor:
+			g.group.Run(func(ctx context.Context) { g.probeFor(ctx, a) })
+		case SendNews:
+			g.group.Run(func(ctx context.Context) { g.sendNews(ctx, a) })
+		case SendSync:
+			g.group.Run(func(ctx context.Context) { g.sync(ctx, a) })
+		case Changed:
+			g.logChange(a)
+		}
+	}
+}
+
+func (g *Gossiper) probe(ctx context.Context, a SendProbe) {
+	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
+	defer cancel()
+	var reply peerwire.News
+	g.stats.probes.Add(1)
+	err := g.messenger.Call(ctx, a.To, peerwire.KindProbe, a.News, &reply)
+	g.conclude(a.Probe, &reply, err)
+}
+
+func (g *Gossiper) probeFor(ctx context.Context, a SendProbeFor) {
+	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
+	defer cancel()
+	var reply peerwire.ProbeForReply
+	g.stats.relayed.Add(1)
+	err := g.messenger.Call(ctx, a.Via, peerwire.KindProbeFor, a.Ask, &reply)
+	g.conclude(a.Probe, &reply.News, err)
+}
+
+// conclude tells the machine how a probe ended.
+func (g *Gossiper) conclude(id ProbeID, reply *peerwire.News, err error) {
+	if err == nil {
+		g.perform(g.step(ProbeAnswered{Probe: id, News: reply}, false))
+		return
+	}
+	if e, ok := errors.AsType[*classifier.Error](err); ok && e.Reason == classifier.ReasonQueueFull {
+		g.perform(g.step(ProbeUndecided{Probe: id}, false))
+		return
+	}
+	g.stats.failed.Add(1)
+	g.perform(g.step(ProbeFailed{Probe: id}, false))
+}
+
+func (g *Gossiper) sendNews(ctx context.Context, a SendNews) {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	if err := g.messenger.Send(ctx, a.To, peerwire.KindNews, a.News); err != nil {
+		g.options.Logger.Debug("news-not-sent", zap.String("to", string(a.To)), zap.Error(err))
+	}
+}
+
+func (g *Gossiper) sync(ctx context.Context, a SendSync) {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	var reply peerwire.SyncReply
+	g.stats.syncs.Add(1)
+	if err := g.messenger.Call(ctx, a.To, peerwire.KindSync, a.Request, &reply); err != nil {
+		g.options.Logger.Debug("sync-failed", zap.String("to", string(a.To)), zap.Error(err))
+		return
+	}
+	g.perform(g.step(SyncAnswered{From: a.To, Reply: &reply}, true))
+}
+
+func (g *Gossiper) handleProbe(_ context.Context, from messenger.Peer, payload []byte) (msgp.Marshaler, error) {
+	var n peerwire.News
+	if _, err := n.UnmarshalMsg(payload); err != nil {
+		return nil, malformed("probe", err)
+	}
+	for _, a := range g.handle(NewsArrived{From: from.Incarnation, News: &n, Reply: true}) {
+		if r, ok := a.(Reply); ok {
+			return r.News, nil
+		}
+	}
+	return nil, errors.New("machine gave no reply to a probe")
+}
+
+func (g *Gossiper) handleNews(_ context.Context, from messenger.Peer, payload []byte) (msgp.Marshaler, error) {
+	var n peerwire.News
+	if _, err := n.UnmarshalMsg(payload); err != nil {
+		return nil, malformed("news", err)
+	}
+	g.handle(NewsArrived{From: from.Incarnation, News: &n})
+	return nil, nil
+}
+
+func (g *Gossiper) handleSync(_ context.Context, from messenger.Peer, payload []byte) (msgp.Marshaler, error) {
+	var r peerwire.SyncRequest
+	if _, err := r.UnmarshalMsg(payload); err != nil {
+		return nil, malformed("sync", err)
+	}
+	for _, a := range g.handle(SyncArrived{From: from.Incarnation, Request: &r}) {
+		if r, ok := a.(ReplySync); ok {
+			return r.Reply, nil
+		}
+	}
+	return nil, errors.New("machine gave no reply to a sync")
+}
+
+// handleProbeFor probes a third host for the peer.
+func (g *Gossiper) handleProbeFor(ctx context.Context, _ messenger.Peer, payload []byte) (msgp.Marshaler, error) {
+	var ask peerwire.ProbeFor
+	if _, err := ask.UnmarshalMsg(payload); err != nil {
+		return nil, malformed("probe-for", err)
+	}
+	var reply peerwire.News
+	ctx, cancel := context.WithTimeout(ctx, g.options.ProbeTimeout)
+	defer cancel()
+	if err := g.messenger.Call(ctx, ask.Address, peerwire.KindProbe, &ask.News, &reply); err != nil {
+		return nil, err
+	}
+	if reply.From != ask.Incarnation {
+		return nil, classifier.NotRun(classifier.ReasonHostUnreachable, 0,
+			"address %s is that of incarnation %s", ask.Address, reply.From)
+	}
+	reply.Unknown = false
+	g.handle(NewsArrived{From: reply.From, News: &reply})
+	return &peerwire.ProbeForReply{News: reply}, nil
+}
+
+// handle feeds the machine a peer's message and performs all but replies.
+func (g *Gossiper) handle(e Event) []Action {
+	actions := g.step(e, false)
+	g.perform(actions)
+	return actions
+}
+
+func malformed(what string, err error) error {
+	return classifier.NotRun(classifier.ReasonBadRequest, 0, "malformed %s: %w", what, err)
+}
+
+func (g *Gossiper) logChange(c Changed) {
+	g.stats.count(c)
+	g.options.Logger.Info("member-changed", zap.String("host", string(c.Host)),
+		zap.Stringer("incarnation", c.Incarnation), zap.Stringer("from", c.From), zap.Stringer("to", c.To))
+}
--- a/peerwire/kinds.go
+++ b/peerwire/kinds.go
@@ -44,4 +44,8 @@
 	KindDrop
 	// KindTicketReceipt tells a ticket's issuer what became of its answer.
 	KindTicketReceipt
+	// KindNews hands on news of membership, without a reply.
+	KindNews
+	// KindSync compares what two hosts know of membership.
+	KindSync
 )
