--- /dev/null
+++ b/keeper/keeper_test.go
@@ -0,0 +1,158 @@
+package keeper_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/compiler"
+	"github.com/jackdawthread/jackdawthread/keeper"
+)
+
+const template = `firm = "tamsui"
+[[data-center]]
+name = "tw-north-1"
+region = "tw-north"
+[[service]]
+name = "price-lock"
+kind = "plain"
+timeout = "%ds"
+[[endpoint]]
+name = "lock-1"
+service = "price-lock"
+data-center = "tw-north-1"
+address = "127.0.0.1:7171"
+`
+
+// file gives declarations that differ by n.
+func file(n int) []byte {
+	return fmt.Appendf(nil, template, n)
+}
+
+func badFile(n int) []byte {
+	return append(file(n), "oops = 1\n"...)
+}
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func fromService(r identifier.Revision, source []byte) keeper.Offered {
+	return keeper.Offered{Revision: r, File: source, Source: keeper.SourceService}
+}
+
+// started gives a keeper that has learnt that no peer has anything.
+func started(r identifier.Revision) *keeper.Keeper {
+	k := keeper.New(keeper.DefaultOptions(), start)
+	k.Handle(keeper.PeersAsked{}, start)
+	k.Handle(fromService(r, file(int(r))), start)
+	k.Handle(keeper.FencesAsked{Candidate: r}, start)
+	return k
+}
+
+func assertInForce(t *testing.T, k *keeper.Keeper, r identifier.Revision) {
+	t.Helper()
+	is := is.New(t)
+	if r == 0 {
+		is.True(k.Current() == nil)
+		return
+	}
+	is.True(k.Current() != nil)
+	is.Equal(k.Current().Revision, r)
+	is.Equal(k.Status().Revision, r)
+}
+
+func TestRunningHost(t *testing.T) {
+	t.Run("newer is taken, older is not", func(t *testing.T) {
+		k := started(5)
+		assertInForce(t, k, 5)
+		k.Handle(fromService(7, file(7)), start)
+		assertInForce(t, k, 7)
+		k.Handle(fromService(6, file(6)), start)
+		assertInForce(t, k, 7)
+	})
+	t.Run("bad file leaves the old in force", func(t *testing.T) {
+		is := is.New(t)
+		k := started(5)
+		old := k.Current()
+		actions := k.Handle(fromService(6, badFile(6)), start)
+		is.Equal(len(actions), 1)
+		is.True(k.Current() == old)
+		refusal := k.Status().Refusal
+		is.Equal(refusal.Revision, identifier.Revision(6))
+		is.True(strings.Contains(refusal.Err.Error(), "declarations:14: endpoint.oops: unknown key"))
+		is.Equal(len(k.Handle(fromService(6, badFile(6)), start)), 0)
+		k.Handle(fromService(7, file(7)), start)
+		is.True(k.Status().Refusal == nil)
+	})
+	t.Run("other file under the same revision is refused", func(t *testing.T) {
+		is := is.New(t)
+		k := started(5)
+		k.Handle(fromService(5, file(50)), start)
+		is.Equal(k.Current().Source, file(5))
+		is.True(strings.Contains(k.Status().Refusal.Err.Error(), "was taken with digest"))
+	})
+	t.Run("a newer revision elsewhere is shown", func(t *testing.T) {
+		k := started(5)
+		k.Handle(keeper.Known{Revision: 6}, start)
+		is.New(t).Equal(k.Status().Phase, keeper.PhaseBehind)
+	})
+}
+
+func TestStartingHost(t *testing.T) {
+	options := keeper.DefaultOptions()
+	t.Run("waits for peers", func(t *testing.T) {
+		k := keeper.New(options, start)
+		k.Handle(fromService(5, file(5)), start)
+		k.Handle(keeper.FencesAsked{Candidate: 5}, start)
+		assertInForce(t, k, 0)
+		k.Handle(keeper.Offered{Revision: 7, File: file(7), Source: keeper.SourcePeer}, start)
+		k.Handle(keeper.PeersAsked{}, start)
+		k.Handle(keeper.FencesAsked{Candidate: 7}, start)
+		assertInForce(t, k, 7)
+	})
+	t.Run("waits no longer than its time-outs", func(t *testing.T) {
+		k := keeper.New(options, start)
+		k.Handle(fromService(5, file(5)), start)
+		k.Handle(keeper.Ticked{}, start.Add(options.PeersTimeout-1))
+		assertInForce(t, k, 0)
+		k.Handle(keeper.Ticked{}, start.Add(options.PeersTimeout))
+		assertInForce(t, k, 5)
+	})
+	t.Run("holds a file older than a fencing number", func(t *testing.T) {
+		is := is.New(t)
+		k := keeper.New(options, start)
+		k.Handle(keeper.PeersAsked{}, start)
+		k.Handle(fromService(5, file(5)), start)
+		k.Handle(keeper.Known{Revision: 7}, start)
+		k.Handle(keeper.FencesAsked{Candidate: 5}, start)
+		k.Handle(keeper.Ticked{}, start.Add(time.Hour))
+		assertInForce(t, k, 0)
+		is.Equal(k.Status().Phase, keeper.PhaseHeld)
+		k.Handle(fromService(7, file(7)), start.Add(time.Hour))
+		k.Handle(keeper.FencesAsked{Candidate: 7}, start.Add(time.Hour))
+		assertInForce(t, k, 7)
+	})
+	t.Run("takes an older file where the operator allows it", func(t *testing.T) {
+		options := options
+		options.AllowOlder = true
+		k := keeper.New(options, start)
+		k.Handle(keeper.PeersAsked{}, start)
+		k.Handle(fromService(5, file(5)), start)
+		k.Handle(keeper.Known{Revision: 7}, start)
+		k.Handle(keeper.FencesAsked{Candidate: 5}, start)
+		assertInForce(t, k, 5)
+	})
+}
+
+func TestSubscribers(t *testing.T) {
+	is := is.New(t)
+	k := started(5)
+	var seen []identifier.Revision
+	k.Subscribe(func(_, next *compiler.Fleet) { seen = append(seen, next.Revision) })
+	k.Handle(fromService(7, file(7)), start)
+	k.Handle(fromService(6, file(6)), start)
+	is.Equal(seen, []identifier.Revision{5, 7})
+}
