--- a/allocator/grant.go
+++ b/allocator/grant.go
@@ -21,7 +21,7 @@
 	since    time.Time
 }
 
-func (p *Pool) grant(a *Ask, plan plan, now time.Time) {
+func (p *Pool) grant(a *wish, plan plan, now time.Time) {
 	g := &grant{
 		attempt:  a.Attempt,
 		urgency:  a.Urgency,
--- a/allocator/place.go
+++ b/allocator/place.go
@@ -29,7 +29,7 @@
 }
 
 // place plans an attempt; false: it has to wait. It allocates nothing.
-func (p *Pool) place(a *Ask, now time.Time) (plan, bool) {
+func (p *Pool) place(a *wish, now time.Time) (plan, bool) {
 	var excluded [maxExcluded]int32
 	exclude := p.excluded(a, &excluded)
 	var chosen plan
@@ -56,17 +56,17 @@
 
 // admits tells whether the prefill may start now.
 func (p *Pool) admits(chosen *plan, now time.Time) bool {
-	if p.options.Unreserved {
-		return true
-	}
 	if chosen.prefill.waiting(now) > p.options.PrefillDepth.Seconds() {
 		return false
 	}
+	if p.options.Unreserved {
+		return true
+	}
 	return chosen.prefill.fits(chosen.promptPieces) && p.link.fits(chosen.promptPieces)
 }
 
 // placeDecode gives the least used decode engine that has room; nil: none.
-func (p *Pool) placeDecode(a *Ask, exclude []int32) *endpoint {
+func (p *Pool) placeDecode(a *wish, exclude []int32) *endpoint {
 	for place := range min(decodeCandidates, p.decode.Len()) {
 		e := p.endpoints[p.decode.At(place)]
 		if containsIndex(exclude, e.index) {
@@ -79,7 +79,7 @@
 	return nil
 }
 
-func (p *Pool) excluded(a *Ask, buffer *[maxExcluded]int32) []int32 {
+func (p *Pool) excluded(a *wish, buffer *[maxExcluded]int32) []int32 {
 	n := 0
 	for _, name := range a.Exclude {
 		e := p.byName[name]
@@ -154,17 +154,27 @@
 // linkRoom counts the pieces that are granted and have not passed the link.
 // Even if all came at once, the last must arrive within its result's life.
 type linkRoom struct {
+	rate        float64           // pieces a second, 0: no limit
 	limit       identifier.Pieces // 0: no limit
 	outstanding identifier.Pieces
 }
 
 func (l *linkRoom) configure(link *compiler.Link, resultLife time.Duration) {
-	l.limit = 0
+	l.limit, l.rate = 0, 0
 	if link != nil && link.Rate > 0 {
+		l.rate = link.Rate
 		l.limit = max(1, identifier.Pieces(link.Rate*resultLife.Seconds()*linkShare))
 	}
 }
 
+// time gives how long a prompt's transfer takes by itself.
+func (l *linkRoom) time(prompt, perPiece identifier.Tokens) time.Duration {
+	if l.rate == 0 {
+		return 0
+	}
+	return seconds(float64(prompt) / float64(max(1, perPiece)) / l.rate)
+}
+
 // fits lets a transfer that is above the limit by itself pass alone.
 func (l *linkRoom) fits(pieces identifier.Pieces) bool {
 	return l.limit == 0 || l.outstanding == 0 || l.outstanding+pieces <= l.limit
--- a/allocator/pool.go
+++ b/allocator/pool.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/compiler"
 	"github.com/jackdawthread/jackdawthread/router"
@@ -28,7 +29,7 @@
 
 	heldBack []*endpoint
 
-	queue     *scheduler.Queue[identifier.Attempt, *Ask]
+	queue     *scheduler.Queue[identifier.Attempt, *wish]
 	grants    map[identifier.Attempt]*grant
 	homes     map[identifier.Incarnation]*home
 	released  releasedSet
@@ -36,6 +37,7 @@
 	drain     drainRate
 	meanStep  float64
 	slots     int
+	perPiece  identifier.Tokens
 	used      map[identifier.Firm]int
 	firms     []identifier.Firm // keys of used, in order of appearance
 	born      time.Time
@@ -57,7 +59,7 @@
 		options:    options.withDefaults(),
 		random:     rand.New(rand.NewPCG(seed, seed)),
 		byName:     map[identifier.Endpoint]*endpoint{},
-		queue:      scheduler.New[identifier.Attempt, *Ask](scheduler.Policy{}),
+		queue:      scheduler.New[identifier.Attempt, *wish](scheduler.Policy{}),
 		grants:     map[identifier.Attempt]*grant{},
 		homes:      map[identifier.Incarnation]*home{},
 		used:       map[identifier.Firm]int{},
@@ -143,6 +145,7 @@
 	p.byName[e.name] = e
 	if e.decodes {
 		p.slots += e.slots
+		p.perPiece = e.perPiece
 	}
 }
 
@@ -152,17 +155,18 @@
 	if p.grants[a.Attempt] != nil || p.queue.Has(a.Attempt) {
 		return nil // a resent ask is answered by the first one
 	}
-	if reason, ok := p.early(&a, now); !ok {
+	w := p.newWish(a, now)
+	if reason, ok := p.early(w, now); !ok {
 		p.refuse(a.Attempt, a.Urgency, reason)
 		return p.serve(now)
 	}
-	p.queue.Push(scheduler.Entry[identifier.Attempt, *Ask]{
+	p.queue.Push(scheduler.Entry[identifier.Attempt, *wish]{
 		Key:    a.Attempt,
-		Value:  &a,
+		Value:  w,
 		Urgent: a.Urgency == compiler.UrgencyUrgent,
 		Firm:   p.firm(a.Firm),
-		Cost:   1,
-		Expiry: p.expiry(&a, now),
+		Cost:   w.run.Seconds(),
+		Expiry: w.startBy(),
 	}, now)
 	return p.serve(now)
 }
@@ -223,6 +227,10 @@
 			break
 		}
 		p.queue.Take(head, now)
+		if p.late(head.Value, &plan, now) {
+			p.refuse(head.Key, head.Value.Urgency, classifier.ReasonDeadline)
+			continue
+		}
 		p.grant(head.Value, plan, now)
 		p.drain.served(now)
 	}
--- a/allocator/refuse.go
+++ b/allocator/refuse.go
@@ -47,7 +47,7 @@
 }
 
 // early refuses an ask that can't be served in time as things stand.
-func (p *Pool) early(a *Ask, now time.Time) (classifier.Reason, bool) {
+func (p *Pool) early(a *wish, now time.Time) (classifier.Reason, bool) {
 	switch {
 	case !p.serves():
 		return classifier.ReasonNoEndpoint, false
@@ -56,8 +56,8 @@
 	case p.service.QueueLimit > 0 && p.queue.Len() >= p.service.QueueLimit:
 		return classifier.ReasonQueueFull, false
 	}
-	expiry := p.expiry(a, now)
-	if !expiry.IsZero() && now.Add(p.expectedWait(a.Urgency)).After(expiry) {
+	startBy := a.startBy()
+	if !startBy.IsZero() && now.Add(p.expectedWait(a.Urgency)).After(startBy) {
 		return classifier.ReasonDeadline, false
 	}
 	return "", true
@@ -77,7 +77,7 @@
 }
 
 // large tells whether some decode engine is large enough for the ask.
-func (p *Pool) large(a *Ask) bool {
+func (p *Pool) large(a *wish) bool {
 	for _, e := range p.endpoints {
 		if e.decodes && e.piecesFor(a.PromptTokens+a.MaxTokens) <= e.pieces {
 			return true
@@ -98,22 +98,6 @@
 	return p.drain.expected(ahead)
 }
 
-// expiry gives when a prefill of the ask must have started.
-func (p *Pool) expiry(a *Ask, now time.Time) time.Time {
-	left := a.Left
-	target := p.service.FirstToken
-	if a.Urgency == compiler.UrgencyUrgent && target > 0 && !p.options.LateAnswers {
-		if left == 0 || target < left {
-			left = target
-		}
-	}
-	if left == 0 {
-		return time.Time{}
-	}
-	prefill := float64(a.PromptTokens) / p.options.PrefillRate
-	return now.Add(left - time.Duration(prefill*float64(time.Second)))
-}
-
 func (p *Pool) refuseExpired(now time.Time) {
 	for e := p.queue.Expired(now); e != nil; e = p.queue.Expired(now) {
 		p.refuse(e.Key, e.Value.Urgency, classifier.ReasonDeadline)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -25,8 +25,11 @@
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 )
 
-// maxCredit bounds what patient entries save up, in units of cost.
-const maxCredit = 64
+// maxCredit bounds what patient entries save up, in entries.
+const maxCredit = 2
+
+// mostShare bounds the shares of patient entries, so that urgent ones get some.
+const mostShare = 0.9
 
 // Policy says how urgencies share.
 type Policy struct {
@@ -45,8 +48,7 @@
 	Value  V
 	Urgent bool
 	Firm   identifier.Firm
-	// Cost is what the entry takes, relative to the others; at least 1 for
-	// the shares to mean anything.
+	// Cost is what the entry takes, in any unit: it weighs the shares.
 	Cost float64
 	// Expiry is when the entry can't be served in time any more; zero: never.
 	Expiry time.Time
@@ -139,16 +141,24 @@
 
 // Take removes an entry that Peek gave, because it is served now.
 func (q *Queue[K, V]) Take(e *Entry[K, V], now time.Time) {
-	share := q.share(now)
-	waits := q.patient.length > 0
 	e.lane.taken += e.Cost
-	q.drop(e)
-	switch {
-	case !e.Urgent:
+	if e.Urgent {
+		q.save(e.Cost, now)
+	} else {
 		q.credit = max(0, q.credit-e.Cost)
-	case waits && share < 1:
-		q.credit = min(max(maxCredit, q.policy.FloorShare), q.credit+e.Cost*share/(1-share))
 	}
+	q.drop(e)
+}
+
+// save credits waiting patient entries with their share of a cost.
+func (q *Queue[K, V]) save(cost float64, now time.Time) {
+	waiting := q.patient.head(false, nil)
+	if waiting == nil {
+		q.credit = 0
+		return
+	}
+	share := min(mostShare, q.share(now))
+	q.credit = min(q.credit+cost*share/(1-share), maxCredit*waiting.Cost)
 }
 
 // Remove drops the entry with the key, because it is not to be served.
