Count own prefills by their events, not by lagging reports

Cause: an engine's reported backlog is up to 400 ms old and counts the running prompt whole; engines stood idle between long prefills. Change: the pool keeps its own grants' prefills, ended by the home's news, and takes only the rest from reports. The decode-bound mix still loses slots that are held during prefill.

--- a/allocator/endpoint.go
+++ b/allocator/endpoint.go
@@ -36,11 +36,9 @@
 	foreignSlots  int
 	foreignPieces identifier.Pieces
 
-	// backlog is the prefill tokens expected to wait or run at backlogAt.
-	backlog   float64
-	backlogAt time.Time
-	rate      float64
-	step      time.Duration
+	backlog backlog
+	rate    float64
+	step    time.Duration
 
 	reported   bool
 	reportedAt time.Time
@@ -95,14 +93,7 @@
 
 // waiting gives the seconds of prefill that are expected to wait at now.
 func (e *endpoint) waiting(now time.Time) float64 {
-	passed := now.Sub(e.backlogAt).Seconds()
-	return max(0, e.backlog/e.rate-passed)
-}
-
-// charge adds a prefill to the backlog.
-func (e *endpoint) charge(tokens float64, now time.Time) {
-	e.backlog = e.waiting(now)*e.rate + tokens
-	e.backlogAt = now
+	return e.backlog.waiting(e.rate, now)
 }
 
 func (e *endpoint) utilization() float64 {
--- a/allocator/grant.go
+++ b/allocator/grant.go
@@ -34,7 +34,7 @@
 		since:    now,
 	}
 	p.enter(g, plan.promptPieces, now)
-	plan.prefill.charge(plan.prefillTokens, now)
+	plan.prefill.backlog.add(g, plan.prefillTokens, float64(a.PromptTokens), now)
 	p.refresh(plan.prefill, now)
 	p.choice.Placed(a.Blocks, plan.prefill.index, now)
 	p.emit(Granted{
@@ -71,6 +71,10 @@
 		return
 	}
 	g.phase = phase
+	if g.prefill != nil {
+		g.prefill.backlog.finish(g, now)
+		p.refresh(g.prefill, now)
+	}
 	if phase != PhaseTransferred {
 		return
 	}
@@ -94,6 +98,7 @@
 	}
 	for _, e := range [...]*endpoint{g.prefill, g.decode} {
 		if e != nil {
+			e.backlog.finish(g, now)
 			e.release(g)
 			p.refresh(e, now)
 		}
--- a/allocator/report.go
+++ b/allocator/report.go
@@ -25,7 +25,7 @@
 	e.reported = true
 	e.reportedAt = now.Add(-r.Age)
 	p.takeSpeeds(e, &r, now)
-	takeBacklog(e, &r)
+	e.backlog.report(float64(r.Backlog), e.reportedAt)
 	p.takeAttempts(e, &r, now)
 	p.refresh(e, now)
 	return p.serve(now)
@@ -46,22 +46,6 @@
 	p.meanStep += stepWeight * (min(r.Step.Seconds(), 2*p.meanStep) - p.meanStep)
 }
 
-// takeBacklog replaces the expected backlog by the reported one, plus what
-// was granted after the report's figures were taken.
-func takeBacklog(e *endpoint, r *Report) {
-	if !e.prefills {
-		return
-	}
-	fresh := 0.0
-	for _, h := range e.holds {
-		if h.grant.prefill == e && h.grant.since.After(e.reportedAt) {
-			fresh += float64(h.pieces) * float64(e.perPiece)
-		}
-	}
-	e.backlog = float64(r.Backlog) + fresh
-	e.backlogAt = e.reportedAt
-}
-
 // takeAttempts finds what the engine holds that the pool did not grant, and
 // cancels what belongs to no living home.
 func (p *Pool) takeAttempts(e *endpoint, r *Report, now time.Time) {
--- a/experimenter/pool_placer.go
+++ b/experimenter/pool_placer.go
@@ -127,9 +127,7 @@
 
 func (p *poolPlacer) advanced(r *request, phase allocator.Phase) {
 	a := r.attempt
-	if phase == allocator.PhaseTransferred {
-		p.send(func(now time.Time) []allocator.Action { return p.pool.Started(a, phase, now) })
-	}
+	p.send(func(now time.Time) []allocator.Action { return p.pool.Started(a, phase, now) })
 }
 
 func (p *poolPlacer) ended(r *request, outcome allocator.Outcome) {
