--- /dev/null
+++ b/certifier/authority.go
@@ -0,0 +1,153 @@
+package certifier
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"net"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// clockSkew is how far before its issue a certificate is valid, for hosts
+// whose clocks differ.
+const clockSkew = 5 * time.Minute
+
+// File modes of what Write creates.
+const (
+	certificateMode = 0o644
+	keyMode         = 0o600
+)
+
+// Pair is a certificate and its key, both as PEM.
+type Pair struct {
+	Certificate []byte
+	Key         []byte
+}
+
+// Write writes the pair; the key's file is readable by its owner only.
+func (p *Pair) Write(certificatePath, keyPath string) error {
+	if err := os.WriteFile(certificatePath, p.Certificate, certificateMode); err != nil {
+		return eris.Wrap(err, "certificate")
+	}
+	if err := os.WriteFile(keyPath, p.Key, keyMode); err != nil {
+		return eris.Wrap(err, "key")
+	}
+	return nil
+}
+
+// Authority signs the certificates of hosts.
+type Authority struct {
+	Pair
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+// NewAuthority makes an authority with a fresh key, valid from now.
+func NewAuthority(name string, now time.Time, validity time.Duration) (*Authority, error) {
+	template, err := newTemplate(name, now, validity)
+	if err != nil {
+		return nil, err
+	}
+	template.IsCA = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, eris.Wrap(err, "authority's key")
+	}
+	pair, err := sign(template, template, key, key)
+	if err != nil {
+		return nil, err
+	}
+	return LoadAuthority(pair)
+}
+
+// LoadAuthority gives the authority that pair was written for.
+func LoadAuthority(pair *Pair) (*Authority, error) {
+	certificate, err := parsePEM(pair.Certificate, "CERTIFICATE", x509.ParseCertificate)
+	if err != nil {
+		return nil, err
+	}
+	key, err := parsePEM(pair.Key, "EC PRIVATE KEY", x509.ParseECPrivateKey)
+	if err != nil {
+		return nil, err
+	}
+	if !certificate.IsCA {
+		return nil, eris.Errorf("certificate of %q is not that of an authority", certificate.Subject.CommonName)
+	}
+	if !key.PublicKey.Equal(certificate.PublicKey) {
+		return nil, eris.Errorf("key does not belong to the certificate of %q", certificate.Subject.CommonName)
+	}
+	return &Authority{Pair: *pair, certificate: certificate, key: key}, nil
+}
+
+// Issue makes a certificate for a host: names are its host name, which comes
+// first, and any other names and IP numbers that clients use for it.
+func (a *Authority) Issue(names []string, now time.Time, validity time.Duration) (*Pair, error) {
+	if len(names) == 0 {
+		return nil, eris.New("a certificate needs a host name")
+	}
+	template, err := newTemplate(names[0], now, validity)
+	if err != nil {
+		return nil, err
+	}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	for _, name := range names {
+		if ip := net.ParseIP(name); ip != nil {
+			template.IPAddresses = append(template.IPAddresses, ip)
+		} else {
+			template.DNSNames = append(template.DNSNames, name)
+		}
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, eris.Wrapf(err, "key of host %q", names[0])
+	}
+	return sign(template, a.certificate, key, a.key)
+}
+
+func newTemplate(name string, now time.Time, validity time.Duration) (*x509.Certificate, error) {
+	if validity <= 0 {
+		return nil, eris.Errorf("validity of %s for %q is not positive", validity, name)
+	}
+	return &x509.Certificate{
+		Subject:               pkix.Name{CommonName: name},
+		NotBefore:             now.Add(-clockSkew),
+		NotAfter:              now.Add(validity),
+		BasicConstraintsValid: true,
+	}, nil
+}
+
+func sign(template, parent *x509.Certificate, key, parentKey *ecdsa.PrivateKey) (*Pair, error) {
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, parentKey)
+	if err != nil {
+		return nil, eris.Wrapf(err, "certificate of %q", template.Subject.CommonName)
+	}
+	rawKey, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return nil, eris.Wrapf(err, "key of %q", template.Subject.CommonName)
+	}
+	return &Pair{
+		Certificate: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}),
+		Key:         pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: rawKey}),
+	}, nil
+}
+
+// parsePEM finds the first block of a type and parses it.
+func parsePEM[T any](text []byte, blockType string, parse func([]byte) (T, error)) (T, error) {
+	var none T
+	for block, rest := pem.Decode(text); block != nil; block, rest = pem.Decode(rest) {
+		if block.Type != blockType {
+			continue
+		}
+		value, err := parse(block.Bytes)
+		return value, eris.Wrapf(err, "block %q", blockType)
+	}
+	return none, eris.Errorf("no PEM block of type %q", blockType)
+}
