--- a/common/classifier/classifier.go
+++ b/common/classifier/classifier.go
@@ -127,6 +127,18 @@
 	}
 }
 
+// Of gives the failure that err carries. An error without one becomes a
+// failure after which the request may have run; nil stays nil.
+func Of(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	if e, ok := errors.AsType[*Error](err); ok {
+		return e
+	}
+	return MayHaveRun(ReasonInternal, 0, "unclassified failure: %w", err)
+}
+
 // VerdictOf gives the verdict that err carries, and VerdictMayHaveRun for an
 // error that carries none. For nil it gives VerdictRan.
 func VerdictOf(err error) Verdict {
--- a/compiler/fleet.go
+++ b/compiler/fleet.go
@@ -73,6 +73,22 @@
 	RolePlain
 )
 
+// String gives the role as declarations spell it.
+func (r Role) String() string {
+	switch r {
+	case RolePrefill:
+		return "prefill"
+	case RoleDecode:
+		return "decode"
+	case RoleBoth:
+		return "both"
+	case RolePlain:
+		return "plain"
+	default:
+		return "unknown"
+	}
+}
+
 // Service is what callers ask for by name.
 type Service struct {
 	Name    identifier.Service
--- a/peerwire/kinds.go
+++ b/peerwire/kinds.go
@@ -40,6 +40,8 @@
 	KindUsage
 	// KindLocate finds, sets or takes over a request's home.
 	KindLocate
+	// KindProgress tells an allocator that an attempt reached a phase.
+	KindProgress
 	// KindDrop tells a home that its request was taken over.
 	KindDrop
 	// KindTicketReceipt tells a ticket's issuer what became of its answer.
