--- /dev/null
+++ b/coordinator/handlers.go
@@ -0,0 +1,102 @@
+package coordinator
+
+import (
+	"context"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/jackdawthread/jackdawthread/common/classifier"
+	"github.com/jackdawthread/jackdawthread/messenger"
+	"github.com/jackdawthread/jackdawthread/peerwire"
+)
+
+// Register sets the handlers of messages from other entry hosts.
+func (c *Coordinator) Register(r Registry) {
+	r.Handle(peerwire.KindAsk, c.handleAsk)
+	r.Handle(peerwire.KindProgress, c.handleProgress)
+	r.Handle(peerwire.KindRelease, c.handleRelease)
+	r.Handle(peerwire.KindRenew, c.handleRenew)
+	r.Handle(peerwire.KindGrants, c.handleGrants)
+}
+
+func (c *Coordinator) handleAsk(ctx context.Context, _ messenger.Peer, payload []byte) (msgp.Marshaler, error) {
+	var m peerwire.Ask
+	if err := decode(&m, payload); err != nil {
+		return nil, err
+	}
+	k := decodeKey(m.Pool)
+	p, err := c.poolForPeer(k)
+	if err != nil {
+		return nil, err
+	}
+	granted, err := p.ask(ctx, decodeAsk(&m))
+	if err != nil {
+		return nil, err
+	}
+	return encodeAnswer(granted), nil
+}
+
+// poolForPeer gives the pool if it falls to this host.
+func (c *Coordinator) poolForPeer(k Key) (*pool, error) {
+	if p := c.ownPool(k); p != nil {
+		return p, nil
+	}
+	owner, ok := c.owner(k)
+	if !ok || owner.Incarnation != c.deps.Self {
+		return nil, movedError(k)
+	}
+	return c.pool(k)
+}
+
+func (c *Coordinator) handleProgress(_ context.Context, _ messenger.Peer, payload []byte) (msgp.Marshaler, error) {
+	var m peerwire.Progress
+	if err := decode(&m, payload); err != nil {
+		return nil, err
+	}
+	if p := c.ownPool(decodeKey(m.Pool)); p != nil {
+		p.started(decodeAttempt(m.Attempt), phaseOf(m.Phase))
+	}
+	return nil, nil
+}
+
+func (c *Coordinator) handleRelease(_ context.Context, _ messenger.Peer, payload []byte) (msgp.Marshaler, error) {
+	var m peerwire.Release
+	if err := decode(&m, payload); err != nil {
+		return nil, err
+	}
+	if p := c.ownPool(decodeKey(m.Pool)); p != nil {
+		p.release(decodeAttempt(m.Attempt), decodeOutcome(&m))
+	}
+	return nil, nil
+}
+
+func (c *Coordinator) handleRenew(_ context.Context, from messenger.Peer, payload []byte) (msgp.Marshaler, error) {
+	var m peerwire.Renew
+	if err := decode(&m, payload); err != nil {
+		return nil, err
+	}
+	answer := &peerwire.RenewAnswer{}
+	if p := c.ownPool(decodeKey(m.Pool)); p != nil {
+		answer.ListNeeded = p.renew(from.Incarnation, m.Digest)
+	}
+	return answer, nil
+}
+
+func (c *Coordinator) handleGrants(_ context.Context, from messenger.Peer, payload []byte) (msgp.Marshaler, error) {
+	var m peerwire.Grants
+	if err := decode(&m, payload); err != nil {
+		return nil, err
+	}
+	if p := c.ownPool(decodeKey(m.Pool)); p != nil {
+		p.grants(from.Incarnation, decodeGrants(&m))
+	}
+	return nil, nil
+}
+
+// decode reads a message; a malformed one ran nothing.
+func decode(m msgp.Unmarshaler, payload []byte) error {
+	if _, err := m.UnmarshalMsg(payload); err != nil {
+		return classifier.NotRun(classifier.ReasonBadRequest, 0, "message of type %T is malformed: %w", m, err)
+	}
+	return nil
+}
