--- /dev/null
+++ b/redeemer/forward.go
@@ -0,0 +1,149 @@
+package redeemer
+
+import (
+	"context"
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+	"go.uber.org/zap"
+
+	"github.com/jackdawthread/jackdawthread/common/classifier"
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/compiler"
+	"github.com/jackdawthread/jackdawthread/dispatcher"
+	"github.com/jackdawthread/jackdawthread/gossiper"
+	"github.com/jackdawthread/jackdawthread/messenger"
+	"github.com/jackdawthread/jackdawthread/peerwire"
+	"github.com/jackdawthread/jackdawthread/ticketer"
+)
+
+// forward hands the call to the host that issued its ticket. Whatever goes
+// wrong on the way, an earlier call with the ticket may have run there.
+func (r *Redeemer) forward(ctx context.Context, to gossiper.Member, t identifier.Ticket, c dispatcher.CallRequest) ([]byte, error) {
+	message := peerwire.TicketCall{
+		Incarnation: uint64(to.Incarnation),
+		Ticket:      string(t),
+		Request:     string(c.ID),
+		Service:     string(c.Service.Name),
+		Customer:    string(c.Customer.Name),
+		Payload:     c.Payload,
+		TimeLeftMs:  timeLeft(ctx),
+	}
+	var answer peerwire.TicketAnswer
+	if err := r.deps.Links.Call(ctx, to.Address, peerwire.KindTicketCall, &message, &answer); err != nil {
+		f := *classifier.Of(err)
+		f.Verdict = classifier.Worst(f.Verdict, classifier.VerdictMayHaveRun)
+		return nil, &f
+	}
+	return decodeAnswer(&answer)
+}
+
+func timeLeft(ctx context.Context) uint32 {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return 0
+	}
+	return uint32(max(time.Until(deadline).Milliseconds(), 0))
+}
+
+// remoteReceipt tells the issuer what became of its answer.
+func (r *Redeemer) remoteReceipt(to gossiper.Member, t identifier.Ticket, err error) Receipt {
+	if err != nil {
+		return noReceipt
+	}
+	return func(delivered bool) {
+		message := peerwire.TicketReceipt{Incarnation: uint64(to.Incarnation), Ticket: string(t), Delivered: delivered}
+		r.deps.Group.Run(func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, receiptTimeout)
+			defer cancel()
+			if err := r.deps.Links.Send(ctx, to.Address, peerwire.KindTicketReceipt, &message); err != nil {
+				// The issuer then keeps the answer reserved for this call.
+				r.deps.Log.Debug("receipt-unsent", zap.String("host", string(to.Host)), zap.Error(err))
+			}
+		})
+	}
+}
+
+func (r *Redeemer) handleCall(ctx context.Context, _ messenger.Peer, payload []byte) (msgp.Marshaler, error) {
+	var m peerwire.TicketCall
+	if _, err := m.UnmarshalMsg(payload); err != nil {
+		return nil, classifier.MayHaveRun(classifier.ReasonBadRequest, 0, "forwarded call is malformed: %w", err)
+	}
+	if m.Incarnation != uint64(r.deps.Self) {
+		return nil, issuerGone(identifier.Incarnation(m.Incarnation))
+	}
+	t := identifier.Ticket(m.Ticket)
+	c, err := r.lookUp(&m)
+	if err != nil {
+		return encodeFailure(r.void(t, &m, classifier.Of(err))), nil
+	}
+	body, err := r.redeem(ctx, t, c)
+	if err != nil {
+		return encodeFailure(classifier.Of(err)), nil
+	}
+	return &peerwire.TicketAnswer{Payload: body}, nil
+}
+
+// void takes the ticket out of use, so that the refusal stays true.
+func (r *Redeemer) void(t identifier.Ticket, m *peerwire.TicketCall, f *classifier.Error) *classifier.Error {
+	redemption := r.deps.Tickets.Void(t, identifier.Service(m.Service), identifier.Customer(m.Customer), f, time.Now())
+	if redemption.State == ticketer.StateOutcome && redemption.Failure() == nil {
+		// The payload stays for a call that can be served.
+		r.deps.Tickets.Undelivered(t, time.Now())
+		return classifier.Ran(classifier.ReasonTicketUsed, "the call ran; its answer is kept")
+	}
+	if g := redemption.Failure(); g != nil {
+		return g
+	}
+	return f
+}
+
+func (r *Redeemer) lookUp(m *peerwire.TicketCall) (dispatcher.CallRequest, error) {
+	f := r.deps.Fleet()
+	if f == nil {
+		return dispatcher.CallRequest{}, classifier.NotRun(classifier.ReasonNotReady, unreachableRetryAfter, "no declarations are in force yet")
+	}
+	s := f.Services[identifier.Service(m.Service)]
+	if s == nil || s.Kind != compiler.KindPlain {
+		return dispatcher.CallRequest{}, classifier.NotRun(classifier.ReasonUnknownService, 0, "plain service %q is not declared", m.Service)
+	}
+	c := f.Customer(identifier.Customer(m.Customer))
+	if c == nil {
+		return dispatcher.CallRequest{}, classifier.NotRun(classifier.ReasonUnknownCustomer, 0, "customer %q is not declared", m.Customer)
+	}
+	return dispatcher.CallRequest{ID: identifier.Request(m.Request), Service: s, Customer: c, Payload: m.Payload}, nil
+}
+
+func (r *Redeemer) handleReceipt(_ context.Context, _ messenger.Peer, payload []byte) (msgp.Marshaler, error) {
+	var m peerwire.TicketReceipt
+	if _, err := m.UnmarshalMsg(payload); err != nil {
+		return nil, classifier.NotRun(classifier.ReasonBadRequest, 0, "receipt is malformed: %w", err)
+	}
+	if m.Incarnation == uint64(r.deps.Self) {
+		r.receipt(identifier.Ticket(m.Ticket), nil)(m.Delivered)
+	}
+	return nil, nil
+}
+
+func encodeFailure(f *classifier.Error) *peerwire.TicketAnswer {
+	return &peerwire.TicketAnswer{
+		Verdict:      uint8(f.Verdict),
+		Reason:       string(f.Reason),
+		Message:      f.Message,
+		RetryAfterMs: uint32(f.RetryAfter.Milliseconds()),
+		Ticket:       string(f.Ticket),
+	}
+}
+
+func decodeAnswer(m *peerwire.TicketAnswer) ([]byte, error) {
+	if m.Verdict == uint8(classifier.VerdictUnknown) {
+		return m.Payload, nil
+	}
+	return nil, &classifier.Error{
+		Verdict:    classifier.Verdict(m.Verdict),
+		Reason:     classifier.Reason(m.Reason),
+		Message:    m.Message,
+		RetryAfter: time.Duration(m.RetryAfterMs) * time.Millisecond,
+		Ticket:     identifier.Ticket(m.Ticket),
+	}
+}
--- /dev/null
+++ b/server/callers.go
@@ -0,0 +1,204 @@
+// Package server serves the callers' and the operators' interfaces of an entry
+// host: it reads and checks requests, hands them to the parts that do the work
+// and turns failures into answers that say whether the request may have run.
+//
+// # Usage
+//
+//	callers := server.NewCallers(server.CallersDeps{...})
+//	l := server.Listen(group, ln, callers.Handler(), server.DefaultListenerOptions(), log)
+//	defer l.Stop(ctx)
+//
+// The wire formats are those of Connect, so JSON over HTTP/1.1 works too:
+//
+//	curl -H 'Content-Type: application/json' \
+//	  -d '{"service":"price-lock","customer":"dealer-7","payload":"e30="}' \
+//	  http://127.0.0.1:7000/jackdawthread.caller.v1.CallerService/Call
+package server
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/jackdawthread/jackdawthread/common/classifier"
+	"github.com/jackdawthread/jackdawthread/common/converter"
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/compiler"
+	"github.com/jackdawthread/jackdawthread/dispatcher"
+	"github.com/jackdawthread/jackdawthread/redeemer"
+	"github.com/jackdawthread/jackdawthread/wire/callerwire"
+	"github.com/jackdawthread/jackdawthread/wire/callerwire/callerwireconnect"
+)
+
+// Dispatch serves checked requests.
+type Dispatch interface {
+	Generate(ctx context.Context, r dispatcher.GenerateRequest, sink dispatcher.Sink) (dispatcher.Completion, error)
+	Call(ctx context.Context, r dispatcher.CallRequest) ([]byte, error)
+}
+
+// Tickets serves calls that must run at most once.
+type Tickets interface {
+	// Issue gives a ticket and the time until it is void.
+	Issue(s *compiler.Service, c *compiler.Customer) (identifier.Ticket, time.Duration, error)
+	// Call dispatches the call if the ticket allows it. The receipt is told
+	// whether the answer reached the caller.
+	Call(ctx context.Context, t identifier.Ticket, r dispatcher.CallRequest) ([]byte, redeemer.Receipt, error)
+}
+
+// CallersDeps is what the callers' interface works with.
+type CallersDeps struct {
+	Fleet    func() *compiler.Fleet
+	Dispatch Dispatch
+	Tickets  Tickets
+	// MaxRequestBytes bounds a request's message.
+	MaxRequestBytes int
+}
+
+// Callers is the callers' interface.
+type Callers struct {
+	deps CallersDeps
+}
+
+// NewCallers gives the callers' interface.
+func NewCallers(d CallersDeps) *Callers {
+	return &Callers{deps: d}
+}
+
+// Handler serves the interface over HTTP.
+func (s *Callers) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(callerwireconnect.NewCallerServiceHandler(s, connect.WithReadMaxBytes(s.deps.MaxRequestBytes)))
+	return mux
+}
+
+// Generate implements callerwireconnect.CallerServiceHandler.
+func (s *Callers) Generate(ctx context.Context, r *connect.Request[callerwire.GenerateRequest], stream *connect.ServerStream[callerwire.GenerateResponse]) error {
+	begin(ctx)
+	checked, err := s.checkGenerate(r.Msg)
+	if err != nil {
+		return converter.ToConnect(err)
+	}
+	ctx, cancel := withTimeout(ctx, checked.Service)
+	defer cancel()
+	out := &generateWriter{stream: stream, request: checked.ID}
+	completion, err := s.deps.Dispatch.Generate(ctx, checked, out.write)
+	if err != nil {
+		return converter.ToConnect(err)
+	}
+	return out.complete(completion)
+}
+
+// generateWriter sends chunks of an answer to a caller.
+type generateWriter struct {
+	stream  *connect.ServerStream[callerwire.GenerateResponse]
+	request identifier.Request
+	begun   bool
+}
+
+func (w *generateWriter) write(c dispatcher.Chunk) error {
+	return w.stream.Send(w.first(&callerwire.GenerateResponse{
+		TokenOffset: uint32(c.Offset),
+		Tokens:      uint32(c.Tokens),
+		Text:        c.Text,
+	}))
+}
+
+func (w *generateWriter) complete(c dispatcher.Completion) error {
+	return w.stream.Send(w.first(&callerwire.GenerateResponse{
+		TokenOffset: uint32(c.Tokens),
+		Completion: &callerwire.Completion{
+			TotalTokens: uint32(c.Tokens),
+			Attempts:    uint32(c.Attempts),
+		},
+	}))
+}
+
+// first puts the request's id on the first message.
+func (w *generateWriter) first(m *callerwire.GenerateResponse) *callerwire.GenerateResponse {
+	if !w.begun {
+		w.begun = true
+		m.RequestId = string(w.request)
+	}
+	return m
+}
+
+// Call implements callerwireconnect.CallerServiceHandler.
+func (s *Callers) Call(ctx context.Context, r *connect.Request[callerwire.CallRequest]) (*connect.Response[callerwire.CallResponse], error) {
+	begin(ctx)
+	checked, err := s.checkCall(r.Msg)
+	if err != nil {
+		return nil, converter.ToConnect(unproved(r.Msg.GetTicket(), err))
+	}
+	ctx, cancel := withTimeout(ctx, checked.Service)
+	defer cancel()
+	payload, err := s.dispatchCall(ctx, identifier.Ticket(r.Msg.GetTicket()), checked)
+	if err != nil {
+		return nil, converter.ToConnect(err)
+	}
+	return connect.NewResponse(&callerwire.CallResponse{RequestId: string(checked.ID), Payload: payload}), nil
+}
+
+// unproved raises the verdict of a refusal of a call with a ticket: a copy of
+// the call may run at the ticket's issuer, whatever this host refuses.
+func unproved(ticket string, err error) error {
+	if ticket == "" {
+		return err
+	}
+	f := *classifier.Of(err)
+	f.Verdict = classifier.Worst(f.Verdict, classifier.VerdictMayHaveRun)
+	return &f
+}
+
+func (s *Callers) dispatchCall(ctx context.Context, t identifier.Ticket, r dispatcher.CallRequest) ([]byte, error) {
+	if r.Service.Repeatable {
+		return s.deps.Dispatch.Call(ctx, r)
+	}
+	if t == "" {
+		return nil, s.ticketRequired(r)
+	}
+	payload, receipt, err := s.deps.Tickets.Call(ctx, t, r)
+	if err == nil && ctx.Err() != nil {
+		receipt(false)
+		return nil, classifier.Ran(classifier.ReasonDeadline, "the call ran, but its caller no longer waits; its answer is kept for a resend")
+	}
+	onDelivery(ctx, receipt)
+	return payload, err
+}
+
+// ticketRequired refuses a call without a ticket and gives it one.
+func (s *Callers) ticketRequired(r dispatcher.CallRequest) error {
+	t, _, err := s.deps.Tickets.Issue(r.Service, r.Customer)
+	if err != nil {
+		return err
+	}
+	e := classifier.NotRun(classifier.ReasonTicketRequired, 0, "service %q needs a ticket; call again with the one given here", r.Service.Name)
+	e.Ticket = t
+	return e
+}
+
+// IssueTicket implements callerwireconnect.CallerServiceHandler.
+func (s *Callers) IssueTicket(ctx context.Context, r *connect.Request[callerwire.IssueTicketRequest]) (*connect.Response[callerwire.IssueTicketResponse], error) {
+	begin(ctx)
+	service, customer, err := s.lookUp(r.Msg.GetService(), r.Msg.GetCustomer(), compiler.KindPlain)
+	if err != nil {
+		return nil, converter.ToConnect(err)
+	}
+	if service.Repeatable {
+		return nil, converter.ToConnect(classifier.NotRun(classifier.ReasonBadRequest, 0, "service %q is repeatable and takes no tickets", service.Name))
+	}
+	t, valid, err := s.deps.Tickets.Issue(service, customer)
+	if err != nil {
+		return nil, converter.ToConnect(err)
+	}
+	return connect.NewResponse(&callerwire.IssueTicketResponse{Ticket: string(t), ValidForMs: uint32(valid.Milliseconds())}), nil
+}
+
+// withTimeout bounds a request whose caller gave no deadline.
+func withTimeout(ctx context.Context, s *compiler.Service) (context.Context, context.CancelFunc) {
+	if _, ok := ctx.Deadline(); ok || s.Timeout == 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, s.Timeout)
+}
--- a/ticketer/shard.go
+++ b/ticketer/shard.go
@@ -111,6 +111,18 @@
 	}
 }
 
+func (s *shard) unredeemed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, e := range s.entries {
+		if e.state == stateIssued || e.state == stateDispatching {
+			n++
+		}
+	}
+	return n
+}
+
 // dueList holds tickets in the order in which they were pushed, which is the
 // order of their times but for the skew between goroutines.
 type dueList struct {
--- a/ticketer/ticketer.go
+++ b/ticketer/ticketer.go
@@ -238,6 +238,16 @@
 	return int(t.count.Load())
 }
 
+// Unredeemed counts the tickets that may still be redeemed or whose call is
+// being dispatched. A host that stops as planned waits until there are none.
+func (t *Ticketer) Unredeemed() int {
+	n := 0
+	for i := range t.shards {
+		n += t.shards[i].unredeemed()
+	}
+	return n
+}
+
 // Expire forgets what has been kept for its time. Tickets of calls that are
 // still being dispatched stay.
 func (t *Ticketer) Expire(now time.Time) {
