--- /dev/null
+++ b/launcher/start.go
@@ -0,0 +1,206 @@
+package launcher
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/jackdawthread/jackdawthread/common/grouper"
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/compiler"
+	"github.com/jackdawthread/jackdawthread/connector"
+	"github.com/jackdawthread/jackdawthread/coordinator"
+	"github.com/jackdawthread/jackdawthread/dispatcher"
+	"github.com/jackdawthread/jackdawthread/gossiper"
+	"github.com/jackdawthread/jackdawthread/messenger"
+	"github.com/jackdawthread/jackdawthread/meter"
+	"github.com/jackdawthread/jackdawthread/redeemer"
+	"github.com/jackdawthread/jackdawthread/server"
+	"github.com/jackdawthread/jackdawthread/settings"
+	"github.com/jackdawthread/jackdawthread/throttler"
+	"github.com/jackdawthread/jackdawthread/ticketer"
+	"github.com/jackdawthread/jackdawthread/timer"
+)
+
+// ticketOptions are what a host gives its ticketer.
+func ticketOptions() ticketer.Options {
+	return ticketer.Options{
+		Validity:         15 * time.Second,
+		OutcomeRetention: time.Minute,
+		MaxOutstanding:   200_000,
+		MaxOutcomeBytes:  8 << 20,
+	}
+}
+
+// Start builds a host and starts it. It serves requests as soon as it has
+// learnt the declarations.
+func Start(ctx context.Context, s *settings.Settings, o Options) (*Host, error) {
+	callers, peers, operators, err := listenAll(s.Listeners)
+	if err != nil {
+		return nil, eris.Wrapf(err, "host %q could not listen", s.Host)
+	}
+	h := &Host{
+		settings:    s,
+		incarnation: identifier.NewIncarnation(),
+		started:     time.Now(),
+		log:         o.Log.With(zap.String("host", string(s.Host))),
+		group:       grouper.New(ctx),
+		draining:    make(chan struct{}),
+		addresses:   Addresses{Callers: addressOf(callers), Peers: addressOf(peers), Operators: addressOf(operators)},
+	}
+	if err := h.build(o); err != nil {
+		h.group.Stop()
+		for _, ln := range []net.Listener{callers, peers, operators} {
+			_ = ln.Close()
+		}
+		return nil, err
+	}
+	h.serve(callers, peers, operators)
+	return h, nil
+}
+
+// build makes the parts, each from those before it.
+func (h *Host) build(o Options) error {
+	var err error
+	h.timer = timer.New(h.group)
+	h.meter = meter.New()
+	h.connector = connector.New(connector.Options{Dial: o.DialEndpoint})
+	if h.tickets, err = ticketer.New(h.incarnation, ticketOptions()); err != nil {
+		return err
+	}
+	h.buildLinks(o)
+	h.config = newConfig(h)
+	h.buildCoordinator(o)
+	h.throttler = throttler.New(throttler.Deps{
+		Self: h.incarnation, Members: h.gossiper, Links: h.messenger, Timer: h.timer, Group: h.group, Log: h.log,
+	})
+	h.buildDispatcher()
+	h.coordinator.Register(h.messenger)
+	h.throttler.Register(h.messenger)
+	h.redeemer.Register(h.messenger)
+	return nil
+}
+
+func (h *Host) buildLinks(o Options) {
+	self := messenger.Peer{Host: h.settings.Host, Incarnation: h.incarnation, DataCenter: h.settings.DataCenter}
+	h.messenger = messenger.New(self, messenger.Options{
+		Firm:          h.settings.Firm,
+		MaxFrameBytes: int(h.settings.Limits.MaxFrameBytes),
+		MaxHandlers:   h.settings.Limits.MaxRequests,
+		Dial:          o.DialPeer,
+		Logger:        h.log,
+	}, h.group)
+	h.gossiper = gossiper.New(gossiper.Member{
+		Host:        h.settings.Host,
+		Incarnation: h.incarnation,
+		DataCenter:  h.settings.DataCenter,
+		Address:     h.addresses.Peers,
+	}, gossiper.Options{}, h.messenger, h.timer, h.group)
+	h.gossiper.Seed(h.settings.Seeds)
+}
+
+func (h *Host) buildCoordinator(o Options) {
+	options := coordinator.DefaultOptions()
+	if o.Coordinator != nil {
+		options = *o.Coordinator
+	}
+	options.Lease = h.settings.Periods.Lease
+	options.RenewPeriod = h.settings.Periods.Lease / 3
+	options.Seed = uint64(h.incarnation)
+	h.coordinator = coordinator.New(coordinator.Deps{
+		Self:       h.incarnation,
+		DataCenter: h.settings.DataCenter,
+		Fleet:      h.config.fleet,
+		Members:    h.gossiper,
+		Links:      h.messenger,
+		Engines:    h.connector,
+		Timer:      h.timer,
+		Group:      h.group,
+		Log:        h.log,
+		Options:    options,
+		Observe:    h.endpoints.observe,
+	})
+}
+
+func (h *Host) buildDispatcher() {
+	h.dispatcher = dispatcher.New(dispatcher.Deps{
+		Incarnation: h.incarnation,
+		DataCenter:  h.settings.DataCenter,
+		Group:       h.group,
+		Allocation:  h.coordinator,
+		Endpoints:   h.connector,
+		Limits:      h.throttler,
+		Observer:    h,
+		Leaving:     h.leaving,
+		Log:         h.log,
+	})
+	h.redeemer = redeemer.New(redeemer.Deps{
+		Self:     h.incarnation,
+		Tickets:  h.tickets,
+		Fleet:    h.config.fleet,
+		View:     h.gossiper.View,
+		Links:    h.messenger,
+		Dispatch: h.dispatcher,
+		Timer:    h.timer,
+		Group:    h.group,
+		Log:      h.log,
+	})
+}
+
+// leaving tells whether an endpoint gets no new work from this host.
+func (h *Host) leaving(e identifier.Endpoint) bool {
+	return h.gossiper.View().Leaving(e) || h.endpoints.leavingAt(e)
+}
+
+// Observe implements dispatcher.Observer.
+func (h *Host) Observe(o dispatcher.Observation) {
+	h.meter.Observe(o)
+	h.recordBurn(o)
+}
+
+// serve opens the listeners: peers first, since callers need them.
+func (h *Host) serve(callers, peers, operators net.Listener) {
+	h.messenger.Serve(peers)
+	h.operators = server.Listen(h.group, operators, server.NewOperators(h).Handler(), server.DefaultListenerOptions(), h.log)
+	front := server.NewCallers(server.CallersDeps{
+		Fleet:           h.config.fleet,
+		Dispatch:        h.dispatcher,
+		Tickets:         h.redeemer,
+		MaxRequestBytes: int(h.settings.Limits.MaxRequestBytes),
+	})
+	h.callers = server.Listen(h.group, callers, front.Handler(), server.DefaultListenerOptions(), h.log)
+	h.config.start()
+	h.log.Info("host-started",
+		zap.Stringer("incarnation", h.incarnation),
+		zap.String("data-center", string(h.settings.DataCenter)),
+		zap.String("callers", string(h.addresses.Callers)),
+		zap.String("peers", string(h.addresses.Peers)),
+		zap.String("operators", string(h.addresses.Operators)))
+}
+
+// reconfigure puts a new revision of the declarations in force.
+func (h *Host) reconfigure(f *compiler.Fleet) {
+	h.coordinator.Reconfigure(f)
+	h.throttler.Reconfigure(f)
+	if h.State() == server.StateStarting {
+		h.setState(server.StateReady)
+	}
+	h.publish()
+	h.log.Info("declarations-in-force", zap.Uint64("revision", uint64(f.Revision)))
+}
+
+// publish tells the peers what this host has in force and whether it serves.
+func (h *Host) publish() {
+	p := gossiper.Payload{}
+	if f := h.Fleet(); f != nil {
+		p.Revision = f.Revision
+		p.Readiness = gossiper.ReadinessReady
+	}
+	if h.State() == server.StateDraining {
+		p.Readiness = gossiper.ReadinessDraining
+	}
+	h.gossiper.Publish(p)
+}
