--- a/assembler/system.go
+++ b/assembler/system.go
@@ -23,6 +23,7 @@
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/compiler"
 	"github.com/jackdawthread/jackdawthread/emulator"
+	"github.com/jackdawthread/jackdawthread/faulter"
 	"github.com/jackdawthread/jackdawthread/launcher"
 	"github.com/jackdawthread/jackdawthread/server"
 	"github.com/jackdawthread/jackdawthread/settings"
@@ -43,6 +44,11 @@
 	Engine emulator.EngineSettings
 	Plain  emulator.PlainSettings
 	Scale  float64
+	// Memory runs the system on a network inside the process, whose faults
+	// System.Faults sets, instead of on loopback.
+	Memory bool
+	// Seed decides the random choices of the network's faults.
+	Seed uint64
 	// Settings changes a host's settings before it starts; it may be nil.
 	Settings func(*settings.Settings)
 	// Launch changes a host's options before it starts; it may be nil.
@@ -55,6 +61,9 @@
 type System struct {
 	options Options
 	group   *grouper.Group
+	memory  *faulter.Memory // nil: loopback
+	// Faults of the network inside the process; nil on loopback.
+	Faults  *faulter.Network
 	Site    *emulator.Site
 	Fleet   *compiler.Fleet
 	hosts   map[identifier.Host]*launcher.Host
@@ -71,6 +80,10 @@
 		hosts:   make(map[identifier.Host]*launcher.Host),
 		places:  make(map[identifier.Host]identifier.DataCenter),
 	}
+	if o.Memory {
+		s.memory = faulter.NewMemory()
+		s.Faults = faulter.NewOver(s.memory.Dial, o.Seed, s.group)
+	}
 	if err := s.start(); err != nil {
 		s.Close()
 		return nil, err
@@ -83,14 +96,18 @@
 	if err != nil {
 		return err
 	}
-	s.Site, err = emulator.StartSite(s.group.Context(), s.group, emulator.SiteSettings{
+	site := emulator.SiteSettings{
 		Fleet:    declared,
 		AnyPorts: true,
 		Engine:   s.options.Engine,
 		Plain:    s.options.Plain,
 		Scale:    s.options.Scale,
-	})
-	if err != nil {
+	}
+	if s.memory != nil {
+		site.Listen = s.memory.Listen
+		site.Client = httpClient(s.memory.Dial)
+	}
+	if s.Site, err = emulator.StartSite(s.group.Context(), s.group, site); err != nil {
 		return err
 	}
 	source, err := Readdress(s.options.Source, declared, s.Site.Addresses())
@@ -103,6 +120,7 @@
 	if err := s.Publish(source); err != nil {
 		return err
 	}
+	s.registerSite()
 	return s.startHosts()
 }
 
@@ -136,6 +154,9 @@
 // StartHost starts an entry host, also in place of a stopped one.
 func (s *System) StartHost(name identifier.Host, dc identifier.DataCenter) (*launcher.Host, error) {
 	o := launcher.Options{Log: s.options.Log}
+	if s.memory != nil {
+		s.joinMemory(name, &o)
+	}
 	if s.options.Launch != nil {
 		s.options.Launch(name, &o)
 	}
@@ -146,6 +167,7 @@
 	if _, ok := s.hosts[name]; !ok {
 		s.names = append(s.names, name)
 	}
+	s.register(name, h.Addresses())
 	s.hosts[name] = h
 	s.places[name] = dc
 	s.seeds = append(s.seeds, h.Addresses().Peers)
@@ -167,6 +189,11 @@
 	return v
 }
 
+// DataCenter gives the data centre of an entry host.
+func (s *System) DataCenter(name identifier.Host) identifier.DataCenter {
+	return s.places[name]
+}
+
 // Host gives an entry host by name; nil if there is none.
 func (s *System) Host(name identifier.Host) *launcher.Host {
 	return s.hosts[name]
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -99,6 +99,11 @@
 	return p.(enginewireconnect.PlainServiceClient)
 }
 
+// HTTP gives the client under all others, for further services.
+func (c *Connector) HTTP() *http.Client {
+	return c.client
+}
+
 // Close drops idle connections.
 func (c *Connector) Close() {
 	c.transport.CloseIdleConnections()
--- a/emulator/serve.go
+++ b/emulator/serve.go
@@ -49,8 +49,18 @@
 // TLS, and gives the address bound. When ctx ends, or the group stops, all
 // connections are cut.
 func Serve(ctx context.Context, g *grouper.Group, address string, h http.Handler) (identifier.Address, error) {
-	var config net.ListenConfig
-	l, err := config.Listen(ctx, "tcp", address)
+	return serveOn(ctx, g, listenTCP, address, h)
+}
+
+// Listen opens a listener on an address.
+type Listen func(address identifier.Address) (net.Listener, error)
+
+func listenTCP(address identifier.Address) (net.Listener, error) {
+	return net.Listen("tcp", string(address))
+}
+
+func serveOn(ctx context.Context, g *grouper.Group, listen Listen, address string, h http.Handler) (identifier.Address, error) {
+	l, err := listen(identifier.Address(address))
 	if err != nil {
 		return "", eris.Wrapf(err, "listen on %q", address)
 	}
--- a/emulator/site.go
+++ b/emulator/site.go
@@ -39,6 +39,10 @@
 	// Scale divides the times and multiplies the rates of engines and
 	// links; 0: 1.
 	Scale float64
+	// Listen opens the endpoints' listeners, and Client connects engines to
+	// each other; nil: TCP.
+	Listen Listen
+	Client *http.Client
 }
 
 // Site runs a fleet's endpoints and a platform in one process, each at an
@@ -69,12 +73,18 @@
 // StartSite starts a site; it runs until ctx ends or the group stops.
 func StartSite(ctx context.Context, g *grouper.Group, s SiteSettings) (*Site, error) {
 	setDefault(&s.Scale, 1)
+	if s.Listen == nil {
+		s.Listen = listenTCP
+	}
+	if s.Client == nil {
+		s.Client = NewHTTPClient()
+	}
 	t := &Site{
 		Links:     NewLinks(s.Fleet.Links, s.Scale),
 		settings:  s,
 		ctx:       ctx,
 		group:     g,
-		client:    NewHTTPClient(),
+		client:    s.Client,
 		endpoints: make(map[identifier.Endpoint]*siteEndpoint),
 	}
 	if err := t.startPlatform(); err != nil {
@@ -107,7 +117,7 @@
 	address := t.settings.PlatformAddress
 	setDefault(&address, anyPort)
 	t.Platform = NewPlatform(t.settings.Platform)
-	t.PlatformAddress, err = Serve(t.ctx, t.group, address, t.Platform.Handler())
+	t.PlatformAddress, err = serveOn(t.ctx, t.group, t.settings.Listen, address, t.Platform.Handler())
 	return err
 }
 
@@ -124,7 +134,7 @@
 	context.AfterFunc(t.group.Context(), stop)
 	n := &siteEndpoint{stop: stop, plain: t.Plain(e.Name)}
 	handler := t.create(ctx, n, e)
-	bound, err := Serve(ctx, t.group, address, handler)
+	bound, err := serveOn(ctx, t.group, t.settings.Listen, address, handler)
 	if err != nil {
 		stop()
 		return err
--- a/faulter/faulter.go
+++ b/faulter/faulter.go
@@ -55,6 +55,7 @@
 // Network applies faults to the connections that are dialled through it.
 type Network struct {
 	group *grouper.Group
+	dial  Dialer
 
 	mu      sync.Mutex
 	random  *rand.Rand
@@ -65,11 +66,25 @@
 	changed chan struct{} // closed at each change
 }
 
+// Dialer opens a connection to an address.
+type Dialer func(ctx context.Context, to identifier.Address) (net.Conn, error)
+
+func dialTCP(ctx context.Context, to identifier.Address) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", string(to))
+}
+
 // New gives a network without faults, whose helpers run in the group. Random
 // choices follow from the seed and the order of the writes.
 func New(seed uint64, group *grouper.Group) *Network {
+	return NewOver(dialTCP, seed, group)
+}
+
+// NewOver gives a network like New over another dialler, such as a Memory's.
+func NewOver(dial Dialer, seed uint64, group *grouper.Group) *Network {
 	return &Network{
 		group:   group,
+		dial:    dial,
 		random:  rand.New(rand.NewPCG(seed, seed)),
 		hosts:   map[identifier.Address]identifier.Host{},
 		faults:  map[direction]Fault{},
@@ -96,8 +111,7 @@
 		if err := n.awaitBoth(ctx, from, to); err != nil {
 			return nil, err
 		}
-		var d net.Dialer
-		raw, err := d.DialContext(ctx, "tcp", string(address))
+		raw, err := n.dial(ctx, address)
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/faulter/memory_conn.go
@@ -0,0 +1,210 @@
+package faulter
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// streamBytes is what one direction of a connection buffers.
+const streamBytes = 256 << 10
+
+// memoryConn is one end of a connection inside the process.
+type memoryConn struct {
+	in, out       *stream
+	local, remote net.Addr
+	readBy        deadline
+	writeBy       deadline
+}
+
+func memoryPair(a, b net.Addr) (*memoryConn, *memoryConn) {
+	there, back := newStream(), newStream()
+	return &memoryConn{in: back, out: there, local: a, remote: b, readBy: newDeadline(), writeBy: newDeadline()},
+		&memoryConn{in: there, out: back, local: b, remote: a, readBy: newDeadline(), writeBy: newDeadline()}
+}
+
+// Read implements net.Conn.
+func (c *memoryConn) Read(b []byte) (int, error) { return c.in.read(b, &c.readBy) }
+
+// Write implements net.Conn.
+func (c *memoryConn) Write(b []byte) (int, error) { return c.out.write(b, &c.writeBy) }
+
+// Close implements net.Conn.
+func (c *memoryConn) Close() error {
+	c.in.close()
+	c.out.close()
+	return nil
+}
+
+// LocalAddr implements net.Conn.
+func (c *memoryConn) LocalAddr() net.Addr { return c.local }
+
+// RemoteAddr implements net.Conn.
+func (c *memoryConn) RemoteAddr() net.Addr { return c.remote }
+
+// SetDeadline implements net.Conn.
+func (c *memoryConn) SetDeadline(t time.Time) error {
+	c.readBy.set(t)
+	c.writeBy.set(t)
+	return nil
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *memoryConn) SetReadDeadline(t time.Time) error {
+	c.readBy.set(t)
+	return nil
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *memoryConn) SetWriteDeadline(t time.Time) error {
+	c.writeBy.set(t)
+	return nil
+}
+
+// stream is one direction of a connection.
+type stream struct {
+	mu      sync.Mutex
+	buffer  []byte
+	closed  bool
+	changed chan struct{} // closed at each change
+}
+
+func newStream() *stream {
+	return &stream{changed: make(chan struct{})}
+}
+
+// notify wakes all that wait; s.mu is held.
+func (s *stream) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *stream) read(b []byte, by *deadline) (int, error) {
+	for {
+		n, changed, err := s.tryRead(b)
+		if n > 0 || err != nil || len(b) == 0 {
+			return n, err
+		}
+		if err := by.wait(changed); err != nil {
+			return 0, err
+		}
+	}
+}
+
+func (s *stream) tryRead(b []byte) (int, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.buffer) > 0 {
+		n := copy(b, s.buffer)
+		s.buffer = s.buffer[n:]
+		s.notify()
+		return n, nil, nil
+	}
+	if s.closed {
+		return 0, nil, io.EOF
+	}
+	return 0, s.changed, nil
+}
+
+func (s *stream) write(b []byte, by *deadline) (int, error) {
+	written := 0
+	for written < len(b) {
+		n, changed, err := s.tryWrite(b[written:])
+		written += n
+		if err != nil {
+			return written, err
+		}
+		if n > 0 {
+			continue
+		}
+		if err := by.wait(changed); err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+func (s *stream) tryWrite(b []byte) (int, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return 0, nil, &net.OpError{Op: "write", Net: "memory", Err: syscall.EPIPE}
+	}
+	n := min(len(b), streamBytes-len(s.buffer))
+	if n == 0 {
+		return 0, s.changed, nil
+	}
+	s.buffer = append(s.buffer, b[:n]...)
+	s.notify()
+	return n, nil, nil
+}
+
+func (s *stream) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.closed {
+		s.closed = true
+		s.notify()
+	}
+}
+
+// deadline is a time limit that may change while somebody waits for it.
+type deadline struct {
+	mu      sync.Mutex
+	timer   *time.Timer
+	expired chan struct{}
+}
+
+func newDeadline() deadline {
+	return deadline{expired: make(chan struct{})}
+}
+
+// set changes the limit; the zero time means none.
+func (d *deadline) set(t time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.timer != nil && !d.timer.Stop() {
+		<-d.expired // the timer has fired or is about to
+	}
+	d.timer = nil
+	if isClosed(d.expired) {
+		d.expired = make(chan struct{})
+	}
+	if t.IsZero() {
+		return
+	}
+	if wait := time.Until(t); wait > 0 {
+		expired := d.expired
+		d.timer = time.AfterFunc(wait, func() { close(expired) })
+		return
+	}
+	close(d.expired)
+}
+
+// wait waits for changed; it fails when the limit passes first.
+func (d *deadline) wait(changed <-chan struct{}) error {
+	d.mu.Lock()
+	expired := d.expired
+	d.mu.Unlock()
+	if isClosed(expired) {
+		return os.ErrDeadlineExceeded
+	}
+	select {
+	case <-changed:
+		return nil
+	case <-expired:
+		return os.ErrDeadlineExceeded
+	}
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
--- a/launcher/config.go
+++ b/launcher/config.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
@@ -44,7 +43,7 @@
 }
 
 func (c *config) watch(ctx context.Context) {
-	platform := platformwireconnect.NewPlatformServiceClient(http.DefaultClient, "http://"+string(c.host.settings.Platform.Address))
+	platform := platformwireconnect.NewPlatformServiceClient(c.host.connector.HTTP(), "http://"+string(c.host.settings.Platform.Address))
 	var seen uint64
 	for ctx.Err() == nil {
 		r, err := platform.Watch(ctx, connect.NewRequest(&platformwire.WatchRequest{Key: c.host.settings.Platform.Key, AfterRevision: seen, WaitMs: 5000}))
--- a/launcher/host.go
+++ b/launcher/host.go
@@ -38,6 +38,8 @@
 // Options of a host beside its settings.
 type Options struct {
 	Log *zap.Logger
+	// Listen replaces the network's listeners.
+	Listen func(identifier.Address) (net.Listener, error)
 	// DialPeer and DialEndpoint replace the network's dialers, for example
 	// to inject faults.
 	DialPeer     messenger.DialFunc
@@ -123,15 +125,19 @@
 }
 
 // listenAll binds the three listeners, all or none.
-func listenAll(l settings.Listeners) (callers, peers, operators net.Listener, err error) {
-	if callers, err = net.Listen("tcp", string(l.Callers)); err != nil {
+func (o *Options) listenAll(l settings.Listeners) (callers, peers, operators net.Listener, err error) {
+	listen := o.Listen
+	if listen == nil {
+		listen = listenTCP
+	}
+	if callers, err = listen(l.Callers); err != nil {
 		return nil, nil, nil, err
 	}
-	if peers, err = net.Listen("tcp", string(l.Peers)); err != nil {
+	if peers, err = listen(l.Peers); err != nil {
 		_ = callers.Close()
 		return nil, nil, nil, err
 	}
-	if operators, err = net.Listen("tcp", string(l.Operators)); err != nil {
+	if operators, err = listen(l.Operators); err != nil {
 		_ = callers.Close()
 		_ = peers.Close()
 		return nil, nil, nil, err
@@ -139,6 +145,10 @@
 	return callers, peers, operators, nil
 }
 
+func listenTCP(a identifier.Address) (net.Listener, error) {
+	return net.Listen("tcp", string(a))
+}
+
 func addressOf(ln net.Listener) identifier.Address {
 	return identifier.Address(ln.Addr().String())
 }
--- a/launcher/start.go
+++ b/launcher/start.go
@@ -38,7 +38,7 @@
 // Start builds a host and starts it. It serves requests as soon as it has
 // learnt the declarations.
 func Start(ctx context.Context, s *settings.Settings, o Options) (*Host, error) {
-	callers, peers, operators, err := listenAll(s.Listeners)
+	callers, peers, operators, err := o.listenAll(s.Listeners)
 	if err != nil {
 		return nil, eris.Wrapf(err, "host %q could not listen", s.Host)
 	}
