--- a/assembler/system.go
+++ b/assembler/system.go
@@ -63,13 +63,13 @@
 	group   *grouper.Group
 	memory  *faulter.Memory // nil: loopback
 	// Faults of the network inside the process; nil on loopback.
-	Faults  *faulter.Network
-	Site    *emulator.Site
-	Fleet   *compiler.Fleet
-	hosts   map[identifier.Host]*launcher.Host
-	names   []identifier.Host
-	places  map[identifier.Host]identifier.DataCenter
-	seeds   []identifier.Address
+	Faults *faulter.Network
+	Site   *emulator.Site
+	Fleet  *compiler.Fleet
+	hosts  map[identifier.Host]*launcher.Host
+	names  []identifier.Host
+	places map[identifier.Host]identifier.DataCenter
+	seeds  []identifier.Address
 }
 
 // Start starts the stand-ins and then the entry hosts.
