Add watcher: few hosts read the platform, the others ask their peers

Cause: nothing brought declarations to a host. Change: watcher holds a waiting watch on the readers alone, polls the host list, fetches newer declarations from peers as steps, and asks peers and engines before a started host trusts the service. Conclusion: tests in virtual time over a stale or absent service, restarts, quick succession, a faulty file, a cut and a late answer.

--- /dev/null
+++ b/archiver/archiver_test.go
@@ -0,0 +1,122 @@
+package archiver_test
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/jackdawthread/jackdawthread/archiver"
+	"github.com/jackdawthread/jackdawthread/common/decoder"
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/compiler"
+	"github.com/jackdawthread/jackdawthread/peerwire"
+)
+
+// fleet compiles the Tamsui example, changed by revision.
+func fleet(t testing.TB, r identifier.Revision) *compiler.Fleet {
+	t.Helper()
+	is := is.New(t)
+	source, err := os.ReadFile("../examples/tamsui.toml")
+	is.NoErr(err)
+	source = bytes.Replace(source, []byte(`timeout = "20s"`), fmt.Appendf(nil, `timeout = "%ds"`, 20+r), 1)
+	f, err := compiler.FromBytes("tamsui.toml", source, r)
+	is.NoErr(err)
+	return f
+}
+
+func ask(f *compiler.Fleet) *peerwire.DeclarationsAsk {
+	if f == nil {
+		return &peerwire.DeclarationsAsk{}
+	}
+	return &peerwire.DeclarationsAsk{Revision: f.Revision, Digest: f.Digest}
+}
+
+// holding gives an archive that went through the fleets.
+func holding(fleets ...*compiler.Fleet) *archiver.Archive {
+	a := archiver.New()
+	var previous *compiler.Fleet
+	for _, f := range fleets {
+		a.Swap(previous, f)
+		previous = f
+	}
+	return a
+}
+
+func assertTakes(t *testing.T, current *compiler.Fleet, answer *peerwire.Declarations, expected *compiler.Fleet) {
+	t.Helper()
+	is := is.New(t)
+	source, err := archiver.New().Take(current, answer)
+	is.NoErr(err)
+	is.Equal(string(source), string(expected.Source))
+}
+
+func TestAnswer(t *testing.T) {
+	one, two, three := fleet(t, 1), fleet(t, 2), fleet(t, 3)
+	a := holding(one, two, three)
+	t.Run("steps from any kept revision", func(t *testing.T) {
+		is := is.New(t)
+		answer := a.Answer(ask(one))
+		is.Equal(len(answer.Steps), 2)
+		is.Equal(len(answer.Whole), 0)
+		assertTakes(t, one, answer, three)
+		assertTakes(t, two, a.Answer(ask(two)), three)
+	})
+	t.Run("whole for a host that has nothing", func(t *testing.T) {
+		assertTakes(t, nil, a.Answer(ask(nil)), three)
+	})
+	t.Run("whole for a host with an unknown file", func(t *testing.T) {
+		answer := a.Answer(&peerwire.DeclarationsAsk{Revision: 1, Digest: 5})
+		is.New(t).Equal(len(answer.Steps), 0)
+		assertTakes(t, one, answer, three)
+	})
+	t.Run("nothing for a host that is up to date", func(t *testing.T) {
+		is := is.New(t)
+		answer := a.Answer(ask(three))
+		is.Equal(answer.Revision, identifier.Revision(3))
+		is.Equal(len(answer.Steps)+len(answer.Whole), 0)
+	})
+	t.Run("steps that were taken are handed on", func(t *testing.T) {
+		is := is.New(t)
+		other := holding(one)
+		_, err := other.Take(one, a.Answer(ask(one)))
+		is.NoErr(err)
+		other.Swap(one, three)
+		assertTakes(t, two, other.Answer(ask(two)), three)
+		is.Equal(len(other.Answer(ask(two)).Steps), 1)
+	})
+}
+
+func TestUnusableAnswers(t *testing.T) {
+	one, two := fleet(t, 1), fleet(t, 2)
+	assertRefused := func(t *testing.T, current *compiler.Fleet, answer *peerwire.Declarations, part string) {
+		t.Helper()
+		is := is.New(t)
+		_, err := archiver.New().Take(current, answer)
+		is.True(err != nil)
+		is.True(strings.Contains(err.Error(), part))
+	}
+	good := func() *peerwire.Declarations { return holding(one, two).Answer(ask(one)) }
+	t.Run("other digest", func(t *testing.T) {
+		answer := holding(two).Answer(ask(nil))
+		answer.Digest++
+		assertRefused(t, nil, answer, "have digest")
+	})
+	t.Run("other base", func(t *testing.T) { assertRefused(t, two, good(), "don't go on") })
+	t.Run("damaged patch", func(t *testing.T) {
+		answer := good()
+		answer.Steps[0].Patch[len(answer.Steps[0].Patch)-2]++
+		assertRefused(t, one, answer, "have digest")
+	})
+	t.Run("too long once decompressed", func(t *testing.T) {
+		var packed bytes.Buffer
+		w, _ := flate.NewWriter(&packed, flate.BestSpeed)
+		_, _ = w.Write(make([]byte, decoder.MaxSize+1))
+		_ = w.Close()
+		assertRefused(t, nil, &peerwire.Declarations{Revision: 1, Whole: packed.Bytes()}, "longer than")
+	})
+}
--- a/keeper/state.go
+++ b/keeper/state.go
@@ -30,7 +30,7 @@
 	return Options{
 		Name:          "declarations",
 		PeersTimeout:  2 * time.Second,
-		FencesTimeout: 2 * time.Second,
+		FencesTimeout: time.Second,
 	}
 }
 
--- /dev/null
+++ b/watcher/world_test.go
@@ -0,0 +1,260 @@
+package watcher_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
+	"github.com/jackdawthread/jackdawthread/archiver"
+	"github.com/jackdawthread/jackdawthread/common/grouper"
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/compiler"
+	"github.com/jackdawthread/jackdawthread/keeper"
+	"github.com/jackdawthread/jackdawthread/peerwire"
+	"github.com/jackdawthread/jackdawthread/timer"
+	"github.com/jackdawthread/jackdawthread/watcher"
+	"github.com/jackdawthread/jackdawthread/wire/platformwire"
+)
+
+var errCut = errors.New("connection is cut")
+
+// platform is a fake of the platform's services.
+type platform struct {
+	watches   atomic.Int64
+	hostLists atomic.Int64
+
+	mu     sync.Mutex
+	down   bool
+	stale  identifier.Revision // newest revision told; 0: all
+	files  [][]byte            // by revision-1
+	change chan struct{}
+}
+
+func newPlatform() *platform {
+	return &platform{change: make(chan struct{})}
+}
+
+// set changes the platform under its mutex and wakes the watches.
+func (p *platform) set(f func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f()
+	close(p.change)
+	p.change = make(chan struct{})
+}
+
+func (p *platform) publish(source []byte) identifier.Revision {
+	p.set(func() { p.files = append(p.files, source) })
+	return identifier.Revision(len(p.files))
+}
+
+func (p *platform) read() (r identifier.Revision, source []byte, down bool, change chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r = identifier.Revision(len(p.files))
+	if p.stale > 0 {
+		r = min(r, p.stale)
+	}
+	if r > 0 {
+		source = p.files[r-1]
+	}
+	return r, source, p.down, p.change
+}
+
+func (p *platform) Watch(ctx context.Context, request *connect.Request[platformwire.WatchRequest]) (*connect.Response[platformwire.WatchResponse], error) {
+	p.watches.Add(1)
+	wait := time.NewTimer(time.Duration(request.Msg.GetWaitMs()) * time.Millisecond)
+	defer wait.Stop()
+	for {
+		revision, source, down, change := p.read()
+		if down {
+			return nil, errCut
+		}
+		if uint64(revision) > request.Msg.GetAfterRevision() {
+			return connect.NewResponse(&platformwire.WatchResponse{Changed: true, Value: source, Revision: uint64(revision)}), nil
+		}
+		select {
+		case <-change:
+		case <-wait.C:
+			return connect.NewResponse(&platformwire.WatchResponse{}), nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (p *platform) ListHosts(context.Context, *connect.Request[platformwire.ListHostsRequest]) (*connect.Response[platformwire.ListHostsResponse], error) {
+	p.hostLists.Add(1)
+	if _, _, down, _ := p.read(); down {
+		return nil, errCut
+	}
+	return connect.NewResponse(&platformwire.ListHostsResponse{}), nil
+}
+
+// world is a firm's entry hosts in one process.
+type world struct {
+	platform *platform
+	fence    atomic.Uint64 // what the engines remember; 0: they can't be reached
+	bytes    atomic.Int64  // of questions and answers between hosts
+	fetches  atomic.Int64
+	cut      atomic.Int64 // number of the data center that is cut off; -1: none
+
+	mu    sync.Mutex
+	nodes []*node
+}
+
+// node is an entry host with one incarnation.
+type node struct {
+	world   *world
+	name    identifier.Host
+	number  int
+	group   *grouper.Group
+	keeper  *keeper.Keeper
+	archive *archiver.Archive
+	seen    []identifier.Revision // that came into force, in order
+	started time.Time
+}
+
+const (
+	dataCenters = 3
+	readers     = 2
+	// gossipDelay is the time until a host that has started knows of peers.
+	gossipDelay = 500 * time.Millisecond
+)
+
+func newWorld(hosts int) *world {
+	w := &world{platform: newPlatform()}
+	w.cut.Store(-1)
+	for n := range hosts {
+		w.nodes = append(w.nodes, &node{world: w, name: identifier.Host(fmt.Sprintf("entry-%d", n)), number: n})
+	}
+	for _, n := range w.nodes {
+		n.start()
+	}
+	return w
+}
+
+func (w *world) stop() {
+	for _, n := range w.nodes {
+		n.stop()
+	}
+}
+
+// start gives the node a fresh incarnation.
+func (n *node) start() {
+	n.world.mu.Lock()
+	n.group = grouper.New(context.Background())
+	n.archive = archiver.New()
+	n.seen = nil
+	n.started = time.Now()
+	n.keeper = keeper.New(keeper.DefaultOptions(), time.Now())
+	n.keeper.Subscribe(func(_, next *compiler.Fleet) { n.seen = append(n.seen, next.Revision) })
+	n.world.mu.Unlock()
+	options := watcher.DefaultOptions()
+	options.Seed = uint64(n.number)
+	watcher.Start(watcher.Dependencies{
+		Keeper: n.keeper, Archive: n.archive, Platform: (*service)(n), Readers: n, Peers: n, Fences: n,
+		HostList: func([]*platformwire.Host) {},
+		Timers:   timer.New(n.group), Group: n.group, Log: zap.NewNop(),
+	}, options)
+}
+
+func (n *node) stop() {
+	if n.group != nil {
+		n.group.Stop()
+		_ = n.group.Wait()
+	}
+	n.world.mu.Lock()
+	defer n.world.mu.Unlock()
+	n.group = nil
+}
+
+func (n *node) dataCenter() int { return n.number % dataCenters }
+
+// isolated tells whether the node's data center is cut off.
+func (n *node) isolated() bool { return int64(n.dataCenter()) == n.world.cut.Load() }
+
+// peers gives the running nodes that n can reach.
+func (n *node) peers() []*node {
+	n.world.mu.Lock()
+	defer n.world.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(n.world.nodes), func(o *node) bool {
+		apart := o.dataCenter() != n.dataCenter() && (o.isolated() || n.isolated())
+		return o == n || o.group == nil || apart
+	})
+}
+
+func (n *node) Reads() bool {
+	before := 0
+	for _, o := range n.peers() {
+		if o.dataCenter() == n.dataCenter() && o.number < n.number {
+			before++
+		}
+	}
+	return before < readers
+}
+
+func (n *node) Revisions() []watcher.PeerRevision {
+	var revisions []watcher.PeerRevision
+	if time.Since(n.started) < gossipDelay {
+		return nil
+	}
+	for _, o := range n.peers() {
+		revisions = append(revisions, watcher.PeerRevision{Host: o.name, Revision: o.keeper.Status().Revision})
+	}
+	return revisions
+}
+
+// Fetch sends the question and the answer through their codecs.
+func (n *node) Fetch(_ context.Context, host identifier.Host, ask *peerwire.DeclarationsAsk) (*peerwire.Declarations, error) {
+	i := slices.IndexFunc(n.peers(), func(o *node) bool { return o.name == host })
+	if i < 0 {
+		return nil, errCut
+	}
+	question, err := ask.MarshalMsg(nil)
+	if err != nil {
+		return nil, err
+	}
+	encoded, err := n.peers()[i].archive.Answer(ask).MarshalMsg(nil)
+	if err != nil {
+		return nil, err
+	}
+	n.world.fetches.Add(1)
+	n.world.bytes.Add(int64(len(question) + len(encoded)))
+	answer := &peerwire.Declarations{}
+	_, err = answer.UnmarshalMsg(encoded)
+	return answer, err
+}
+
+func (n *node) Highest(context.Context, *compiler.Fleet) (identifier.Revision, bool) {
+	fence := n.world.fence.Load()
+	return identifier.Revision(fence), fence > 0
+}
+
+// service is the platform as a node reaches it.
+type service node
+
+func (s *service) Watch(ctx context.Context, r *connect.Request[platformwire.WatchRequest]) (*connect.Response[platformwire.WatchResponse], error) {
+	if (*node)(s).isolated() {
+		return nil, errCut
+	}
+	response, err := s.world.platform.Watch(ctx, r)
+	if (*node)(s).isolated() {
+		return nil, errCut
+	}
+	return response, err
+}
+
+func (s *service) ListHosts(ctx context.Context, r *connect.Request[platformwire.ListHostsRequest]) (*connect.Response[platformwire.ListHostsResponse], error) {
+	if (*node)(s).isolated() {
+		return nil, errCut
+	}
+	return s.world.platform.ListHosts(ctx, r)
+}
