--- a/emulator/load.go
+++ b/emulator/load.go
@@ -64,6 +64,7 @@
 		Adapters:               told.Adapters,
 		DecodeStepSeconds:      told.DecodeStepSeconds,
 		PrefillTokensPerSecond: told.PrefillTokensPerSecond,
+		Version:                told.Version,
 	}), nil
 }
 
@@ -82,6 +83,7 @@
 		Adapters:               slices.Clone(e.orders.adapters),
 		DecodeStepSeconds:      e.stepSeconds(),
 		PrefillTokensPerSecond: e.settings.PrefillRate / e.faults.Load().slowed(),
+		Version:                e.orders.version,
 	}
 	for _, a := range e.heldAttempts() {
 		m.Attempts = append(m.Attempts, wireAttempt(a))
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -94,6 +94,13 @@
 		is.Equal(k.Current().Source, file(5))
 		is.True(strings.Contains(k.Status().Refusal.Err.Error(), "was taken with digest"))
 	})
+	t.Run("another firm's file is refused", func(t *testing.T) {
+		options := keeper.DefaultOptions()
+		options.Firm = "snyrtinams"
+		k := keeper.New(options, start)
+		k.Handle(fromService(5, file(5)), start)
+		is.New(t).Equal(k.Status().Refusal.Err.Error(), `declarations: firm: expected "snyrtinams", got "tamsui"`)
+	})
 	t.Run("a newer revision elsewhere is shown", func(t *testing.T) {
 		k := started(5)
 		k.Handle(keeper.Known{Revision: 6}, start)
--- a/keeper/state.go
+++ b/keeper/state.go
@@ -14,6 +14,8 @@
 type Options struct {
 	// Name of the declarations in the texts of faults.
 	Name string
+	// Firm whose declarations are taken; empty: those of any.
+	Firm identifier.Firm
 	// PeersTimeout is how long a host that has nothing in force waits for
 	// its peers before it takes a file from the service.
 	PeersTimeout time.Duration
@@ -96,7 +98,7 @@
 	if s.refusedBefore(e.Revision, digest) {
 		return nil
 	}
-	fleet, err := compile(s.options.Name, e)
+	fleet, err := s.compile(e)
 	if err != nil {
 		return s.refuse(e, digest, err, now)
 	}
@@ -108,11 +110,18 @@
 	return []Action{AskFences{Candidate: fleet}}
 }
 
-func compile(name string, e Offered) (*compiler.Fleet, error) {
+func (s *State) compile(e Offered) (*compiler.Fleet, error) {
 	if e.Revision == 0 {
-		return nil, fmt.Errorf("%s: revision 0 names no declarations", name)
+		return nil, fmt.Errorf("%s: revision 0 names no declarations", s.options.Name)
 	}
-	return compiler.FromBytes(name, e.File, e.Revision)
+	fleet, err := compiler.FromBytes(s.options.Name, e.File, e.Revision)
+	if err != nil {
+		return nil, err
+	}
+	if s.options.Firm != "" && fleet.Firm != s.options.Firm {
+		return nil, fmt.Errorf("%s: firm: expected %q, got %q", s.options.Name, s.options.Firm, fleet.Firm)
+	}
+	return fleet, nil
 }
 
 // compareEqual refuses another file under the revision of the newest.
