--- a/messenger/connection.go
+++ b/messenger/connection.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -39,6 +40,8 @@
 	heardAt   atomic.Int64 // unix nanoseconds of the last frame
 	dialled   bool
 	batch     []byte
+	// ending is why the connection ends once the writer has told the peer.
+	ending atomic.Pointer[error]
 }
 
 func newConnection(m *Messenger, raw net.Conn, frames *FrameReader, peer Peer, dialled bool) *connection {
@@ -97,12 +100,25 @@
 			err = c.receive(&e, payload)
 		}
 		if err != nil {
-			c.fail(err)
+			c.end(err)
 			return
 		}
 	}
 }
 
+// end tells a peer whose frames can't be read why, and then ends the
+// connection.
+func (c *connection) end(cause error) {
+	_, large := errors.AsType[*SizeError](cause)
+	_, malformed := errors.AsType[*MalformedError](cause)
+	if c.dialled || !large && !malformed || c.postFailure(0, cause) != nil {
+		c.fail(cause)
+		return
+	}
+	c.ending.Store(&cause)
+	c.out.signal()
+}
+
 func (c *connection) receive(e *peerwire.Envelope, payload []byte) error {
 	if c.dialled {
 		return c.receiveAnswer(e, payload)
@@ -120,7 +136,11 @@
 		case <-c.ctx.Done():
 			err = c.ctx.Err()
 		case <-c.out.wake:
+			ending := c.ending.Load()
 			err = c.flush()
+			if err == nil && ending != nil {
+				err = *ending
+			}
 		case now := <-ticker.C:
 			err = c.tick(now, now.Sub(lastTick))
 			lastTick = now
--- a/messenger/hello.go
+++ b/messenger/hello.go
@@ -44,6 +44,7 @@
 	frames := newFrameReader(raw, &m.options)
 	peer, err := m.readHello(raw, frames)
 	if err != nil {
+		_ = raw.SetWriteDeadline(time.Now().Add(m.options.HelloTimeout))
 		_ = m.writeFrame(raw, peerwire.FrameFailure, encodeFailure(refusal(err)))
 		return nil, err
 	}
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -11,6 +14,7 @@
 	"github.com/tinylib/msgp/msgp"
 	"go.uber.org/goleak"
 
+	"github.com/jackdawthread/jackdawthread/certifier"
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
@@ -66,7 +70,7 @@
 }
 
 func TestCall(t *testing.T) {
-	defer goleak.VerifyNone(t)
+	t.Cleanup(func() { goleak.VerifyNone(t) }) // after the hosts have stopped
 	t.Run("replies", func(t *testing.T) {
 		is := is.New(t)
 		b := startHost(t, "b", messenger.Options{}, echo)
@@ -102,20 +106,44 @@
 		err := a.Call(t.Context(), "127.0.0.1:1", peerwire.KindAsk, text(""), nil)
 		isVerdict(t, err, classifier.VerdictNotRun, classifier.ReasonHostUnreachable)
 	})
+	t.Run("passes the deadline on", func(t *testing.T) {
+		left := make(chan time.Duration, 1)
+		b := startHost(t, "b", messenger.Options{}, func(m *messenger.Messenger) {
+			m.Handle(peerwire.KindAsk, func(ctx context.Context, _ messenger.Peer, _ []byte) (msgp.Marshaler, error) {
+				deadline, _ := ctx.Deadline()
+				left <- time.Until(deadline)
+				<-ctx.Done()
+				return nil, ctx.Err()
+			})
+		})
+		a := startHost(t, "a", messenger.Options{}, nil)
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		err := a.Call(ctx, b.address, peerwire.KindAsk, text(""), nil)
+		e, _ := errors.AsType[*classifier.Error](err)
+		is.New(t).Equal(e.Verdict, classifier.VerdictMayHaveRun) // either end may see the deadline first
+		d := <-left
+		is.New(t).True(d > 0 && d <= 51*time.Millisecond)
+	})
 	t.Run("cancels the handler", func(t *testing.T) {
+		started := make(chan struct{})
 		ended := make(chan struct{})
 		b := startHost(t, "b", messenger.Options{}, func(m *messenger.Messenger) {
 			m.Handle(peerwire.KindAsk, func(ctx context.Context, _ messenger.Peer, _ []byte) (msgp.Marshaler, error) {
+				close(started)
 				<-ctx.Done()
 				close(ended)
 				return nil, ctx.Err()
 			})
 		})
 		a := startHost(t, "a", messenger.Options{}, nil)
-		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
-		defer cancel()
+		ctx, cancel := context.WithCancel(t.Context())
+		a.group.Run(func(context.Context) {
+			<-started
+			cancel()
+		})
 		err := a.Call(ctx, b.address, peerwire.KindAsk, text(""), nil)
-		isVerdict(t, err, classifier.VerdictMayHaveRun, classifier.ReasonDeadline)
+		isVerdict(t, err, classifier.VerdictMayHaveRun, classifier.ReasonCanceled)
 		<-ended
 	})
 	t.Run("refuses a large message", func(t *testing.T) {
@@ -147,3 +175,36 @@
 		}
 	})
 }
+
+// eventually waits for a condition of real connections.
+func eventually(t *testing.T, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatal("condition never held")
+}
+
+func peerConfig(t *testing.T, authority *certifier.Authority, name string) *tls.Config {
+	t.Helper()
+	dir := t.TempDir()
+	f := certifier.Files{
+		Certificate: filepath.Join(dir, "host.pem"),
+		Key:         filepath.Join(dir, "host-key.pem"),
+		Authorities: filepath.Join(dir, "authorities.pem"),
+	}
+	pair, err := authority.Issue([]string{name}, time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := errors.Join(pair.Write(f.Certificate, f.Key), os.WriteFile(f.Authorities, authority.Certificate, 0o600)); err != nil {
+		t.Fatal(err)
+	}
+	store, err := certifier.Open(f, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return store.PeerConfig()
+}
