Test the stand-ins under failure; count discarded prefills exactly

Cause: nothing showed that an engine frees memory, keeps its pace or refuses as it should; a decode engine did not know how much of a lost prefill had been computed; a killed endpoint's port could still be bound at its restart. ExportTrailer gets computed_tokens. Kill waits until the endpoint's listener and connections are closed.

--- /dev/null
+++ b/emulator/engine_test.go
@@ -0,0 +1,450 @@
+package emulator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+
+	"github.com/jackdawthread/jackdawthread/common/grouper"
+	"github.com/jackdawthread/jackdawthread/compiler"
+	"github.com/jackdawthread/jackdawthread/wire/enginewire"
+)
+
+// bubble is an engine in virtual time, called without a connection.
+type bubble struct {
+	*Engine
+	t     *testing.T
+	is    *is.I
+	group *grouper.Group
+}
+
+func inBubble(t *testing.T, s EngineSettings, f func(b *bubble)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		setDefault(&s.Model, testModel)
+		e := NewEngine(t.Context(), s, EngineDeps{})
+		b := &bubble{e, t, is.New(t), grouper.New(t.Context())}
+		f(b)
+		b.group.Stop()
+		b.is.NoErr(b.group.Wait())
+		e.Close()
+	})
+}
+
+// promptOf gives a prompt of so many tokens.
+func promptOf(tokens int) string {
+	return strings.Repeat("note", tokens)
+}
+
+func (b *bubble) prefill(ctx context.Context, sequence uint64, promptTokens int, p enginewire.Priority) (*enginewire.PrefillResponse, error) {
+	r := prefillRequest(sequence, fmt.Sprintf("%4d", sequence)+promptOf(promptTokens-1), 100)
+	r.Msg.Priority = p
+	m, err := b.Prefill(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	return m.Msg, nil
+}
+
+func (b *bubble) importLocal(sequence uint64, handle string) error {
+	_, err := b.Import(b.t.Context(), connect.NewRequest(&enginewire.ImportRequest{
+		Attempt: newAttempt(sequence), Model: testModel, Handle: handle,
+	}))
+	return err
+}
+
+// ready prefills and imports an attempt.
+func (b *bubble) ready(sequence uint64, promptTokens int) {
+	b.t.Helper()
+	p, err := b.prefill(b.t.Context(), sequence, promptTokens, 0)
+	b.is.NoErr(err)
+	b.is.NoErr(b.importLocal(sequence, p.GetHandle()))
+}
+
+func (b *bubble) cancel(sequence uint64) bool {
+	r, err := b.Cancel(b.t.Context(), connect.NewRequest(&enginewire.CancelRequest{Attempt: newAttempt(sequence)}))
+	b.is.NoErr(err)
+	return r.Msg.GetHeld()
+}
+
+// decode reads an answer in a goroutine of its own.
+func (b *bubble) decode(ctx context.Context, sequence uint64, offset uint32) *reader {
+	r := &reader{}
+	b.group.Run(func(context.Context) {
+		err := b.DecodeTo(ctx, attemptOf(newAttempt(sequence)), offset, func(m *enginewire.DecodeResponse) error {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.reading.text += m.GetText()
+			r.reading.tokens += m.GetTokens()
+			r.reading.at = append(r.reading.at, time.Now())
+			return nil
+		})
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.reading.err = err
+	})
+	return r
+}
+
+// reading is what a reader got so far.
+type reading struct {
+	text   string
+	tokens uint32
+	at     []time.Time
+	err    error
+}
+
+type reader struct {
+	mu      sync.Mutex
+	reading reading
+}
+
+func (r *reader) got() reading {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.reading
+}
+
+// pass lets time go by until all is quiet again.
+func (b *bubble) pass(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func (b *bubble) wantFree() {
+	b.t.Helper()
+	s := b.Stats()
+	b.is.Equal(s.PiecesHeld, 0)
+	b.is.Equal(s.SlotsHeld, 0)
+	b.is.Equal(len(s.AttemptsHeld), 0)
+}
+
+func TestCancelFreesAtEveryStage(t *testing.T) {
+	const tokens = 1600 // 200 ms of prefill
+	stages := []struct {
+		name      string
+		reach     func(b *bubble)
+		discarded func(uint64) bool
+	}{
+		{"queued for prefill", func(b *bubble) {
+			b.SetFaults(Faults{Stall: true})
+			b.group.Run(func(ctx context.Context) { _, _ = b.prefill(ctx, 1, tokens, 0) })
+		}, func(n uint64) bool { return n == 0 }},
+		{"in prefill", func(b *bubble) {
+			b.group.Run(func(ctx context.Context) { _, _ = b.prefill(ctx, 1, tokens, 0) })
+			b.pass(100 * time.Millisecond)
+		}, func(n uint64) bool { return n > 0 && n < tokens }},
+		{"prefilled", func(b *bubble) {
+			_, err := b.prefill(b.t.Context(), 1, tokens, 0)
+			b.is.NoErr(err)
+		}, func(n uint64) bool { return n == tokens }},
+		{"imported", func(b *bubble) { b.ready(1, tokens) }, func(n uint64) bool { return n == tokens }},
+		{"decoding", func(b *bubble) {
+			b.ready(1, tokens)
+			b.decode(b.t.Context(), 1, 0)
+			b.pass(time.Second)
+		}, func(n uint64) bool { return n == 0 }},
+	}
+	for _, s := range stages {
+		t.Run(s.name, func(t *testing.T) {
+			inBubble(t, EngineSettings{}, func(b *bubble) {
+				s.reach(b)
+				synctest.Wait()
+				b.is.True(b.Stats().PiecesHeld > 0)
+				b.is.True(b.cancel(1))
+				b.wantFree()
+				b.is.True(s.discarded(b.Stats().DiscardedTokens))
+				b.is.True(!b.cancel(1)) // nothing is left to cancel
+			})
+		})
+	}
+}
+
+func TestPrefillResultExpires(t *testing.T) {
+	inBubble(t, EngineSettings{}, func(b *bubble) {
+		p, err := b.prefill(b.t.Context(), 1, 800, 0)
+		b.is.NoErr(err)
+		b.pass(time.Duration(p.GetExpiresInMs())*time.Millisecond - time.Millisecond)
+		b.is.True(b.Stats().PiecesHeld > 0)
+		b.pass(2 * time.Millisecond)
+		b.wantFree()
+		b.is.Equal(b.Stats().DiscardedTokens, uint64(800))
+		_, err = b.beginExport(p.GetHandle())
+		b.is.Equal(RefusalOf(err), RefusalExpiredHandle)
+		_, err = b.beginExport("no-such")
+		b.is.Equal(RefusalOf(err), RefusalUnknownHandle)
+	})
+}
+
+func TestCallerOfPrefillGoes(t *testing.T) {
+	inBubble(t, EngineSettings{}, func(b *bubble) {
+		ctx, cancel := context.WithTimeout(b.t.Context(), 50*time.Millisecond)
+		defer cancel()
+		_, err := b.prefill(ctx, 1, 1600, 0)
+		b.is.True(errors.Is(err, context.DeadlineExceeded))
+		b.wantFree()
+		b.is.True(b.Stats().DiscardedTokens > 0)
+	})
+}
+
+func TestBrokenStream(t *testing.T) {
+	inBubble(t, EngineSettings{}, func(b *bubble) {
+		b.ready(1, 100)
+		ctx, cancel := context.WithCancel(b.t.Context())
+		first := b.decode(ctx, 1, 0)
+		b.pass(time.Second)
+		cancel()
+		synctest.Wait()
+		b.is.True(first.got().tokens > 10 && first.got().tokens < 100)
+		b.pass(b.settings.StreamGrace / 2)
+		rest := b.decode(b.t.Context(), 1, first.got().tokens)
+		b.pass(10 * time.Second)
+		b.is.NoErr(rest.got().err)
+		b.is.Equal(first.got().text+rest.got().text, Answer(testModel, "   1"+promptOf(99), 100))
+		b.wantFree()
+
+		b.ready(2, 100)
+		ctx, cancel = context.WithCancel(b.t.Context())
+		b.decode(ctx, 2, 0)
+		b.pass(time.Second)
+		cancel()
+		b.pass(b.settings.StreamGrace + time.Millisecond)
+		b.wantFree() // without a reader, the grace ends
+		late := b.decode(b.t.Context(), 2, 0)
+		synctest.Wait()
+		b.is.Equal(RefusalOf(late.got().err), RefusalUnknownHandle)
+	})
+}
+
+func TestFinishedAnswerFreesMemoryBeforeItIsRead(t *testing.T) {
+	inBubble(t, EngineSettings{}, func(b *bubble) {
+		b.ready(1, 100)
+		b.group.Run(func(context.Context) {
+			_ = b.DecodeTo(b.t.Context(), attemptOf(newAttempt(1)), 0, func(*enginewire.DecodeResponse) error {
+				time.Sleep(time.Minute) // a slow reader
+				return nil
+			})
+		})
+		b.pass(10 * time.Second)
+		b.is.Equal(b.Stats().Finished, 1)
+		b.wantFree()
+		b.pass(10 * time.Minute)
+	})
+}
+
+func TestSecondStreamReplacesFirst(t *testing.T) {
+	inBubble(t, EngineSettings{}, func(b *bubble) {
+		b.ready(1, 100)
+		first := b.decode(b.t.Context(), 1, 0)
+		b.pass(time.Second)
+		second := b.decode(b.t.Context(), 1, 0)
+		b.pass(10 * time.Second)
+		b.is.Equal(connect.CodeOf(first.got().err), connect.CodeAborted)
+		b.is.NoErr(second.got().err)
+		b.is.Equal(second.got().tokens, uint32(100))
+		b.wantFree()
+	})
+}
+
+func TestPriorities(t *testing.T) {
+	t.Run("an urgent prefill overtakes patient ones", func(t *testing.T) {
+		inBubble(t, EngineSettings{}, func(b *bubble) {
+			var mu sync.Mutex
+			var order []uint64
+			start := func(sequence uint64, p enginewire.Priority) {
+				b.group.Run(func(ctx context.Context) {
+					_, err := b.prefill(ctx, sequence, 1600, p)
+					b.is.NoErr(err)
+					mu.Lock()
+					defer mu.Unlock()
+					order = append(order, sequence)
+				})
+				synctest.Wait()
+			}
+			start(1, enginewire.Priority_PRIORITY_PATIENT)
+			start(2, enginewire.Priority_PRIORITY_PATIENT)
+			start(3, enginewire.Priority_PRIORITY_URGENT)
+			b.pass(800 * time.Millisecond)
+			mu.Lock()
+			defer mu.Unlock()
+			b.is.Equal(order, []uint64{3, 1, 2})
+		})
+	})
+	t.Run("a full batch takes urgent requests first", func(t *testing.T) {
+		inBubble(t, EngineSettings{Batch: 1}, func(b *bubble) {
+			for i, p := range []enginewire.Priority{enginewire.Priority_PRIORITY_PATIENT, enginewire.Priority_PRIORITY_URGENT} {
+				m, err := b.prefill(b.t.Context(), uint64(i+1), 100, p)
+				b.is.NoErr(err)
+				b.is.NoErr(b.importLocal(uint64(i+1), m.GetHandle()))
+			}
+			patient := b.decode(b.t.Context(), 1, 0)
+			urgent := b.decode(b.t.Context(), 2, 0)
+			b.pass(2200 * time.Millisecond)
+			b.is.Equal(urgent.got().tokens, uint32(100))
+			b.is.True(patient.got().tokens < 10)
+			b.pass(3 * time.Second)
+			b.is.Equal(patient.got().tokens, uint32(100))
+		})
+	})
+}
+
+func TestRoom(t *testing.T) {
+	t.Run("full memory refuses a prefill", func(t *testing.T) {
+		inBubble(t, EngineSettings{Pieces: 10}, func(b *bubble) {
+			_, err := b.prefill(b.t.Context(), 1, 11*16, 0)
+			b.is.Equal(RefusalOf(err), RefusalMemoryFull)
+			b.wantFree()
+		})
+	})
+	t.Run("full slots refuse an import", func(t *testing.T) {
+		inBubble(t, EngineSettings{Slots: 1}, func(b *bubble) {
+			b.ready(1, 100)
+			p, err := b.prefill(b.t.Context(), 2, 100, 0)
+			b.is.NoErr(err)
+			b.is.Equal(RefusalOf(b.importLocal(2, p.GetHandle())), RefusalSlotsFull)
+			b.is.Equal(b.Stats().Refusals[RefusalSlotsFull], 1)
+		})
+	})
+	t.Run("an import takes the pieces of its whole output", func(t *testing.T) {
+		inBubble(t, EngineSettings{}, func(b *bubble) {
+			b.ready(1, 160)
+			b.is.Equal(b.Stats().PiecesHeld, (160+100+15)/16)
+		})
+	})
+}
+
+func TestLeaving(t *testing.T) {
+	inBubble(t, EngineSettings{}, func(b *bubble) {
+		b.ready(1, 100)
+		p, err := b.prefill(b.t.Context(), 2, 100, 0)
+		b.is.NoErr(err)
+		b.SetLeaving(true)
+		b.is.True(b.Stats().LastOfferLeaving.IsZero())
+		_, err = b.prefill(b.t.Context(), 3, 100, 0)
+		b.is.Equal(RefusalOf(err), RefusalLeaving)
+		b.is.True(!b.Stats().LastOfferLeaving.IsZero())
+		b.is.NoErr(b.importLocal(2, p.GetHandle())) // what runs is finished
+		one, two := b.decode(b.t.Context(), 1, 0), b.decode(b.t.Context(), 2, 0)
+		b.pass(10 * time.Second)
+		b.is.Equal(one.got().tokens, uint32(100))
+		b.is.Equal(two.got().tokens, uint32(100))
+		b.wantFree()
+	})
+}
+
+func TestPace(t *testing.T) {
+	t.Run("a step's time grows with its requests", func(t *testing.T) {
+		inBubble(t, EngineSettings{}, func(b *bubble) {
+			for i := range uint64(20) {
+				b.ready(i+1, 100)
+			}
+			var last *reader
+			for i := range uint64(20) {
+				last = b.decode(b.t.Context(), i+1, 0)
+			}
+			b.pass(10 * time.Second)
+			gap := last.got().at[50].Sub(last.got().at[49])
+			b.is.Equal(gap, 32*time.Millisecond) // 20 ms, and 20 times 0.6 ms
+		})
+	})
+	t.Run("a prefill shares the steps of a decode", func(t *testing.T) {
+		inBubble(t, EngineSettings{}, func(b *bubble) {
+			b.ready(1, 100)
+			r := b.decode(b.t.Context(), 1, 0)
+			b.pass(100 * time.Millisecond)
+			began := time.Now()
+			_, err := b.prefill(b.t.Context(), 2, 1280, 0)
+			b.is.NoErr(err)
+			// Ten chunks of 128 tokens take 16 ms each beside a decode of
+			// 20.6 ms; a step may be under way when the prefill comes.
+			took := time.Since(began)
+			synctest.Wait()
+			b.is.True(took >= 366*time.Millisecond && took <= 387*time.Millisecond)
+			b.is.True(r.got().tokens > 10)
+		})
+	})
+	t.Run("a slow engine takes longer", func(t *testing.T) {
+		inBubble(t, EngineSettings{}, func(b *bubble) {
+			b.SetFaults(Faults{SlowFactor: 3})
+			began := time.Now()
+			_, err := b.prefill(b.t.Context(), 1, 800, 0)
+			b.is.NoErr(err)
+			took := time.Since(began)
+			b.is.True(took >= 299*time.Millisecond && took <= 301*time.Millisecond)
+		})
+	})
+}
+
+func TestLoadReportsLag(t *testing.T) {
+	inBubble(t, EngineSettings{LoadLag: 250 * time.Millisecond}, func(b *bubble) {
+		load := func() *enginewire.LoadResponse {
+			r, err := b.Load(b.t.Context(), nil)
+			b.is.NoErr(err)
+			return r.Msg
+		}
+		b.pass(time.Second + time.Millisecond)
+		b.ready(1, 16)
+		b.is.Equal(load().GetSlotsUsed(), uint32(0))
+		b.pass(500 * time.Millisecond)
+		b.is.Equal(load().GetSlotsUsed(), uint32(1))
+		b.is.Equal(len(load().GetAttempts()), 1)
+		b.is.True(load().GetAgeMs() >= 250)
+		b.SetFaults(Faults{DropLoadReports: true})
+		_, err := b.Load(b.t.Context(), nil)
+		b.is.True(err != nil)
+	})
+}
+
+func TestOrders(t *testing.T) {
+	order := func(b *bubble, fence uint64, role string, models ...string) error {
+		_, err := b.Order(b.t.Context(), connect.NewRequest(&enginewire.OrderRequest{Fence: fence, Role: role, Models: models}))
+		return err
+	}
+	t.Run("an engine that checks refuses an old fence", func(t *testing.T) {
+		inBubble(t, EngineSettings{ChecksFence: true}, func(b *bubble) {
+			b.is.NoErr(order(b, 5, "prefill"))
+			b.is.Equal(RefusalOf(order(b, 4, "decode")), RefusalStaleFence)
+			b.is.NoErr(order(b, 5, "prefill")) // the same order again
+			b.is.Equal(b.role, compiler.RolePrefill)
+			b.is.Equal(len(b.Stats().Orders), 3)
+			b.is.True(b.Stats().Orders[1].Refused)
+		})
+	})
+	t.Run("an engine that does not check takes it", func(t *testing.T) {
+		inBubble(t, EngineSettings{}, func(b *bubble) {
+			b.is.NoErr(order(b, 5, "prefill"))
+			b.is.NoErr(order(b, 4, "decode"))
+			b.is.Equal(b.role, compiler.RoleDecode)
+			b.is.Equal(uint64(b.Stats().Fence), uint64(5))
+		})
+	})
+	t.Run("a model takes time to load", func(t *testing.T) {
+		inBubble(t, EngineSettings{}, func(b *bubble) {
+			b.is.NoErr(order(b, 1, "", "other", testModel))
+			ask := prefillRequest(1, "x", 1)
+			ask.Msg.Model = "other"
+			_, err := b.Prefill(b.t.Context(), ask)
+			b.is.Equal(RefusalOf(err), RefusalUnknownModel)
+			b.pass(b.settings.LoadTime + time.Millisecond)
+			_, err = b.Prefill(b.t.Context(), ask)
+			b.is.NoErr(err)
+			b.is.NoErr(order(b, 2, "", "other"))
+			synctest.Wait()
+			_, err = b.prefill(b.t.Context(), 2, 16, 0)
+			b.is.Equal(RefusalOf(err), RefusalUnknownModel)
+		})
+	})
+	t.Run("an unknown role is refused", func(t *testing.T) {
+		inBubble(t, EngineSettings{}, func(b *bubble) {
+			b.is.Equal(connect.CodeOf(order(b, 1, "cook")), connect.CodeInvalidArgument)
+		})
+	})
+}
--- a/emulator/serve.go
+++ b/emulator/serve.go
@@ -75,6 +75,7 @@
 		defer stop()
 		defer context.AfterFunc(running, closeServer)()
 		err := server.Serve(l)
+		closeServer() // waits for a call under way, so that all connections are cut
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
 		}
--- a/emulator/site.go
+++ b/emulator/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"net/http"
@@ -67,7 +68,17 @@
 	address identifier.Address
 	engine  *Engine
 	plain   *Plain
-	stop    context.CancelFunc
+	group   *grouper.Group
+}
+
+// stop cuts the endpoint's connections and waits until it is gone.
+func (n *siteEndpoint) stop() error {
+	n.group.Stop()
+	err := n.group.Wait()
+	if n.engine != nil {
+		n.engine.Close()
+	}
+	return err
 }
 
 // StartSite starts a site; it runs until ctx ends or the group stops.
@@ -130,16 +141,20 @@
 
 // start runs one endpoint.
 func (t *Site) start(e *compiler.Endpoint, address string) error {
-	ctx, stop := context.WithCancel(t.ctx)
-	context.AfterFunc(t.group.Context(), stop)
-	n := &siteEndpoint{stop: stop, plain: t.Plain(e.Name)}
-	handler := t.create(ctx, n, e)
-	bound, err := serveOn(ctx, t.group, t.settings.Listen, address, handler)
+	n := &siteEndpoint{group: grouper.New(t.ctx), plain: t.Plain(e.Name)}
+	handler := t.create(n, e)
+	bound, err := serveOn(n.group.Context(), n.group, t.settings.Listen, address, handler)
 	if err != nil {
-		stop()
-		return err
+		return errors.Join(err, n.stop())
 	}
 	n.address = bound
+	t.group.Go(func(ctx context.Context) error {
+		select {
+		case <-ctx.Done():
+		case <-n.group.Context().Done():
+		}
+		return n.stop()
+	})
 	t.mu.Lock()
 	t.endpoints[e.Name] = n
 	t.mu.Unlock()
@@ -149,13 +164,9 @@
 
 // create makes the engine or the plain service of n. A restarted plain service
 // goes on with its record of executions.
-func (t *Site) create(ctx context.Context, n *siteEndpoint, e *compiler.Endpoint) http.Handler {
+func (t *Site) create(n *siteEndpoint, e *compiler.Endpoint) http.Handler {
 	if e.Role != compiler.RolePlain {
-		n.engine = NewEngine(ctx, t.engineSettings(e), t.engineDeps())
-		t.group.Run(func(context.Context) {
-			<-ctx.Done()
-			n.engine.Close()
-		})
+		n.engine = NewEngine(n.group.Context(), t.engineSettings(e), t.engineDeps())
 		return n.engine.Handler()
 	}
 	if n.plain == nil {
@@ -258,11 +269,7 @@
 	if !ok {
 		return fmt.Errorf("endpoint %q does not run", name)
 	}
-	n.stop()
-	if n.engine != nil {
-		n.engine.Close()
-	}
-	return nil
+	return n.stop()
 }
 
 // Restart starts a killed endpoint afresh at its address.
@@ -273,6 +280,8 @@
 	if !ok {
 		return fmt.Errorf("endpoint %q never ran", name)
 	}
-	n.stop()
+	if err := n.stop(); err != nil {
+		return err
+	}
 	return t.start(t.settings.Fleet.Endpoints[name], string(n.address))
 }
--- a/emulator/transfer.go
+++ b/emulator/transfer.go
@@ -90,6 +90,7 @@
 		GeneratedTokens: w.generatedTokens,
 		MaxTokens:       w.maxTokens,
 		Tokens:          w.tokens,
+		ComputedTokens:  w.computed,
 	}
 }
 
@@ -232,6 +233,7 @@
 	w.generatedTokens = t.GetGeneratedTokens()
 	w.maxTokens = t.GetMaxTokens()
 	w.tokens = t.GetTokens()
+	w.computed = t.GetComputedTokens()
 	w.produced = w.generatedTokens
 	w.seed = resumedSeed(w)
 	more := max(0, e.piecesOf(w)-w.pieces)
