--- a/coordinator/home.go
+++ b/coordinator/home.go
@@ -17,8 +17,12 @@
 	"github.com/jackdawthread/jackdawthread/peerwire"
 )
 
-// maxOwnerChanges bounds how often one ask follows a pool to a new allocator.
-const maxOwnerChanges = 4
+const (
+	// maxOwnerChanges bounds how often one ask follows a pool to a new
+	// allocator, and firstOwnerBackoff is the first wait before that.
+	maxOwnerChanges   = 4
+	firstOwnerBackoff = 20 * time.Millisecond
+)
 
 // Hash places the pool on an entry host.
 func (k Key) Hash() uint64 {
@@ -89,19 +93,32 @@
 	return 0
 }
 
+// askPool asks the pool's allocator. While hosts disagree on where it is, the
+// ask is repeated; in the end an allocator of this host answers.
 func (c *Coordinator) askPool(ctx context.Context, k Key, a Ask) (*Grant, error) {
-	var err error
+	backoff := firstOwnerBackoff
 	for range maxOwnerChanges {
-		var g *Grant
-		g, err = c.askOwner(ctx, k, a)
-		if err == nil {
-			return g, nil
-		}
+		g, err := c.askOwner(ctx, k, a)
 		if reasonOf(err) != classifier.ReasonAllocatorUnknown || ctx.Err() != nil {
-			return nil, err
+			return g, err
 		}
+		if err := pause(ctx, backoff); err != nil {
+			return nil, classifier.NotRun(classifier.ReasonCanceled, 0, "ask for slots of service %q ended: %w", k.Service, err)
+		}
+		backoff *= 2
+	}
+	return c.askHere(ctx, k, a)
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	alarm := time.NewTimer(d)
+	defer alarm.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-alarm.C:
+		return nil
 	}
-	return nil, err
 }
 
 // askOwner asks the pool's allocator where it is; when it can't be reached,
--- a/launcher/host.go
+++ b/launcher/host.go
@@ -72,6 +72,7 @@
 	reporter    *reporter.Reporter
 	meter       *meter.Meter
 	config      *config
+	orders      *orders
 	endpoints   endpointTable
 
 	callers   *server.Listener
--- a/launcher/start.go
+++ b/launcher/start.go
@@ -75,6 +75,7 @@
 	}
 	h.buildLinks(o)
 	h.config = newConfig(h)
+	h.orders = newOrders(h)
 	h.buildCoordinator(o)
 	h.throttler = throttler.New(throttler.Deps{
 		Self: h.incarnation, Members: h.gossiper, Links: h.messenger, Timer: h.timer, Group: h.group, Log: h.log,
@@ -123,7 +124,7 @@
 		Group:      h.group,
 		Log:        h.log,
 		Options:    options,
-		Observe:    h.endpoints.observe,
+		Observe:    h.observeLoad,
 	})
 }
 
@@ -157,6 +158,12 @@
 	return h.gossiper.View().Leaving(e) || h.endpoints.leavingAt(e)
 }
 
+// observeLoad takes an engine's load report.
+func (h *Host) observeLoad(o coordinator.Observed) {
+	h.endpoints.observe(o)
+	h.orders.observe(o)
+}
+
 // Observe implements dispatcher.Observer.
 func (h *Host) Observe(o dispatcher.Observation) {
 	h.meter.Observe(o)
@@ -186,6 +193,7 @@
 // reconfigure puts a new revision of the declarations in force.
 func (h *Host) reconfigure(f *compiler.Fleet) {
 	h.reporter.Configure(objectives(f))
+	h.orders.adopt(f)
 	h.coordinator.Reconfigure(f)
 	h.throttler.Reconfigure(f)
 	if h.State() == server.StateStarting {
