--- a/emulator/transfer.go
+++ b/emulator/transfer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -38,9 +39,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if w.exporting {
-		return nil, connect.NewError(connect.CodeAborted, fmt.Errorf("handle %q is being exported", handle))
-	}
 	w.exporting = true
 	e.stopExpiry(w)
 	return w, nil
@@ -49,6 +47,9 @@
 // result finds the prefill result that a handle names. The mutex is held.
 func (e *Engine) result(handle string) (*work, error) {
 	w, ok := e.handles[handle]
+	if ok && w.exporting {
+		return nil, connect.NewError(connect.CodeAborted, fmt.Errorf("handle %q is being exported", handle))
+	}
 	if ok {
 		return w, nil
 	}
@@ -136,8 +137,9 @@
 func (e *Engine) reserveImport(m *enginewire.ImportRequest) (w *work, local bool, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if w, ok := e.handles[m.GetHandle()]; ok && !w.exporting {
-		return w, true, e.takeLocal(w, m)
+	if strings.HasPrefix(m.GetHandle(), e.prefix) || m.GetSourceAddress() == "" {
+		w, err = e.takeLocal(m)
+		return w, true, err
 	}
 	w = &work{
 		attempt:  attemptOf(m.GetAttempt()),
@@ -161,22 +163,26 @@
 
 // takeLocal turns the engine's own prefill result into an import. The mutex
 // is held.
-func (e *Engine) takeLocal(w *work, m *enginewire.ImportRequest) error {
+func (e *Engine) takeLocal(m *enginewire.ImportRequest) (*work, error) {
+	w, err := e.result(m.GetHandle())
+	if err != nil {
+		return nil, err
+	}
 	if w.attempt != attemptOf(m.GetAttempt()) {
-		return invalid("handle %q belongs to attempt %s", w.handle, w.attempt)
+		return nil, invalid("handle %q belongs to attempt %s", w.handle, w.attempt)
 	}
 	if !e.role.Takes(compiler.RoleDecode) {
-		return e.refuse(RefusalWrongRole, "engine %q has role %s", e.settings.Name, roleNames[e.role])
+		return nil, e.refuse(RefusalWrongRole, "engine %q has role %s", e.settings.Name, roleNames[e.role])
 	}
 	more := max(0, max(int(m.GetPieces()), e.piecesOf(w))-w.pieces)
 	if reason := e.memory.reserve(more, true); reason != "" {
-		return e.refuse(reason, "engine %q has no slot and %d pieces for an import", e.settings.Name, more)
+		return nil, e.refuse(reason, "engine %q has no slot and %d pieces for an import", e.settings.Name, more)
 	}
 	w.pieces += more
 	w.slot = true
 	delete(e.handles, w.handle)
 	e.imported(w)
-	return nil
+	return w, nil
 }
 
 // piecesOf gives the pieces of w's cache and whole output.
