Let the pool grant before it knows the decode engine (option)

Change: LateBinding grants when enough completions are sure to come during the prefill, and names the decode engine by a Bound action.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -127,15 +127,20 @@
 	Evicted  bool
 }
 
-// Action is what the pool wants done: Granted, Refused, CancelAt or AskList.
+// Action is what the pool wants done: Granted, Bound, Refused, CancelAt or
+// AskList.
 type Action interface {
 	action()
 }
 
 // Granted lets a home run an attempt.
 type Granted struct {
-	Attempt         identifier.Attempt
-	Prefill, Decode identifier.Endpoint
+	Attempt identifier.Attempt
+	Prefill identifier.Endpoint
+	// Decode is empty when a decode engine will have room by the end of the
+	// prefill, but has none yet: Bound will name it. That happens only with
+	// Options.LateBinding.
+	Decode identifier.Endpoint
 	// Wait before the prefill starts.
 	Wait time.Duration
 	// Lease is how long the grant lasts unless its home renews.
@@ -144,6 +149,14 @@
 	Pieces identifier.Pieces
 }
 
+// Bound names the decode engine of an attempt that was granted without one.
+type Bound struct {
+	Attempt identifier.Attempt
+	Decode  identifier.Endpoint
+	// Pieces to reserve at the decode engine.
+	Pieces identifier.Pieces
+}
+
 // Refused ends an ask: nothing of it ran.
 type Refused struct {
 	Attempt identifier.Attempt
@@ -165,6 +178,7 @@
 }
 
 func (Granted) action()  {}
+func (Bound) action()    {}
 func (Refused) action()  {}
 func (CancelAt) action() {}
 func (AskList) action()  {}
--- a/allocator/grant.go
+++ b/allocator/grant.go
@@ -19,6 +19,9 @@
 	transfer identifier.Pieces
 	phase    Phase
 	since    time.Time
+	// wish and ready, the end of the prefill, are set while decode is not.
+	wish  *wish
+	ready time.Time
 }
 
 func (p *Pool) grant(a *wish, plan plan, now time.Time) {
@@ -34,13 +37,20 @@
 		since:    now,
 	}
 	p.enter(g, plan.promptPieces, now)
+	decode := identifier.Endpoint("")
+	if plan.decode != nil {
+		decode = plan.decode.name
+	} else {
+		prefill := plan.prefill.waiting(now) + plan.prefillTokens/plan.prefill.rate
+		p.promise(g, a, now.Add(seconds(prefill)))
+	}
 	plan.prefill.backlog.add(g, plan.prefillTokens, float64(a.PromptTokens), now)
 	p.refresh(plan.prefill, now)
 	p.choice.Placed(a.Blocks, plan.prefill.index, now)
 	p.emit(Granted{
 		Attempt: a.Attempt,
 		Prefill: plan.prefill.name,
-		Decode:  plan.decode.name,
+		Decode:  decode,
 		Wait:    plan.wait,
 		Lease:   p.options.Lease,
 		Pieces:  plan.decodePieces,
@@ -91,6 +101,11 @@
 // drop ends a grant.
 func (p *Pool) drop(g *grant, now time.Time) {
 	delete(p.grants, g.attempt)
+	if g.decode == nil {
+		p.breakPromise(g)
+	} else if g.phase == PhaseTransferred {
+		p.freed.note(g.pieces, now)
+	}
 	p.used[g.firm]--
 	p.link.outstanding -= g.transfer
 	if h := p.homes[g.attempt.Incarnation]; h != nil {
--- a/allocator/options.go
+++ b/allocator/options.go
@@ -62,6 +62,9 @@
 	Affinity router.AffinityOptions
 	// Prefill replaces the choice of the prefill endpoint; nil: affinity.
 	Prefill router.Policy
+	// LateBinding lets the pool grant an attempt before it knows the decode
+	// engine, if enough slots are sure to become free during the prefill.
+	LateBinding bool
 	// Unreserved grants without regard to decode slots and the link; it is a
 	// baseline for measurements.
 	Unreserved bool
--- a/allocator/place.go
+++ b/allocator/place.go
@@ -34,7 +34,7 @@
 	exclude := p.excluded(a, &excluded)
 	var chosen plan
 	chosen.decode = p.placeDecode(a, exclude)
-	if chosen.decode == nil {
+	if chosen.decode == nil && !p.options.LateBinding {
 		return plan{}, false
 	}
 	index, cached, ok := p.choice.Pick(p.prefill, router.Query{
@@ -49,8 +49,14 @@
 	}
 	chosen.prefill = p.endpoints[index]
 	chosen.promptPieces = chosen.prefill.piecesFor(a.PromptTokens)
-	chosen.decodePieces = chosen.decode.piecesFor(a.PromptTokens + a.MaxTokens)
+	chosen.decodePieces = p.piecesFor(a)
+	if chosen.decode != nil {
+		chosen.decodePieces = chosen.decode.piecesFor(a.PromptTokens + a.MaxTokens)
+	}
 	chosen.prefillTokens = max(1, float64(a.PromptTokens)-float64(cached)*p.blockTokens())
+	if chosen.decode == nil && !p.promises(a, &chosen, now) {
+		return plan{}, false
+	}
 	return chosen, p.admits(&chosen, now)
 }
 
--- a/allocator/pool.go
+++ b/allocator/pool.go
@@ -29,11 +29,14 @@
 
 	heldBack []*endpoint
 
-	queue     *scheduler.Queue[identifier.Attempt, *wish]
-	grants    map[identifier.Attempt]*grant
-	homes     map[identifier.Incarnation]*home
-	released  releasedSet
-	link      linkRoom
+	queue    *scheduler.Queue[identifier.Attempt, *wish]
+	grants   map[identifier.Attempt]*grant
+	homes    map[identifier.Incarnation]*home
+	released releasedSet
+	link     linkRoom
+	// promised are the grants without a decode engine, the first ready first.
+	promised  []*grant
+	freed     completions
 	drain     drainRate
 	meanStep  float64
 	slots     int
@@ -221,6 +224,7 @@
 func (p *Pool) serve(now time.Time) []Action {
 	p.refuseExpired(now)
 	p.takeBack(now)
+	p.bind(now)
 	for head := p.queue.Peek(now, p.lends(now)); head != nil; head = p.queue.Peek(now, p.lends(now)) {
 		plan, ok := p.place(head.Value, now)
 		if !ok {
--- a/experimenter/experimenter.go
+++ b/experimenter/experimenter.go
@@ -205,13 +205,15 @@
 
 // variants are policies beyond the listed ones, for single questions.
 func variants() []string {
-	return []string{"no-affinity"}
+	return []string{"no-affinity", "late-binding"}
 }
 
 func newPlacer(b *bench, policy string) placer {
 	switch policy {
 	case "plan":
 		return newPoolPlacer(b, allocator.Options{})
+	case "late-binding":
+		return newPoolPlacer(b, allocator.Options{LateBinding: true})
 	case "no-affinity":
 		return newPoolPlacer(b, allocator.Options{Prefill: router.LeastLoad{}})
 	case "no-reservation":
--- a/experimenter/pool_placer.go
+++ b/experimenter/pool_placer.go
@@ -83,12 +83,16 @@
 		if r == nil || r.over || r.attempt != a.Attempt {
 			return
 		}
-		p.chosen[a.Attempt] = p.bench.decodeNamed(a.Decode)
+		if a.Decode != "" {
+			p.chosen[a.Attempt] = p.bench.decodeNamed(a.Decode)
+		}
 		p.bench.clock.after(a.Wait, func() {
 			if !r.over {
 				p.bench.startPrefill(r, p.bench.prefillNamed(a.Prefill))
 			}
 		})
+	case allocator.Bound:
+		p.chosen[a.Attempt] = p.bench.decodeNamed(a.Decode)
 	case allocator.Refused:
 		r := p.waiting[a.Attempt]
 		delete(p.waiting, a.Attempt)
