Promise slots by pieces and count; let small asks pass a head that doesn't fit

Cause: late binding took room from attempts that were promised it, and counted a small urgent request as a whole completion.

--- a/allocator/options.go
+++ b/allocator/options.go
@@ -21,6 +21,7 @@
 	defaultWarmUp          = time.Second
 	defaultProbeInterval   = time.Second
 	defaultFailuresToAvoid = 3
+	defaultPassLimit       = time.Second
 	defaultMinRetryAfter   = 200 * time.Millisecond
 	defaultMaxRetryAfter   = time.Minute
 	defaultTokensPerPiece  = 16
@@ -56,8 +57,11 @@
 	ProbeInterval time.Duration
 	// FailuresToAvoid is how many failures in a row make an endpoint avoided.
 	FailuresToAvoid int
-	MinRetryAfter   time.Duration
-	MaxRetryAfter   time.Duration
+	// PassLimit is how long asks that fit may pass the first of their lane,
+	// which does not.
+	PassLimit     time.Duration
+	MinRetryAfter time.Duration
+	MaxRetryAfter time.Duration
 	// Affinity are the knobs of the prefill endpoint's choice.
 	Affinity router.AffinityOptions
 	// Prefill replaces the choice of the prefill endpoint; nil: affinity.
@@ -91,6 +95,7 @@
 	orDefault(&o.WarmUp, defaultWarmUp)
 	orDefault(&o.ProbeInterval, defaultProbeInterval)
 	orDefault(&o.FailuresToAvoid, defaultFailuresToAvoid)
+	orDefault(&o.PassLimit, defaultPassLimit)
 	orDefault(&o.MinRetryAfter, defaultMinRetryAfter)
 	orDefault(&o.MaxRetryAfter, defaultMaxRetryAfter)
 	return o
--- a/allocator/place.go
+++ b/allocator/place.go
@@ -33,7 +33,9 @@
 	var excluded [maxExcluded]int32
 	exclude := p.excluded(a, &excluded)
 	var chosen plan
-	chosen.decode = p.placeDecode(a, exclude)
+	if !p.owes(a.Urgency) {
+		chosen.decode = p.placeDecode(a, exclude)
+	}
 	if chosen.decode == nil && !p.options.LateBinding {
 		return plan{}, false
 	}
--- a/allocator/promise.go
+++ b/allocator/promise.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/compiler"
 )
 
 const (
@@ -14,9 +15,10 @@
 	// promiseMargin is how many standard deviations of the number of
 	// completions are left out of account.
 	promiseMargin = 1.5
-	// promiseSlack is the share of a result's life that a prefilled attempt
-	// may wait for its decode engine.
-	promiseSlack = 0.4
+	// patientSlack and urgentSlack are the shares of a result's life that a
+	// prefilled attempt may wait for its decode engine.
+	patientSlack = 0.65
+	urgentSlack  = 0.25
 )
 
 // completions measures how fast decode engines free slots.
@@ -47,11 +49,6 @@
 	return expected - promiseMargin*math.Sqrt(expected)
 }
 
-// weight gives how many completions an attempt of that size needs.
-func (c *completions) weight(pieces identifier.Pieces) float64 {
-	return max(1, float64(pieces)/max(1, c.pieces))
-}
-
 // promises tells whether a decode engine will have room for the plan when its
 // prefill ends, though none has now.
 func (p *Pool) promises(w *wish, chosen *plan, now time.Time) bool {
@@ -59,13 +56,29 @@
 		return false
 	}
 	pieces := p.piecesFor(w)
-	needed := p.freed.weight(pieces)
 	for _, g := range p.promised {
-		needed += p.freed.weight(g.pieces)
+		pieces += g.pieces
 	}
 	prefill := chosen.prefill.waiting(now) + chosen.prefillTokens/chosen.prefill.rate
-	within := seconds(prefill + promiseSlack*p.options.ResultLife.Seconds())
-	return needed <= p.freed.surely(within, now)
+	slack := patientSlack
+	if w.Urgency == compiler.UrgencyUrgent {
+		slack = urgentSlack
+	}
+	within := seconds(prefill + slack*p.options.ResultLife.Seconds())
+	surely := p.freed.surely(within, now)
+	free := p.slots - (len(p.grants) - len(p.promised))
+	return float64(pieces) <= surely*p.freed.pieces && float64(len(p.promised)+1) <= surely+float64(free)
+}
+
+// owes tells whether promised attempts, of the same urgency or a higher one,
+// wait for a decode engine: then what is free is theirs.
+func (p *Pool) owes(u compiler.Urgency) bool {
+	for _, g := range p.promised {
+		if g.urgency >= u {
+			return true
+		}
+	}
+	return false
 }
 
 // piecesFor gives the pieces that an attempt takes at a decode engine.
@@ -88,9 +101,11 @@
 // bind gives promised attempts the room that has become free, in the order in
 // which their prefills end.
 func (p *Pool) bind(now time.Time) {
-	p.promised = slices.DeleteFunc(p.promised, func(g *grant) bool {
-		return p.bindOne(g, now)
-	})
+	n := 0
+	for n < len(p.promised) && p.bindOne(p.promised[n], now) {
+		n++
+	}
+	p.promised = slices.Delete(p.promised, 0, n)
 }
 
 func (p *Pool) bindOne(g *grant, now time.Time) bool {
--- a/allocator/wish.go
+++ b/allocator/wish.go
@@ -9,6 +9,9 @@
 // messageMargin is the time for messages between a home, the pool and engines.
 const messageMargin = 30 * time.Millisecond
 
+// runMargin is the factor on the expected time of decoding, against deadlines.
+const runMargin = 1.05
+
 // wish is an ask with what it is expected to take.
 type wish struct {
 	Ask
@@ -18,6 +21,8 @@
 	// prefill, first and run are the expected times of the prefill, from its
 	// end to the first token, and of the whole decoding.
 	prefill, first, run time.Duration
+	// passedOver is when the ask was the first of its lane and did not fit.
+	passedOver time.Time
 }
 
 func (p *Pool) newWish(a Ask, now time.Time) *wish {
@@ -32,7 +37,7 @@
 	step := p.step()
 	w.prefill = seconds(float64(a.PromptTokens) / p.options.PrefillRate)
 	w.first = step + messageMargin + p.link.time(a.PromptTokens, p.perPiece)
-	w.run = time.Duration(max(1, a.MaxTokens)) * step
+	w.run = seconds(float64(max(1, a.MaxTokens)) * step.Seconds() * runMargin)
 	return w
 }
 
--- a/experimenter/experimenter.go
+++ b/experimenter/experimenter.go
@@ -104,6 +104,8 @@
 	UrgentGood int `json:"urgent-good"`
 	// Goodput is requests a second that met both targets.
 	Goodput float64 `json:"goodput"`
+	// GoodTokens is the prompt and output tokens of those, a second.
+	GoodTokens float64 `json:"good-tokens"`
 	// WastedPrefill is the share of computed prefill tokens that were
 	// discarded.
 	WastedPrefill float64 `json:"wasted-prefill"`
--- a/experimenter/table.go
+++ b/experimenter/table.go
@@ -36,7 +36,7 @@
 		rows = append(rows, r.Points[i].row())
 	}
 	return markdown([]string{
-		"mix", "policy", "load", "goodput /s", "wasted prefill", "urgent in target", "urgent first token p95 s",
+		"mix", "policy", "load", "goodput /s", "good tokens /s", "wasted prefill", "urgent in target", "urgent first token p95 s",
 		"patient first token p95 s", "hit share", "refused", "failed", "messages per request",
 	}, rows)
 }
@@ -59,6 +59,7 @@
 	return []string{
 		p.Mix, p.Policy, fmt.Sprintf("%.1f", p.Load),
 		fmt.Sprintf("%.2f (%.2f-%.2f)", good.Median, good.Least, good.Most),
+		fmt.Sprintf("%.0f", median(func(f *Figures) float64 { return f.GoodTokens })),
 		fmt.Sprintf("%.2f%% (%.2f-%.2f)", 100*wasted.Median, 100*wasted.Least, 100*wasted.Most),
 		fmt.Sprintf("%.1f%%", 100*median(urgentGood)),
 		fmt.Sprintf("%.2f", median(func(f *Figures) float64 { return f.UrgentFirstToken95 })),
--- a/experimenter/tally.go
+++ b/experimenter/tally.go
@@ -61,6 +61,7 @@
 		}
 	}
 	f.Goodput = float64(f.Good) / (duration - t.began).Seconds()
+	f.GoodTokens /= (duration - t.began).Seconds()
 	f.WastedPrefill = t.wasted / max(1, t.computed)
 	f.HitShare = 1 - t.computed/max(1, t.prompt)
 	f.UrgentFirstToken95 = percentile(firsts, 0.95)
@@ -78,6 +79,7 @@
 	switch {
 	case r.good():
 		f.Good++
+		f.GoodTokens += float64(r.prompt + r.output)
 		if r.kind.urgent {
 			f.UrgentGood++
 		}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -139,7 +139,12 @@
 	}
 }
 
-// Take removes an entry that Peek gave, because it is served now.
+// After gives the entry of the same firm and urgency that came next; nil: none.
+func (q *Queue[K, V]) After(e *Entry[K, V]) *Entry[K, V] {
+	return e.next
+}
+
+// Take removes an entry that Peek or After gave, because it is served now.
 func (q *Queue[K, V]) Take(e *Entry[K, V], now time.Time) {
 	e.lane.taken += e.Cost
 	if e.Urgent {
