Prove the allocator's promises by properties; avoid endpoints with old reports

Cause: the promises had only examples; an endpoint whose reports had stopped still got work; a firm without a contract could wait; a new revision lost what was known of prefix caches.

--- a/allocator/endpoint.go
+++ b/allocator/endpoint.go
@@ -41,6 +41,7 @@
 	step    time.Duration
 
 	reported   bool
+	stale      bool
 	reportedAt time.Time
 	orphans    map[identifier.Attempt]time.Time
 	health     health
--- a/allocator/health.go
+++ b/allocator/health.go
@@ -9,6 +9,8 @@
 const (
 	// maxBackoff bounds the doublings of the probe interval.
 	maxBackoff = 5
+	// staleChecks is how many endpoints' reports are looked at in one tick.
+	staleChecks = 64
 	// slowFactor is how many times the pool's mean a decode step may take.
 	slowFactor = 2
 )
@@ -68,6 +70,34 @@
 	h.slow = slow
 }
 
+// refreshStale looks at some endpoints, in turn, for the age of their reports.
+func (p *Pool) refreshStale(now time.Time) {
+	for range min(staleChecks, len(p.endpoints)) {
+		p.staleTurn = (p.staleTurn + 1) % len(p.endpoints)
+		e := p.endpoints[p.staleTurn]
+		p.setStale(e, e.reported && now.Sub(e.reportedAt) > p.options.StaleLimit)
+		p.refresh(e, now)
+	}
+}
+
+func (p *Pool) setStale(e *endpoint, stale bool) {
+	if e.stale == stale {
+		return
+	}
+	e.stale = stale
+	if stale {
+		p.stale++
+	} else {
+		p.stale--
+	}
+}
+
+// trustsReports is false while most endpoints' reports are old: then the
+// reports fail, and not the endpoints.
+func (p *Pool) trustsReports() bool {
+	return 2*p.stale <= len(p.endpoints)
+}
+
 // judge draws the consequences of an attempt's end for its endpoints.
 func (p *Pool) judge(a identifier.Attempt, outcome Outcome, now time.Time) {
 	switch outcome.Ending {
--- a/allocator/place.go
+++ b/allocator/place.go
@@ -11,8 +11,6 @@
 const (
 	// decodeCandidates bounds the decode engines that one decision looks at.
 	decodeCandidates = 8
-	// maxExcluded bounds the endpoints that an ask may exclude.
-	maxExcluded = 8
 	// linkShare is the share of a result's life in which all transfers that
 	// are granted must be able to pass the link.
 	linkShare = 0.8
@@ -30,8 +28,7 @@
 
 // place plans an attempt; false: it has to wait. It allocates nothing.
 func (p *Pool) place(a *wish, now time.Time) (plan, bool) {
-	var excluded [maxExcluded]int32
-	exclude := p.excluded(a, &excluded)
+	exclude := p.excluded(a)
 	var chosen plan
 	if !p.owes(a.Urgency) {
 		chosen.decode = p.placeDecode(a, exclude)
@@ -87,17 +84,19 @@
 	return nil
 }
 
-func (p *Pool) excluded(a *wish, buffer *[maxExcluded]int32) []int32 {
-	n := 0
-	for _, name := range a.Exclude {
-		e := p.byName[name]
-		if e == nil || n == maxExcluded {
-			continue
+// excluded gives the numbers of the endpoints that an ask excludes; they are
+// looked up once for each revision of the declarations.
+func (p *Pool) excluded(w *wish) []int32 {
+	if w.installed != p.installed {
+		w.installed = p.installed
+		w.exclude = w.exclude[:0]
+		for _, name := range w.Exclude {
+			if e := p.byName[name]; e != nil {
+				w.exclude = append(w.exclude, e.index)
+			}
 		}
-		buffer[n] = e.index
-		n++
 	}
-	return buffer[:n]
+	return w.exclude
 }
 
 func containsIndex(list []int32, index int32) bool {
@@ -156,6 +155,9 @@
 	if !e.reported && now.Sub(p.born) < p.options.WarmUp {
 		return false
 	}
+	if e.stale && p.trustsReports() {
+		return false
+	}
 	return e.health.usable(now, len(e.holds) > 0)
 }
 
--- /dev/null
+++ b/allocator/place_bench_test.go
@@ -0,0 +1,129 @@
+package allocator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/compiler"
+)
+
+var benchEpoch = time.Date(2026, 12, 1, 5, 0, 0, 0, time.UTC)
+
+// benchPool gives a pool of n endpoints, half of each role, half full.
+func benchPool(n int) *Pool {
+	s := &compiler.Service{Name: "bench"}
+	for i := range n {
+		role := compiler.RolePrefill
+		if i%2 == 1 {
+			role = compiler.RoleDecode
+		}
+		s.Endpoints = append(s.Endpoints, &compiler.Endpoint{
+			Name: identifier.Endpoint(fmt.Sprintf("runner-%d", i)), Role: role, Slots: 20, Pieces: 2000, TokensPerPiece: 64,
+		})
+	}
+	p := New(s, "", nil, Options{PrefillDepth: time.Hour}, 1)
+	for _, e := range s.Endpoints {
+		p.Report(e.Name, Report{}, benchEpoch)
+	}
+	for i := range 5 * n {
+		p.Ask(benchAsk(i), benchEpoch)
+	}
+	return p
+}
+
+func benchAsk(i int) Ask {
+	blocks := make([]identifier.BlockHash, 16)
+	for b := range blocks {
+		blocks[b] = identifier.BlockHash(i%500*100 + b)
+	}
+	return Ask{
+		Attempt: identifier.Attempt{Incarnation: 1, Sequence: uint64(i + 1)}, Urgency: compiler.UrgencyUrgent,
+		PromptTokens: 1024, MaxTokens: 200, Blocks: blocks,
+	}
+}
+
+var sizes = []int{10, 100, 1000, 10_000}
+
+// BenchmarkPlace measures one decision: which endpoints an attempt runs at.
+func BenchmarkPlace(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			p := benchPool(n)
+			wishes := make([]*wish, 512)
+			for i := range wishes {
+				wishes[i] = p.newWish(benchAsk(i), benchEpoch)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				p.place(wishes[i%len(wishes)], benchEpoch)
+			}
+		})
+	}
+}
+
+// BenchmarkAskAndRelease measures all that a pool does for an attempt.
+func BenchmarkAskAndRelease(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			p := benchPool(n)
+			asks := make([]Ask, 512)
+			for i := range asks {
+				asks[i] = benchAsk(1_000_000 + i)
+			}
+			now := benchEpoch
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				a := asks[i%len(asks)]
+				a.Attempt.Sequence = uint64(1_000_000 + i)
+				now = now.Add(time.Millisecond)
+				p.Ask(a, now)
+				p.Started(a.Attempt, PhasePrefilled, now)
+				p.Started(a.Attempt, PhaseTransferred, now)
+				p.Release(a.Attempt, Outcome{Ending: EndingDone}, now)
+				if i%100 == 0 {
+					p.Tick(now)
+				}
+			}
+		})
+	}
+}
+
+func TestPlaceAllocatesNothing(t *testing.T) {
+	p := benchPool(1000)
+	w := p.newWish(benchAsk(7), benchEpoch)
+	is.New(t).Equal(testing.AllocsPerRun(100, func() { p.place(w, benchEpoch) }), 0.0)
+}
+
+// TestPlaceIsFlat compares the largest pool with a small one in one run; the
+// bound leaves room for caches of the processor.
+func TestPlaceIsFlat(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes a second")
+	}
+	const bound = 10.0
+	cost := func(n int) float64 {
+		p := benchPool(n)
+		w := make([]*wish, 512)
+		for i := range w {
+			w[i] = p.newWish(benchAsk(i), benchEpoch)
+		}
+		best := time.Hour
+		for range 5 {
+			begin := time.Now()
+			for i := range 20_000 {
+				p.place(w[i%len(w)], benchEpoch)
+			}
+			best = min(best, time.Since(begin))
+		}
+		return best.Seconds()
+	}
+	ratio := cost(10_000) / cost(100)
+	t.Logf("10000 endpoints cost %.2f times what 100 do", ratio)
+	is.New(t).True(ratio < bound)
+}
--- a/allocator/pool.go
+++ b/allocator/pool.go
@@ -34,7 +34,10 @@
 	choice  router.Policy
 	cache   *router.PrefixAffinity
 
-	heldBack []*endpoint
+	heldBack  []*endpoint
+	stale     int // endpoints with old reports
+	installed int // counts the lists of endpoints
+	staleTurn int // the endpoint that was looked at last
 
 	queue    *scheduler.Queue[identifier.Attempt, *wish]
 	grants   map[identifier.Attempt]*grant
@@ -112,13 +115,18 @@
 	known := p.byName
 	p.byName = map[identifier.Endpoint]*endpoint{}
 	p.endpoints = nil
-	p.slots = 0
+	p.slots, p.stale = 0, 0
+	p.installed++
 	var names []identifier.Endpoint
+	moved := map[int32]int32{}
 	for _, declared := range p.service.Endpoints {
 		if declared.DataCenter != p.dataCenter {
 			continue
 		}
 		e := known[declared.Name]
+		if e != nil {
+			moved[e.index] = int32(len(p.endpoints))
+		}
 		delete(known, declared.Name)
 		if e == nil {
 			e = &endpoint{}
@@ -127,10 +135,19 @@
 		p.add(e)
 		names = append(names, declared.Name)
 	}
-	p.keepRemoved(known, &names)
+	p.keepRemoved(known, &names, moved)
 	p.prefill = router.NewTable(len(p.endpoints))
 	p.decode = router.NewTable(len(p.endpoints))
-	p.cache = router.NewPrefixAffinity(names, p.options.Affinity)
+	p.installCache(names, moved)
+}
+
+// installCache keeps what is known of the caches of endpoints that stay.
+func (p *Pool) installCache(names []identifier.Endpoint, moved map[int32]int32) {
+	if p.cache == nil {
+		p.cache = router.NewPrefixAffinity(names, p.options.Affinity)
+	} else {
+		p.cache.Renumber(names, moved)
+	}
 	p.choice = p.options.Prefill
 	if p.choice == nil {
 		p.choice = p.cache
@@ -138,12 +155,13 @@
 }
 
 // keepRemoved keeps endpoints that are declared no more but hold grants.
-func (p *Pool) keepRemoved(known map[identifier.Endpoint]*endpoint, names *[]identifier.Endpoint) {
+func (p *Pool) keepRemoved(known map[identifier.Endpoint]*endpoint, names *[]identifier.Endpoint, moved map[int32]int32) {
 	for _, e := range sortedEndpoints(known) {
 		if len(e.holds) == 0 {
 			continue
 		}
 		e.leaving = true
+		moved[e.index] = int32(len(p.endpoints))
 		e.index = int32(len(p.endpoints))
 		p.add(e)
 		*names = append(*names, e.name)
@@ -153,6 +171,7 @@
 func (p *Pool) add(e *endpoint) {
 	p.endpoints = append(p.endpoints, e)
 	p.byName[e.name] = e
+	e.stale = false
 	if e.decodes {
 		p.slots += e.slots
 		p.perPiece = e.perPiece
@@ -211,6 +230,7 @@
 	p.expireHomes(now)
 	p.released.expire(now.Add(-p.options.Lease))
 	p.refreshHeldBack(now)
+	p.refreshStale(now)
 	return p.serve(now)
 }
 
--- a/allocator/pool_test.go
+++ b/allocator/pool_test.go
@@ -135,3 +135,155 @@
 		}
 	})
 }
+
+func TestNewPoolLearnsWhatRuns(t *testing.T) {
+	t.Run("grants nothing before it has a report or is warm", func(t *testing.T) {
+		is := is.New(t)
+		p := allocator.New(newService(1, 1, 1), dataCenter, nil, allocator.Options{Firm: "tamsui"}, 1)
+		is.Equal(len(p.Ask(ask(1, compiler.UrgencyPatient), epoch)), 0)
+		is.Equal(count[allocator.Granted](p.Tick(at(1100*time.Millisecond))), 1)
+	})
+	t.Run("counts attempts that it did not grant", func(t *testing.T) {
+		is := is.New(t)
+		p := newPool(newService(1, 1, 1))
+		foreign := allocator.Report{Slots: 1, SlotsUsed: 1, Attempts: []identifier.Attempt{attempt(2, 1)}}
+		is.Equal(count[allocator.AskList](p.Report("decode-0", foreign, epoch)), 1)
+		is.Equal(len(p.Ask(ask(1, compiler.UrgencyPatient), epoch)), 0)
+		is.Equal(count[allocator.Granted](p.Report("decode-0", allocator.Report{}, at(time.Second))), 1)
+	})
+	t.Run("forgets grants that their home does not list", func(t *testing.T) {
+		is := is.New(t)
+		p := newPool(newService(1, 1, 1))
+		p.Ask(ask(1, compiler.UrgencyPatient), epoch)
+		p.Ask(ask(2, compiler.UrgencyPatient), epoch)
+		is.Equal(count[allocator.AskList](p.Renew(1, 0, at(3*time.Second))), 1)
+		actions := p.Grants(1, nil, at(3*time.Second))
+		is.Equal(count[allocator.Granted](actions), 1)
+		is.Equal(count[allocator.CancelAt](actions), 0)
+	})
+}
+
+func TestPoolAvoids(t *testing.T) {
+	fail := func(p *allocator.Pool, n int, now time.Time) {
+		p.Ask(ask(n, compiler.UrgencyPatient), now)
+		p.Release(attempt(1, n), allocator.Outcome{Ending: allocator.EndingFailed, Endpoint: "decode-0"}, now)
+	}
+	t.Run("an endpoint that fails, and probes it", func(t *testing.T) {
+		is := is.New(t)
+		p := newPool(newService(1, 1, 4))
+		for n := range 3 {
+			fail(p, n+1, epoch)
+		}
+		is.Equal(len(p.Ask(ask(10, compiler.UrgencyPatient), epoch)), 0)
+		is.Equal(len(p.Ask(ask(11, compiler.UrgencyPatient), epoch)), 0)
+		is.Equal(count[allocator.Granted](p.Tick(at(1100*time.Millisecond))), 1) // the probe
+		done := p.Release(attempt(1, 10), allocator.Outcome{Ending: allocator.EndingDone}, at(1200*time.Millisecond))
+		is.Equal(count[allocator.Granted](done), 1)
+	})
+	t.Run("an endpoint with slow steps", func(t *testing.T) {
+		is := is.New(t)
+		p := newPool(newService(1, 2, 4))
+		p.Report("decode-0", allocator.Report{Step: 30 * time.Millisecond}, epoch)
+		p.Report("decode-1", allocator.Report{Step: 300 * time.Millisecond}, epoch)
+		for n := range 4 {
+			granted := p.Ask(ask(n+1, compiler.UrgencyPatient), at(10*time.Millisecond))
+			is.Equal(granted[0].(allocator.Granted).Decode, identifier.Endpoint("decode-0"))
+		}
+	})
+	t.Run("an endpoint without fresh reports", func(t *testing.T) {
+		is := is.New(t)
+		p := newPool(newService(1, 3, 4))
+		for _, name := range []identifier.Endpoint{"prefill-0", "decode-0", "decode-1"} {
+			p.Report(name, allocator.Report{}, at(4*time.Second))
+		}
+		p.Tick(at(4 * time.Second))
+		for n := range 4 {
+			granted := p.Ask(ask(n+1, compiler.UrgencyPatient), at(4*time.Second))
+			is.True(granted[0].(allocator.Granted).Decode != "decode-2")
+		}
+	})
+}
+
+func TestPoolLends(t *testing.T) {
+	contract := &compiler.Contract{Service: "dealer-desk", Borrower: "snyrtinams", Share: 0.5, Start: 5 * time.Hour, End: 6 * time.Hour}
+	lending := func() *allocator.Pool {
+		s := newService(4, 1, 4)
+		p := newPool(s)
+		p.SetContracts([]*compiler.Contract{contract}, epoch)
+		return p
+	}
+	sister := func(n int, u compiler.Urgency) allocator.Ask {
+		a := ask(n, u)
+		a.Firm = "snyrtinams"
+		return a
+	}
+	t.Run("the share in its hours", func(t *testing.T) {
+		is := is.New(t)
+		p := lending()
+		granted := 0
+		for n := range 4 {
+			granted += count[allocator.Granted](p.Ask(sister(n+1, compiler.UrgencyPatient), epoch))
+		}
+		is.Equal(granted, 2)
+		is.Equal(count[allocator.Granted](p.Ask(ask(9, compiler.UrgencyPatient), epoch)), 1)
+	})
+	t.Run("and takes back from patient requests first", func(t *testing.T) {
+		is := is.New(t)
+		p := lending()
+		for n := range 2 {
+			p.Ask(sister(n+1, compiler.UrgencyPatient), epoch)
+		}
+		long := sister(3, compiler.UrgencyPatient)
+		long.Left = 2 * time.Hour
+		p.Ask(long, epoch)
+		actions := p.Renew(1, 0, at(time.Hour))
+		is.Equal(count[allocator.Refused](actions), 1)
+		is.Equal(count[allocator.CancelAt](actions), 0)
+	})
+	t.Run("nothing without a contract", func(t *testing.T) {
+		is := is.New(t)
+		actions := newPool(newService(1, 1, 1)).Ask(sister(1, compiler.UrgencyPatient), epoch)
+		is.Equal(count[allocator.Refused](actions), 1)
+	})
+}
+
+func TestPoolIsReconfigured(t *testing.T) {
+	t.Run("and keeps its grants", func(t *testing.T) {
+		is := is.New(t)
+		p := newPool(newService(1, 1, 1))
+		p.Ask(ask(1, compiler.UrgencyPatient), epoch)
+		is.Equal(len(p.Configure(newService(1, 1, 1), nil, epoch)), 0)
+		is.Equal(len(p.Ask(ask(2, compiler.UrgencyPatient), epoch)), 0)
+		freed := p.Release(attempt(1, 1), allocator.Outcome{Ending: allocator.EndingDone}, at(time.Second))
+		is.Equal(count[allocator.Granted](freed), 1)
+	})
+	t.Run("and gives no work to an endpoint that is declared no more", func(t *testing.T) {
+		is := is.New(t)
+		p := newPool(newService(1, 2, 2))
+		p.Ask(ask(1, compiler.UrgencyPatient), epoch)
+		p.Ask(ask(2, compiler.UrgencyPatient), epoch)
+		p.Release(attempt(1, 1), allocator.Outcome{Ending: allocator.EndingDone}, epoch)
+		p.Configure(newService(1, 1, 2), nil, epoch)
+		granted := p.Ask(ask(3, compiler.UrgencyPatient), epoch)
+		is.Equal(granted[0].(allocator.Granted).Decode, identifier.Endpoint("decode-0"))
+	})
+	t.Run("and still knows the prefix caches", func(t *testing.T) {
+		is := is.New(t)
+		p := newPool(newService(4, 4, 8))
+		chosen := func(n int) identifier.Endpoint {
+			a := ask(n, compiler.UrgencyPatient)
+			a.Blocks = []identifier.BlockHash{11, 12, 13, 14, 15}
+			now := at(time.Duration(n) * time.Second)
+			granted := p.Ask(a, now)[0].(allocator.Granted)
+			p.Release(a.Attempt, allocator.Outcome{Ending: allocator.EndingDone}, now)
+			return granted.Prefill
+		}
+		p.CacheEvents("prefill-2", []allocator.CacheEvent{{Block: 11}, {Block: 12}, {Block: 13}, {Block: 14}, {Block: 15}}, epoch)
+		before := chosen(1)
+		s := newService(4, 4, 8)
+		s.Endpoints = s.Endpoints[1:]
+		p.Configure(s, nil, at(2*time.Second))
+		is.Equal(before, identifier.Endpoint("prefill-2"))
+		is.Equal(chosen(3), before)
+	})
+}
--- a/allocator/promise.go
+++ b/allocator/promise.go
@@ -109,8 +109,7 @@
 }
 
 func (p *Pool) bindOne(g *grant, now time.Time) bool {
-	var excluded [maxExcluded]int32
-	e := p.placeDecode(g.wish, p.excluded(g.wish, &excluded))
+	e := p.placeDecode(g.wish, p.excluded(g.wish))
 	if e == nil {
 		return false
 	}
--- /dev/null
+++ b/allocator/property_test.go
@@ -0,0 +1,78 @@
+package allocator_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/jackdawthread/jackdawthread/allocator"
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/compiler"
+)
+
+func TestPoolKeepsItsPromises(t *testing.T) {
+	faults := func(w *world) map[string]func(*rapid.T) {
+		return map[string]func(*rapid.T){
+			"kill a home":       func(*rapid.T) { w.kill() },
+			"leave":             func(*rapid.T) { w.leave() },
+			"lose the pool":     func(*rapid.T) { w.renewPool() },
+			"let a lease lapse": func(*rapid.T) { w.pass(15 * time.Second) },
+		}
+	}
+	t.Run("with early binding", func(t *testing.T) { property(t, false, faults) })
+	t.Run("with late binding", func(t *testing.T) {
+		property(t, true, func(w *world) map[string]func(*rapid.T) {
+			steps := faults(w)
+			steps["turn over"] = func(*rapid.T) { w.turnover() }
+			return steps
+		})
+	})
+}
+
+func TestPoolServesPatientUnderUrgentOverload(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.IntRange(1, 1000).Draw(t, "first")
+		s := newService(2, 1, 2)
+		s.FirstToken = 0
+		p := newPool(s)
+		answered := overload(p, seed, 3*time.Minute)
+		for n := range 10 {
+			if !answered[attempt(9, n+1)] {
+				t.Fatalf("patient attempt %d was not granted in 3 minutes of urgent overload", n+1)
+			}
+		}
+	})
+}
+
+// overload runs twice as many urgent attempts as there are slots for, beside
+// ten patient ones, and gives the attempts that were granted.
+func overload(p *allocator.Pool, first int, d time.Duration) map[identifier.Attempt]bool {
+	granted := map[identifier.Attempt]bool{}
+	ends := map[time.Duration][]identifier.Attempt{}
+	now := time.Duration(0)
+	take := func(actions []allocator.Action) {
+		for _, a := range actions {
+			if g, ok := a.(allocator.Granted); ok {
+				granted[g.Attempt] = true
+				ends[now+time.Second] = append(ends[now+time.Second], g.Attempt)
+			}
+		}
+	}
+	for n := range 10 {
+		a := ask(n+1, compiler.UrgencyPatient)
+		a.Attempt, a.Left = attempt(9, n+1), time.Hour
+		take(p.Ask(a, epoch))
+	}
+	for ; now < d; now += 250 * time.Millisecond {
+		for _, a := range ends[now] {
+			take(p.Started(a, allocator.PhaseTransferred, at(now)))
+			take(p.Release(a, allocator.Outcome{Ending: allocator.EndingDone}, at(now)))
+		}
+		first++
+		take(p.Ask(ask(first, compiler.UrgencyUrgent), at(now)))
+		take(p.Renew(9, 0, at(now)))
+		take(p.Tick(at(now)))
+	}
+	return granted
+}
--- a/allocator/refuse.go
+++ b/allocator/refuse.go
@@ -48,7 +48,10 @@
 
 // early refuses an ask that can't be served in time as things stand.
 func (p *Pool) early(a *wish, now time.Time) (classifier.Reason, bool) {
+	firm := p.firm(a.Firm)
 	switch {
+	case firm != p.options.Firm && p.lent(firm, now) == 0:
+		return classifier.ReasonLimit, false
 	case !p.serves():
 		return classifier.ReasonNoEndpoint, false
 	case !p.large(a):
--- a/allocator/report.go
+++ b/allocator/report.go
@@ -24,6 +24,7 @@
 	e.leaving = e.leaving || r.Leaving
 	e.reported = true
 	e.reportedAt = now.Add(-r.Age)
+	p.setStale(e, false)
 	p.takeSpeeds(e, &r, now)
 	e.backlog.report(float64(r.Backlog), e.reportedAt)
 	p.takeAttempts(e, &r, now)
--- a/allocator/wish.go
+++ b/allocator/wish.go
@@ -21,6 +21,9 @@
 	// prefill, first and run are the expected times of the prefill, from its
 	// end to the first token, and of the whole decoding.
 	prefill, first, run time.Duration
+	// exclude are the numbers of the excluded endpoints, as of installed.
+	exclude   []int32
+	installed int
 	// passedOver is when the ask was the first of its lane and did not fit.
 	passedOver time.Time
 }
--- a/router/affinity.go
+++ b/router/affinity.go
@@ -116,6 +116,13 @@
 	p.index.Add(block, endpoint, now)
 }
 
+// Renumber takes in a new list of endpoints; moved gives the new number of
+// each old one that stays. What their caches hold is still known.
+func (p *PrefixAffinity) Renumber(endpoints []identifier.Endpoint, moved map[int32]int32) {
+	p.ring = NewRing(endpoints)
+	p.index.Renumber(moved)
+}
+
 // Forget drops what is believed of an endpoint's cache.
 func (p *PrefixAffinity) Forget(endpoint int32) {
 	p.index.Forget(endpoint)
--- a/router/cache_index.go
+++ b/router/cache_index.go
@@ -86,6 +86,20 @@
 	}
 }
 
+// Renumber gives the endpoints new numbers; what isn't in moved is forgotten.
+func (c *CacheIndex) Renumber(moved map[int32]int32) {
+	for _, h := range c.blocks {
+		for i := range h {
+			now, ok := moved[h[i].endpoint]
+			if !ok {
+				h[i] = holder{endpoint: noEndpoint}
+				continue
+			}
+			h[i].endpoint = now
+		}
+	}
+}
+
 // Longest gives the number of leading blocks that some endpoint is believed
 // to cache, and those endpoints in found; count says how many. As a cached
 // block implies the blocks before it, a binary search finds the longest.
