--- a/loader/loader.go
+++ b/loader/loader.go
@@ -93,7 +93,8 @@
 	underway atomic.Int64
 }
 
-// Run makes load and reports on it. Without a, answers are not compared. It ends early if ctx does.
+// Run makes load and reports on it. Without a, answers are not compared. It
+// ends early if ctx does.
 func Run(ctx context.Context, s Settings, c Caller, a Answers) (*Report, error) {
 	if err := s.check(); err != nil {
 		return nil, err
@@ -111,7 +112,9 @@
 	} else {
 		r.sendConcurrently(ctx)
 	}
-	return r.tally.report(s, min(s.Duration, time.Since(r.start))), nil
+	report := r.tally.report(s, min(s.Duration, time.Since(r.start)))
+	report.Compared = a != nil
+	return report, nil
 }
 
 // sendAtRate sends calls whether or not earlier ones have ended.
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -164,4 +164,7 @@
 	is.NoErr(r.WriteTable(&b))
 	is.True(bytes.Contains(b.Bytes(), []byte("quote")))
 	is.True(bytes.Contains(b.Bytes(), []byte("100.0%")))
+	r.Compared = false
+	is.NoErr(r.WriteTable(&b))
+	is.True(bytes.Contains(b.Bytes(), []byte("not compared")))
 }
--- a/loader/report.go
+++ b/loader/report.go
@@ -15,11 +15,14 @@
 // Report tells how a system did under load.
 type Report struct {
 	// MeasuredSeconds is the time in which reported calls were sent.
-	MeasuredSeconds float64      `json:"measured-seconds"`
-	Seed            uint64       `json:"seed"`
-	Rate            float64      `json:"rate,omitempty"`
-	Concurrency     int          `json:"concurrency,omitempty"`
-	Kinds           []KindReport `json:"kinds"`
+	MeasuredSeconds float64 `json:"measured-seconds"`
+	Seed            uint64  `json:"seed"`
+	Rate            float64 `json:"rate,omitempty"`
+	Concurrency     int     `json:"concurrency,omitempty"`
+	// Compared tells whether answers were compared with what they had to be;
+	// if not, Mismatched is always 0.
+	Compared bool         `json:"answers-compared"`
+	Kinds    []KindReport `json:"kinds"`
 }
 
 // KindReport is a report on one kind of call.
@@ -137,7 +140,7 @@
 	t := tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
 	rows := [][]string{tableHeader}
 	for i := range r.Kinds {
-		rows = append(rows, r.Kinds[i].row())
+		rows = append(rows, r.Kinds[i].row(r.Compared))
 	}
 	for _, row := range rows {
 		if _, err := fmt.Fprintln(t, strings.Join(row, "\t")); err != nil {
@@ -150,12 +153,16 @@
 	return r.writeFailures(w)
 }
 
-func (k *KindReport) row() []string {
+func (k *KindReport) row(compared bool) []string {
+	wrong := "not compared"
+	if compared {
+		wrong = fmt.Sprint(k.Mismatched)
+	}
 	return []string{
 		k.Kind,
 		fmt.Sprint(k.Sent),
 		countsText(k.Verdicts),
-		fmt.Sprint(k.Mismatched),
+		wrong,
 		fmt.Sprintf("%.2f", k.GoodputPerSecond),
 		fmt.Sprintf("%.1f%%", 100*k.GoodShare),
 		k.FirstToken.text(true),
