--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -34,6 +34,9 @@
 	maxSteps = 64
 	// maxStepBytes bounds the patches that are kept, in bytes.
 	maxStepBytes = 512 << 10
+	// smallSteps is the size up to which steps are sent without a look at
+	// the size of the whole file, in bytes.
+	smallSteps = 16 << 10
 )
 
 // Archive holds the file in force and the steps before it. It is safe for
@@ -107,17 +110,43 @@
 	if ask.Revision >= a.current.Revision {
 		return answer
 	}
-	for i := len(a.steps) - 1; i >= 0 && ask.Revision > 0; i-- {
+	steps := a.stepsFrom(ask)
+	if len(steps) > 0 && (patchBytes(steps) <= smallSteps || patchBytes(steps) <= len(a.packed())) {
+		answer.Steps = steps
+		return answer
+	}
+	answer.Whole = a.packed()
+	return answer
+}
+
+// stepsFrom gives the steps that lead from the asker's file to the current
+// one, or none.
+func (a *Archive) stepsFrom(ask *peerwire.DeclarationsAsk) []peerwire.DeclarationsStep {
+	if ask.Revision == 0 {
+		return nil
+	}
+	for i := len(a.steps) - 1; i >= 0; i-- {
 		if a.steps[i].From == ask.Digest {
-			answer.Steps = a.steps[i:]
-			return answer
+			return a.steps[i:]
 		}
 	}
+	return nil
+}
+
+// packed gives the current file, compressed.
+func (a *Archive) packed() []byte {
 	if a.whole == nil {
 		a.whole = compress(a.current.Source)
 	}
-	answer.Whole = a.whole
-	return answer
+	return a.whole
+}
+
+func patchBytes(steps []peerwire.DeclarationsStep) int {
+	total := 0
+	for _, s := range steps {
+		total += len(s.Patch)
+	}
+	return total
 }
 
 // Take makes the file that a peer answered with. Current is what the asker
@@ -155,7 +184,7 @@
 
 func compress(source []byte) []byte {
 	var packed bytes.Buffer
-	w, err := flate.NewWriter(&packed, flate.BestCompression)
+	w, err := flate.NewWriter(&packed, flate.DefaultCompression)
 	if err != nil {
 		return nil // never: the level is valid
 	}
--- a/common/decoder/binder.go
+++ b/common/decoder/binder.go
@@ -105,7 +105,7 @@
 	made := reflect.MakeSlice(value.Type(), len(entries), len(entries))
 	for i, entry := range entries {
 		setDefaults(made.Index(i))
-		d.bind(fmt.Sprintf("%s[%d]", path, i), entry, made.Index(i))
+		d.bind(entryPath(path, i), entry, made.Index(i))
 	}
 	value.Set(made)
 }
--- a/common/decoder/document.go
+++ b/common/decoder/document.go
@@ -26,6 +26,7 @@
 	"errors"
 	"fmt"
 	"regexp"
+	"strconv"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
@@ -37,8 +38,13 @@
 // Document is a decoded file: the place of every key, and the faults.
 type Document struct {
 	name     string
-	places   map[string]place
+	source   []byte
+	tree     map[string]any
 	problems Problems
+	// places holds the place of each key; it is made at the first fault.
+	places map[string]place
+	// overrides holds the origin of each key that was overridden.
+	overrides map[string]place
 	// faults holds the places and keys that have a problem.
 	faults map[fault]bool
 	// broken is set when the file is no TOML, so that nothing was decoded.
@@ -60,20 +66,24 @@
 // Decode reads source into target, a pointer to a struct. Faults are kept in
 // the document; name is used in their texts.
 func Decode(name string, source []byte, target any) *Document {
-	d := &Document{name: name, places: map[string]place{}, faults: map[fault]bool{}}
+	d := &Document{
+		name:      name,
+		source:    source,
+		tree:      map[string]any{},
+		overrides: map[string]place{},
+		faults:    map[fault]bool{},
+	}
 	if len(source) > MaxSize {
 		d.broken = true
 		d.add(place{origin: name}, "", fmt.Sprintf("expected at most %d bytes, got %d", MaxSize, len(source)))
 		return d
 	}
-	tree := map[string]any{}
-	if err := toml.Unmarshal(source, &tree); err != nil {
+	if err := toml.Unmarshal(source, &d.tree); err != nil {
 		d.broken = true
 		d.addSyntax(err)
 		return d
 	}
-	d.places = index(name, source)
-	d.bindRoot(tree, target)
+	d.bindRoot(d.tree, target)
 	return d
 }
 
@@ -85,8 +95,28 @@
 // Has tells whether the key at path was given. Entries of arrays are
 // numbered from 0, as in "service[2].name".
 func (d *Document) Has(path string) bool {
-	_, ok := d.places[path]
-	return ok
+	if _, ok := d.overrides[path]; ok {
+		return true
+	}
+	value := any(d.tree)
+	for part := range strings.SplitSeq(path, ".") {
+		key, number, numbered := strings.Cut(strings.TrimSuffix(part, "]"), "[")
+		table, _ := value.(map[string]any)
+		var ok bool
+		if value, ok = table[key]; !ok {
+			return false
+		}
+		if !numbered {
+			continue
+		}
+		entries, _ := value.([]any)
+		n, err := strconv.Atoi(number)
+		if err != nil || n < 0 || n >= len(entries) {
+			return false
+		}
+		value = entries[n]
+	}
+	return true
 }
 
 // Addf adds a fault of the key at path.
@@ -124,7 +154,13 @@
 
 // locate gives the place of path, or of the nearest table around it.
 func (d *Document) locate(path string) place {
+	if d.places == nil && !d.broken {
+		d.places = index(d.name, d.source)
+	}
 	for path != "" {
+		if at, ok := d.overrides[path]; ok {
+			return at
+		}
 		if at, ok := d.places[path]; ok {
 			return at
 		}
--- a/common/decoder/index.go
+++ b/common/decoder/index.go
@@ -1,8 +1,8 @@
 package decoder
 
 import (
-	"fmt"
 	"sort"
+	"strconv"
 
 	"github.com/pelletier/go-toml/v2/unstable"
 )
@@ -87,7 +87,7 @@
 // current gives the path of the last entry, if path is an array of tables.
 func (x *indexer) current(path string) string {
 	if n := x.counts[path]; n > 0 {
-		return fmt.Sprintf("%s[%d]", path, n-1)
+		return entryPath(path, n-1)
 	}
 	return path
 }
@@ -114,7 +114,7 @@
 			if entry.Raw.Length > 0 {
 				at = entry.Raw.Offset
 			}
-			inner := fmt.Sprintf("%s[%d]", path, n)
+			inner := entryPath(path, n)
 			x.mark(inner, at)
 			x.value(inner, at, entry)
 		}
@@ -124,3 +124,8 @@
 		}
 	}
 }
+
+// entryPath gives the path of an array's entry.
+func entryPath(path string, n int) string {
+	return path + "[" + strconv.Itoa(n) + "]"
+}
--- a/common/decoder/override.go
+++ b/common/decoder/override.go
@@ -31,7 +31,7 @@
 		d.add(at, o.Path, "unknown key; expected one of "+quoteAll(Paths(target)))
 		return
 	}
-	d.places[o.Path] = at
+	d.overrides[o.Path] = at
 	d.bind(o.Path, tomlValue(o.Text, value.Type()), value)
 }
 
--- a/compiler/compiler.go
+++ b/compiler/compiler.go
@@ -41,9 +41,9 @@
 		Firm:        file.Firm,
 		DataCenters: map[identifier.DataCenter]*DataCenter{},
 		Services:    map[identifier.Service]*Service{},
-		Endpoints:   map[identifier.Endpoint]*Endpoint{},
+		Endpoints:   make(map[identifier.Endpoint]*Endpoint, file.EndpointCount()),
 		Links:       map[LinkKey]*Link{},
-		Customers:   map[identifier.Customer]*Customer{},
+		Customers:   make(map[identifier.Customer]*Customer, file.CustomerCount()),
 		Source:      file.Source,
 		Digest:      xxhash.Sum64(file.Source),
 	}
--- a/parser/check_customers.go
+++ b/parser/check_customers.go
@@ -58,7 +58,7 @@
 }
 
 func (c *checker) checkCustomers() {
-	names := firstPlace[identifier.Customer]{}
+	names := make(firstPlace[identifier.Customer], c.file.CustomerCount())
 	for i := range c.file.Customers {
 		u := &c.file.Customers[i]
 		if (u.Name == "") == (len(u.Names) == 0) {
--- a/parser/check_endpoints.go
+++ b/parser/check_endpoints.go
@@ -20,8 +20,9 @@
 }
 
 func (c *checker) checkEndpoints() {
-	names := firstPlace[identifier.Endpoint]{}
-	addresses := firstPlace[identifier.Address]{}
+	count := c.file.EndpointCount()
+	names := make(firstPlace[identifier.Endpoint], count)
+	addresses := make(firstPlace[identifier.Address], count)
 	for i := range c.file.Endpoints {
 		e := &c.file.Endpoints[i]
 		c.needService(key("endpoint", i, "service"), e.Service)
--- a/parser/expand.go
+++ b/parser/expand.go
@@ -51,3 +51,22 @@
 	}
 	return singles, nil
 }
+
+// EndpointCount gives the number of endpoints that the file declares, up to
+// the most that a file may.
+func (f *File) EndpointCount() int {
+	count := 0
+	for i := range f.Endpoints {
+		count = min(count+max(f.Endpoints[i].Count, 0), maxEndpoints)
+	}
+	return count
+}
+
+// CustomerCount gives the number of customers that the file declares.
+func (f *File) CustomerCount() int {
+	count := 0
+	for i := range f.Customers {
+		count += len(f.Customers[i].All())
+	}
+	return count
+}
