--- a/experimenter/experimenter_test.go
+++ b/experimenter/experimenter_test.go
@@ -20,3 +20,19 @@
 	is.NoErr(err)
 	t.Log("\n" + r.Table())
 }
+
+func TestPrintLimits(t *testing.T) {
+	if os.Getenv("EXPERIMENT") == "" {
+		t.Skip()
+	}
+	t.Log("\n" + LimitTable(RunLimits(1)))
+}
+
+func TestPrintStorm(t *testing.T) {
+	if os.Getenv("EXPERIMENT") == "" {
+		t.Skip()
+	}
+	for seed := range uint64(3) {
+		t.Log("\n" + StormTable(RunStorm(seed+1)))
+	}
+}
--- a/limiter/coordinator.go
+++ b/limiter/coordinator.go
@@ -1,6 +1,8 @@
 package limiter
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/jackdawthread/jackdawthread/common/identifier"
@@ -10,9 +12,18 @@
 const (
 	// demandWeight is the weight of one report in a host's mean demand.
 	demandWeight = 0.5
-	// repayTime is how long a customer that was admitted too much takes to
-	// pay it back.
-	repayTime = 5 * time.Second
+	// balanceTime is the time in which a level comes back to its target, which
+	// is a share of the burst; mostBalance bounds the factor on the rate.
+	balanceTime = 4 * time.Second
+	targetLevel = 0.1
+	mostBalance = 2.0
+	// burstFactor is how much more of the level than of the rate a host gets,
+	// and headroomFactor how much more of what no host wants.
+	burstFactor    = 3
+	headroomFactor = 2
+	// unreportedBound is the longest time for which a host that does not
+	// report is expected to go on as before.
+	unreportedBound = 2 * time.Second
 	// leastPart is the least part of the rate that a host keeps.
 	leastPart = 0.001
 	// maxDebt bounds what is paid back, in seconds of the rate.
@@ -38,12 +49,18 @@
 	level  float64
 	tokens float64
 	at     time.Time
-	hosts  map[identifier.Incarnation]*demand
+	// unreported is what hosts are expected to have admitted since their last
+	// reports.
+	unreported Cost
+	hosts      []demand // by incarnation
 }
 
-// demand is a host's wanted rates, as parts of the customer's rate.
+// demand is a host's use and what it wants, as a part of the customer's rate.
 type demand struct {
+	host identifier.Incarnation
 	part float64
+	// used is the admitted rate.
+	used Cost
 	at   time.Time
 }
 
@@ -52,10 +69,18 @@
 	return &Coordinator{options: options.withDefaults(), live: 1, known: 1, accounts: map[identifier.Customer]*account{}}
 }
 
-// Configure puts declarations in force.
+// Configure puts declarations in force. What is known of customers whose
+// declaration is unchanged is kept.
 func (c *Coordinator) Configure(customers map[identifier.Customer]*compiler.Customer, other *compiler.Customer) {
 	c.customers, c.other = customers, other
-	clear(c.accounts)
+	for name, a := range c.accounts {
+		declared := c.declared(name)
+		if declared == nil || *declared != *a.customer {
+			delete(c.accounts, name)
+			continue
+		}
+		a.customer = declared
+	}
 }
 
 // SetHosts says how many entry hosts the coordinator sees, and how many are
@@ -68,7 +93,7 @@
 // HostDead frees the shares of a host.
 func (c *Coordinator) HostDead(host identifier.Incarnation) {
 	for _, a := range c.accounts {
-		delete(a.hosts, host)
+		a.remove(func(d demand) bool { return d.host == host })
 	}
 }
 
@@ -107,14 +132,19 @@
 	return c.options.AnswerLimit * time.Duration(c.options.CalmInterval)
 }
 
+// declared gives a customer's declaration, or the default one; nil: none.
+func (c *Coordinator) declared(name identifier.Customer) *compiler.Customer {
+	if declared := c.customers[name]; declared != nil {
+		return declared
+	}
+	return c.other
+}
+
 func (c *Coordinator) account(name identifier.Customer, now time.Time) *account {
 	if a := c.accounts[name]; a != nil {
 		return a
 	}
-	declared := c.customers[name]
-	if declared == nil {
-		declared = c.other
-	}
+	declared := c.declared(name)
 	if declared == nil {
 		return nil
 	}
@@ -123,31 +153,45 @@
 		level:    burstOf(declared),
 		tokens:   declared.TokensPerSecond * defaultBurst.Seconds(),
 		at:       now,
-		hosts:    map[identifier.Incarnation]*demand{},
 	}
 	c.accounts[name] = a
 	return a
 }
 
+// refill adds what the rates give. What hosts have admitted since their last
+// reports is taken off before the levels are bounded by the burst.
 func (a *account) refill(scope float64, now time.Time) {
 	passed := now.Sub(a.at).Seconds() * scope
 	a.at = now
-	a.level = min(burstOf(a.customer), a.level+passed*a.customer.RequestsPerSecond)
-	a.tokens = min(a.customer.TokensPerSecond*defaultBurst.Seconds(), a.tokens+passed*a.customer.TokensPerSecond)
+	a.unreported = a.expected(now)
+	most := burstOf(a.customer) + a.unreported.Requests
+	a.level = min(most, a.level+passed*a.customer.RequestsPerSecond)
+	most = a.customer.TokensPerSecond*defaultBurst.Seconds() + a.unreported.Tokens
+	a.tokens = min(most, a.tokens+passed*a.customer.TokensPerSecond)
+}
+
+// expected gives what hosts are expected to have admitted since they reported.
+func (a *account) expected(now time.Time) Cost {
+	var sum Cost
+	for _, d := range a.hosts {
+		passed := min(now.Sub(d.at), unreportedBound).Seconds()
+		sum.Requests += d.used.Requests * passed
+		sum.Tokens += d.used.Tokens * passed
+	}
+	return sum
 }
 
 func (a *account) take(host identifier.Incarnation, u *Usage, o Options, now time.Time) {
 	a.level = max(a.level-u.Admitted.Requests, -maxDebt*a.customer.RequestsPerSecond)
 	a.tokens = max(a.tokens-u.Admitted.Tokens, -maxDebt*a.customer.TokensPerSecond)
-	d := a.hosts[host]
-	if d == nil {
-		d = &demand{at: now.Add(-o.Interval)}
-		a.hosts[host] = d
-	}
+	d := a.demandOf(host, now.Add(-o.Interval*time.Duration(o.CalmInterval)))
 	passed := max(o.Interval, now.Sub(d.at)).Seconds()
 	d.part += demandWeight * (a.wanted(u)/passed - d.part)
+	d.used.Requests += demandWeight * (u.Admitted.Requests/passed - d.used.Requests)
+	d.used.Tokens += demandWeight * (u.Admitted.Tokens/passed - d.used.Tokens)
 	d.at = now
 	a.forget(now.Add(-o.AnswerLimit * time.Duration(o.CalmInterval)))
+	a.unreported = a.expected(now)
 }
 
 // wanted gives a usage as seconds of the customer's rate.
@@ -162,12 +206,23 @@
 	return part
 }
 
-func (a *account) forget(before time.Time) {
-	for host, d := range a.hosts {
-		if d.at.Before(before) {
-			delete(a.hosts, host)
-		}
+// demandOf gives the demand of a host; that of a new one begins at since.
+func (a *account) demandOf(host identifier.Incarnation, since time.Time) *demand {
+	place, ok := slices.BinarySearchFunc(a.hosts, host, func(d demand, h identifier.Incarnation) int {
+		return cmp.Compare(d.host, h)
+	})
+	if !ok {
+		a.hosts = slices.Insert(a.hosts, place, demand{host: host, at: since})
 	}
+	return &a.hosts[place]
+}
+
+func (a *account) forget(before time.Time) {
+	a.remove(func(d demand) bool { return d.at.Before(before) })
+}
+
+func (a *account) remove(match func(demand) bool) {
+	a.hosts = slices.DeleteFunc(a.hosts, match)
 }
 
 // share divides the rate: by demand when it is above the limit; otherwise
@@ -177,10 +232,10 @@
 	for _, d := range a.hosts {
 		total += d.part
 	}
-	mine := a.hosts[host].part
-	rate := scope * a.repayment()
+	mine := a.demandOf(host, a.at).part
+	rate := scope * a.balance()
 	part := mine * rate / max(total, rate)
-	part += max(0, rate-total) / float64(max(live, len(a.hosts)))
+	part += headroomFactor * max(0, rate-total) / float64(max(live, len(a.hosts)))
 	return Share{
 		Customer: a.customer.Name,
 		Part:     min(1, max(leastPart, part)),
@@ -188,23 +243,24 @@
 	}
 }
 
-// repayment is the factor on the rate of a customer that owes.
-func (a *account) repayment() float64 {
-	factor := 1.0
-	if a.level < 0 && a.customer.RequestsPerSecond > 0 {
-		factor = 1 + a.level/(a.customer.RequestsPerSecond*repayTime.Seconds())
+// balance is the factor on the rate that brings the level to its target: below
+// 1 for a customer that was admitted too much, above it for one that was
+// admitted less than it might.
+func (a *account) balance() float64 {
+	factor := mostBalance
+	if rate := a.customer.RequestsPerSecond; rate > 0 {
+		excess := a.level - a.unreported.Requests - targetLevel*burstOf(a.customer)
+		factor = min(factor, 1+excess/(rate*balanceTime.Seconds()))
 	}
-	if a.tokens < 0 && a.customer.TokensPerSecond > 0 {
-		factor = min(factor, 1+a.tokens/(a.customer.TokensPerSecond*repayTime.Seconds()))
+	if rate := a.customer.TokensPerSecond; rate > 0 {
+		excess := a.tokens - a.unreported.Tokens - targetLevel*rate*defaultBurst.Seconds()
+		factor = min(factor, 1+excess/(rate*balanceTime.Seconds()))
 	}
 	return max(0, factor)
 }
 
-// burst lets a host with a part of the rate use that part of the level, and
-// one request more while anything is left.
+// burst lets a host with a part of the rate use a larger part of the level, as
+// hosts seldom need theirs at one time, and one request more.
 func (a *account) burst(part float64) float64 {
-	if a.level <= 0 {
-		return 1
-	}
-	return 1 + a.level*min(1, part)
+	return 1 + max(0, a.level-a.unreported.Requests)*min(1, burstFactor*part)
 }
