Prove at-most-once over the whole system; name the holder of an answer

Cause: with a caller that timed out or lost its connection the issuer kept the answer reserved for it, so a resend was told ran without the answer; and the dispatch ended with the caller's deadline, so its outcome was lost. The ticketer reserves a payload for a named holder, and an undelivered receipt may come from a call that failed, before or after the answer; receipts are confirmed and sent up to five times. A dispatched call gets its service's timeout, not the caller's.

--- a/peerwire/tickets.go
+++ b/peerwire/tickets.go
@@ -12,6 +12,10 @@
 	Customer    string `msg:"customer"`
 	Payload     []byte `msg:"payload"`
 	Urgency     uint8  `msg:"urgency"`
+	// Host and Call name this call for its receipt: the forwarding host's
+	// incarnation and its count of calls.
+	Host uint64 `msg:"host"`
+	Call uint64 `msg:"call"`
 	// TimeLeftMs is the time that the caller still waits, in milliseconds.
 	TimeLeftMs uint32 `msg:"time-left-ms"`
 	// VoidReason, if set, asks the issuer to void the ticket in place of a
@@ -37,6 +41,8 @@
 type TicketReceipt struct {
 	Incarnation uint64 `msg:"incarnation"`
 	Ticket      string `msg:"ticket"`
+	Host        uint64 `msg:"host"`
+	Call        uint64 `msg:"call"`
 	// Delivered is false when the caller's connection was gone before the
 	// first byte of the answer was written.
 	Delivered bool `msg:"delivered"`
--- a/peerwire/tickets_gen.go
+++ b/peerwire/tickets_gen.go
@@ -294,6 +294,18 @@
 				err = msgp.WrapError(err, "Urgency")
 				return
 			}
+		case "host":
+			z.Host, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Host")
+				return
+			}
+		case "call":
+			z.Call, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Call")
+				return
+			}
 		case "time-left-ms":
 			z.TimeLeftMs, err = dc.ReadUint32()
 			if err != nil {
@@ -325,9 +337,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *TicketCall) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 10
+	// map header, size 12
 	// write "incarnation"
-	err = en.Append(0x8a, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	err = en.Append(0x8c, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 	if err != nil {
 		return
 	}
@@ -396,6 +408,26 @@
 		err = msgp.WrapError(err, "Urgency")
 		return
 	}
+	// write "host"
+	err = en.Append(0xa4, 0x68, 0x6f, 0x73, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Host)
+	if err != nil {
+		err = msgp.WrapError(err, "Host")
+		return
+	}
+	// write "call"
+	err = en.Append(0xa4, 0x63, 0x61, 0x6c, 0x6c)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Call)
+	if err != nil {
+		err = msgp.WrapError(err, "Call")
+		return
+	}
 	// write "time-left-ms"
 	err = en.Append(0xac, 0x74, 0x69, 0x6d, 0x65, 0x2d, 0x6c, 0x65, 0x66, 0x74, 0x2d, 0x6d, 0x73)
 	if err != nil {
@@ -432,9 +464,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *TicketCall) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
+	// map header, size 12
 	// string "incarnation"
-	o = append(o, 0x8a, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = append(o, 0x8c, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendUint64(o, z.Incarnation)
 	// string "ticket"
 	o = append(o, 0xa6, 0x74, 0x69, 0x63, 0x6b, 0x65, 0x74)
@@ -454,6 +486,12 @@
 	// string "urgency"
 	o = append(o, 0xa7, 0x75, 0x72, 0x67, 0x65, 0x6e, 0x63, 0x79)
 	o = msgp.AppendUint8(o, z.Urgency)
+	// string "host"
+	o = append(o, 0xa4, 0x68, 0x6f, 0x73, 0x74)
+	o = msgp.AppendUint64(o, z.Host)
+	// string "call"
+	o = append(o, 0xa4, 0x63, 0x61, 0x6c, 0x6c)
+	o = msgp.AppendUint64(o, z.Call)
 	// string "time-left-ms"
 	o = append(o, 0xac, 0x74, 0x69, 0x6d, 0x65, 0x2d, 0x6c, 0x65, 0x66, 0x74, 0x2d, 0x6d, 0x73)
 	o = msgp.AppendUint32(o, z.TimeLeftMs)
@@ -526,6 +564,18 @@
 				err = msgp.WrapError(err, "Urgency")
 				return
 			}
+		case "host":
+			z.Host, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Host")
+				return
+			}
+		case "call":
+			z.Call, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Call")
+				return
+			}
 		case "time-left-ms":
 			z.TimeLeftMs, bts, err = msgp.ReadUint32Bytes(bts)
 			if err != nil {
@@ -558,7 +608,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *TicketCall) Msgsize() (s int) {
-	s = 1 + 12 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Ticket) + 8 + msgp.StringPrefixSize + len(z.Request) + 8 + msgp.StringPrefixSize + len(z.Service) + 9 + msgp.StringPrefixSize + len(z.Customer) + 8 + msgp.BytesPrefixSize + len(z.Payload) + 8 + msgp.Uint8Size + 13 + msgp.Uint32Size + 12 + msgp.StringPrefixSize + len(z.VoidReason) + 15 + msgp.Uint32Size
+	s = 1 + 12 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Ticket) + 8 + msgp.StringPrefixSize + len(z.Request) + 8 + msgp.StringPrefixSize + len(z.Service) + 9 + msgp.StringPrefixSize + len(z.Customer) + 8 + msgp.BytesPrefixSize + len(z.Payload) + 8 + msgp.Uint8Size + 5 + msgp.Uint64Size + 5 + msgp.Uint64Size + 13 + msgp.Uint32Size + 12 + msgp.StringPrefixSize + len(z.VoidReason) + 15 + msgp.Uint32Size
 	return
 }
 
@@ -592,6 +642,18 @@
 				err = msgp.WrapError(err, "Ticket")
 				return
 			}
+		case "host":
+			z.Host, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Host")
+				return
+			}
+		case "call":
+			z.Call, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Call")
+				return
+			}
 		case "delivered":
 			z.Delivered, err = dc.ReadBool()
 			if err != nil {
@@ -610,10 +672,10 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z TicketReceipt) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+func (z *TicketReceipt) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 5
 	// write "incarnation"
-	err = en.Append(0x83, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	err = en.Append(0x85, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 	if err != nil {
 		return
 	}
@@ -632,6 +694,26 @@
 		err = msgp.WrapError(err, "Ticket")
 		return
 	}
+	// write "host"
+	err = en.Append(0xa4, 0x68, 0x6f, 0x73, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Host)
+	if err != nil {
+		err = msgp.WrapError(err, "Host")
+		return
+	}
+	// write "call"
+	err = en.Append(0xa4, 0x63, 0x61, 0x6c, 0x6c)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Call)
+	if err != nil {
+		err = msgp.WrapError(err, "Call")
+		return
+	}
 	// write "delivered"
 	err = en.Append(0xa9, 0x64, 0x65, 0x6c, 0x69, 0x76, 0x65, 0x72, 0x65, 0x64)
 	if err != nil {
@@ -646,15 +728,21 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z TicketReceipt) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *TicketReceipt) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 5
 	// string "incarnation"
-	o = append(o, 0x83, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = append(o, 0x85, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendUint64(o, z.Incarnation)
 	// string "ticket"
 	o = append(o, 0xa6, 0x74, 0x69, 0x63, 0x6b, 0x65, 0x74)
 	o = msgp.AppendString(o, z.Ticket)
+	// string "host"
+	o = append(o, 0xa4, 0x68, 0x6f, 0x73, 0x74)
+	o = msgp.AppendUint64(o, z.Host)
+	// string "call"
+	o = append(o, 0xa4, 0x63, 0x61, 0x6c, 0x6c)
+	o = msgp.AppendUint64(o, z.Call)
 	// string "delivered"
 	o = append(o, 0xa9, 0x64, 0x65, 0x6c, 0x69, 0x76, 0x65, 0x72, 0x65, 0x64)
 	o = msgp.AppendBool(o, z.Delivered)
@@ -691,6 +779,18 @@
 				err = msgp.WrapError(err, "Ticket")
 				return
 			}
+		case "host":
+			z.Host, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Host")
+				return
+			}
+		case "call":
+			z.Call, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Call")
+				return
+			}
 		case "delivered":
 			z.Delivered, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -710,7 +810,7 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z TicketReceipt) Msgsize() (s int) {
-	s = 1 + 12 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Ticket) + 10 + msgp.BoolSize
+func (z *TicketReceipt) Msgsize() (s int) {
+	s = 1 + 12 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Ticket) + 5 + msgp.Uint64Size + 5 + msgp.Uint64Size + 10 + msgp.BoolSize
 	return
 }
--- /dev/null
+++ b/prover/faults.go
@@ -0,0 +1,116 @@
+package prover
+
+import (
+	"context"
+	"time"
+
+	"github.com/jackdawthread/jackdawthread/assembler"
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/emulator"
+)
+
+// hostNames gives the entry hosts of the data centers for which in holds.
+func (r *Run) hostNames(in func(identifier.DataCenter) bool) []identifier.Host {
+	var names []identifier.Host
+	for _, name := range r.System.Hosts() {
+		if in(r.System.DataCenter(name)) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Kill ends a host as a crash would.
+func (r *Run) Kill(name identifier.Host) {
+	r.System.Host(name).Kill()
+}
+
+// Restart starts a host that was killed; it is another incarnation.
+func (r *Run) Restart(name identifier.Host) error {
+	if _, err := r.System.StartHost(name, r.System.DataCenter(name)); err != nil {
+		return err
+	}
+	r.learnHosts()
+	return nil
+}
+
+// Freeze holds everything that a host sends and gets.
+func (r *Run) Freeze(name identifier.Host) {
+	r.System.Faults.Freeze(name)
+}
+
+// Thaw ends a Freeze.
+func (r *Run) Thaw(name identifier.Host) {
+	r.System.Faults.Thaw(name)
+}
+
+// CutOff separates the entry hosts of a data center from those of the others.
+func (r *Run) CutOff(dc identifier.DataCenter) {
+	inside := r.hostNames(func(d identifier.DataCenter) bool { return d == dc })
+	outside := r.hostNames(func(d identifier.DataCenter) bool { return d != dc })
+	r.System.Faults.Cut(inside, outside)
+}
+
+// Disconnect breaks the callers' connections to a host.
+func (r *Run) Disconnect(name identifier.Host) {
+	r.System.Faults.Reset(assembler.CallerHost, name)
+}
+
+// SetPlainFaults sets the faults of all instances of plain services.
+func (r *Run) SetPlainFaults(f emulator.PlainFaults) {
+	for _, p := range r.System.Site.Plains() {
+		p.SetFaults(f)
+	}
+}
+
+// healAll ends the faults of links and endpoints.
+func (r *Run) healAll() {
+	r.System.Faults.Heal()
+	r.SetPlainFaults(emulator.PlainFaults{})
+	for _, e := range r.System.Site.Engines() {
+		e.SetFaults(emulator.Faults{})
+	}
+}
+
+// Mix injects faults drawn at random, some of them at once, for the duration.
+// Hosts that were killed run again afterwards.
+func (r *Run) Mix(ctx context.Context, duration time.Duration) error {
+	end := time.Now().Add(duration)
+	for time.Now().Before(end) {
+		if err := sleep(ctx, r.drawDuration(100*time.Millisecond, time.Second)); err != nil {
+			return err
+		}
+		if err := r.injectOne(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Run) injectOne(ctx context.Context) error {
+	names := r.System.Hosts()
+	name := names[r.draw(len(names))]
+	switch r.draw(6) {
+	case 0:
+		return r.killFor(ctx, name)
+	case 1:
+		r.Freeze(name)
+	case 2:
+		r.Thaw(name)
+	case 3:
+		r.CutOff(r.System.DataCenter(name))
+	case 4:
+		r.System.Faults.Heal()
+	case 5:
+		r.Disconnect(name)
+	}
+	return nil
+}
+
+func (r *Run) killFor(ctx context.Context, name identifier.Host) error {
+	r.Kill(name)
+	if err := sleep(ctx, r.drawDuration(0, 2*time.Second)); err != nil {
+		return err
+	}
+	return r.Restart(name)
+}
--- /dev/null
+++ b/prover/lock.go
@@ -0,0 +1,151 @@
+package prover
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/jackdawthread/jackdawthread/checker"
+	"github.com/jackdawthread/jackdawthread/common/converter"
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/emulator"
+	"github.com/jackdawthread/jackdawthread/wire/callerwire"
+)
+
+// LockService is the non-repeatable service that locks are sent to.
+const LockService identifier.Service = "price-lock"
+
+// LockPlan says what one caller of a non-repeatable service does.
+type LockPlan struct {
+	// Start is the wait before the caller asks for its ticket.
+	Start time.Duration
+	// Issuer is the index of the host that issues the ticket.
+	Issuer int
+	// Copies are the hosts that the call is sent to at the same time, as a
+	// balancer that duplicates it would.
+	Copies []int
+	// Resends are the hosts that it is sent to in turn, with the same ticket,
+	// while its outcome isn't known.
+	Resends []int
+	// Timeout of each call, and Pause before each resend.
+	Timeout time.Duration
+	Pause   time.Duration
+	// Issued is called when the caller has its ticket; it may be nil.
+	Issued func()
+}
+
+// lock is one caller's lock.
+type lock struct {
+	run     *Run
+	ticket  string
+	payload []byte
+	timeout time.Duration
+}
+
+// Lock makes one caller's calls and gives what it was told in the end. A
+// caller that gets no ticket counts as told ResultNotRun.
+func (r *Run) Lock(ctx context.Context, p LockPlan) checker.Result {
+	if sleep(ctx, p.Start) != nil {
+		return checker.ResultUnfinished
+	}
+	ticket, err := r.issue(ctx, p)
+	if err != nil {
+		return checker.ResultNotRun
+	}
+	if p.Issued != nil {
+		p.Issued()
+	}
+	l := &lock{run: r, ticket: ticket, payload: fmt.Appendf(nil, "20 t for %s", ticket), timeout: p.Timeout}
+	result := l.copies(ctx, p.Copies)
+	for _, host := range p.Resends {
+		if settled(result) || sleep(ctx, p.Pause) != nil {
+			break
+		}
+		result = l.call(ctx, host)
+	}
+	r.final(result)
+	return result
+}
+
+func (r *Run) issue(ctx context.Context, p LockPlan) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.Timeout)
+	defer cancel()
+	response, err := r.host(p.Issuer).IssueTicket(ctx, connect.NewRequest(&callerwire.IssueTicketRequest{
+		Service:  string(LockService),
+		Customer: string(r.customer),
+	}))
+	if err != nil {
+		return "", err
+	}
+	return response.Msg.GetTicket(), nil
+}
+
+// copies sends the call to several hosts at once. The caller is told what the
+// first of them says that settles it.
+func (l *lock) copies(ctx context.Context, hosts []int) checker.Result {
+	results := make(chan checker.Result, len(hosts))
+	for _, host := range hosts {
+		l.run.Go(func(context.Context) { results <- l.call(ctx, host) })
+	}
+	last := checker.ResultUnfinished
+	for range hosts {
+		last = <-results
+		if settled(last) {
+			return last
+		}
+	}
+	return last
+}
+
+// settled tells whether a caller knows what became of its lock.
+func settled(r checker.Result) bool {
+	return r == checker.ResultAnswered || r == checker.ResultRan || r == checker.ResultNotRun
+}
+
+// call sends the call to one host and records what it is told.
+func (l *lock) call(ctx context.Context, host int) checker.Result {
+	ctx, cancel := context.WithTimeout(ctx, l.timeout)
+	defer cancel()
+	done := l.run.Recorder.Invoke(checker.Call{
+		Key:      checker.Key(l.ticket),
+		Once:     true,
+		Expected: emulator.Confirmation(string(LockService), l.payload),
+	}, time.Now())
+	response, err := l.run.host(host).Call(ctx, connect.NewRequest(&callerwire.CallRequest{
+		Service:  string(LockService),
+		Customer: string(l.run.customer),
+		Payload:  l.payload,
+		Ticket:   l.ticket,
+	}))
+	if err != nil {
+		result := told(err)
+		done(result, nil, time.Now())
+		return result
+	}
+	done(checker.ResultAnswered, response.Msg.GetPayload(), time.Now())
+	return checker.ResultAnswered
+}
+
+// told gives what a host said by an error. An error that no host made, such as
+// a connection that was refused, says nothing about earlier sends of the call.
+func told(err error) checker.Result {
+	if e, ok := errors.AsType[*connect.Error](err); ok && len(e.Details()) > 0 {
+		return checker.ResultOf(converter.FromConnect(err))
+	}
+	return checker.ResultMayHaveRun
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) error {
+	wait := time.NewTimer(d)
+	defer wait.Stop()
+	select {
+	case <-wait.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/redeemer/forward.go
+++ b/redeemer/forward.go
@@ -19,7 +19,7 @@
 
 // forward hands the call to the host that issued its ticket. Whatever goes
 // wrong on the way, an earlier call with the ticket may have run there.
-func (r *Redeemer) forward(ctx context.Context, to gossiper.Member, t identifier.Ticket, c dispatcher.CallRequest) ([]byte, error) {
+func (r *Redeemer) forward(ctx context.Context, to gossiper.Member, t identifier.Ticket, c dispatcher.CallRequest, holder ticketer.Holder) ([]byte, error) {
 	message := peerwire.TicketCall{
 		Incarnation: uint64(to.Incarnation),
 		Ticket:      string(t),
@@ -28,6 +28,8 @@
 		Customer:    string(c.Customer.Name),
 		Payload:     c.Payload,
 		TimeLeftMs:  timeLeft(ctx),
+		Host:        uint64(holder.Host),
+		Call:        holder.Call,
 	}
 	var answer peerwire.TicketAnswer
 	if err := r.deps.Links.Call(ctx, to.Address, peerwire.KindTicketCall, &message, &answer); err != nil {
@@ -47,23 +49,43 @@
 }
 
 // remoteReceipt tells the issuer what became of its answer.
-func (r *Redeemer) remoteReceipt(to gossiper.Member, t identifier.Ticket, err error) Receipt {
-	if err != nil {
-		return noReceipt
-	}
+func (r *Redeemer) remoteReceipt(to gossiper.Member, t identifier.Ticket, holder ticketer.Holder) Receipt {
 	return func(delivered bool) {
-		message := peerwire.TicketReceipt{Incarnation: uint64(to.Incarnation), Ticket: string(t), Delivered: delivered}
-		r.deps.Group.Run(func(ctx context.Context) {
-			ctx, cancel := context.WithTimeout(ctx, receiptTimeout)
-			defer cancel()
-			if err := r.deps.Links.Send(ctx, to.Address, peerwire.KindTicketReceipt, &message); err != nil {
-				// The issuer then keeps the answer reserved for this call.
-				r.deps.Log.Debug("receipt-unsent", zap.String("host", string(to.Host)), zap.Error(err))
-			}
-		})
+		message := peerwire.TicketReceipt{
+			Incarnation: uint64(to.Incarnation),
+			Ticket:      string(t),
+			Host:        uint64(holder.Host),
+			Call:        holder.Call,
+			Delivered:   delivered,
+		}
+		r.deps.Group.Run(func(ctx context.Context) { r.sendReceipt(ctx, to, &message) })
+	}
+}
+
+// sendReceipt sends a receipt until it is confirmed. If it never is, the issuer
+// keeps the answer reserved for this call.
+func (r *Redeemer) sendReceipt(ctx context.Context, to gossiper.Member, m *peerwire.TicketReceipt) {
+	for range receiptAttempts {
+		started := time.Now()
+		err := r.callReceipt(ctx, to, m)
+		if err == nil {
+			return
+		}
+		r.deps.Log.Debug("receipt-unsent", zap.String("host", string(to.Host)), zap.Error(err))
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(receiptTimeout - time.Since(started)):
+		}
 	}
 }
 
+func (r *Redeemer) callReceipt(ctx context.Context, to gossiper.Member, m *peerwire.TicketReceipt) error {
+	ctx, cancel := context.WithTimeout(ctx, receiptTimeout)
+	defer cancel()
+	return r.deps.Links.Call(ctx, to.Address, peerwire.KindTicketReceipt, m, nil)
+}
+
 func (r *Redeemer) handleCall(ctx context.Context, _ messenger.Peer, payload []byte) (msgp.Marshaler, error) {
 	var m peerwire.TicketCall
 	if _, err := m.UnmarshalMsg(payload); err != nil {
@@ -72,30 +94,30 @@
 	if m.Incarnation != uint64(r.deps.Self) {
 		return nil, issuerGone(identifier.Incarnation(m.Incarnation))
 	}
+	if m.Host == 0 {
+		return nil, classifier.MayHaveRun(classifier.ReasonBadRequest, 0, "forwarded call names no host to answer")
+	}
 	t := identifier.Ticket(m.Ticket)
 	c, err := r.lookUp(&m)
 	if err != nil {
 		return encodeFailure(r.void(t, &m, classifier.Of(err))), nil
 	}
-	body, err := r.redeem(ctx, t, c)
+	holder := ticketer.Holder{Host: identifier.Incarnation(m.Host), Call: m.Call}
+	body, err := r.redeem(ctx, t, c, holder)
 	if err != nil {
 		return encodeFailure(classifier.Of(err)), nil
 	}
+	if ctx.Err() != nil {
+		r.deps.Tickets.Undelivered(t, holder, time.Now())
+		return encodeFailure(classifier.Ran(classifier.ReasonDeadline, "the call ran; its answer is kept for a resend")), nil
+	}
 	return &peerwire.TicketAnswer{Payload: body}, nil
 }
 
 // void takes the ticket out of use, so that the refusal stays true.
 func (r *Redeemer) void(t identifier.Ticket, m *peerwire.TicketCall, f *classifier.Error) *classifier.Error {
 	redemption := r.deps.Tickets.Void(t, identifier.Service(m.Service), identifier.Customer(m.Customer), f, time.Now())
-	if redemption.State == ticketer.StateOutcome && redemption.Failure() == nil {
-		// The payload stays for a call that can be served.
-		r.deps.Tickets.Undelivered(t, time.Now())
-		return classifier.Ran(classifier.ReasonTicketUsed, "the call ran; its answer is kept")
-	}
-	if g := redemption.Failure(); g != nil {
-		return g
-	}
-	return f
+	return redemption.Failure()
 }
 
 func (r *Redeemer) lookUp(m *peerwire.TicketCall) (dispatcher.CallRequest, error) {
@@ -120,7 +142,8 @@
 		return nil, classifier.NotRun(classifier.ReasonBadRequest, 0, "receipt is malformed: %w", err)
 	}
 	if m.Incarnation == uint64(r.deps.Self) {
-		r.receipt(identifier.Ticket(m.Ticket), nil)(m.Delivered)
+		holder := ticketer.Holder{Host: identifier.Incarnation(m.Host), Call: m.Call}
+		r.localReceipt(identifier.Ticket(m.Ticket), holder)(m.Delivered)
 	}
 	return nil, nil
 }
--- a/redeemer/redeemer.go
+++ b/redeemer/redeemer.go
@@ -36,6 +36,8 @@
 const (
 	expirePeriod   = time.Second
 	receiptTimeout = 2 * time.Second
+	// receiptAttempts bounds how often a receipt is sent that isn't confirmed.
+	receiptAttempts = 5
 	// unreachableRetryAfter is about the time in which a cut is noticed.
 	unreachableRetryAfter = 3 * time.Second
 )
@@ -71,7 +73,8 @@
 
 // Redeemer serves calls with tickets. It is safe for use by several goroutines.
 type Redeemer struct {
-	deps Deps
+	deps  Deps
+	calls identifier.Sequence
 }
 
 // Receipt says whether the answer reached the caller.
@@ -99,18 +102,24 @@
 func (r *Redeemer) Call(ctx context.Context, t identifier.Ticket, c dispatcher.CallRequest) ([]byte, Receipt, error) {
 	issuer, err := ticketer.Issuer(t)
 	if err != nil {
-		return nil, noReceipt, err
+		return nil, noReceipt, classifier.NotRun(classifier.ReasonBadRequest, 0, "ticket can't be read: %w", err)
 	}
+	holder := ticketer.Holder{Host: r.deps.Self, Call: r.calls.Next()}
 	if issuer == r.deps.Self {
-		payload, err := r.redeem(ctx, t, c)
-		return payload, r.receipt(t, err), err
+		payload, err := r.redeem(ctx, t, c, holder)
+		return payload, r.localReceipt(t, holder), err
 	}
 	m, ok := r.deps.View().ByIncarnation(issuer)
 	if !ok {
 		return nil, noReceipt, issuerGone(issuer)
 	}
-	payload, err := r.forward(ctx, m, t, c)
-	return payload, r.remoteReceipt(m, t, err), err
+	payload, err := r.forward(ctx, m, t, c, holder)
+	receipt := r.remoteReceipt(m, t, holder)
+	if err != nil {
+		receipt(false) // an answer that comes yet is dropped here
+		receipt = noReceipt
+	}
+	return payload, receipt, err
 }
 
 func noReceipt(bool) {}
@@ -120,11 +129,11 @@
 }
 
 // redeem dispatches the call if its ticket, which this host issued, allows it.
-func (r *Redeemer) redeem(ctx context.Context, t identifier.Ticket, c dispatcher.CallRequest) ([]byte, error) {
+func (r *Redeemer) redeem(ctx context.Context, t identifier.Ticket, c dispatcher.CallRequest, holder ticketer.Holder) ([]byte, error) {
 	if ctx.Err() != nil {
 		return nil, classifier.MayHaveRun(classifier.ReasonCanceled, 0, "the caller left before its ticket was redeemed: %w", context.Cause(ctx))
 	}
-	redemption := r.deps.Tickets.Redeem(t, c.Service.Name, c.Customer.Name, time.Now())
+	redemption := r.deps.Tickets.Redeem(t, c.Service.Name, c.Customer.Name, holder, time.Now())
 	if redemption.State != ticketer.StateDispatch {
 		if f := redemption.Failure(); f != nil {
 			return nil, f
@@ -132,21 +141,23 @@
 		return redemption.Payload(), nil
 	}
 	c.Key = string(t)
-	ctx, cancel := detached(ctx)
+	ctx, cancel := detached(ctx, c.Service.Timeout)
 	defer cancel()
 	payload, err := r.deps.Dispatch.Call(ctx, c)
 	r.deps.Tickets.Complete(t, outcome(payload, err), time.Now())
 	return payload, err
 }
 
-// detached keeps ctx's deadline but not its cancellation: a call that was
-// dispatched goes on when its caller leaves, so that its outcome can be kept.
-func detached(ctx context.Context) (context.Context, context.CancelFunc) {
+// detached frees a call that was dispatched from its caller's cancellation and
+// deadline, so that its outcome can be kept for a resend. It gets the service's
+// timeout where that is longer than the time left.
+func detached(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
 	free := context.WithoutCancel(ctx)
-	if deadline, ok := ctx.Deadline(); ok {
-		return context.WithDeadline(free, deadline)
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(free)
 	}
-	return context.WithCancel(free)
+	return context.WithTimeout(free, max(timeout, time.Until(deadline)))
 }
 
 func outcome(payload []byte, err error) ticketer.Outcome {
@@ -156,16 +167,13 @@
 	return ticketer.Outcome{Payload: payload}
 }
 
-// receipt notes what became of an answer of this host's ticket.
-func (r *Redeemer) receipt(t identifier.Ticket, err error) Receipt {
-	if err != nil {
-		return noReceipt
-	}
+// localReceipt notes what became of an answer of this host's ticket.
+func (r *Redeemer) localReceipt(t identifier.Ticket, holder ticketer.Holder) Receipt {
 	return func(delivered bool) {
 		if delivered {
-			r.deps.Tickets.Delivered(t, time.Now())
+			r.deps.Tickets.Delivered(t, holder, time.Now())
 		} else {
-			r.deps.Tickets.Undelivered(t, time.Now())
+			r.deps.Tickets.Undelivered(t, holder, time.Now())
 		}
 	}
 }
--- a/ticketer/property_test.go
+++ b/ticketer/property_test.go
@@ -19,7 +19,10 @@
 type ledger struct {
 	dispatched int
 	notRun     bool
-	holders    int // calls that hold the payload now
+	runner     ticketer.Holder // the call that was dispatched
+	completed  bool
+	left       bool              // the runner left before the call completed
+	holders    []ticketer.Holder // calls that hold the payload now
 	delivered  bool
 }
 
@@ -46,6 +49,7 @@
 	now     time.Time
 	issued  []identifier.Ticket
 	ledgers map[identifier.Ticket]*ledger
+	calls   uint64
 }
 
 func (m *machine) draw(t *rapid.T) (identifier.Ticket, *ledger) {
@@ -67,64 +71,75 @@
 
 func (m *machine) Redeem(t *rapid.T) {
 	ticket, l := m.draw(t)
-	m.note(t, l, m.tickets.Redeem(ticket, lock, dealer, m.now))
+	m.calls++
+	holder := ticketer.Holder{Host: self, Call: m.calls}
+	m.note(t, l, holder, m.tickets.Redeem(ticket, lock, dealer, holder, m.now))
 }
 
 func (m *machine) Void(t *rapid.T) {
 	ticket, l := m.draw(t)
 	refused := classifier.NotRun(classifier.ReasonLimit, 0, "limit")
-	m.note(t, l, m.tickets.Void(ticket, lock, dealer, refused, m.now))
+	m.note(t, l, ticketer.Holder{}, m.tickets.Void(ticket, lock, dealer, refused, m.now))
 }
 
-func (m *machine) note(t *rapid.T, l *ledger, r ticketer.Redemption) {
+func (m *machine) note(t *rapid.T, l *ledger, holder ticketer.Holder, r ticketer.Redemption) {
 	if r.State == ticketer.StateDispatch {
 		l.dispatched++
+		l.runner = holder
 	}
 	if r.Payload() != nil {
-		l.holders++
+		l.holders = append(l.holders, holder)
 	}
 	if f := r.Failure(); f != nil && f.Verdict == classifier.VerdictNotRun {
 		l.notRun = true
 	}
+	l.check(t)
+}
+
+func (l *ledger) check(t *rapid.T) {
 	if l.dispatched > 1 {
 		t.Fatal("ticket was dispatched twice")
 	}
 	if l.dispatched > 0 && l.notRun {
 		t.Fatal("a call was told not-run and another was dispatched")
 	}
-	if l.holders > 1 || l.holders > 0 && l.delivered {
+	if len(l.holders) > 1 || len(l.holders) > 0 && l.delivered {
 		t.Fatal("payload was given to two calls")
 	}
 }
 
 func (m *machine) Complete(t *rapid.T) {
 	ticket, l := m.draw(t)
-	if l.dispatched == 0 {
-		t.Skip("not dispatched")
+	if l.dispatched == 0 || l.completed {
+		t.Skip("not running")
 	}
-	running := m.tickets.Redeem(ticket, lock, dealer, m.now).State == ticketer.StateInProgress
 	m.tickets.Complete(ticket, ticketer.Outcome{Payload: []byte("locked")}, m.now)
-	if running {
-		l.holders++
+	l.completed = true
+	if !l.left {
+		l.holders = append(l.holders, l.runner)
 	}
+	l.check(t)
 }
 
 func (m *machine) Delivered(t *rapid.T) {
 	ticket, l := m.draw(t)
-	if l.holders == 0 {
+	if len(l.holders) == 0 {
 		t.Skip("nobody holds the payload")
 	}
-	m.tickets.Delivered(ticket, m.now)
-	l.holders, l.delivered = 0, true
+	m.tickets.Delivered(ticket, l.holders[0], m.now)
+	l.holders, l.delivered = nil, true
 }
 
+// Undelivered comes from any call, at any time, also from one that holds
+// nothing.
 func (m *machine) Undelivered(t *rapid.T) {
 	ticket, l := m.draw(t)
-	if l.holders == 0 {
-		t.Skip("nobody holds the payload")
+	holder := ticketer.Holder{Host: self, Call: rapid.Uint64Range(1, m.calls+1).Draw(t, "call")}
+	m.tickets.Undelivered(ticket, holder, m.now)
+	if len(l.holders) > 0 && l.holders[0] == holder {
+		l.holders = nil
 	}
-	m.tickets.Undelivered(ticket, m.now)
-	l.holders = 0
+	l.left = l.left || !l.completed && l.runner == holder
 }
 
 func (m *machine) Pass(t *rapid.T) {
--- a/ticketer/redemption.go
+++ b/ticketer/redemption.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jackdawthread/jackdawthread/common/classifier"
+	"github.com/jackdawthread/jackdawthread/common/identifier"
 )
 
 // State says what a call with a ticket gets.
@@ -51,6 +52,13 @@
 	return fmt.Sprintf("state-%d", uint8(s))
 }
 
+// Holder names one call with a ticket, at the entry host that answers its
+// caller.
+type Holder struct {
+	Host identifier.Incarnation
+	Call uint64
+}
+
 // Outcome is what a dispatched call ended with: a payload or a failure.
 type Outcome struct {
 	Payload []byte
--- a/ticketer/shard.go
+++ b/ticketer/shard.go
@@ -41,11 +41,24 @@
 	customer identifier.Customer
 	state    entryState
 	until    time.Time // end of validity
-	outcome  Outcome
+	// holder is the call that is to get the payload; zero: it is gone.
+	holder  Holder
+	outcome Outcome
 }
 
 // redeemAgain gives the redemption of a ticket that isn't fresh.
-func (e *entry) redeemAgain() Redemption {
+func (e *entry) redeemAgain(holder Holder) Redemption {
+	if e.state != stateKept {
+		return e.look()
+	}
+	e.state = stateDelivering
+	e.holder = holder
+	return Redemption{State: StateOutcome, Outcome: e.outcome}
+}
+
+// look gives the redemption of a ticket that isn't fresh to a call that takes
+// no payload.
+func (e *entry) look() Redemption {
 	switch e.state {
 	case stateExpired:
 		return Redemption{State: StateExpired}
@@ -53,9 +66,6 @@
 		return Redemption{State: StateInProgress}
 	case stateFailed:
 		return Redemption{State: StateOutcome, Outcome: e.outcome}
-	case stateKept:
-		e.state = stateDelivering
-		return Redemption{State: StateOutcome, Outcome: e.outcome}
 	default:
 		return Redemption{State: StateAnswered}
 	}
--- a/ticketer/ticketer.go
+++ b/ticketer/ticketer.go
@@ -15,14 +15,14 @@
 //
 // A host that receives a call with a ticket forwards it to [Issuer]. There:
 //
-//	r := tickets.Redeem(ticket, service, customer, now)
+//	r := tickets.Redeem(ticket, service, customer, holder, now)
 //	if r.State != ticketer.StateDispatch {
 //		return r.Payload(), r.Failure()
 //	}
 //	outcome := dispatch(call) // may retry after NotRun, never after MayHaveRun
 //	tickets.Complete(ticket, outcome, now)
 //
-// The call that got [StateDispatch], or an outcome with a payload, says with
+// The [Holder] names the call that is to get the answer. It says with
 // [Ticketer.Delivered] or [Ticketer.Undelivered] what became of the answer. A
 // payload is given to one call at a time and to none after it was delivered.
 //
@@ -134,18 +134,27 @@
 
 // Redeem takes the ticket out of use and tells what the call that carries it
 // gets. Of all calls with the ticket, at most one ever gets StateDispatch.
-func (t *Ticketer) Redeem(ticket identifier.Ticket, service identifier.Service, customer identifier.Customer, now time.Time) Redemption {
+// A payload that the call gets, now or when it completes, is reserved for the
+// holder.
+func (t *Ticketer) Redeem(ticket identifier.Ticket, service identifier.Service, customer identifier.Customer, holder Holder, now time.Time) Redemption {
 	return t.use(ticket, service, customer, now, func(e *entry) Redemption {
+		if e.state != stateIssued {
+			return e.redeemAgain(holder)
+		}
 		e.state = stateDispatching
+		e.holder = holder
 		return Redemption{State: StateDispatch}
 	})
 }
 
 // Void takes the ticket out of use without a call, so that the failure, whose
 // verdict is VerdictNotRun, stays true. The call gets the redemption's failure,
-// which is another one if the ticket was used before.
+// which is another one if the ticket was used before; it never gets a payload.
 func (t *Ticketer) Void(ticket identifier.Ticket, service identifier.Service, customer identifier.Customer, failure *classifier.Error, now time.Time) Redemption {
 	return t.use(ticket, service, customer, now, func(e *entry) Redemption {
+		if e.state != stateIssued {
+			return e.look()
+		}
 		e.state = stateFailed
 		e.outcome = Outcome{Failure: failure}
 		t.retain(ticket, now)
@@ -153,7 +162,7 @@
 	})
 }
 
-// use runs take on an issued ticket and gives the redemption of any other.
+// use runs take on the ticket's entry, if the call matches it.
 func (t *Ticketer) use(ticket identifier.Ticket, service identifier.Service, customer identifier.Customer, now time.Time, take func(*entry) Redemption) Redemption {
 	if r, refused := t.refuse(ticket); refused {
 		return r
@@ -172,10 +181,7 @@
 		e.state = stateExpired
 		t.retain(ticket, now)
 	}
-	if e.state == stateIssued {
-		return take(e)
-	}
-	return e.redeemAgain()
+	return take(e)
 }
 
 // refuse gives the redemption of a ticket that self can't have issued.
@@ -191,44 +197,61 @@
 }
 
 // Complete keeps the outcome of the call that got StateDispatch. A payload
-// stays reserved for that call until Delivered or Undelivered.
+// stays reserved for that call's holder until Delivered or Undelivered.
 func (t *Ticketer) Complete(ticket identifier.Ticket, o Outcome, now time.Time) {
-	t.change(ticket, stateDispatching, func(e *entry) {
+	t.change(ticket, func(e *entry) {
+		if e.state != stateDispatching {
+			return
+		}
 		t.retain(ticket, now)
 		switch {
 		case o.Failure != nil:
 			e.state = stateFailed
 			e.outcome = Outcome{Failure: o.Failure}
-		case t.reserve(len(o.Payload)):
-			e.state = stateDelivering
+		case !t.reserve(len(o.Payload)):
+			e.state = stateDelivered
+		case e.holder == (Holder{}):
+			e.state = stateKept
 			e.outcome = o
 		default:
-			e.state = stateDelivered
+			e.state = stateDelivering
+			e.outcome = o
 		}
 	})
 }
 
-// Delivered says that the payload reached the caller; it is dropped, and no
-// call gets it any more.
-func (t *Ticketer) Delivered(ticket identifier.Ticket, _ time.Time) {
-	t.change(ticket, stateDelivering, func(e *entry) {
-		t.dropPayload(e)
-		e.state = stateDelivered
+// Delivered says that the holder's payload reached the caller; it is dropped,
+// and no call gets it any more.
+func (t *Ticketer) Delivered(ticket identifier.Ticket, holder Holder, _ time.Time) {
+	t.change(ticket, func(e *entry) {
+		if e.state == stateDelivering && e.holder == holder {
+			t.dropPayload(e)
+			e.state = stateDelivered
+		}
 	})
 }
 
-// Undelivered says that no byte of the answer can reach the caller any more,
-// since its connection is gone; the next call with the ticket gets the payload.
-func (t *Ticketer) Undelivered(ticket identifier.Ticket, _ time.Time) {
-	t.change(ticket, stateDelivering, func(e *entry) { e.state = stateKept })
+// Undelivered says that no byte of an answer can reach the holder's caller any
+// more; the next call with the ticket gets the payload. It may come before the
+// call completes.
+func (t *Ticketer) Undelivered(ticket identifier.Ticket, holder Holder, _ time.Time) {
+	t.change(ticket, func(e *entry) {
+		if e.holder != holder {
+			return
+		}
+		e.holder = Holder{}
+		if e.state == stateDelivering {
+			e.state = stateKept
+		}
+	})
 }
 
-// change runs f on the ticket's entry if it is in state from.
-func (t *Ticketer) change(ticket identifier.Ticket, from entryState, f func(*entry)) {
+// change runs f on the ticket's entry, if there is one.
+func (t *Ticketer) change(ticket identifier.Ticket, f func(*entry)) {
 	s := t.shardOf(ticket)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if e, ok := s.entries[ticket]; ok && e.state == from {
+	if e, ok := s.entries[ticket]; ok {
 		f(e)
 	}
 }
--- a/ticketer/ticketer_test.go
+++ b/ticketer/ticketer_test.go
@@ -21,6 +21,12 @@
 	kept     = 10 * time.Second
 )
 
+// Two calls with a ticket.
+var (
+	one = ticketer.Holder{Host: 1, Call: 1}
+	two = ticketer.Holder{Host: 1, Call: 2}
+)
+
 var start = time.Date(2026, 12, 1, 5, 0, 0, 0, time.UTC)
 
 func newTicketer(t testing.TB) *ticketer.Ticketer {
@@ -53,7 +59,7 @@
 func TestRedeem(t *testing.T) {
 	answer := ticketer.Outcome{Payload: []byte("locked")}
 	redeem := func(tickets *ticketer.Ticketer, ticket identifier.Ticket, after time.Duration) ticketer.Redemption {
-		return tickets.Redeem(ticket, lock, dealer, start.Add(after))
+		return tickets.Redeem(ticket, lock, dealer, one, start.Add(after))
 	}
 	t.Run("once", func(t *testing.T) {
 		is := is.New(t)
@@ -68,14 +74,36 @@
 		ticket := issue(t, tickets, start)
 		redeem(tickets, ticket, 0)
 		tickets.Complete(ticket, answer, start)
+		assertFailure(t, tickets.Redeem(ticket, lock, dealer, two, start), classifier.VerdictRan, classifier.ReasonTicketUsed)
+		tickets.Undelivered(ticket, two, start) // it holds nothing
+		assertFailure(t, tickets.Redeem(ticket, lock, dealer, two, start), classifier.VerdictRan, classifier.ReasonTicketUsed)
+		tickets.Undelivered(ticket, one, start)
+		is.Equal(tickets.Redeem(ticket, lock, dealer, two, start).Payload(), answer.Payload)
+		tickets.Undelivered(ticket, one, start) // it no longer holds it
+		tickets.Delivered(ticket, one, start)
 		assertFailure(t, redeem(tickets, ticket, 0), classifier.VerdictRan, classifier.ReasonTicketUsed)
-		tickets.Undelivered(ticket, start)
-		is.Equal(redeem(tickets, ticket, 0).Payload(), answer.Payload)
-		assertFailure(t, redeem(tickets, ticket, 0), classifier.VerdictRan, classifier.ReasonTicketUsed)
-		tickets.Delivered(ticket, start)
-		tickets.Undelivered(ticket, start)
+		tickets.Delivered(ticket, two, start)
+		tickets.Undelivered(ticket, two, start)
 		assertFailure(t, redeem(tickets, ticket, 0), classifier.VerdictRan, classifier.ReasonTicketUsed)
 	})
+	t.Run("holder leaves before the call completes", func(t *testing.T) {
+		tickets := newTicketer(t)
+		ticket := issue(t, tickets, start)
+		redeem(tickets, ticket, 0)
+		tickets.Undelivered(ticket, one, start)
+		tickets.Complete(ticket, answer, start)
+		is.New(t).Equal(tickets.Redeem(ticket, lock, dealer, two, start).Payload(), answer.Payload)
+	})
+	t.Run("void takes no payload", func(t *testing.T) {
+		tickets := newTicketer(t)
+		ticket := issue(t, tickets, start)
+		redeem(tickets, ticket, 0)
+		tickets.Complete(ticket, answer, start)
+		tickets.Undelivered(ticket, one, start)
+		full := classifier.NotRun(classifier.ReasonLimit, time.Second, "limit")
+		assertFailure(t, tickets.Void(ticket, lock, dealer, full, start), classifier.VerdictRan, classifier.ReasonTicketUsed)
+		is.New(t).Equal(redeem(tickets, ticket, 0).Payload(), answer.Payload)
+	})
 	t.Run("refusal voids the ticket", func(t *testing.T) {
 		tickets := newTicketer(t)
 		ticket := issue(t, tickets, start)
@@ -118,8 +146,8 @@
 		is := is.New(t)
 		tickets := newTicketer(t)
 		ticket := issue(t, tickets, start)
-		assertFailure(t, tickets.Redeem(ticket, "seat", dealer, start), classifier.VerdictNotRun, classifier.ReasonBadRequest)
-		assertFailure(t, tickets.Redeem(ticket, lock, "other", start), classifier.VerdictNotRun, classifier.ReasonBadRequest)
+		assertFailure(t, tickets.Redeem(ticket, "seat", dealer, one, start), classifier.VerdictNotRun, classifier.ReasonBadRequest)
+		assertFailure(t, tickets.Redeem(ticket, lock, "other", one, start), classifier.VerdictNotRun, classifier.ReasonBadRequest)
 		assertFailure(t, redeem(tickets, "nonsense", 0), classifier.VerdictNotRun, classifier.ReasonBadRequest)
 		foreign := identifier.Ticket("1" + string(ticket[1:]))
 		assertFailure(t, redeem(tickets, foreign, 0), classifier.VerdictMayHaveRun, classifier.ReasonTicketUnknown)
@@ -144,10 +172,10 @@
 		is.New(t).NoErr(err)
 		for _, want := range []ticketer.State{ticketer.StateOutcome, ticketer.StateAnswered} {
 			ticket := issue(t, tickets, start)
-			tickets.Redeem(ticket, lock, dealer, start)
+			tickets.Redeem(ticket, lock, dealer, one, start)
 			tickets.Complete(ticket, ticketer.Outcome{Payload: []byte("abc")}, start)
-			tickets.Undelivered(ticket, start)
-			is.New(t).Equal(tickets.Redeem(ticket, lock, dealer, start).State, want)
+			tickets.Undelivered(ticket, one, start)
+			is.New(t).Equal(tickets.Redeem(ticket, lock, dealer, one, start).State, want)
 		}
 	})
 	t.Run("options", func(t *testing.T) {
@@ -164,7 +192,7 @@
 	g := grouper.New(t.Context())
 	for range cap(states) {
 		g.Go(func(context.Context) error {
-			states <- tickets.Redeem(ticket, lock, dealer, start).State
+			states <- tickets.Redeem(ticket, lock, dealer, one, start).State
 			return nil
 		})
 	}
@@ -199,7 +227,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		ticket := issue(b, tickets, start)
-		tickets.Redeem(ticket, lock, dealer, start)
+		tickets.Redeem(ticket, lock, dealer, one, start)
 		tickets.Complete(ticket, ticketer.Outcome{}, start)
 		tickets.Expire(start.Add(kept))
 	}
