Hand whole files on where steps fail; note each swap once

Cause: a host told its archive of each swap twice, so its steps didn't join and a peer two revisions behind could not use them; fetches then failed over and over.

--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -54,10 +54,14 @@
 	return &Archive{}
 }
 
-// Swap notes that next came into force after previous, which may be nil.
+// Swap notes that next came into force after previous, which may be nil. It
+// does nothing if next is noted already.
 func (a *Archive) Swap(previous, next *compiler.Fleet) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.current == next {
+		return
+	}
 	a.current = next
 	a.whole = nil
 	if previous == nil {
@@ -126,8 +130,8 @@
 		return nil
 	}
 	for i := len(a.steps) - 1; i >= 0; i-- {
-		if a.steps[i].From == ask.Digest {
-			return a.steps[i:]
+		if steps := a.steps[i:]; joins(steps, ask.Digest, a.current.Digest) {
+			return steps
 		}
 	}
 	return nil
--- a/archiver/archiver_test.go
+++ b/archiver/archiver_test.go
@@ -80,6 +80,14 @@
 		is.Equal(answer.Revision, identifier.Revision(3))
 		is.Equal(len(answer.Steps)+len(answer.Whole), 0)
 	})
+	t.Run("swaps that are told twice count once", func(t *testing.T) {
+		twice := holding(one, two)
+		twice.Swap(one, two)
+		twice.Swap(two, three)
+		twice.Swap(two, three)
+		assertTakes(t, one, twice.Answer(ask(one)), three)
+		is.New(t).Equal(len(twice.Answer(ask(one)).Steps), 2)
+	})
 	t.Run("steps that were taken are handed on", func(t *testing.T) {
 		is := is.New(t)
 		other := holding(one)
--- a/launcher/config.go
+++ b/launcher/config.go
@@ -29,8 +29,10 @@
 }
 
 func newConfig(h *Host) *config {
-	c := &config{host: h, keeper: keeper.New(keeper.DefaultOptions(), time.Now()), archive: archiver.New()}
-	c.keeper.Subscribe(c.archive.Swap)
+	options := keeper.DefaultOptions()
+	options.Firm = h.settings.Firm
+	options.AllowOlder = h.settings.Platform.AllowOlder
+	c := &config{host: h, keeper: keeper.New(options, time.Now()), archive: archiver.New()}
 	h.messenger.Handle(peerwire.KindDeclarations, c.handleAsk)
 	return c
 }
--- a/launcher/orders.go
+++ b/launcher/orders.go
@@ -19,6 +19,9 @@
 const (
 	orderTimeout = 2 * time.Second
 	fenceTimeout = time.Second
+	// maxFencesAsked bounds the engines that are asked for their fencing
+	// numbers. Each engine sees each revision's order, so a sample will do.
+	maxFencesAsked = 32
 )
 
 // orders keeps the engines that this host allocates in the state that the
@@ -87,6 +90,9 @@
 		if e.Role == compiler.RolePlain || e.Owner != "" && e.Owner != fleet.Firm {
 			continue
 		}
+		if asked == maxFencesAsked {
+			break
+		}
 		asked++
 		f.host.group.Run(func(context.Context) { f.ask(ctx, e, answers) })
 	}
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -35,11 +35,14 @@
 type Options struct {
 	// Resend is the time after which an order without effect is given again.
 	Resend time.Duration
+	// Forget is the age of a report after which an engine isn't ordered until
+	// the next one, since another host may give it its orders by then.
+	Forget time.Duration
 }
 
 // DefaultOptions gives the options of a host for which nothing is set.
 func DefaultOptions() Options {
-	return Options{Resend: 10 * time.Second}
+	return Options{Resend: 10 * time.Second, Forget: 10 * time.Second}
 }
 
 // maxOrderAge is the time after its decision within which an order is sent.
@@ -169,11 +172,12 @@
 	m.fleet = fleet
 	var actions []Action
 	for _, name := range slices.Sorted(maps.Keys(m.engines)) {
-		if fleet.Endpoints[name] == nil {
+		known := m.engines[name]
+		if fleet.Endpoints[name] == nil || now.Sub(known.observed.Time) > m.options.Forget {
 			delete(m.engines, name)
 			continue
 		}
-		actions = append(actions, m.decide(name, m.engines[name], now)...)
+		actions = append(actions, m.decide(name, known, now)...)
 	}
 	return actions
 }
--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -80,7 +80,11 @@
 }
 
 func adopt(m *orderer.Machine, f *compiler.Fleet) []orderer.Action {
-	return m.Step(orderer.Adopted{Fleet: f}, start)
+	return adoptAt(m, f, start)
+}
+
+func adoptAt(m *orderer.Machine, f *compiler.Fleet, now time.Time) []orderer.Action {
+	return m.Step(orderer.Adopted{Fleet: f}, now)
 }
 
 // onlyOrder gives the order that is the only action.
@@ -107,7 +111,8 @@
 			onlyOrder(t, e.tell(m, start.Add(time.Minute)))
 			e.obey(order)
 			is.Equal(len(e.tell(m, start.Add(2*time.Minute))), 0)
-			onlyOrder(t, adopt(m, fleet(t, 5)))
+			later := start.Add(2*time.Minute + time.Second)
+			onlyOrder(t, adoptAt(m, fleet(t, 5), later))
 		})
 	}
 	t.Run("none for a sister firm's engine", func(t *testing.T) {
@@ -122,6 +127,15 @@
 		e.report.Fence = 9
 		is.New(t).Equal(e.tell(m, start), []orderer.Action{orderer.Overtaken{Endpoint: "ignoring", Fence: 9}})
 	})
+	t.Run("none on an old report", func(t *testing.T) {
+		is := is.New(t)
+		m := orderer.New("tamsui", orderer.DefaultOptions())
+		e := newEngine("ignoring", false)
+		adopt(m, fleet(t, 3))
+		e.obey(onlyOrder(t, e.tell(m, start)))
+		is.Equal(len(adoptAt(m, fleet(t, 5), start.Add(time.Minute))), 0)
+		onlyOrder(t, e.tell(m, start.Add(time.Minute)))
+	})
 	t.Run("none that has become old", func(t *testing.T) {
 		is := is.New(t)
 		m := orderer.New("tamsui", orderer.DefaultOptions())
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -50,6 +50,9 @@
 	Address identifier.Address `toml:"address" validate:"required,ip-port"`
 	// Key of the declarations at the configuration service.
 	Key string `toml:"key" validate:"required"`
+	// AllowOlder lets a host that starts take declarations although a newer
+	// revision is known to have been in force.
+	AllowOlder bool `toml:"allow-older"`
 	// Readers is how many hosts of a data centre read the platform.
 	Readers int `toml:"readers" validate:"gt=0,lte=100"`
 	// Wait is how long a watch waits for a change.
@@ -128,7 +131,7 @@
 		Probe:        500 * time.Millisecond,
 		ProbeTimeout: 200 * time.Millisecond,
 		Suspicion:    2 * time.Second,
-		Declarations: time.Second,
+		Declarations: 250 * time.Millisecond,
 	}
 	s.Drain = Drain{Announce: time.Second}
 }
--- a/watcher/peers.go
+++ b/watcher/peers.go
@@ -12,6 +12,7 @@
 
 	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/compiler"
 	"github.com/jackdawthread/jackdawthread/keeper"
 	"github.com/jackdawthread/jackdawthread/peerwire"
 )
@@ -81,28 +82,37 @@
 	}
 }
 
-// fetch asks one peer, offers what it gives, and tells whether it answered.
+// fetch asks one peer, offers what it gives, and tells whether it answered. If
+// its steps can't be used, it is asked for the whole file.
 func (w *Watcher) fetch(ctx context.Context, host identifier.Host) bool {
 	ctx, cancel := context.WithTimeout(ctx, w.options.CallTimeout)
 	defer cancel()
 	current := w.Keeper.Current()
+	err := w.fetchAfter(ctx, host, current)
+	if err != nil && current != nil && ctx.Err() == nil {
+		w.Log.Warn("fetch-of-steps-failed", zap.String("peer", string(host)), zap.Error(err))
+		err = w.fetchAfter(ctx, host, nil)
+	}
+	if err != nil {
+		w.Log.Warn("fetch-failed", zap.String("peer", string(host)), zap.Error(err))
+	}
+	return err == nil
+}
+
+// fetchAfter asks a peer for what is newer than current, which may be nil.
+func (w *Watcher) fetchAfter(ctx context.Context, host identifier.Host, current *compiler.Fleet) error {
 	ask := &peerwire.DeclarationsAsk{}
 	if current != nil {
 		ask.Revision, ask.Digest = current.Revision, current.Digest
 	}
 	answer, err := w.Peers.Fetch(ctx, host, ask)
-	if err != nil {
-		w.Log.Warn("fetch-failed", zap.String("peer", string(host)), zap.Error(err))
-		return false
-	}
-	if answer.Revision <= ask.Revision {
-		return true
+	if err != nil || answer.Revision <= ask.Revision {
+		return err
 	}
 	source, err := w.Archive.Take(current, answer)
 	if err != nil {
-		w.Log.Warn("fetch-unusable", zap.String("peer", string(host)), zap.Error(err))
-		return false
+		return err
 	}
 	w.handle(keeper.Offered{Revision: answer.Revision, File: source, Source: keeper.SourcePeer}, time.Now())
-	return true
+	return nil
 }
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -252,3 +252,14 @@
 		is.New(t).True(w.bytes.Load() <= 3*4*200)
 	})
 }
+
+func TestUnusableStepsGiveWayToTheWholeFile(t *testing.T) {
+	run(t, 9, func(t *testing.T, w *world) {
+		w.platform.publish(file(1))
+		settle()
+		w.spoilt.Store(true)
+		w.platform.publish(file(2))
+		settle()
+		assertInForce(t, w, 2)
+	})
+}
--- a/watcher/world_test.go
+++ b/watcher/world_test.go
@@ -105,6 +105,7 @@
 	fence    atomic.Uint64 // what the engines remember; 0: they can't be reached
 	bytes    atomic.Int64  // of questions and answers between hosts
 	fetches  atomic.Int64
+	spoilt   atomic.Bool  // steps between hosts are damaged
 	cut      atomic.Int64 // number of the data center that is cut off; -1: none
 
 	mu    sync.Mutex
@@ -231,6 +232,9 @@
 	n.world.bytes.Add(int64(len(question) + len(encoded)))
 	answer := &peerwire.Declarations{}
 	_, err = answer.UnmarshalMsg(encoded)
+	if n.world.spoilt.Load() && len(answer.Steps) > 0 {
+		answer.Steps[0].Patch = nil
+	}
 	return answer, err
 }
 
