--- a/experimenter/bench.go
+++ b/experimenter/bench.go
@@ -45,6 +45,9 @@
 	// it.
 	WarmUp   time.Duration
 	Duration time.Duration
+	Fault    string
+	// PerfectEvents brings all cache events at once.
+	PerfectEvents bool
 }
 
 func newBench(m mix, o runOptions) *bench {
@@ -108,7 +111,12 @@
 	b.scheduleArrival(arrivals)
 	b.report()
 	b.clock.every(reportInterval, b.report)
-	b.clock.every(eventAge, b.cacheEvents)
+	if b.options.PerfectEvents {
+		b.clock.every(latency, b.cacheEvents)
+	} else {
+		b.clock.every(eventAge, b.cacheEvents)
+	}
+	b.scheduleFault()
 	b.clock.run(b.options.WarmUp)
 	b.tally.begin(b.clock.elapsed)
 	b.clock.run(b.options.Duration)
@@ -163,7 +171,7 @@
 	for _, e := range b.prefills {
 		events := make([]allocator.CacheEvent, 0, len(e.cache.events))
 		for _, event := range e.cache.events {
-			if b.random.Float64() >= eventLoss {
+			if b.options.PerfectEvents || b.random.Float64() >= eventLoss {
 				events = append(events, allocator.CacheEvent{Block: event.block, Evicted: event.evicted})
 			}
 		}
--- a/experimenter/experimenter.go
+++ b/experimenter/experimenter.go
@@ -47,6 +47,8 @@
 	// start, that is not measured.
 	Duration time.Duration
 	WarmUp   time.Duration
+	// Fault is a name from Faults.
+	Fault string
 	// Workers is the number of runs at a time.
 	Workers int
 	// Loads are multiples of the capacity.
@@ -161,6 +163,9 @@
 
 // points gives the points to measure, in order of the result.
 func (o *Options) points() ([]Point, error) {
+	if !slices.Contains(Faults(), o.Fault) {
+		return nil, eris.New(fmt.Sprintf("fault %q does not exist", o.Fault))
+	}
 	var points []Point
 	for _, name := range o.Mixes {
 		if _, err := mixNamed(name); err != nil {
@@ -199,6 +204,7 @@
 	}
 	b := newBench(m, runOptions{
 		Seed: o.FirstSeed + uint64(seed), Load: p.Load, Homes: o.Homes, Duration: o.Duration, WarmUp: o.WarmUp,
+		Fault: o.Fault, PerfectEvents: p.Policy == "perfect-events",
 	})
 	b.placer = newPlacer(b, p.Policy)
 	b.run()
@@ -207,17 +213,17 @@
 
 // variants are policies beyond the listed ones, for single questions.
 func variants() []string {
-	return []string{"no-affinity", "late-binding"}
+	return []string{"early-binding", "no-affinity", "perfect-events"}
 }
 
 func newPlacer(b *bench, policy string) placer {
 	switch policy {
-	case "plan":
-		return newPoolPlacer(b, allocator.Options{})
-	case "late-binding":
+	case "plan", "perfect-events":
 		return newPoolPlacer(b, allocator.Options{LateBinding: true})
+	case "early-binding":
+		return newPoolPlacer(b, allocator.Options{})
 	case "no-affinity":
-		return newPoolPlacer(b, allocator.Options{Prefill: router.LeastLoad{}})
+		return newPoolPlacer(b, allocator.Options{LateBinding: true, Prefill: router.LeastLoad{}})
 	case "no-reservation":
 		return newPoolPlacer(b, allocator.Options{Unreserved: true})
 	case "round-robin":
--- a/experimenter/pool_placer.go
+++ b/experimenter/pool_placer.go
@@ -15,6 +15,7 @@
 type poolPlacer struct {
 	bench   *bench
 	pool    *allocator.Pool
+	options allocator.Options
 	waiting map[identifier.Attempt]*request
 	chosen  map[identifier.Attempt]*decodeEngine
 	tick    uint64
@@ -25,27 +26,27 @@
 	options.Step = stepBase + engineSlots*stepPerSlot
 	options.ResultLife = resultLife
 	options.Affinity.BlockTokens = blockTokens
-	s := b.service()
-	l := map[compiler.LinkKey]*compiler.Link{
-		{From: dataCenter, To: dataCenter}: {Rate: b.link.rate},
-	}
 	p := &poolPlacer{
 		bench:   b,
-		pool:    allocator.New(s, dataCenter, l, options, b.options.Seed),
+		options: options,
 		waiting: map[identifier.Attempt]*request{},
 		chosen:  map[identifier.Attempt]*decodeEngine{},
 	}
+	p.pool = p.newPool()
 	b.clock.every(renewInterval, p.renew)
 	return p
 }
 
-func (p *poolPlacer) submit(r *request) {
-	u := compiler.UrgencyPatient
-	if r.kind.urgent {
-		u = compiler.UrgencyUrgent
+func (p *poolPlacer) newPool() *allocator.Pool {
+	l := map[compiler.LinkKey]*compiler.Link{
+		{From: dataCenter, To: dataCenter}: {Rate: p.bench.link.rate},
 	}
+	return allocator.New(p.bench.service(), dataCenter, l, p.options, p.bench.options.Seed)
+}
+
+func (p *poolPlacer) submit(r *request) {
 	a := allocator.Ask{
-		Attempt: r.attempt, Urgency: u, PromptTokens: r.prompt, MaxTokens: r.kind.maxTokens,
+		Attempt: r.attempt, Urgency: r.urgency(), PromptTokens: r.prompt, MaxTokens: r.kind.maxTokens,
 		Blocks: r.blocks, Left: r.deadline() - p.bench.clock.elapsed, Exclude: r.exclude,
 	}
 	p.waiting[r.attempt] = r
@@ -109,8 +110,8 @@
 func (p *poolPlacer) list(incarnation identifier.Incarnation) {
 	h := p.bench.homeOf(incarnation)
 	var held []allocator.Held
-	for attempt, r := range h.running {
-		held = append(held, allocator.Held{Attempt: attempt, PromptTokens: r.prompt, MaxTokens: r.kind.maxTokens})
+	for _, a := range sortedAttempts(h.running) {
+		held = append(held, p.held(h.running[a]))
 	}
 	p.send(func(now time.Time) []allocator.Action { return p.pool.Grants(incarnation, held, now) })
 }
@@ -131,6 +132,7 @@
 
 func (p *poolPlacer) advanced(r *request, phase allocator.Phase) {
 	a := r.attempt
+	r.phase = phase
 	p.send(func(now time.Time) []allocator.Action { return p.pool.Started(a, phase, now) })
 }
 
--- a/experimenter/request.go
+++ b/experimenter/request.go
@@ -6,6 +6,7 @@
 	"github.com/jackdawthread/jackdawthread/allocator"
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/compiler"
 	"github.com/jackdawthread/jackdawthread/retrier"
 )
 
@@ -30,6 +31,7 @@
 
 	attempt  identifier.Attempt
 	attempts int
+	phase    allocator.Phase
 	exclude  []identifier.Endpoint
 	prefill  *prefillEngine
 	decode   *decodeEngine
@@ -50,6 +52,13 @@
 	return r.arrival + r.kind.timeout
 }
 
+func (r *request) urgency() compiler.Urgency {
+	if r.kind.urgent {
+		return compiler.UrgencyUrgent
+	}
+	return compiler.UrgencyPatient
+}
+
 func (r *request) pieces() identifier.Pieces {
 	return piecesFor(r.prompt + r.kind.maxTokens)
 }
@@ -100,6 +109,7 @@
 		return
 	}
 	r.attempts++
+	r.phase = allocator.PhaseGranted
 	r.attempt = identifier.Attempt{Incarnation: r.home.incarnation, Sequence: r.home.sequence.Next()}
 	b.placer.submit(r)
 }
--- a/experimenter/tally.go
+++ b/experimenter/tally.go
@@ -102,7 +102,7 @@
 	return values[min(len(values)-1, int(share*float64(len(values))))]
 }
 
-func sortedAttempts(held map[identifier.Attempt]identifier.Pieces) []identifier.Attempt {
+func sortedAttempts[V any](held map[identifier.Attempt]V) []identifier.Attempt {
 	sorted := make([]identifier.Attempt, 0, len(held))
 	for a := range held {
 		sorted = append(sorted, a)
