Let a new pool take over promises of decode engines

Cause: an attempt whose decode engine was promised by a lost pool never got one. Change: an adopted attempt without a decode engine enters the promises. Seen: the example test fails without the change (0 Bound actions, want 1).

--- a/allocator/lease.go
+++ b/allocator/lease.go
@@ -113,6 +113,23 @@
 	}
 	p.forgetOrphan(g)
 	p.enter(g, promptPieces, now)
+	if held.Decode == "" && held.Phase < PhaseTransferred {
+		p.adoptPromise(g, held, now)
+	}
+}
+
+// adoptPromise takes over the promise of a decode engine that another pool
+// gave.
+func (p *Pool) adoptPromise(g *grant, held *Held, now time.Time) {
+	w := p.newWish(Ask{
+		Attempt:      held.Attempt,
+		Urgency:      held.Urgency,
+		Firm:         held.Firm,
+		PromptTokens: held.PromptTokens,
+		MaxTokens:    held.MaxTokens,
+	}, now)
+	g.pieces = p.piecesFor(w)
+	p.promise(g, w, now)
 }
 
 // HomeDead ends the leases of a home that is known to be dead.
--- a/allocator/pool_test.go
+++ b/allocator/pool_test.go
@@ -151,6 +151,14 @@
 		is.Equal(len(p.Ask(ask(1, compiler.UrgencyPatient), epoch)), 0)
 		is.Equal(count[allocator.Granted](p.Report("decode-0", allocator.Report{}, at(time.Second))), 1)
 	})
+	t.Run("names the decode engine that another pool promised", func(t *testing.T) {
+		is := is.New(t)
+		p := newPool(newService(1, 1, 1))
+		held := allocator.Held{Attempt: attempt(1, 1), Prefill: "prefill-0", Phase: allocator.PhasePrefilled, PromptTokens: 400, MaxTokens: 100}
+		actions := p.Grants(1, []allocator.Held{held}, epoch)
+		is.Equal(count[allocator.Bound](actions), 1)
+		is.Equal(actions[0].(allocator.Bound).Decode, identifier.Endpoint("decode-0"))
+	})
 	t.Run("forgets grants that their home does not list", func(t *testing.T) {
 		is := is.New(t)
 		p := newPool(newService(1, 1, 1))
--- a/allocator/world_test.go
+++ b/allocator/world_test.go
@@ -23,6 +23,8 @@
 	prefill, decode identifier.Endpoint
 	pieces          identifier.Pieces
 	phase           allocator.Phase
+	tokens          identifier.Tokens
+	urgency         compiler.Urgency
 }
 
 // world feeds a pool with events and checks all that it answers.
@@ -115,6 +117,7 @@
 		w.t.Fatalf("attempt %s was granted at a leaving endpoint", g.Attempt)
 	}
 	r := &running{prefill: g.Prefill, decode: g.Decode, pieces: g.Pieces, phase: allocator.PhaseGranted}
+	r.tokens, r.urgency = w.asks[g.Attempt.Sequence-1].MaxTokens, w.asks[g.Attempt.Sequence-1].Urgency
 	w.running[g.Attempt] = r
 	w.engines[g.Prefill][g.Attempt] = 25 // 400 tokens
 	w.place(g.Attempt, r)
@@ -168,11 +171,11 @@
 		MaxTokens: identifier.Tokens(rapid.IntRange(1, 800).Draw(w.t, "tokens")),
 		Urgency:   compiler.Urgency(rapid.IntRange(1, 2).Draw(w.t, "urgency")),
 	}
+	w.asks = append(w.asks, a)
 	if !w.dead[a.Attempt.Incarnation].IsZero() {
 		return
 	}
 	w.waiting[a.Attempt] = true
-	w.asks = append(w.asks, a)
 	w.do(w.pool.Ask(a, w.now))
 }
 
@@ -317,7 +320,7 @@
 	for a, r := range w.running {
 		if a.Incarnation == i {
 			list = append(list, allocator.Held{
-				Attempt: a, Prefill: r.prefill, Decode: r.decode, Pieces: r.pieces, Phase: r.phase, PromptTokens: 400,
+				Attempt: a, Prefill: r.prefill, Decode: r.decode, Pieces: r.pieces, Phase: r.phase, PromptTokens: 400, MaxTokens: r.tokens, Urgency: r.urgency,
 			})
 		}
 	}
