Name the decode engine after the prefill where slots are scarce

Change: allocators run with late binding; a home asks for the engine with a Bind message after the prefill when the grant names none. Expected prefill times follow the engines' reported rate.

--- a/allocator/place.go
+++ b/allocator/place.go
@@ -40,7 +40,7 @@
 		Blocks:       a.Blocks,
 		PromptTokens: a.PromptTokens,
 		Clock:        p.seconds(now),
-		Rate:         p.options.PrefillRate,
+		Rate:         p.rate(),
 		Exclude:      exclude,
 	}, now)
 	if !ok {
--- a/allocator/pool.go
+++ b/allocator/pool.go
@@ -48,6 +48,7 @@
 	promised  []*grant
 	freed     completions
 	drain     drainRate
+	meanRate  float64 // prefill tokens a second, 0: unknown
 	meanStep  float64
 	slots     int
 	perPiece  identifier.Tokens
--- a/allocator/report.go
+++ b/allocator/report.go
@@ -6,7 +6,7 @@
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 )
 
-// stepWeight is the weight of one report in the pool's mean step time.
+// stepWeight is the weight of one report in the pool's mean speeds.
 const stepWeight = 0.02
 
 // Report takes in an endpoint's load report.
@@ -35,6 +35,10 @@
 func (p *Pool) takeSpeeds(e *endpoint, r *Report, now time.Time) {
 	if r.PrefillRate > 0 {
 		e.rate = r.PrefillRate
+		if p.meanRate == 0 {
+			p.meanRate = r.PrefillRate
+		}
+		p.meanRate += stepWeight * (r.PrefillRate - p.meanRate)
 	}
 	if r.Step <= 0 {
 		return
--- a/allocator/wish.go
+++ b/allocator/wish.go
@@ -38,7 +38,7 @@
 		w.firstBy = now.Add(target)
 	}
 	step := p.step()
-	w.prefill = seconds(float64(a.PromptTokens) / p.options.PrefillRate)
+	w.prefill = seconds(float64(a.PromptTokens) / p.rate())
 	w.first = step + messageMargin + p.link.time(a.PromptTokens, p.perPiece)
 	w.run = seconds(float64(max(1, a.MaxTokens)) * step.Seconds() * runMargin)
 	return w
@@ -72,6 +72,14 @@
 	return !w.doneBy.IsZero() && first.Add(w.run).After(w.doneBy)
 }
 
+// rate gives the expected prefill rate in tokens a second.
+func (p *Pool) rate() float64 {
+	if p.meanRate == 0 {
+		return p.options.PrefillRate
+	}
+	return p.meanRate
+}
+
 // step gives the expected time of a decode step.
 func (p *Pool) step() time.Duration {
 	if p.meanStep == 0 {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -52,7 +52,8 @@
 	Key     Key
 	Attempt identifier.Attempt
 	Prefill *compiler.Endpoint
-	Decode  *compiler.Endpoint
+	// Decode is nil until Bind where the engine is named after the prefill.
+	Decode *compiler.Endpoint
 	// Wait is the time before the prefill may start.
 	Wait   time.Duration
 	Pieces identifier.Pieces
@@ -109,6 +110,9 @@
 	// ProbeTimeout how long one may take.
 	ProbePeriod  time.Duration
 	ProbeTimeout time.Duration
+	// BindTimeout bounds the wait for a decode engine after the prefill: its
+	// result is not kept for longer.
+	BindTimeout time.Duration
 	// FallbackLinger is how long an unused allocator of a pool that another
 	// host allocates is kept.
 	FallbackLinger time.Duration
@@ -123,6 +127,7 @@
 		RenewPeriod:    time.Second,
 		ProbePeriod:    200 * time.Millisecond,
 		ProbeTimeout:   2 * time.Second,
+		BindTimeout:    800 * time.Millisecond,
 		FallbackLinger: 30 * time.Second,
 		Seed:           1,
 	}
--- a/coordinator/handlers.go
+++ b/coordinator/handlers.go
@@ -13,6 +13,7 @@
 // Register sets the handlers of messages from other entry hosts.
 func (c *Coordinator) Register(r Registry) {
 	r.Handle(peerwire.KindAsk, c.handleAsk)
+	r.Handle(peerwire.KindBind, c.handleBind)
 	r.Handle(peerwire.KindProgress, c.handleProgress)
 	r.Handle(peerwire.KindRelease, c.handleRelease)
 	r.Handle(peerwire.KindRenew, c.handleRenew)
--- a/coordinator/home.go
+++ b/coordinator/home.go
@@ -204,7 +204,7 @@
 		ask:     a.Ask,
 		phase:   allocator.PhaseGranted,
 	}
-	if g.Prefill == nil || g.Decode == nil {
+	if g.Prefill == nil || g.Decode == nil && granted.Decode != "" {
 		c.release(g, allocator.Outcome{Ending: allocator.EndingCancelled})
 		return nil, classifier.NotRun(classifier.ReasonAllocatorUnknown, 0, "grant names endpoints %q and %q, which are not declared here", granted.Prefill, granted.Decode)
 	}
--- a/coordinator/leases.go
+++ b/coordinator/leases.go
@@ -10,6 +10,7 @@
 
 	"github.com/jackdawthread/jackdawthread/allocator"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/compiler"
 	"github.com/jackdawthread/jackdawthread/gossiper"
 	"github.com/jackdawthread/jackdawthread/peerwire"
 )
@@ -44,6 +45,14 @@
 	g.phase = p
 }
 
+// bind sets a grant's decode engine.
+func (h *heldGrants) bind(g *Grant, e *compiler.Endpoint, pieces identifier.Pieces) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	g.Decode = e
+	g.Pieces = pieces
+}
+
 // keys gives the pools in which grants are or were held.
 func (h *heldGrants) keys() []Key {
 	h.mu.Lock()
@@ -76,10 +85,9 @@
 }
 
 func (g *Grant) held() allocator.Held {
-	return allocator.Held{
+	held := allocator.Held{
 		Attempt:      g.Attempt,
 		Prefill:      g.Prefill.Name,
-		Decode:       g.Decode.Name,
 		Urgency:      g.ask.Urgency,
 		Firm:         g.ask.Firm,
 		PromptTokens: g.ask.PromptTokens,
@@ -87,6 +95,10 @@
 		Pieces:       g.Pieces,
 		Phase:        g.phase,
 	}
+	if g.Decode != nil {
+		held.Decode = g.Decode.Name
+	}
+	return held
 }
 
 // renewAll renews the leases of all grants at their allocators.
--- a/coordinator/pool.go
+++ b/coordinator/pool.go
@@ -32,6 +32,7 @@
 	mu        sync.Mutex
 	decisions *allocator.Pool
 	waiting   map[identifier.Attempt]chan verdictOnAsk
+	bindings  map[identifier.Attempt]chan allocator.Bound
 	alarm     *timer.Subscription
 	due       time.Time
 	probes    map[identifier.Endpoint]*probe
@@ -40,13 +41,14 @@
 }
 
 func newPool(k Key, d *Deps, f *compiler.Fleet) *pool {
-	options := allocator.Options{Firm: f.Firm, Contracts: f.Contracts, Lease: d.Options.Lease}
+	options := allocator.Options{Firm: f.Firm, Contracts: f.Contracts, Lease: d.Options.Lease, LateBinding: true}
 	seed := d.Options.Seed ^ k.Hash() ^ uint64(d.Self)
 	p := &pool{
 		key:       k,
 		deps:      d,
 		decisions: allocator.New(f.Services[k.Service], k.DataCenter, f.Links, options, seed),
 		waiting:   make(map[identifier.Attempt]chan verdictOnAsk),
+		bindings:  make(map[identifier.Attempt]chan allocator.Bound),
 		probes:    make(map[identifier.Endpoint]*probe),
 		lastUsed:  time.Now(),
 	}
@@ -96,6 +98,7 @@
 func (p *pool) release(a identifier.Attempt, o allocator.Outcome) {
 	p.do(func(now time.Time) []allocator.Action {
 		delete(p.waiting, a)
+		delete(p.bindings, a)
 		return p.decisions.Release(a, o, now)
 	})
 }
@@ -123,7 +126,10 @@
 }
 
 func (p *pool) homeDead(home identifier.Incarnation) {
-	p.do(func(now time.Time) []allocator.Action { return p.decisions.HomeDead(home, now) })
+	p.do(func(now time.Time) []allocator.Action {
+		p.forgetBindings(home)
+		return p.decisions.HomeDead(home, now)
+	})
 }
 
 func (p *pool) setLeaving(e identifier.Endpoint) {
@@ -173,6 +179,8 @@
 				more := p.decisions.Release(a.Attempt, allocator.Outcome{Ending: allocator.EndingCancelled}, now)
 				actions = append(actions, more...)
 			}
+		case allocator.Bound:
+			p.announce(a)
 		case allocator.Refused:
 			p.answer(a.Attempt, verdictOnAsk{err: p.refusal(a)})
 		case allocator.CancelAt:
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -77,6 +77,9 @@
 	if err != nil {
 		return err
 	}
+	if err := t.generation.dispatcher.deps.Allocation.Bind(ctx, t.grant); err != nil {
+		return err
+	}
 	t.at = t.grant.Decode
 	if err := t.transfer(ctx, prefilled); err != nil {
 		return err
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -35,6 +35,8 @@
 type Allocation interface {
 	// Ask waits for a grant; its error carries a verdict and a retry-after.
 	Ask(ctx context.Context, a coordinator.Ask) (*coordinator.Grant, error)
+	// Bind waits until the grant's decode engine is known.
+	Bind(ctx context.Context, g *coordinator.Grant) error
 	// Progress tells the allocator that the grant's attempt went on.
 	Progress(g *coordinator.Grant, p allocator.Phase)
 	// Release gives the grant back.
--- a/peerwire/allocation.go
+++ b/peerwire/allocation.go
@@ -32,13 +32,27 @@
 // Answer grants an Ask. A refusal travels as the call's error.
 type Answer struct {
 	Prefill string `msg:"pf"`
-	Decode  string `msg:"d"`
+	// Decode is empty when the engine is to be asked for by a Bind.
+	Decode string `msg:"d"`
 	// WaitMs is the time until the prefill may start, in milliseconds.
 	WaitMs  uint32 `msg:"w"`
 	LeaseMs uint32 `msg:"l"`
 	Pieces  uint32 `msg:"n"`
 }
 
+// Bind asks for the decode engine of an attempt that was granted without one.
+// Its answer is a Bound, which comes once the engine has room.
+type Bind struct {
+	Pool    PoolKey `msg:"p"`
+	Attempt Attempt `msg:"a"`
+}
+
+// Bound names the decode engine that a Bind asked for.
+type Bound struct {
+	Decode string `msg:"d"`
+	Pieces uint32 `msg:"n"`
+}
+
 // Progress tells an allocator that an attempt went on to a phase.
 type Progress struct {
 	Pool    PoolKey `msg:"p"`
--- a/peerwire/allocation_gen.go
+++ b/peerwire/allocation_gen.go
@@ -875,6 +875,422 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Bind) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "p":
+			var zb0002 uint32
+			zb0002, err = dc.ReadMapHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Pool")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, err = dc.ReadMapKeyPtr()
+				if err != nil {
+					err = msgp.WrapError(err, "Pool")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "sv":
+					z.Pool.Service, err = dc.ReadString()
+					if err != nil {
+						err = msgp.WrapError(err, "Pool", "Service")
+						return
+					}
+				case "dc":
+					z.Pool.DataCenter, err = dc.ReadString()
+					if err != nil {
+						err = msgp.WrapError(err, "Pool", "DataCenter")
+						return
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "Pool")
+						return
+					}
+				}
+			}
+		case "a":
+			var zb0003 uint32
+			zb0003, err = dc.ReadMapHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Attempt")
+				return
+			}
+			for zb0003 > 0 {
+				zb0003--
+				field, err = dc.ReadMapKeyPtr()
+				if err != nil {
+					err = msgp.WrapError(err, "Attempt")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "i":
+					z.Attempt.Incarnation, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "Attempt", "Incarnation")
+						return
+					}
+				case "s":
+					z.Attempt.Sequence, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "Attempt", "Sequence")
+						return
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "Attempt")
+						return
+					}
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Bind) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "p"
+	err = en.Append(0x82, 0xa1, 0x70)
+	if err != nil {
+		return
+	}
+	// map header, size 2
+	// write "sv"
+	err = en.Append(0x82, 0xa2, 0x73, 0x76)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Pool.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Pool", "Service")
+		return
+	}
+	// write "dc"
+	err = en.Append(0xa2, 0x64, 0x63)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Pool.DataCenter)
+	if err != nil {
+		err = msgp.WrapError(err, "Pool", "DataCenter")
+		return
+	}
+	// write "a"
+	err = en.Append(0xa1, 0x61)
+	if err != nil {
+		return
+	}
+	// map header, size 2
+	// write "i"
+	err = en.Append(0x82, 0xa1, 0x69)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Attempt.Incarnation)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt", "Incarnation")
+		return
+	}
+	// write "s"
+	err = en.Append(0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Attempt.Sequence)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt", "Sequence")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Bind) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "p"
+	o = append(o, 0x82, 0xa1, 0x70)
+	// map header, size 2
+	// string "sv"
+	o = append(o, 0x82, 0xa2, 0x73, 0x76)
+	o = msgp.AppendString(o, z.Pool.Service)
+	// string "dc"
+	o = append(o, 0xa2, 0x64, 0x63)
+	o = msgp.AppendString(o, z.Pool.DataCenter)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	// map header, size 2
+	// string "i"
+	o = append(o, 0x82, 0xa1, 0x69)
+	o = msgp.AppendUint64(o, z.Attempt.Incarnation)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendUint64(o, z.Attempt.Sequence)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Bind) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "p":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Pool")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Pool")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "sv":
+					z.Pool.Service, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Pool", "Service")
+						return
+					}
+				case "dc":
+					z.Pool.DataCenter, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Pool", "DataCenter")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Pool")
+						return
+					}
+				}
+			}
+		case "a":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Attempt")
+				return
+			}
+			for zb0003 > 0 {
+				zb0003--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Attempt")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "i":
+					z.Attempt.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Attempt", "Incarnation")
+						return
+					}
+				case "s":
+					z.Attempt.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Attempt", "Sequence")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Attempt")
+						return
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Bind) Msgsize() (s int) {
+	s = 1 + 2 + 1 + 3 + msgp.StringPrefixSize + len(z.Pool.Service) + 3 + msgp.StringPrefixSize + len(z.Pool.DataCenter) + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Bound) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "d":
+			z.Decode, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Decode")
+				return
+			}
+		case "n":
+			z.Pieces, err = dc.ReadUint32()
+			if err != nil {
+				err = msgp.WrapError(err, "Pieces")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Bound) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "d"
+	err = en.Append(0x82, 0xa1, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Decode)
+	if err != nil {
+		err = msgp.WrapError(err, "Decode")
+		return
+	}
+	// write "n"
+	err = en.Append(0xa1, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint32(z.Pieces)
+	if err != nil {
+		err = msgp.WrapError(err, "Pieces")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Bound) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "d"
+	o = append(o, 0x82, 0xa1, 0x64)
+	o = msgp.AppendString(o, z.Decode)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendUint32(o, z.Pieces)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Bound) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "d":
+			z.Decode, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Decode")
+				return
+			}
+		case "n":
+			z.Pieces, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Pieces")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Bound) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Decode) + 2 + msgp.Uint32Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Grants) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
--- a/peerwire/kinds.go
+++ b/peerwire/kinds.go
@@ -50,4 +50,6 @@
 	KindNews
 	// KindSync compares what two hosts know of membership.
 	KindSync
+	// KindBind asks an allocator for the decode engine of a granted attempt.
+	KindBind
 )
