Add config and report commands and a session of separate processes

Cause: the command line could not check, compare or await declarations, and no test ran the programs as processes of their own. Ruled out while writing: a background name with a hyphen made the host run in the foreground; the extra argument went unnoticed, so commands without arguments now refuse any. Change: config check, diff and wait; report burn with table, JSON and a page; wrong arguments exit with 2; a script starts the platform, the endpoints and two entry hosts, calls, loads, changes declarations and drains.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -70,16 +70,13 @@
 }
 
 func root(s Streams) *cli.Command {
-	return &cli.Command{
+	c := &cli.Command{
 		Name:      "jackdawthread",
 		Usage:     "route requests to separate prefill and decode pools",
 		Writer:    s.Out,
 		ErrWriter: s.Err,
 		// Main prints errors and chooses the exit code.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-			return exitWith(ExitUsage, err)
-		},
 		Description: `Exit codes: 0 success; 1 failure; 2 wrong arguments or a refused file;
 3 a promise was broken; 4 what was waited for did not come.`,
 		Commands: []*cli.Command{
@@ -91,6 +88,45 @@
 			callCommand(s),
 			demoCommand(s),
 			loadCommand(s),
+			configCommand(s),
+			reportCommand(s),
 		},
 	}
+	refuseWrongArguments(c)
+	return c
+}
+
+// refuseWrongArguments makes wrong arguments of c and all commands below it
+// end with ExitUsage.
+func refuseWrongArguments(c *cli.Command) {
+	c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return exitWith(ExitUsage, err)
+	}
+	switch {
+	case len(c.Commands) > 0:
+		c.Action = refuseUnknownCommand
+	case c.ArgsUsage == "":
+		c.Action = refuseArguments(c.Action)
+	}
+	for _, sub := range c.Commands {
+		refuseWrongArguments(sub)
+	}
+}
+
+// refuseUnknownCommand is the action of a command that only has commands.
+func refuseUnknownCommand(_ context.Context, c *cli.Command) error {
+	if name := c.Args().First(); name != "" {
+		return exitWith(ExitUsage, fmt.Errorf("command %q does not exist; see %s help", name, c.FullName()))
+	}
+	return cli.ShowSubcommandHelp(c)
+}
+
+// refuseArguments gives the action of a command that takes flags only.
+func refuseArguments(action cli.ActionFunc) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		if name := c.Args().First(); name != "" {
+			return exitWith(ExitUsage, fmt.Errorf("%s takes no argument, but got %q", c.FullName(), name))
+		}
+		return action(ctx, c)
+	}
 }
--- a/launcher/start.go
+++ b/launcher/start.go
@@ -200,7 +200,6 @@
 		h.setState(server.StateReady)
 	}
 	h.publish()
-	h.log.Info("declarations-in-force", zap.Uint64("revision", uint64(f.Revision)))
 }
 
 // publish tells the peers what this host has in force and whether it serves.
--- /dev/null
+++ b/scripts_test.go
@@ -0,0 +1,68 @@
+package main_test
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// portCount is the number of free ports that a script gets, as $P0, $P1, ...
+const portCount = 20
+
+func TestScripts(t *testing.T) {
+	if testing.Short() {
+		t.Skip("scripts run for seconds")
+	}
+	programs := buildPrograms(t)
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/scripts",
+		Setup: func(e *testscript.Env) error {
+			e.Setenv("PATH", programs+string(os.PathListSeparator)+e.Getenv("PATH"))
+			return setPorts(e)
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"expand": expand},
+	})
+}
+
+// buildPrograms builds the project's programs into a directory.
+func buildPrograms(t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir()
+	for name, pkg := range map[string]string{"jackdawthread": ".", "emulator": "./cmd/emulator"} {
+		out, err := exec.Command("go", "build", "-race", "-o", filepath.Join(dir, name), pkg).CombinedOutput()
+		if err != nil {
+			t.Fatalf("build of %s failed: %v\n%s", name, err, out)
+		}
+	}
+	return dir
+}
+
+// setPorts finds free ports. They are all held until the last is found, so
+// that no two are equal.
+func setPorts(e *testscript.Env) error {
+	for n := range portCount {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		defer func() { _ = l.Close() }() // the script's programs listen next
+		e.Setenv(fmt.Sprintf("P%d", n), fmt.Sprint(l.Addr().(*net.TCPAddr).Port))
+	}
+	return nil
+}
+
+// expand replaces $NAME in files by the environment's values.
+func expand(ts *testscript.TestScript, neg bool, files []string) {
+	if neg || len(files) == 0 {
+		ts.Fatalf("usage: expand FILE...")
+	}
+	for _, f := range files {
+		path := ts.MkAbs(f)
+		ts.Check(os.WriteFile(path, []byte(os.Expand(ts.ReadFile(f), ts.Getenv)), 0o600))
+	}
+}
