Let only the newest home of a resent request answer

Cause: a caller that sends a repeatable request again to another host, or a balancer that copies it, was answered by both homes. Ways weighed: the second host forwards to the first (the first may be cut off or gone, and its caller's connection with it); a hash owner that executes (a view that differs makes two); the newest home takes over (chosen: no forwarding of streams, and a home that can't be reached lost its caller too). Change: locator keeps request -> home as soft state at a host chosen by hash; the older home's call is closed as taken-over, may-have-run; the first byte waits for the directory's answer, 250 ms at most; after a change of hosts homes claim their running requests again. Figures: with the takeover switched off on a scratch copy all three subtests of TestResendTakesOver fail; with it all pass.

--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -15,10 +15,13 @@
 
 // CallRequest is a checked call to a plain service.
 type CallRequest struct {
-	ID       identifier.Request
-	Service  *compiler.Service
-	Customer *compiler.Customer
-	Payload  []byte
+	ID identifier.Request
+	// Resendable calls have an id of the caller's, under which it may send
+	// them again.
+	Resendable bool
+	Service    *compiler.Service
+	Customer   *compiler.Customer
+	Payload    []byte
 	// Key goes to the service with the call: the ticket of a non-repeatable
 	// call, the request's id of any other.
 	Key string
@@ -44,7 +47,18 @@
 		return nil, err
 	}
 	c := &call{dispatcher: d, request: r, tally: d.budgets.tally(r.Service)}
-	return c.run(ctx)
+	var payload []byte
+	err := d.hold(ctx, r.ID, r.Resendable && r.Service.Repeatable, func(ctx context.Context, ready waiter) error {
+		var err error
+		if payload, err = c.run(ctx); err != nil {
+			return err
+		}
+		if ready(ctx) != nil {
+			return contextError(ctx, classifier.VerdictRan)
+		}
+		return nil
+	})
+	return payload, err
 }
 
 // call is one call to a plain service on its way.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -28,6 +28,7 @@
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/compiler"
 	"github.com/jackdawthread/jackdawthread/coordinator"
+	"github.com/jackdawthread/jackdawthread/locator"
 	"github.com/jackdawthread/jackdawthread/wire/enginewire/enginewireconnect"
 )
 
@@ -56,6 +57,12 @@
 	Admit(c *compiler.Customer, cost identifier.Tokens) (ok bool, retryAfter time.Duration)
 }
 
+// Homes knows which host is the home of a request that its caller may send
+// again to another host.
+type Homes interface {
+	Hold(r identifier.Request, cancel context.CancelCauseFunc) *locator.Held
+}
+
 // Observer is told of every request that ended.
 type Observer interface {
 	Observe(o Observation)
@@ -82,6 +89,7 @@
 	Allocation  Allocation
 	Endpoints   Endpoints
 	Limits      Limits
+	Homes       Homes
 	Observer    Observer
 	// Leaving tells whether an endpoint gets no new work.
 	Leaving func(identifier.Endpoint) bool
@@ -134,6 +142,12 @@
 // of the work done until then.
 func contextError(ctx context.Context, v classifier.Verdict) *classifier.Error {
 	e := &classifier.Error{Verdict: v, Cause: context.Cause(ctx)}
+	if f, ok := errors.AsType[*classifier.Error](e.Cause); ok {
+		e.Verdict = classifier.Worst(v, f.Verdict)
+		e.Reason = f.Reason
+		e.Message = f.Message
+		return e
+	}
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		e.Reason = classifier.ReasonDeadline
 		e.Message = "the deadline passed"
--- a/dispatcher/generate.go
+++ b/dispatcher/generate.go
@@ -13,12 +13,15 @@
 
 // GenerateRequest is a checked request to a model service.
 type GenerateRequest struct {
-	ID        identifier.Request
-	Service   *compiler.Service
-	Customer  *compiler.Customer
-	Prompt    string
-	MaxTokens identifier.Tokens
-	Urgency   compiler.Urgency
+	ID identifier.Request
+	// Resendable requests have an id of the caller's, under which it may send
+	// them again.
+	Resendable bool
+	Service    *compiler.Service
+	Customer   *compiler.Customer
+	Prompt     string
+	MaxTokens  identifier.Tokens
+	Urgency    compiler.Urgency
 	// ReceivedText and ReceivedTokens are what the caller holds of the
 	// answer; it goes on behind them.
 	ReceivedText   string
@@ -50,7 +53,9 @@
 		answer:     newAnswer(r.ReceivedText, r.ReceivedTokens),
 		tally:      d.budgets.tally(r.Service),
 	}
-	err := g.serve(ctx, sink)
+	err := d.hold(ctx, r.ID, r.Resendable, func(ctx context.Context, ready waiter) error {
+		return g.serve(ctx, firstWaiting(ctx, ready, sink))
+	})
 	d.observe(g, err)
 	if err != nil {
 		return Completion{}, err
@@ -102,7 +107,7 @@
 		c, finished, err := g.answer.take()
 		if c.Tokens > 0 {
 			if sinkErr := sink(c); sinkErr != nil {
-				return classifier.MayHaveRun(classifier.ReasonCanceled, 0, "caller of request %q is gone: %w", g.request.ID, sinkErr)
+				return g.sinkFailure(ctx, sinkErr)
 			}
 			continue
 		}
@@ -118,6 +123,14 @@
 	}
 }
 
+// sinkFailure says why a chunk was not passed on.
+func (g *generation) sinkFailure(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return contextError(ctx, classifier.VerdictMayHaveRun)
+	}
+	return classifier.MayHaveRun(classifier.ReasonCanceled, 0, "caller of request %q is gone: %w", g.request.ID, err)
+}
+
 // run makes attempts until one succeeds or no more may be made. Generating
 // again is always safe: output goes on behind the tokens that were passed on.
 func (g *generation) run(ctx context.Context) error {
--- a/launcher/host.go
+++ b/launcher/host.go
@@ -25,6 +25,7 @@
 	"github.com/jackdawthread/jackdawthread/coordinator"
 	"github.com/jackdawthread/jackdawthread/dispatcher"
 	"github.com/jackdawthread/jackdawthread/gossiper"
+	"github.com/jackdawthread/jackdawthread/locator"
 	"github.com/jackdawthread/jackdawthread/messenger"
 	"github.com/jackdawthread/jackdawthread/meter"
 	"github.com/jackdawthread/jackdawthread/redeemer"
@@ -66,6 +67,7 @@
 	connector   *connector.Connector
 	coordinator *coordinator.Coordinator
 	throttler   *throttler.Throttler
+	locator     *locator.Locator
 	dispatcher  *dispatcher.Dispatcher
 	tickets     *ticketer.Ticketer
 	redeemer    *redeemer.Redeemer
--- a/launcher/start.go
+++ b/launcher/start.go
@@ -15,6 +15,7 @@
 	"github.com/jackdawthread/jackdawthread/coordinator"
 	"github.com/jackdawthread/jackdawthread/dispatcher"
 	"github.com/jackdawthread/jackdawthread/gossiper"
+	"github.com/jackdawthread/jackdawthread/locator"
 	"github.com/jackdawthread/jackdawthread/messenger"
 	"github.com/jackdawthread/jackdawthread/meter"
 	"github.com/jackdawthread/jackdawthread/redeemer"
@@ -80,9 +81,13 @@
 	h.throttler = throttler.New(throttler.Deps{
 		Self: h.incarnation, Members: h.gossiper, Links: h.messenger, Timer: h.timer, Group: h.group, Log: h.log,
 	})
+	h.locator = locator.New(locator.Deps{
+		Self: h.incarnation, Members: h.gossiper, Links: h.messenger, Group: h.group, Log: h.log,
+	})
 	h.buildDispatcher()
 	h.coordinator.Register(h.messenger)
 	h.throttler.Register(h.messenger)
+	h.locator.Register(h.messenger)
 	h.redeemer.Register(h.messenger)
 	return nil
 }
@@ -136,6 +141,7 @@
 		Allocation:  h.coordinator,
 		Endpoints:   h.connector,
 		Limits:      h.throttler,
+		Homes:       h.locator,
 		Observer:    h,
 		Leaving:     h.leaving,
 		Log:         h.log,
--- /dev/null
+++ b/locator/handlers.go
@@ -0,0 +1,60 @@
+package locator
+
+import (
+	"context"
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/jackdawthread/jackdawthread/common/classifier"
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/gossiper"
+	"github.com/jackdawthread/jackdawthread/messenger"
+	"github.com/jackdawthread/jackdawthread/peerwire"
+)
+
+func (l *Locator) handleLocate(_ context.Context, from messenger.Peer, payload []byte) (msgp.Marshaler, error) {
+	var m peerwire.Locate
+	if _, err := m.UnmarshalMsg(payload); err != nil {
+		return nil, classifier.NotRun(classifier.ReasonBadRequest, 0, "location of a request is malformed: %w", err)
+	}
+	received := time.Now().Add(-time.Duration(m.AgeMs) * time.Millisecond)
+	claim := l.enter(identifier.Request(m.Request), from.Incarnation, received, m.Ended)
+	return &peerwire.Located{Previous: uint64(claim.Previous), Replaced: claim.Replaced}, nil
+}
+
+func (l *Locator) handleDrop(_ context.Context, _ messenger.Peer, payload []byte) (msgp.Marshaler, error) {
+	var m peerwire.Drop
+	if _, err := m.UnmarshalMsg(payload); err != nil {
+		return nil, classifier.NotRun(classifier.ReasonBadRequest, 0, "drop of a request is malformed: %w", err)
+	}
+	l.mu.Lock()
+	h := l.held[identifier.Request(m.Request)]
+	l.mu.Unlock()
+	if h != nil {
+		h.cancel(ErrTakenOver)
+	}
+	return &peerwire.Nothing{}, nil
+}
+
+// viewChanged forgets the requests of dead homes and claims this host's own
+// again where their directory has moved.
+func (l *Locator) viewChanged(v *gossiper.View) {
+	l.mu.Lock()
+	for _, m := range v.Members() {
+		if m.State == gossiper.StateDead {
+			l.directory.HomeDead(m.Incarnation)
+		}
+	}
+	moved := make([]*Held, 0, len(l.held))
+	for _, h := range l.held {
+		if at, ok := directoryOf(h.request, v); ok && at.Incarnation != h.directory {
+			h.directory = at.Incarnation
+			moved = append(moved, h)
+		}
+	}
+	l.mu.Unlock()
+	for _, h := range moved {
+		l.deps.Group.Run(func(ctx context.Context) { l.claim(ctx, h) })
+	}
+}
--- a/server/check.go
+++ b/server/check.go
@@ -58,6 +58,7 @@
 	}
 	r = dispatcher.GenerateRequest{
 		ID:             id,
+		Resendable:     m.GetRequestId() != "",
 		Service:        service,
 		Customer:       customer,
 		Prompt:         m.GetPrompt(),
@@ -104,7 +105,14 @@
 	if err != nil {
 		return r, err
 	}
-	return dispatcher.CallRequest{ID: id, Service: service, Customer: customer, Payload: m.GetPayload(), Key: string(id)}, nil
+	return dispatcher.CallRequest{
+		ID:         id,
+		Resendable: m.GetRequestId() != "",
+		Service:    service,
+		Customer:   customer,
+		Payload:    m.GetPayload(),
+		Key:        string(id),
+	}, nil
 }
 
 func requestID(id string) (identifier.Request, error) {
