--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -144,7 +144,11 @@
 		})
 		err := a.Call(ctx, b.address, peerwire.KindAsk, text(""), nil)
 		isVerdict(t, err, classifier.VerdictMayHaveRun, classifier.ReasonCanceled)
-		<-ended
+		select {
+		case <-ended:
+		case <-time.After(2 * time.Second): // before the keepalive ends the handler
+			t.Fatal("handler goes on")
+		}
 	})
 	t.Run("refuses a large message", func(t *testing.T) {
 		b := startHost(t, "b", messenger.Options{}, echo)
