--- a/gossiper/machine.go
+++ b/gossiper/machine.go
@@ -15,6 +15,15 @@
 // digestSends is how often each host hands on a digest.
 const digestSends = 3
 
+// bulkUpdates is the number of updates in news from which it counts as a
+// table that most hosts have. It is handed on like digests, since floods of it
+// would keep all hosts busy.
+const bulkUpdates = 64
+
+// viewPeriodPerHost makes views with new digests rarer in a large fleet, whose
+// views take longer to build.
+const viewPeriodPerHost = time.Millisecond
+
 // pauseTicks is the number of missed ticks after which the machine takes it
 // that its process was paused.
 const pauseTicks = 8
@@ -47,15 +56,21 @@
 	nextProbe  time.Time
 	nextBeat   time.Time
 	nextSync   time.Time
+	syncPeriod time.Duration // doubles up to Options.Sync
 	nextSeed   time.Time
 	nextDigest time.Time
 	nextPrune  time.Time
 
 	digest        []byte
 	digestChanged bool
+	revised       bool // the revision has changed since it was told
+
+	bulk bool // the news that is merged is a whole table
 
-	view      *View
-	viewStale bool
+	view        *View
+	viewStale   bool
+	digestStale bool // the view lacks digests only
+	nextView    time.Time
 }
 
 // NewMachine gives a machine that knows only its own host. Of self, the
@@ -99,7 +114,7 @@
 	m.lastTick = now
 	m.nextProbe = now.Add(m.spread(o.Period))
 	m.nextBeat = now.Add(m.spread(o.Beat))
-	m.nextSync = now.Add(m.spread(o.Sync))
+	m.hurrySync()
 	m.nextSeed = now
 	m.nextDigest = now
 	m.nextPrune = now.Add(o.Retention / 8)
@@ -144,15 +159,25 @@
 }
 
 // View gives what the machine knows now; the same value while nothing
-// changes.
+// changes. Changes of digests alone show up to a second or two late in a large
+// fleet.
 func (m *Machine) View() *View {
-	if m.view == nil || m.viewStale {
+	digestsDue := m.digestStale && !m.now.Before(m.nextView)
+	if m.view == nil || m.viewStale || digestsDue {
 		m.view = m.buildView()
 		m.viewStale = false
+		m.digestStale = false
+		m.nextView = m.now.Add(time.Duration(len(m.order)) * viewPeriodPerHost)
 	}
 	return m.view
 }
 
+// Mark gives the newest mark of e, without building a view.
+func (m *Machine) Mark(e identifier.Endpoint) (Mark, bool) {
+	k, ok := m.marks[e]
+	return k, ok
+}
+
 func (m *Machine) act(a Action) {
 	m.actions = append(m.actions, a)
 }
@@ -174,7 +199,7 @@
 		m.leases[dc] = at.Add(gap)
 	}
 	clear(m.probes)
-	m.nextSync = m.now
+	m.hurrySync()
 }
 
 func (m *Machine) tick() {
@@ -185,10 +210,11 @@
 	if due(m.now, &m.nextPrune, m.options.Retention/8) {
 		m.prune()
 	}
-	if due(m.now, &m.nextSeed, m.seedPeriod()) {
+	if period := m.seedPeriod(); due(m.now, &m.nextSeed, period/2+m.spread(period)) {
 		m.trySeed()
 	}
-	if due(m.now, &m.nextSync, m.options.Sync) {
+	if due(m.now, &m.nextSync, m.syncPeriod) {
+		m.syncPeriod = min(2*m.syncPeriod, m.options.Sync)
 		m.sync()
 	}
 	if m.superseded() {
@@ -274,7 +300,7 @@
 // tell queues news of a host.
 func (m *Machine) tell(r *record, kind itemKind) {
 	limit := digestSends
-	if kind != itemDigest {
+	if kind != itemDigest && !m.bulk {
 		limit = m.sends()
 		m.urgent = true
 	}
--- a/gossiper/merge.go
+++ b/gossiper/merge.go
@@ -9,6 +9,8 @@
 
 // merge takes all news of a peer in.
 func (m *Machine) merge(n *peerwire.News) {
+	m.bulk = len(n.Updates) >= bulkUpdates
+	defer func() { m.bulk = false }()
 	for i := range n.Updates {
 		m.mergeUpdate(&n.Updates[i])
 	}
@@ -39,13 +41,16 @@
 	}
 }
 
-// refute answers news of this process that isn't good.
+// refute answers news of this process that isn't good, also when it was
+// refuted before: its sender has missed that.
 func (m *Machine) refute(u *peerwire.Update) {
 	bad := u.State == uint8(StateSuspect) || u.State == uint8(StateDead)
-	if !bad || !overrides(u, &m.self.Update) || m.superseded() {
+	if !bad || m.superseded() {
 		return
 	}
-	m.self.Refutation = u.Refutation + 1
+	if overrides(u, &m.self.Update) {
+		m.self.Refutation = u.Refutation + 1
+	}
 	m.tell(m.self, itemLiveness)
 }
 
@@ -104,14 +109,17 @@
 		fresh = true
 	}
 	if u.Version > r.Version {
+		if u.Readiness != r.Readiness || u.DigestVersion <= r.DigestVersion {
+			m.tell(r, itemPublished)
+		}
 		r.Version, r.Revision, r.Readiness = u.Version, u.Revision, u.Readiness
-		m.tell(r, itemPublished)
 		fresh = true
 	}
 	if u.DigestVersion > r.DigestVersion {
 		r.DigestVersion, r.Digest = u.DigestVersion, u.Digest
 		m.tell(r, itemDigest)
-		fresh = true
+		m.digestStale = true
+		m.renewLease(r.DataCenter)
 	}
 	if fresh {
 		m.viewStale = true
@@ -123,6 +131,9 @@
 func (m *Machine) setState(r *record, s State) {
 	old := r.state()
 	r.State = uint8(s)
+	if old == StateDead && s != old {
+		m.hurrySync() // a cut has healed, or this host was paused
+	}
 	if old != s {
 		m.act(Changed{Host: r.Host, Incarnation: r.Incarnation, From: old, To: s})
 		m.topology.stale = true
@@ -168,21 +179,31 @@
 	m.queue.add(itemKey{kind: itemMark, name: string(e)}, m.sends())
 }
 
+// publish takes in what this host publishes. A changed readiness is urgent, and
+// so is a changed revision in a small fleet. In a larger one, all of whose
+// hosts change their revisions at about the same time, it goes with the next
+// digest.
 func (m *Machine) publish(p Payload) {
 	s := m.self
-	if s.Revision != p.Revision || s.Readiness != uint8(p.Readiness) {
+	revised := s.Revision != p.Revision
+	urgent := s.Readiness != uint8(p.Readiness) || revised && m.smallFleet()
+	s.Revision, s.Readiness = p.Revision, uint8(p.Readiness)
+	if urgent {
 		s.Version++
-		s.Revision = p.Revision
-		s.Readiness = uint8(p.Readiness)
 		m.tell(s, itemPublished)
-		m.viewStale = true
 	}
+	m.revised = revised && !urgent || m.revised && !urgent
+	m.viewStale = m.viewStale || urgent || revised
 	if string(p.Digest) != string(m.digest) {
 		m.digest = append([]byte(nil), p.Digest...)
 		m.digestChanged = true
 	}
 }
 
+func (m *Machine) smallFleet() bool {
+	return len(m.order) <= m.options.SmallFleet
+}
+
 func (m *Machine) leave() {
 	if m.self.state() == StateLeaving {
 		return
--- a/gossiper/news.go
+++ b/gossiper/news.go
@@ -51,7 +51,7 @@
 	case audienceNear:
 		return true
 	case audienceFar:
-		return len(m.order) <= m.options.SmallFleet || m.isBridge(r)
+		return m.smallFleet() || m.isBridge(r)
 	default:
 		return false
 	}
@@ -135,6 +135,9 @@
 
 // flood hands urgent news on at once.
 func (m *Machine) flood() {
+	if len(m.topology.targets)+len(m.topology.cross) == 0 {
+		return
+	}
 	n := m.news(audienceUrgent)
 	if len(n.Updates) == 0 && len(n.Marks) == 0 {
 		m.urgent = false
@@ -162,23 +165,28 @@
 // publishDigest makes a changed digest, or a bridge's sign of life, news.
 func (m *Machine) publishDigest() {
 	beat := due(m.now, &m.nextBeat, m.options.Beat) && m.isBridge(m.self)
-	changed := m.digestChanged && !m.now.Before(m.nextDigest)
+	changed := (m.digestChanged || m.revised) && !m.now.Before(m.nextDigest)
 	if !beat && !changed {
 		return
 	}
 	m.digestChanged = false
+	if m.revised {
+		m.revised = false
+		m.self.Version++
+	}
 	m.self.Digest = m.digest
 	m.self.DigestVersion++
 	m.nextDigest = m.now.Add(m.digestPeriod())
 	m.tell(m.self, itemDigest)
-	m.viewStale = true
+	m.digestStale = true
 }
 
 // digestPeriod is the time between two digests of each host at which all
-// digests together keep to DigestBytesPerSecond.
+// digests together keep to their bytes per second.
 func (m *Machine) digestPeriod() time.Duration {
-	hosts := len(m.order)
-	if hosts > m.options.SmallFleet {
+	hosts, rate := len(m.order), m.options.DigestBytesPerSecond
+	if !m.smallFleet() {
+		rate = m.options.LargeDigestBytesPerSecond
 		hosts = 0
 		for _, r := range m.order {
 			if r.DataCenter == m.self.DataCenter {
@@ -186,7 +194,7 @@
 			}
 		}
 	}
-	round := hosts * digestSends * m.self.size(partDigest)
-	period := time.Duration(round) * time.Second / time.Duration(m.options.DigestBytesPerSecond)
+	round := hosts * digestSends * m.self.size(itemDigest.parts())
+	period := time.Duration(round) * time.Second / time.Duration(rate)
 	return max(period, m.options.DigestPeriod)
 }
--- a/gossiper/options.go
+++ b/gossiper/options.go
@@ -25,6 +25,7 @@
 	defaultMaxNewsBytes      = 1000
 	defaultDigestPeriod      = time.Second
 	defaultDigestBytesPerSec = 1000
+	defaultLargeDigestBytes  = 400
 	defaultSmallFleet        = 64
 )
 
@@ -60,13 +61,15 @@
 	SeedPeriod time.Duration
 	// MaxNewsBytes bounds the news that goes with a message.
 	MaxNewsBytes int
-	// DigestPeriod is the least time between two digests of a host;
+	// DigestPeriod is the least time between two digests of a host.
 	// DigestBytesPerSecond bounds what a host sends of them, by making the
-	// time longer in a larger fleet.
-	DigestPeriod         time.Duration
-	DigestBytesPerSecond int
+	// time longer in a larger fleet; LargeDigestBytesPerSecond does so beyond
+	// SmallFleet.
+	DigestPeriod              time.Duration
+	DigestBytesPerSecond      int
+	LargeDigestBytesPerSecond int
 	// SmallFleet is the number of members up to which digests go to other
-	// data centers.
+	// data centers, and changed revisions at once to all.
 	SmallFleet int
 	// Seed of the random choices; 0: drawn from the incarnation.
 	Seed uint64
@@ -93,6 +96,7 @@
 	setDefault(&o.MaxNewsBytes, defaultMaxNewsBytes)
 	setDefault(&o.DigestPeriod, defaultDigestPeriod)
 	setDefault(&o.DigestBytesPerSecond, defaultDigestBytesPerSec)
+	setDefault(&o.LargeDigestBytesPerSecond, defaultLargeDigestBytes)
 	setDefault(&o.SmallFleet, defaultSmallFleet)
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
--- a/gossiper/queue.go
+++ b/gossiper/queue.go
@@ -20,7 +20,7 @@
 	case itemPublished:
 		return partPublished
 	case itemDigest:
-		return partDigest
+		return partDigest | partPublished
 	default:
 		return 0
 	}
--- a/gossiper/sync.go
+++ b/gossiper/sync.go
@@ -17,6 +17,13 @@
 	maxBuckets  = 1024
 )
 
+// hurrySync makes comparisons frequent for a while, when much may have been
+// missed.
+func (m *Machine) hurrySync() {
+	m.syncPeriod = min(m.options.Period, m.options.Sync)
+	m.nextSync = m.now.Add(m.spread(m.syncPeriod))
+}
+
 // sync compares what is known with a random peer's knowledge. Bridges take
 // turns between their own data center and the others.
 func (m *Machine) sync() {
@@ -55,12 +62,13 @@
 }
 
 // bucketHashes hashes what has to be equal at all hosts. Dead members, which
-// hosts forget at different times, and digests don't count.
+// hosts forget at different times, and digests don't count, nor in a large
+// fleet revisions.
 func (m *Machine) bucketHashes(count int) []uint64 {
 	hashes := make([]uint64, count)
 	for _, r := range m.order {
 		if !r.dead() {
-			hashes[bucketOf(string(r.Host), count)] += recordHash(r)
+			hashes[bucketOf(string(r.Host), count)] += recordHash(r, m.smallFleet())
 		}
 	}
 	for e, k := range m.marks {
@@ -73,14 +81,16 @@
 	return uint32(xxhash.Sum64String(name) % uint64(count))
 }
 
-func recordHash(r *record) uint64 {
+func recordHash(r *record, withVersion bool) uint64 {
 	b := make([]byte, 0, 64)
 	b = append(b, r.Host...)
 	b = binary.LittleEndian.AppendUint64(b, uint64(r.Incarnation))
 	b = binary.LittleEndian.AppendUint64(b, r.Started)
 	b = binary.LittleEndian.AppendUint32(b, r.Refutation)
-	b = binary.LittleEndian.AppendUint64(b, r.Version)
-	b = append(b, r.State)
+	if withVersion {
+		b = binary.LittleEndian.AppendUint64(b, r.Version)
+	}
+	b = append(b, r.State, r.Readiness)
 	return xxhash.Sum64(b)
 }
 
--- a/gossiper/view.go
+++ b/gossiper/view.go
@@ -134,6 +134,12 @@
 	return k, ok
 }
 
+// Marks gives the newest mark of each endpoint that has one. The map is
+// read-only.
+func (v *View) Marks() map[identifier.Endpoint]Mark {
+	return v.leaving
+}
+
 // Reachable tells whether news came from dc within its lease. A host's own
 // data center always counts as reachable.
 func (v *View) Reachable(dc identifier.DataCenter) bool {
