--- a/common/decoder/problem.go
+++ b/common/decoder/problem.go
@@ -47,6 +47,10 @@
 	return strings.Join(lines, "\n")
 }
 
+// maxProblems bounds the problems that are told of one file.
+const maxProblems = 1000
+
+// sorted gives the problems by origin and line, each once.
 func (p Problems) sorted() Problems {
 	sorted := slices.Clone(p)
 	slices.SortStableFunc(sorted, func(a, b Problem) int {
@@ -57,5 +61,11 @@
 			cmp.Compare(a.Text, b.Text),
 		)
 	})
-	return slices.Compact(sorted)
+	sorted = slices.Compact(sorted)
+	if more := len(sorted) - maxProblems; more > 0 {
+		last := sorted[maxProblems-1]
+		text := fmt.Sprintf("expected fewer faults, %d more are not shown", more)
+		sorted = append(sorted[:maxProblems], Problem{Origin: last.Origin, Text: text})
+	}
+	return sorted
 }
--- a/parser/check_customers.go
+++ b/parser/check_customers.go
@@ -1,11 +1,15 @@
 package parser
 
-import "github.com/jackdawthread/jackdawthread/common/identifier"
+import (
+	"fmt"
+
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+)
 
 func (c *checker) checkContracts() {
 	names := firstPlace[string]{}
 	for i, t := range c.file.Contracts {
-		if names.take(t.Name, i) {
+		if names.take(t.Name, i) && t.Name != "" {
 			c.document.Addf(key("contract", i, "name"), "expected names that differ, %q is declared twice", t.Name)
 		}
 		c.needService(key("contract", i, "service"), t.Service)
@@ -64,9 +68,9 @@
 		if (u.Name == "") == (len(u.Names) == 0) {
 			c.document.Addf(key("customer", i, "name"), "expected either name or names")
 		}
-		for _, name := range u.All() {
+		for j, name := range u.All() {
 			if names.take(name, i) {
-				c.document.Addf(key("customer", i, u.nameKey()), "expected names that differ, %q is declared twice", name)
+				c.document.Addf(key("customer", i, u.nameKey(j)), "expected names that differ, %q is declared twice", name)
 			}
 		}
 		if !c.firms[u.Firm] {
@@ -83,10 +87,10 @@
 	return u.Names
 }
 
-// nameKey gives the key that holds the names.
-func (u *Customer) nameKey() string {
+// nameKey gives the key that holds the name j of All.
+func (u *Customer) nameKey(j int) string {
 	if u.Name != "" {
 		return "name"
 	}
-	return "names"
+	return fmt.Sprintf("names[%d]", j)
 }
--- a/parser/checker.go
+++ b/parser/checker.go
@@ -39,7 +39,7 @@
 
 func (c *checker) checkDataCenters() {
 	for i, d := range c.file.DataCenters {
-		if c.dataCenters[d.Name] {
+		if c.dataCenters[d.Name] && d.Name != "" {
 			c.document.Addf(key("data-center", i, "name"), "expected names that differ, %q is declared twice", d.Name)
 		}
 		c.dataCenters[d.Name] = true
@@ -49,7 +49,7 @@
 func (c *checker) checkServices() {
 	for i := range c.file.Services {
 		s := &c.file.Services[i]
-		if c.services[s.Name] != nil {
+		if c.services[s.Name] != nil && s.Name != "" {
 			c.document.Addf(key("service", i, "name"), "expected names that differ, %q is declared twice", s.Name)
 			continue
 		}
@@ -95,7 +95,7 @@
 		c.needDataCenter(key("link", i, "from"), l.From)
 		c.needDataCenter(key("link", i, "to"), l.To)
 		pair := ends{from: l.From, to: l.To}
-		if seen[pair] {
+		if seen[pair] && l.From != "" && l.To != "" {
 			c.document.Addf(key("link", i, "to"), "expected links that differ, %q to %q is declared twice", l.From, l.To)
 		}
 		seen[pair] = true
--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -69,6 +69,16 @@
 	is.Equal(err.Error(), "big.toml: expected at most 1048576 bytes, got 1048577")
 }
 
+func TestManyFaultsAreCounted(t *testing.T) {
+	is := is.New(t)
+	source := bytes.Repeat([]byte("[[link]]\nrate = true\n"), 2000)
+	_, err := parser.Parse("many.toml", source)
+	problems, _ := errors.AsType[decoder.Problems](err)
+	is.Equal(len(problems), 1001)
+	// Three faults a link, beside three of the whole file.
+	is.Equal(problems[1000].String(), "many.toml: expected fewer faults, 5003 more are not shown")
+}
+
 func FuzzParse(f *testing.F) {
 	for _, pattern := range []string{"../examples/*.toml", "testdata/broken/*.toml"} {
 		paths, _ := filepath.Glob(pattern)
