Let subscribers of declarations tell the keeper of events

Cause: a host that adopts a revision while an engine has seen a newer one tells its keeper so from within a subscriber, and waited for itself. Change: the keeper calls subscribers outside its mutex, one notice after another, by whichever goroutine is about it. Conclusion: with the former keeper the new test ends by its time-out of 10 s; now it passes, also with the race detector.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -28,6 +28,7 @@
 package keeper
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,8 +37,8 @@
 )
 
 // Subscriber is called when next comes into force; previous is nil the first
-// time. Calls come one after another, in order of revisions. It must be short
-// and must not call Handle or Subscribe.
+// time. Calls come one after another, in order of revisions. It must be short;
+// it may call Handle.
 type Subscriber func(previous, next *compiler.Fleet)
 
 // Keeper holds the declarations in force. It is safe for use by several
@@ -48,6 +49,14 @@
 	mu          sync.Mutex
 	state       *State
 	subscribers []Subscriber
+	notices     []notice
+	notifying   bool // a goroutine calls subscribers
+}
+
+// notice is a change that subscribers are still to be told of.
+type notice struct {
+	previous, next *compiler.Fleet
+	subscribers    []Subscriber
 }
 
 // New gives the keeper of a host that starts at now.
@@ -60,15 +69,16 @@
 	return k.current.Load()
 }
 
-// Subscribe has f called on each change from now on, and at once if a fleet
-// is in force.
+// Subscribe has f called on each change from now on, and for the fleet that
+// is in force, if any.
 func (k *Keeper) Subscribe(f Subscriber) {
 	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.subscribers = append(k.subscribers, f)
+	k.subscribers = append(slices.Clone(k.subscribers), f)
 	if fleet := k.current.Load(); fleet != nil {
-		f(nil, fleet)
+		k.notices = append(k.notices, notice{next: fleet, subscribers: []Subscriber{f}})
 	}
+	k.mu.Unlock()
+	k.notify()
 }
 
 // Status tells how far the host is with its declarations.
@@ -79,23 +89,53 @@
 }
 
 // Handle tells the state of an event. A fleet that it adopts is in force for
-// new requests when Handle returns; the actions are given for AskFences and
-// for the log.
+// new requests when Handle returns; subscribers may still be being told, if
+// another goroutine tells them. The actions are given for AskFences and for
+// the log.
 func (k *Keeper) Handle(e Event, now time.Time) []Action {
+	actions := k.apply(e, now)
+	k.notify()
+	return actions
+}
+
+func (k *Keeper) apply(e Event, now time.Time) []Action {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	actions := k.state.Apply(e, now)
 	for _, a := range actions {
 		if adopt, ok := a.(Adopt); ok {
-			k.swap(adopt.Fleet)
+			previous := k.current.Swap(adopt.Fleet)
+			k.notices = append(k.notices, notice{previous: previous, next: adopt.Fleet, subscribers: k.subscribers})
 		}
 	}
 	return actions
 }
 
-func (k *Keeper) swap(next *compiler.Fleet) {
-	previous := k.current.Swap(next)
-	for _, f := range k.subscribers {
-		f(previous, next)
+// notify tells the subscribers of all notices, unless another goroutine, or a
+// caller of this one, is about it.
+func (k *Keeper) notify() {
+	for {
+		n, ok := k.nextNotice()
+		if !ok {
+			return
+		}
+		for _, f := range n.subscribers {
+			f(n.previous, n.next)
+		}
+		k.mu.Lock()
+		k.notifying = false
+		k.mu.Unlock()
+	}
+}
+
+func (k *Keeper) nextNotice() (notice, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.notifying || len(k.notices) == 0 {
+		return notice{}, false
 	}
+	n := k.notices[0]
+	k.notices = k.notices[1:]
+	k.notifying = true
+	return n, true
 }
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -1,6 +1,7 @@
 package keeper_test
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -8,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/compiler"
 	"github.com/jackdawthread/jackdawthread/keeper"
@@ -163,3 +165,52 @@
 	k.Handle(fromService(6, file(6)), start)
 	is.Equal(seen, []identifier.Revision{5, 7})
 }
+
+// A subscriber may tell the keeper of events.
+func TestSubscriberHandles(t *testing.T) {
+	is := is.New(t)
+	k := started(5)
+	var seen []identifier.Revision
+	done := make(chan struct{})
+	group := grouper.New(t.Context())
+	group.Run(func(context.Context) {
+		defer close(done)
+		k.Subscribe(func(_, next *compiler.Fleet) {
+			if next.Revision < 8 {
+				k.Handle(keeper.Known{Revision: 9}, start)
+				k.Handle(fromService(next.Revision+1, file(8)), start)
+			}
+			seen = append(seen, next.Revision)
+		})
+	})
+	select {
+	case <-done:
+		is.Equal(seen, []identifier.Revision{5, 6, 7, 8})
+		is.Equal(k.Status().Phase, keeper.PhaseBehind)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the keeper waits for itself")
+	}
+}
+
+func TestConcurrentOffers(t *testing.T) {
+	is := is.New(t)
+	k := started(1)
+	var last *compiler.Fleet
+	k.Subscribe(func(previous, next *compiler.Fleet) {
+		if previous != last || last != nil && next.Revision <= last.Revision {
+			t.Errorf("told of revision %d out of order", next.Revision)
+		}
+		last = next
+	})
+	group := grouper.New(t.Context())
+	for n := range 4 {
+		group.Run(func(context.Context) {
+			for r := 2 + n; r <= 40; r += 3 {
+				k.Handle(fromService(identifier.Revision(r), file(r)), start)
+			}
+		})
+	}
+	is.NoErr(group.Wait())
+	assertInForce(t, k, 40)
+	is.Equal(last.Revision, identifier.Revision(40))
+}
