--- a/commander/commander.go
+++ b/commander/commander.go
@@ -81,6 +81,7 @@
 3 a promise was broken; 4 what was waited for did not come.`,
 		Commands: []*cli.Command{
 			serveCommand(s),
+			experimentCommand(s),
 			statusCommand(s),
 			hostsCommand(s),
 			endpointsCommand(s),
--- a/experimenter/table.go
+++ b/experimenter/table.go
@@ -3,7 +3,8 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
+
+	"github.com/jedib0t/go-pretty/v6/table"
 )
 
 // spread is the median and the range of a figure over seeds.
@@ -43,14 +44,20 @@
 
 // markdown gives a Markdown table.
 func markdown(header []string, rows [][]string) string {
-	var b strings.Builder
-	line := func(cells []string) { b.WriteString("| " + strings.Join(cells, " | ") + " |\n") }
-	line(header)
-	b.WriteString(strings.Repeat("| --- ", len(header)) + "|\n")
+	t := table.NewWriter()
+	t.AppendHeader(tableRow(header))
 	for _, row := range rows {
-		line(row)
+		t.AppendRow(tableRow(row))
+	}
+	return t.RenderMarkdown() + "\n"
+}
+
+func tableRow(cells []string) table.Row {
+	row := make(table.Row, 0, len(cells))
+	for _, cell := range cells {
+		row = append(row, cell)
 	}
-	return b.String()
+	return row
 }
 
 func (p *Point) row() []string {
