Tick idle pools five times a second; sum up endpoints once

Cause: an idle pool was due 50 times a second, and each ask looked through the endpoints for one that is large enough. Change: 20 ms between ticks only while something waits, else 200 ms; the sum of the endpoints is taken when they come or leave.

--- a/allocator/place_bench_test.go
+++ b/allocator/place_bench_test.go
@@ -25,7 +25,7 @@
 			Name: identifier.Endpoint(fmt.Sprintf("runner-%d", i)), Role: role, Slots: 20, Pieces: 2000, TokensPerPiece: 64,
 		})
 	}
-	p := New(s, "", nil, Options{PrefillDepth: time.Hour}, 1)
+	p := New(s, "", nil, Options{PrefillDepth: time.Hour, StaleLimit: time.Hour}, 1)
 	for _, e := range s.Endpoints {
 		p.Report(e.Name, Report{}, benchEpoch)
 	}
--- a/allocator/pool.go
+++ b/allocator/pool.go
@@ -50,6 +50,7 @@
 	drain     drainRate
 	meanRate  float64 // prefill tokens a second, 0: unknown
 	meanStep  float64
+	room      room
 	slots     int
 	perPiece  identifier.Tokens
 	used      map[identifier.Firm]int
@@ -137,6 +138,7 @@
 		names = append(names, declared.Name)
 	}
 	p.keepRemoved(known, &names, moved)
+	p.sumUp()
 	p.prefill = router.NewTable(len(p.endpoints))
 	p.decode = router.NewTable(len(p.endpoints))
 	p.installCache(names, moved)
--- a/allocator/pool_test.go
+++ b/allocator/pool_test.go
@@ -107,6 +107,27 @@
 		is.Equal(r.Reason, classifier.ReasonDeadline)
 		is.True(r.RetryAfter > 0)
 	})
+	t.Run("what no engine can hold, for good", func(t *testing.T) {
+		is := is.New(t)
+		a := ask(1, compiler.UrgencyPatient)
+		a.MaxTokens = 2000*16 - 400 + 1
+		actions := newPool(newService(1, 1, 1)).Ask(a, epoch)
+		is.Equal(actions[0], allocator.Action(allocator.Refused{Attempt: a.Attempt, Reason: classifier.ReasonTooLarge}))
+		a.MaxTokens--
+		a.Left = 0
+		is.Equal(count[allocator.Granted](newPool(newService(1, 1, 1)).Ask(a, epoch)), 1)
+	})
+	t.Run("more than may wait", func(t *testing.T) {
+		is := is.New(t)
+		s := newService(1, 1, 1)
+		s.QueueLimit = 2
+		p := newPool(s)
+		for n := range 3 {
+			is.Equal(count[allocator.Refused](p.Ask(ask(n+1, compiler.UrgencyPatient), epoch)), 0)
+		}
+		actions := p.Ask(ask(4, compiler.UrgencyPatient), epoch)
+		is.Equal(actions[0].(allocator.Refused).Reason, classifier.ReasonQueueFull)
+	})
 	t.Run("without endpoints", func(t *testing.T) {
 		is := is.New(t)
 		actions := newPool(newService(1, 0, 1)).Ask(ask(1, compiler.UrgencyUrgent), epoch)
--- a/allocator/refuse.go
+++ b/allocator/refuse.go
@@ -8,9 +8,12 @@
 	"github.com/jackdawthread/jackdawthread/compiler"
 )
 
-// tickInterval is the longest time between ticks: probes, leases and expected
-// backlogs have no events of their own.
-const tickInterval = 20 * time.Millisecond
+// Longest times between ticks: expected backlogs have no events of their own
+// while something waits; leases, probes and reports' ages never have.
+const (
+	busyInterval = 20 * time.Millisecond
+	idleInterval = 200 * time.Millisecond
+)
 
 // drainWeight is the weight of one interval in the mean between grants.
 const drainWeight = 0.05
@@ -52,9 +55,9 @@
 	switch {
 	case firm != p.options.Firm && p.lent(firm, now) == 0:
 		return classifier.ReasonLimit, false
-	case !p.serves():
+	case !p.room.prefills || !p.room.decodes:
 		return classifier.ReasonNoEndpoint, false
-	case !p.large(a):
+	case a.PromptTokens+a.MaxTokens > p.room.largest:
 		return classifier.ReasonTooLarge, false
 	case p.service.QueueLimit > 0 && p.queue.Len() >= p.service.QueueLimit:
 		return classifier.ReasonQueueFull, false
@@ -66,29 +69,6 @@
 	return "", true
 }
 
-// serves tells whether the pool has endpoints for both phases that stay.
-func (p *Pool) serves() bool {
-	prefills, decodes := false, false
-	for _, e := range p.endpoints {
-		prefills = prefills || e.prefills && !e.leaving
-		decodes = decodes || e.decodes && !e.leaving
-		if prefills && decodes {
-			return true
-		}
-	}
-	return false
-}
-
-// large tells whether some decode engine is large enough for the ask.
-func (p *Pool) large(a *wish) bool {
-	for _, e := range p.endpoints {
-		if e.decodes && e.piecesFor(a.PromptTokens+a.MaxTokens) <= e.pieces {
-			return true
-		}
-	}
-	return false
-}
-
 // expectedWait gives the wait of a request that comes now.
 func (p *Pool) expectedWait(u compiler.Urgency) time.Duration {
 	if u != compiler.UrgencyUrgent {
@@ -125,7 +105,10 @@
 
 // Due gives when Tick is to be called next, at the latest.
 func (p *Pool) Due() time.Time {
-	due := p.lastEvent.Add(tickInterval)
+	due := p.lastEvent.Add(idleInterval)
+	if p.queue.Len() > 0 || len(p.promised) > 0 {
+		due = p.lastEvent.Add(busyInterval)
+	}
 	if expiry, ok := p.queue.NextExpiry(); ok && expiry.Before(due) {
 		due = expiry
 	}
--- a/allocator/report.go
+++ b/allocator/report.go
@@ -21,7 +21,9 @@
 		p.refresh(e, now)
 		return p.serve(now)
 	}
-	e.leaving = e.leaving || r.Leaving
+	if r.Leaving {
+		p.leave(e)
+	}
 	e.reported = true
 	e.reportedAt = now.Add(-r.Age)
 	p.setStale(e, false)
@@ -135,7 +137,7 @@
 func (p *Pool) SetLeaving(name identifier.Endpoint, now time.Time) []Action {
 	p.start(now)
 	if e := p.byName[name]; e != nil {
-		e.leaving = true
+		p.leave(e)
 		p.refresh(e, now)
 	}
 	return p.serve(now)
