Show in status how far a host is with its declarations

Cause: a host that holds an older file, or is behind, showed just its revision. Change: StatusResponse has the phase, the known revision and the one at hand; status prints them.

--- a/commander/operate.go
+++ b/commander/operate.go
@@ -63,12 +63,17 @@
 		{"incarnation", identifier.Incarnation(m.GetIncarnation())},
 		{"data center", m.GetDataCenter()},
 		{"state", m.GetState()},
+		{"declarations", m.GetDeclarations()},
 		{"revision in force", m.GetRevision()},
+		{"revision known", m.GetKnownRevision()},
 		{"running requests", m.GetRunningRequests()},
 		{"queued requests", m.GetQueuedRequests()},
 		{"uptime", time.Duration(m.GetUptimeMs()) * time.Millisecond},
 		{"version", m.GetVersion()},
 	}
+	if m.GetCandidateRevision() != 0 {
+		rows = append(rows, table.Row{"revision at hand", m.GetCandidateRevision()})
+	}
 	if m.GetRefused() != "" {
 		rows = append(rows, table.Row{"refused revision", m.GetRefusedRevision()}, table.Row{"reason", m.GetRefused()})
 	}
--- a/launcher/config.go
+++ b/launcher/config.go
@@ -42,15 +42,6 @@
 	return c.keeper.Current()
 }
 
-// refused gives the newest revision that was refused and why.
-func (c *config) refused() (uint64, string) {
-	r := c.keeper.Status().Refusal
-	if r == nil {
-		return 0, ""
-	}
-	return uint64(r.Revision), r.Err.Error()
-}
-
 func (c *config) start() {
 	c.keeper.Subscribe(func(_, next *compiler.Fleet) { c.host.reconfigure(next) })
 	h := c.host
--- a/launcher/inspect.go
+++ b/launcher/inspect.go
@@ -31,7 +31,13 @@
 	if f := h.Fleet(); f != nil {
 		s.Revision = uint64(f.Revision)
 	}
-	s.RefusedRevision, s.Refused = h.config.refused()
+	declarations := h.config.keeper.Status()
+	s.Declarations = string(declarations.Phase)
+	s.KnownRevision = uint64(declarations.Known)
+	s.CandidateRevision = uint64(declarations.Candidate)
+	if r := declarations.Refusal; r != nil {
+		s.RefusedRevision, s.Refused = uint64(r.Revision), r.Err.Error()
+	}
 	return s
 }
 
