Spill requests to data centers where they wait less

Cause: a pool's queue filled up while other data centers had room; requests left only once they were refused, when most of their first-token time was gone. Change: hosts publish the expected waits of the pools that they allocate with their membership news; a home whose own pool waits above 100 ms asks first where at most half of that is expected, and orders the others at random.

--- a/allocator/refuse.go
+++ b/allocator/refuse.go
@@ -81,6 +81,12 @@
 	return p.drain.expected(ahead)
 }
 
+// ExpectedWait gives how long a request of the urgency that comes now is
+// expected to wait for its grant.
+func (p *Pool) ExpectedWait(u compiler.Urgency) time.Duration {
+	return p.expectedWait(u)
+}
+
 func (p *Pool) refuseExpired(now time.Time) {
 	for e := p.queue.Expired(now); e != nil; e = p.queue.Expired(now) {
 		p.refuse(e.Key, e.Value.Urgency, classifier.ReasonDeadline)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -10,7 +10,7 @@
 //	grant, err := c.Ask(ctx, coordinator.Ask{Service: service, Ask: allocator.Ask{...}})
 //	defer c.Release(grant, allocator.Outcome{Ending: allocator.EndingDone})
 //
-// Every host of a data centre agrees on a pool's allocator as far as they see
+// Every host of a data center agrees on a pool's allocator as far as they see
 // the same live hosts. A home that can't reach the allocator runs one of its
 // own for as long as that lasts: two allocators cost efficiency, while the
 // engines' own admission keeps their memory from being handed out twice.
@@ -19,6 +19,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/tinylib/msgp/msgp"
@@ -116,11 +117,15 @@
 	// FallbackLinger is how long an unused allocator of a pool that another
 	// host allocates is kept.
 	FallbackLinger time.Duration
+	// SpillWait is the expected wait in the own data center from which a
+	// request asks in another one where it is expected to wait less than half
+	// as long; 0: requests spill only when they are refused.
+	SpillWait time.Duration
 	// Seed starts the random choices.
 	Seed uint64
 }
 
-// DefaultOptions suit data centres whose hosts are some milliseconds apart.
+// DefaultOptions suit data centers whose hosts are some milliseconds apart.
 func DefaultOptions() Options {
 	return Options{
 		Lease:          3 * time.Second,
@@ -129,6 +134,7 @@
 		ProbeTimeout:   2 * time.Second,
 		BindTimeout:    800 * time.Millisecond,
 		FallbackLinger: 30 * time.Second,
+		SpillWait:      100 * time.Millisecond,
 		Seed:           1,
 	}
 }
@@ -136,8 +142,9 @@
 // Coordinator asks for slots and allocates those that fall to this host. It
 // is safe for use by several goroutines.
 type Coordinator struct {
-	deps Deps
-	held heldGrants
+	deps  Deps
+	held  heldGrants
+	loads atomic.Pointer[loadTable]
 
 	mu    sync.Mutex
 	pools map[Key]*pool
--- a/coordinator/home.go
+++ b/coordinator/home.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,7 +10,6 @@
 	"github.com/jackdawthread/jackdawthread/allocator"
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
-	"github.com/jackdawthread/jackdawthread/compiler"
 	"github.com/jackdawthread/jackdawthread/gossiper"
 	"github.com/jackdawthread/jackdawthread/peerwire"
 )
@@ -29,11 +26,11 @@
 	return xxhash.Sum64String(string(k.Service) + "\x00" + string(k.DataCenter))
 }
 
-// Ask waits for slots: first in this host's data centre, then in the others.
+// Ask waits for slots: first in this host's data center, then in the others.
 // The error carries the verdict not-run and says when to come back.
 func (c *Coordinator) Ask(ctx context.Context, a Ask) (*Grant, error) {
 	var first error
-	for _, dc := range c.searchOrder(a.Service) {
+	for _, dc := range c.searchOrder(a.Service, a.Urgency) {
 		g, err := c.askPool(ctx, Key{Service: a.Service.Name, DataCenter: dc}, a)
 		if err == nil {
 			c.held.add(g)
@@ -55,7 +52,7 @@
 // noEndpointRetryAfter is about the time in which an endpoint is replaced.
 const noEndpointRetryAfter = 2 * time.Second
 
-// mayServeElsewhere tells whether another data centre may do better.
+// mayServeElsewhere tells whether another data center may do better.
 func mayServeElsewhere(err error) bool {
 	e, ok := errors.AsType[*classifier.Error](err)
 	if !ok {
@@ -69,30 +66,6 @@
 	}
 }
 
-// searchOrder gives the data centres with endpoints of s, the own one first.
-func (c *Coordinator) searchOrder(s *compiler.Service) []identifier.DataCenter {
-	var order []identifier.DataCenter
-	for _, e := range s.Endpoints {
-		if !slices.Contains(order, e.DataCenter) {
-			order = append(order, e.DataCenter)
-		}
-	}
-	slices.SortStableFunc(order, func(a, b identifier.DataCenter) int {
-		if a == c.deps.DataCenter || b == c.deps.DataCenter {
-			return boolRank(b == c.deps.DataCenter) - boolRank(a == c.deps.DataCenter)
-		}
-		return strings.Compare(string(a), string(b))
-	})
-	return order
-}
-
-func boolRank(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // askPool asks the pool's allocator. While hosts disagree on where it is, the
 // ask is repeated; in the end an allocator of this host answers.
 func (c *Coordinator) askPool(ctx context.Context, k Key, a Ask) (*Grant, error) {
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -45,6 +45,7 @@
 			c.homeDead(m.Incarnation)
 		}
 	}
+	c.loads.Store(readLoads(v))
 	c.claim(v)
 	c.giveUp(v)
 	c.markLeaving(v)
--- a/coordinator/probe.go
+++ b/coordinator/probe.go
@@ -30,7 +30,7 @@
 	lastEvent    uint64 // written by the one fetch that runs at a time
 }
 
-// startProbes probes the endpoints that the service has in the data centre,
+// startProbes probes the endpoints that the service has in the data center,
 // and no others.
 func (p *pool) startProbes(s *compiler.Service) {
 	p.mu.Lock()
--- a/launcher/start.go
+++ b/launcher/start.go
@@ -27,6 +27,10 @@
 	"github.com/jackdawthread/jackdawthread/timer"
 )
 
+// digestPeriod is the time between two looks at the own pools' load; the
+// gossiper sends what changed at a pace of its own.
+const digestPeriod = time.Second
+
 // ticketOptions are what a host gives its ticketer.
 func ticketOptions() ticketer.Options {
 	return ticketer.Options{
@@ -188,6 +192,7 @@
 	})
 	h.callers = server.Listen(h.group, callers, front.Handler(), server.DefaultListenerOptions(), h.log)
 	h.config.start()
+	h.timer.Every(digestPeriod, func(time.Time) { h.publish() })
 	h.log.Info("host-started",
 		zap.Stringer("incarnation", h.incarnation),
 		zap.String("data-center", string(h.settings.DataCenter)),
@@ -218,5 +223,6 @@
 	if h.State() == server.StateDraining {
 		p.Readiness = gossiper.ReadinessDraining
 	}
+	p.Digest = h.coordinator.Digest()
 	h.gossiper.Publish(p)
 }
