Bound what a prefill may ask for and how many orders are remembered

Cause: a request that claimed billions of generated tokens kept an engine busy making text, and counts near the type's limit could overflow the piece count. Change: max_tokens is bounded; a generated text shorter than its count is a wrong start; the history of orders is bounded. Conclusion: each malformed prefill is refused and nothing stays held.

--- a/emulator/engine_test.go
+++ b/emulator/engine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"strings"
 	"sync"
 	"testing"
@@ -185,6 +186,29 @@
 	})
 }
 
+func TestMalformedPrefillIsRefused(t *testing.T) {
+	inBubble(t, EngineSettings{}, func(b *bubble) {
+		for name, m := range map[string]*enginewire.PrefillRequest{
+			"no attempt":            {Model: testModel, MaxTokens: 1},
+			"no tokens wanted":      {Attempt: newAttempt(1), Model: testModel},
+			"nothing left":          {Attempt: newAttempt(1), Model: testModel, MaxTokens: 5, GeneratedTokens: 5},
+			"too many tokens":       {Attempt: newAttempt(1), Model: testModel, MaxTokens: math.MaxUint32},
+			"generated without end": {Attempt: newAttempt(1), Model: testModel, MaxTokens: math.MaxUint32, GeneratedTokens: math.MaxUint32 - 1},
+		} {
+			_, err := b.Prefill(b.t.Context(), connect.NewRequest(m))
+			if connect.CodeOf(err) != connect.CodeInvalidArgument {
+				t.Errorf("%s: error is %v", name, err)
+			}
+		}
+		// A count that the text can't have is a wrong start, not work.
+		r := prefillRequest(1, "x", maxAnswerTokens)
+		r.Msg.GeneratedTokens, r.Msg.GeneratedText = maxAnswerTokens-1, "copper "
+		_, err := b.Prefill(b.t.Context(), r)
+		b.is.Equal(RefusalOf(err), RefusalMemoryFull)
+		b.wantFree()
+	})
+}
+
 func TestCallerOfPrefillGoes(t *testing.T) {
 	inBubble(t, EngineSettings{}, func(b *bubble) {
 		ctx, cancel := context.WithTimeout(b.t.Context(), 50*time.Millisecond)
--- a/emulator/orders.go
+++ b/emulator/orders.go
@@ -11,6 +11,9 @@
 	"github.com/jackdawthread/jackdawthread/wire/enginewire"
 )
 
+// maxOrders bounds the orders that an engine remembers.
+const maxOrders = 4096
+
 // AppliedOrder is an order that an engine got.
 type AppliedOrder struct {
 	Fence    identifier.Revision
@@ -73,7 +76,7 @@
 	defer e.mu.Unlock()
 	fence := identifier.Revision(m.GetFence())
 	stale := fence < e.orders.fence && e.settings.ChecksFence
-	e.orders.history = append(e.orders.history, AppliedOrder{
+	e.orders.remember(AppliedOrder{
 		Fence: fence, Role: m.GetRole(), Models: m.GetModels(), Adapters: m.GetAdapters(),
 		Version: m.GetVersion(), At: time.Now(), Refused: stale,
 	})
@@ -89,6 +92,14 @@
 	return connect.NewResponse(&enginewire.OrderResponse{Fence: uint64(e.orders.fence)}), nil
 }
 
+// remember enters an order into the history, whose oldest ones go first.
+func (o *orderState) remember(a AppliedOrder) {
+	if len(o.history) == maxOrders {
+		o.history = slices.Delete(o.history, 0, maxOrders/4)
+	}
+	o.history = append(o.history, a)
+}
+
 func (o *orderState) take(m *enginewire.OrderRequest) {
 	if m.GetVersion() != "" {
 		o.version = m.GetVersion()
--- a/emulator/prefill.go
+++ b/emulator/prefill.go
@@ -28,15 +28,15 @@
 
 // queuePrefill admits a prefill and reserves its memory.
 func (e *Engine) queuePrefill(m *enginewire.PrefillRequest) (*work, error) {
+	if err := checkPrefill(m); err != nil {
+		return nil, err
+	}
 	w := newPrefill(m)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if err := e.admit(w.attempt, w.model, compiler.RolePrefill); err != nil {
 		return nil, err
 	}
-	if w.generatedTokens >= w.maxTokens {
-		return nil, invalid("%d generated tokens leave nothing of max_tokens %d", w.generatedTokens, w.maxTokens)
-	}
 	pieces := e.settings.piecesFor(w.tokens)
 	if reason := e.memory.reserve(pieces, false); reason != "" {
 		return nil, e.refuse(reason, "engine %q has no %d pieces for a prefill", e.settings.Name, pieces)
@@ -52,6 +52,19 @@
 	return w, nil
 }
 
+// maxAnswerTokens bounds an answer's length.
+const maxAnswerTokens = 1 << 24
+
+func checkPrefill(m *enginewire.PrefillRequest) error {
+	switch {
+	case m.GetMaxTokens() > maxAnswerTokens:
+		return invalid("max_tokens is %d, limit is %d", m.GetMaxTokens(), maxAnswerTokens)
+	case m.GetGeneratedTokens() >= m.GetMaxTokens():
+		return invalid("%d generated tokens leave nothing of max_tokens %d", m.GetGeneratedTokens(), m.GetMaxTokens())
+	}
+	return nil
+}
+
 func newPrefill(m *enginewire.PrefillRequest) *work {
 	w := &work{
 		attempt:         attemptOf(m.GetAttempt()),
@@ -74,6 +87,10 @@
 // answer's start leads to another answer, as at a real engine.
 func resumedSeed(w *work) Seed {
 	seed := AnswerSeed(w.model, w.prompt)
+	// No token is empty, so that a text has at least as many bytes.
+	if int(w.generatedTokens) > len(w.generatedText) {
+		return AnswerSeed(w.model, w.prompt+w.generatedText)
+	}
 	if seed.Text(0, w.generatedTokens) == w.generatedText {
 		return seed
 	}
