--- a/common/converter/converter_test.go
+++ b/common/converter/converter_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"syscall"
 	"testing"
 	"time"
 
@@ -95,6 +96,15 @@
 	return nil, e.err
 }
 
+// brokenClient fails each request as a connection does that breaks.
+type brokenClient struct {
+	cause error
+}
+
+func (c brokenClient) Do(*http.Request) (*http.Response, error) {
+	return nil, &net.OpError{Op: "read", Net: "tcp", Err: c.cause}
+}
+
 func TestFromEndpoint(t *testing.T) {
 	refusal := connect.NewError(connect.CodeResourceExhausted, errors.New("full"))
 	detail, err := connect.NewErrorDetail(&enginewire.RefusalDetail{Reason: "memory-full"})
@@ -115,6 +125,29 @@
 		err := prefill(t, serveEngine(t, &failingEngine{}))
 		assertVerdict(t, err, classifier.VerdictMayHaveRun, classifier.ReasonEndpointFailed)
 	})
+	for _, code := range []connect.Code{connect.CodeCanceled, connect.CodeDeadlineExceeded} {
+		t.Run(code.String()+" by the endpoint", func(t *testing.T) {
+			err := prefill(t, serveEngine(t, &failingEngine{err: connect.NewError(code, errors.New("attempt ended"))}))
+			assertVerdict(t, err, classifier.VerdictMayHaveRun, classifier.ReasonEndpointFailed)
+		})
+	}
+	for _, cause := range []error{syscall.ECONNRESET, syscall.EPIPE} {
+		t.Run(cause.Error(), func(t *testing.T) {
+			client := enginewireconnect.NewEngineServiceClient(brokenClient{cause}, "http://127.0.0.1:1")
+			_, err := client.Prefill(t.Context(), connect.NewRequest(&enginewire.PrefillRequest{}))
+			assertVerdict(t, err, classifier.VerdictMayHaveRun, classifier.ReasonEndpointFailed)
+		})
+	}
+	for cause, reason := range map[error]classifier.Reason{
+		context.Canceled:         classifier.ReasonCanceled,
+		context.DeadlineExceeded: classifier.ReasonDeadline,
+	} {
+		t.Run(cause.Error()+" here", func(t *testing.T) {
+			client := enginewireconnect.NewEngineServiceClient(brokenClient{cause}, "http://127.0.0.1:1")
+			_, err := client.Prefill(t.Context(), connect.NewRequest(&enginewire.PrefillRequest{}))
+			assertVerdict(t, err, classifier.VerdictMayHaveRun, reason)
+		})
+	}
 	t.Run("nothing listens", func(t *testing.T) {
 		err := prefill(t, "http://"+closedAddress(t))
 		assertVerdict(t, err, classifier.VerdictNotRun, classifier.ReasonEndpointFailed)
--- a/common/converter/endpoint.go
+++ b/common/converter/endpoint.go
@@ -25,7 +25,18 @@
 	if reason, ok := Refusal(err); ok {
 		return classifier.NotRun(classifier.ReasonEndpointRefused, 0, "endpoint refused: %s: %w", reason, err)
 	}
-	return fromTransport(err, classifier.ReasonEndpointFailed)
+	failure := fromTransport(err, classifier.ReasonEndpointFailed)
+	if failure.Verdict == classifier.VerdictMayHaveRun && !endedHere(err) {
+		failure.Reason = classifier.ReasonEndpointFailed
+	}
+	return failure
+}
+
+// endedHere tells whether err comes from the end of the call's own context.
+// The codes alone don't tell: an endpoint may answer with them, and Connect
+// gives CodeCanceled to a connection that the other side has reset.
+func endedHere(err error) bool {
+	return errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
 }
 
 // Refusal gives the reason with which an endpoint refused before it admitted
--- a/loader/caller.go
+++ b/loader/caller.go
@@ -27,6 +27,8 @@
 	Reason string
 	// RetryAfter is when to come back; 0: it won't help.
 	RetryAfter time.Duration
+	// Message is the text for people.
+	Message string
 }
 
 // Names of verdicts in reports.
@@ -159,7 +161,7 @@
 
 // failureOf reads the verdict that an error carries.
 func failureOf(err error) *Failure {
-	f := &Failure{Verdict: verdictMayHaveRun, Reason: "no-detail"}
+	f := &Failure{Verdict: verdictMayHaveRun, Reason: "no-detail", Message: err.Error()}
 	if e, ok := errors.AsType[*connect.Error](err); ok {
 		f.Reason = "no-detail-" + strings.ReplaceAll(e.Code().String(), "_", "-")
 		f.readDetails(e)
--- a/loader/caller_test.go
+++ b/loader/caller_test.go
@@ -101,6 +101,8 @@
 			is := is.New(t)
 			detail := &callerwire.FailureDetail{Verdict: callerwire.Verdict_VERDICT_NOT_RUN, Reason: "queue-full", RetryAfterMs: 1500}
 			_, f, _ := with(t, &fakeHost{failure: detail}, quote)
+			is.True(f.Message != "")
+			f.Message = ""
 			is.Equal(*f, Failure{Verdict: verdictNotRun, Reason: "queue-full", RetryAfter: 1500 * time.Millisecond})
 		})
 		t.Run(name+" takes a ticket for a call that must not be repeated", func(t *testing.T) {
--- a/loader/client_caller.go
+++ b/loader/client_caller.go
@@ -65,5 +65,5 @@
 	if f == nil {
 		return nil
 	}
-	return &Failure{Verdict: f.Verdict.String(), Reason: string(f.Reason), RetryAfter: f.RetryAfter}
+	return &Failure{Verdict: f.Verdict.String(), Reason: string(f.Reason), RetryAfter: f.RetryAfter, Message: f.Error()}
 }
--- a/loader/report.go
+++ b/loader/report.go
@@ -38,6 +38,8 @@
 	Verdicts map[string]int `json:"verdicts"`
 	// Reasons counts the failures by reason.
 	Reasons map[string]int `json:"reasons,omitempty"`
+	// Messages are those of the first failures, for people.
+	Messages []string `json:"messages,omitempty"`
 	// Mismatched answers differ from what they had to be.
 	Mismatched int `json:"mismatched"`
 	// Good calls met both of their targets.
@@ -86,6 +88,7 @@
 		Repeats:       n.repeats,
 		Verdicts:      n.verdicts,
 		Reasons:       n.reasons,
+		Messages:      n.messages,
 		Mismatched:    n.mismatched,
 		Good:          n.good,
 		FirstToken:    percentilesOf(n.first),
--- a/loader/tally.go
+++ b/loader/tally.go
@@ -11,6 +11,8 @@
 	// Latencies from a microsecond to an hour are recorded.
 	lowestMicros  = 1
 	highestMicros = int64(time.Hour / time.Microsecond)
+	// maxMessages bounds the failures whose messages are kept for each kind.
+	maxMessages = 10
 	// histogramDigits is the number of significant digits kept.
 	histogramDigits = 3
 )
@@ -85,6 +87,7 @@
 	repeats    int
 	verdicts   map[string]int
 	reasons    map[string]int
+	messages   []string
 	mismatched int
 	good       int
 	tokens     uint64
@@ -147,6 +150,9 @@
 	n.verdicts[o.verdict()]++
 	if o.failure != nil {
 		n.reasons[o.failure.Reason]++
+		if len(n.messages) < maxMessages {
+			n.messages = append(n.messages, o.failure.Message)
+		}
 		return
 	}
 	if !o.matches {
