Retry requests that a host gave up as too late for its targets

Cause: a host that expects to miss a target refuses with reason deadline and a retry-after; the client took it for its own deadline and gave up with most of its time left, also in the middle of a stream whose host was killed. Change: the client retries such a refusal; without a retry-after it is final. Conclusion: found by the test with processes; a request that resumes is still held to the first-token target by the allocator, which refuses it needlessly.

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -243,6 +243,8 @@
 		{"unknown service", []generateStep{fail(classifier.NotRun(classifier.ReasonUnknownService, 0, "none"))}, nil, 1, classifier.VerdictNotRun},
 		{"no retry-after", []generateStep{fail(classifier.NotRun(classifier.ReasonQueueFull, 0, "full"))}, nil, 1, classifier.VerdictNotRun},
 		{"retry-after beyond deadline", []generateStep{fail(classifier.NotRun(classifier.ReasonQueueFull, time.Hour, "full"))}, nil, 1, classifier.VerdictNotRun},
+		{"the deadline passed", []generateStep{fail(classifier.NotRun(classifier.ReasonDeadline, 0, "late"))}, nil, 1, classifier.VerdictNotRun},
+		{"too late for the targets", []generateStep{fail(classifier.NotRun(classifier.ReasonDeadline, time.Second, "late"))}, nil, 4, classifier.VerdictNotRun},
 		{"attempts", []generateStep{fail(full)}, nil, 4, classifier.VerdictNotRun},
 		{"an attempt may have run", []generateStep{fail(lost), fail(full)}, nil, 4, classifier.VerdictMayHaveRun},
 		{"budget", []generateStep{fail(full)}, func(p *client.RetryPolicy) { p.Capacity = 1 }, 2, classifier.VerdictNotRun},
--- a/client/retry.go
+++ b/client/retry.go
@@ -72,7 +72,6 @@
 	classifier.ReasonTooLarge:        true,
 	classifier.ReasonUnknownService:  true,
 	classifier.ReasonUnknownCustomer: true,
-	classifier.ReasonDeadline:        true,
 	classifier.ReasonCanceled:        true,
 	classifier.ReasonTakenOver:       true,
 }
@@ -92,7 +91,9 @@
 // or whose offsets show a gap.
 const reasonBrokenStream classifier.Reason = "broken-stream"
 
-// retryable tells whether another attempt may succeed where one failed so.
+// retryable tells whether another attempt may succeed where one failed so. A
+// request that a host gave up as too late for its targets comes with a
+// retry-after; one whose own deadline passed doesn't.
 func retryable(e *classifier.Error) bool {
 	if e.Verdict == classifier.VerdictRan || terminal[e.Reason] {
 		return false
