Prove one answer for a request at two hosts, and chunks out of order

Cause: a request that reaches two hosts was answered by both before the locator came; the dispatcher's checks of chunks had no test that sees them. Change: prover sends one request to two hosts at four distances in time and three in place; stand-ins can repeat and swap chunks (additive faults).

--- a/emulator/decode.go
+++ b/emulator/decode.go
@@ -30,6 +30,7 @@
 		return err
 	}
 	defer e.detach(w, s)
+	send = e.faults.Load().disturbed(send)
 	sent := offset
 	for {
 		end, done := e.progress(w)
--- a/emulator/faults.go
+++ b/emulator/faults.go
@@ -6,6 +6,10 @@
 	RefuseAll bool
 	// FailAfterTokens resets each decode stream after so many tokens; 0: never.
 	FailAfterTokens uint32
+	// RepeatEvery sends each so many-th message of a decode stream twice, and
+	// SwapEvery sends it after the next one; 0: never.
+	RepeatEvery int
+	SwapEvery   int
 	// Stall stops the step loop: streams stay open and nothing comes.
 	Stall bool
 	// StallExports holds all exports.
--- a/prover/generate_test.go
+++ b/prover/generate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -60,6 +61,8 @@
 	}, want: []checker.Result{mayHaveRun}},
 	{name: "no engine takes work until the deadline", change: func(p *prover.GeneratePlan) { p.Timeout = 2 * second }, before: engines(emulator.Faults{RefuseAll: true}), want: []checker.Result{notRun, mayHaveRun}},
 	{name: "engines reset every stream", before: engines(emulator.Faults{FailAfterTokens: 40}), want: []checker.Result{answered}},
+	{name: "engines repeat chunks", before: engines(emulator.Faults{RepeatEvery: 3}), want: []checker.Result{answered}},
+	{name: "engines send chunks out of order", before: engines(emulator.Faults{SwapEvery: 60}), want: []checker.Result{answered}},
 	{name: "host killed in prefill", delay: 60 * time.Millisecond, during: killFirst(1), want: []checker.Result{answered}},
 	{name: "host killed in decode", delay: second, during: killFirst(1), want: []checker.Result{answered}},
 	{name: "host and one more of three killed", hosts: 3, delay: second, during: killFirst(2), want: []checker.Result{answered}},
@@ -127,3 +130,22 @@
 		})
 	})
 }
+
+// TestSameRequestAtTwoHosts sends one request to two hosts, as a balancer that
+// duplicates it or a caller that sends it again would.
+func TestSameRequestAtTwoHosts(t *testing.T) {
+	for _, apart := range []time.Duration{0, time.Millisecond, 50 * time.Millisecond, 500 * time.Millisecond} {
+		for _, host := range []int{0, 1, 3} {
+			t.Run(fmt.Sprintf("%s apart at host %d", apart, host), func(t *testing.T) {
+				inRun(t, 1, func(_ context.Context, r *prover.Run) {
+					p := prover.GeneratePlan{Service: "dealer-desk", PromptWords: 100, Tokens: 100, Timeout: 10 * second, Name: "quote"}
+					other := p
+					other.Host = host
+					other.Start = apart
+					r.Go(func(ctx context.Context) { r.Generate(ctx, p) })
+					r.Go(func(ctx context.Context) { r.Generate(ctx, other) })
+				})
+			})
+		}
+	}
+}
