--- /dev/null
+++ b/cmd/emulator/fleet_test.go
@@ -0,0 +1,213 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/jackdawthread/jackdawthread/commander"
+	"github.com/jackdawthread/jackdawthread/emulator"
+	"github.com/jackdawthread/jackdawthread/loader"
+)
+
+// longStreams is the number of streams that run while a host stops.
+const longStreams = 10
+
+// programVariable names the program that the test binary runs as, when a test
+// starts it as a process.
+const programVariable = "EMULATOR_TEST_PROGRAM"
+
+func TestMain(m *testing.M) {
+	switch os.Getenv(programVariable) {
+	case "emulator":
+		main()
+	case "jackdawthread":
+		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+		code := commander.Main(ctx, os.Args, commander.Streams{Out: os.Stdout, Err: os.Stderr})
+		stop()
+		os.Exit(code)
+	default:
+		os.Exit(m.Run())
+	}
+}
+
+const declarationsFormat = `
+firm = "tamsui"
+[[data-center]]
+name = "tw-1"
+region = "tw-north"
+[[service]]
+name = "desk"
+kind = "model"
+model = "quotes"
+version = "1"
+urgency = "urgent"
+repeatable = true
+first-token = "1.6s"
+between-tokens = "47ms"
+objective = 0.95
+timeout = "20s"
+queue-limit = 200
+floor-share = 0.05
+age-limit = "30s"
+max-prompt-tokens = 4000
+max-output-tokens = 400
+retry = { ratio = 0.5, capacity = 50, max-attempts = 4 }
+[[service]]
+name = "lock"
+kind = "plain"
+urgency = "urgent"
+repeatable = false
+objective = 0.999
+timeout = "5s"
+queue-limit = 100
+[[endpoint]]
+name = "p1"
+service = "desk"
+data-center = "tw-1"
+address = "%s"
+role = "prefill"
+[[endpoint]]
+name = "d1"
+service = "desk"
+data-center = "tw-1"
+address = "%s"
+role = "decode"
+[[endpoint]]
+name = "b1"
+service = "desk"
+data-center = "tw-1"
+address = "%s"
+role = "both"
+[[endpoint]]
+name = "lock-1"
+service = "lock"
+data-center = "tw-1"
+address = "%s"
+slots = 50
+[[link]]
+from = "tw-1"
+to = "tw-1"
+rate = 20000
+[default-customer]
+requests-per-second = 1000
+burst = 1000
+`
+
+// fleet is a whole system of separate processes.
+type fleet struct {
+	t         *testing.T
+	is        *is.I
+	processes map[string]*exec.Cmd
+	engines   map[string]string // addresses
+	lock      string            // address of the plain service
+	urls      []string          // of the entry hosts
+}
+
+// freeAddresses gives addresses that nothing listens on.
+func freeAddresses(t *testing.T, count int) []string {
+	t.Helper()
+	var found []string
+	for range count {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = l.Close() }()
+		found = append(found, l.Addr().String())
+	}
+	return found
+}
+
+func startFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{t: t, is: is.New(t), processes: make(map[string]*exec.Cmd), engines: make(map[string]string)}
+	a := freeAddresses(t, 11)
+	declarations := filepath.Join(t.TempDir(), "fleet.toml")
+	f.is.NoErr(os.WriteFile(declarations, fmt.Appendf(nil, declarationsFormat, a[0], a[1], a[2], a[3]), 0o600))
+	f.lock = a[3]
+	for i, name := range []string{"p1", "d1", "b1"} {
+		f.engines[name] = a[i]
+		role := []string{"prefill", "decode", "both"}[i]
+		f.start(name, "emulator", "engine", "--name", name, "--listen", a[i], "--role", role, "--model", "quotes",
+			"--version", "1", "--data-center", "tw-1", "--tokens-per-piece", "64", "--checks-fence", "--scale", "2")
+	}
+	f.start("lock-1", "emulator", "plain", "--name", "lock-1", "--listen", a[3])
+	f.start("platform", "emulator", "platform", "--listen", a[4], "--declarations", declarations,
+		"--host", "a@tw-1="+a[6], "--host", "b@tw-1="+a[9])
+	for i, name := range []string{"a", "b"} {
+		at := a[5+3*i:]
+		f.start(name, "jackdawthread", "serve", "--set", "host="+name, "--set", "firm=tamsui", "--set", "data-center=tw-1",
+			"--set", "listeners.callers="+at[0], "--set", "listeners.peers="+at[1], "--set", "listeners.operators="+at[2],
+			"--set", "platform.address="+a[4])
+		f.urls = append(f.urls, "http://"+at[0])
+	}
+	f.waitReady()
+	return f
+}
+
+// start runs the test binary as a program; for the emulator it waits until it
+// listens.
+func (f *fleet) start(name, program string, args ...string) {
+	f.t.Helper()
+	c := exec.Command(os.Args[0], args...)
+	c.Env = append(os.Environ(), programVariable+"="+program)
+	out, err := c.StdoutPipe()
+	f.is.NoErr(err)
+	log := new(bytes.Buffer)
+	c.Stderr = log
+	f.is.NoErr(c.Start())
+	f.processes[name] = c
+	f.t.Cleanup(func() {
+		_ = c.Process.Kill() // it may have ended already
+		_ = c.Wait()
+		if f.t.Failed() {
+			f.t.Logf("log of %s:\n%s", name, log)
+		}
+	})
+	if program == "emulator" {
+		lines := bufio.NewScanner(out)
+		for lines.Scan() && !strings.HasPrefix(lines.Text(), "listening") {
+		}
+		f.is.NoErr(lines.Err())
+	}
+}
+
+func (f *fleet) signal(name string, s os.Signal) {
+	f.t.Helper()
+	f.is.NoErr(f.processes[name].Process.Signal(s))
+}
+
+// waitReady waits until each entry host answers a quote.
+func (f *fleet) waitReady() {
+	f.t.Helper()
+	for _, url := range f.urls {
+		c := loader.NewConnectCaller(emulator.NewHTTPClient(), url)
+		k := mix()[0]
+		deadline := time.Now().Add(20 * time.Second)
+		for {
+			ctx, cancel := context.WithTimeout(f.t.Context(), 2*time.Second)
+			_, failure := c.Do(ctx, loader.Call{Kind: &k, Prompt: "ready", MaxTokens: 1}, func(uint32) {})
+			cancel()
+			if failure == nil {
+				break
+			}
+			if time.Now().After(deadline) {
+				f.t.Fatalf("%s is not ready: %+v", url, *failure)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
--- a/loader/caller.go
+++ b/loader/caller.go
@@ -37,6 +37,7 @@
 	verdictNotRun     = "not-run"
 	verdictMayHaveRun = "may-have-run"
 	verdictRan        = "ran"
+	verdictHungUp     = "hung-up"
 )
 
 // Caller makes one call and tells of each message of tokens as it arrives. It
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -59,6 +59,10 @@
 	// Repeats is how often a caller repeats a call that was not run, each
 	// time after the retry-after that it was told.
 	Repeats int
+	// HangUps is the share of calls to model services, between 0 and 1, whose
+	// caller goes away before HangUpWithin has passed.
+	HangUps      float64
+	HangUpWithin time.Duration
 }
 
 // Answers gives what a right answer is.
@@ -75,6 +79,8 @@
 		return errors.New("mix has no kinds of calls")
 	case (s.Rate > 0) == (s.Concurrency > 0):
 		return fmt.Errorf("either rate or concurrency must be above 0, not rate %v and concurrency %d", s.Rate, s.Concurrency)
+	case s.HangUps > 0 && s.HangUpWithin <= 0:
+		return fmt.Errorf("hang-ups need a time above 0, not %s", s.HangUpWithin)
 	case s.Duration <= s.Warmup:
 		return fmt.Errorf("duration %s is not longer than the warm-up %s", s.Duration, s.Warmup)
 	}
@@ -165,6 +171,10 @@
 // do makes one call, repeats it while it may, and enters the outcome.
 func (r *run) do(ctx context.Context, c Call) {
 	jitter := rand.New(rand.NewPCG(r.settings.Seed, c.Index))
+	if !c.Kind.Plain && jitter.Float64() < r.settings.HangUps {
+		r.hangUp(ctx, c, time.Duration(jitter.Float64()*float64(r.settings.HangUpWithin)))
+		return
+	}
 	o := r.attempt(ctx, c)
 	for n := 0; n < r.settings.Repeats && o.mayRepeat(); n++ {
 		wait := time.Duration(float64(o.failure.RetryAfter) * (1 + jitter.Float64()/2))
@@ -179,6 +189,20 @@
 	}
 }
 
+// hangUp makes a call whose caller goes away after a while. What it got until
+// then is of no interest, unless the answer was whole.
+func (r *run) hangUp(ctx context.Context, c Call, after time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, after)
+	defer cancel()
+	o := r.attempt(ctx, c)
+	if o.failure != nil {
+		o.failure = &Failure{Verdict: verdictHungUp}
+	}
+	if r.reported(c) {
+		r.tally.enter(o)
+	}
+}
+
 func (r *run) attempt(ctx context.Context, c Call) *outcome {
 	ctx, cancel := context.WithTimeout(ctx, c.Kind.Deadline)
 	defer cancel()
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -109,6 +109,16 @@
 		is.Equal(k.Reasons["queue-full"], k.Sent)
 		is.Equal(runFake(t, s, refuse(verdictMayHaveRun)).Kinds[0].Repeats, 0)
 	})
+	t.Run("callers hang up as often as told", func(t *testing.T) {
+		is := is.New(t)
+		s := quotesAt(20)
+		s.HangUps, s.HangUpWithin = 0.3, time.Second
+		k := runFake(t, s, &fakeSystem{first: 2 * time.Second}).Kinds[0]
+		share := float64(k.Verdicts[verdictHungUp]) / float64(k.Sent)
+		is.True(share > 0.25 && share < 0.35)
+		is.Equal(k.Verdicts[verdictHungUp]+k.Verdicts[verdictAnswered], k.Sent)
+		is.Equal(len(k.Reasons), 0)
+	})
 	t.Run("concurrency holds so many calls under way", func(t *testing.T) {
 		is := is.New(t)
 		s := Settings{Mix: TamsuiMix()[:1], Concurrency: 4, Duration: 100 * time.Second}
--- a/loader/report.go
+++ b/loader/report.go
@@ -34,7 +34,8 @@
 	Skipped int `json:"skipped"`
 	// Repeats that callers made after a call was not run.
 	Repeats int `json:"repeats"`
-	// Verdicts counts calls by "answered", "not-run", "may-have-run", "ran".
+	// Verdicts counts calls by "answered", "not-run", "may-have-run", "ran"
+	// and "hung-up" for those whose caller went away.
 	Verdicts map[string]int `json:"verdicts"`
 	// Reasons counts the failures by reason.
 	Reasons map[string]int `json:"reasons,omitempty"`
--- a/loader/tally.go
+++ b/loader/tally.go
@@ -148,6 +148,9 @@
 	n.repeats += o.repeats
 	n.tokens += uint64(o.tokens)
 	n.verdicts[o.verdict()]++
+	if o.verdict() == verdictHungUp {
+		return
+	}
 	if o.failure != nil {
 		n.reasons[o.failure.Reason]++
 		if len(n.messages) < maxMessages {
