Refuse writes on a connection that was reset; make no timer that is due

Cause: a write on a closed connection was queued as often as refused, so the test of resets failed at random. Under the race detector every test of the whole system in virtual time ended in a failed check of the detector itself: in Go 1.26.8 goroutines of a synctest bubble that select on timers which are due share one of its contexts. Change: put looks at closed first; hold makes a timer for times to come only. Conclusion: both are mended; a timer of zero length anywhere else in a bubble may bring the detector's failure back.

--- a/faulter/conn.go
+++ b/faulter/conn.go
@@ -66,6 +66,9 @@
 
 // put queues a chunk; false: the connection was closed.
 func (c *conn) put(l *lane, data []byte, err error) bool {
+	if c.closedError() != nil {
+		return false
+	}
 	k := chunk{data: data, err: err, due: time.Now().Add(c.network.delay(l.from, l.to))}
 	select {
 	case l.chunks <- k:
@@ -78,14 +81,8 @@
 // hold waits until the chunk may arrive. Its error says that ctx or the
 // connection ended first.
 func (c *conn) hold(ctx context.Context, l *lane, k chunk) error {
-	alarm := time.NewTimer(time.Until(k.due))
-	defer alarm.Stop()
-	select {
-	case <-alarm.C:
-	case <-c.closed:
-		return net.ErrClosed
-	case <-ctx.Done():
-		return os.ErrDeadlineExceeded
+	if err := c.waitUntil(ctx, k.due); err != nil {
+		return err
 	}
 	for {
 		blocked, changed := c.network.blocked(l.from, l.to)
@@ -102,6 +99,36 @@
 	}
 }
 
+// waitUntil waits until due. It makes no timer for a time that has come: with
+// virtual time the race detector of Go 1.26 fails when several goroutines
+// select on timers that are due.
+func (c *conn) waitUntil(ctx context.Context, due time.Time) error {
+	wait := time.Until(due)
+	if wait <= 0 {
+		return c.closedError()
+	}
+	alarm := time.NewTimer(wait)
+	defer alarm.Stop()
+	select {
+	case <-alarm.C:
+		return nil
+	case <-c.closed:
+		return net.ErrClosed
+	case <-ctx.Done():
+		return os.ErrDeadlineExceeded
+	}
+}
+
+// closedError gives net.ErrClosed for a closed connection, or nil.
+func (c *conn) closedError() error {
+	select {
+	case <-c.closed:
+		return net.ErrClosed
+	default:
+		return nil
+	}
+}
+
 func (c *conn) pumpOut(ctx context.Context) {
 	defer func() { _ = c.Close() }()
 	for {
