Test the gossiper's shell on virtual time; measure real hosts and a mesh

Change: five hosts joined by pipes in virtual time join, mark, detect and restart within bounds of a few seconds. BenchmarkHosts runs real hosts over loopback. The measuring command compares probes along rings with probes of everyone by everyone.

--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -20,8 +21,9 @@
 // process is a gossiper with its messenger on loopback.
 type process struct {
 	*gossiper.Gossiper
-	self  gossiper.Member
-	group *grouper.Group
+	self      gossiper.Member
+	group     *grouper.Group
+	sentBytes func() uint64
 }
 
 // fast makes membership act within a test's patience.
@@ -33,7 +35,7 @@
 	SeedPeriod:       100 * time.Millisecond,
 }
 
-func startProcess(t *testing.T, name identifier.Host, seeds ...identifier.Address) *process {
+func startProcess(t testing.TB, name identifier.Host, o gossiper.Options, seeds ...identifier.Address) *process {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -48,7 +50,8 @@
 	}
 	peer := messenger.Peer{Host: name, Incarnation: p.self.Incarnation, DataCenter: p.self.DataCenter}
 	m := messenger.New(peer, messenger.Options{}, p.group)
-	p.Gossiper = gossiper.New(p.self, fast, m, timer.New(p.group), p.group)
+	p.sentBytes = m.SentBytes
+	p.Gossiper = gossiper.New(p.self, o, m, timer.New(p.group), p.group)
 	m.Serve(ln)
 	p.Seed(seeds)
 	t.Cleanup(p.stop)
@@ -82,7 +85,7 @@
 		var all []*process
 		var seed []identifier.Address
 		for i := range 4 {
-			p := startProcess(t, identifier.Host(fmt.Sprintf("entry-%d", i)), seed...)
+			p := startProcess(t, identifier.Host(fmt.Sprintf("entry-%d", i)), fast, seed...)
 			seed = []identifier.Address{p.self.Address}
 			all = append(all, p)
 		}
@@ -109,3 +112,58 @@
 		})
 	})
 }
+
+// BenchmarkHosts runs hosts with the default options over loopback for some
+// seconds, each publishing a digest once a second, and gives what one costs.
+func BenchmarkHosts(b *testing.B) {
+	for _, hosts := range []int{9, 50} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			var all []*process
+			for i := range hosts {
+				seeds := []identifier.Address{}
+				if i > 0 {
+					seeds = append(seeds, all[0].self.Address)
+				}
+				all = append(all, startProcess(b, identifier.Host(fmt.Sprintf("entry-%d", i)), gossiper.Options{}, seeds...))
+			}
+			for _, p := range all {
+				p.Publish(gossiper.Payload{Revision: 1, Readiness: gossiper.ReadinessReady})
+			}
+			time.Sleep(20 * time.Second) // until the news of the start has passed
+			for b.Loop() {
+				benchmarkHosts(b, all)
+			}
+		})
+	}
+}
+
+func benchmarkHosts(b *testing.B, all []*process) {
+	const seconds = 10
+	startProcessor, startBytes := processorTime(b), allBytes(all)
+	for i := range seconds {
+		for _, p := range all {
+			p.Publish(gossiper.Payload{Revision: 1, Readiness: gossiper.ReadinessReady, Digest: fmt.Appendf(nil, "%40d", i)})
+		}
+		time.Sleep(time.Second)
+	}
+	perHost := float64(seconds * len(all))
+	b.ReportMetric(float64((processorTime(b)-startProcessor).Microseconds())/perHost, "us-processor/s/host")
+	b.ReportMetric(float64(allBytes(all)-startBytes)/perHost, "sent-bytes/s/host")
+}
+
+func allBytes(all []*process) (sum uint64) {
+	for _, p := range all {
+		sum += p.sentBytes()
+	}
+	return sum
+}
+
+// processorTime gives what this process has used so far.
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- /dev/null
+++ b/gossiper/virtual_test.go
@@ -0,0 +1,148 @@
+package gossiper_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/jackdawthread/jackdawthread/common/grouper"
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/gossiper"
+	"github.com/jackdawthread/jackdawthread/messenger"
+	"github.com/jackdawthread/jackdawthread/timer"
+)
+
+// pipes joins hosts by net.Pipe, which virtual time can wait for.
+type pipes struct {
+	mu        sync.Mutex
+	listeners map[identifier.Address]*pipeListener
+}
+
+type pipeListener struct {
+	address string
+	conns   chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return pipeAddress(l.address) }
+
+type pipeAddress string
+
+func (a pipeAddress) Network() string { return "pipe" }
+func (a pipeAddress) String() string  { return string(a) }
+
+func (p *pipes) listen(address identifier.Address) net.Listener {
+	l := &pipeListener{address: string(address), conns: make(chan net.Conn), closed: make(chan struct{})}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listeners[address] = l
+	return l
+}
+
+func (p *pipes) dial(ctx context.Context, to identifier.Address) (net.Conn, error) {
+	p.mu.Lock()
+	l := p.listeners[to]
+	p.mu.Unlock()
+	if l == nil {
+		return nil, errors.New("connection refused")
+	}
+	ours, theirs := net.Pipe()
+	select {
+	case l.conns <- theirs:
+		return ours, nil
+	case <-l.closed:
+		return nil, errors.New("connection refused")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// start gives a host with the default options.
+func (p *pipes) start(i int, seeds ...identifier.Address) *process {
+	address := identifier.Address(fmt.Sprintf("10.0.0.%d:7400", i))
+	h := &process{group: grouper.New(context.Background())}
+	h.self = gossiper.Member{
+		Host:        identifier.Host(fmt.Sprintf("entry-%d", i)),
+		Incarnation: identifier.NewIncarnation(),
+		DataCenter:  "tw-north-1",
+		Address:     address,
+	}
+	peer := messenger.Peer{Host: h.self.Host, Incarnation: h.self.Incarnation, DataCenter: h.self.DataCenter}
+	m := messenger.New(peer, messenger.Options{Dial: p.dial}, h.group)
+	h.Gossiper = gossiper.New(h.self, gossiper.Options{}, m, timer.New(h.group), h.group)
+	m.Serve(p.listen(address))
+	h.Seed(seeds)
+	return h
+}
+
+// Bounds of the targets: a few seconds for all that must reach everyone.
+const (
+	joinBound   = 5 * time.Second
+	markBound   = 2 * time.Second
+	detectBound = 8 * time.Second
+)
+
+func TestVirtualTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := &pipes{listeners: map[identifier.Address]*pipeListener{}}
+		var all []*process
+		for i := range 5 {
+			all = append(all, p.start(i, "10.0.0.0:7400"))
+		}
+		time.Sleep(joinBound)
+		for _, h := range all {
+			is.Equal(len(h.View().Live("tw-north-1")), 5)
+		}
+
+		all[3].MarkLeaving("engine-1", 4)
+		time.Sleep(markBound)
+		for _, h := range all {
+			is.True(h.View().Leaving("engine-1"))
+		}
+
+		calls := 0
+		all[0].Subscribe(func(v *gossiper.View) { calls += len(v.Members()) })
+		all[4].stop()
+		time.Sleep(detectBound)
+		for _, h := range all[:4] {
+			is.Equal(len(h.View().Live("tw-north-1")), 4)
+			is.Equal(h.Stats().Died, uint64(1))
+		}
+		synctest.Wait()
+		is.True(calls > 0)
+
+		again := p.start(4, "10.0.0.1:7400")
+		time.Sleep(joinBound)
+		is.Equal(len(again.View().Live("tw-north-1")), 5)
+		is.True(again.View().Leaving("engine-1"))
+		n, ok := all[0].View().ByIncarnation(all[4].self.Incarnation)
+		is.True(ok)
+		is.Equal(n.State, gossiper.StateDead)
+		for _, h := range append(all[:4], again) {
+			h.stop()
+		}
+	})
+}
--- a/measurer/membership.go
+++ b/measurer/membership.go
@@ -5,6 +5,8 @@
 	"io"
 	"slices"
 	"time"
+
+	"github.com/jackdawthread/jackdawthread/gossiper"
 )
 
 // MembershipConfig says what Membership measures.
@@ -53,6 +55,10 @@
 	if hosts <= maxComparedHosts {
 		times("cut healed, until all views agree:", func(s uint64) float64 { return measureCut(hosts, s) })
 	}
+	if hosts <= maxComparedHosts {
+		mesh := load{options: gossiper.Options{Monitors: hosts, Probes: hosts}}
+		rows = append(rows, costRows("calm, each host probes all of its data center", hosts, seeds, mesh)[0])
+	}
 	for _, l := range []struct {
 		name string
 		load load
--- a/measurer/scenarios.go
+++ b/measurer/scenarios.go
@@ -22,8 +22,8 @@
 const digestSize = 40
 
 // newSettledFleet gives a fleet whose hosts know each other and are calm.
-func newSettledFleet(hosts int, seed uint64) *Fleet {
-	f := NewFleet(FleetConfig{Hosts: hosts, DataCenters: dataCenters, Seed: seed})
+func newSettledFleet(hosts int, seed uint64, o gossiper.Options) *Fleet {
+	f := NewFleet(FleetConfig{Hosts: hosts, DataCenters: dataCenters, Seed: seed, Options: o})
 	for i := range hosts {
 		f.Do(i, gossiper.Published{Payload: gossiper.Payload{Revision: 1, Readiness: gossiper.ReadinessReady}})
 	}
@@ -58,7 +58,7 @@
 // detect measures how long after the end of a host all others of its data
 // center have it as not live, in seconds.
 func detect(hosts int, seed uint64, end func(*Fleet, int)) float64 {
-	f := newSettledFleet(hosts, seed)
+	f := newSettledFleet(hosts, seed, gossiper.Options{})
 	f.Run(time.Duration(f.random.Int64N(int64(time.Second))))
 	i := f.random.IntN(hosts)
 	left := map[int]bool{}
@@ -80,7 +80,7 @@
 // spreadMark measures how long a leaving mark takes to reach all hosts of all
 // data centers, in seconds.
 func spreadMark(hosts int, seed uint64) float64 {
-	f := newSettledFleet(hosts, seed)
+	f := newSettledFleet(hosts, seed, gossiper.Options{})
 	f.Run(time.Duration(f.random.Int64N(int64(time.Second))))
 	const endpoint = identifier.Endpoint("note-writer-04")
 	f.Do(f.random.IntN(hosts), gossiper.Marked{Endpoint: endpoint, Mark: gossiper.Mark{Revision: 7, Leaving: true}})
@@ -103,6 +103,8 @@
 	change time.Duration
 	// restart is the time between restarts of hosts; 0: none.
 	restart time.Duration
+	// options of the machines; zero: the defaults.
+	options gossiper.Options
 }
 
 // cost is what membership costs a host.
@@ -116,7 +118,7 @@
 
 // measureCost runs a fleet under a load.
 func measureCost(hosts int, seed uint64, l load) cost {
-	f := newSettledFleet(hosts, seed)
+	f := newSettledFleet(hosts, seed, l.options)
 	f.runLoad(l, settleTime)
 	before := append([]Traffic(nil), f.traffic...)
 	start := time.Now()
@@ -194,7 +196,7 @@
 
 // measurePause freezes one host for d.
 func measurePause(hosts int, seed uint64, d time.Duration) pause {
-	f := newSettledFleet(hosts, seed)
+	f := newSettledFleet(hosts, seed, gossiper.Options{})
 	f.Run(time.Duration(f.random.Int64N(int64(time.Second))))
 	i := f.random.IntN(hosts)
 	var p pause
@@ -230,7 +232,7 @@
 // a minute, with leaving marks set on both sides, and measures how long after
 // it heals all views agree, in seconds.
 func measureCut(hosts int, seed uint64) float64 {
-	f := newSettledFleet(hosts, seed)
+	f := newSettledFleet(hosts, seed, gossiper.Options{})
 	side := func(i int) bool { return i%dataCenters == 0 && i/dataCenters%2 == 0 }
 	f.Cut(func(from, to int) bool { return side(from) != side(to) })
 	f.Run(settleTime)
