--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -48,6 +48,14 @@
 	is.Equal(s.Seeds, []identifier.Address{"127.0.0.1:5", "127.0.0.1:6"})
 }
 
+func TestExample(t *testing.T) {
+	is := is.New(t)
+	s, err := settings.Load("../examples/entry-host.toml", nil, nil)
+	is.NoErr(err)
+	is.Equal(s.Host, identifier.Host("tw-north-1-a"))
+	is.Equal(s.Limits, settings.Default().Limits)
+}
+
 func TestFaults(t *testing.T) {
 	assertFaults := func(t *testing.T, source string, environ []string, flags []decoder.Override, expected string) {
 		t.Helper()
