Keep a broken stream's memory for a minute, so that the system has to free it

Cause: engines freed a broken stream's memory after 2 s by themselves, sooner than any bound a test gives the system; such a test showed little. Change: the default grace is a minute; flags set it and the time for which an import is kept; the process tests set both to two hours.

--- a/cmd/emulator/engine.go
+++ b/cmd/emulator/engine.go
@@ -47,6 +47,8 @@
 		&cli.DurationFlag{Name: "step-per-request", Usage: "time that each request adds to a decode step"},
 		&cli.Float64Flag{Name: "prefill-rate", Usage: "prefill tokens a second"},
 		&cli.DurationFlag{Name: "result-keep", Usage: "time that a prefill's result is kept"},
+		&cli.DurationFlag{Name: "import-keep", Usage: "time that an import waits for its decode stream"},
+		&cli.DurationFlag{Name: "stream-grace", Usage: "time that memory is kept after a decode stream broke"},
 		&cli.BoolFlag{Name: "exact", Usage: "no lag of load reports and cache events, no loss of events"},
 	}
 }
@@ -61,6 +63,8 @@
 	override(&s.StepPerRequest, c.Duration("step-per-request"))
 	override(&s.PrefillRate, c.Float64("prefill-rate"))
 	override(&s.ResultKeep, c.Duration("result-keep"))
+	override(&s.ImportKeep, c.Duration("import-keep"))
+	override(&s.StreamGrace, c.Duration("stream-grace"))
 	return s
 }
 
--- a/cmd/emulator/fleet_test.go
+++ b/cmd/emulator/fleet_test.go
@@ -142,7 +142,8 @@
 		f.engines[name] = a[i]
 		role := []string{"prefill", "decode", "both"}[i]
 		f.start(name, "emulator", "engine", "--name", name, "--listen", a[i], "--role", role, "--model", "quotes",
-			"--version", "1", "--data-center", "tw-1", "--tokens-per-piece", "64", "--checks-fence", "--scale", "2")
+			"--version", "1", "--data-center", "tw-1", "--tokens-per-piece", "64", "--checks-fence", "--scale", "2",
+			"--import-keep", "2h", "--stream-grace", "2h") // only the system frees memory
 	}
 	f.start("lock-1", "emulator", "plain", "--name", "lock-1", "--listen", a[3])
 	f.start("platform", "emulator", "platform", "--listen", a[4], "--declarations", declarations,
--- a/emulator/settings.go
+++ b/emulator/settings.go
@@ -69,7 +69,7 @@
 		ChunkTokens:    128,
 		ResultKeep:     800 * time.Millisecond,
 		ImportKeep:     2 * time.Second,
-		StreamGrace:    2 * time.Second,
+		StreamGrace:    time.Minute,
 		CacheBlocks:    512,
 		LoadTime:       2 * time.Second,
 		Scale:          1,
