--- a/faulter/conn.go
+++ b/faulter/conn.go
@@ -71,6 +71,11 @@
 	}
 	k := chunk{data: data, err: err, due: time.Now().Add(c.network.delay(l.from, l.to))}
 	select {
+	case <-c.closed:
+		return false // also where the lane has room
+	default:
+	}
+	select {
 	case l.chunks <- k:
 		return true
 	case <-c.closed:
