Cancel an orphan only where its home is dead or disowns it

An allocator takes attempts for orphans whose home doesn't renew with it. Homes renew with the pool's owner, so that an allocator which had lost the pool (kept for 30 s), or one that a home ran while it could not reach the owner, saw only orphans. Ruled out: the locator (no request was taken over) and the engines' own expiry (the error names a cancel). Change: only the pool's present owner cancels; it asks a live home first whether it leads the attempt, and waits for the membership's verdict on a home that doesn't answer. A home binds its grant at the allocator that gave it.

--- a/coordinator/bind.go
+++ b/coordinator/bind.go
@@ -8,6 +8,7 @@
 	"github.com/jackdawthread/jackdawthread/allocator"
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/gossiper"
 	"github.com/jackdawthread/jackdawthread/messenger"
 	"github.com/jackdawthread/jackdawthread/peerwire"
 )
@@ -31,17 +32,20 @@
 	return nil
 }
 
+// bound asks the allocator that gave the grant, or the one that took its pool
+// over.
 func (c *Coordinator) bound(ctx context.Context, g *Grant) (allocator.Bound, error) {
-	if p := c.ownPool(g.Key); p != nil {
+	p := c.ownPool(g.Key)
+	if p != nil && (g.by == c.deps.Self || c.owns(g.Key)) {
 		return p.bind(ctx, g.Attempt)
 	}
-	owner, ok := c.owner(g.Key)
+	at, ok := c.grantor(g)
 	if !ok {
 		return allocator.Bound{}, movedError(g.Key)
 	}
 	message := peerwire.Bind{Pool: encodeKey(g.Key), Attempt: encodeAttempt(g.Attempt)}
 	var answer peerwire.Bound
-	if err := c.deps.Links.Call(ctx, owner.Address, peerwire.KindBind, &message, &answer); err != nil {
+	if err := c.deps.Links.Call(ctx, at.Address, peerwire.KindBind, &message, &answer); err != nil {
 		return allocator.Bound{}, err
 	}
 	return allocator.Bound{
@@ -51,6 +55,16 @@
 	}, nil
 }
 
+// grantor gives the host that gave the grant while it lives, else the pool's
+// owner.
+func (c *Coordinator) grantor(g *Grant) (gossiper.Member, bool) {
+	m, ok := c.deps.Members.View().ByIncarnation(g.by)
+	if ok && m.State != gossiper.StateDead && g.by != c.deps.Self {
+		return m, true
+	}
+	return c.owner(g.Key)
+}
+
 func (c *Coordinator) handleBind(ctx context.Context, _ messenger.Peer, payload []byte) (msgp.Marshaler, error) {
 	var m peerwire.Bind
 	if err := decode(&m, payload); err != nil {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -59,6 +59,8 @@
 	Wait   time.Duration
 	Pieces identifier.Pieces
 
+	// by is the host whose allocator gave the grant.
+	by    identifier.Incarnation
 	ask   allocator.Ask
 	phase allocator.Phase
 }
--- a/coordinator/handlers.go
+++ b/coordinator/handlers.go
@@ -18,6 +18,7 @@
 	r.Handle(peerwire.KindRelease, c.handleRelease)
 	r.Handle(peerwire.KindRenew, c.handleRenew)
 	r.Handle(peerwire.KindGrants, c.handleGrants)
+	r.Handle(peerwire.KindHolds, c.handleHolds)
 }
 
 func (c *Coordinator) handleAsk(ctx context.Context, _ messenger.Peer, payload []byte) (msgp.Marshaler, error) {
--- a/coordinator/home.go
+++ b/coordinator/home.go
@@ -125,7 +125,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return c.grant(k, a, granted)
+	return c.grant(k, c.deps.Self, a, granted)
 }
 
 func (c *Coordinator) askThere(ctx context.Context, owner gossiper.Member, k Key, a Ask) (*Grant, error) {
@@ -136,7 +136,7 @@
 		c.withdraw(owner, k, a.Attempt)
 		return nil, askFailure(err)
 	}
-	return c.grant(k, a, decodeAnswer(a.Attempt, &answer))
+	return c.grant(k, owner.Incarnation, a, decodeAnswer(a.Attempt, &answer))
 }
 
 // withdraw tells the allocator to forget an ask whose answer was lost.
@@ -164,8 +164,8 @@
 	return ""
 }
 
-// grant resolves the names in the allocator's answer.
-func (c *Coordinator) grant(k Key, a Ask, granted allocator.Granted) (*Grant, error) {
+// grant resolves the names in the answer of the allocator at host by.
+func (c *Coordinator) grant(k Key, by identifier.Incarnation, a Ask, granted allocator.Granted) (*Grant, error) {
 	f := c.deps.Fleet()
 	g := &Grant{
 		Key:     k,
@@ -174,6 +174,7 @@
 		Decode:  f.Endpoints[granted.Decode],
 		Wait:    granted.Wait,
 		Pieces:  granted.Pieces,
+		by:      by,
 		ask:     a.Ask,
 		phase:   allocator.PhaseGranted,
 	}
--- a/coordinator/leases.go
+++ b/coordinator/leases.go
@@ -53,6 +53,18 @@
 	g.Pieces = pieces
 }
 
+// has tells whether any of the grants is the attempt's.
+func (h *heldGrants) has(a identifier.Attempt) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, grants := range h.grants {
+		if _, ok := grants[a]; ok {
+			return true
+		}
+	}
+	return false
+}
+
 // keys gives the pools in which grants are or were held.
 func (h *heldGrants) keys() []Key {
 	h.mu.Lock()
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -20,7 +20,7 @@
 	if f == nil || f.Services[k.Service] == nil || f.Services[k.Service].Kind != compiler.KindModel {
 		return nil, classifier.NotRun(classifier.ReasonUnknownService, 0, "model service %q is not declared", k.Service)
 	}
-	p := newPool(k, &c.deps, f)
+	p := newPool(k, &c.deps, &orphans{coordinator: c, key: k}, f)
 	for _, e := range f.Services[k.Service].Endpoints {
 		if c.deps.Members.View().Leaving(e.Name) {
 			p.setLeaving(e.Name)
--- a/coordinator/pool.go
+++ b/coordinator/pool.go
@@ -6,15 +6,11 @@
 	"sync"
 	"time"
 
-	"connectrpc.com/connect"
-	"go.uber.org/zap"
-
 	"github.com/jackdawthread/jackdawthread/allocator"
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/compiler"
 	"github.com/jackdawthread/jackdawthread/timer"
-	"github.com/jackdawthread/jackdawthread/wire/enginewire"
 )
 
 // verdictOnAsk is what an allocator answers to one ask.
@@ -26,8 +22,9 @@
 // pool runs the allocator of one pool on this host: it feeds it events, does
 // its actions and probes its endpoints.
 type pool struct {
-	key  Key
-	deps *Deps
+	key     Key
+	deps    *Deps
+	orphans *orphans
 
 	mu        sync.Mutex
 	decisions *allocator.Pool
@@ -40,12 +37,13 @@
 	closed    bool
 }
 
-func newPool(k Key, d *Deps, f *compiler.Fleet) *pool {
+func newPool(k Key, d *Deps, o *orphans, f *compiler.Fleet) *pool {
 	options := allocator.Options{Firm: f.Firm, Contracts: f.Contracts, Lease: d.Options.Lease, LateBinding: true}
 	seed := d.Options.Seed ^ k.Hash() ^ uint64(d.Self)
 	p := &pool{
 		key:       k,
 		deps:      d,
+		orphans:   o,
 		decisions: allocator.New(f.Services[k.Service], k.DataCenter, f.Links, options, seed),
 		waiting:   make(map[identifier.Attempt]chan verdictOnAsk),
 		bindings:  make(map[identifier.Attempt]chan allocator.Bound),
@@ -184,7 +182,7 @@
 		case allocator.Refused:
 			p.answer(a.Attempt, verdictOnAsk{err: p.refusal(a)})
 		case allocator.CancelAt:
-			p.cancelAt(a)
+			p.deps.Group.Run(func(ctx context.Context) { p.orphans.cancel(ctx, a) })
 		case allocator.AskList:
 			// The home learns of it with the answer to its renewal.
 		}
@@ -207,25 +205,6 @@
 	return classifier.NotRun(r.Reason, r.RetryAfter, "service %q in data center %q takes no more requests", p.key.Service, p.key.DataCenter)
 }
 
-func (p *pool) cancelAt(a allocator.CancelAt) {
-	e, ok := p.deps.Fleet().Endpoints[a.Endpoint]
-	if !ok {
-		return
-	}
-	p.deps.Log.Info("orphan-canceled",
-		zap.String("endpoint", string(a.Endpoint)),
-		zap.Stringer("attempt", a.Attempt))
-	p.deps.Group.Run(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, p.deps.Options.ProbeTimeout)
-		defer cancel()
-		request := &enginewire.CancelRequest{
-			Attempt: &enginewire.Attempt{Incarnation: uint64(a.Attempt.Incarnation), Sequence: a.Attempt.Sequence},
-		}
-		// The next load report brings the action again if this fails.
-		_, _ = p.deps.Engines.Engine(e.Address).Cancel(ctx, connect.NewRequest(request))
-	})
-}
-
 // schedule sets the alarm for the allocator's next due time; p.mu is held.
 func (p *pool) schedule() {
 	due := p.decisions.Due()
--- a/peerwire/allocation.go
+++ b/peerwire/allocation.go
@@ -104,3 +104,13 @@
 
 // Nothing is the answer of a message that has none.
 type Nothing struct{}
+
+// Holds asks a home whether it still leads an attempt.
+type Holds struct {
+	Attempt Attempt `msg:"a"`
+}
+
+// Held answers a Holds.
+type Held struct {
+	Holds bool `msg:"h"`
+}
--- a/peerwire/allocation_gen.go
+++ b/peerwire/allocation_gen.go
@@ -1542,6 +1542,109 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Held) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "h":
+			z.Holds, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Holds")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Held) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "h"
+	err = en.Append(0x81, 0xa1, 0x68)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Holds)
+	if err != nil {
+		err = msgp.WrapError(err, "Holds")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Held) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "h"
+	o = append(o, 0x81, 0xa1, 0x68)
+	o = msgp.AppendBool(o, z.Holds)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Held) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "h":
+			z.Holds, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Holds")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Held) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *HeldGrant) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -1925,6 +2028,189 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Holds) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			var zb0002 uint32
+			zb0002, err = dc.ReadMapHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Attempt")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, err = dc.ReadMapKeyPtr()
+				if err != nil {
+					err = msgp.WrapError(err, "Attempt")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "i":
+					z.Attempt.Incarnation, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "Attempt", "Incarnation")
+						return
+					}
+				case "s":
+					z.Attempt.Sequence, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "Attempt", "Sequence")
+						return
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "Attempt")
+						return
+					}
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Holds) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "a"
+	err = en.Append(0x81, 0xa1, 0x61)
+	if err != nil {
+		return
+	}
+	// map header, size 2
+	// write "i"
+	err = en.Append(0x82, 0xa1, 0x69)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Attempt.Incarnation)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt", "Incarnation")
+		return
+	}
+	// write "s"
+	err = en.Append(0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Attempt.Sequence)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt", "Sequence")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Holds) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "a"
+	o = append(o, 0x81, 0xa1, 0x61)
+	// map header, size 2
+	// string "i"
+	o = append(o, 0x82, 0xa1, 0x69)
+	o = msgp.AppendUint64(o, z.Attempt.Incarnation)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendUint64(o, z.Attempt.Sequence)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Holds) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Attempt")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Attempt")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "i":
+					z.Attempt.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Attempt", "Incarnation")
+						return
+					}
+				case "s":
+					z.Attempt.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Attempt", "Sequence")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Attempt")
+						return
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Holds) Msgsize() (s int) {
+	s = 1 + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Nothing) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
--- a/peerwire/kinds.go
+++ b/peerwire/kinds.go
@@ -52,4 +52,6 @@
 	KindSync
 	// KindBind asks an allocator for the decode engine of a granted attempt.
 	KindBind
+	// KindHolds asks a home whether it still leads an attempt.
+	KindHolds
 )
