Announce new revisions at once in large fleets; forget unused links

Cause: beyond 64 hosts a revision waited for the next digest, minutes at the full size, although hosts learn from views that a peer has a newer one; links to addresses of replaced hosts were kept for good. Change: the first host that has a revision tells it at once, the others with their digests; links without a connection are forgotten after a minute. Stats of the messenger. Shown to fail on a changed copy: both, with the announcement and with the forgetting switched off. Limit: in a large fleet the revisions of another data center's hosts, but for the first one, show only after a comparison that finds other differences.

--- a/gossiper/machine_test.go
+++ b/gossiper/machine_test.go
@@ -285,6 +285,40 @@
 	})
 }
 
+func TestRevision(t *testing.T) {
+	const hosts = 90 // beyond Options.SmallFleet
+	publish := func(f *measurer.Fleet, i int, r identifier.Revision) {
+		f.Do(i, gossiper.Published{Payload: gossiper.Payload{Revision: r, Readiness: gossiper.ReadinessReady}})
+	}
+	newest := func(v *gossiper.View) (newest identifier.Revision, holders int) {
+		for _, n := range v.Members() {
+			if n.Revision > newest {
+				newest, holders = n.Revision, 0
+			}
+			if n.Revision == newest {
+				holders++
+			}
+		}
+		return newest, holders
+	}
+	is := is.New(t)
+	f := measurer.NewFleet(measurer.FleetConfig{Hosts: hosts, DataCenters: 3, Seed: 1})
+	for i := range hosts {
+		publish(f, i, 1)
+	}
+	f.Run(2 * time.Minute)
+	publish(f, 7, 2)
+	f.Run(2 * time.Second)
+	for i := range hosts {
+		r, _ := newest(f.View(i))
+		is.Equal(r, identifier.Revision(2)) // all know that one host has it
+		publish(f, i, 2)
+	}
+	f.Run(5 * time.Minute)
+	_, holders := newest(f.View(0))
+	is.True(holders >= hosts/3) // all of the data center, by their digests
+}
+
 func TestSameName(t *testing.T) {
 	rival := peerwire.Update{
 		Host: "self", Incarnation: 2, Started: 2000, Address: "10.0.0.98:7400", DataCenter: "tw-north-1",
--- a/gossiper/merge.go
+++ b/gossiper/merge.go
@@ -180,13 +180,14 @@
 }
 
 // publish takes in what this host publishes. A changed readiness is urgent, and
-// so is a changed revision in a small fleet. In a larger one, all of whose
-// hosts change their revisions at about the same time, it goes with the next
-// digest.
+// so is a changed revision in a small fleet, or one that this host is the first
+// to have. In a larger fleet all others change to it at about the same time,
+// and say so with their next digests.
 func (m *Machine) publish(p Payload) {
 	s := m.self
 	revised := s.Revision != p.Revision
-	urgent := s.Readiness != uint8(p.Readiness) || revised && m.smallFleet()
+	first := p.Revision > m.newestRevision()
+	urgent := s.Readiness != uint8(p.Readiness) || revised && (first || m.smallFleet())
 	s.Revision, s.Readiness = p.Revision, uint8(p.Readiness)
 	if urgent {
 		s.Version++
@@ -200,6 +201,15 @@
 	}
 }
 
+// newestRevision gives the newest revision that any host has in force.
+func (m *Machine) newestRevision() identifier.Revision {
+	newest := identifier.Revision(0)
+	for _, r := range m.order {
+		newest = max(newest, r.Revision)
+	}
+	return newest
+}
+
 func (m *Machine) smallFleet() bool {
 	return len(m.order) <= m.options.SmallFleet
 }
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -24,6 +24,8 @@
 	failure  error         // of the last dial
 	failures int           // in a row
 	retryAt  time.Time
+	// dialledAt is when the last dial ended.
+	dialledAt time.Time
 }
 
 // connection gives an open connection and dials when there is none. Its error
@@ -71,12 +73,26 @@
 	return classifier.NotRun(classifier.ReasonHostUnreachable, retryAfter, "address %s: %w", l.address, l.failure)
 }
 
+// linkRetention is how long a link without a connection is kept.
+const linkRetention = time.Minute
+
+// forgotten tells whether the link is of no more use.
+func (l *link) forgotten(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.current.Load()
+	open := c != nil && c.ctx.Err() == nil
+	return !open && l.dialling == nil && now.Sub(l.dialledAt) > linkRetention
+}
+
 func (l *link) redial(ctx context.Context, done chan struct{}) {
 	c, err := l.open(ctx)
+	l.messenger.counters.dials.Add(1)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	defer close(done)
 	l.dialling = nil
+	l.dialledAt = time.Now()
 	if err != nil {
 		l.backOff(err)
 		return
@@ -88,6 +104,7 @@
 }
 
 func (l *link) backOff(err error) {
+	l.messenger.counters.failedDials.Add(1)
 	o := &l.messenger.options
 	wait := min(o.MinBackoff<<min(l.failures, 16), o.MaxBackoff)
 	wait = wait/2 + rand.N(wait/2+1)
--- a/messenger/link_test.go
+++ b/messenger/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"slices"
@@ -10,6 +11,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -207,6 +209,22 @@
 	})
 }
 
+func TestLinksAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		group := grouper.New(context.Background())
+		refuse := func(context.Context, identifier.Address) (net.Conn, error) { return nil, errors.New("refused") }
+		m := messenger.New(messenger.Peer{Host: "a", Incarnation: 1}, messenger.Options{Dial: refuse}, group)
+		for i := range 1000 {
+			_ = m.Call(t.Context(), identifier.Address(fmt.Sprintf("10.0.%d.%d:1", i/250, i%250)), peerwire.KindAsk, nil, nil)
+			time.Sleep(time.Second)
+		}
+		is.New(t).True(m.Stats().Links < 200)
+		is.New(t).Equal(m.Stats().FailedDials, uint64(1000))
+		m.Close()
+		_ = group.Wait()
+	})
+}
+
 // stuckConn takes a hello and then lets no write return.
 type stuckConn struct {
 	net.Conn
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -42,6 +42,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/tinylib/msgp/msgp"
 	"go.uber.org/zap"
@@ -65,6 +66,9 @@
 // caller's deadline, its cancel and its connection.
 type Handler func(ctx context.Context, from Peer, payload []byte) (reply msgp.Marshaler, err error)
 
+// sweepLinks is the number of new links after which old ones are looked for.
+const sweepLinks = 64
+
 // kinds is the number of values of peerwire.Kind.
 const kinds = 256
 
@@ -88,7 +92,8 @@
 }
 
 type counters struct {
-	sentBytes atomic.Uint64
+	sentBytes, dials, failedDials atomic.Uint64
+	links                         atomic.Int64
 }
 
 // New gives a messenger that runs in the group until the group ends or Close
@@ -150,6 +155,30 @@
 	return m.counters.sentBytes.Load()
 }
 
+// Stats say what a messenger holds and has done.
+type Stats struct {
+	// Links are the addresses that were called of late.
+	Links int `json:"links"`
+	// Connections are open, in both directions.
+	Connections int    `json:"connections"`
+	SentBytes   uint64 `json:"sent-bytes"`
+	Dials       uint64 `json:"dials"`
+	FailedDials uint64 `json:"failed-dials"`
+}
+
+// Stats gives the present numbers.
+func (m *Messenger) Stats() Stats {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Stats{
+		Links:       int(m.counters.links.Load()),
+		Connections: len(m.open),
+		SentBytes:   m.counters.sentBytes.Load(),
+		Dials:       m.counters.dials.Load(),
+		FailedDials: m.counters.failedDials.Load(),
+	}
+}
+
 // onConnection runs use on a connection to address, and again on a new one
 // when the first was closed before anything was queued.
 func (m *Messenger) onConnection(ctx context.Context, to identifier.Address, use func(*connection) error) error {
@@ -190,10 +219,24 @@
 	if l, ok := m.links.Load(to); ok {
 		return l.(*link)
 	}
-	l, _ := m.links.LoadOrStore(to, &link{messenger: m, address: to})
+	l, known := m.links.LoadOrStore(to, &link{messenger: m, address: to})
+	if !known && m.counters.links.Add(1)%sweepLinks == 0 {
+		m.sweep(time.Now())
+	}
 	return l.(*link)
 }
 
+// sweep forgets the links to addresses that can't be reached and weren't
+// dialled of late.
+func (m *Messenger) sweep(now time.Time) {
+	m.links.Range(func(to, l any) bool {
+		if l.(*link).forgotten(now) && m.links.CompareAndDelete(to, l) {
+			m.counters.links.Add(-1)
+		}
+		return true
+	})
+}
+
 func (m *Messenger) accept(ln net.Listener) {
 	for {
 		raw, err := ln.Accept()
