Don't hold a request that resumes to the first-token target

Cause: a stream whose engine or host was lost asked for slots anew, and the allocator refused it after 1.6 s although its caller had the first tokens. Change: an ask says that it resumes; then only the caller's deadline bounds it. Conclusion: an answer that has begun is no longer given up for its start.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -53,6 +53,9 @@
 	Left time.Duration
 	// Exclude are endpoints that failed earlier attempts of the request.
 	Exclude []identifier.Endpoint
+	// Resumes is true when the caller holds the answer's first tokens
+	// already: the first-token target is past.
+	Resumes bool
 }
 
 // Phase is how far a granted attempt has come.
--- a/allocator/pool_test.go
+++ b/allocator/pool_test.go
@@ -107,6 +107,15 @@
 		is.Equal(r.Reason, classifier.ReasonDeadline)
 		is.True(r.RetryAfter > 0)
 	})
+	t.Run("but not one that resumes", func(t *testing.T) {
+		is := is.New(t)
+		p := newPool(newService(1, 1, 1))
+		p.Ask(ask(1, compiler.UrgencyUrgent), epoch)
+		resumes := ask(2, compiler.UrgencyUrgent)
+		resumes.Resumes = true
+		p.Ask(resumes, epoch)
+		is.Equal(count[allocator.Refused](p.Tick(at(1600*time.Millisecond))), 0)
+	})
 	t.Run("what no engine can hold, for good", func(t *testing.T) {
 		is := is.New(t)
 		a := ask(1, compiler.UrgencyPatient)
--- a/allocator/wish.go
+++ b/allocator/wish.go
@@ -34,7 +34,7 @@
 		w.doneBy = now.Add(a.Left)
 	}
 	target := p.service.FirstToken
-	if a.Urgency == compiler.UrgencyUrgent && target > 0 && !p.options.LateAnswers {
+	if a.Urgency == compiler.UrgencyUrgent && target > 0 && !a.Resumes && !p.options.LateAnswers {
 		w.firstBy = now.Add(target)
 	}
 	step := p.step()
--- a/coordinator/codec.go
+++ b/coordinator/codec.go
@@ -34,6 +34,7 @@
 		PromptTokens: uint32(a.PromptTokens),
 		MaxTokens:    uint32(a.MaxTokens),
 		LeftMs:       milliseconds(a.Left),
+		Resumes:      a.Resumes,
 	}
 	for _, b := range a.Blocks {
 		m.Blocks = append(m.Blocks, uint64(b))
@@ -52,6 +53,7 @@
 		PromptTokens: identifier.Tokens(m.PromptTokens),
 		MaxTokens:    identifier.Tokens(m.MaxTokens),
 		Left:         time.Duration(m.LeftMs) * time.Millisecond,
+		Resumes:      m.Resumes,
 	}
 	for _, b := range m.Blocks {
 		a.Blocks = append(a.Blocks, identifier.BlockHash(b))
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -52,6 +52,7 @@
 			MaxTokens:    g.request.MaxTokens - min(produced, g.request.MaxTokens),
 			Blocks:       hasher.Blocks(g.request.Prompt),
 			Exclude:      g.exclude,
+			Resumes:      produced > 0,
 		},
 	}
 }
--- a/peerwire/allocation.go
+++ b/peerwire/allocation.go
@@ -27,6 +27,8 @@
 	// LeftMs is the time left to the caller's deadline, in milliseconds.
 	LeftMs  uint32   `msg:"l"`
 	Exclude []string `msg:"x"`
+	// Resumes tells that the caller holds the answer's first tokens already.
+	Resumes bool `msg:"r"`
 }
 
 // Answer grants an Ask. A refusal travels as the call's error.
--- a/peerwire/allocation_gen.go
+++ b/peerwire/allocation_gen.go
@@ -365,6 +365,12 @@
 					return
 				}
 			}
+		case "r":
+			z.Resumes, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Resumes")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -378,9 +384,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Ask) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 9
+	// map header, size 10
 	// write "p"
-	err = en.Append(0x89, 0xa1, 0x70)
+	err = en.Append(0x8a, 0xa1, 0x70)
 	if err != nil {
 		return
 	}
@@ -515,15 +521,25 @@
 			return
 		}
 	}
+	// write "r"
+	err = en.Append(0xa1, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Resumes)
+	if err != nil {
+		err = msgp.WrapError(err, "Resumes")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Ask) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
+	// map header, size 10
 	// string "p"
-	o = append(o, 0x89, 0xa1, 0x70)
+	o = append(o, 0x8a, 0xa1, 0x70)
 	// map header, size 2
 	// string "sv"
 	o = append(o, 0x82, 0xa2, 0x73, 0x76)
@@ -567,6 +583,9 @@
 	for za0002 := range z.Exclude {
 		o = msgp.AppendString(o, z.Exclude[za0002])
 	}
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendBool(o, z.Resumes)
 	return
 }
 
@@ -726,6 +745,12 @@
 					return
 				}
 			}
+		case "r":
+			z.Resumes, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Resumes")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -744,6 +769,7 @@
 	for za0002 := range z.Exclude {
 		s += msgp.StringPrefixSize + len(z.Exclude[za0002])
 	}
+	s += 2 + msgp.BoolSize
 	return
 }
 
