--- a/allocator/options.go
+++ b/allocator/options.go
@@ -16,7 +16,7 @@
 	defaultPrefillRate     = 20_000 // tokens a second
 	defaultStep            = 30 * time.Millisecond
 	defaultPrefillDepth    = 150 * time.Millisecond
-	defaultAgedShare       = 0.25
+	defaultAgedShare       = 0.15
 	defaultStaleLimit      = 3 * time.Second
 	defaultWarmUp          = time.Second
 	defaultProbeInterval   = time.Second
--- a/allocator/place_bench_test.go
+++ b/allocator/place_bench_test.go
@@ -94,6 +94,20 @@
 	}
 }
 
+// BenchmarkReport measures a load report with 20 attempts.
+func BenchmarkReport(b *testing.B) {
+	p := benchPool(1000)
+	e := p.endpoints[1]
+	r := Report{Slots: 20, Pieces: 2000, Step: 30 * time.Millisecond}
+	for _, h := range e.holds {
+		r.Attempts = append(r.Attempts, h.grant.attempt)
+	}
+	b.ReportAllocs()
+	for range b.N {
+		p.Report(e.name, r, benchEpoch)
+	}
+}
+
 func TestPlaceAllocatesNothing(t *testing.T) {
 	p := benchPool(1000)
 	w := p.newWish(benchAsk(7), benchEpoch)
--- a/allocator/report.go
+++ b/allocator/report.go
@@ -58,7 +58,7 @@
 func (p *Pool) takeAttempts(e *endpoint, r *Report, now time.Time) {
 	own := identifier.Pieces(0)
 	foreign := 0
-	seen := make(map[identifier.Attempt]time.Time, len(r.Attempts))
+	var seen map[identifier.Attempt]time.Time // nil as a rule
 	for _, a := range r.Attempts {
 		if g := p.grants[a]; g != nil {
 			own += piecesAt(e, g)
@@ -69,7 +69,14 @@
 			continue // ended since
 		}
 		foreign++
-		p.orphan(e, a, ok, seen, now)
+		if ok {
+			p.emit(CancelAt{Endpoint: e.name, Attempt: a})
+			continue
+		}
+		if seen == nil {
+			seen = map[identifier.Attempt]time.Time{}
+		}
+		seen[a] = p.orphan(e, a, now)
 	}
 	e.orphans = seen
 	e.foreignSlots = foreign
@@ -89,23 +96,19 @@
 	return total
 }
 
-// orphan deals with an attempt at an engine that the pool knows no grant of.
-// A released one is cancelled at once; any other is given the time that a
-// living home needs to claim it.
-func (p *Pool) orphan(e *endpoint, a identifier.Attempt, released bool, seen map[identifier.Attempt]time.Time, now time.Time) {
-	if released {
-		p.emit(CancelAt{Endpoint: e.name, Attempt: a})
-		return
-	}
+// orphan deals with an attempt at an engine that the pool knows no grant of:
+// it is given the time that a living home needs to claim it. It gives when the
+// attempt was first seen.
+func (p *Pool) orphan(e *endpoint, a identifier.Attempt, now time.Time) time.Time {
 	first, ok := e.orphans[a]
 	if !ok {
 		first = now
 		p.emit(AskList{Home: a.Incarnation})
 	}
-	seen[a] = first
 	if now.Sub(first) >= p.options.Lease+p.options.OrphanGrace {
 		p.emit(CancelAt{Endpoint: e.name, Attempt: a})
 	}
+	return first
 }
 
 // forgetOrphan stops the clock of an attempt that its home has claimed.
