Fall back to the even share when a report goes unanswered for 3 s

Change: the fallback counts from the first unanswered report. Seen to fail: the new test without the fallback.

--- a/limiter/bucket.go
+++ b/limiter/bucket.go
@@ -20,6 +20,8 @@
 	part     atomic.Uint64
 	burst    atomic.Uint64
 	answered atomic.Int64
+	// asked is when the first report without an answer was made; 0: none.
+	asked atomic.Int64
 
 	admittedRequests atomic.Uint64
 	wantedRequests   atomic.Uint64
--- a/limiter/host.go
+++ b/limiter/host.go
@@ -101,7 +101,7 @@
 }
 
 // share gives the part and burst in force: the latest answer's while it is
-// fresh, and the fair part of all known hosts otherwise, if that is less.
+// fresh and no report has gone unanswered for too long, and the fair part of all known hosts otherwise, if that is less.
 func (l *Limiter) share(b *bucket, now time.Time) (part, burst float64) {
 	fair := 1 / float64(l.hosts.Load())
 	answered := b.answered.Load()
@@ -109,7 +109,9 @@
 		return fair, max(1, burstOf(b.customer)*fair)
 	}
 	part, burst = load(&b.part), load(&b.burst)
-	if now.UnixNano()-answered > int64(l.options.AnswerLimit)*int64(l.options.CalmInterval) {
+	asked := b.asked.Load()
+	cutOff := asked != 0 && now.UnixNano()-asked > int64(l.options.AnswerLimit)
+	if cutOff || now.UnixNano()-answered > int64(l.options.AnswerLimit)*int64(l.options.CalmInterval) {
 		return min(part, fair), max(1, burstOf(b.customer)*fair)
 	}
 	return part, burst
@@ -183,6 +185,7 @@
 		return usages
 	}
 	b.skipped.Store(0)
+	b.asked.CompareAndSwap(0, now.UnixNano())
 	return append(usages, b.take())
 }
 
@@ -196,6 +199,7 @@
 		store(&b.part, s.Part)
 		store(&b.burst, s.Burst)
 		b.answered.Store(now.UnixNano())
+		b.asked.Store(0)
 	}
 }
 
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -68,6 +68,20 @@
 		}
 		is.True(total >= 59 && total <= 61) // 1/s of 10/s
 	})
+	t.Run("the answered part, until reports go without an answer", func(t *testing.T) {
+		is := is.New(t)
+		l := newLimiter(10, dealer)
+		l.Answer([]limiter.Share{{Customer: "dealer", Part: 0.5, Burst: 1}}, epoch)
+		total := 0
+		for s := range 13 {
+			now := epoch.Add(time.Duration(s) * time.Second)
+			for q := range 10 {
+				total += admitted(l, "dealer", one, 10, now.Add(time.Duration(q)*100*time.Millisecond))
+			}
+			l.Report(now)
+		}
+		is.True(total >= 23 && total <= 31) // 5/s for 4 s, then 1/s
+	})
 	t.Run("tokens as well as requests", func(t *testing.T) {
 		is := is.New(t)
 		l := newLimiter(1, &compiler.Customer{Name: "batch", RequestsPerSecond: 100, TokensPerSecond: 1000})
