--- a/coordinator/handlers.go
+++ b/coordinator/handlers.go
@@ -47,7 +47,12 @@
 	if !ok || owner.Incarnation != c.deps.Self {
 		return nil, movedError(k)
 	}
-	return c.pool(k)
+	p, err := c.pool(k)
+	if err != nil {
+		// The peer's declarations are newer, or this host has none yet.
+		return nil, movedError(k)
+	}
+	return p, nil
 }
 
 func (c *Coordinator) handleProgress(_ context.Context, _ messenger.Peer, payload []byte) (msgp.Marshaler, error) {
--- a/prover/faults.go
+++ b/prover/faults.go
@@ -34,6 +34,14 @@
 	return nil
 }
 
+// StopAndRestart stops a host as planned and starts it again.
+func (r *Run) StopAndRestart(ctx context.Context, name identifier.Host) error {
+	if err := r.System.Host(name).Stop(ctx); err != nil {
+		return err
+	}
+	return r.Restart(name)
+}
+
 // Freeze holds everything that a host sends and gets.
 func (r *Run) Freeze(name identifier.Host) {
 	r.System.Faults.Freeze(name)
--- a/prover/generate.go
+++ b/prover/generate.go
@@ -38,6 +38,9 @@
 	// which the caller leaves; 0: it stays.
 	CancelAfter   time.Duration
 	CancelAtToken identifier.Tokens
+	// NoResume makes the caller send its request again only where it was not
+	// run; a stream that breaks then counts as cut off.
+	NoResume bool
 	// Name makes the prompt and the request unique.
 	Name string
 }
@@ -64,10 +67,16 @@
 	text, err := r.stream(ctx, p, request)
 	result := checker.ResultOf(err)
 	done(result, []byte(text), time.Now())
+	if result == checker.ResultMayHaveRun && p.NoResume {
+		r.noteCut(p.Name, err)
+	}
 	r.final(result)
 	return result
 }
 
+// resendPause is the wait of a NoResume caller before it tries the next host.
+const resendPause = 100 * time.Millisecond
+
 // request makes the request and notes whose prompt it is.
 func (r *Run) request(p GeneratePlan) client.Request {
 	key := checker.Key("generate-" + p.Name)
@@ -84,7 +93,20 @@
 
 // stream collects the answer.
 func (r *Run) stream(ctx context.Context, p GeneratePlan, request client.Request) (string, error) {
-	c, err := r.newClient(p.Host)
+	if !p.NoResume {
+		return r.streamFrom(ctx, p, request, retryPolicy)
+	}
+	for host := p.Host; ; host++ {
+		p.Host = host
+		text, err := r.streamFrom(ctx, p, request, client.RetryPolicy{})
+		if checker.ResultOf(err) != checker.ResultNotRun || sleep(ctx, resendPause) != nil {
+			return text, err
+		}
+	}
+}
+
+func (r *Run) streamFrom(ctx context.Context, p GeneratePlan, request client.Request, policy client.RetryPolicy) (string, error) {
+	c, err := r.newClient(p.Host, policy)
 	if err != nil {
 		return "", err
 	}
@@ -100,7 +122,7 @@
 }
 
 // newClient gives a client that goes to the first-th host first.
-func (r *Run) newClient(first int) (*client.Client, error) {
+func (r *Run) newClient(first int, policy client.RetryPolicy) (*client.Client, error) {
 	hosts := *r.hosts.Load()
 	first %= len(hosts)
 	var addresses []string
@@ -111,7 +133,7 @@
 		Addresses:  addresses,
 		HTTPClient: r.http,
 		Customer:   r.customer,
-		Retry:      retryPolicy,
+		Retry:      policy,
 		Seed:       uint64(len(addresses)) - 1, // the first request goes to the first address
 	})
 }
--- a/prover/generate_test.go
+++ b/prover/generate_test.go
@@ -134,18 +134,17 @@
 // TestSameRequestAtTwoHosts sends one request to two hosts, as a balancer that
 // duplicates it or a caller that sends it again would.
 func TestSameRequestAtTwoHosts(t *testing.T) {
-	for _, apart := range []time.Duration{0, time.Millisecond, 50 * time.Millisecond, 500 * time.Millisecond} {
-		for _, host := range []int{0, 1, 3} {
-			t.Run(fmt.Sprintf("%s apart at host %d", apart, host), func(t *testing.T) {
-				inRun(t, 1, func(_ context.Context, r *prover.Run) {
-					p := prover.GeneratePlan{Service: "dealer-desk", PromptWords: 100, Tokens: 100, Timeout: 10 * second, Name: "quote"}
-					other := p
-					other.Host = host
-					other.Start = apart
-					r.Go(func(ctx context.Context) { r.Generate(ctx, p) })
-					r.Go(func(ctx context.Context) { r.Generate(ctx, other) })
-				})
-			})
+	inRun(t, 1, func(_ context.Context, r *prover.Run) {
+		for _, apart := range []time.Duration{0, time.Millisecond, 50 * time.Millisecond, 500 * time.Millisecond} {
+			for _, host := range []int{0, 1, 3} {
+				p := prover.GeneratePlan{Service: "dealer-desk", PromptWords: 100, Tokens: 100, Timeout: 20 * second}
+				p.Name = fmt.Sprintf("%s apart at host %d", apart, host)
+				other := p
+				other.Host = host
+				other.Start = apart
+				r.Go(func(ctx context.Context) { r.Generate(ctx, p) })
+				r.Go(func(ctx context.Context) { r.Generate(ctx, other) })
+			}
 		}
-	}
+	})
 }
--- a/prover/lock.go
+++ b/prover/lock.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/jackdawthread/jackdawthread/checker"
+	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/converter"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/emulator"
@@ -53,6 +54,7 @@
 	}
 	ticket, err := r.issue(ctx, p)
 	if err != nil {
+		r.final(checker.ResultNotRun)
 		return checker.ResultNotRun
 	}
 	if p.Issued != nil {
@@ -70,10 +72,23 @@
 	return result
 }
 
+// issue takes a ticket from the issuer, or from the next host that can be
+// reached.
 func (r *Run) issue(ctx context.Context, p LockPlan) (string, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.Timeout)
+	var err error
+	for n := range len(*r.hosts.Load()) {
+		var ticket string
+		if ticket, err = r.issueAt(ctx, p.Issuer+n, p.Timeout); err == nil {
+			return ticket, nil
+		}
+	}
+	return "", err
+}
+
+func (r *Run) issueAt(ctx context.Context, host int, timeout time.Duration) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	response, err := r.host(p.Issuer).IssueTicket(ctx, connect.NewRequest(&callerwire.IssueTicketRequest{
+	response, err := r.host(host).IssueTicket(ctx, connect.NewRequest(&callerwire.IssueTicketRequest{
 		Service:  string(LockService),
 		Customer: string(r.customer),
 	}))
@@ -122,6 +137,9 @@
 	}))
 	if err != nil {
 		result := told(err)
+		if result == checker.ResultMayHaveRun && !untaken(err) {
+			l.run.noteCut(l.ticket, err)
+		}
 		done(result, nil, time.Now())
 		return result
 	}
@@ -138,6 +156,14 @@
 	return checker.ResultMayHaveRun
 }
 
+// untaken tells whether no connection to the host was made, or whether the
+// host said that it is not ready: it then doesn't know what became of other
+// sends, but took nothing of this one.
+func untaken(err error) bool {
+	f := converter.FromConnect(err)
+	return f.Verdict == classifier.VerdictNotRun || f.Reason == classifier.ReasonNotReady
+}
+
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) error {
 	wait := time.NewTimer(d)
--- a/prover/prover.go
+++ b/prover/prover.go
@@ -19,8 +19,10 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,6 +71,7 @@
 	random  *rand.Rand
 	prompts map[emulator.Seed]checker.Key
 	finals  map[checker.Result]int
+	cuts    []string
 }
 
 // Start starts the system and waits until all of it is ready.
@@ -126,13 +129,18 @@
 // the violations.
 func (r *Run) Finish() []checker.Violation {
 	r.healAll()
-	_ = r.callers.Wait() // callers give no error
+	r.Settle()
 	time.Sleep(settleTime)
 	r.collect()
 	violations := checker.Check(r.Recorder.History())
 	return append(violations, checker.CheckMemory(r.memory(), nil)...)
 }
 
+// Settle waits for the callers.
+func (r *Run) Settle() {
+	_ = r.callers.Wait() // callers give no error
+}
+
 // collect records what the endpoints ran.
 func (r *Run) collect() {
 	for _, p := range r.System.Site.Plains() {
@@ -175,6 +183,21 @@
 	return r.finals
 }
 
+// noteCut notes a send that a host took and neither answered nor refused.
+func (r *Run) noteCut(name string, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cuts = append(r.cuts, fmt.Sprintf("%s: %v", name, err))
+}
+
+// Cuts lists the sends that a host took and neither answered nor refused: the
+// locks' and those of callers that don't resume.
+func (r *Run) Cuts() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.cuts)
+}
+
 // Close ends the callers and the system.
 func (r *Run) Close() {
 	r.callers.Stop()
--- a/redeemer/redeemer.go
+++ b/redeemer/redeemer.go
@@ -36,6 +36,9 @@
 const (
 	expirePeriod   = time.Second
 	receiptTimeout = 2 * time.Second
+	// findTimeout bounds the wait for news of an issuer that isn't known.
+	findTimeout = 3 * time.Second
+	findPeriod  = 20 * time.Millisecond
 	// receiptAttempts bounds how often a receipt is sent that isn't confirmed.
 	receiptAttempts = 5
 	// unreachableRetryAfter is about the time in which a cut is noticed.
@@ -109,7 +112,7 @@
 		payload, err := r.redeem(ctx, t, c, holder)
 		return payload, r.localReceipt(t, holder), err
 	}
-	m, ok := r.deps.View().ByIncarnation(issuer)
+	m, ok := r.find(ctx, issuer)
 	if !ok {
 		return nil, noReceipt, issuerGone(issuer)
 	}
@@ -122,6 +125,23 @@
 	return payload, receipt, err
 }
 
+// find looks for a ticket's issuer. A host that has just started doesn't know
+// all others yet, so it waits a little.
+func (r *Redeemer) find(ctx context.Context, issuer identifier.Incarnation) (gossiper.Member, bool) {
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	for {
+		if m, ok := r.deps.View().ByIncarnation(issuer); ok {
+			return m, true
+		}
+		select {
+		case <-ctx.Done():
+			return gossiper.Member{}, false
+		case <-time.After(findPeriod):
+		}
+	}
+}
+
 func noReceipt(bool) {}
 
 func issuerGone(i identifier.Incarnation) error {
