Keep connections whose replies trickle in

Cause: a dialler that heard replies now and then sent no pings, so the peer, hearing nothing for three keepalive periods while handlers ran, closed the connection, and all its calls ended as MayHaveRun. Change: while calls wait a ping goes out each keepalive period, whatever is heard. The new test failed before it.

--- a/messenger/connection.go
+++ b/messenger/connection.go
@@ -211,7 +211,7 @@
 		}
 		return nil
 	}
-	if busy && silent >= keepAlive/2 {
+	if busy {
 		return c.post(&peerwire.Envelope{Type: peerwire.FramePing}, nil)
 	}
 	if silent > c.options.IdleTimeout && c.calls.closeIfEmpty() {
--- a/messenger/link_test.go
+++ b/messenger/link_test.go
@@ -167,6 +167,23 @@
 		})
 		is.New(t).NoErr(a.Call(t.Context(), b.address, peerwire.KindAsk, text(""), nil))
 	})
+	t.Run("replies that trickle in keep their connection", func(t *testing.T) {
+		const calls = 20
+		var served atomic.Int32
+		_, a, b := onNetwork(t, quick, func(m *messenger.Messenger) {
+			m.Handle(peerwire.KindAsk, func(context.Context, messenger.Peer, []byte) (msgp.Marshaler, error) {
+				time.Sleep(time.Duration(served.Add(1)) * quick.KeepAlive / 3)
+				return nil, nil
+			})
+		})
+		group := grouper.New(t.Context())
+		for range calls {
+			group.Go(func(ctx context.Context) error {
+				return a.Call(ctx, b.address, peerwire.KindAsk, text(""), nil)
+			})
+		}
+		is.New(t).NoErr(group.Wait())
+	})
 	t.Run("an idle connection closes and opens again", func(t *testing.T) {
 		is := is.New(t)
 		o := quick
