--- a/allocator/place_bench_test.go
+++ b/allocator/place_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -108,6 +109,32 @@
 	}
 }
 
+// BenchmarkMemory gives the heap that a pool takes for each endpoint with four
+// to five grants, and for each further grant.
+func BenchmarkMemory(b *testing.B) {
+	const n = 10_000
+	for range b.N {
+		begin := heapBytes()
+		p := benchPool(n)
+		built := heapBytes()
+		before := len(p.grants)
+		for i := range 2 * n {
+			p.Ask(benchAsk(5*n+i), benchEpoch)
+		}
+		b.ReportMetric(float64(built-begin)/n, "B/endpoint")
+		b.ReportMetric(float64(heapBytes()-built)/float64(2*n), "B/ask")
+		b.ReportMetric(float64(before)/n, "grants/endpoint")
+		runtime.KeepAlive(p)
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
 func TestPlaceAllocatesNothing(t *testing.T) {
 	p := benchPool(1000)
 	w := p.newWish(benchAsk(7), benchEpoch)
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -237,3 +238,31 @@
 		l.Report(epoch)
 	}
 }
+
+// BenchmarkMemory gives the heap that a customer takes at a host, and at its
+// coordinator with nine hosts.
+func BenchmarkMemory(b *testing.B) {
+	for range b.N {
+		begin := heapBytes()
+		l, names := benchLimiter()
+		b.ReportMetric(float64(heapBytes()-begin)/float64(len(names)), "B/customer")
+		runtime.KeepAlive(l)
+		begin = heapBytes()
+		c := limiter.NewCoordinator(limiter.Options{})
+		c.Configure(nil, &compiler.Customer{RequestsPerSecond: 10})
+		for host := range identifier.Incarnation(9) {
+			for _, n := range names {
+				c.Report(host+1, []limiter.Usage{{Customer: n, Wanted: one, Admitted: one}}, epoch)
+			}
+		}
+		b.ReportMetric(float64(heapBytes()-begin)/float64(len(names)), "B/coordinated-customer")
+		runtime.KeepAlive(c)
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
