--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -68,10 +68,12 @@
 // NewEngine starts an engine. It runs until ctx ends or Close is called.
 func NewEngine(ctx context.Context, s EngineSettings, d EngineDeps) *Engine {
 	s = s.complete()
+	group := grouper.New(ctx)
 	if d.Client == nil {
-		d.Client = NewHTTPClient()
+		own := NewHTTPClient()
+		d.Client = own
+		context.AfterFunc(group.Context(), own.CloseIdleConnections)
 	}
-	group := grouper.New(ctx)
 	e := &Engine{
 		settings: s,
 		deps:     d,
--- /dev/null
+++ b/loader/leak_test.go
@@ -0,0 +1,11 @@
+package loader
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
