Refuse an ask whose withdrawal came first; take back from firms without slots

Cause: an ask that arrived after its own withdrawal was granted to nobody; a firm that never held a slot kept waiting after its contract ended. Change: both are refused at once. Seen: both tests fail without the change.

--- a/allocator/grant.go
+++ b/allocator/grant.go
@@ -122,10 +122,16 @@
 
 // use counts a slot for a firm.
 func (p *Pool) use(f identifier.Firm) {
+	p.meet(f)
+	p.used[f]++
+}
+
+// meet notes a firm that asks.
+func (p *Pool) meet(f identifier.Firm) {
 	if _, ok := p.used[f]; !ok {
 		p.firms = append(p.firms, f)
+		p.used[f] = 0
 	}
-	p.used[f]++
 }
 
 func (p *Pool) emit(a Action) {
--- a/allocator/pool.go
+++ b/allocator/pool.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/compiler"
 	"github.com/jackdawthread/jackdawthread/router"
@@ -179,6 +180,11 @@
 	if p.grants[a.Attempt] != nil || p.queue.Has(a.Attempt) {
 		return nil // a resent ask is answered by the first one
 	}
+	if p.released.has(a.Attempt) { // its withdrawal came first
+		p.refuse(a.Attempt, a.Urgency, classifier.ReasonCanceled)
+		return p.serve(now)
+	}
+	p.meet(p.firm(a.Firm))
 	w := p.newWish(a, now)
 	if reason, ok := p.early(w, now); !ok {
 		p.refuse(a.Attempt, a.Urgency, reason)
--- a/allocator/pool_test.go
+++ b/allocator/pool_test.go
@@ -137,6 +137,14 @@
 		actions := p.Ask(ask(4, compiler.UrgencyPatient), epoch)
 		is.Equal(actions[0].(allocator.Refused).Reason, classifier.ReasonQueueFull)
 	})
+	t.Run("what was withdrawn before it came", func(t *testing.T) {
+		is := is.New(t)
+		p := newPool(newService(1, 1, 1))
+		p.Release(attempt(1, 1), allocator.Outcome{Ending: allocator.EndingCancelled}, epoch)
+		actions := p.Ask(ask(1, compiler.UrgencyUrgent), epoch)
+		is.Equal(len(actions), 1)
+		is.Equal(actions[0].(allocator.Refused).Reason, classifier.ReasonCanceled)
+	})
 	t.Run("without endpoints", func(t *testing.T) {
 		is := is.New(t)
 		actions := newPool(newService(1, 0, 1)).Ask(ask(1, compiler.UrgencyUrgent), epoch)
@@ -278,6 +286,17 @@
 		is.Equal(count[allocator.Refused](actions), 1)
 		is.Equal(count[allocator.CancelAt](actions), 0)
 	})
+	t.Run("and takes back from a firm that never got a slot", func(t *testing.T) {
+		is := is.New(t)
+		p := lending()
+		for n := range 4 {
+			p.Ask(ask(n+10, compiler.UrgencyPatient), epoch) // all slots
+		}
+		long := sister(1, compiler.UrgencyPatient)
+		long.Left = 2 * time.Hour
+		is.Equal(len(p.Ask(long, epoch)), 0)
+		is.Equal(count[allocator.Refused](p.Renew(1, 0, at(time.Hour))), 1)
+	})
 	t.Run("nothing without a contract", func(t *testing.T) {
 		is := is.New(t)
 		actions := newPool(newService(1, 1, 1)).Ask(sister(1, compiler.UrgencyPatient), epoch)
