Mix rendezvous scores without hashing 16 bytes each

Cause: Owner is on a request's path and took 5.5 us at 1,400 hosts in three data centers, 12 ns a host. Change: the xxhash of each host's name, kept in the view, is mixed with the key by the finalizer of splitmix64. Owners of keys and rings change with it. BenchmarkView measured nothing any more since views for digests are paced; it now changes liveness.

--- a/gossiper/view.go
+++ b/gossiper/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -116,11 +115,13 @@
 	return owners
 }
 
+// rendezvousScore mixes a host's hash with a key, as the splitmix64 generator
+// mixes its state.
 func rendezvousScore(hostHash, key uint64) uint64 {
-	var b [16]byte
-	binary.LittleEndian.PutUint64(b[:8], hostHash)
-	binary.LittleEndian.PutUint64(b[8:], key)
-	return xxhash.Sum64(b[:])
+	x := hostHash ^ (key+1)*0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
 }
 
 // Leaving tells whether e is marked as leaving.
--- a/gossiper/view_test.go
+++ b/gossiper/view_test.go
@@ -96,7 +96,7 @@
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				u := birth("entry-0000", 10)
-				u.DigestVersion = uint64(i + 1)
+				u.Refutation = uint32(i + 1)
 				m.Step(time.Unix(0, 0), gossiper.NewsArrived{News: &peerwire.News{Updates: []peerwire.Update{u}}})
 				m.View()
 			}
