Withdraw no ask that the host did not take

Cause: a home that was told to ask another allocator withdrew its ask there; the withdrawal could reach a later ask of the same attempt at that host and end it. Change: an ask that the host refused as not its own is not withdrawn. Seen: the case "no ask that the host did not take" fails without the change.

--- a/coordinator/home.go
+++ b/coordinator/home.go
@@ -133,8 +133,11 @@
 	var answer peerwire.Answer
 	err := c.deps.Links.Call(ctx, owner.Address, peerwire.KindAsk, &message, &answer)
 	if err != nil {
-		c.withdraw(owner, k, a.Attempt)
-		return nil, askFailure(err)
+		failure := askFailure(err)
+		if reasonOf(failure) != classifier.ReasonAllocatorUnknown {
+			c.withdraw(owner, k, a.Attempt)
+		} // otherwise the host has not taken the ask, and may get it again
+		return nil, failure
 	}
 	return c.grant(k, owner.Incarnation, a, decodeAnswer(a.Attempt, &answer))
 }
--- /dev/null
+++ b/coordinator/withdraw_test.go
@@ -0,0 +1,59 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/jackdawthread/jackdawthread/allocator"
+	"github.com/jackdawthread/jackdawthread/common/classifier"
+	"github.com/jackdawthread/jackdawthread/common/grouper"
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/gossiper"
+	"github.com/jackdawthread/jackdawthread/peerwire"
+)
+
+// failingLinks fails all calls and counts the releases.
+type failingLinks struct {
+	failure  error
+	releases atomic.Int64
+}
+
+func (l *failingLinks) Call(context.Context, identifier.Address, peerwire.Kind, msgp.Marshaler, msgp.Unmarshaler) error {
+	return l.failure
+}
+
+func (l *failingLinks) Send(_ context.Context, _ identifier.Address, k peerwire.Kind, _ msgp.Marshaler) error {
+	if k == peerwire.KindRelease {
+		l.releases.Add(1)
+	}
+	return nil
+}
+
+func TestWithdraw(t *testing.T) {
+	cases := map[string]struct {
+		failure  error
+		releases int64
+	}{
+		"an ask whose answer was lost":           {errors.New("connection reset"), 1},
+		"no ask that the host did not take":      {movedError(Key{}), 0},
+		"an ask that the host may still look at": {classifier.NotRun(classifier.ReasonHostUnreachable, 0, "no route"), 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			links := &failingLinks{failure: c.failure}
+			g := grouper.New(t.Context())
+			host := &Coordinator{deps: Deps{Links: links, Group: g}}
+			ask := Ask{Ask: allocator.Ask{Attempt: identifier.Attempt{Incarnation: 1, Sequence: 1}}}
+			_, err := host.askThere(t.Context(), gossiper.Member{}, Key{}, ask)
+			is.True(err != nil)
+			is.NoErr(g.Wait())
+			is.Equal(links.releases.Load(), c.releases)
+		})
+	}
+}
