Secure links by the TLS files of the settings

Cause: the settings named TLS files, but links between hosts ran in the clear; nothing read the files. Change: launcher opens them with certifier, reads them again each minute, and stops the start when they can't be loaded; the gossiper logs. Found by it: a race in messenger between the end of a host and a TLS handshake under way; mended, with a test of its own that showed the race before.

--- /dev/null
+++ b/launcher/links.go
@@ -0,0 +1,57 @@
+package launcher
+
+import (
+	"crypto/tls"
+	"time"
+
+	"github.com/jackdawthread/jackdawthread/certifier"
+	"github.com/jackdawthread/jackdawthread/gossiper"
+	"github.com/jackdawthread/jackdawthread/messenger"
+)
+
+// certificatePeriod is the time between two looks at the TLS files.
+const certificatePeriod = time.Minute
+
+// buildLinks makes what the host needs to talk to its peers.
+func (h *Host) buildLinks(o Options) error {
+	secured, err := h.peerTLS()
+	if err != nil {
+		return err
+	}
+	self := messenger.Peer{Host: h.settings.Host, Incarnation: h.incarnation, DataCenter: h.settings.DataCenter}
+	h.messenger = messenger.New(self, messenger.Options{
+		Firm:          h.settings.Firm,
+		MaxFrameBytes: int(h.settings.Limits.MaxFrameBytes),
+		MaxHandlers:   h.settings.Limits.MaxRequests,
+		Dial:          o.DialPeer,
+		TLS:           secured,
+		Logger:        h.log,
+	}, h.group)
+	h.gossiper = gossiper.New(gossiper.Member{
+		Host:        h.settings.Host,
+		Incarnation: h.incarnation,
+		DataCenter:  h.settings.DataCenter,
+		Address:     h.addresses.Peers,
+	}, gossiper.Options{Logger: h.log}, h.messenger, h.timer, h.group)
+	h.gossiper.Seed(h.settings.Seeds)
+	return nil
+}
+
+// peerTLS gives the links' TLS configuration, whose files are read again when
+// they change; nil: the settings name no files.
+func (h *Host) peerTLS() (*tls.Config, error) {
+	files := h.settings.TLS
+	if !files.Enabled() {
+		return nil, nil
+	}
+	store, err := certifier.Open(certifier.Files{
+		Certificate: files.Certificate,
+		Key:         files.Key,
+		Authorities: files.Authority,
+	}, h.log)
+	if err != nil {
+		return nil, err
+	}
+	store.Watch(h.timer, certificatePeriod)
+	return store.PeerConfig(), nil
+}
--- a/launcher/start.go
+++ b/launcher/start.go
@@ -16,7 +16,6 @@
 	"github.com/jackdawthread/jackdawthread/dispatcher"
 	"github.com/jackdawthread/jackdawthread/gossiper"
 	"github.com/jackdawthread/jackdawthread/locator"
-	"github.com/jackdawthread/jackdawthread/messenger"
 	"github.com/jackdawthread/jackdawthread/meter"
 	"github.com/jackdawthread/jackdawthread/redeemer"
 	"github.com/jackdawthread/jackdawthread/reporter"
@@ -78,7 +77,9 @@
 	if h.tickets, err = ticketer.New(h.incarnation, ticketOptions()); err != nil {
 		return err
 	}
-	h.buildLinks(o)
+	if err := h.buildLinks(o); err != nil {
+		return err
+	}
 	h.config = newConfig(h)
 	h.orders = newOrders(h)
 	h.buildCoordinator(o)
@@ -96,24 +97,6 @@
 	return nil
 }
 
-func (h *Host) buildLinks(o Options) {
-	self := messenger.Peer{Host: h.settings.Host, Incarnation: h.incarnation, DataCenter: h.settings.DataCenter}
-	h.messenger = messenger.New(self, messenger.Options{
-		Firm:          h.settings.Firm,
-		MaxFrameBytes: int(h.settings.Limits.MaxFrameBytes),
-		MaxHandlers:   h.settings.Limits.MaxRequests,
-		Dial:          o.DialPeer,
-		Logger:        h.log,
-	}, h.group)
-	h.gossiper = gossiper.New(gossiper.Member{
-		Host:        h.settings.Host,
-		Incarnation: h.incarnation,
-		DataCenter:  h.settings.DataCenter,
-		Address:     h.addresses.Peers,
-	}, gossiper.Options{}, h.messenger, h.timer, h.group)
-	h.gossiper.Seed(h.settings.Seeds)
-}
-
 func (h *Host) buildCoordinator(o Options) {
 	options := coordinator.DefaultOptions()
 	if o.Coordinator != nil {
--- a/messenger/link_test.go
+++ b/messenger/link_test.go
@@ -326,6 +326,16 @@
 		isVerdict(t, err, classifier.VerdictNotRun, classifier.ReasonHostUnreachable)
 		is.New(t).True(strings.Contains(err.Error(), "certificate of another"))
 	})
+	t.Run("closes while a peer is silent in its handshake", func(t *testing.T) {
+		c := startHost(t, "c", options("c"), nil)
+		raw, err := net.Dial("tcp", string(c.address))
+		is.New(t).NoErr(err)
+		time.Sleep(10 * time.Millisecond) // for the handshake to begin
+		c.Close()
+		_, err = raw.Read(make([]byte, 1))
+		is.New(t).True(err != nil)
+		_ = raw.Close()
+	})
 	t.Run("refuses a host without", func(t *testing.T) {
 		a := startHost(t, "a", messenger.Options{}, nil)
 		err := a.Call(t.Context(), b.address, peerwire.KindAsk, text("x"), nil)
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -255,13 +255,14 @@
 func (m *Messenger) serve(ctx context.Context, raw net.Conn) {
 	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
 	defer stop()
+	secured := raw
 	if m.options.TLS != nil {
-		raw = tls.Server(raw, m.options.TLS)
+		secured = tls.Server(raw, m.options.TLS)
 	}
-	c, err := m.welcome(raw)
+	c, err := m.welcome(secured)
 	if err != nil {
 		m.options.Logger.Warn("peer-refused", zap.Stringer("address", raw.RemoteAddr()), zap.Error(err))
-		_ = raw.Close()
+		_ = secured.Close()
 		return
 	}
 	c.start()
