Freeze an engine under load

Cause: a frozen engine keeps its connections open and wakes with old work. Change: a process test freezes a decode engine for 6 s.

--- a/cmd/emulator/processes_test.go
+++ b/cmd/emulator/processes_test.go
@@ -200,6 +200,17 @@
 		f.is.Equal(quotes.Verdicts["answered"], quotes.Sent)
 		f.wantLocksOnce(locks)
 	})
+	t.Run("quotes outlive an engine that is frozen, which holds nothing once it wakes", func(t *testing.T) {
+		f := startFleet(t)
+		quotes, locks := f.load(f.direct(), 0, func() {
+			f.signal("d1", syscall.SIGSTOP)
+			time.Sleep(6 * time.Second)
+			f.signal("d1", syscall.SIGCONT)
+		})
+		f.is.Equal(quotes.Verdicts["answered"], quotes.Sent)
+		f.wantLocksOnce(locks)
+		f.wantMemoryFree()
+	})
 	t.Run("quotes outlive an entry host that is killed", func(t *testing.T) {
 		f := startFleet(t)
 		quotes, locks := f.load(f.resuming(), 0, func() { f.signal("a", syscall.SIGKILL) })
