--- a/gossiper/stats.go
+++ b/gossiper/stats.go
@@ -12,6 +12,13 @@
 	Suspected uint64 `json:"suspected"`
 	Refuted   uint64 `json:"refuted"`
 	Died      uint64 `json:"died"`
+	// Members of the present view, by state.
+	Alive   int `json:"alive"`
+	Suspect int `json:"suspect"`
+	Leaving int `json:"leaving"`
+	Dead    int `json:"dead"`
+	// Superseded tells that another process has this host's name.
+	Superseded bool `json:"superseded"`
 }
 
 type counters struct {
@@ -21,7 +28,7 @@
 // Stats gives the counts so far.
 func (g *Gossiper) Stats() Stats {
 	c := &g.stats
-	return Stats{
+	s := Stats{
 		Probes:       c.probes.Load(),
 		FailedProbes: c.failed.Load(),
 		Relayed:      c.relayed.Load(),
@@ -30,6 +37,24 @@
 		Refuted:      c.refuted.Load(),
 		Died:         c.died.Load(),
 	}
+	s.addView(g.View())
+	return s
+}
+
+func (s *Stats) addView(v *View) {
+	s.Superseded = v.Superseded()
+	for _, n := range v.Members() {
+		switch n.State {
+		case StateAlive:
+			s.Alive++
+		case StateSuspect:
+			s.Suspect++
+		case StateLeaving:
+			s.Leaving++
+		case StateDead:
+			s.Dead++
+		}
+	}
 }
 
 func (s *counters) count(c Changed) {
--- a/launcher/links.go
+++ b/launcher/links.go
@@ -34,6 +34,8 @@
 		Address:     h.addresses.Peers,
 	}, gossiper.Options{Logger: h.log}, h.messenger, h.timer, h.group)
 	h.gossiper.Seed(h.settings.Seeds)
+	h.meter.Gauge("links", func() any { return h.messenger.Stats() })
+	h.meter.Gauge("membership", func() any { return h.gossiper.Stats() })
 	return nil
 }
 
--- a/launcher/links_test.go
+++ b/launcher/links_test.go
@@ -87,6 +87,8 @@
 		eventually(t, func() bool { return c.messenger.Stats().FailedDials > 0 })
 		is := is.New(t)
 		is.Equal(liveAt(c), 1)
+		is.True(strings.Contains(c.Meter().String(), `"failed-dials":`))
+		is.True(strings.Contains(c.Meter().String(), `"superseded":false`))
 		_, known := a.gossiper.View().ByHost("entry-3")
 		is.True(!known)
 	})
