Check that the pages and the code tell the same

Cause: within minutes a page was missing from the index, an event of the log was told nowhere, and TLS and two gauges had been wired since the pages said no.

--- /dev/null
+++ b/docs_test.go
@@ -0,0 +1,128 @@
+package main_test
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/jackdawthread/jackdawthread/settings"
+)
+
+var (
+	linkPattern   = regexp.MustCompile(`\]\(([^)#]*)(#[^)]*)?\)`)
+	headPattern   = regexp.MustCompile(`(?m)^#+ (.*)$`)
+	reasonPattern = regexp.MustCompile(`Reason\w+ +Reason = "([a-z-]+)"`)
+	eventPattern  = regexp.MustCompile(`\.(?:Info|Warn|Error)\("([a-z]+(?:-[a-z]+)+)"`)
+	anchorDropped = regexp.MustCompile(`[^\w\- ]`)
+)
+
+// readText gives the text of a file of the module.
+func readText(t *testing.T, path string) string {
+	t.Helper()
+	source, err := os.ReadFile(path)
+	is.New(t).NoErr(err)
+	return string(source)
+}
+
+// find gives the files below the root that match.
+func find(t *testing.T, match func(path string) bool) []string {
+	t.Helper()
+	var found []string
+	err := filepath.WalkDir(".", func(path string, _ fs.DirEntry, err error) error {
+		if err == nil && match(path) {
+			found = append(found, path)
+		}
+		return err
+	})
+	is.New(t).NoErr(err)
+	return found
+}
+
+// assertTold checks that each of the names stands in one of the pages, as code.
+func assertTold(t *testing.T, names []string, pages ...string) {
+	t.Helper()
+	var text strings.Builder
+	for _, p := range pages {
+		text.WriteString(readText(t, p))
+	}
+	is.New(t).True(len(names) > 0)
+	for _, n := range names {
+		if !strings.Contains(text.String(), "`"+n+"`") {
+			t.Errorf("%q is not told in %v", n, pages)
+		}
+	}
+}
+
+// assertLink checks that a page's link leads to a file and to a head in it.
+func assertLink(t *testing.T, page, file, anchor string) {
+	t.Helper()
+	target := page
+	if file != "" {
+		target = filepath.Join(filepath.Dir(page), file)
+	}
+	if _, err := os.Stat(target); err != nil {
+		t.Errorf("%s links to %q, which does not exist", page, file)
+		return
+	}
+	if anchor == "" {
+		return
+	}
+	for _, head := range headPattern.FindAllStringSubmatch(readText(t, target), -1) {
+		bare := anchorDropped.ReplaceAllString(strings.ToLower(head[1]), "")
+		if "#"+strings.ReplaceAll(strings.TrimSpace(bare), " ", "-") == anchor {
+			return
+		}
+	}
+	t.Errorf("%s links to %q of %q, which has no such head", page, anchor, target)
+}
+
+func TestPages(t *testing.T) {
+	pages := find(t, func(p string) bool { return filepath.Ext(p) == ".md" })
+	t.Run("links lead somewhere", func(t *testing.T) {
+		for _, page := range pages {
+			for _, link := range linkPattern.FindAllStringSubmatch(readText(t, page), -1) {
+				if !strings.Contains(link[1], "://") {
+					assertLink(t, page, link[1], link[2])
+				}
+			}
+		}
+	})
+	t.Run("all are in the index", func(t *testing.T) {
+		index := readText(t, "docs/README.md")
+		for _, page := range pages {
+			name, ok := strings.CutPrefix(page, "docs/")
+			if ok && name != "README.md" && !strings.Contains(index, "("+name+")") {
+				t.Errorf("page %q is not in the index", name)
+			}
+		}
+	})
+}
+
+func TestPagesTellOfTheCode(t *testing.T) {
+	captures := func(pattern *regexp.Regexp, paths ...string) []string {
+		var all []string
+		for _, p := range paths {
+			for _, m := range pattern.FindAllStringSubmatch(readText(t, p), -1) {
+				all = append(all, m[1])
+			}
+		}
+		return all
+	}
+	t.Run("reasons", func(t *testing.T) {
+		assertTold(t, captures(reasonPattern, "common/classifier/classifier.go"), "docs/callers.md")
+	})
+	t.Run("settings", func(t *testing.T) {
+		assertTold(t, settings.Keys(), "docs/operators/declarations.md")
+	})
+	t.Run("events of the log", func(t *testing.T) {
+		sources := find(t, func(p string) bool {
+			return filepath.Ext(p) == ".go" && !strings.HasSuffix(p, "_test.go") && !strings.HasPrefix(p, "emulator/")
+		})
+		assertTold(t, captures(eventPattern, sources...), "docs/operators/running.md", "docs/operators/membership.md")
+	})
+}
--- a/emulator/load.go
+++ b/emulator/load.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/wire/enginewire"
@@ -48,9 +47,25 @@
 	if e.reports.told == nil {
 		return connect.NewResponse(e.report()), nil
 	}
-	m := proto.CloneOf(e.reports.told)
-	m.AgeMs = uint32(time.Since(e.reports.toldAt).Milliseconds())
-	return connect.NewResponse(m), nil
+	told := e.reports.told
+	return connect.NewResponse(&enginewire.LoadResponse{
+		Endpoint:               told.Endpoint,
+		AgeMs:                  uint32(time.Since(e.reports.toldAt).Milliseconds()),
+		Role:                   told.Role,
+		Slots:                  told.Slots,
+		SlotsUsed:              told.SlotsUsed,
+		Pieces:                 told.Pieces,
+		PiecesUsed:             told.PiecesUsed,
+		PrefillBacklogTokens:   told.PrefillBacklogTokens,
+		Attempts:               told.Attempts,
+		Fence:                  told.Fence,
+		Leaving:                told.Leaving,
+		Models:                 told.Models,
+		Adapters:               told.Adapters,
+		DecodeStepSeconds:      told.DecodeStepSeconds,
+		PrefillTokensPerSecond: told.PrefillTokensPerSecond,
+		Version:                told.Version,
+	}), nil
 }
 
 // report gives the load as it is. The mutex is held.
