Mix faults of endpoints, the platform and declarations into the runs

Cause: the mixed tests held only faults of hosts and links. Change: the mix also draws refusals and resets of plain services, resets, repeats and swaps of engines' chunks, stalled exports, lost cancels and load reports, an outage and stale answers of the platform, good and broken files; revisions are checked. One more case of locks: the issuer's send arrives late. Failed try: to want each good file in force; one that a broken file replaced before it was read is lost, as the service tells only its newest value.

--- a/checker/checker.go
+++ b/checker/checker.go
@@ -103,6 +103,7 @@
 	PromiseMemory        Promise = "no-memory-without-caller"
 	PromiseLeaving       Promise = "no-work-for-leaving"
 	PromiseRevisions     Promise = "revisions-never-revert"
+	PromiseInForce       Promise = "in-force-everywhere"
 	PromiseUndecided     Promise = "undecided"
 	PromiseKnownRequests Promise = "no-run-without-call"
 )
--- a/emulator/plain.go
+++ b/emulator/plain.go
@@ -77,6 +77,11 @@
 	return p
 }
 
+// Name gives the instance's name.
+func (p *Plain) Name() identifier.Endpoint {
+	return p.settings.Name
+}
+
 // Handler serves the instance over HTTP.
 func (p *Plain) Handler() http.Handler {
 	mux := http.NewServeMux()
--- a/prover/draw.go
+++ b/prover/draw.go
@@ -19,6 +19,13 @@
 	return least + time.Duration(r.draw(int(most-least)))
 }
 
+// drawShare gives a number between 0 and 1.
+func (r *Run) drawShare() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.random.Float64()
+}
+
 // DrawLock draws what a caller does: when it starts within the span, whether
 // its call is duplicated, and where it resends it to.
 func (r *Run) DrawLock(span time.Duration) LockPlan {
--- a/prover/faults.go
+++ b/prover/faults.go
@@ -7,6 +7,7 @@
 	"github.com/jackdawthread/jackdawthread/assembler"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/emulator"
+	"github.com/jackdawthread/jackdawthread/faulter"
 )
 
 // hostNames gives the entry hosts of the data centers for which in holds.
@@ -71,13 +72,27 @@
 	}
 }
 
-// healAll ends the faults of links and endpoints.
+// SetEngineFaults sets the faults of all engines.
+func (r *Run) SetEngineFaults(f emulator.Faults) {
+	for _, e := range r.System.Site.Engines() {
+		e.SetFaults(f)
+	}
+}
+
+// SetLinks holds, or lets through, what a host sends to the plain services.
+func (r *Run) SetLinks(name identifier.Host, held bool) {
+	for _, p := range r.System.Site.Plains() {
+		r.System.Faults.SetFault(name, identifier.Host(p.Name()), faulter.Fault{Blocked: held})
+	}
+}
+
+// healAll ends the faults of links, endpoints and the platform.
 func (r *Run) healAll() {
 	r.System.Faults.Heal()
+	r.System.Site.Platform.SetDown(false)
+	r.System.Site.Platform.SetStale(0)
 	r.SetPlainFaults(emulator.PlainFaults{})
-	for _, e := range r.System.Site.Engines() {
-		e.SetFaults(emulator.Faults{})
-	}
+	r.SetEngineFaults(emulator.Faults{})
 }
 
 // Mix injects faults drawn at random, some of them at once, for the duration.
@@ -98,7 +113,8 @@
 func (r *Run) injectOne(ctx context.Context) error {
 	names := r.System.Hosts()
 	name := names[r.draw(len(names))]
-	switch r.draw(6) {
+	defer r.observeRevisions()
+	switch r.draw(12) {
 	case 0:
 		return r.killFor(ctx, name)
 	case 1:
@@ -108,13 +124,46 @@
 	case 3:
 		r.CutOff(r.System.DataCenter(name))
 	case 4:
-		r.System.Faults.Heal()
+		r.healAll()
 	case 5:
 		r.Disconnect(name)
+	case 6:
+		r.SetPlainFaults(r.drawPlainFaults())
+	case 7:
+		r.SetEngineFaults(r.drawEngineFaults())
+	case 8:
+		r.System.Site.Platform.SetDown(r.draw(2) == 0)
+	case 11:
+		r.System.Site.Platform.SetStale(identifier.Revision(r.draw(6)))
+	case 9:
+		return r.Publish()
+	case 10:
+		return r.PublishBroken()
 	}
 	return nil
 }
 
+func (r *Run) drawPlainFaults() emulator.PlainFaults {
+	return emulator.PlainFaults{
+		Refuse:      r.drawShare() / 2,
+		ResetBefore: r.drawShare() / 4,
+		ResetAfter:  r.drawShare() / 4,
+		Slow:        r.drawDuration(0, 2*time.Second),
+	}
+}
+
+func (r *Run) drawEngineFaults() emulator.Faults {
+	return emulator.Faults{
+		FailAfterTokens: uint32(r.draw(200)),
+		RepeatEvery:     r.draw(10),
+		SwapEvery:       r.draw(100),
+		StallExports:    r.draw(4) == 0,
+		DropCancels:     r.draw(2) == 0,
+		DropLoadReports: r.draw(4) == 0,
+		SlowFactor:      1 + 3*r.drawShare(),
+	}
+}
+
 func (r *Run) killFor(ctx context.Context, name identifier.Host) error {
 	r.Kill(name)
 	if err := sleep(ctx, r.drawDuration(0, 2*time.Second)); err != nil {
--- a/prover/generate_test.go
+++ b/prover/generate_test.go
@@ -29,11 +29,7 @@
 }
 
 func engines(f emulator.Faults) func(*prover.Run) {
-	return func(r *prover.Run) {
-		for _, e := range r.System.Site.Engines() {
-			e.SetFaults(f)
-		}
-	}
+	return func(r *prover.Run) { r.SetEngineFaults(f) }
 }
 
 func cancelAfter(d time.Duration) func(*prover.GeneratePlan) {
--- a/prover/lock_test.go
+++ b/prover/lock_test.go
@@ -67,6 +67,12 @@
 	{name: "issuer killed while it runs", before: slow, during: issuerKilled, want: []checker.Result{mayHaveRun}},
 	{name: "issuer frozen before the call", before: func(r *prover.Run) { r.Freeze(r.System.Hosts()[0]) }, during: issuerFrozen, want: []checker.Result{answered, ran}},
 	{name: "issuer frozen while it runs", before: slow, during: issuerFrozen, want: []checker.Result{answered, ran}},
+	{name: "issuer's send is held and arrives late", before: func(r *prover.Run) {
+		r.SetLinks(r.System.Hosts()[0], true)
+	}, during: func(ctx context.Context, r *prover.Run) {
+		wait(ctx, 10*second)
+		r.SetLinks(r.System.Hosts()[0], false)
+	}, want: []checker.Result{mayHaveRun}},
 	{name: "cut between host and issuer", before: issuerCutOff, want: []checker.Result{answered}},
 	{name: "cut while it runs", before: slow, during: func(_ context.Context, r *prover.Run) { issuerCutOff(r) }, want: []checker.Result{answered, ran}},
 	{name: "caller's connection breaks", before: slow, during: func(_ context.Context, r *prover.Run) {
--- a/prover/prover.go
+++ b/prover/prover.go
@@ -67,6 +67,8 @@
 	// their names; the fault injector replaces it when a host restarts.
 	hosts atomic.Pointer[[]identifier.Address]
 
+	declarations declarations // of the fault injector
+
 	mu      sync.Mutex
 	random  *rand.Rand
 	prompts map[emulator.Seed]checker.Key
@@ -132,7 +134,7 @@
 	r.Settle()
 	time.Sleep(settleTime)
 	r.collect()
-	violations := checker.Check(r.Recorder.History())
+	violations := append(checker.Check(r.Recorder.History()), r.checkDeclarations()...)
 	return append(violations, checker.CheckMemory(r.memory(), nil)...)
 }
 
