--- a/launcher/host.go
+++ b/launcher/host.go
@@ -210,3 +210,8 @@
 		return nil
 	}
 }
+
+// PeerBytes gives the bytes that the host has sent to its peers.
+func (h *Host) PeerBytes() uint64 {
+	return h.messenger.SentBytes()
+}
