--- a/assembler/overhead_test.go
+++ b/assembler/overhead_test.go
@@ -118,6 +118,12 @@
 			return err
 		})
 	})
+	b.Run("load-report", func(b *testing.B) {
+		measure(b, func(ctx context.Context) error {
+			_, err := c.Engine(engine.Address).Load(ctx, connect.NewRequest(&enginewire.LoadRequest{}))
+			return err
+		})
+	})
 	b.Run("model/direct", func(b *testing.B) {
 		measure(b, func(ctx context.Context) error {
 			sequence++
@@ -125,13 +131,17 @@
 		})
 	})
 	b.Run("model/routed", func(b *testing.B) {
-		measure(b, func(ctx context.Context) error { return generateRouted(ctx, caller) })
+		measure(b, func(ctx context.Context) error { return generateRouted(ctx, caller, overheadTokens) })
+	})
+	b.Run("model/routed-long", func(b *testing.B) {
+		measure(b, func(ctx context.Context) error { return generateRouted(ctx, caller, longTokens) })
 	})
 }
 
 const (
 	overheadPrompt = "copper, twenty tonnes, Taoyuan, delivered on Thursday?"
 	overheadTokens = 16
+	longTokens     = 400
 )
 
 // measure reports the processor time for each call beside the time.
@@ -183,9 +193,9 @@
 	return stream.Close()
 }
 
-func generateRouted(ctx context.Context, caller callerwireconnect.CallerServiceClient) error {
+func generateRouted(ctx context.Context, caller callerwireconnect.CallerServiceClient, tokens uint32) error {
 	stream, err := caller.Generate(ctx, connect.NewRequest(&callerwire.GenerateRequest{
-		Service: "dealer-desk", Customer: "c", Prompt: overheadPrompt, MaxTokens: overheadTokens,
+		Service: "dealer-desk", Customer: "c", Prompt: overheadPrompt, MaxTokens: tokens,
 	}))
 	if err != nil {
 		return err
@@ -211,7 +221,7 @@
 		direct = append(direct, timed(t, func() error {
 			return generateDirectly(t.Context(), c, engine.Address, &enginewire.Attempt{Incarnation: 1, Sequence: n + 1})
 		}))
-		routed = append(routed, timed(t, func() error { return generateRouted(t.Context(), caller) }))
+		routed = append(routed, timed(t, func() error { return generateRouted(t.Context(), caller, overheadTokens) }))
 	}
 	added := median(routed) - median(direct)
 	t.Logf("direct %s, routed %s, added %s", median(direct), median(routed), added)
