--- a/commander/commander.go
+++ b/commander/commander.go
@@ -6,7 +6,7 @@
 //	os.Exit(commander.Main(ctx, os.Args, commander.Streams{Out: os.Stdout, Err: os.Stderr}))
 //
 // Exit codes: 0 success; 1 failure; 2 wrong arguments or a refused file;
-// 3 a promise was broken (demo, load); 4 what was waited for did not come.
+// 3 a promise was broken (demo); 4 what was waited for did not come.
 package commander
 
 import (
