Name every package in the README's tour

Cause: certifier and examples were missing there, and the page about capacity in the index. Change: they are told; a test looks for every package of the root.

--- a/docs_test.go
+++ b/docs_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 
@@ -113,6 +114,15 @@
 		}
 		return all
 	}
+	t.Run("packages", func(t *testing.T) {
+		sources, err := filepath.Glob("*/*.go")
+		is.New(t).NoErr(err)
+		var packages []string
+		for _, source := range sources {
+			packages = append(packages, filepath.Dir(source))
+		}
+		assertTold(t, slices.Compact(packages), "README.md")
+	})
 	t.Run("reasons", func(t *testing.T) {
 		assertTold(t, captures(reasonPattern, "common/classifier/classifier.go"), "docs/callers.md")
 	})
