--- /dev/null
+++ b/common/grouper/grouper_test.go
@@ -0,0 +1,53 @@
+package grouper_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/jackdawthread/jackdawthread/common/grouper"
+)
+
+func TestGroup(t *testing.T) {
+	t.Run("gives the first error and cancels the others", func(t *testing.T) {
+		i := is.New(t)
+		g := grouper.New(t.Context())
+		failure := errors.New("member failed")
+		g.Run(func(ctx context.Context) { <-ctx.Done() })
+		g.Go(func(context.Context) error { return failure })
+		i.Equal(g.Wait(), failure)
+	})
+	t.Run("waits for members that members start", func(t *testing.T) {
+		i := is.New(t)
+		var ran atomic.Bool
+		g := grouper.New(t.Context())
+		g.Run(func(context.Context) {
+			g.Run(func(context.Context) { ran.Store(true) })
+		})
+		i.NoErr(g.Wait())
+		i.True(ran.Load())
+	})
+	t.Run("runs nothing once it has ended", func(t *testing.T) {
+		i := is.New(t)
+		g := grouper.New(t.Context())
+		i.NoErr(g.Wait())
+		g.Run(func(context.Context) { t.Error("a member ran after Wait") })
+		i.NoErr(g.Wait())
+	})
+	t.Run("takes members from outside while it is awaited", func(t *testing.T) {
+		i := is.New(t)
+		outside, g := grouper.New(t.Context()), grouper.New(t.Context())
+		for range 8 {
+			outside.Run(func(context.Context) {
+				for range 100 {
+					g.Run(func(context.Context) {})
+				}
+			})
+		}
+		i.NoErr(g.Wait())
+		i.NoErr(outside.Wait())
+	})
+}
