Start hosts where the commands' variable is set

Cause: the commands take the host to ask from JACKDAWTHREAD_HOST_ADDRESS; in a shell with that, serve ended with exit code 2, since it took the variable for an unknown key of the settings. Change: the settings pass it over; its name stands once. The new test fails without the change.

--- a/commander/operate.go
+++ b/commander/operate.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/settings"
 	"github.com/jackdawthread/jackdawthread/wire/operatorwire"
 	"github.com/jackdawthread/jackdawthread/wire/operatorwire/operatorwireconnect"
 )
@@ -25,7 +26,7 @@
 		Name:    "host",
 		Usage:   "operators' listener of an entry host, IP:port",
 		Value:   defaultOperatorAddress,
-		Sources: cli.EnvVars("JACKDAWTHREAD_HOST_ADDRESS"),
+		Sources: cli.EnvVars(settings.HostAddressVariable),
 	}
 }
 
--- a/settings/loader.go
+++ b/settings/loader.go
@@ -16,6 +16,10 @@
 // keys.
 const EnvironmentPrefix = "JACKDAWTHREAD_"
 
+// HostAddressVariable names the entry host that commands ask. It is no key of
+// the settings, and a process that serves passes it over.
+const HostAddressVariable = EnvironmentPrefix + "HOST_ADDRESS"
+
 // Load reads the settings file at path, the environment and the flags. An
 // empty path means that there is no file. Entries of environ are name=value;
 // flags are as Flag gives them.
@@ -70,7 +74,7 @@
 	var overrides []decoder.Override
 	for _, entry := range slices.Sorted(slices.Values(environ)) {
 		name, text, _ := strings.Cut(entry, "=")
-		if !strings.HasPrefix(name, EnvironmentPrefix) {
+		if !strings.HasPrefix(name, EnvironmentPrefix) || name == HostAddressVariable {
 			continue
 		}
 		path, ok := paths[name]
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -48,6 +48,12 @@
 	is.Equal(s.Seeds, []identifier.Address{"127.0.0.1:5", "127.0.0.1:6"})
 }
 
+func TestCommandsVariableIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	_, err := settings.FromBytes("s.toml", []byte(good), []string{settings.HostAddressVariable + "=127.0.0.1:7002"}, nil)
+	is.NoErr(err)
+}
+
 func TestExample(t *testing.T) {
 	is := is.New(t)
 	s, err := settings.Load("../examples/entry-host.toml", nil, nil)
