Wait and choose hosts in one place each

Cause: seven packages had a sleep of their own that a context cuts short, and locator and throttler each hashed every host's name for each key. Rendezvous scores came from a hand-made mixer, where the hash library does. Change: common/sleeper; View.FleetOwner; scores by xxhash again.

--- a/client/client.go
+++ b/client/client.go
@@ -41,6 +41,7 @@
 
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/common/sleeper"
 	"github.com/jackdawthread/jackdawthread/wire/callerwire/callerwireconnect"
 )
 
@@ -125,14 +126,7 @@
 	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= d {
 		return context.DeadlineExceeded
 	}
-	wait := time.NewTimer(d)
-	defer wait.Stop()
-	select {
-	case <-wait.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return sleeper.Sleep(ctx, d)
 }
 
 // jitter gives a random time between d/2 and d.
--- a/coordinator/home.go
+++ b/coordinator/home.go
@@ -10,6 +10,7 @@
 	"github.com/jackdawthread/jackdawthread/allocator"
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/common/sleeper"
 	"github.com/jackdawthread/jackdawthread/gossiper"
 	"github.com/jackdawthread/jackdawthread/peerwire"
 )
@@ -75,7 +76,7 @@
 		if reasonOf(err) != classifier.ReasonAllocatorUnknown || ctx.Err() != nil {
 			return g, err
 		}
-		if err := pause(ctx, backoff); err != nil {
+		if err := sleeper.Sleep(ctx, backoff); err != nil {
 			return nil, classifier.NotRun(classifier.ReasonCanceled, 0, "ask for slots of service %q ended: %w", k.Service, err)
 		}
 		backoff *= 2
@@ -83,17 +84,6 @@
 	return c.askHere(ctx, k, a)
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	alarm := time.NewTimer(d)
-	defer alarm.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-alarm.C:
-		return nil
-	}
-}
-
 // askOwner asks the pool's allocator where it is; when it can't be reached,
 // the ask goes to an allocator of this host.
 func (c *Coordinator) askOwner(ctx context.Context, k Key, a Ask) (*Grant, error) {
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -19,6 +19,7 @@
 	"github.com/jackdawthread/jackdawthread/assembler"
 	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/common/sleeper"
 	"github.com/jackdawthread/jackdawthread/emulator"
 	"github.com/jackdawthread/jackdawthread/examples"
 	"github.com/jackdawthread/jackdawthread/loader"
@@ -146,12 +147,5 @@
 }
 
 func pause(ctx context.Context, wait time.Duration) error {
-	alarm := time.NewTimer(wait)
-	defer alarm.Stop()
-	select {
-	case <-ctx.Done():
-		return eris.Wrap(ctx.Err(), "demonstration was interrupted")
-	case <-alarm.C:
-		return nil
-	}
+	return eris.Wrap(sleeper.Sleep(ctx, wait), "demonstration was interrupted")
 }
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/jackdawthread/jackdawthread/common/converter"
 	"github.com/jackdawthread/jackdawthread/common/hasher"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/common/sleeper"
 	"github.com/jackdawthread/jackdawthread/compiler"
 	"github.com/jackdawthread/jackdawthread/coordinator"
 	"github.com/jackdawthread/jackdawthread/wire/enginewire"
@@ -71,7 +72,7 @@
 
 func (t *try) run(ctx context.Context) error {
 	t.at = t.grant.Prefill
-	if err := sleep(ctx, t.grant.Wait); err != nil {
+	if err := sleeper.Sleep(ctx, t.grant.Wait); err != nil {
 		return classifier.NotRun(classifier.ReasonCanceled, 0, "attempt %s ended before its prefill: %w", t.grant.Attempt, err)
 	}
 	prefilled, err := t.prefill(ctx)
--- a/dispatcher/budgets.go
+++ b/dispatcher/budgets.go
@@ -8,6 +8,7 @@
 
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/common/sleeper"
 	"github.com/jackdawthread/jackdawthread/compiler"
 	"github.com/jackdawthread/jackdawthread/retrier"
 )
@@ -71,7 +72,7 @@
 	if !d.Retry {
 		return t.final(failure)
 	}
-	if sleep(ctx, d.After) != nil {
+	if sleeper.Sleep(ctx, d.After) != nil {
 		return contextError(ctx, t.verdict)
 	}
 	return nil
--- a/dispatcher/canceler.go
+++ b/dispatcher/canceler.go
@@ -9,6 +9,7 @@
 
 	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/common/sleeper"
 	"github.com/jackdawthread/jackdawthread/compiler"
 	"github.com/jackdawthread/jackdawthread/wire/enginewire"
 )
@@ -40,7 +41,7 @@
 		if c.once(ctx, e, a) == nil {
 			return
 		}
-		if sleep(ctx, backoff) != nil {
+		if sleeper.Sleep(ctx, backoff) != nil {
 			return
 		}
 		backoff = min(2*backoff, cancelMaxBackoff)
@@ -55,21 +56,6 @@
 	return err
 }
 
-// sleep waits for d or the context's end, whose error it gives.
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	alarm := time.NewTimer(d)
-	defer alarm.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-alarm.C:
-		return nil
-	}
-}
-
 func wireAttempt(a identifier.Attempt) *enginewire.Attempt {
 	return &enginewire.Attempt{Incarnation: uint64(a.Incarnation), Sequence: a.Sequence}
 }
--- a/emulator/orders.go
+++ b/emulator/orders.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/common/sleeper"
 	"github.com/jackdawthread/jackdawthread/wire/enginewire"
 )
 
@@ -159,14 +160,14 @@
 	if e.deps.Weights != nil {
 		return e.deps.Weights.Fetch(ctx, w.model, w.version)
 	}
-	return sleep(ctx, e.settings.LoadTime)
+	return sleeper.Sleep(ctx, e.settings.LoadTime)
 }
 
 // finishLoad enters loaded weights in the place of another version's. After a
 // failure the loader tries again, which the load time spaces out.
 func (e *Engine) finishLoad(w weights, err error) {
 	if err != nil {
-		_ = sleep(e.group.Context(), e.settings.LoadTime) // an engine that stops ends the loader's loop
+		_ = sleeper.Sleep(e.group.Context(), e.settings.LoadTime) // an engine that stops ends the loader's loop
 		return
 	}
 	e.mu.Lock()
@@ -176,15 +177,3 @@
 	o.loaded = append(o.loaded, w)
 	e.stats.Loads++
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) error {
-	alarm := time.NewTimer(d)
-	defer alarm.Stop()
-	select {
-	case <-alarm.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/emulator/plain.go
+++ b/emulator/plain.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/common/sleeper"
 	"github.com/jackdawthread/jackdawthread/wire/enginewire"
 	"github.com/jackdawthread/jackdawthread/wire/enginewire/enginewireconnect"
 )
@@ -128,7 +129,7 @@
 		return nil, errReset
 	}
 	p.execute(m)
-	if err := sleep(ctx, p.settings.Latency+f.Slow); err != nil {
+	if err := sleeper.Sleep(ctx, p.settings.Latency+f.Slow); err != nil {
 		return nil, err
 	}
 	if p.happens(f.ResetAfter) {
--- a/gossiper/view.go
+++ b/gossiper/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -97,6 +98,20 @@
 	return live[best], true
 }
 
+// FleetOwner gives the live host of all data centers that is highest in the
+// order of rendezvous hashing for the key.
+func (v *View) FleetOwner(key uint64) (best Member, ok bool) {
+	highest := uint64(0)
+	for dc, hashes := range v.hashes {
+		for i, h := range hashes {
+			if score := rendezvousScore(h, key); !ok || score > highest {
+				best, highest, ok = v.live[dc][i], score, true
+			}
+		}
+	}
+	return best, ok
+}
+
 // Owners gives up to count live members of dc in the rendezvous order of key;
 // the first is that of Owner.
 func (v *View) Owners(dc identifier.DataCenter, key uint64, count int) []Member {
@@ -118,10 +133,10 @@
 // rendezvousScore mixes a host's hash with a key, as the splitmix64 generator
 // mixes its state.
 func rendezvousScore(hostHash, key uint64) uint64 {
-	x := hostHash ^ (key+1)*0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], hostHash)
+	binary.LittleEndian.PutUint64(b[8:], key)
+	return xxhash.Sum64(b[:])
 }
 
 // Leaving tells whether e is marked as leaving.
--- a/launcher/host.go
+++ b/launcher/host.go
@@ -21,6 +21,7 @@
 
 	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/common/sleeper"
 	"github.com/jackdawthread/jackdawthread/connector"
 	"github.com/jackdawthread/jackdawthread/coordinator"
 	"github.com/jackdawthread/jackdawthread/dispatcher"
@@ -164,7 +165,7 @@
 	h.setState(server.StateDraining)
 	h.log.Info("drain-started", zap.Int64("running", h.dispatcher.Running()))
 	h.publish()
-	if err := wait(ctx, h.settings.Drain.Announce); err != nil {
+	if err := sleeper.Sleep(ctx, h.settings.Drain.Announce); err != nil {
 		return h.cutOff(err)
 	}
 	h.gossiper.Leave(ctx)
@@ -193,24 +194,13 @@
 // have been used or have expired, and peers' asks are answered.
 func (h *Host) waitForWork(ctx context.Context) error {
 	for h.dispatcher.Running() > 0 || h.tickets.Unredeemed() > 0 || h.coordinator.Waiting() > 0 {
-		if err := wait(ctx, workPollPeriod); err != nil {
+		if err := sleeper.Sleep(ctx, workPollPeriod); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func wait(ctx context.Context, d time.Duration) error {
-	alarm := time.NewTimer(d)
-	defer alarm.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-alarm.C:
-		return nil
-	}
-}
-
 // PeerBytes gives the bytes that the host has sent to its peers.
 func (h *Host) PeerBytes() uint64 {
 	return h.messenger.SentBytes()
--- a/locator/handlers.go
+++ b/locator/handlers.go
@@ -48,7 +48,7 @@
 	}
 	moved := make([]*Held, 0, len(l.held))
 	for _, h := range l.held {
-		if at, ok := directoryOf(h.request, v); ok && at.Incarnation != h.directory {
+		if at, ok := v.FleetOwner(directoryKey(h.request)); ok && at.Incarnation != h.directory {
 			h.directory = at.Incarnation
 			moved = append(moved, h)
 		}
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -113,7 +113,7 @@
 // ErrTakenOver when the request is received again, here or elsewhere.
 func (l *Locator) Hold(r identifier.Request, cancel context.CancelCauseFunc) *Held {
 	h := &Held{locator: l, request: r, received: time.Now(), cancel: cancel, claimed: make(chan struct{})}
-	if at, ok := directoryOf(r, l.deps.Members.View()); ok {
+	if at, ok := l.deps.Members.View().FleetOwner(directoryKey(r)); ok {
 		h.directory = at.Incarnation
 	}
 	l.mu.Lock()
@@ -174,7 +174,7 @@
 
 // locate tells the request's directory of its home.
 func (l *Locator) locate(ctx context.Context, h *Held, ended bool) (Claim, error) {
-	at, ok := directoryOf(h.request, l.deps.Members.View())
+	at, ok := l.deps.Members.View().FleetOwner(directoryKey(h.request))
 	if !ok || at.Incarnation == l.deps.Self {
 		return l.enter(h.request, l.deps.Self, h.received, ended), nil
 	}
@@ -227,16 +227,7 @@
 	}
 }
 
-// directoryOf gives the host whose directory has the request.
-func directoryOf(r identifier.Request, v *gossiper.View) (best gossiper.Member, ok bool) {
-	var highest uint64
-	for _, m := range v.Members() {
-		if m.State != gossiper.StateAlive && m.State != gossiper.StateSuspect {
-			continue
-		}
-		if n := xxhash.Sum64String(string(r) + "\x00" + string(m.Host)); !ok || n > highest {
-			best, highest, ok = m, n, true
-		}
-	}
-	return best, ok
+// directoryKey places a request's directory on a host.
+func directoryKey(r identifier.Request) uint64 {
+	return xxhash.Sum64String(string(r))
 }
--- a/prover/faults.go
+++ b/prover/faults.go
@@ -6,6 +6,7 @@
 
 	"github.com/jackdawthread/jackdawthread/assembler"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/common/sleeper"
 	"github.com/jackdawthread/jackdawthread/emulator"
 	"github.com/jackdawthread/jackdawthread/faulter"
 )
@@ -100,7 +101,7 @@
 func (r *Run) Mix(ctx context.Context, duration time.Duration) error {
 	end := time.Now().Add(duration)
 	for time.Now().Before(end) {
-		if err := sleep(ctx, r.drawDuration(100*time.Millisecond, time.Second)); err != nil {
+		if err := sleeper.Sleep(ctx, r.drawDuration(100*time.Millisecond, time.Second)); err != nil {
 			return err
 		}
 		if err := r.injectOne(ctx); err != nil {
@@ -166,7 +167,7 @@
 
 func (r *Run) killFor(ctx context.Context, name identifier.Host) error {
 	r.Kill(name)
-	if err := sleep(ctx, r.drawDuration(0, 2*time.Second)); err != nil {
+	if err := sleeper.Sleep(ctx, r.drawDuration(0, 2*time.Second)); err != nil {
 		return err
 	}
 	return r.Restart(name)
--- a/prover/generate.go
+++ b/prover/generate.go
@@ -11,6 +11,7 @@
 	"github.com/jackdawthread/jackdawthread/checker"
 	"github.com/jackdawthread/jackdawthread/client"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/common/sleeper"
 	"github.com/jackdawthread/jackdawthread/emulator"
 )
 
@@ -50,7 +51,7 @@
 
 // Generate makes one caller's request and gives what it was told in the end.
 func (r *Run) Generate(ctx context.Context, p GeneratePlan) checker.Result {
-	if sleep(ctx, p.Start) != nil {
+	if sleeper.Sleep(ctx, p.Start) != nil {
 		return checker.ResultUnfinished
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.Timeout)
@@ -99,7 +100,7 @@
 	for host := p.Host; ; host++ {
 		p.Host = host
 		text, err := r.streamFrom(ctx, p, request, client.RetryPolicy{})
-		if checker.ResultOf(err) != checker.ResultNotRun || sleep(ctx, resendPause) != nil {
+		if checker.ResultOf(err) != checker.ResultNotRun || sleeper.Sleep(ctx, resendPause) != nil {
 			return text, err
 		}
 	}
--- a/prover/lock.go
+++ b/prover/lock.go
@@ -12,6 +12,7 @@
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/converter"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/common/sleeper"
 	"github.com/jackdawthread/jackdawthread/emulator"
 	"github.com/jackdawthread/jackdawthread/wire/callerwire"
 )
@@ -49,7 +50,7 @@
 // Lock makes one caller's calls and gives what it was told in the end. A
 // caller that gets no ticket counts as told ResultNotRun.
 func (r *Run) Lock(ctx context.Context, p LockPlan) checker.Result {
-	if sleep(ctx, p.Start) != nil {
+	if sleeper.Sleep(ctx, p.Start) != nil {
 		return checker.ResultUnfinished
 	}
 	ticket, err := r.issue(ctx, p)
@@ -63,7 +64,7 @@
 	l := &lock{run: r, ticket: ticket, payload: fmt.Appendf(nil, "20 t for %s", ticket), timeout: p.Timeout}
 	result := l.copies(ctx, p.Copies)
 	for _, host := range p.Resends {
-		if settled(result) || sleep(ctx, p.Pause) != nil {
+		if settled(result) || sleeper.Sleep(ctx, p.Pause) != nil {
 			break
 		}
 		result = l.call(ctx, host)
@@ -163,15 +164,3 @@
 	f := converter.FromConnect(err)
 	return f.Verdict == classifier.VerdictNotRun || f.Reason == classifier.ReasonNotReady
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) error {
-	wait := time.NewTimer(d)
-	defer wait.Stop()
-	select {
-	case <-wait.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -127,15 +127,15 @@
 	t.mu.Lock()
 	t.coordinator.Expire(now)
 	t.mu.Unlock()
+	view := t.deps.Members.View()
 	byHost := make(map[identifier.Incarnation][]limiter.Usage)
-	hosts := liveHosts(t.deps.Members.View())
 	for _, u := range t.limiter.Report(now) {
-		if h, ok := coordinatorOf(u.Customer, hosts); ok {
+		if h, ok := view.FleetOwner(xxhash.Sum64String(string(u.Customer))); ok {
 			byHost[h.Incarnation] = append(byHost[h.Incarnation], u)
 		}
 	}
-	for _, h := range hosts {
-		if usages := byHost[h.Incarnation]; len(usages) > 0 {
+	for i, usages := range byHost {
+		if h, ok := view.ByIncarnation(i); ok {
 			t.report(h, usages, now)
 		}
 	}
@@ -173,26 +173,3 @@
 	shares := t.coordinate(from.Incarnation, decodeUsages(&m), time.Now())
 	return encodeShares(shares), nil
 }
-
-// liveHosts gives the hosts that may coordinate limits.
-func liveHosts(v *gossiper.View) []gossiper.Member {
-	var live []gossiper.Member
-	for _, m := range v.Members() {
-		if m.State == gossiper.StateAlive || m.State == gossiper.StateSuspect {
-			live = append(live, m)
-		}
-	}
-	return live
-}
-
-// coordinatorOf gives the host with the highest hash for the customer.
-func coordinatorOf(c identifier.Customer, hosts []gossiper.Member) (best gossiper.Member, ok bool) {
-	var highest uint64
-	for _, h := range hosts {
-		n := xxhash.Sum64String(string(c) + "\x00" + string(h.Host))
-		if !ok || n > highest {
-			best, highest, ok = h, n, true
-		}
-	}
-	return best, ok
-}
