Log no failed watch at a planned stop

Cause: each planned stop ended its log with a warning that the watch of the declarations was canceled, after drain-completed. Change: a failure that comes of the host's own stop isn't logged.

--- a/docs_test.go
+++ b/docs_test.go
@@ -18,7 +18,7 @@
 	linkPattern   = regexp.MustCompile(`\]\(([^)#]*)(#[^)]*)?\)`)
 	headPattern   = regexp.MustCompile(`(?m)^#+ (.*)$`)
 	reasonPattern = regexp.MustCompile(`Reason\w+ +Reason = "([a-z-]+)"`)
-	eventPattern  = regexp.MustCompile(`\.(?:Info|Warn|Error)\("([a-z]+(?:-[a-z]+)+)"`)
+	eventPattern  = regexp.MustCompile(`(?:\.(?:Info|Warn|Error)\(|\.warn\(ctx, )"([a-z]+(?:-[a-z]+)+)"`)
 	anchorDropped = regexp.MustCompile(`[^\w\- ]`)
 )
 
--- a/watcher/service.go
+++ b/watcher/service.go
@@ -35,7 +35,7 @@
 		}
 		next, err := w.watchOnce(ctx, w.after(told))
 		if err != nil {
-			w.Log.Warn("watch-failed", zap.Error(err))
+			w.warn(ctx, "watch-failed", err)
 			w.pause(ctx, failures.next())
 			continue
 		}
@@ -44,6 +44,14 @@
 	}
 }
 
+// warn logs a failure of the service. One that comes of the host's own stop is
+// none.
+func (w *Watcher) warn(ctx context.Context, event string, err error) {
+	if ctx.Err() == nil {
+		w.Log.Warn(event, zap.Error(err))
+	}
+}
+
 // after gives the revision above which a watch is to answer.
 func (w *Watcher) after(told identifier.Revision) identifier.Revision {
 	if fleet := w.Keeper.Current(); fleet != nil {
@@ -91,7 +99,7 @@
 			continue
 		}
 		if err := w.pollOnce(ctx); err != nil {
-			w.Log.Warn("host-list-failed", zap.Error(err))
+			w.warn(ctx, "host-list-failed", err)
 			w.pause(ctx, failures.next())
 			continue
 		}
