Add keys; bound the requests that a host holds; spread every retry-after

Cause: operators could not make the certificates that mutual TLS between hosts needs; limits.max-requests bounded nothing but peers' messages; hints to come back were the same for all callers that were refused together. Change: keys authority and keys issue; a host above its limit refuses at once, not-run, with a retry-after; all hints are spread by half to either side, also that of a request whose deadline passed. TLS on the callers' and operators' listeners is not wired.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -91,6 +91,7 @@
 			loadCommand(s),
 			configCommand(s),
 			reportCommand(s),
+			keysCommand(s),
 		},
 	}
 	refuseWrongArguments(c)
--- a/common/classifier/classifier.go
+++ b/common/classifier/classifier.go
@@ -17,6 +17,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/jackdawthread/jackdawthread/common/identifier"
@@ -127,6 +128,12 @@
 	}
 }
 
+// Spread draws a time around d, by half of it to either side, so that callers
+// that were refused together don't come back together.
+func Spread(d time.Duration) time.Duration {
+	return d/2 + rand.N(d+1)
+}
+
 // Of gives the failure that err carries. An error without one becomes a
 // failure after which the request may have run; nil stays nil.
 func Of(err error) *Error {
--- a/coordinator/home.go
+++ b/coordinator/home.go
@@ -45,7 +45,7 @@
 		}
 	}
 	if first == nil {
-		return nil, classifier.NotRun(classifier.ReasonNoEndpoint, noEndpointRetryAfter, "service %q has no endpoints", a.Service.Name)
+		return nil, classifier.NotRun(classifier.ReasonNoEndpoint, classifier.Spread(noEndpointRetryAfter), "service %q has no endpoints", a.Service.Name)
 	}
 	return nil, first
 }
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -90,7 +90,7 @@
 	d := c.dispatcher
 	e, ended := d.plains.pick(c.request.Service, d.deps.Leaving, c.exclude)
 	if e == nil {
-		return nil, classifier.NotRun(classifier.ReasonNoEndpoint, noEndpointRetryAfter, "service %q has no endpoint that takes calls", c.request.Service.Name)
+		return nil, classifier.NotRun(classifier.ReasonNoEndpoint, classifier.Spread(noEndpointRetryAfter), "service %q has no endpoint that takes calls", c.request.Service.Name)
 	}
 	defer ended()
 	response, err := d.deps.Endpoints.Plain(e.Address).Invoke(ctx, connect.NewRequest(&enginewire.InvokeRequest{
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -93,7 +93,9 @@
 	Observer    Observer
 	// Leaving tells whether an endpoint gets no new work.
 	Leaving func(identifier.Endpoint) bool
-	Log     *zap.Logger
+	// MaxRunning bounds the requests that the host holds; 0: no bound.
+	MaxRunning int64
+	Log        *zap.Logger
 }
 
 // Dispatcher leads requests through their life. It is safe for use by several
@@ -125,12 +127,23 @@
 // endpoints: about the time in which a leaving or lost one is replaced.
 const noEndpointRetryAfter = 2 * time.Second
 
+// fullRetryAfter is when a caller may come back to a host that holds as many
+// requests as it may, and lateRetryAfter to one whose answer came too late.
+const (
+	fullRetryAfter = time.Second
+	lateRetryAfter = time.Second
+)
+
 func (d *Dispatcher) newAttempt() identifier.Attempt {
 	return identifier.Attempt{Incarnation: d.deps.Incarnation, Sequence: d.attempts.Next()}
 }
 
-// admit checks the customer's limit.
+// admit checks the host's limit and the customer's. The request counts as
+// running by then.
 func (d *Dispatcher) admit(c *compiler.Customer, cost identifier.Tokens) error {
+	if n := d.running.Load(); d.deps.MaxRunning > 0 && n > d.deps.MaxRunning {
+		return classifier.NotRun(classifier.ReasonQueueFull, classifier.Spread(fullRetryAfter), "this host holds %d requests, as many as it may", d.deps.MaxRunning)
+	}
 	ok, retryAfter := d.deps.Limits.Admit(c, cost)
 	if ok {
 		return nil
@@ -150,6 +163,7 @@
 	}
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		e.Reason = classifier.ReasonDeadline
+		e.RetryAfter = classifier.Spread(lateRetryAfter)
 		e.Message = "the deadline passed"
 		return e
 	}
--- a/launcher/start.go
+++ b/launcher/start.go
@@ -131,6 +131,7 @@
 		Homes:       h.locator,
 		Observer:    h,
 		Leaving:     h.leaving,
+		MaxRunning:  int64(h.settings.Limits.MaxRequests),
 		Log:         h.log,
 	})
 	h.redeemer = redeemer.New(redeemer.Deps{
--- a/redeemer/forward.go
+++ b/redeemer/forward.go
@@ -123,7 +123,7 @@
 func (r *Redeemer) lookUp(m *peerwire.TicketCall) (dispatcher.CallRequest, error) {
 	f := r.deps.Fleet()
 	if f == nil {
-		return dispatcher.CallRequest{}, classifier.NotRun(classifier.ReasonNotReady, unreachableRetryAfter, "no declarations are in force yet")
+		return dispatcher.CallRequest{}, classifier.NotRun(classifier.ReasonNotReady, classifier.Spread(unreachableRetryAfter), "no declarations are in force yet")
 	}
 	s := f.Services[identifier.Service(m.Service)]
 	if s == nil || s.Kind != compiler.KindPlain {
--- a/redeemer/redeemer.go
+++ b/redeemer/redeemer.go
@@ -145,7 +145,7 @@
 func noReceipt(bool) {}
 
 func issuerGone(i identifier.Incarnation) error {
-	return classifier.MayHaveRun(classifier.ReasonHostUnreachable, unreachableRetryAfter, "the host that issued the ticket, incarnation %s, is not known here", i)
+	return classifier.MayHaveRun(classifier.ReasonHostUnreachable, classifier.Spread(unreachableRetryAfter), "the host that issued the ticket, incarnation %s, is not known here", i)
 }
 
 // redeem dispatches the call if its ticket, which this host issued, allows it.
--- a/server/check.go
+++ b/server/check.go
@@ -27,7 +27,7 @@
 func (s *Callers) lookUp(service, customer string, k compiler.Kind) (*compiler.Service, *compiler.Customer, error) {
 	f := s.deps.Fleet()
 	if f == nil {
-		return nil, nil, classifier.NotRun(classifier.ReasonNotReady, notReadyRetryAfter, "no declarations are in force yet")
+		return nil, nil, classifier.NotRun(classifier.ReasonNotReady, classifier.Spread(notReadyRetryAfter), "no declarations are in force yet")
 	}
 	v, ok := f.Services[identifier.Service(service)]
 	if !ok {
