--- a/common/grouper/grouper_test.go
+++ b/common/grouper/grouper_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -50,4 +51,21 @@
 		i.NoErr(g.Wait())
 		i.NoErr(outside.Wait())
 	})
+	t.Run("lets a member start when the others have ended and one waits", func(t *testing.T) {
+		i := is.New(t)
+		g := grouper.New(t.Context())
+		release := make(chan struct{})
+		g.Run(func(context.Context) { <-release })
+		others := grouper.New(t.Context())
+		others.Go(func(context.Context) error { return g.Wait() })
+		time.Sleep(step) // no channel: the race detector is to see the two apart
+		close(release)
+		time.Sleep(step)
+		g.Run(func(context.Context) {})
+		i.NoErr(others.Wait())
+		i.NoErr(g.Wait())
+	})
 }
+
+// step is long enough for a goroutine to reach its Wait.
+const step = 10 * time.Millisecond
