Measure large fleets in one run

Cause: at 1,400 hosts the measuring command took more than a quarter of an hour and was stopped before it printed anything. Change: the command large takes all figures from one settled fleet.

--- a/cmd/measurer/main.go
+++ b/cmd/measurer/main.go
@@ -3,6 +3,7 @@
 // # Usage
 //
 //	go run ./cmd/measurer membership --hosts 9 --hosts 300 --seeds 9
+//	go run ./cmd/measurer large --hosts 1400
 //	go run ./cmd/measurer pauses --hosts 9 --seeds 20
 package main
 
@@ -30,6 +31,7 @@
 		Usage: "measure membership on virtual time",
 		Commands: []*cli.Command{
 			subcommand("membership", "detection, spread, bytes and processor time", measurer.Membership),
+			subcommand("large", "the same in one run, for large fleets", measurer.Large),
 			subcommand("pauses", "false suspicion while a host is paused", measurer.Pauses),
 		},
 	}
--- a/measurer/membership.go
+++ b/measurer/membership.go
@@ -93,6 +93,24 @@
 	}
 }
 
+// Large writes the figures of one run for each size, in one fleet, for sizes at
+// which Membership takes too long.
+func Large(w io.Writer, c MembershipConfig) error {
+	for _, hosts := range c.Hosts {
+		f := newSettledFleet(hosts, 1, gossiper.Options{})
+		calm := f.cost(load{})
+		mark := f.spreadMark()
+		vanished := f.detect((*Fleet).Lose)
+		busy := f.cost(load{digests: true, change: membershipChange, restart: membershipRestart})
+		_, err := fmt.Fprintf(w, "hosts=%d data-centers=%d seed=1\n  vanished host %.3g s, leaving mark %.3g s\n  calm %+v\n  busy %+v\n",
+			hosts, dataCenters, vanished, mark, calm, busy)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Pauses writes what follows from pauses of one host of a fleet.
 func Pauses(w io.Writer, c MembershipConfig) error {
 	for _, hosts := range c.Hosts {
--- a/measurer/scenarios.go
+++ b/measurer/scenarios.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/jackdawthread/jackdawthread/common/identifier"
@@ -56,13 +57,16 @@
 }
 
 // detect measures how long after the end of a host all others of its data
-// center have it as not live, in seconds.
+// center have it as dead, in seconds.
 func detect(hosts int, seed uint64, end func(*Fleet, int)) float64 {
-	f := newSettledFleet(hosts, seed, gossiper.Options{})
+	return newSettledFleet(hosts, seed, gossiper.Options{}).detect(end)
+}
+
+func (f *Fleet) detect(end func(*Fleet, int)) float64 {
 	f.Run(time.Duration(f.random.Int64N(int64(time.Second))))
-	i := f.random.IntN(hosts)
+	i := f.random.IntN(len(f.hosts))
 	left := map[int]bool{}
-	for j := range hosts {
+	for j := range f.hosts {
 		if j != i && f.DataCenter(j) == f.DataCenter(i) {
 			left[j] = true
 		}
@@ -80,13 +84,16 @@
 // spreadMark measures how long a leaving mark takes to reach all hosts of all
 // data centers, in seconds.
 func spreadMark(hosts int, seed uint64) float64 {
-	f := newSettledFleet(hosts, seed, gossiper.Options{})
+	return newSettledFleet(hosts, seed, gossiper.Options{}).spreadMark()
+}
+
+func (f *Fleet) spreadMark() float64 {
 	f.Run(time.Duration(f.random.Int64N(int64(time.Second))))
 	const endpoint = identifier.Endpoint("note-writer-04")
-	f.Do(f.random.IntN(hosts), gossiper.Marked{Endpoint: endpoint, Mark: gossiper.Mark{Revision: 7, Leaving: true}})
+	f.Do(f.random.IntN(len(f.hosts)), gossiper.Marked{Endpoint: endpoint, Mark: gossiper.Mark{Revision: 7, Leaving: true}})
 	d, _ := f.RunUntil(patience, func() bool {
-		for i := range f.hosts {
-			if k, _ := f.hosts[i].machine.Mark(endpoint); !k.Leaving {
+		for _, h := range f.hosts {
+			if k, _ := h.machine.Mark(endpoint); !k.Leaving {
 				return false
 			}
 		}
@@ -118,18 +125,23 @@
 
 // measureCost runs a fleet under a load.
 func measureCost(hosts int, seed uint64, l load) cost {
-	f := newSettledFleet(hosts, seed, l.options)
+	return newSettledFleet(hosts, seed, l.options).cost(l)
+}
+
+// cost runs the fleet under a load, first for a while without measuring.
+func (f *Fleet) cost(l load) cost {
 	f.runLoad(l, settleTime)
-	before := append([]Traffic(nil), f.traffic...)
+	before := slices.Clone(f.traffic)
 	start := time.Now()
 	f.runLoad(l, trafficTime)
 	wall := time.Since(start)
-	c := cost{processor: float64(wall.Microseconds()) / trafficTime.Seconds() / float64(hosts)}
+	hosts := float64(len(f.hosts))
+	c := cost{processor: float64(wall.Microseconds()) / trafficTime.Seconds() / hosts}
 	for i := range f.traffic {
 		bytes := float64(f.traffic[i].Bytes-before[i].Bytes) / trafficTime.Seconds()
-		c.meanBytes += bytes / float64(hosts)
+		c.meanBytes += bytes / hosts
 		c.maxBytes = max(c.maxBytes, bytes)
-		c.messages += float64(f.traffic[i].Messages-before[i].Messages) / trafficTime.Seconds() / float64(hosts)
+		c.messages += float64(f.traffic[i].Messages-before[i].Messages) / trafficTime.Seconds() / hosts
 	}
 	c.digestAge = f.digestAge()
 	return c
