Refuse frames whose arrays claim more than they hold

Cause: found by FuzzFrame: a frame of 56 bytes that claims an array of 1.8e9 updates made the codec allocate for all of them, and the process died for want of memory. Change: before a frame is decoded its shape is checked: whole values, arrays and maps no larger than the bytes left and 131072 elements, 32 levels. Such a frame ends its connection with a failure that says why. Failed try: the limits of msgp's generator hold for byte strings as well, and would have refused declarations and payloads over 65536 bytes.

Known: an array of 131072 empty elements still costs some 20 MB while its decoding fails.

--- a/messenger/frame.go
+++ b/messenger/frame.go
@@ -70,7 +70,13 @@
 		return nil, err
 	}
 	*envelope = peerwire.Envelope{}
+	if _, err = checkShape(r.body, 0); err != nil {
+		return nil, &MalformedError{Cause: err}
+	}
 	payload, err = envelope.UnmarshalMsg(r.body)
+	if err == nil && len(payload) > 0 {
+		_, err = checkShape(payload, 0)
+	}
 	if err != nil {
 		return nil, &MalformedError{Cause: err}
 	}
--- a/messenger/frame_test.go
+++ b/messenger/frame_test.go
@@ -76,6 +76,22 @@
 		_, ok := errors.AsType[*messenger.MalformedError](err)
 		is.New(t).True(ok)
 	})
+	t.Run("is refused when an array claims what isn't there", func(t *testing.T) {
+		claims := map[string]msgp.Raw{
+			"more than the frame has": msgp.AppendArrayHeader(nil, 1<<31),
+			"more than any may":       msgp.AppendArrayHeader(nil, 1<<17+1),
+			"nested too deep":         bytes.Repeat([]byte{0x91}, 100),
+		}
+		for name, claim := range claims {
+			t.Run(name, func(t *testing.T) {
+				n := msgp.AppendMapHeader(nil, 1)
+				n = msgp.AppendString(n, "u")
+				_, _, err := readFrame(frameOf(t, e, msgp.Raw(append(n, claim...))))
+				_, ok := errors.AsType[*messenger.MalformedError](err)
+				is.New(t).True(ok)
+			})
+		}
+	})
 	t.Run("cut short is no end of stream", func(t *testing.T) {
 		b := frameOf(t, e, text("slots"))
 		_, _, err := readFrame(b[:len(b)-1])
