--- a/allocator/report.go
+++ b/allocator/report.go
@@ -136,6 +136,18 @@
 	}
 }
 
+// SetServing undoes leaving marks that a later revision of the declarations
+// has overtaken.
+func (p *Pool) SetServing(name identifier.Endpoint, now time.Time) []Action {
+	p.start(now)
+	if e := p.byName[name]; e != nil && e.leaving {
+		e.leaving = false
+		p.sumUp()
+		p.refresh(e, now)
+	}
+	return p.serve(now)
+}
+
 // SetLeaving marks an endpoint as leaving; it gets no new work.
 func (p *Pool) SetLeaving(name identifier.Endpoint, now time.Time) []Action {
 	p.start(now)
--- a/allocator/room.go
+++ b/allocator/room.go
@@ -26,7 +26,7 @@
 	}
 }
 
-// leave marks an endpoint as leaving. The mark is never undone.
+// leave marks an endpoint as leaving. Only SetServing undoes it.
 func (p *Pool) leave(e *endpoint) {
 	if e.leaving {
 		return
--- a/compiler/fleet.go
+++ b/compiler/fleet.go
@@ -217,10 +217,16 @@
 	TokensPerSecond float64
 }
 
-// Customer gives the customer called name, or the default; nil: refused.
+// Customer gives the customer called name; nil: refused. One that isn't
+// declared has the default's limits, for itself.
 func (f *Fleet) Customer(name identifier.Customer) *Customer {
 	if c, ok := f.Customers[name]; ok {
 		return c
 	}
-	return f.DefaultCustomer
+	if f.DefaultCustomer == nil {
+		return nil
+	}
+	c := *f.DefaultCustomer
+	c.Name = name
+	return &c
 }
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -22,9 +22,7 @@
 	}
 	p := newPool(k, &c.deps, &orphans{coordinator: c, key: k}, f)
 	for _, e := range f.Services[k.Service].Endpoints {
-		if c.deps.Members.View().Leaving(e.Name) {
-			p.setLeaving(e.Name)
-		}
+		p.mark(c.deps.Members.View(), e)
 	}
 	c.pools[k] = p
 	return p, nil
@@ -52,7 +50,8 @@
 	c.renewAll()
 }
 
-// markLeaving keeps new work from endpoints that are leaving.
+// markLeaving keeps new work from endpoints that are leaving, and lets it come
+// again where a later revision says that they serve.
 func (c *Coordinator) markLeaving(v *gossiper.View) {
 	f := c.deps.Fleet()
 	if f == nil {
@@ -64,9 +63,7 @@
 			continue
 		}
 		for _, e := range s.Endpoints {
-			if v.Leaving(e.Name) {
-				p.setLeaving(e.Name)
-			}
+			p.mark(v, e)
 		}
 	}
 }
--- a/coordinator/pool.go
+++ b/coordinator/pool.go
@@ -10,6 +10,7 @@
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/compiler"
+	"github.com/jackdawthread/jackdawthread/gossiper"
 	"github.com/jackdawthread/jackdawthread/timer"
 )
 
@@ -130,8 +131,16 @@
 	})
 }
 
-func (p *pool) setLeaving(e identifier.Endpoint) {
-	p.do(func(now time.Time) []allocator.Action { return p.decisions.SetLeaving(e, now) })
+// mark tells the allocator of the view's mark on an endpoint, if it has one.
+func (p *pool) mark(v *gossiper.View, e *compiler.Endpoint) {
+	m, ok := v.Mark(e.Name)
+	switch {
+	case !ok:
+	case m.Leaving:
+		p.do(func(now time.Time) []allocator.Action { return p.decisions.SetLeaving(e.Name, now) })
+	case !e.Leaving:
+		p.do(func(now time.Time) []allocator.Action { return p.decisions.SetServing(e.Name, now) })
+	}
 }
 
 func (p *pool) report(e identifier.Endpoint, r allocator.Report) {
--- a/launcher/config.go
+++ b/launcher/config.go
@@ -43,7 +43,10 @@
 }
 
 func (c *config) start() {
-	c.keeper.Subscribe(func(_, next *compiler.Fleet) { c.host.reconfigure(next) })
+	c.keeper.Subscribe(func(previous, next *compiler.Fleet) {
+		c.host.reconfigure(next)
+		c.markServing(previous, next)
+	})
 	h := c.host
 	platform := platformwireconnect.NewPlatformServiceClient(h.connector.HTTP(), "http://"+string(h.settings.Platform.Address))
 	options := watcher.DefaultOptions()
@@ -66,6 +69,20 @@
 	}, options)
 }
 
+// markServing undoes the leaving marks of endpoints that a new revision takes
+// back into service.
+func (c *config) markServing(previous, next *compiler.Fleet) {
+	if previous == nil {
+		return
+	}
+	for name, e := range next.Endpoints {
+		old := previous.Endpoints[name]
+		if old != nil && old.Leaving && !e.Leaving {
+			c.host.gossiper.MarkServing(name, next.Revision)
+		}
+	}
+}
+
 // Reads implements watcher.Readers: the hosts highest in hash order read.
 func (c *config) Reads() bool {
 	h := c.host
--- a/launcher/links.go
+++ b/launcher/links.go
@@ -32,7 +32,12 @@
 		Incarnation: h.incarnation,
 		DataCenter:  h.settings.DataCenter,
 		Address:     h.addresses.Peers,
-	}, gossiper.Options{Logger: h.log}, h.messenger, h.timer, h.group)
+	}, gossiper.Options{
+		Period:           h.settings.Periods.Probe,
+		ProbeTimeout:     h.settings.Periods.ProbeTimeout,
+		SuspicionTimeout: h.settings.Periods.Suspicion,
+		Logger:           h.log,
+	}, h.messenger, h.timer, h.group)
 	h.gossiper.Seed(h.settings.Seeds)
 	h.meter.Gauge("links", func() any { return h.messenger.Stats() })
 	h.meter.Gauge("membership", func() any { return h.gossiper.Stats() })
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -31,5 +31,5 @@
 	encoding.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	encoding.EncodeDuration = zapcore.StringDurationEncoder
 	core := zapcore.NewCore(zaplogfmt.NewEncoder(encoding), zapcore.Lock(zapcore.AddSync(w)), lowest)
-	return zap.New(core), nil
+	return zap.New(plainErrors{core}), nil
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -128,9 +128,9 @@
 	}
 	s.Periods = Periods{
 		Lease:        2 * time.Second,
-		Probe:        500 * time.Millisecond,
-		ProbeTimeout: 200 * time.Millisecond,
-		Suspicion:    2 * time.Second,
+		Probe:        time.Second,
+		ProbeTimeout: 500 * time.Millisecond,
+		Suspicion:    3 * time.Second,
 		Declarations: 250 * time.Millisecond,
 	}
 	s.Drain = Drain{Announce: time.Second}
