Write the burn table by go-pretty, like the other tables

Cause: text/tabwriter stood in while go.sum lacked go-pretty's own needs. Change: reporter.WriteTable uses go-pretty.

--- a/reporter/table.go
+++ b/reporter/table.go
@@ -3,44 +3,35 @@
 import (
 	"fmt"
 	"io"
-	"strings"
-	"text/tabwriter"
 	"time"
 
+	"github.com/jedib0t/go-pretty/v6/table"
 	"github.com/rotisserie/eris"
 )
 
-// columnGap is the number of spaces between columns of a table.
-const columnGap = 2
-
 // WriteTable writes the windows as a table for people: burn rate and samples
 // for each length.
 func WriteTable(w io.Writer, windows []Window) error {
-	t := tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
-	header := []string{"SERVICE", "TARGET", "OBJECTIVE"}
+	t := table.NewWriter()
+	t.SetStyle(table.StyleLight)
+	header := table.Row{"service", "target", "objective"}
 	for _, length := range Lengths {
-		header = append(header, strings.ToUpper(lengthText(length)))
+		header = append(header, lengthText(length))
 	}
-	lines := []string{tableLine(append(header, "LEVEL"))}
+	t.AppendHeader(append(header, "level"))
 	for _, r := range Rows(windows) {
-		lines = append(lines, tableLine(r.cells()))
-	}
-	if _, err := io.WriteString(t, strings.Join(lines, "")); err != nil {
-		return eris.Wrap(err, "write burn table")
+		t.AppendRow(r.cells())
 	}
-	return eris.Wrap(t.Flush(), "write burn table")
-}
-
-func tableLine(cells []string) string {
-	return strings.Join(cells, "\t") + "\n"
+	_, err := io.WriteString(w, t.Render()+"\n")
+	return eris.Wrap(err, "write burn table")
 }
 
-func (r Row) cells() []string {
-	cells := []string{string(r.Service), r.Target, fmt.Sprintf("%.4g", r.Windows[0].Objective)}
+func (r Row) cells() table.Row {
+	cells := table.Row{r.Service, r.Target, fmt.Sprintf("%.4g", r.Windows[0].Objective)}
 	for _, length := range Lengths {
 		cells = append(cells, r.cell(length))
 	}
-	return append(cells, string(r.Level()))
+	return append(cells, r.Level())
 }
 
 func (r Row) cell(length time.Duration) string {
