Freeze an entry host's process beyond its leases and wake it

Cause: pauses of whole processes were shown for 1.5 s only, less than a lease. Change: a test stops a host's process for 8 s under load with SIGSTOP, then wakes it.

--- a/cmd/emulator/processes_test.go
+++ b/cmd/emulator/processes_test.go
@@ -218,6 +218,18 @@
 		f.wantLocksOnce(locks)
 		f.wantMemoryFree()
 	})
+	t.Run("an entry host that is frozen beyond its leases and wakes holds nothing and repeats nothing", func(t *testing.T) {
+		f := startFleet(t)
+		quotes, locks := f.load(f.resuming(), 0, func() {
+			f.signal("a", syscall.SIGSTOP)
+			time.Sleep(8 * time.Second)
+			f.signal("a", syscall.SIGCONT)
+		})
+		f.is.Equal(quotes.Verdicts["answered"], quotes.Sent)
+		f.wantLocksOnce(locks)
+		f.wantMemoryFree()
+		f.stopAll()
+	})
 	t.Run("no lock runs twice when an entry host is frozen", func(t *testing.T) {
 		f := startFleet(t)
 		_, locks := f.load(f.resuming(), 0, func() {
