--- a/demonstrator/caller.go
+++ b/demonstrator/caller.go
@@ -1,6 +1,9 @@
 package demonstrator
 
 import (
+	"context"
+	"sync/atomic"
+
 	"github.com/jackdawthread/jackdawthread/assembler"
 	"github.com/jackdawthread/jackdawthread/client"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
@@ -38,3 +41,23 @@
 func (a answers) Payload(service string, payload []byte) []byte {
 	return emulator.Confirmation(service, payload)
 }
+
+// countingCaller counts the calls that were passed more than one whole answer:
+// more tokens than they asked for.
+type countingCaller struct {
+	loader.Caller
+	twice atomic.Int64
+}
+
+// Do implements loader.Caller.
+func (c *countingCaller) Do(ctx context.Context, call loader.Call, observe func(tokens uint32)) (loader.Answer, *loader.Failure) {
+	var received uint32
+	answer, failure := c.Caller.Do(ctx, call, func(tokens uint32) {
+		received += tokens
+		observe(tokens)
+	})
+	if !call.Kind.Plain && received > call.MaxTokens {
+		c.twice.Add(1)
+	}
+	return answer, failure
+}
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -80,10 +80,11 @@
 }
 
 func (d *demonstration) run(ctx context.Context) (*Summary, error) {
-	c, err := newCaller(d.system, d.options.Seed)
+	made, err := newCaller(d.system, d.options.Seed)
 	if err != nil {
 		return nil, err
 	}
+	c := &countingCaller{Caller: made}
 	d.tell("traffic starts: quotes, notes and price locks at six entry hosts")
 	g := grouper.New(ctx)
 	g.Go(d.disturb)
@@ -101,7 +102,7 @@
 		return nil, err
 	}
 	d.settle(ctx)
-	return d.summarize(report), nil
+	return d.summarize(report, int(c.twice.Load())), nil
 }
 
 // disturb kills one entry host and stops another one as planned.
--- a/demonstrator/summary.go
+++ b/demonstrator/summary.go
@@ -17,6 +17,8 @@
 	// Mismatched answers were not whole, held something twice, or were
 	// another request's.
 	Mismatched int `json:"mismatched-answers"`
+	// AnsweredTwice calls were passed more than one whole answer.
+	AnsweredTwice int `json:"calls-answered-twice"`
 	// Locks executed in all, and those executed again with a used ticket.
 	Locks      int `json:"locks-executed"`
 	LocksTwice int `json:"locks-executed-twice"`
@@ -26,8 +28,8 @@
 	StopFailure string `json:"planned-stop-failure,omitempty"`
 }
 
-func (d *demonstration) summarize(r *loader.Report) *Summary {
-	s := &Summary{Load: r, Mismatched: r.Mismatched(), PiecesHeld: piecesHeld(d.system.Site)}
+func (d *demonstration) summarize(r *loader.Report, answeredTwice int) *Summary {
+	s := &Summary{Load: r, AnsweredTwice: answeredTwice, Mismatched: r.Mismatched(), PiecesHeld: piecesHeld(d.system.Site)}
 	for _, e := range d.system.Site.Engines() {
 		stats := e.Stats()
 		s.PrefillTokens += stats.PrefillTokens
@@ -78,6 +80,9 @@
 	if s.Mismatched > 0 {
 		broken = append(broken, fmt.Sprintf("%d answers were not whole, held something twice or were another request's", s.Mismatched))
 	}
+	if s.AnsweredTwice > 0 {
+		broken = append(broken, fmt.Sprintf("%d calls were answered twice", s.AnsweredTwice))
+	}
 	if s.LocksTwice > 0 {
 		broken = append(broken, fmt.Sprintf("%d price locks were executed twice", s.LocksTwice))
 	}
@@ -98,9 +103,10 @@
 	_, err := fmt.Fprintf(w, `
 wasted prefill          %.2f%% of %d tokens
 mismatched answers      %d
+calls answered twice    %d
 locks executed          %d, of them twice %d
 engine pieces held      %d
-`, 100*s.WastedShare(), s.PrefillTokens, s.Mismatched, s.Locks, s.LocksTwice, s.PiecesHeld)
+`, 100*s.WastedShare(), s.PrefillTokens, s.Mismatched, s.AnsweredTwice, s.Locks, s.LocksTwice, s.PiecesHeld)
 	if err != nil {
 		return err
 	}
