Forward plain HTTP calls on the operators' machines

Cause: the product spoke only its own protocols, so that it could not run before the operators' runners.

Ways weighed: granting room by the pools' allocator over messages between hosts; each host deciding from lagging load reports; reserving room at the engine itself before the prompt is read. The last one needs no word between hosts, holds in a cut, and the engine's answer is the truth. It was taken.

Ruled out: Go's own transport, which repeats requests on dead connections and takes a late foreign answer for the next one (package exchanger).

--- /dev/null
+++ b/cmd/entry-host/main.go
@@ -0,0 +1,30 @@
+// Command entry-host runs a forwarding host on the operators' machines.
+//
+// # Usage
+//
+//	JACKDAWTHREAD_SETTINGS=/etc/jackdawthread/node.toml entry-host
+//
+// SIGTERM and SIGINT stop it as planned; SIGHUP has it read its settings
+// again.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/jackdawthread/jackdawthread/hoster"
+	"github.com/jackdawthread/jackdawthread/platform"
+)
+
+// settingsVariable names the variable that holds the settings file's path.
+const settingsVariable = "JACKDAWTHREAD_SETTINGS"
+
+func main() {
+	connect := func(s *hoster.Settings) hoster.Platform {
+		return platform.New(platform.Options{Store: s.Store.Address})
+	}
+	if err := hoster.Run(os.Getenv(settingsVariable), connect, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/forwarder/stream.go
@@ -0,0 +1,406 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/jackdawthread/jackdawthread/admitter"
+	"github.com/jackdawthread/jackdawthread/common/classifier"
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/exchanger"
+	"github.com/jackdawthread/jackdawthread/placer"
+	"github.com/jackdawthread/jackdawthread/registrar"
+)
+
+const (
+	// firstEventTime is what passes, as a rule, from the start of a prefill to
+	// the first event.
+	firstEventTime = 350 * time.Millisecond
+	// answerTime is what a whole answer takes, as a rule.
+	answerTime = 2500 * time.Millisecond
+	// silenceLimit is how long an engine may send nothing before a resumable
+	// stream goes on elsewhere: some steps of a full batch.
+	silenceLimit = 1200 * time.Millisecond
+	// prefillSilence bounds the wait for a prefill.
+	prefillSilence = 2500 * time.Millisecond
+	// firstEventSilence bounds the wait for the first event of a decode.
+	firstEventSilence = 2 * time.Second
+	// maxRounds bounds how often one request looks for room anew.
+	maxRounds = 6
+)
+
+// stream is a request to a model engine whose answer is an event stream.
+type stream struct {
+	*exchange
+	desk *desk
+	// begun is set once the head of the answer went to the caller.
+	begun bool
+	// lastEvent is the id of the last event that the caller got.
+	lastEvent string
+	lastAt    time.Time
+	rounds    int
+	prefills  int
+	// failed is an engine's own failure, passed on if nothing better comes.
+	failed *answered
+}
+
+// generate serves a request to a model service.
+func (e *exchange) generate(ctx context.Context) {
+	s := &stream{exchange: e, desk: e.forwarder.desk(e.service.Name)}
+	for {
+		s.rounds++
+		err := s.attempt(ctx)
+		if err == nil {
+			return
+		}
+		if s.rounds >= maxRounds || !s.mayGoOn(ctx, err) {
+			s.giveUp(ctx, err)
+			return
+		}
+		e.note("stream-goes-on", nil, err, zap.String("last-event", s.lastEvent), zap.Int("round", s.rounds))
+	}
+}
+
+// mayGoOn tells whether another round may follow a failure. A refusal of this
+// host's own queue is final.
+func (s *stream) mayGoOn(ctx context.Context, err error) bool {
+	if _, own := errors.AsType[*queueError](err); own {
+		return false
+	}
+	return s.again(ctx, err)
+}
+
+// queueError is a refusal of this host's own queue.
+type queueError struct{ cause error }
+
+func (q *queueError) Error() string { return q.cause.Error() }
+func (q *queueError) Unwrap() error { return q.cause }
+
+// giveUp gives the final answer, or breaks off one that has begun.
+func (s *stream) giveUp(ctx context.Context, err error) {
+	if ctx.Err() != nil && !errors.Is(err, errDeadline) {
+		err = ended(ctx, classifier.VerdictOf(err))
+	}
+	if s.begun {
+		s.observation.Err = err
+		s.note("stream-broken-off", nil, err, zap.String("last-event", s.lastEvent))
+		panic(http.ErrAbortHandler)
+	}
+	if s.failed != nil && ctx.Err() == nil {
+		s.pass(s.failed)
+		return
+	}
+	s.fail(err)
+}
+
+// attempt leads the request once through placing, prefill and decode.
+func (s *stream) attempt(ctx context.Context) error {
+	p, err := s.desk.place(ctx, s.wish())
+	if err != nil {
+		return &queueError{cause: err}
+	}
+	if s.observation.Placing == 0 {
+		s.observation.Placing = time.Since(s.observation.Started)
+	}
+	result, err := s.readPrompt(ctx, &p)
+	if err != nil {
+		s.desk.giveBack(p)
+		return err
+	}
+	o, err := s.decode(ctx, &p, result)
+	s.forwarder.deps.Placer.End(p.decode, p.tokens, o, time.Now())
+	s.desk.released()
+	return err
+}
+
+// wish says what room the request needs, and by when.
+func (s *stream) wish() *wish {
+	started := s.observation.Started
+	w := &wish{
+		Wish: admitter.Wish{
+			Arrived:  started,
+			Priority: s.route.Priority,
+			OnTimeBy: started.Add(s.route.Objective - firstEventTime),
+			StartBy:  s.call.Deadline.Add(-answerTime),
+		},
+		tokens:  s.room(),
+		exclude: s.exclude,
+		request: s.call.ID,
+	}
+	if s.begun { // its caller waits for the next event
+		w.OnTimeBy = s.call.Deadline
+		w.Priority = -1
+		w.StartBy = s.call.Deadline
+	}
+	return w
+}
+
+// room gives the tokens that the request takes at a decode engine: those that
+// are sure and the output that is to be expected.
+func (s *stream) room() identifier.Tokens {
+	d := &s.call.Demand
+	output := d.Longest
+	if d.Expected > 0 {
+		output = min(d.Longest, max(d.Longest/2, d.Expected))
+	}
+	return d.Prompt + output
+}
+
+// readPrompt has the prompt read by a prefill engine; nil: the decode engine
+// has to read it.
+func (s *stream) readPrompt(ctx context.Context, p *plan) (*PrefillResult, error) {
+	f := s.forwarder
+	var exclude []identifier.Endpoint
+	for {
+		now := time.Now()
+		e := f.deps.Placer.Prefill(s.current(), p.decode.DataCenter, exclude, now)
+		if e == nil || e.Stage != registrar.StagePrefill {
+			return nil, nil
+		}
+		if s.prefills > 0 && !f.deps.Budget.Take(s.service.Name) {
+			return nil, classifier.NotRun(classifier.ReasonLimit, classifier.Spread(fullRetryAfter), "no budget for another prefill")
+		}
+		s.prefills++
+		s.observation.at(e)
+		f.deps.Placer.Begin(e, s.call.Prompt, now)
+		result, err := s.prefillAt(ctx, e)
+		took := time.Since(now)
+		f.deps.Placer.End(e, s.call.Prompt, prefillOutcome(ctx, err, took), time.Now())
+		if err == nil {
+			s.observation.Prefill = took
+			return &result, nil
+		}
+		if ctx.Err() != nil {
+			return nil, ended(ctx, classifier.VerdictNotRun)
+		}
+		s.note("prefill-failed", e, err, zap.Duration("took", took))
+		exclude = append(exclude, e.Name)
+	}
+}
+
+func (s *stream) prefillAt(ctx context.Context, e *registrar.Endpoint) (PrefillResult, error) {
+	ctx, cancel := context.WithTimeoutCause(ctx, prefillSilence, errSilent)
+	defer cancel()
+	return s.forwarder.deps.Engines.Prefill(ctx, e, &s.call)
+}
+
+var errSilent = errors.New("the engine has gone silent")
+
+func prefillOutcome(ctx context.Context, err error, took time.Duration) placer.Outcome {
+	c := classifier.Of(err)
+	switch {
+	case err == nil:
+		return placer.Outcome{Verdict: placer.VerdictSound, Latency: took}
+	case ctx.Err() != nil:
+		return placer.Outcome{Verdict: placer.VerdictNone}
+	case c.Reason == classifier.ReasonEndpointRefused:
+		return placer.Outcome{Verdict: placer.VerdictFull}
+	case c.Verdict == classifier.VerdictRan:
+		return placer.Outcome{Verdict: placer.VerdictFailure}
+	default:
+		return placer.Outcome{Verdict: placer.VerdictBroken}
+	}
+}
+
+// decode has the answer generated and passes it on.
+func (s *stream) decode(ctx context.Context, p *plan, from *PrefillResult) (placer.Outcome, error) {
+	f := s.forwarder
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	s.sent++
+	s.observation.at(p.decode)
+	started := time.Now()
+	watchdog := time.AfterFunc(firstEventSilence, func() { cancel(errSilent) })
+	defer watchdog.Stop()
+	if !s.route.Resumable {
+		watchdog.Stop() // nothing could be done about its silence
+	}
+	response, err := f.deps.Engines.Decode(ctx, p.decode, &s.call, DecodeOptions{
+		From:        from,
+		Reservation: p.reservation,
+		LastEvent:   s.lastEvent,
+	})
+	if err != nil {
+		s.exclude = append(s.exclude, p.decode.Name)
+		return s.outcomeOf(ctx, err), s.cause(ctx, err)
+	}
+	defer response.Close()
+	if l, ok := f.deps.Endpoints.Load(response); ok {
+		f.deps.Placer.Loaded(p.decode, l, time.Now())
+	}
+	if err := s.head(response, p.decode); err != nil {
+		s.exclude = append(s.exclude, p.decode.Name)
+		return s.outcomeOf(ctx, err), err
+	}
+	err = s.relay(ctx, response, p.decode, watchdog)
+	if err != nil {
+		s.exclude = append(s.exclude, p.decode.Name)
+		return s.outcomeOf(ctx, err), s.cause(ctx, err)
+	}
+	s.observation.Answered = p.decode.Name
+	return placer.Outcome{Verdict: placer.VerdictSound, Latency: time.Since(started)}, nil
+}
+
+// cause puts a silent engine in place of the canceled context behind it.
+func (s *stream) cause(ctx context.Context, err error) error {
+	if errors.Is(context.Cause(ctx), errSilent) {
+		return classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "%w: %v", errSilent, err)
+	}
+	return err
+}
+
+func (s *stream) outcomeOf(ctx context.Context, err error) placer.Outcome {
+	c := classifier.Of(err)
+	switch {
+	case errors.Is(context.Cause(ctx), errSilent):
+		return placer.Outcome{Verdict: placer.VerdictBroken}
+	case ctx.Err() != nil:
+		return placer.Outcome{Verdict: placer.VerdictNone}
+	case c.Reason == classifier.ReasonEndpointRefused:
+		return placer.Outcome{Verdict: placer.VerdictFull}
+	case c.Verdict == classifier.VerdictRan:
+		return placer.Outcome{Verdict: placer.VerdictFailure}
+	default:
+		return placer.Outcome{Verdict: placer.VerdictBroken}
+	}
+}
+
+// head checks an answer's head. An engine's own failure is kept, to be passed
+// on if nothing better comes.
+func (s *stream) head(r *exchanger.Response, at *registrar.Endpoint) error {
+	if err := s.forwarder.judge(r, at); err != nil {
+		return err
+	}
+	if r.Status < http.StatusMultipleChoices {
+		return nil
+	}
+	body, err := r.ReadAll(maxAnswerBytes)
+	if err != nil {
+		return err
+	}
+	s.failed = &answered{endpoint: at, status: r.Status, header: r.Header, body: body}
+	return classifier.Ran(classifier.ReasonEndpointFailed, "engine %q answered %d", at.Name, r.Status)
+}
+
+// relay passes whole events on as they arrive.
+func (s *stream) relay(ctx context.Context, r *exchanger.Response, at *registrar.Endpoint, watchdog *time.Timer) error {
+	events := newEventReader(r)
+	for {
+		event, err := events.next()
+		if errors.Is(err, io.EOF) {
+			return s.finish(r, events.rest(), at)
+		}
+		if err != nil {
+			return classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "stream of engine %q broke off: %w", at.Name, err)
+		}
+		if s.route.Resumable {
+			watchdog.Reset(silenceLimit)
+		}
+		if notAfter(events.id, s.lastEvent) {
+			continue
+		}
+		if err := s.send(r, event, !events.buffered()); err != nil {
+			return callerGone(ctx, err)
+		}
+		if events.id != "" {
+			s.lastEvent = events.id
+		}
+	}
+}
+
+func callerGone(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return ended(ctx, classifier.VerdictMayHaveRun)
+	}
+	return &classifier.Error{Verdict: classifier.VerdictRan, Reason: classifier.ReasonCanceled, Cause: err, Message: "the caller went away"}
+}
+
+// send passes bytes of the stream on, behind the head if none were before.
+func (s *stream) send(r *exchanger.Response, b []byte, flush bool) error {
+	now := time.Now()
+	if !s.begun {
+		s.begin(r.Status, r.Header)
+		s.observation.FirstEvent = now.Sub(s.observation.Started)
+	} else if gap := now.Sub(s.lastAt); gap > s.observation.LongestGap {
+		s.observation.LongestGap = gap
+	}
+	s.lastAt = now
+	if _, err := s.writer.Write(b); err != nil {
+		return err
+	}
+	if !flush {
+		return nil
+	}
+	return http.NewResponseController(s.writer).Flush()
+}
+
+func (s *stream) begin(status int, header http.Header) {
+	s.begun = true
+	s.observation.Status = status
+	h := s.writer.Header()
+	copyHead(h, header)
+	if s.forwarder.closing.Load() {
+		h.Set("Connection", "close")
+	}
+	s.writer.WriteHeader(status)
+}
+
+// finish ends a stream that is whole.
+func (s *stream) finish(r *exchanger.Response, rest []byte, at *registrar.Endpoint) error {
+	s.observation.Answered = at.Name
+	if !s.begun {
+		s.begin(r.Status, r.Header)
+	}
+	if len(rest) == 0 {
+		return nil
+	}
+	if _, err := s.writer.Write(rest); err != nil {
+		return classifier.Ran(classifier.ReasonCanceled, "the caller went away: %w", err)
+	}
+	return nil
+}
+
+// relayPlainStream serves an event stream of a plain service.
+func (e *exchange) relayPlainStream(ctx context.Context) {
+	s := &stream{exchange: e}
+	err := s.streamOnce(ctx)
+	if err != nil {
+		s.giveUp(ctx, err)
+	}
+}
+
+func (s *stream) streamOnce(ctx context.Context) error {
+	f := s.forwarder
+	now := time.Now()
+	at := f.deps.Placer.Plain(s.current(), s.exclude, now)
+	if at == nil {
+		return classifier.NotRun(classifier.ReasonNoEndpoint, classifier.Spread(absentRetryAfter), "service %q has no endpoint", s.service.Name)
+	}
+	s.sent++
+	s.observation.at(at)
+	f.deps.Placer.Begin(at, 0, now)
+	watchdog := time.NewTimer(time.Hour)
+	defer watchdog.Stop()
+	err := func() error {
+		response, err := f.deps.Endpoints.Forward(ctx, at, &s.call)
+		if err != nil {
+			return err
+		}
+		defer response.Close()
+		if err := s.head(response, at); err != nil {
+			return err
+		}
+		return s.relay(ctx, response, at, watchdog)
+	}()
+	o := placer.Outcome{Verdict: placer.VerdictSound}
+	if err != nil {
+		o = s.outcomeOf(ctx, err)
+	}
+	f.deps.Placer.End(at, 0, o, time.Now())
+	return err
+}
--- /dev/null
+++ b/hoster/budgets.go
@@ -0,0 +1,106 @@
+package hoster
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/compiler"
+	"github.com/jackdawthread/jackdawthread/retrier"
+)
+
+const (
+	// budgetShare is the part of the declared budget that the hosts use
+	// together: their views of each other differ for moments.
+	budgetShare = 0.8
+	// fewestHosts is assumed until more are known, so that hosts that have
+	// just started don't spend more than their shares.
+	fewestHosts = 8
+	// budgetTick is the time between two grants of slack.
+	budgetTick = 500 * time.Millisecond
+)
+
+// budgets are this host's shares of the services' retry budgets. A share is
+// enough without any word between hosts: the ratio is of this host's own
+// requests, and the slack is divided by the most hosts that were ever seen.
+type budgets struct {
+	settings Retries
+	hosts    atomic.Int64
+
+	mu       sync.Mutex
+	services map[identifier.Service]*retrier.Budget
+}
+
+func newBudgets(s Retries) *budgets {
+	b := &budgets{settings: s, services: map[identifier.Service]*retrier.Budget{}}
+	b.hosts.Store(fewestHosts)
+	return b
+}
+
+// sees notes how many hosts there are. The number only grows: one that isn't
+// seen may still be at work.
+func (b *budgets) sees(hosts int) {
+	for {
+		old := b.hosts.Load()
+		if int64(hosts) <= old {
+			return
+		}
+		if b.hosts.CompareAndSwap(old, int64(hosts)) {
+			b.resize()
+			return
+		}
+	}
+}
+
+// burst is this host's share of half the slack; the other half trickles in
+// over each window.
+func (b *budgets) burst() float64 {
+	return budgetShare * b.settings.Slack / 2 / float64(b.hosts.Load())
+}
+
+func (b *budgets) ratio() float64 {
+	return budgetShare * b.settings.Ratio
+}
+
+func (b *budgets) resize() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.services {
+		s.Resize(b.ratio(), max(1, b.burst()))
+	}
+}
+
+// tick grants the slack of one budgetTick.
+func (b *budgets) tick(time.Time) {
+	grant := b.burst() * budgetTick.Seconds() / b.settings.Window.Seconds()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.services {
+		s.Grant(grant)
+	}
+}
+
+// of gives a service's budget. A new one is empty: the process before this one
+// may have spent it.
+func (b *budgets) of(name identifier.Service) *retrier.Budget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.services[name]
+	if s == nil {
+		s = retrier.NewBudget(compiler.RetryBudget{Ratio: b.ratio(), Capacity: max(1, b.burst())})
+		s.Drain()
+		b.services[name] = s
+	}
+	return s
+}
+
+// First implements forwarder.Budget.
+func (b *budgets) First(name identifier.Service) {
+	b.of(name).First()
+}
+
+// Take implements forwarder.Budget.
+func (b *budgets) Take(name identifier.Service) bool {
+	return b.of(name).Take()
+}
--- /dev/null
+++ b/hoster/hoster.go
@@ -0,0 +1,291 @@
+// Package hoster builds, starts and stops a host that forwards plain HTTP
+// calls: the listeners, the parts of a request's path, and what keeps the
+// host's knowledge up to date. It is the daemon for surroundings that package
+// launcher's host, with its own callers' interface, doesn't speak to.
+//
+// # Usage
+//
+//	settings, err := hoster.LoadSettings(path)
+//	h, err := hoster.Start(ctx, settings, hoster.Deps{Platform: adapter, Log: log})
+//	...
+//	h.Stop(ctx)
+//
+// The host is ready once it knows declarations and endpoints. Stop cuts
+// nothing off: the host reports that it isn't ready, serves what still comes
+// until the balancer has turned away, and waits for what runs.
+package hoster
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/jackdawthread/jackdawthread/common/grouper"
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/common/socket"
+	"github.com/jackdawthread/jackdawthread/exchanger"
+	"github.com/jackdawthread/jackdawthread/forwarder"
+	"github.com/jackdawthread/jackdawthread/gossiper"
+	"github.com/jackdawthread/jackdawthread/messenger"
+	"github.com/jackdawthread/jackdawthread/peerwire"
+	"github.com/jackdawthread/jackdawthread/placer"
+	"github.com/jackdawthread/jackdawthread/registrar"
+	"github.com/jackdawthread/jackdawthread/replicator"
+	"github.com/jackdawthread/jackdawthread/timer"
+)
+
+// Platform is what a host needs of its surroundings.
+type Platform interface {
+	replicator.Store
+	forwarder.Endpoints
+	forwarder.Engines
+	forwarder.Dialect
+	// Items reads what the store holds; what can't be read is left out and
+	// told by unreadable. Declarations are nil if there are none.
+	Items(items []replicator.Item, unreadable func(key string, err error)) (*registrar.Declarations, []*registrar.Endpoint)
+	// Exchanger gives the connections to endpoints.
+	Exchanger() *exchanger.Exchanger
+}
+
+// Deps is what a Host works with.
+type Deps struct {
+	Platform Platform
+	Log      *zap.Logger
+}
+
+// Host is a running forwarding host.
+type Host struct {
+	settings    *Settings
+	deps        Deps
+	incarnation identifier.Incarnation
+	log         *zap.Logger
+	group       *grouper.Group
+	stopping    atomic.Bool
+	ready       atomic.Bool
+
+	timer      *timer.Service
+	registry   *registrar.Registrar
+	messenger  *messenger.Messenger
+	gossiper   *gossiper.Gossiper
+	replicator atomic.Pointer[replicator.Replicator]
+	placer     *placer.Placer
+	forwarder  *forwarder.Forwarder
+	budgets    *budgets
+	metrics    *metrics
+	idle       *idleCloser
+
+	callers *http.Server
+}
+
+const (
+	// sweepPeriod is the time between two looks for stale connections.
+	sweepPeriod = time.Second
+	// requestHeadTimeout bounds the reading of a request's head.
+	requestHeadTimeout = 10 * time.Second
+	// defaultHeaderBytes bounds a request's head; declarations set less.
+	defaultHeaderBytes = 64 << 10
+	// Periods of membership between hosts.
+	probePeriod      = time.Second
+	probeTimeout     = 500 * time.Millisecond
+	suspicionTimeout = 2 * time.Second
+)
+
+// Start builds a host and starts it.
+func Start(ctx context.Context, s *Settings, d Deps) (*Host, error) {
+	h := &Host{
+		settings:    s,
+		deps:        d,
+		incarnation: identifier.NewIncarnation(),
+		log:         d.Log.With(zap.String("host", string(s.Host))),
+		group:       grouper.New(ctx),
+		registry:    registrar.New(),
+		metrics:     newMetrics(),
+	}
+	l, err := h.listen(ctx)
+	if err != nil {
+		h.group.Stop()
+		return nil, err
+	}
+	h.build()
+	h.serve(l)
+	h.log.Info("host-started",
+		zap.Stringer("incarnation", h.incarnation),
+		zap.String("data-center", string(s.DataCenter)),
+		zap.String("callers", string(s.Listeners.Callers)),
+		zap.String("peers", string(s.Listeners.Peers)))
+	return h, nil
+}
+
+// listeners are the host's open listeners; metrics may be nil.
+type listeners struct {
+	callers, readiness, peers, metrics net.Listener
+}
+
+// listen opens all listeners or none.
+func (h *Host) listen(ctx context.Context) (*listeners, error) {
+	l := &listeners{}
+	var opened []net.Listener
+	for _, open := range []struct {
+		address identifier.Address
+		into    *net.Listener
+	}{
+		{h.settings.Listeners.Peers, &l.peers},
+		{h.settings.Listeners.Readiness, &l.readiness},
+		{h.settings.Listeners.Callers, &l.callers},
+		{h.settings.Listeners.Metrics, &l.metrics},
+	} {
+		if open.address == "" {
+			continue
+		}
+		ln, err := socket.Listen(ctx, string(open.address))
+		if err != nil {
+			for _, other := range opened {
+				_ = other.Close()
+			}
+			return nil, eris.Wrapf(err, "host %q could not listen", h.settings.Host)
+		}
+		*open.into = ln
+		opened = append(opened, ln)
+	}
+	return l, nil
+}
+
+// build makes the parts, each from those before it.
+func (h *Host) build() {
+	s := h.settings
+	h.timer = timer.New(h.group)
+	dialer := socket.Dialer(probeTimeout)
+	h.messenger = messenger.New(
+		messenger.Peer{Host: s.Host, Incarnation: h.incarnation, DataCenter: s.DataCenter},
+		messenger.Options{
+			KeepAlive: probePeriod,
+			Dial: func(ctx context.Context, to identifier.Address) (net.Conn, error) {
+				return dialer.DialContext(ctx, "tcp", string(to))
+			},
+			Logger: h.log,
+		}, h.group)
+	h.gossiper = gossiper.New(gossiper.Member{
+		Host:        s.Host,
+		Incarnation: h.incarnation,
+		DataCenter:  s.DataCenter,
+		Address:     s.Listeners.Peers,
+	}, gossiper.Options{
+		Period:           probePeriod,
+		ProbeTimeout:     probeTimeout,
+		SuspicionTimeout: suspicionTimeout,
+		SeedPeriod:       seedPeriod,
+		Logger:           h.log,
+	}, h.messenger, h.timer, h.group)
+	h.gossiper.Seed(s.Seeds)
+	h.placer = placer.New(placer.Options{DataCenter: s.DataCenter}, uint64(h.incarnation))
+	h.budgets = newBudgets(s.Retries)
+	h.gossiper.Subscribe(func(v *gossiper.View) { h.budgets.sees(len(v.Members())) })
+	h.forwarder = forwarder.New(forwarder.Deps{
+		Registry:  h.registry,
+		Endpoints: h.deps.Platform,
+		Engines:   h.deps.Platform,
+		Dialect:   h.deps.Platform,
+		Budget:    h.budgets,
+		Placer:    h.placer,
+		Observer:  h,
+		Group:     h.group,
+		Log:       h.log,
+	}, forwarder.Options{MaxRunning: s.Limits.MaxRequests, Seed: uint64(h.incarnation)})
+	h.idle = newIdleCloser(h.timer, h.registry)
+	h.metrics.gauges(h)
+}
+
+// seedPeriod is short: hosts that start together know each other only by
+// their seeds.
+const seedPeriod = time.Second
+
+// serve opens the listeners for peers first: they are asked while nothing is
+// known yet.
+func (h *Host) serve(l *listeners) {
+	p := &peers{messenger: h.messenger, gossiper: h.gossiper, self: h.incarnation}
+	p.replica = func() *replicator.Replica { return h.replicator.Load().Replica() }
+	h.messenger.Handle(peerwire.KindChanges, p.handleChanges)
+	r := replicator.Start(replicator.Deps{
+		Store: h.deps.Platform,
+		Peers: p,
+		Apply: h.apply,
+		Timer: h.timer,
+		Group: h.group,
+		Log:   h.log,
+	}, replicator.DefaultOptions())
+	h.replicator.Store(r)
+	h.messenger.Serve(l.peers)
+	h.timer.Every(budgetTick, h.budgets.tick)
+	h.timer.Every(sweepPeriod, h.sweep)
+	h.callers = &http.Server{
+		Handler:           h.forwarder,
+		ReadHeaderTimeout: requestHeadTimeout,
+		MaxHeaderBytes:    defaultHeaderBytes,
+		ConnState:         h.idle.observe,
+		ErrorLog:          zap.NewStdLog(h.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+	}
+	h.start(l.callers, h.callers)
+	h.start(l.readiness, &http.Server{Handler: http.HandlerFunc(h.answerReadiness), ReadHeaderTimeout: requestHeadTimeout})
+	if l.metrics != nil {
+		h.start(l.metrics, &http.Server{Handler: h.metrics, ReadHeaderTimeout: requestHeadTimeout})
+	}
+}
+
+// start serves ln until the group ends.
+func (h *Host) start(ln net.Listener, s *http.Server) {
+	h.group.Run(func(ctx context.Context) {
+		stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+		defer stop()
+		if err := s.Serve(ln); err != nil && ctx.Err() == nil && err != http.ErrServerClosed {
+			h.log.Error("listener-failed", zap.String("address", ln.Addr().String()), zap.Error(err))
+		}
+	})
+}
+
+// answerReadiness tells the balancer whether new connections may come.
+func (h *Host) answerReadiness(w http.ResponseWriter, _ *http.Request) {
+	if h.Ready() {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// Ready tells whether the host serves.
+func (h *Host) Ready() bool {
+	s := h.registry.Snapshot()
+	return !h.stopping.Load() && s.Declarations != nil && s.Count() > 0
+}
+
+// apply takes in what the store holds.
+func (h *Host) apply(items []replicator.Item) {
+	declarations, endpoints := h.deps.Platform.Items(items, func(key string, err error) {
+		h.log.Warn("store-item-unreadable", zap.String("key", key), zap.Error(err))
+	})
+	if declarations != nil && h.registry.Declare(declarations) {
+		h.log.Info("declarations-in-force", zap.Uint64("version", uint64(declarations.Version)))
+	}
+	h.registry.SetEndpoints(endpoints)
+	h.log.Info("endpoints-known", zap.Int("endpoints", len(endpoints)))
+	if ready := h.Ready(); ready != h.ready.Swap(ready) {
+		h.log.Info("readiness-changed", zap.Bool("ready", ready))
+	}
+}
+
+// sweep closes stale connections and forgets endpoints that are gone.
+func (h *Host) sweep(now time.Time) {
+	s := h.registry.Snapshot()
+	addresses := map[identifier.Address]bool{}
+	names := map[identifier.Endpoint]bool{}
+	s.Each(func(e *registrar.Endpoint) {
+		addresses[e.Address] = true
+		names[e.Name] = true
+	})
+	h.deps.Platform.Exchanger().CloseIdle(now, func(a identifier.Address) bool { return addresses[a] })
+	h.placer.Forget(func(e identifier.Endpoint) bool { return names[e] })
+}
--- /dev/null
+++ b/hoster/idle.go
@@ -0,0 +1,62 @@
+package hoster
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jackdawthread/jackdawthread/registrar"
+	"github.com/jackdawthread/jackdawthread/timer"
+)
+
+const (
+	// defaultIdleTimeout holds until the declarations set one.
+	defaultIdleTimeout = 30 * time.Second
+	// idleMargin is added to the declared timeout, so that a request that was
+	// sent in time doesn't meet a closing connection.
+	idleMargin = 300 * time.Millisecond
+	idlePeriod = 250 * time.Millisecond
+)
+
+// idleCloser closes callers' connections that have been idle for longer than
+// the declarations in force allow.
+type idleCloser struct {
+	registry *registrar.Registrar
+
+	mu    sync.Mutex
+	since map[net.Conn]time.Time
+}
+
+func newIdleCloser(t *timer.Service, r *registrar.Registrar) *idleCloser {
+	c := &idleCloser{registry: r, since: map[net.Conn]time.Time{}}
+	t.Every(idlePeriod, c.sweep)
+	return c
+}
+
+// observe implements http.Server.ConnState.
+func (c *idleCloser) observe(conn net.Conn, s http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch s {
+	case http.StateIdle:
+		c.since[conn] = time.Now()
+	default:
+		delete(c.since, conn)
+	}
+}
+
+func (c *idleCloser) sweep(now time.Time) {
+	timeout := defaultIdleTimeout
+	if d := c.registry.Snapshot().Declarations; d != nil && d.Limits.IdleTimeout > 0 {
+		timeout = d.Limits.IdleTimeout
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, since := range c.since {
+		if now.Sub(since) > timeout+idleMargin {
+			delete(c.since, conn)
+			_ = conn.Close() // nothing waits on it
+		}
+	}
+}
--- /dev/null
+++ b/hoster/metrics.go
@@ -0,0 +1,142 @@
+package hoster
+
+import (
+	"expvar"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"go.uber.org/zap"
+
+	"github.com/jackdawthread/jackdawthread/common/classifier"
+	"github.com/jackdawthread/jackdawthread/forwarder"
+)
+
+const (
+	// Range and precision of the latency histograms, in milliseconds.
+	shortestLatency  = 1
+	longestLatency   = 60_000
+	latencyPrecision = 2 // significant figures
+)
+
+// metrics counts what the host does.
+type metrics struct {
+	root     expvar.Map
+	requests expvar.Map
+	failures expvar.Map
+
+	mu        sync.Mutex
+	latencies map[string]*hdrhistogram.Histogram
+}
+
+func newMetrics() *metrics {
+	m := &metrics{latencies: map[string]*hdrhistogram.Histogram{}}
+	m.root.Init()
+	m.root.Set("requests", m.requests.Init())
+	m.root.Set("failures", m.failures.Init())
+	m.root.Set("latency-ms", expvar.Func(m.quantiles))
+	return m
+}
+
+// gauges shows the parts' own counts.
+func (m *metrics) gauges(h *Host) {
+	m.root.Set("running", expvar.Func(func() any { return h.forwarder.Running() }))
+	m.root.Set("waiting", expvar.Func(func() any { return h.forwarder.Waiting() }))
+	m.root.Set("connections", expvar.Func(func() any { return h.deps.Platform.Exchanger().Stats() }))
+	m.root.Set("links", expvar.Func(func() any { return h.messenger.Stats() }))
+	m.root.Set("membership", expvar.Func(func() any { return h.gossiper.Stats() }))
+	m.root.Set("store-connected", expvar.Func(func() any { return h.replicator.Load().Connected() }))
+	m.root.Set("store-revision", expvar.Func(func() any { return h.replicator.Load().Replica().Revision() }))
+}
+
+// ServeHTTP implements http.Handler.
+func (m *metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write([]byte(m.root.String())) // a reader that left needs no counts
+}
+
+// observe counts a request.
+func (m *metrics) observe(o *forwarder.Observation) {
+	route := routeName(o)
+	m.requests.Add(route+"."+strconv.Itoa(o.Status), 1)
+	if f := classifier.Of(o.Err); f != nil {
+		m.failures.Add(route+"."+string(f.Reason)+"."+f.Verdict.String(), 1)
+	}
+	m.record(route+".whole", o.Duration)
+	if o.FirstEvent > 0 {
+		m.record(route+".first-event", o.FirstEvent)
+	}
+	if o.Placing > 0 {
+		m.record(route+".placing", o.Placing)
+	}
+	if o.Prefill > 0 {
+		m.record(route+".prefill", o.Prefill)
+	}
+}
+
+func routeName(o *forwarder.Observation) string {
+	if o.Route == nil {
+		return "none"
+	}
+	return o.Route.Name
+}
+
+func (m *metrics) record(name string, d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h := m.latencies[name]
+	if h == nil {
+		h = hdrhistogram.New(shortestLatency, longestLatency, latencyPrecision)
+		m.latencies[name] = h
+	}
+	_ = h.RecordValue(min(longestLatency, max(shortestLatency, d.Milliseconds()))) // in range
+}
+
+// quantiles gives the counts and quantiles of all latencies.
+func (m *metrics) quantiles() any {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := make(map[string]map[string]int64, len(m.latencies))
+	for name, h := range m.latencies {
+		all[name] = map[string]int64{
+			"count": h.TotalCount(),
+			"p50":   h.ValueAtQuantile(50),
+			"p90":   h.ValueAtQuantile(90),
+			"p99":   h.ValueAtQuantile(99),
+			"max":   h.Max(),
+		}
+	}
+	return all
+}
+
+// Observe implements forwarder.Observer.
+func (h *Host) Observe(o *forwarder.Observation) {
+	h.metrics.observe(o)
+	fields := []zap.Field{
+		zap.String("request", string(o.ID)),
+		zap.String("route", routeName(o)),
+		zap.String("service", string(o.Service)),
+		zap.Uint64("version", uint64(o.Version)),
+		zap.Int("status", o.Status),
+		zap.Duration("took", o.Duration),
+	}
+	for _, e := range o.Attempted {
+		fields = append(fields, zap.String("tried", string(e)))
+	}
+	if o.Answered != "" {
+		fields = append(fields, zap.String("by", string(o.Answered)))
+	}
+	if o.FirstEvent > 0 {
+		fields = append(fields,
+			zap.Duration("placing", o.Placing),
+			zap.Duration("prefill", o.Prefill),
+			zap.Duration("first-event", o.FirstEvent),
+			zap.Duration("longest-gap", o.LongestGap))
+	}
+	if o.Err != nil {
+		fields = append(fields, zap.Error(o.Err))
+	}
+	h.log.Info("request-ended", fields...)
+}
--- /dev/null
+++ b/peerwire/changes.go
@@ -0,0 +1,32 @@
+package peerwire
+
+import "github.com/jackdawthread/jackdawthread/common/identifier"
+
+//msgp:replace identifier.Revision with:uint64
+
+//go:generate go tool msgp -file changes.go -tests=false
+
+// ChangesAsk asks a peer for what happened at the configuration store behind
+// a revision of the store.
+type ChangesAsk struct {
+	// After is the store's revision that the asker stands at; 0: none.
+	After identifier.Revision `msg:"after"`
+}
+
+// ChangesAnswer answers a ChangesAsk.
+type ChangesAnswer struct {
+	// Revision of the store that the peer stands at. If it isn't newer than
+	// the asker's, the rest is empty.
+	Revision identifier.Revision `msg:"revision"`
+	// Whole is set when Changes are all items that exist.
+	Whole   bool        `msg:"whole"`
+	Changes []StoreItem `msg:"changes"`
+}
+
+// StoreItem is an item of the configuration store, or its deletion.
+type StoreItem struct {
+	Key      string              `msg:"key"`
+	Value    []byte              `msg:"value"`
+	Revision identifier.Revision `msg:"revision"`
+	Deleted  bool                `msg:"deleted"`
+}
--- a/peerwire/kinds.go
+++ b/peerwire/kinds.go
@@ -54,4 +54,6 @@
 	KindBind
 	// KindHolds asks a home whether it still leads an attempt.
 	KindHolds
+	// KindChanges asks a peer for what happened at the configuration store.
+	KindChanges
 )
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,358 @@
+// Package placer chooses the endpoint that a call goes to, from what this host
+// has seen of the endpoints: what it has sent there, what they said of their
+// load, how long they took and how they failed. It decides only: it has no
+// I/O, no clock and no goroutines.
+//
+// # Usage
+//
+//	p := placer.New(placer.Options{DataCenter: "tw-north-1"}, seed)
+//	e := p.Plain(snapshot.Endpoints("dealer-desk"), exclude, now)
+//	p.Begin(e, 0, now)
+//	...
+//	p.End(e, placer.Outcome{...}, now)
+//
+// # What makes an endpoint avoided
+//
+// An endpoint that can't be connected to, goes silent or breaks answers off is
+// avoided for a time that doubles with each further failure; then one call at
+// a time tries it again. An endpoint that merely answers with failures, or is
+// slow, loses rank against the others, since callers see such answers from
+// sound endpoints as well.
+package placer
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/registrar"
+)
+
+const (
+	// firstAvoidance and longestAvoidance bound how long an endpoint that
+	// failed gets no calls.
+	firstAvoidance   = 500 * time.Millisecond
+	longestAvoidance = 4 * time.Second
+	// latencyWeight and failureWeight are those of one call in the means.
+	latencyWeight = 0.1
+	failureWeight = 0.12
+	// failurePenalty is the power to which the share of sound answers counts
+	// against latency.
+	failurePenalty = 4
+	// unknownLatency is assumed of an endpoint that was not called yet.
+	unknownLatency = 20 * time.Millisecond
+	// otherPlaceCost is the factor on endpoints in other data centres.
+	otherPlaceCost = 1.15
+	// loadLife is how long an endpoint's word on its load is believed.
+	loadLife = 500 * time.Millisecond
+)
+
+// Options of a Placer.
+type Options struct {
+	// DataCenter of this host, whose endpoints are preferred.
+	DataCenter identifier.DataCenter
+}
+
+// Verdict is what a call's end says of its endpoint.
+type Verdict uint8
+
+// Verdicts on endpoints.
+const (
+	// VerdictSound: it answered as it should.
+	VerdictSound Verdict = iota
+	// VerdictFailure: it answered that it failed.
+	VerdictFailure
+	// VerdictFull: it refused for want of room.
+	VerdictFull
+	// VerdictBroken: it could not be reached, broke off or sent nonsense.
+	VerdictBroken
+	// VerdictNone: the caller went away or another endpoint was faster.
+	VerdictNone
+)
+
+// Outcome is how a call ended.
+type Outcome struct {
+	Verdict Verdict
+	// Latency of a sound call, until its answer was whole or its first event
+	// came; 0: not known.
+	Latency time.Duration
+}
+
+// Load is what an endpoint says of itself.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Placer holds what has been seen of endpoints. It is safe for use by several
+// goroutines.
+type Placer struct {
+	options Options
+
+	mu     sync.Mutex
+	random *rand.Rand
+	states map[identifier.Endpoint]*state
+}
+
+// state is what is known of one endpoint.
+type state struct {
+	started  int64
+	running  int // calls of this host
+	tokens   identifier.Tokens
+	latency  float64 // seconds; 0: unknown
+	failures float64 // share of late, between 0 and 1
+	load     Load
+	loadAt   time.Time
+
+	broken      int // failures in a row
+	avoidUntil  time.Time
+	trying      bool // the one call that tries an avoided endpoint is out
+	fullUntil   time.Time
+	lastRefusal time.Time
+}
+
+// New gives a Placer that has seen nothing; the seed decides its draws.
+func New(o Options, seed uint64) *Placer {
+	return &Placer{
+		options: o,
+		random:  rand.New(rand.NewPCG(seed, seed)),
+		states:  map[identifier.Endpoint]*state{},
+	}
+}
+
+// state gives what is known of e, nothing if it has started anew; p.mu is
+// held.
+func (p *Placer) state(e *registrar.Endpoint) *state {
+	s := p.states[e.Name]
+	if s == nil || s.started != e.Started {
+		s = &state{started: e.Started}
+		p.states[e.Name] = s
+	}
+	return s
+}
+
+// Forget drops what is known of endpoints that are registered no more.
+func (p *Placer) Forget(registered func(identifier.Endpoint) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name := range p.states {
+		if !registered(name) {
+			delete(p.states, name)
+		}
+	}
+}
+
+// Plain chooses an instance of a plain service; nil: there is none that takes
+// new work. Avoided ones are chosen only if there are no others.
+func (p *Placer) Plain(all []*registrar.Endpoint, exclude []identifier.Endpoint, now time.Time) *registrar.Endpoint {
+	return p.best(all, exclude, now, func(e *registrar.Endpoint, s *state) float64 {
+		return p.plainCost(e, s, now)
+	})
+}
+
+// plainCost is the time that a call is expected to take, made longer by the
+// share of failures.
+func (p *Placer) plainCost(e *registrar.Endpoint, s *state, now time.Time) float64 {
+	latency := s.latency
+	if latency == 0 {
+		latency = unknownLatency.Seconds()
+	}
+	slots := float64(max(1, e.Slots))
+	occupied := float64(s.running)
+	if now.Sub(s.loadAt) < loadLife {
+		occupied = max(occupied, float64(s.load.Running+s.load.Waiting))
+	}
+	sound := math.Pow(max(0.05, 1-s.failures), failurePenalty)
+	return latency * (1 + occupied/slots) / sound * p.placeCost(e)
+}
+
+func (p *Placer) placeCost(e *registrar.Endpoint) float64 {
+	if e.DataCenter == p.options.DataCenter {
+		return 1
+	}
+	return otherPlaceCost
+}
+
+// Prefill chooses the engine that is expected to have read a prompt first.
+func (p *Placer) Prefill(all []*registrar.Endpoint, near identifier.DataCenter, exclude []identifier.Endpoint, now time.Time) *registrar.Endpoint {
+	return p.best(all, exclude, now, func(e *registrar.Endpoint, s *state) float64 {
+		if e.Stage == registrar.StageDecode {
+			return math.Inf(1)
+		}
+		cost := float64(s.tokens) + prefillBase
+		if now.Sub(s.loadAt) < loadLife {
+			others := max(0, s.load.Running+s.load.Waiting-s.running)
+			cost += float64(others) * usualPrompt
+		}
+		if e.DataCenter != near {
+			cost += farPrefill
+		}
+		return cost / math.Pow(max(0.05, 1-s.failures), failurePenalty)
+	})
+}
+
+const (
+	// prefillBase keeps idle engines comparable by their failures.
+	prefillBase = 1000
+	// usualPrompt stands for a prompt of unknown length.
+	usualPrompt = 5000
+	// farPrefill is what a transfer to another data centre counts for, in
+	// tokens of prompt.
+	farPrefill = 800
+)
+
+// Decodes gives the engines that may have room for tokens, the emptiest
+// first, and those that read prompts themselves only if alone is set.
+func (p *Placer) Decodes(all []*registrar.Endpoint, exclude []identifier.Endpoint, now time.Time) []*registrar.Endpoint {
+	var list []*registrar.Endpoint
+	for {
+		e := p.best(all, append(exclude, names(list)...), now, func(e *registrar.Endpoint, s *state) float64 {
+			if e.Stage == registrar.StagePrefill || now.Before(s.fullUntil) {
+				return math.Inf(1)
+			}
+			return (float64(s.tokens) + prefillBase) * p.placeCost(e) / math.Pow(max(0.05, 1-s.failures), failurePenalty)
+		})
+		if e == nil {
+			return list
+		}
+		list = append(list, e)
+	}
+}
+
+func names(list []*registrar.Endpoint) []identifier.Endpoint {
+	all := make([]identifier.Endpoint, len(list))
+	for i, e := range list {
+		all[i] = e.Name
+	}
+	return all
+}
+
+// best gives the endpoint of the least cost; infinite costs rule out. Avoided
+// endpoints come after all others.
+func (p *Placer) best(all []*registrar.Endpoint, exclude []identifier.Endpoint, now time.Time, cost func(*registrar.Endpoint, *state) float64) *registrar.Endpoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var best, bestAvoided *registrar.Endpoint
+	least, leastAvoided := math.Inf(1), math.Inf(1)
+	for _, e := range all {
+		if e.Leaving || contains(exclude, e.Name) {
+			continue
+		}
+		s := p.state(e)
+		c := cost(e, s) * (1 + 0.02*p.random.Float64())
+		switch {
+		case p.avoided(s, now):
+			if c < leastAvoided {
+				bestAvoided, leastAvoided = e, c
+			}
+		case c < least:
+			best, least = e, c
+		}
+	}
+	if best == nil {
+		return bestAvoided
+	}
+	return best
+}
+
+// avoided tells whether an endpoint gets no calls now. Once its time is over,
+// one call may try it.
+func (p *Placer) avoided(s *state, now time.Time) bool {
+	return s.broken > 0 && (now.Before(s.avoidUntil) || s.trying)
+}
+
+func contains(list []identifier.Endpoint, name identifier.Endpoint) bool {
+	for _, n := range list {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Begin notes a call to e that takes tokens there.
+func (p *Placer) Begin(e *registrar.Endpoint, tokens identifier.Tokens, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.state(e)
+	s.running++
+	s.tokens += tokens
+	if s.broken > 0 && !now.Before(s.avoidUntil) {
+		s.trying = true
+	}
+}
+
+// End notes how a call to e ended.
+func (p *Placer) End(e *registrar.Endpoint, tokens identifier.Tokens, o Outcome, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.state(e)
+	s.running = max(0, s.running-1)
+	s.tokens -= min(s.tokens, tokens)
+	switch o.Verdict {
+	case VerdictSound:
+		s.sound(o.Latency)
+	case VerdictFailure:
+		s.clearBroken()
+		s.failures += failureWeight * (1 - s.failures)
+	case VerdictFull:
+		s.clearBroken()
+		s.fullUntil = now.Add(fullTime)
+	case VerdictBroken:
+		s.fail(now)
+	case VerdictNone:
+		s.trying = false
+	}
+}
+
+// fullTime is how long an engine that refused for want of room is left alone.
+const fullTime = 60 * time.Millisecond
+
+// Full notes that an engine has no room.
+func (p *Placer) Full(e *registrar.Endpoint, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.state(e)
+	s.fullUntil = now.Add(fullTime)
+}
+
+// Broken notes a failure of e outside a call.
+func (p *Placer) Broken(e *registrar.Endpoint, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state(e).fail(now)
+}
+
+// Loaded notes what an endpoint said of its load.
+func (p *Placer) Loaded(e *registrar.Endpoint, l Load, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.state(e)
+	s.load = l
+	s.loadAt = now
+}
+
+func (s *state) sound(latency time.Duration) {
+	s.clearBroken()
+	s.failures -= failureWeight * s.failures
+	if latency <= 0 {
+		return
+	}
+	if s.latency == 0 {
+		s.latency = latency.Seconds()
+	}
+	s.latency += latencyWeight * (latency.Seconds() - s.latency)
+}
+
+func (s *state) clearBroken() {
+	s.broken = 0
+	s.trying = false
+}
+
+func (s *state) fail(now time.Time) {
+	s.trying = false
+	s.failures += failureWeight * (1 - s.failures)
+	s.broken++
+	s.avoidUntil = now.Add(min(longestAvoidance, firstAvoidance<<min(s.broken-1, 4)))
+}
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -40,8 +40,8 @@
 
 // Budget bounds the retries of a group of endpoints.
 type Budget struct {
-	ratio       int64
-	capacity    int64
+	ratio       atomic.Int64
+	capacity    atomic.Int64
 	maxAttempts int
 	tokens      atomic.Int64
 }
@@ -51,18 +51,15 @@
 	if declared == (compiler.RetryBudget{}) {
 		declared = compiler.RetryBudget{Ratio: defaultRatio, Capacity: defaultCapacity, MaxAttempts: defaultMaxAttempts}
 	}
-	b := &Budget{
-		ratio:       int64(declared.Ratio * unit),
-		capacity:    int64(declared.Capacity * unit),
-		maxAttempts: declared.MaxAttempts,
-	}
-	b.tokens.Store(b.capacity)
+	b := &Budget{maxAttempts: declared.MaxAttempts}
+	b.Resize(declared.Ratio, declared.Capacity)
+	b.tokens.Store(b.capacity.Load())
 	return b
 }
 
 // First notes a first attempt; it never waits for tokens.
 func (b *Budget) First() {
-	b.add(b.ratio)
+	b.add(b.ratio.Load())
 }
 
 // Succeeded gives back the token of a retry that succeeded.
@@ -70,6 +67,28 @@
 	b.add(unit)
 }
 
+// Resize changes the ratio and the capacity of a budget in use.
+func (b *Budget) Resize(ratio, capacity float64) {
+	b.ratio.Store(int64(ratio * unit))
+	b.capacity.Store(int64(capacity * unit))
+}
+
+// Grant adds tokens, up to the capacity, without a first attempt.
+func (b *Budget) Grant(tokens float64) {
+	b.add(int64(tokens * unit))
+}
+
+// Drain takes all tokens away, as for a process that can't know what the one
+// before it has spent.
+func (b *Budget) Drain() {
+	b.tokens.Store(0)
+}
+
+// Take takes a token for a retry; false: there is none.
+func (b *Budget) Take() bool {
+	return b.take()
+}
+
 // Tokens gives the retries that may follow at once.
 func (b *Budget) Tokens() float64 {
 	return float64(b.tokens.Load()) / unit
@@ -78,7 +97,7 @@
 func (b *Budget) add(amount int64) {
 	for {
 		old := b.tokens.Load()
-		grown := min(b.capacity, old+amount)
+		grown := min(b.capacity.Load(), old+amount)
 		if grown == old || b.tokens.CompareAndSwap(old, grown) {
 			return
 		}
