Probe avoided endpoints beside requests; wait by expected output

Change: avoided endpoints get no calls until a connection to them has been opened again beside requests; the latest start follows from the expected output; 0.8 of the expected output is reserved instead of half the longest.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -45,7 +45,7 @@
 const (
 	// defaultDialTimeout is some round trips: a lost opening packet is sent
 	// again only after a second, and another endpoint is the faster way.
-	defaultDialTimeout = 400 * time.Millisecond
+	defaultDialTimeout = 250 * time.Millisecond
 	defaultMaxIdle     = 6
 	defaultIdleTimeout = 4 * time.Second
 	// keepAliveMargin is taken off an endpoint's announced idle timeout.
@@ -208,6 +208,11 @@
 		}
 		c.close()
 	}
+	return x.open(ctx, a)
+}
+
+// open dials a new connection.
+func (x *Exchanger) open(ctx context.Context, a identifier.Address) (*connection, error) {
 	x.count(func(s *Stats) { s.Dials++ })
 	raw, err := x.dial(ctx, string(a))
 	if err != nil {
@@ -217,6 +222,17 @@
 	return &connection{address: a, raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
 }
 
+// Probe opens a connection to address a, to see whether it can be reached, and
+// keeps it for a request to come.
+func (x *Exchanger) Probe(ctx context.Context, a identifier.Address) error {
+	c, err := x.open(ctx, a)
+	if err != nil {
+		return err
+	}
+	x.keep(c, x.options.IdleTimeout)
+	return nil
+}
+
 func (x *Exchanger) count(f func(*Stats)) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/forwarder/desk.go
+++ b/forwarder/desk.go
@@ -258,7 +258,7 @@
 	p := plan{decode: e, tokens: w.tokens}
 	service := s.Declarations.Services[d.service]
 	if service == nil || service.Engine == nil || service.Engine.ReservationLimit <= 0 {
-		f.deps.Placer.Begin(e, p.tokens, time.Now())
+		f.deps.Placer.Begin(e, p.tokens)
 		return p, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
@@ -266,7 +266,7 @@
 	r, err := f.deps.Engines.Reserve(ctx, e, w.tokens, min(reservationLife, service.Engine.ReservationLimit))
 	if err == nil {
 		p.reservation = r
-		f.deps.Placer.Begin(e, p.tokens, time.Now())
+		f.deps.Placer.Begin(e, p.tokens)
 		return p, nil
 	}
 	if classifier.Of(err).Reason == classifier.ReasonEndpointRefused {
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -122,7 +122,7 @@
 	e.observation.at(endpoint)
 	e.sent++
 	e.exclude = append(e.exclude, endpoint.Name)
-	f.deps.Placer.Begin(endpoint, 0, now)
+	f.deps.Placer.Begin(endpoint, 0)
 	f.deps.Group.Run(func(context.Context) {
 		a := f.call(ctx, endpoint, &e.call)
 		f.deps.Placer.End(endpoint, 0, outcome(ctx, a, time.Since(now)), time.Now())
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -21,15 +21,18 @@
 	// firstEventTime is what passes, as a rule, from the start of a prefill to
 	// the first event.
 	firstEventTime = 350 * time.Millisecond
-	// answerTime is what a whole answer takes, as a rule.
-	answerTime = 2500 * time.Millisecond
+	// tokenTime is what one token of output takes at a full engine.
+	tokenTime = 7 * time.Millisecond
 	// silenceLimit is how long an engine may send nothing before a resumable
 	// stream goes on elsewhere: some steps of a full batch.
 	silenceLimit = 1200 * time.Millisecond
 	// prefillSilence bounds the wait for a prefill.
-	prefillSilence = 2500 * time.Millisecond
+	prefillSilence = 1500 * time.Millisecond
 	// firstEventSilence bounds the wait for the first event of a decode.
 	firstEventSilence = 2 * time.Second
+	// reservedShare is the share of the expected output that is reserved: the
+	// requests of an engine are at different points of theirs.
+	reservedShare = 0.8
 	// maxRounds bounds how often one request looks for room anew.
 	maxRounds = 6
 )
@@ -126,7 +129,7 @@
 			Arrived:  started,
 			Priority: s.route.Priority,
 			OnTimeBy: started.Add(s.route.Objective - firstEventTime),
-			StartBy:  s.call.Deadline.Add(-answerTime),
+			StartBy:  s.call.Deadline.Add(-s.answerTime()),
 		},
 		tokens:  s.room(),
 		exclude: s.exclude,
@@ -140,15 +143,24 @@
 	return w
 }
 
-// room gives the tokens that the request takes at a decode engine: those that
-// are sure and the output that is to be expected.
-func (s *stream) room() identifier.Tokens {
+// answerTime is what the whole answer takes, as a rule.
+func (s *stream) answerTime() time.Duration {
+	return firstEventTime + time.Duration(s.output())*tokenTime
+}
+
+// output gives the tokens of output that are to be expected.
+func (s *stream) output() identifier.Tokens {
 	d := &s.call.Demand
-	output := d.Longest
 	if d.Expected > 0 {
-		output = min(d.Longest, max(d.Longest/2, d.Expected))
+		return min(d.Longest, d.Expected)
 	}
-	return d.Prompt + output
+	return d.Longest / 2
+}
+
+// room gives the tokens that the request takes at a decode engine: those that
+// are sure and the output that is to be expected.
+func (s *stream) room() identifier.Tokens {
+	return s.call.Prompt + identifier.Tokens(reservedShare*float64(s.output()))
 }
 
 // readPrompt has the prompt read by a prefill engine; nil: the decode engine
@@ -167,7 +179,7 @@
 		}
 		s.prefills++
 		s.observation.at(e)
-		f.deps.Placer.Begin(e, s.call.Prompt, now)
+		f.deps.Placer.Begin(e, s.call.Prompt)
 		result, err := s.prefillAt(ctx, e)
 		took := time.Since(now)
 		f.deps.Placer.End(e, s.call.Prompt, prefillOutcome(ctx, err, took), time.Now())
@@ -383,7 +395,7 @@
 	}
 	s.sent++
 	s.observation.at(at)
-	f.deps.Placer.Begin(at, 0, now)
+	f.deps.Placer.Begin(at, 0)
 	watchdog := time.NewTimer(time.Hour)
 	defer watchdog.Stop()
 	err := func() error {
--- a/hoster/budgets.go
+++ b/hoster/budgets.go
@@ -81,8 +81,8 @@
 	}
 }
 
-// of gives a service's budget. A new one is empty: the process before this one
-// may have spent it.
+// of gives a service's budget. A new one is half full: the process before this
+// one may have spent its burst just now.
 func (b *budgets) of(name identifier.Service) *retrier.Budget {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -90,6 +90,7 @@
 	if s == nil {
 		s = retrier.NewBudget(compiler.RetryBudget{Ratio: b.ratio(), Capacity: max(1, b.burst())})
 		s.Drain()
+		s.Grant(b.burst() / 2)
 		b.services[name] = s
 	}
 	return s
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -85,6 +85,8 @@
 const (
 	// sweepPeriod is the time between two looks for stale connections.
 	sweepPeriod = time.Second
+	// probeTick is the time between two looks for avoided endpoints.
+	probeTick = 100 * time.Millisecond
 	// requestHeadTimeout bounds the reading of a request's head.
 	requestHeadTimeout = 10 * time.Second
 	// defaultHeaderBytes bounds a request's head; declarations set less.
@@ -222,6 +224,7 @@
 	h.messenger.Serve(l.peers)
 	h.timer.Every(budgetTick, h.budgets.tick)
 	h.timer.Every(sweepPeriod, h.sweep)
+	h.timer.Every(probeTick, h.probe)
 	h.callers = &http.Server{
 		Handler:           h.forwarder,
 		ReadHeaderTimeout: requestHeadTimeout,
@@ -289,3 +292,16 @@
 	h.deps.Platform.Exchanger().CloseIdle(now, func(a identifier.Address) bool { return addresses[a] })
 	h.placer.Forget(func(e identifier.Endpoint) bool { return names[e] })
 }
+
+// probe looks whether avoided endpoints can be reached again.
+func (h *Host) probe(now time.Time) {
+	var all []*registrar.Endpoint
+	h.registry.Snapshot().Each(func(e *registrar.Endpoint) { all = append(all, e) })
+	for _, e := range h.placer.Due(all, now) {
+		h.group.Run(func(ctx context.Context) {
+			err := h.deps.Platform.Exchanger().Probe(ctx, e.Address)
+			h.placer.Probed(e, err == nil, time.Now())
+			h.log.Info("endpoint-probed", zap.String("endpoint", string(e.Name)), zap.Bool("reached", err == nil))
+		})
+	}
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -13,11 +13,12 @@
 //
 // # What makes an endpoint avoided
 //
-// An endpoint that can't be connected to, goes silent or breaks answers off is
-// avoided for a time that doubles with each further failure; then one call at
-// a time tries it again. An endpoint that merely answers with failures, or is
-// slow, loses rank against the others, since callers see such answers from
-// sound endpoints as well.
+// An endpoint that can't be connected to, goes silent or sends nonsense is
+// avoided until somebody has connected to it again: [Placer.Due] names the
+// endpoints whose turn it is to be probed, at times that double with each
+// further failure. An endpoint that merely answers with failures, or is slow,
+// loses rank against the others, since callers see such answers from sound
+// endpoints as well.
 package placer
 
 import (
@@ -33,7 +34,7 @@
 const (
 	// firstAvoidance and longestAvoidance bound how long an endpoint that
 	// failed gets no calls.
-	firstAvoidance   = 500 * time.Millisecond
+	firstAvoidance   = 300 * time.Millisecond
 	longestAvoidance = 4 * time.Second
 	// latencyWeight and failureWeight are those of one call in the means.
 	latencyWeight = 0.1
@@ -105,11 +106,10 @@
 	load     Load
 	loadAt   time.Time
 
-	broken      int // failures in a row
-	avoidUntil  time.Time
-	trying      bool // the one call that tries an avoided endpoint is out
-	fullUntil   time.Time
-	lastRefusal time.Time
+	broken     int // failures in a row
+	avoidUntil time.Time
+	probing    bool // somebody looks whether it can be reached again
+	fullUntil  time.Time
 }
 
 // New gives a Placer that has seen nothing; the seed decides its draws.
@@ -202,18 +202,18 @@
 	farPrefill = 800
 )
 
-// Decodes gives the engines that may have room for tokens, the emptiest
-// first, and those that read prompts themselves only if alone is set.
+// Decodes gives the engines that may have room, the emptiest first. Avoided
+// engines are among them only if all are avoided.
 func (p *Placer) Decodes(all []*registrar.Endpoint, exclude []identifier.Endpoint, now time.Time) []*registrar.Endpoint {
 	var list []*registrar.Endpoint
 	for {
-		e := p.best(all, append(exclude, names(list)...), now, func(e *registrar.Endpoint, s *state) float64 {
+		e, avoided := p.choose(all, append(exclude, names(list)...), now, func(e *registrar.Endpoint, s *state) float64 {
 			if e.Stage == registrar.StagePrefill || now.Before(s.fullUntil) {
 				return math.Inf(1)
 			}
 			return (float64(s.tokens) + prefillBase) * p.placeCost(e) / math.Pow(max(0.05, 1-s.failures), failurePenalty)
 		})
-		if e == nil {
+		if e == nil || avoided && len(list) > 0 {
 			return list
 		}
 		list = append(list, e)
@@ -228,9 +228,15 @@
 	return all
 }
 
-// best gives the endpoint of the least cost; infinite costs rule out. Avoided
-// endpoints come after all others.
+// best gives the endpoint of the least cost; nil: there is none.
 func (p *Placer) best(all []*registrar.Endpoint, exclude []identifier.Endpoint, now time.Time, cost func(*registrar.Endpoint, *state) float64) *registrar.Endpoint {
+	e, _ := p.choose(all, exclude, now, cost)
+	return e
+}
+
+// choose gives the endpoint of the least cost, and an avoided one only if
+// there are no others; infinite costs rule out.
+func (p *Placer) choose(all []*registrar.Endpoint, exclude []identifier.Endpoint, now time.Time, cost func(*registrar.Endpoint, *state) float64) (chosen *registrar.Endpoint, avoided bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var best, bestAvoided *registrar.Endpoint
@@ -240,9 +246,9 @@
 			continue
 		}
 		s := p.state(e)
-		c := cost(e, s) * (1 + 0.02*p.random.Float64())
+		c := cost(e, s) * (1 + drawShare*p.random.Float64())
 		switch {
-		case p.avoided(s, now):
+		case s.broken > 0:
 			if c < leastAvoided {
 				bestAvoided, leastAvoided = e, c
 			}
@@ -251,15 +257,43 @@
 		}
 	}
 	if best == nil {
-		return bestAvoided
+		return bestAvoided, true
 	}
-	return best
+	return best, false
 }
 
-// avoided tells whether an endpoint gets no calls now. Once its time is over,
-// one call may try it.
-func (p *Placer) avoided(s *state, now time.Time) bool {
-	return s.broken > 0 && (now.Before(s.avoidUntil) || s.trying)
+// drawShare is how far a random draw moves a cost, so that hosts that have
+// seen the same don't all choose the same.
+const drawShare = 0.02
+
+// Due gives the avoided endpoints that are to be probed now. Each is given
+// once, until Probed tells how it went.
+func (p *Placer) Due(all []*registrar.Endpoint, now time.Time) []*registrar.Endpoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var due []*registrar.Endpoint
+	for _, e := range all {
+		s := p.state(e)
+		if s.broken == 0 || s.probing || now.Before(s.avoidUntil) {
+			continue
+		}
+		s.probing = true
+		due = append(due, e)
+	}
+	return due
+}
+
+// Probed notes whether an avoided endpoint can be reached again.
+func (p *Placer) Probed(e *registrar.Endpoint, reached bool, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.state(e)
+	s.probing = false
+	if reached {
+		s.broken = 0
+		return
+	}
+	s.avoid(now)
 }
 
 func contains(list []identifier.Endpoint, name identifier.Endpoint) bool {
@@ -272,15 +306,12 @@
 }
 
 // Begin notes a call to e that takes tokens there.
-func (p *Placer) Begin(e *registrar.Endpoint, tokens identifier.Tokens, now time.Time) {
+func (p *Placer) Begin(e *registrar.Endpoint, tokens identifier.Tokens) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.state(e)
 	s.running++
 	s.tokens += tokens
-	if s.broken > 0 && !now.Before(s.avoidUntil) {
-		s.trying = true
-	}
 }
 
 // End notes how a call to e ended.
@@ -294,15 +325,14 @@
 	case VerdictSound:
 		s.sound(o.Latency)
 	case VerdictFailure:
-		s.clearBroken()
+		s.broken = 0
 		s.failures += failureWeight * (1 - s.failures)
 	case VerdictFull:
-		s.clearBroken()
+		s.broken = 0
 		s.fullUntil = now.Add(fullTime)
 	case VerdictBroken:
 		s.fail(now)
 	case VerdictNone:
-		s.trying = false
 	}
 }
 
@@ -334,7 +364,7 @@
 }
 
 func (s *state) sound(latency time.Duration) {
-	s.clearBroken()
+	s.broken = 0
 	s.failures -= failureWeight * s.failures
 	if latency <= 0 {
 		return
@@ -345,14 +375,20 @@
 	s.latency += latencyWeight * (latency.Seconds() - s.latency)
 }
 
-func (s *state) clearBroken() {
-	s.broken = 0
-	s.trying = false
-}
-
+// fail notes a failure that rules the endpoint out for now. Failures of calls
+// that were under way at the same time count as one.
 func (s *state) fail(now time.Time) {
-	s.trying = false
 	s.failures += failureWeight * (1 - s.failures)
+	if s.broken > 0 && now.Before(s.avoidUntil) {
+		return
+	}
+	s.avoid(now)
+}
+
+func (s *state) avoid(now time.Time) {
+	s.avoidUntil = now.Add(min(longestAvoidance, firstAvoidance<<min(s.broken, maxDoublings)))
 	s.broken++
-	s.avoidUntil = now.Add(min(longestAvoidance, firstAvoidance<<min(s.broken-1, 4)))
 }
+
+// maxDoublings bounds how often firstAvoidance is doubled.
+const maxDoublings = 4
