--- /dev/null
+++ b/admitter/admitter_test.go
@@ -0,0 +1,224 @@
+package admitter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/jackdawthread/jackdawthread/admitter"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(d time.Duration) time.Time {
+	return start.Add(d)
+}
+
+// wish arrives at a time and can be on time for 500 ms, and be served at all
+// for 10 s.
+func wish(k admitter.Key, arrived time.Duration) admitter.Wish {
+	return admitter.Wish{
+		Key: k, Arrived: at(arrived),
+		OnTimeBy: at(arrived + 500*time.Millisecond), StartBy: at(arrived + 10*time.Second),
+	}
+}
+
+// serve takes the next request.
+func serve(t *testing.T, q *admitter.Queue, now time.Duration) admitter.Key {
+	t.Helper()
+	k, ok := q.Next(at(now))
+	is.New(t).True(ok)
+	q.Take(k, at(now))
+	return k
+}
+
+func TestOrder(t *testing.T) {
+	t.Run("is that of arrival while all can be on time", func(t *testing.T) {
+		i := is.New(t)
+		q := admitter.New(admitter.Options{})
+		for k := range admitter.Key(4) {
+			q.Push(wish(k, time.Duration(k)*time.Millisecond), at(0))
+		}
+		for k := range admitter.Key(4) {
+			i.Equal(serve(t, q, 10*time.Millisecond), k)
+		}
+	})
+	t.Run("puts the more urgent first", func(t *testing.T) {
+		i := is.New(t)
+		q := admitter.New(admitter.Options{})
+		patient := wish(1, 0)
+		patient.Priority = 2
+		q.Push(patient, at(0))
+		q.Push(wish(2, time.Millisecond), at(0))
+		i.Equal(serve(t, q, 2*time.Millisecond), admitter.Key(2))
+	})
+	t.Run("puts those first that can still be on time", func(t *testing.T) {
+		i := is.New(t)
+		q := admitter.New(admitter.Options{})
+		q.Push(wish(1, 0), at(0))
+		q.Push(wish(2, 600*time.Millisecond), at(600*time.Millisecond))
+		i.Equal(serve(t, q, 700*time.Millisecond), admitter.Key(2))
+		i.Equal(serve(t, q, 700*time.Millisecond), admitter.Key(1))
+	})
+}
+
+// TestBurst plays a burst of more requests than can be served: arrivals each
+// 40 ms for 5 s before engines that start one request each 50 ms.
+func TestBurst(t *testing.T) {
+	const (
+		arrival = 40 * time.Millisecond
+		service = 50 * time.Millisecond
+		burst   = 5 * time.Second
+	)
+	play := func(inOrder bool) (onTime, late, longest int) {
+		q := admitter.New(admitter.Options{})
+		next := admitter.Key(0)
+		arrivals := map[admitter.Key]time.Duration{}
+		for now := time.Duration(0); now < 2*burst; now += 10 * time.Millisecond {
+			if now < burst && now%arrival == 0 {
+				next++
+				arrivals[next] = now
+				w := wish(next, now)
+				if inOrder { // no request is ever late: the first come goes first
+					w.OnTimeBy = w.StartBy
+				}
+				q.Push(w, at(now))
+			}
+			if now%service != 0 {
+				continue
+			}
+			if k, ok := q.Next(at(now)); ok {
+				q.Take(k, at(now))
+				waited := now - arrivals[k]
+				longest = max(longest, int(waited.Milliseconds()))
+				if waited <= 500*time.Millisecond {
+					onTime++
+				} else {
+					late++
+				}
+			}
+		}
+		return onTime, late, longest
+	}
+	t.Run("more are on time than in the order of arrival, and all are served", func(t *testing.T) {
+		i := is.New(t)
+		inOrder, lateInOrder, _ := play(true)
+		onTime, late, longest := play(false)
+		i.Equal(inOrder+lateInOrder, 125)
+		i.Equal(onTime+late, 125)
+		i.True(float64(onTime) >= 1.5*float64(inOrder))
+		i.True(longest < 6000)
+	})
+}
+
+func TestStarvation(t *testing.T) {
+	t.Run("a late request gets its turn while fresh ones keep coming", func(t *testing.T) {
+		i := is.New(t)
+		q := admitter.New(admitter.Options{})
+		q.Push(wish(1, 0), at(0))
+		turns := 0
+		for k := admitter.Key(2); k < 40; k++ {
+			now := 600*time.Millisecond + time.Duration(k)*10*time.Millisecond
+			q.Push(wish(k, now), at(now))
+			q.Push(wish(k+100, now), at(now))
+			turns++
+			if serve(t, q, now) == 1 {
+				break
+			}
+		}
+		i.True(turns <= 7)
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	t.Run("come at once where the queue is too long", func(t *testing.T) {
+		i := is.New(t)
+		q := admitter.New(admitter.Options{})
+		k := admitter.Key(0)
+		push := func(now time.Duration) (time.Duration, bool) {
+			k++
+			return q.Push(wish(k, now), at(now))
+		}
+		for range 20 {
+			_, ok := push(0)
+			i.True(ok)
+		}
+		for n := range 10 { // one start each second
+			serve(t, q, time.Duration(n)*time.Second)
+		}
+		for range 5 {
+			push(9 * time.Second)
+		}
+		retryAfter, ok := push(9 * time.Second)
+		i.True(!ok) // some 15 s of work wait, and it could wait for 10 s
+		i.True(retryAfter > 5*time.Second)
+	})
+	t.Run("spread returns", func(t *testing.T) {
+		i := is.New(t)
+		q := admitter.New(admitter.Options{})
+		seen := map[time.Duration]bool{}
+		for range 20 {
+			d := q.RetryAfter()
+			i.True(d >= 50*time.Millisecond)
+			seen[d] = true
+		}
+		i.True(len(seen) > 10)
+	})
+	t.Run("come when a request can't start in time any more", func(t *testing.T) {
+		i := is.New(t)
+		q := admitter.New(admitter.Options{})
+		q.Push(wish(1, 0), at(0))
+		q.Push(wish(2, time.Second), at(time.Second))
+		i.Equal(q.Expired(at(10*time.Second)), []admitter.Key{1})
+		i.Equal(q.Len(), 1)
+		i.Equal(len(q.Expired(at(10*time.Second))), 0)
+	})
+}
+
+// TestQueueProperty checks that each request leaves exactly once.
+func TestQueueProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := admitter.New(admitter.Options{Seed: rapid.Uint64().Draw(t, "seed")})
+		inside := map[admitter.Key]bool{}
+		leave := func(k admitter.Key) {
+			if !inside[k] {
+				t.Fatalf("request %d left twice or was never there", k)
+			}
+			delete(inside, k)
+		}
+		now, last := time.Duration(0), admitter.Key(0)
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(*rapid.T) {
+				last++
+				if _, ok := q.Push(wish(last, now), at(now)); ok {
+					inside[last] = true
+				}
+			},
+			"take": func(*rapid.T) {
+				if k, ok := q.Next(at(now)); ok {
+					q.Take(k, at(now))
+					leave(k)
+				}
+			},
+			"remove": func(t *rapid.T) {
+				k := admitter.Key(rapid.Uint64Range(0, uint64(last)).Draw(t, "key"))
+				if q.Remove(k) {
+					leave(k)
+				}
+			},
+			"pass": func(t *rapid.T) {
+				now += time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond
+				for _, k := range q.Expired(at(now)) {
+					leave(k)
+				}
+			},
+			"": func(t *rapid.T) {
+				if q.Len() != len(inside) {
+					t.Fatalf("queue holds %d, expected %d", q.Len(), len(inside))
+				}
+			},
+		})
+	})
+}
--- a/forwarder/desk.go
+++ b/forwarder/desk.go
@@ -281,9 +281,15 @@
 
 // giveBack cancels the room of a plan that isn't used.
 func (d *desk) giveBack(p plan) {
-	f := d.forwarder
-	f.deps.Placer.End(p.decode, p.tokens, placer.Outcome{Verdict: placer.VerdictNone}, time.Now())
+	d.forwarder.deps.Placer.End(p.decode, p.tokens, placer.Outcome{Verdict: placer.VerdictNone}, time.Now())
+	d.cancel(p)
 	d.released()
+}
+
+// cancel gives up a plan's reservation, which its engine may have used or let
+// lapse already.
+func (d *desk) cancel(p plan) {
+	f := d.forwarder
 	if p.reservation == "" {
 		return
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -214,7 +214,7 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	held := f.running.Add(1)
 	defer f.running.Add(-1)
-	if f.closing.Load() {
+	if f.closesAfter(r) {
 		w.Header().Set("Connection", "close")
 	}
 	o := &Observation{Started: time.Now()}
@@ -233,3 +233,11 @@
 	}
 	e.serve()
 }
+
+// closesAfter tells whether the request is to be the last of its connection:
+// before a planned stop, and where its end may be told in two ways. The server
+// drops a length that comes beside chunks, so that every request in chunks has
+// to be taken for one whose sender and receiver may disagree.
+func (f *Forwarder) closesAfter(r *http.Request) bool {
+	return f.closing.Load() || len(r.TransferEncoding) > 0
+}
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -180,7 +181,7 @@
 		return placer.Outcome{Verdict: placer.VerdictFailure}
 	case c.Reason == classifier.ReasonEndpointRefused:
 		return placer.Outcome{Verdict: placer.VerdictFull}
-	case ctx.Err() != nil && context.Cause(ctx) != errDeadline:
+	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
 		return placer.Outcome{Verdict: placer.VerdictNone}
 	default:
 		return placer.Outcome{Verdict: placer.VerdictBroken}
@@ -193,7 +194,7 @@
 	e.observation.Answered = a.endpoint.Name
 	h := e.writer.Header()
 	copyHead(h, a.header)
-	if e.forwarder.closing.Load() {
+	if e.forwarder.closesAfter(e.request) {
 		h.Set("Connection", "close")
 	}
 	if bodyAllowed(a.status) {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -32,7 +32,7 @@
 	firstEventSilence = 2 * time.Second
 	// reservedShare is the share of the expected output that is reserved: the
 	// requests of an engine are at different points of theirs.
-	reservedShare = 0.8
+	reservedShare = 1.0
 	// maxRounds bounds how often one request looks for room anew.
 	maxRounds = 6
 )
@@ -47,7 +47,11 @@
 	lastEvent string
 	lastAt    time.Time
 	rounds    int
-	prefills  int
+	// prefills counts those that arrived at an engine, prefilledAt is where
+	// the last good one was, and unfitPrefills are engines to keep away from.
+	prefills      int
+	prefilledAt   *registrar.Endpoint
+	unfitPrefills []identifier.Endpoint
 	// failed is an engine's own failure, passed on if nothing better comes.
 	failed *answered
 }
@@ -164,20 +168,16 @@
 }
 
 // readPrompt has the prompt read by a prefill engine; nil: the decode engine
-// has to read it.
+// has to read it, since no prefill engine is left or the budget allows no
+// other one.
 func (s *stream) readPrompt(ctx context.Context, p *plan) (*PrefillResult, error) {
 	f := s.forwarder
-	var exclude []identifier.Endpoint
 	for {
 		now := time.Now()
-		e := f.deps.Placer.Prefill(s.current(), p.decode.DataCenter, exclude, now)
-		if e == nil || e.Stage != registrar.StagePrefill {
+		e := f.deps.Placer.Prefill(s.current(), p.decode.DataCenter, s.unfitPrefills, now)
+		if e == nil || e.Stage != registrar.StagePrefill || !s.mayPrefill() {
 			return nil, nil
 		}
-		if s.prefills > 0 && !f.deps.Budget.Take(s.service.Name) {
-			return nil, classifier.NotRun(classifier.ReasonLimit, classifier.Spread(fullRetryAfter), "no budget for another prefill")
-		}
-		s.prefills++
 		s.observation.at(e)
 		f.deps.Placer.Begin(e, s.call.Prompt)
 		result, err := s.prefillAt(ctx, e)
@@ -185,16 +185,38 @@
 		f.deps.Placer.End(e, s.call.Prompt, prefillOutcome(ctx, err, took), time.Now())
 		if err == nil {
 			s.observation.Prefill = took
+			s.prefills++
+			s.prefilledAt = e
 			return &result, nil
 		}
 		if ctx.Err() != nil {
 			return nil, ended(ctx, classifier.VerdictNotRun)
 		}
+		if classifier.Of(err).Reason != classifier.ReasonHostUnreachable {
+			s.prefills++
+		}
 		s.note("prefill-failed", e, err, zap.Duration("took", took))
-		exclude = append(exclude, e.Name)
+		s.unfitPrefills = append(s.unfitPrefills, e.Name)
 	}
 }
 
+// mayPrefill tells whether one more prefill may be sent: the first one that
+// arrives at an engine is free.
+func (s *stream) mayPrefill() bool {
+	return s.prefills == 0 || s.forwarder.deps.Budget.Take(s.service.Name)
+}
+
+// notFetched notes that a decode engine could not fetch a prefill's result, so
+// that the request keeps away from where it was.
+func (s *stream) notFetched() {
+	if s.prefilledAt == nil {
+		return
+	}
+	s.unfitPrefills = append(s.unfitPrefills, s.prefilledAt.Name)
+	s.forwarder.deps.Placer.Failed(s.prefilledAt)
+	s.note("prefill-not-fetched", s.prefilledAt, nil)
+}
+
 func (s *stream) prefillAt(ctx context.Context, e *registrar.Endpoint) (PrefillResult, error) {
 	ctx, cancel := context.WithTimeoutCause(ctx, prefillSilence, errSilent)
 	defer cancel()
@@ -246,6 +268,11 @@
 		f.deps.Placer.Loaded(p.decode, l, time.Now())
 	}
 	if err := s.head(response, p.decode); err != nil {
+		if from != nil && f.deps.Endpoints.Refused(response) {
+			s.notFetched()
+			s.desk.cancel(*p)
+			return placer.Outcome{Verdict: placer.VerdictNone}, err
+		}
 		s.exclude = append(s.exclude, p.decode.Name)
 		return s.outcomeOf(ctx, err), err
 	}
@@ -356,7 +383,7 @@
 	s.observation.Status = status
 	h := s.writer.Header()
 	copyHead(h, header)
-	if s.forwarder.closing.Load() {
+	if s.forwarder.closesAfter(s.request) {
 		h.Set("Connection", "close")
 	}
 	s.writer.WriteHeader(status)
--- a/hoster/budgets.go
+++ b/hoster/budgets.go
@@ -1,6 +1,7 @@
 package hoster
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,14 +27,17 @@
 // requests, and the slack is divided by the most hosts that were ever seen.
 type budgets struct {
 	settings Retries
-	hosts    atomic.Int64
+	// lot, in [0, 1), decides whether this host holds the one more token that
+	// a broken share leaves to some of the hosts.
+	lot   float64
+	hosts atomic.Int64
 
 	mu       sync.Mutex
 	services map[identifier.Service]*retrier.Budget
 }
 
-func newBudgets(s Retries) *budgets {
-	b := &budgets{settings: s, services: map[identifier.Service]*retrier.Budget{}}
+func newBudgets(s Retries, lot float64) *budgets {
+	b := &budgets{settings: s, lot: lot, services: map[identifier.Service]*retrier.Budget{}}
 	b.hosts.Store(fewestHosts)
 	return b
 }
@@ -59,6 +63,16 @@
 	return budgetShare * b.settings.Slack / 2 / float64(b.hosts.Load())
 }
 
+// capacity is how many tokens the host holds at most: its burst in whole
+// tokens, and one more if its lot says so.
+func (b *budgets) capacity() float64 {
+	whole, part := math.Modf(b.burst())
+	if b.lot < part {
+		whole++
+	}
+	return whole
+}
+
 func (b *budgets) ratio() float64 {
 	return budgetShare * b.settings.Ratio
 }
@@ -67,7 +81,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, s := range b.services {
-		s.Resize(b.ratio(), max(1, b.burst()))
+		s.Resize(b.ratio(), b.capacity())
 	}
 }
 
@@ -88,7 +102,7 @@
 	defer b.mu.Unlock()
 	s := b.services[name]
 	if s == nil {
-		s = retrier.NewBudget(compiler.RetryBudget{Ratio: b.ratio(), Capacity: max(1, b.burst())})
+		s = retrier.NewBudget(compiler.RetryBudget{Ratio: b.ratio(), Capacity: b.capacity()})
 		s.Drain()
 		s.Grant(b.burst() / 2)
 		b.services[name] = s
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -79,7 +80,18 @@
 	metrics    *metrics
 	idle       *idleCloser
 
-	callers *http.Server
+	callers   *http.Server
+	addresses Addresses
+}
+
+// Addresses are where a host listens.
+type Addresses struct {
+	Callers, Readiness, Peers, Metrics identifier.Address
+}
+
+// Addresses gives the addresses that the host is bound to.
+func (h *Host) Addresses() Addresses {
+	return h.addresses
 }
 
 const (
@@ -113,13 +125,19 @@
 		h.group.Stop()
 		return nil, err
 	}
+	h.addresses = Addresses{
+		Callers:   addressOf(l.callers),
+		Readiness: addressOf(l.readiness),
+		Peers:     addressOf(l.peers),
+		Metrics:   addressOf(l.metrics),
+	}
 	h.build()
 	h.serve(l)
 	h.log.Info("host-started",
 		zap.Stringer("incarnation", h.incarnation),
 		zap.String("data-center", string(s.DataCenter)),
-		zap.String("callers", string(s.Listeners.Callers)),
-		zap.String("peers", string(s.Listeners.Peers)))
+		zap.String("callers", string(h.addresses.Callers)),
+		zap.String("peers", string(h.addresses.Peers)))
 	return h, nil
 }
 
@@ -157,6 +175,13 @@
 	return l, nil
 }
 
+func addressOf(ln net.Listener) identifier.Address {
+	if ln == nil {
+		return ""
+	}
+	return identifier.Address(ln.Addr().String())
+}
+
 // build makes the parts, each from those before it.
 func (h *Host) build() {
 	s := h.settings
@@ -175,7 +200,7 @@
 		Host:        s.Host,
 		Incarnation: h.incarnation,
 		DataCenter:  s.DataCenter,
-		Address:     s.Listeners.Peers,
+		Address:     h.addresses.Peers,
 	}, gossiper.Options{
 		Period:           probePeriod,
 		ProbeTimeout:     probeTimeout,
@@ -185,7 +210,7 @@
 	}, h.messenger, h.timer, h.group)
 	h.gossiper.Seed(s.Seeds)
 	h.placer = placer.New(placer.Options{DataCenter: s.DataCenter}, uint64(h.incarnation))
-	h.budgets = newBudgets(s.Retries)
+	h.budgets = newBudgets(s.Retries, rand.Float64())
 	h.gossiper.Subscribe(func(v *gossiper.View) { h.budgets.sees(len(v.Members())) })
 	h.forwarder = forwarder.New(forwarder.Deps{
 		Registry:  h.registry,
@@ -305,3 +330,27 @@
 		})
 	}
 }
+
+// Endpoints counts the endpoints that the host knows.
+func (h *Host) Endpoints() int {
+	return h.registry.Snapshot().Count()
+}
+
+// Version gives the version of the declarations in force; 0: none.
+func (h *Host) Version() identifier.Revision {
+	d := h.registry.Snapshot().Declarations
+	if d == nil {
+		return 0
+	}
+	return d.Version
+}
+
+// Waiting counts the requests that wait for room.
+func (h *Host) Waiting() int {
+	return h.forwarder.Waiting()
+}
+
+// Running counts the requests that have no final answer yet.
+func (h *Host) Running() int64 {
+	return h.forwarder.Running()
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -146,7 +146,7 @@
 // Plain chooses an instance of a plain service; nil: there is none that takes
 // new work. Avoided ones are chosen only if there are no others.
 func (p *Placer) Plain(all []*registrar.Endpoint, exclude []identifier.Endpoint, now time.Time) *registrar.Endpoint {
-	return p.best(all, exclude, now, func(e *registrar.Endpoint, s *state) float64 {
+	return p.best(all, exclude, func(e *registrar.Endpoint, s *state) float64 {
 		return p.plainCost(e, s, now)
 	})
 }
@@ -176,7 +176,7 @@
 
 // Prefill chooses the engine that is expected to have read a prompt first.
 func (p *Placer) Prefill(all []*registrar.Endpoint, near identifier.DataCenter, exclude []identifier.Endpoint, now time.Time) *registrar.Endpoint {
-	return p.best(all, exclude, now, func(e *registrar.Endpoint, s *state) float64 {
+	return p.best(all, exclude, func(e *registrar.Endpoint, s *state) float64 {
 		if e.Stage == registrar.StageDecode {
 			return math.Inf(1)
 		}
@@ -207,7 +207,7 @@
 func (p *Placer) Decodes(all []*registrar.Endpoint, exclude []identifier.Endpoint, now time.Time) []*registrar.Endpoint {
 	var list []*registrar.Endpoint
 	for {
-		e, avoided := p.choose(all, append(exclude, names(list)...), now, func(e *registrar.Endpoint, s *state) float64 {
+		e, avoided := p.choose(all, append(exclude, names(list)...), func(e *registrar.Endpoint, s *state) float64 {
 			if e.Stage == registrar.StagePrefill || now.Before(s.fullUntil) {
 				return math.Inf(1)
 			}
@@ -229,14 +229,14 @@
 }
 
 // best gives the endpoint of the least cost; nil: there is none.
-func (p *Placer) best(all []*registrar.Endpoint, exclude []identifier.Endpoint, now time.Time, cost func(*registrar.Endpoint, *state) float64) *registrar.Endpoint {
-	e, _ := p.choose(all, exclude, now, cost)
+func (p *Placer) best(all []*registrar.Endpoint, exclude []identifier.Endpoint, cost func(*registrar.Endpoint, *state) float64) *registrar.Endpoint {
+	e, _ := p.choose(all, exclude, cost)
 	return e
 }
 
 // choose gives the endpoint of the least cost, and an avoided one only if
 // there are no others; infinite costs rule out.
-func (p *Placer) choose(all []*registrar.Endpoint, exclude []identifier.Endpoint, now time.Time, cost func(*registrar.Endpoint, *state) float64) (chosen *registrar.Endpoint, avoided bool) {
+func (p *Placer) choose(all []*registrar.Endpoint, exclude []identifier.Endpoint, cost func(*registrar.Endpoint, *state) float64) (chosen *registrar.Endpoint, avoided bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var best, bestAvoided *registrar.Endpoint
@@ -347,6 +347,14 @@
 	s.fullUntil = now.Add(fullTime)
 }
 
+// Failed notes that an answer of e was of no use.
+func (p *Placer) Failed(e *registrar.Endpoint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.state(e)
+	s.failures += failureWeight * (1 - s.failures)
+}
+
 // Broken notes a failure of e outside a call.
 func (p *Placer) Broken(e *registrar.Endpoint, now time.Time) {
 	p.mu.Lock()
--- /dev/null
+++ b/replicator/replica_test.go
@@ -0,0 +1,172 @@
+package replicator_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/replicator"
+)
+
+func put(key, value string, r identifier.Revision) replicator.Change {
+	return replicator.Change{Item: replicator.Item{Key: key, Value: []byte(value), Revision: r}}
+}
+
+func deletion(key string, r identifier.Revision) replicator.Change {
+	return replicator.Change{Item: replicator.Item{Key: key, Revision: r}, Deleted: true}
+}
+
+func changes(r identifier.Revision, all ...replicator.Change) replicator.Changes {
+	return replicator.Changes{Revision: r, Changes: all}
+}
+
+func keys(r *replicator.Replica) string {
+	text := ""
+	for _, i := range r.Items() {
+		text += i.Key + "=" + string(i.Value) + " "
+	}
+	return text
+}
+
+func TestReplica(t *testing.T) {
+	t.Run("takes changes in once, and tells what was news", func(t *testing.T) {
+		i := is.New(t)
+		r := replicator.NewReplica()
+		i.Equal(len(r.Apply(changes(2, put("a", "1", 1), put("b", "1", 2)))), 2)
+		i.Equal(len(r.Apply(changes(2, put("a", "1", 1), put("b", "1", 2)))), 0)
+		i.Equal(len(r.Apply(changes(3, put("b", "1", 2), put("a", "2", 3)))), 1)
+		i.Equal(keys(r), "a=2 b=1 ")
+	})
+	t.Run("ignores what leads to an older revision", func(t *testing.T) {
+		i := is.New(t)
+		r := replicator.NewReplica()
+		r.Apply(changes(9, put("a", "new", 9)))
+		i.Equal(len(r.Apply(replicator.Changes{Revision: 5, Whole: true, Changes: []replicator.Change{put("a", "old", 5)}})), 0)
+		i.Equal(keys(r), "a=new ")
+	})
+	t.Run("tells of deleted items as they were", func(t *testing.T) {
+		i := is.New(t)
+		r := replicator.NewReplica()
+		r.Apply(changes(1, put("a", "1", 1)))
+		news := r.Apply(changes(2, deletion("a", 2)))
+		i.Equal(len(news), 1)
+		i.True(news[0].Deleted)
+		i.Equal(string(news[0].Value), "1")
+	})
+	t.Run("takes all that a listing leaves out for deleted", func(t *testing.T) {
+		i := is.New(t)
+		r := replicator.NewReplica()
+		r.Apply(changes(2, put("a", "1", 1), put("b", "1", 2)))
+		news := r.Apply(replicator.Changes{Revision: 7, Whole: true, Changes: []replicator.Change{put("b", "1", 2)}})
+		i.Equal(len(news), 1)
+		i.True(news[0].Deleted)
+		i.Equal(keys(r), "b=1 ")
+	})
+	t.Run("gives whole lists to those that lag behind its history", func(t *testing.T) {
+		i := is.New(t)
+		r := replicator.NewReplica()
+		r.Apply(replicator.Changes{Revision: 5, Whole: true, Changes: []replicator.Change{put("a", "1", 3)}})
+		i.True(r.Since(4).Whole)
+		i.True(!r.Since(5).Whole)
+		i.Equal(len(r.Since(5).Changes), 0)
+	})
+}
+
+// world is a store, with all that has ever happened at it.
+type world struct {
+	revision identifier.Revision
+	history  []replicator.Change
+}
+
+func (w *world) change(c replicator.Change) {
+	w.revision++
+	c.Revision = w.revision
+	w.history = append(w.history, c)
+}
+
+// at gives what the store holds at a revision.
+func (w *world) at(r identifier.Revision) string {
+	replica := replicator.NewReplica()
+	for _, c := range w.history {
+		if c.Revision <= r {
+			replica.Apply(changes(c.Revision, c))
+		}
+	}
+	return keys(replica)
+}
+
+func (w *world) since(r identifier.Revision) replicator.Changes {
+	c := replicator.Changes{Revision: w.revision}
+	for _, h := range w.history {
+		if h.Revision > r {
+			c.Changes = append(c.Changes, h)
+		}
+	}
+	return c
+}
+
+func (w *world) whole() replicator.Changes {
+	replica := replicator.NewReplica()
+	replica.Apply(w.since(0))
+	c := replicator.Changes{Revision: w.revision, Whole: true}
+	for _, i := range replica.Items() {
+		c.Changes = append(c.Changes, replicator.Change{Item: i})
+	}
+	return c
+}
+
+// TestReplicasProperty checks that a replica always equals the store at the
+// revision that it stands at, however it came there: by watching, by listing,
+// or from a peer, with answers that come late.
+func TestReplicasProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{}
+		replicas := []*replicator.Replica{replicator.NewReplica(), replicator.NewReplica(), replicator.NewReplica()}
+		var delayed []replicator.Changes
+		one := func(t *rapid.T) *replicator.Replica { return replicas[rapid.IntRange(0, 2).Draw(t, "replica")] }
+		apply := func(t *rapid.T, r *replicator.Replica, c replicator.Changes) {
+			if rapid.Bool().Draw(t, "late") && c.Whole {
+				delayed = append(delayed, c)
+				return
+			}
+			before := r.Revision()
+			r.Apply(c)
+			if r.Revision() < before {
+				t.Fatalf("replica went back from %d to %d", before, r.Revision())
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"put": func(t *rapid.T) {
+				w.change(put(fmt.Sprintf("k%d", rapid.IntRange(0, 4).Draw(t, "key")), fmt.Sprint(w.revision), 0))
+			},
+			"delete": func(t *rapid.T) {
+				w.change(deletion(fmt.Sprintf("k%d", rapid.IntRange(0, 4).Draw(t, "key")), 0))
+			},
+			"watch": func(t *rapid.T) {
+				r := one(t)
+				apply(t, r, w.since(r.Revision()))
+			},
+			"list": func(t *rapid.T) { apply(t, one(t), w.whole()) },
+			"peer": func(t *rapid.T) {
+				r, peer := one(t), one(t)
+				apply(t, r, peer.Since(r.Revision()))
+			},
+			"late": func(t *rapid.T) {
+				if len(delayed) > 0 {
+					one(t).Apply(delayed[0])
+					delayed = delayed[1:]
+				}
+			},
+			"": func(t *rapid.T) {
+				for n, r := range replicas {
+					if got, want := keys(r), w.at(r.Revision()); got != want {
+						t.Fatalf("replica %d at %d holds %q, the store held %q", n, r.Revision(), got, want)
+					}
+				}
+			},
+		})
+	})
+}
