Have one host of a data centre read the store; the others follow it

Change: the host that comes first in the order of hashing reads for its data centre; the others wait at it for news, and read for themselves once the store's confirmation of what they know is older than 3 s. Answers between hosts carry that age.

Ruled out: fewer hosts that poll (news came a period late); pushing news to all (a host that starts, or was cut off, has to ask in any case).

--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -234,12 +234,15 @@
 // serve opens the listeners for peers first: they are asked while nothing is
 // known yet.
 func (h *Host) serve(l *listeners) {
-	p := &peers{messenger: h.messenger, gossiper: h.gossiper, self: h.incarnation}
-	p.replica = func() *replicator.Replica { return h.replicator.Load().Replica() }
+	p := &peers{messenger: h.messenger, gossiper: h.gossiper, self: h.incarnation, dc: h.settings.DataCenter}
+	p.answer = func(ctx context.Context, after identifier.Revision, wait time.Duration) replicator.Changes {
+		return h.replicator.Load().Answer(ctx, after, wait)
+	}
 	h.messenger.Handle(peerwire.KindChanges, p.handleChanges)
 	r := replicator.Start(replicator.Deps{
 		Store: h.deps.Platform,
 		Peers: p,
+		Reads: p.Reads,
 		Apply: h.apply,
 		Timer: h.timer,
 		Group: h.group,
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/jackdawthread/jackdawthread/common/classifier"
@@ -19,23 +21,54 @@
 	messenger *messenger.Messenger
 	gossiper  *gossiper.Gossiper
 	self      identifier.Incarnation
-	replica   func() *replicator.Replica
+	dc        identifier.DataCenter
+	answer    func(ctx context.Context, after identifier.Revision, wait time.Duration) replicator.Changes
 }
 
-// Changes implements replicator.Peers: it asks a random live host.
-func (p *peers) Changes(ctx context.Context, after identifier.Revision) (replicator.Changes, error) {
-	at, ok := p.choose()
+// readersKey places the hosts that read the store.
+var readersKey = xxhash.Sum64String("store-readers")
+
+// Reads tells whether this host is its data centre's reader of the store, or
+// knows no other host.
+func (p *peers) Reads() bool {
+	reader, ok := p.gossiper.View().Owner(p.dc, readersKey)
+	return !ok || reader.Incarnation == p.self
+}
+
+// Ask implements replicator.Peers: it asks a random live host.
+func (p *peers) Ask(ctx context.Context, after identifier.Revision) (replicator.Changes, error) {
+	at, ok := p.random()
 	if !ok {
-		return replicator.Changes{}, classifier.NotRun(classifier.ReasonHostUnreachable, 0, "no other host is known")
+		return replicator.Changes{}, errNoPeer
 	}
+	return p.ask(ctx, at, &peerwire.ChangesAsk{After: after})
+}
+
+// Follow implements replicator.Peers: it waits at the reader of this host's
+// data centre, and at a random host where that has failed.
+func (p *peers) Follow(ctx context.Context, after identifier.Revision, wait time.Duration, attempt int) (replicator.Changes, error) {
+	at, ok := p.gossiper.View().Owner(p.dc, readersKey)
+	if !ok || attempt > 0 {
+		at, ok = p.random()
+	}
+	if !ok {
+		return replicator.Changes{}, errNoPeer
+	}
+	return p.ask(ctx, at, &peerwire.ChangesAsk{After: after, WaitMs: uint32(wait.Milliseconds())})
+}
+
+var errNoPeer = classifier.NotRun(classifier.ReasonHostUnreachable, 0, "no other host is known")
+
+func (p *peers) ask(ctx context.Context, at gossiper.Member, ask *peerwire.ChangesAsk) (replicator.Changes, error) {
 	var answer peerwire.ChangesAnswer
-	if err := p.messenger.Call(ctx, at.Address, peerwire.KindChanges, &peerwire.ChangesAsk{After: after}, &answer); err != nil {
+	if err := p.messenger.Call(ctx, at.Address, peerwire.KindChanges, ask, &answer); err != nil {
 		return replicator.Changes{}, err
 	}
 	return decodeChanges(&answer), nil
 }
 
-func (p *peers) choose() (gossiper.Member, bool) {
+// random gives a random live host other than this one.
+func (p *peers) random() (gossiper.Member, bool) {
 	var chosen gossiper.Member
 	count := 0
 	for _, m := range p.gossiper.View().Members() {
@@ -51,16 +84,20 @@
 }
 
 // handleChanges answers a peer's question.
-func (p *peers) handleChanges(_ context.Context, _ messenger.Peer, payload []byte) (msgp.Marshaler, error) {
+func (p *peers) handleChanges(ctx context.Context, _ messenger.Peer, payload []byte) (msgp.Marshaler, error) {
 	var ask peerwire.ChangesAsk
 	if _, err := ask.UnmarshalMsg(payload); err != nil {
 		return nil, classifier.NotRun(classifier.ReasonBadRequest, 0, "question for changes is malformed: %w", err)
 	}
-	return encodeChanges(p.replica().Since(ask.After)), nil
+	wait := min(longestWait, time.Duration(ask.WaitMs)*time.Millisecond)
+	return encodeChanges(p.answer(ctx, ask.After, wait)), nil
 }
 
+// longestWait bounds how long a peer may wait here for news.
+const longestWait = 10 * time.Second
+
 func encodeChanges(c replicator.Changes) *peerwire.ChangesAnswer {
-	answer := &peerwire.ChangesAnswer{Revision: c.Revision, Whole: c.Whole}
+	answer := &peerwire.ChangesAnswer{Revision: c.Revision, Whole: c.Whole, AgeMs: uint32(c.Age.Milliseconds())}
 	for _, change := range c.Changes {
 		answer.Changes = append(answer.Changes, peerwire.StoreItem{
 			Key:      change.Key,
@@ -73,7 +110,11 @@
 }
 
 func decodeChanges(answer *peerwire.ChangesAnswer) replicator.Changes {
-	c := replicator.Changes{Revision: answer.Revision, Whole: answer.Whole}
+	c := replicator.Changes{
+		Revision: answer.Revision,
+		Whole:    answer.Whole,
+		Age:      time.Duration(answer.AgeMs) * time.Millisecond,
+	}
 	for _, i := range answer.Changes {
 		c.Changes = append(c.Changes, replicator.Change{
 			Item:    replicator.Item{Key: i.Key, Value: i.Value, Revision: i.Revision},
--- a/peerwire/changes.go
+++ b/peerwire/changes.go
@@ -11,6 +11,8 @@
 type ChangesAsk struct {
 	// After is the store's revision that the asker stands at; 0: none.
 	After identifier.Revision `msg:"after"`
+	// WaitMs is how long to wait for news, in milliseconds; 0: not at all.
+	WaitMs uint32 `msg:"wait-ms"`
 }
 
 // ChangesAnswer answers a ChangesAsk.
@@ -19,7 +21,9 @@
 	// the asker's, the rest is empty.
 	Revision identifier.Revision `msg:"revision"`
 	// Whole is set when Changes are all items that exist.
-	Whole   bool        `msg:"whole"`
+	Whole bool `msg:"whole"`
+	// AgeMs is how long ago the store has confirmed Revision, in milliseconds.
+	AgeMs   uint32      `msg:"age-ms"`
 	Changes []StoreItem `msg:"changes"`
 }
 
--- a/peerwire/changes_gen.go
+++ b/peerwire/changes_gen.go
@@ -41,6 +41,12 @@
 				err = msgp.WrapError(err, "Whole")
 				return
 			}
+		case "age-ms":
+			z.AgeMs, err = dc.ReadUint32()
+			if err != nil {
+				err = msgp.WrapError(err, "AgeMs")
+				return
+			}
 		case "changes":
 			var zb0003 uint32
 			zb0003, err = dc.ReadArrayHeader()
@@ -73,9 +79,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *ChangesAnswer) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+	// map header, size 4
 	// write "revision"
-	err = en.Append(0x83, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	err = en.Append(0x84, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
 	if err != nil {
 		return
 	}
@@ -94,6 +100,16 @@
 		err = msgp.WrapError(err, "Whole")
 		return
 	}
+	// write "age-ms"
+	err = en.Append(0xa6, 0x61, 0x67, 0x65, 0x2d, 0x6d, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint32(z.AgeMs)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMs")
+		return
+	}
 	// write "changes"
 	err = en.Append(0xa7, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x73)
 	if err != nil {
@@ -117,13 +133,16 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ChangesAnswer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "revision"
-	o = append(o, 0x83, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	o = append(o, 0x84, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendUint64(o, uint64(z.Revision))
 	// string "whole"
 	o = append(o, 0xa5, 0x77, 0x68, 0x6f, 0x6c, 0x65)
 	o = msgp.AppendBool(o, z.Whole)
+	// string "age-ms"
+	o = append(o, 0xa6, 0x61, 0x67, 0x65, 0x2d, 0x6d, 0x73)
+	o = msgp.AppendUint32(o, z.AgeMs)
 	// string "changes"
 	o = append(o, 0xa7, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Changes)))
@@ -171,6 +190,12 @@
 				err = msgp.WrapError(err, "Whole")
 				return
 			}
+		case "age-ms":
+			z.AgeMs, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AgeMs")
+				return
+			}
 		case "changes":
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -204,7 +229,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ChangesAnswer) Msgsize() (s int) {
-	s = 1 + 9 + msgp.Uint64Size + 6 + msgp.BoolSize + 8 + msgp.ArrayHeaderSize
+	s = 1 + 9 + msgp.Uint64Size + 6 + msgp.BoolSize + 7 + msgp.Uint32Size + 8 + msgp.ArrayHeaderSize
 	for za0001 := range z.Changes {
 		s += z.Changes[za0001].Msgsize()
 	}
@@ -239,6 +264,12 @@
 				}
 				z.After = identifier.Revision(zb0002)
 			}
+		case "wait-ms":
+			z.WaitMs, err = dc.ReadUint32()
+			if err != nil {
+				err = msgp.WrapError(err, "WaitMs")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -252,9 +283,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z ChangesAsk) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
+	// map header, size 2
 	// write "after"
-	err = en.Append(0x81, 0xa5, 0x61, 0x66, 0x74, 0x65, 0x72)
+	err = en.Append(0x82, 0xa5, 0x61, 0x66, 0x74, 0x65, 0x72)
 	if err != nil {
 		return
 	}
@@ -263,16 +294,29 @@
 		err = msgp.WrapError(err, "After")
 		return
 	}
+	// write "wait-ms"
+	err = en.Append(0xa7, 0x77, 0x61, 0x69, 0x74, 0x2d, 0x6d, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint32(z.WaitMs)
+	if err != nil {
+		err = msgp.WrapError(err, "WaitMs")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z ChangesAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
+	// map header, size 2
 	// string "after"
-	o = append(o, 0x81, 0xa5, 0x61, 0x66, 0x74, 0x65, 0x72)
+	o = append(o, 0x82, 0xa5, 0x61, 0x66, 0x74, 0x65, 0x72)
 	o = msgp.AppendUint64(o, uint64(z.After))
+	// string "wait-ms"
+	o = append(o, 0xa7, 0x77, 0x61, 0x69, 0x74, 0x2d, 0x6d, 0x73)
+	o = msgp.AppendUint32(o, z.WaitMs)
 	return
 }
 
@@ -304,6 +348,12 @@
 				}
 				z.After = identifier.Revision(zb0002)
 			}
+		case "wait-ms":
+			z.WaitMs, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WaitMs")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -318,7 +368,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z ChangesAsk) Msgsize() (s int) {
-	s = 1 + 6 + msgp.Uint64Size
+	s = 1 + 6 + msgp.Uint64Size + 8 + msgp.Uint32Size
 	return
 }
 
--- a/replicator/replica.go
+++ b/replicator/replica.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 )
@@ -33,6 +34,9 @@
 	// doesn't exist.
 	Whole   bool
 	Changes []Change
+	// Age is how long ago the store has confirmed the revision; 0 for the
+	// store's own answer.
+	Age time.Duration
 }
 
 // Replica is a copy of the store's items at one of its revisions. The store's
@@ -44,11 +48,12 @@
 	log      []Change // ordered by revision
 	floor    identifier.Revision
 	revision identifier.Revision
+	changed  chan struct{} // closed when the revision grows
 }
 
 // NewReplica gives a replica at revision 0, which knows nothing.
 func NewReplica() *Replica {
-	return &Replica{items: map[string]Item{}}
+	return &Replica{items: map[string]Item{}, changed: make(chan struct{})}
 }
 
 // Revision gives the store's revision that the replica stands at; 0: none.
@@ -58,6 +63,14 @@
 	return r.revision
 }
 
+// Changed gives a channel that is closed when the replica moves on from the
+// revision that it stands at.
+func (r *Replica) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
 // Items gives all items, sorted by key.
 func (r *Replica) Items() []Item {
 	r.mu.Lock()
@@ -83,6 +96,10 @@
 	if c.Revision < r.revision {
 		return nil
 	}
+	if c.Revision > r.revision {
+		close(r.changed)
+		r.changed = make(chan struct{})
+	}
 	if c.Whole {
 		return r.reset(c)
 	}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -1,6 +1,7 @@
 // Package replicator keeps a host's copy of the configuration store up to
-// date: by watching the store, and by asking peers, which may reach the store
-// while this host does not.
+// date. Few hosts watch the store; the others wait for news at one of those.
+// All of them ask random peers besides, which may have news from a store that
+// this host can't reach.
 //
 // # Usage
 //
@@ -8,7 +9,14 @@
 //		Store: store, Peers: peers, Apply: registrar.apply, ...,
 //	}, replicator.DefaultOptions())
 //	if r.Known() { ... }            // there is something to serve from
-//	answer := r.Replica().Since(ask.Revision) // for a peer that asks
+//	answer := r.Answer(ctx, ask.After, ask.Wait) // for a peer that asks
+//
+// # Who reads
+//
+// A host watches the store itself if Deps.Reads says so, or if what it knows
+// has not been confirmed by the store for Options.StaleAfter, by whatever way.
+// Every answer of a peer carries the age of that confirmation. So the loss of
+// the readers, or of the way to them, turns others into readers, and back.
 //
 // # Deletions around an outage
 //
@@ -49,14 +57,20 @@
 
 // Peers are the other hosts.
 type Peers interface {
-	// Changes asks one of them for what happened behind a revision.
-	Changes(ctx context.Context, after identifier.Revision) (Changes, error)
+	// Ask asks a random one for what happened behind a revision.
+	Ask(ctx context.Context, after identifier.Revision) (Changes, error)
+	// Follow waits, for at most wait, for what happens behind a revision, at a
+	// host that reads the store. Attempt counts the tries that failed, so that
+	// another host can be chosen.
+	Follow(ctx context.Context, after identifier.Revision, wait time.Duration, attempt int) (Changes, error)
 }
 
 // Deps is what a Replicator works with.
 type Deps struct {
 	Store Store
 	Peers Peers
+	// Reads tells whether this host is one of those that watch the store.
+	Reads func() bool
 	// Apply is told of the items whenever they have changed, one call at a
 	// time.
 	Apply func([]Item)
@@ -73,6 +87,11 @@
 	Timeout time.Duration
 	// MinBackoff and MaxBackoff bound the wait between failed reads.
 	MinBackoff, MaxBackoff time.Duration
+	// FollowWait is how long a host waits at another one for news.
+	FollowWait time.Duration
+	// StaleAfter is the age of the store's confirmation from which a host
+	// reads for itself.
+	StaleAfter time.Duration
 	// PeersPeriod is the time between two questions to a peer, and LostPeriod
 	// that while the store is out of reach.
 	PeersPeriod, LostPeriod time.Duration
@@ -91,7 +110,9 @@
 		Timeout:       time.Second,
 		MinBackoff:    100 * time.Millisecond,
 		MaxBackoff:    800 * time.Millisecond,
-		PeersPeriod:   500 * time.Millisecond,
+		FollowWait:    time.Second,
+		StaleAfter:    3 * time.Second,
+		PeersPeriod:   time.Second,
 		LostPeriod:    200 * time.Millisecond,
 		PeerTimeout:   400 * time.Millisecond,
 		OutageAfter:   time.Second,
@@ -106,10 +127,10 @@
 	options Options
 	replica *Replica
 	asking  atomic.Bool
-	// heardAt is when the store or a peer last answered, in nanoseconds on
-	// the steady clock since started.
-	heardAt atomic.Int64
-	started time.Time
+	// confirmedAt is when the store has last confirmed what is known, in
+	// nanoseconds since started.
+	confirmedAt atomic.Int64
+	started     time.Time
 
 	mu      sync.Mutex
 	contact contact
@@ -154,9 +175,27 @@
 	return !r.contact.lost
 }
 
-// Silence gives for how long neither the store nor a peer has answered.
-func (r *Replicator) Silence() time.Duration {
-	return time.Since(r.started) - time.Duration(r.heardAt.Load())
+// Age gives how long ago the store has confirmed what is known.
+func (r *Replicator) Age() time.Duration {
+	return time.Since(r.started) - time.Duration(r.confirmedAt.Load())
+}
+
+// Answer gives a peer what happened behind a revision; it waits for news, for
+// at most wait.
+func (r *Replicator) Answer(ctx context.Context, after identifier.Revision, wait time.Duration) Changes {
+	changed := r.replica.Changed()
+	if wait > 0 && r.replica.Revision() <= after {
+		alarm := time.NewTimer(wait)
+		defer alarm.Stop()
+		select {
+		case <-changed:
+		case <-alarm.C:
+		case <-ctx.Done():
+		}
+	}
+	c := r.replica.Since(after)
+	c.Age = r.Age()
+	return c
 }
 
 // Doubt asks a peer at once, as after the host stood still.
@@ -164,20 +203,21 @@
 	r.ask()
 }
 
-// follow reads the store for as long as the group lives.
+// follow keeps the replica up to date for as long as the group lives.
 func (r *Replicator) follow(ctx context.Context) {
 	backoff := r.options.MinBackoff
-	listed := false
+	failures := 0
 	for ctx.Err() == nil {
-		err := r.read(ctx, &listed)
+		err := r.step(ctx, failures)
 		if err == nil {
 			backoff = r.options.MinBackoff
+			failures = 0
 			continue
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		r.failed(err)
+		failures++
 		if sleeper.Sleep(ctx, backoff/2+rand.N(backoff)) != nil {
 			return
 		}
@@ -185,40 +225,55 @@
 	}
 }
 
+// step waits for news once: at the store, or at a host that reads it.
+func (r *Replicator) step(ctx context.Context, failures int) error {
+	if r.deps.Reads() || r.Age() > r.options.StaleAfter || !r.Known() {
+		err := r.read(ctx)
+		if err != nil && ctx.Err() == nil {
+			r.failed(err)
+		}
+		return err
+	}
+	after := r.replica.Revision()
+	ctx, cancel := context.WithTimeout(ctx, r.options.FollowWait+r.options.PeerTimeout)
+	defer cancel()
+	changes, err := r.deps.Peers.Follow(ctx, after, r.options.FollowWait, failures)
+	if err != nil {
+		r.deps.Log.Debug("peer-not-followed", zap.Error(err))
+		return err
+	}
+	r.confirmed(changes.Age)
+	r.take(changes, "reader")
+	return nil
+}
+
 // read lists or watches once. A host that a peer has brought up to date needs
 // no listing.
-func (r *Replicator) read(ctx context.Context, listed *bool) error {
+func (r *Replicator) read(ctx context.Context) error {
 	after := r.replica.Revision()
-	wait := r.options.Wait
-	if !*listed && after == 0 {
-		wait = 0
-	}
-	ctx, cancel := context.WithTimeout(ctx, wait+r.options.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, r.options.Wait+r.options.Timeout)
 	defer cancel()
-	if !*listed && after == 0 {
-		changes, err := r.deps.Store.List(ctx)
-		if err != nil {
-			return err
-		}
-		*listed = true
-		r.succeeded()
-		r.take(changes, "store")
-		return nil
-	}
-	changes, err := r.deps.Store.Watch(ctx, after, wait)
-	if errors.Is(err, ErrHistoryLost) {
-		r.deps.Log.Info("store-history-lost", zap.Uint64("revision", uint64(after)))
-		changes, err = r.deps.Store.List(ctx)
-	}
+	changes, err := r.listOrWatch(ctx, after)
 	if err != nil {
 		return err
 	}
-	*listed = true
 	r.succeeded()
 	r.take(changes, "store")
 	return nil
 }
 
+func (r *Replicator) listOrWatch(ctx context.Context, after identifier.Revision) (Changes, error) {
+	if after == 0 {
+		return r.deps.Store.List(ctx)
+	}
+	changes, err := r.deps.Store.Watch(ctx, after, r.options.Wait)
+	if errors.Is(err, ErrHistoryLost) {
+		r.deps.Log.Info("store-history-lost", zap.Uint64("revision", uint64(after)))
+		return r.deps.Store.List(ctx)
+	}
+	return changes, err
+}
+
 // failed notes a read that failed.
 func (r *Replicator) failed(err error) {
 	r.mu.Lock()
@@ -231,7 +286,7 @@
 
 // succeeded notes an answer of the store.
 func (r *Replicator) succeeded() {
-	r.heard()
+	r.confirmed(0)
 	r.mu.Lock()
 	outage, back := r.contact.succeeded(time.Now())
 	r.mu.Unlock()
@@ -240,8 +295,15 @@
 	}
 }
 
-func (r *Replicator) heard() {
-	r.heardAt.Store(int64(time.Since(r.started)))
+// confirmed notes that the store has confirmed what is known, some time ago.
+func (r *Replicator) confirmed(age time.Duration) {
+	at := int64(time.Since(r.started) - age)
+	for {
+		old := r.confirmedAt.Load()
+		if old >= at || r.confirmedAt.CompareAndSwap(old, at) {
+			return
+		}
+	}
 }
 
 // take brings the replica up to date and shows what is new.
@@ -320,12 +382,12 @@
 		defer r.asking.Store(false)
 		ctx, cancel := context.WithTimeout(ctx, r.options.PeerTimeout)
 		defer cancel()
-		changes, err := r.deps.Peers.Changes(ctx, r.replica.Revision())
+		changes, err := r.deps.Peers.Ask(ctx, r.replica.Revision())
 		if err != nil {
 			r.deps.Log.Debug("peer-gave-no-changes", zap.Error(err))
 			return
 		}
-		r.heard()
+		r.confirmed(changes.Age)
 		r.take(changes, "peer")
 	})
 }
