Explain failures by the log; doubt what is known after a standstill

A machine that was suspended is noticed by its boot clock: idle connections are closed, and requests wait up to 400 ms for news.

--- a/docs_test.go
+++ b/docs_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/jackdawthread/jackdawthread/common/decoder"
+	"github.com/jackdawthread/jackdawthread/hoster"
 	"github.com/jackdawthread/jackdawthread/settings"
 )
 
@@ -133,6 +135,9 @@
 		sources := find(t, func(p string) bool {
 			return filepath.Ext(p) == ".go" && !strings.HasSuffix(p, "_test.go") && !strings.HasPrefix(p, "emulator/")
 		})
-		assertTold(t, captures(eventPattern, sources...), "docs/operators/running.md", "docs/operators/membership.md")
+		assertTold(t, captures(eventPattern, sources...), "docs/operators/running.md", "docs/operators/membership.md", "docs/OPERATIONS.md")
+	})
+	t.Run("settings of forwarding hosts", func(t *testing.T) {
+		assertTold(t, decoder.Paths(&hoster.Settings{}), "docs/operators/forwarding.md")
 	})
 }
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -161,6 +161,11 @@
 	}
 }
 
+// CloseAll closes all idle connections, as after the machine stood still.
+func (x *Exchanger) CloseAll() {
+	x.CloseIdle(time.Now(), func(identifier.Address) bool { return false })
+}
+
 // Send sends r to the endpoint at address a and waits for the head of its
 // answer. When ctx ends, the connection is closed, also while the answer's
 // body is read.
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -53,6 +53,7 @@
 // prepare reads and checks the request and finds its route.
 func (e *exchange) prepare() error {
 	f := e.forwarder
+	f.deps.Trust(e.request.Context())
 	e.snapshot = f.deps.Registry.Snapshot()
 	d := e.snapshot.Declarations
 	if d == nil {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -158,6 +158,8 @@
 	Budget    Budget
 	Placer    *placer.Placer
 	Observer  Observer
+	// Trust waits, for a bounded time, until what is known may be acted on.
+	Trust func(ctx context.Context)
 	Group     *grouper.Group
 	Log       *zap.Logger
 }
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -127,7 +127,7 @@
 	f.deps.Group.Run(func(context.Context) {
 		a := f.call(ctx, endpoint, &e.call)
 		f.deps.Placer.End(endpoint, 0)
-		f.deps.Placer.Judge(endpoint, outcome(ctx, a, time.Since(now)), time.Now())
+		f.judge(endpoint, outcome(ctx, a, time.Since(now)))
 		answers <- a
 	})
 	return nil
@@ -156,13 +156,13 @@
 	if a.err != nil {
 		return a
 	}
-	a.err = f.judge(response, e)
+	a.err = f.check(response, e)
 	return a
 }
 
-// judge gives the failure that an answer's head amounts to; nil: the answer is
+// check gives the failure that an answer's head amounts to; nil: the answer is
 // the endpoint's own.
-func (f *Forwarder) judge(r *exchanger.Response, e *registrar.Endpoint) error {
+func (f *Forwarder) check(r *exchanger.Response, e *registrar.Endpoint) error {
 	if f.deps.Endpoints.Refused(r) {
 		return classifier.NotRun(classifier.ReasonEndpointRefused, classifier.Spread(fullRetryAfter), "endpoint %q refused with %d", e.Name, r.Status)
 	}
@@ -172,6 +172,13 @@
 	return nil
 }
 
+// judge tells the placer how a call ended.
+func (f *Forwarder) judge(e *registrar.Endpoint, o placer.Outcome) {
+	if f.deps.Placer.Judge(e, o, time.Now()) {
+		f.deps.Log.Info("endpoint-avoided", zap.String("endpoint", string(e.Name)), zap.String("service", string(e.Service)))
+	}
+}
+
 // outcome says what a call's end means for its endpoint.
 func outcome(ctx context.Context, a *answered, took time.Duration) placer.Outcome {
 	c := classifier.Of(a.err)
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -191,7 +191,7 @@
 		choice.Begin(e, s.call.Prompt)
 		result, o, err := s.prefill(ctx, e)
 		choice.End(e, s.call.Prompt)
-		choice.Judge(e, o, time.Now())
+		s.forwarder.judge(e, o)
 		if result != nil || err != nil || !s.prefillsLeft {
 			return result, err
 		}
@@ -239,7 +239,7 @@
 		return
 	}
 	s.unfitPrefills = append(s.unfitPrefills, s.prefilledAt.Name)
-	s.forwarder.deps.Placer.Judge(s.prefilledAt, placer.Outcome{Verdict: placer.VerdictFailure}, time.Now())
+	s.forwarder.judge(s.prefilledAt, placer.Outcome{Verdict: placer.VerdictFailure})
 	s.note("prefill-not-fetched", s.prefilledAt, nil)
 }
 
@@ -338,7 +338,7 @@
 // head checks an answer's head. An engine's own failure is kept, to be passed
 // on if nothing better comes.
 func (s *stream) head(r *exchanger.Response, at *registrar.Endpoint) error {
-	if err := s.forwarder.judge(r, at); err != nil {
+	if err := s.forwarder.check(r, at); err != nil {
 		return err
 	}
 	if r.Status < http.StatusMultipleChoices {
@@ -467,6 +467,6 @@
 		o = s.outcomeOf(ctx, err)
 	}
 	f.deps.Placer.End(at, 0)
-	f.deps.Placer.Judge(at, o, time.Now())
+	f.judge(at, o)
 	return err
 }
--- a/gossiper/perform.go
+++ b/gossiper/perform.go
@@ -156,6 +156,6 @@
 
 func (g *Gossiper) logChange(c Changed) {
 	g.stats.count(c)
-	g.options.Logger.Info("member-changed", zap.String("host", string(c.Host)),
+	g.options.Logger.Info("member-changed", zap.String("member", string(c.Host)),
 		zap.Stringer("incarnation", c.Incarnation), zap.Stringer("from", c.From), zap.Stringer("to", c.To))
 }
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -237,6 +237,7 @@
 		Budget:    h.budgets,
 		Placer:    h.placer,
 		Observer:  h,
+		Trust:     h.trust,
 		Group:     h.group,
 		Log:       h.log,
 	}, forwarder.Options{MaxRunning: s.Limits.MaxRequests, Seed: uint64(h.incarnation)})
@@ -270,6 +271,7 @@
 	h.timer.Every(budgetTick, h.budgets.tick)
 	h.timer.Every(sweepPeriod, h.sweep)
 	h.timer.Every(probeTick, h.probe)
+	h.watchSuspension()
 	h.callers = &http.Server{
 		Handler:           h.forwarder,
 		ReadHeaderTimeout: requestHeadTimeout,
@@ -310,21 +312,6 @@
 	return !h.stopping.Load() && s.Declarations != nil && s.Count() > 0
 }
 
-// apply takes in what the store holds.
-func (h *Host) apply(items []replicator.Item) {
-	declarations, endpoints := h.deps.Platform.Items(items, func(key string, err error) {
-		h.log.Warn("store-item-unreadable", zap.String("key", key), zap.Error(err))
-	})
-	if declarations != nil && h.registry.Declare(declarations) {
-		h.log.Info("declarations-in-force", zap.Uint64("version", uint64(declarations.Version)))
-	}
-	h.registry.SetEndpoints(endpoints)
-	h.log.Info("endpoints-known", zap.Int("endpoints", len(endpoints)))
-	if ready := h.Ready(); ready != h.ready.Swap(ready) {
-		h.log.Info("readiness-changed", zap.Bool("ready", ready))
-	}
-}
-
 // sweep closes stale connections and forgets endpoints that are gone.
 func (h *Host) sweep(now time.Time) {
 	s := h.registry.Snapshot()
--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -119,6 +119,7 @@
 		zap.String("route", routeName(o)),
 		zap.String("service", string(o.Service)),
 		zap.Uint64("version", uint64(o.Version)),
+		zap.Duration("knowledge-age", h.replicator.Load().Age()),
 		zap.Int("status", o.Status),
 		zap.Duration("took", o.Duration),
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -355,11 +355,13 @@
 	s.tokens -= min(s.tokens, tokens)
 }
 
-// Judge draws the consequences of how a call to e ended.
-func (p *Placer) Judge(e *registrar.Endpoint, o Outcome, now time.Time) {
+// Judge draws the consequences of how a call to e ended, and tells whether e is
+// avoided since just now.
+func (p *Placer) Judge(e *registrar.Endpoint, o Outcome, now time.Time) (avoided bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.state(e)
+	before := s.broken
 	switch o.Verdict {
 	case VerdictSound:
 		s.sound(o.Latency)
@@ -373,6 +375,7 @@
 		s.fail(now)
 	case VerdictNone:
 	}
+	return before == 0 && s.broken > 0
 }
 
 // fullTime is how long an engine that refused for want of room is left alone.
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -132,9 +132,13 @@
 	confirmedAt atomic.Int64
 	started     time.Time
 
-	mu      sync.Mutex
-	contact contact
-	doubted map[string]doubt
+	// doubted is set from a standstill of the host until the next news.
+	doubted atomic.Bool
+
+	mu        sync.Mutex
+	contact   contact
+	deletions map[string]doubt
+	interrupt context.CancelFunc // of the present step
 }
 
 // doubt is a deleted item that is still shown.
@@ -146,12 +150,12 @@
 // Start starts to read.
 func Start(d Deps, o Options) *Replicator {
 	r := &Replicator{
-		deps:    d,
-		options: o,
-		replica: NewReplica(),
-		started: time.Now(),
-		doubted: map[string]doubt{},
-		contact: contact{options: o},
+		deps:      d,
+		options:   o,
+		replica:   NewReplica(),
+		started:   time.Now(),
+		deletions: map[string]doubt{},
+		contact:   contact{options: o},
 	}
 	d.Group.Run(r.follow)
 	d.Timer.Every(o.LostPeriod, r.tick)
@@ -198,17 +202,30 @@
 	return c
 }
 
-// Doubt asks a peer at once, as after the host stood still.
-func (r *Replicator) Doubt() {
+// Doubt takes the confirmation of what is known back by a time in which the
+// host stood still, and looks for news at once.
+func (r *Replicator) Doubt(stood time.Duration) {
+	r.doubted.Store(true)
+	r.confirmedAt.Add(-int64(stood))
+	r.mu.Lock()
+	if r.interrupt != nil {
+		r.interrupt() // its connection may be dead
+	}
+	r.mu.Unlock()
 	r.ask()
 }
 
+// Doubted tells whether nothing has confirmed what is known since Doubt.
+func (r *Replicator) Doubted() bool {
+	return r.doubted.Load()
+}
+
 // follow keeps the replica up to date for as long as the group lives.
 func (r *Replicator) follow(ctx context.Context) {
 	backoff := r.options.MinBackoff
 	failures := 0
 	for ctx.Err() == nil {
-		err := r.step(ctx, failures)
+		err := r.interruptibly(ctx, failures)
 		if err == nil {
 			backoff = r.options.MinBackoff
 			failures = 0
@@ -225,6 +242,16 @@
 	}
 }
 
+// interruptibly does a step that Doubt can cut short.
+func (r *Replicator) interruptibly(ctx context.Context, failures int) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r.mu.Lock()
+	r.interrupt = cancel
+	r.mu.Unlock()
+	return r.step(ctx, failures)
+}
+
 // step waits for news once: at the store, or at a host that reads it.
 func (r *Replicator) step(ctx context.Context, failures int) error {
 	if r.deps.Reads() || r.Age() > r.options.StaleAfter || !r.Known() {
@@ -297,6 +324,7 @@
 
 // confirmed notes that the store has confirmed what is known, some time ago.
 func (r *Replicator) confirmed(age time.Duration) {
+	r.doubted.Store(false)
 	at := int64(time.Since(r.started) - age)
 	for {
 		old := r.confirmedAt.Load()
@@ -323,7 +351,7 @@
 		zap.Uint64("revision", uint64(c.Revision)),
 		zap.Bool("whole", c.Whole),
 		zap.Int("changes", len(news)),
-		zap.Int("doubted", len(r.doubted)))
+		zap.Int("doubted", len(r.deletions)))
 	r.show(now)
 }
 
@@ -331,7 +359,7 @@
 func (r *Replicator) keepDoubted(news []Change, until time.Time) {
 	for _, c := range news {
 		if c.Deleted {
-			r.doubted[c.Key] = doubt{item: c.Item, until: until}
+			r.deletions[c.Key] = doubt{item: c.Item, until: until}
 		}
 	}
 }
@@ -340,11 +368,11 @@
 func (r *Replicator) show(now time.Time) {
 	items := r.replica.Items()
 	for _, i := range items {
-		delete(r.doubted, i.Key)
+		delete(r.deletions, i.Key)
 	}
-	for key, d := range r.doubted {
+	for key, d := range r.deletions {
 		if !now.Before(d.until) {
-			delete(r.doubted, key)
+			delete(r.deletions, key)
 			continue
 		}
 		items = append(items, d.item)
@@ -357,7 +385,7 @@
 func (r *Replicator) tick(now time.Time) {
 	r.mu.Lock()
 	expired := 0
-	for _, d := range r.doubted {
+	for _, d := range r.deletions {
 		if !now.Before(d.until) {
 			expired++
 		}
--- a/reserver/desk.go
+++ b/reserver/desk.go
@@ -100,8 +100,10 @@
 	defer d.mu.Unlock()
 	d.last++
 	w.Key = d.last
-	retryAfter, ok := d.queue.Push(w.Wish, time.Now())
+	now := time.Now()
+	retryAfter, ok := d.queue.Push(w.Wish, now)
 	if !ok {
+		d.log("room-refused", w, zap.Duration("expected-wait", d.queue.ExpectedWait(d.queue.Len())), zap.Duration("retry-after", retryAfter))
 		return nil, classifier.NotRun(classifier.ReasonQueueFull, retryAfter, "%d requests to service %q wait, more than can be served in time", d.queue.Len(), d.service)
 	}
 	a := &waiter{Wish: w, home: home, answer: make(chan placed, 1)}
@@ -162,6 +164,7 @@
 	now := time.Now()
 	for _, k := range d.queue.Expired(now) {
 		err := classifier.NotRun(classifier.ReasonDeadline, d.queue.RetryAfter(), "no room at service %q in time", d.service)
+		d.log("room-refused", d.waiters[k].Wish, zap.Error(err))
 		d.waiters[k].answer <- placed{err: err}
 		delete(d.waiters, k)
 	}
@@ -193,6 +196,7 @@
 	}
 	if p.err == nil {
 		d.queue.Granted(time.Now())
+		d.log("room-given", a.Wish, zap.String("endpoint", string(p.plan.Decode.Name)))
 	}
 	d.mu.Unlock()
 	if gone && p.err == nil {
@@ -200,6 +204,18 @@
 	}
 }
 
+// log tells of a decision on a wish; d.mu is held.
+func (d *desk) log(event string, w *Wish, more ...zap.Field) {
+	fields := []zap.Field{
+		zap.String("request", string(w.Request)),
+		zap.String("service", string(d.service)),
+		zap.Duration("age", time.Since(w.Arrived)),
+		zap.Uint32("tokens", uint32(w.Tokens)),
+		zap.Int("waiting", d.queue.Len()),
+	}
+	d.reserver.deps.Log.Info(event, append(fields, more...)...)
+}
+
 // pause waits until room may have become free, or for a short random time: not
 // all requests are placed by this host.
 func (d *desk) pause(ctx context.Context) {
@@ -279,10 +295,10 @@
 		return reservation, nil
 	}
 	if classifier.Of(err).Reason == classifier.ReasonEndpointRefused {
-		r.deps.Placer.Judge(e, placer.Outcome{Verdict: placer.VerdictFull}, time.Now())
+		r.judge(e, placer.Outcome{Verdict: placer.VerdictFull})
 		return "", err
 	}
-	r.deps.Placer.Judge(e, placer.Outcome{Verdict: placer.VerdictBroken}, time.Now())
+	r.judge(e, placer.Outcome{Verdict: placer.VerdictBroken})
 	r.deps.Log.Info("reservation-failed",
 		zap.String("request", string(a.Request)), zap.String("endpoint", string(e.Name)), zap.Error(err))
 	return "", err
--- a/reserver/grants.go
+++ b/reserver/grants.go
@@ -92,7 +92,7 @@
 		at = g.prefill
 	}
 	if at != nil {
-		r.deps.Placer.Judge(at, placer.Outcome{Verdict: v}, time.Now())
+		r.judge(at, placer.Outcome{Verdict: v})
 	}
 }
 
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -159,16 +159,23 @@
 	if p.Prefill == nil {
 		return
 	}
-	r.deps.Placer.Judge(p.Prefill, o, time.Now())
+	r.judge(p.Prefill, o)
 	r.end(p, true, o.Verdict)
 }
 
 // Ended tells what became of a plan.
 func (r *Reserver) Ended(p Plan, o placer.Outcome) {
-	r.deps.Placer.Judge(p.Decode, o, time.Now())
+	r.judge(p.Decode, o)
 	r.end(p, false, o.Verdict)
 }
 
+// judge tells the placer how a part of a plan ended.
+func (r *Reserver) judge(e *registrar.Endpoint, o placer.Outcome) {
+	if r.deps.Placer.Judge(e, o, time.Now()) {
+		r.deps.Log.Info("endpoint-avoided", zap.String("endpoint", string(e.Name)), zap.String("service", string(e.Service)))
+	}
+}
+
 // GiveBack gives back a plan that was not carried out at its decode engine.
 func (r *Reserver) GiveBack(p Plan) {
 	r.Cancel(p)
--- /dev/null
+++ b/reserver/reserver_test.go
@@ -0,0 +1,317 @@
+package reserver_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/jackdawthread/jackdawthread/admitter"
+	"github.com/jackdawthread/jackdawthread/common/classifier"
+	"github.com/jackdawthread/jackdawthread/common/grouper"
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/gossiper"
+	"github.com/jackdawthread/jackdawthread/messenger"
+	"github.com/jackdawthread/jackdawthread/placer"
+	"github.com/jackdawthread/jackdawthread/registrar"
+	"github.com/jackdawthread/jackdawthread/reserver"
+	"github.com/jackdawthread/jackdawthread/timer"
+)
+
+const (
+	memory = 20_000
+	tokens = 5_000
+)
+
+// engines reserve memory, in place of real ones.
+type engines struct {
+	mu       sync.Mutex
+	used     map[identifier.Endpoint]identifier.Tokens
+	held     map[reserver.Reservation]identifier.Endpoint
+	asked    int
+	canceled int
+	dark     map[identifier.Endpoint]bool
+}
+
+func newEngines() *engines {
+	return &engines{
+		used: map[identifier.Endpoint]identifier.Tokens{},
+		held: map[reserver.Reservation]identifier.Endpoint{},
+		dark: map[identifier.Endpoint]bool{},
+	}
+}
+
+func (g *engines) Reserve(ctx context.Context, e *registrar.Endpoint, n identifier.Tokens, _ time.Duration) (reserver.Reservation, error) {
+	g.mu.Lock()
+	g.asked++
+	name := reserver.Reservation(fmt.Sprintf("r%d", g.asked))
+	if g.dark[e.Name] {
+		g.mu.Unlock()
+		<-ctx.Done()
+		return "", classifier.NotRun(classifier.ReasonHostUnreachable, 0, "dark")
+	}
+	defer g.mu.Unlock()
+	if g.used[e.Name]+n > memory {
+		return "", classifier.NotRun(classifier.ReasonEndpointRefused, 0, "full")
+	}
+	g.used[e.Name] += n
+	g.held[name] = e.Name
+	return name, nil
+}
+
+func (g *engines) CancelReservation(_ context.Context, e *registrar.Endpoint, r reserver.Reservation) error {
+	g.free(e.Name, r)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.canceled++
+	return nil
+}
+
+// free ends what was reserved, as when an answer is whole.
+func (g *engines) free(e identifier.Endpoint, r reserver.Reservation) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, ok := g.held[r]; ok {
+		delete(g.held, r)
+		g.used[e] -= tokens
+	}
+}
+
+func (g *engines) count() (asked, held, canceled int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.asked, len(g.held), g.canceled
+}
+
+// fleet is hosts with a reserver each, before the same engines.
+type fleet struct {
+	t       *testing.T
+	is      *is.I
+	group   *grouper.Group
+	engines *engines
+	hosts   []*host
+}
+
+type host struct {
+	reserver  *reserver.Reserver
+	messenger *messenger.Messenger
+	gossiper  *gossiper.Gossiper
+}
+
+func newFleet(t *testing.T, hosts int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, is: is.New(t), group: grouper.New(context.Background()), engines: newEngines()}
+	t.Cleanup(func() {
+		f.group.Stop()
+		_ = f.group.Wait() // members give no error
+	})
+	registry := registrar.New()
+	registry.Declare(registrar.NewDeclarations(1, nil, []*registrar.Service{{
+		Name: "notes", Engine: &registrar.EngineTraits{Slots: 8, Memory: memory, ReservationLimit: 2 * time.Second},
+	}}, registrar.Limits{}))
+	registry.SetEndpoints([]*registrar.Endpoint{
+		{Name: "f", Service: "notes", DataCenter: "a", Stage: registrar.StagePrefill},
+		{Name: "d1", Service: "notes", DataCenter: "a", Stage: registrar.StageDecode},
+		{Name: "d2", Service: "notes", DataCenter: "a", Stage: registrar.StageDecode},
+	})
+	var seeds []identifier.Address
+	for n := range hosts {
+		h, address := f.start(n, registry)
+		h.gossiper.Seed(seeds)
+		seeds = append(seeds, address)
+		f.hosts = append(f.hosts, h)
+	}
+	f.eventually("hosts know each other", func() bool {
+		for _, h := range f.hosts {
+			if len(h.gossiper.View().Live("a")) != hosts {
+				return false
+			}
+		}
+		return true
+	})
+	return f
+}
+
+func (f *fleet) start(n int, registry *registrar.Registrar) (*host, identifier.Address) {
+	f.t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	f.is.NoErr(err)
+	address := identifier.Address(ln.Addr().String())
+	name := identifier.Host(fmt.Sprintf("host-%d", n))
+	incarnation := identifier.NewIncarnation()
+	t := timer.New(f.group)
+	m := messenger.New(messenger.Peer{Host: name, Incarnation: incarnation, DataCenter: "a"}, messenger.Options{}, f.group)
+	g := gossiper.New(gossiper.Member{Host: name, Incarnation: incarnation, DataCenter: "a", Address: address},
+		gossiper.Options{SeedPeriod: 100 * time.Millisecond, Period: 100 * time.Millisecond, ProbeTimeout: 50 * time.Millisecond}, m, t, f.group)
+	h := &host{messenger: m, gossiper: g}
+	h.reserver = reserver.New(reserver.Deps{
+		Self: incarnation, Registry: registry, Engines: f.engines, Members: g, Links: m, Timer: t, Group: f.group,
+		Placer: placer.New(placer.Options{DataCenter: "a"}, uint64(n)), Log: zap.NewNop(), Seed: uint64(n),
+	})
+	h.reserver.Register(m)
+	m.Serve(ln)
+	return h, address
+}
+
+func (f *fleet) eventually(what string, condition func() bool) {
+	f.t.Helper()
+	end := time.Now().Add(10 * time.Second)
+	for !condition() {
+		if time.Now().After(end) {
+			f.t.Fatalf("never happened: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// place has a host place a request that may wait for a time.
+func (f *fleet) place(ctx context.Context, h int, wait time.Duration) (reserver.Plan, error) {
+	now := time.Now()
+	return f.hosts[h].reserver.Place(ctx, reserver.Wish{
+		Wish:    admitter.Wish{Arrived: now, OnTimeBy: now.Add(wait), StartBy: now.Add(wait)},
+		Service: "notes", Request: "q", Prompt: tokens, Tokens: tokens,
+	})
+}
+
+// done plays the end of an answer.
+func (f *fleet) done(h int, p reserver.Plan) {
+	f.hosts[h].reserver.PrefillEnded(p, placer.Outcome{})
+	f.engines.free(p.Decode.Name, p.Reservation)
+	f.hosts[h].reserver.Ended(p, placer.Outcome{})
+}
+
+const slots = 2 * memory / tokens // of both engines
+
+func TestPlace(t *testing.T) {
+	ctx := context.Background()
+	for _, hosts := range []int{1, 3} {
+		t.Run(fmt.Sprintf("fills the engines evenly, with %d hosts", hosts), func(t *testing.T) {
+			f := newFleet(t, hosts)
+			for n := range slots {
+				p, err := f.place(ctx, n%hosts, time.Second)
+				f.is.NoErr(err)
+				f.is.Equal(p.Prefill.Name, identifier.Endpoint("f"))
+				f.is.True(p.Reservation != "")
+			}
+			asked, held, _ := f.engines.count()
+			f.is.Equal(held, slots)
+			f.is.Equal(asked, slots) // found at the first try
+		})
+		t.Run(fmt.Sprintf("refuses when there is no room in time, with %d hosts", hosts), func(t *testing.T) {
+			f := newFleet(t, hosts)
+			for n := range slots {
+				_, err := f.place(ctx, n%hosts, time.Second)
+				f.is.NoErr(err)
+			}
+			_, err := f.place(ctx, 0, 100*time.Millisecond)
+			f.is.Equal(classifier.VerdictOf(err), classifier.VerdictNotRun)
+			f.is.True(classifier.Of(err).RetryAfter > 0)
+		})
+		t.Run(fmt.Sprintf("waits for room that becomes free, with %d hosts", hosts), func(t *testing.T) {
+			f := newFleet(t, hosts)
+			var plans []reserver.Plan
+			for n := range slots {
+				p, err := f.place(ctx, n%hosts, time.Second)
+				f.is.NoErr(err)
+				plans = append(plans, p)
+			}
+			f.group.Run(func(context.Context) {
+				time.Sleep(100 * time.Millisecond)
+				f.done(0, plans[0])
+			})
+			began := time.Now()
+			_, err := f.place(ctx, hosts-1, 2*time.Second)
+			f.is.NoErr(err)
+			f.is.True(time.Since(began) < time.Second)
+		})
+		t.Run(fmt.Sprintf("gives back what nobody waits for any more, with %d hosts", hosts), func(t *testing.T) {
+			f := newFleet(t, hosts)
+			for n := range slots {
+				_, err := f.place(ctx, n%hosts, time.Second)
+				f.is.NoErr(err)
+			}
+			short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+			defer cancel()
+			_, err := f.place(short, hosts-1, 5*time.Second)
+			f.is.True(err != nil)
+			f.eventually("nobody waits", func() bool {
+				for _, h := range f.hosts {
+					if h.reserver.Waiting() > 0 {
+						return false
+					}
+				}
+				return true
+			})
+		})
+	}
+	t.Run("cancels the reservation of a plan that is given back", func(t *testing.T) {
+		f := newFleet(t, 1)
+		p, err := f.place(ctx, 0, time.Second)
+		f.is.NoErr(err)
+		f.hosts[0].reserver.GiveBack(p)
+		f.eventually("reservation is canceled", func() bool {
+			_, held, canceled := f.engines.count()
+			return held == 0 && canceled == 1
+		})
+	})
+	t.Run("passes over a dark engine", func(t *testing.T) {
+		f := newFleet(t, 1)
+		f.engines.dark["d1"] = true
+		for range slots / 2 {
+			p, err := f.place(ctx, 0, 2*time.Second)
+			f.is.NoErr(err)
+			f.is.Equal(p.Decode.Name, identifier.Endpoint("d2"))
+		}
+	})
+}
+
+func TestLossOfPlacingHost(t *testing.T) {
+	ctx := context.Background()
+	t.Run("costs a waiting request only a moment", func(t *testing.T) {
+		f := newFleet(t, 3)
+		owner := f.owner()
+		f.hosts[owner].messenger.Close()
+		began := time.Now()
+		for n := range f.hosts {
+			if n == owner {
+				continue
+			}
+			_, err := f.place(ctx, n, 2*time.Second)
+			f.is.NoErr(err)
+		}
+		f.is.True(time.Since(began) < time.Second)
+	})
+}
+
+// owner gives the host that places: the one at which room is counted.
+func (f *fleet) owner() int {
+	f.t.Helper()
+	for n := range slots {
+		_, err := f.place(context.Background(), n%len(f.hosts), time.Second)
+		f.is.NoErr(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for n := range f.hosts {
+		f.group.Run(func(context.Context) { _, _ = f.place(ctx, n, time.Minute) }) // waits until it is canceled
+	}
+	found := -1
+	f.eventually("all wait at one host", func() bool {
+		for n, h := range f.hosts {
+			if h.reserver.Waiting() == len(f.hosts) {
+				found = n
+				return true
+			}
+		}
+		return false
+	})
+	f.engines.mu.Lock()
+	defer f.engines.mu.Unlock()
+	clear(f.engines.used)
+	return found
+}
