Have followers of a reader that lost the store read for themselves

Four hosts were refused by the store and three frozen; the data centre's reader was one of them, its answers grew old, and its follower read for itself only after 3 s.

Change: a reader answers before its knowledge is 1.3 s old; a follower that gets no answer, or an old one, reads the store for 4 s.

--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -45,12 +45,9 @@
 }
 
 // Follow implements replicator.Peers: it waits at the reader of this host's
-// data centre, and at a random host where that has failed.
-func (p *peers) Follow(ctx context.Context, after identifier.Revision, wait time.Duration, attempt int) (replicator.Changes, error) {
+// data centre.
+func (p *peers) Follow(ctx context.Context, after identifier.Revision, wait time.Duration) (replicator.Changes, error) {
 	at, ok := p.gossiper.View().Owner(p.dc, readersKey)
-	if !ok || attempt > 0 {
-		at, ok = p.random()
-	}
 	if !ok {
 		return replicator.Changes{}, errNoPeer
 	}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -13,10 +13,10 @@
 //
 // # Who reads
 //
-// A host watches the store itself if Deps.Reads says so, or if what it knows
-// has not been confirmed by the store for Options.StaleAfter, by whatever way.
-// Every answer of a peer carries the age of that confirmation. So the loss of
-// the readers, or of the way to them, turns others into readers, and back.
+// A host watches the store itself if Deps.Reads says so. The others do so for
+// Options.ReadFor whenever the reader gives no answer, or an answer that the
+// store has not confirmed for Options.StaleAfter. So the loss of a reader, or
+// of its way to the store, costs the others about that much time.
 //
 // # Deletions around an outage
 //
@@ -60,9 +60,8 @@
 	// Ask asks a random one for what happened behind a revision.
 	Ask(ctx context.Context, after identifier.Revision) (Changes, error)
 	// Follow waits, for at most wait, for what happens behind a revision, at a
-	// host that reads the store. Attempt counts the tries that failed, so that
-	// another host can be chosen.
-	Follow(ctx context.Context, after identifier.Revision, wait time.Duration, attempt int) (Changes, error)
+	// host that reads the store.
+	Follow(ctx context.Context, after identifier.Revision, wait time.Duration) (Changes, error)
 }
 
 // Deps is what a Replicator works with.
@@ -89,9 +88,11 @@
 	MinBackoff, MaxBackoff time.Duration
 	// FollowWait is how long a host waits at another one for news.
 	FollowWait time.Duration
-	// StaleAfter is the age of the store's confirmation from which a host
-	// reads for itself.
+	// StaleAfter is the age of the store's confirmation from which a reader's
+	// answer is of no use. It has to be longer than Wait.
 	StaleAfter time.Duration
+	// ReadFor is how long a host reads for itself after that.
+	ReadFor time.Duration
 	// PeersPeriod is the time between two questions to a peer, and LostPeriod
 	// that while the store is out of reach.
 	PeersPeriod, LostPeriod time.Duration
@@ -106,15 +107,16 @@
 // DefaultOptions suit stores that answer in milliseconds.
 func DefaultOptions() Options {
 	return Options{
-		Wait:          2 * time.Second,
+		Wait:          time.Second,
 		Timeout:       time.Second,
 		MinBackoff:    100 * time.Millisecond,
-		MaxBackoff:    800 * time.Millisecond,
-		FollowWait:    time.Second,
-		StaleAfter:    3 * time.Second,
+		MaxBackoff:    1500 * time.Millisecond,
+		FollowWait:    700 * time.Millisecond,
+		StaleAfter:    1300 * time.Millisecond,
+		ReadFor:       4 * time.Second,
 		PeersPeriod:   time.Second,
 		LostPeriod:    200 * time.Millisecond,
-		PeerTimeout:   400 * time.Millisecond,
+		PeerTimeout:   300 * time.Millisecond,
 		OutageAfter:   time.Second,
 		DeletionGrace: 2 * time.Second,
 	}
@@ -131,6 +133,7 @@
 	// nanoseconds since started.
 	confirmedAt atomic.Int64
 	started     time.Time
+	readUntil   time.Time // belongs to follow
 
 	// doubted is set from a standstill of the host until the next news.
 	doubted atomic.Bool
@@ -188,6 +191,7 @@
 // at most wait.
 func (r *Replicator) Answer(ctx context.Context, after identifier.Revision, wait time.Duration) Changes {
 	changed := r.replica.Changed()
+	wait = min(wait, r.options.StaleAfter-r.Age())
 	if wait > 0 && r.replica.Revision() <= after {
 		alarm := time.NewTimer(wait)
 		defer alarm.Stop()
@@ -223,18 +227,15 @@
 // follow keeps the replica up to date for as long as the group lives.
 func (r *Replicator) follow(ctx context.Context) {
 	backoff := r.options.MinBackoff
-	failures := 0
 	for ctx.Err() == nil {
-		err := r.interruptibly(ctx, failures)
+		err := r.interruptibly(ctx)
 		if err == nil {
 			backoff = r.options.MinBackoff
-			failures = 0
 			continue
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		failures++
 		if sleeper.Sleep(ctx, backoff/2+rand.N(backoff)) != nil {
 			return
 		}
@@ -243,35 +244,49 @@
 }
 
 // interruptibly does a step that Doubt can cut short.
-func (r *Replicator) interruptibly(ctx context.Context, failures int) error {
+func (r *Replicator) interruptibly(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r.mu.Lock()
 	r.interrupt = cancel
 	r.mu.Unlock()
-	return r.step(ctx, failures)
+	return r.step(ctx)
 }
 
 // step waits for news once: at the store, or at a host that reads it.
-func (r *Replicator) step(ctx context.Context, failures int) error {
-	if r.deps.Reads() || r.Age() > r.options.StaleAfter || !r.Known() {
-		err := r.read(ctx)
-		if err != nil && ctx.Err() == nil {
-			r.failed(err)
+func (r *Replicator) step(ctx context.Context) error {
+	if !r.deps.Reads() && r.Known() && time.Now().After(r.readUntil) {
+		if err := r.followReader(ctx); err == nil || ctx.Err() != nil {
+			return err
 		}
-		return err
+		r.readUntil = time.Now().Add(r.options.ReadFor)
+	}
+	err := r.read(ctx)
+	if err != nil && ctx.Err() == nil {
+		r.failed(err)
 	}
+	return err
+}
+
+// errStale says that a reader's answer is of no use.
+var errStale = errors.New("the store has not confirmed the reader's knowledge of late")
+
+func (r *Replicator) followReader(ctx context.Context) error {
 	after := r.replica.Revision()
 	ctx, cancel := context.WithTimeout(ctx, r.options.FollowWait+r.options.PeerTimeout)
 	defer cancel()
-	changes, err := r.deps.Peers.Follow(ctx, after, r.options.FollowWait, failures)
+	changes, err := r.deps.Peers.Follow(ctx, after, r.options.FollowWait)
+	if err == nil {
+		r.confirmed(changes.Age)
+		r.take(changes, "reader")
+		if changes.Age >= r.options.StaleAfter {
+			err = errStale
+		}
+	}
 	if err != nil {
-		r.deps.Log.Debug("peer-not-followed", zap.Error(err))
-		return err
+		r.deps.Log.Info("reader-lost", zap.Duration("knowledge-age", r.Age()), zap.Error(err))
 	}
-	r.confirmed(changes.Age)
-	r.take(changes, "reader")
-	return nil
+	return err
 }
 
 // read lists or watches once. A host that a peer has brought up to date needs
