Reset connections whose request is given up

The connection had been closed in order, so that its bytes stayed under way; by then the request had long been answered by another runner.

Ruled out: a second round of the request (its log line shows one).

The new test of exchanger fails without the change and passes with it.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -175,7 +175,7 @@
 		return nil, err
 	}
 	response := &Response{exchanger: x, connection: c, ctx: ctx}
-	response.stop = context.AfterFunc(ctx, c.close)
+	response.stop = context.AfterFunc(ctx, c.abort)
 	writeErr := c.write(r)
 	if writeErr != nil && c.written == 0 {
 		response.Close()
@@ -287,6 +287,16 @@
 	_ = c.raw.Close() // nothing is lost that an answer was read from
 }
 
+// abort closes a connection on which a request is under way. It resets it:
+// bytes that wait for a way to the endpoint would otherwise be delivered when
+// the request has long been given up.
+func (c *connection) abort() {
+	if t, ok := c.raw.(interface{ SetLinger(int) error }); ok {
+		_ = t.SetLinger(0) // fails on a connection that is closed already
+	}
+	c.close()
+}
+
 // write sends the whole request.
 func (c *connection) write(r *Request) error {
 	head := appendHead(make([]byte, 0, headBytes+len(r.Body)), r)
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -210,6 +211,24 @@
 	})
 }
 
+// TestAbandoned checks that a request that was given up is not delivered when
+// the way to its endpoint opens again: its connection is reset.
+func TestAbandoned(t *testing.T) {
+	ctx := context.Background()
+	i := is.New(t)
+	ended := make(chan error, 1)
+	e := listen(t, func(_ *endpoint, c net.Conn, r *bufio.Reader) {
+		time.Sleep(150 * time.Millisecond) // nothing is read until the request is given up
+		_, err := io.Copy(io.Discard, r)
+		ended <- err
+	})
+	short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+	defer cancel()
+	_, err := exchange(short, newExchanger(), e, request("one"))
+	assertVerdict(t, err, classifier.VerdictMayHaveRun)
+	i.True(errors.Is(<-ended, syscall.ECONNRESET))
+}
+
 func TestForeignBytes(t *testing.T) {
 	ctx := context.Background()
 	t.Run("a second answer behind the first is nobody's", func(t *testing.T) {
--- a/exchanger/response.go
+++ b/exchanger/response.go
@@ -127,7 +127,11 @@
 			return
 		}
 	}
-	r.connection.close()
+	if r.ended {
+		r.connection.close()
+		return
+	}
+	r.connection.abort()
 }
 
 // SetReadDeadline bounds the wait for more of the body.
