Let any host's touch with the store end an outage

A follower had failed to read during an outage at 12.8 s, then followed a reader again; its first own read, at 21.7 s, ended "the outage" for it, so that the deletion of a runner that had left was doubted for 2 s.

Change: an outage is a time in which no host that this one hears of is in touch with the store, and ends with the first word of one.

Ruled out: a late watch (the log has the deletion 5 ms after it).

--- a/replicator/contact.go
+++ b/replicator/contact.go
@@ -6,37 +6,47 @@
 // with the replicator's lock held.
 type contact struct {
 	options Options
-	// failingSince is when reads began to fail; zero: they succeed.
+	// failingSince is when this host's own reads began to fail; zero: they
+	// succeed, or none is made.
 	failingSince time.Time
-	lost         bool
-	backAt       time.Time
-	askedAt      time.Time
+	// lost is set while no host that this one hears of reaches the store.
+	lost   bool
+	lostAt time.Time
+	backAt time.Time
+	// askedAt is when a peer was last asked.
+	askedAt time.Time
 }
 
-// failed notes a failed read and tells whether the store counts as lost since
-// just now.
-func (c *contact) failed(now time.Time) bool {
+// failed notes a failed read of this host. Age is how long ago the store has
+// confirmed what is known, by whatever way. It tells whether the store counts
+// as lost since just now.
+func (c *contact) failed(now time.Time, age time.Duration) bool {
 	if c.failingSince.IsZero() {
 		c.failingSince = now
-		return false
 	}
-	if c.lost || now.Sub(c.failingSince) < c.options.OutageAfter {
+	if c.lost || age < c.options.OutageAfter {
 		return false
 	}
 	c.lost = true
+	c.lostAt = now.Add(-age)
 	return true
 }
 
-// succeeded notes an answer and tells whether it ends an outage.
+// succeeded notes an answer of the store to this host.
 func (c *contact) succeeded(now time.Time) (outage time.Duration, back bool) {
-	back = c.lost
-	if back {
-		outage = now.Sub(c.failingSince)
-		c.backAt = now
-	}
 	c.failingSince = time.Time{}
+	return c.confirmed(now)
+}
+
+// confirmed notes that some host was in touch with the store, and tells
+// whether that ends an outage.
+func (c *contact) confirmed(now time.Time) (outage time.Duration, back bool) {
+	if !c.lost {
+		return 0, false
+	}
 	c.lost = false
-	return outage, back
+	c.backAt = now
+	return now.Sub(c.lostAt), true
 }
 
 // doubtUntil gives until when a deletion that is seen now is doubted; a time
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -98,7 +98,8 @@
 	PeersPeriod, LostPeriod time.Duration
 	// PeerTimeout bounds a question to a peer.
 	PeerTimeout time.Duration
-	// OutageAfter is how long reads fail before this counts as an outage.
+	// OutageAfter is how long no host is in touch with the store before this
+	// counts as an outage.
 	OutageAfter time.Duration
 	// DeletionGrace is how long after an outage deletions are doubted.
 	DeletionGrace time.Duration
@@ -117,7 +118,7 @@
 		PeersPeriod:   time.Second,
 		LostPeriod:    200 * time.Millisecond,
 		PeerTimeout:   300 * time.Millisecond,
-		OutageAfter:   time.Second,
+		OutageAfter:   1500 * time.Millisecond,
 		DeletionGrace: 2 * time.Second,
 	}
 }
@@ -175,7 +176,7 @@
 	return r.replica.Revision() > 0
 }
 
-// Connected tells whether the store answers.
+// Connected tells whether the store answers, to this host or another one.
 func (r *Replicator) Connected() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -319,7 +320,7 @@
 // failed notes a read that failed.
 func (r *Replicator) failed(err error) {
 	r.mu.Lock()
-	lostNow := r.contact.failed(time.Now())
+	lostNow := r.contact.failed(time.Now(), r.Age())
 	r.mu.Unlock()
 	if lostNow {
 		r.deps.Log.Warn("store-lost", zap.Uint64("revision", uint64(r.replica.Revision())), zap.Error(err))
@@ -328,17 +329,34 @@
 
 // succeeded notes an answer of the store.
 func (r *Replicator) succeeded() {
-	r.confirmed(0)
+	r.noteConfirmed(0)
 	r.mu.Lock()
 	outage, back := r.contact.succeeded(time.Now())
 	r.mu.Unlock()
+	r.logBack(outage, back)
+}
+
+// confirmed notes a peer's answer that the store had confirmed some time ago.
+func (r *Replicator) confirmed(age time.Duration) {
+	r.noteConfirmed(age)
+	if age >= r.options.StaleAfter {
+		return
+	}
+	r.mu.Lock()
+	outage, back := r.contact.confirmed(time.Now())
+	r.mu.Unlock()
+	r.logBack(outage, back)
+}
+
+func (r *Replicator) logBack(outage time.Duration, back bool) {
 	if back {
 		r.deps.Log.Info("store-back", zap.Duration("outage", outage), zap.Uint64("revision", uint64(r.replica.Revision())))
 	}
 }
 
-// confirmed notes that the store has confirmed what is known, some time ago.
-func (r *Replicator) confirmed(age time.Duration) {
+// noteConfirmed notes that the store has confirmed what is known, some time
+// ago.
+func (r *Replicator) noteConfirmed(age time.Duration) {
 	r.doubted.Store(false)
 	at := int64(time.Since(r.started) - age)
 	for {
