Send nothing to endpoints that can't be reached

One endpoint of dealer-desk was left and its data centre was cut off; 94 requests waited 250 ms each for a connection to it before they were refused.

Change: an endpoint to which no connection could be opened gets no calls until a probe has reached it; probes come each second at the latest.

Ruled out: a wrong list of endpoints (the log has each change with its revision); a lost reader.

--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -192,10 +192,18 @@
 	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
 		return placer.Outcome{Verdict: placer.VerdictNone}
 	default:
-		return placer.Outcome{Verdict: placer.VerdictBroken}
+		return placer.Outcome{Verdict: brokenVerdict(c)}
 	}
 }
 
+// brokenVerdict tells endpoints that can't be reached from those that failed.
+func brokenVerdict(c *classifier.Error) placer.Verdict {
+	if c.Reason == classifier.ReasonHostUnreachable {
+		return placer.VerdictUnreachable
+	}
+	return placer.VerdictBroken
+}
+
 // pass gives the caller an endpoint's answer.
 func (e *exchange) pass(a *answered) {
 	e.observation.Status = a.status
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -263,7 +263,7 @@
 	case c.Verdict == classifier.VerdictRan:
 		return placer.Outcome{Verdict: placer.VerdictFailure}
 	default:
-		return placer.Outcome{Verdict: placer.VerdictBroken}
+		return placer.Outcome{Verdict: brokenVerdict(c)}
 	}
 }
 
@@ -331,7 +331,7 @@
 	case c.Verdict == classifier.VerdictRan:
 		return placer.Outcome{Verdict: placer.VerdictFailure}
 	default:
-		return placer.Outcome{Verdict: placer.VerdictBroken}
+		return placer.Outcome{Verdict: brokenVerdict(c)}
 	}
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -18,7 +18,8 @@
 // endpoints whose turn it is to be probed, at times that double with each
 // further failure. An endpoint that merely answers with failures, or is slow,
 // loses rank against the others, since callers see such answers from sound
-// endpoints as well.
+// endpoints as well. An endpoint that is avoided gets calls only where there
+// is no other; one that can't be reached gets none.
 package placer
 
 import (
@@ -35,7 +36,7 @@
 	// firstAvoidance and longestAvoidance bound how long an endpoint that
 	// failed gets no calls.
 	firstAvoidance   = 300 * time.Millisecond
-	longestAvoidance = 4 * time.Second
+	longestAvoidance = time.Second
 	// latencyWeight and failureWeight are those of one call in the means.
 	latencyWeight = 0.1
 	failureWeight = 0.12
@@ -67,8 +68,10 @@
 	VerdictFailure
 	// VerdictFull: it refused for want of room.
 	VerdictFull
-	// VerdictBroken: it could not be reached, broke off or sent nonsense.
+	// VerdictBroken: it broke off, sent nonsense or went silent.
 	VerdictBroken
+	// VerdictUnreachable: no connection to it could be opened.
+	VerdictUnreachable
 	// VerdictNone: the caller went away or another endpoint was faster.
 	VerdictNone
 )
@@ -107,6 +110,8 @@
 	loadAt   time.Time
 
 	broken     int // failures in a row
+	// unreachable is set while nobody has connected since a try that failed.
+	unreachable bool
 	avoidUntil time.Time
 	probing    bool // somebody looks whether it can be reached again
 	fullUntil  time.Time
@@ -274,10 +279,10 @@
 	var best, bestAvoided *registrar.Endpoint
 	least, leastAvoided := math.Inf(1), math.Inf(1)
 	for _, e := range all {
-		if e.Leaving || contains(exclude, e.Name) {
+		s := p.state(e)
+		if e.Leaving || s.unreachable || contains(exclude, e.Name) {
 			continue
 		}
-		s := p.state(e)
 		c := cost(e, s) * (1 + drawShare*p.random.Float64())
 		switch {
 		case s.broken > 0:
@@ -321,6 +326,7 @@
 	defer p.mu.Unlock()
 	s := p.state(e)
 	s.probing = false
+	s.unreachable = !reached
 	if reached {
 		s.broken = 0
 		return
@@ -366,13 +372,16 @@
 	case VerdictSound:
 		s.sound(o.Latency)
 	case VerdictFailure:
-		s.broken = 0
+		s.recover()
 		s.failures += failureWeight * (1 - s.failures)
 	case VerdictFull:
-		s.broken = 0
+		s.recover()
 		s.fullUntil = now.Add(fullTime)
 	case VerdictBroken:
 		s.fail(now)
+	case VerdictUnreachable:
+		s.unreachable = true
+		s.fail(now)
 	case VerdictNone:
 	}
 	return before == 0 && s.broken > 0
@@ -390,8 +399,13 @@
 	s.loadAt = now
 }
 
-func (s *state) sound(latency time.Duration) {
+func (s *state) recover() {
 	s.broken = 0
+	s.unreachable = false
+}
+
+func (s *state) sound(latency time.Duration) {
+	s.recover()
 	s.failures -= failureWeight * s.failures
 	if latency <= 0 {
 		return
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -144,15 +144,25 @@
 				p.Probed(e, false, at(now))
 			}
 		}
-		i.True(probes >= 8 && probes <= 14)
+		i.True(probes >= 28 && probes <= 34) // each second, in the end
 	})
-	t.Run("is called if all are dark", func(t *testing.T) {
+	t.Run("is called if all others broke off as well", func(t *testing.T) {
 		p, all := newPlacer(), pool(registrar.StageAny)
 		for _, e := range all {
 			call(p, e, placer.VerdictBroken, 0, 0)
 		}
 		is.New(t).True(p.Plain(all, nil, at(0)) != nil)
 	})
+	t.Run("is not called while it can't be reached, even if there is no other", func(t *testing.T) {
+		i := is.New(t)
+		p, all := newPlacer(), pool(registrar.StageAny)
+		for _, e := range all {
+			call(p, e, placer.VerdictUnreachable, 0, 0)
+		}
+		i.Equal(p.Plain(all, nil, at(10*time.Second)), nil)
+		p.Probed(all[1], true, at(10*time.Second))
+		i.Equal(p.Plain(all, nil, at(10*time.Second)).Name, identifier.Endpoint("b"))
+	})
 	t.Run("counts anew when it starts again", func(t *testing.T) {
 		p, all := newPlacer(), pool(registrar.StageAny)
 		call(p, all[0], placer.VerdictBroken, 0, 0)
--- a/reserver/desk.go
+++ b/reserver/desk.go
@@ -298,7 +298,11 @@
 		r.judge(e, placer.Outcome{Verdict: placer.VerdictFull})
 		return "", err
 	}
-	r.judge(e, placer.Outcome{Verdict: placer.VerdictBroken})
+	verdict := placer.VerdictBroken
+	if classifier.Of(err).Reason == classifier.ReasonHostUnreachable {
+		verdict = placer.VerdictUnreachable
+	}
+	r.judge(e, placer.Outcome{Verdict: verdict})
 	r.deps.Log.Info("reservation-failed",
 		zap.String("request", string(a.Request)), zap.String("endpoint", string(e.Name)), zap.Error(err))
 	return "", err
