Share engines between prefill and decode by what requests need

Change: package stager works out the share from measured times; the placing host orders engines to it, where they check fencing tokens, after it has placed for twice the lease and while it sees most hosts. A request is refused when it can't start before its caller leaves for want of a first event; late requests get each tenth turn.

Ruled out: more memory by smaller reservations (preemptions); reserving at the end of the prefill.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -30,8 +30,8 @@
 )
 
 const (
-	// defaultLateShare gives every fifth turn to requests that are late.
-	defaultLateShare = 0.2
+	// defaultLateShare gives every tenth turn to requests that are late.
+	defaultLateShare = 0.1
 	// intervalWeight is the weight of one grant in the mean time between
 	// grants.
 	intervalWeight = 0.15
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -160,8 +160,8 @@
 	Observer  Observer
 	// Trust waits, for a bounded time, until what is known may be acted on.
 	Trust func(ctx context.Context)
-	Group     *grouper.Group
-	Log       *zap.Logger
+	Group *grouper.Group
+	Log   *zap.Logger
 }
 
 // Options of a Forwarder.
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -19,11 +19,12 @@
 )
 
 const (
-	// firstEventTime is what passes, as a rule, from the start of a prefill to
-	// the first event.
-	firstEventTime = 350 * time.Millisecond
-	// tokenTime is what one token of output takes at a full engine.
-	tokenTime = 7 * time.Millisecond
+	// Callers leave a stream when no event has come for the longest of these:
+	// a fixed time, some times the objective, some times the longest pause that
+	// is aimed for.
+	leastPatience     = 2 * time.Second
+	objectivePatience = 4
+	gapPatience       = 8
 	// silenceLimit is how long an engine may send nothing before a resumable
 	// stream goes on elsewhere: some steps of a full batch.
 	silenceLimit = 1200 * time.Millisecond
@@ -133,8 +134,8 @@
 		Wish: admitter.Wish{
 			Arrived:  started,
 			Priority: s.route.Priority,
-			OnTimeBy: started.Add(s.route.Objective - firstEventTime),
-			StartBy:  s.call.Deadline.Add(-s.answerTime()),
+			OnTimeBy: started.Add(s.route.Objective - reserver.FirstEventTime),
+			StartBy:  s.startBy(),
 		},
 		Service:        s.service.Name,
 		Request:        s.call.ID,
@@ -151,9 +152,21 @@
 	return w
 }
 
+// startBy is when the request has to start: in time for the whole answer before
+// its deadline, and for the first event before its caller leaves.
+func (s *stream) startBy() time.Time {
+	patience := max(leastPatience, objectivePatience*s.route.Objective, gapPatience*s.route.GapObjective)
+	leaves := s.observation.Started.Add(patience - reserver.FirstEventTime)
+	whole := s.call.Deadline.Add(-s.answerTime())
+	if leaves.Before(whole) {
+		return leaves
+	}
+	return whole
+}
+
 // answerTime is what the whole answer takes, as a rule.
 func (s *stream) answerTime() time.Duration {
-	return firstEventTime + time.Duration(s.output())*tokenTime
+	return reserver.FirstEventTime + time.Duration(s.output())*reserver.TokenTime
 }
 
 // output gives the tokens of output that are to be expected.
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -47,6 +47,7 @@
 	forwarder.Endpoints
 	forwarder.Engines
 	reserver.Engines
+	reserver.Orders
 	forwarder.Dialect
 	// Items reads what the store holds; what can't be read is left out and
 	// told by unreadable. Declarations are nil if there are none.
@@ -226,6 +227,12 @@
 		Group:    h.group,
 		Log:      h.log,
 		Seed:     uint64(h.incarnation),
+		Orders:   h.deps.Platform,
+		OrderOptions: reserver.OrderOptions{
+			Enabled: s.Orders.Fenced,
+			Holder:  s.Host,
+			Lease:   s.Orders.Lease,
+		},
 	})
 	h.reserver.Register(h.messenger)
 	h.forwarder = forwarder.New(forwarder.Deps{
--- a/hoster/settings.go
+++ b/hoster/settings.go
@@ -24,6 +24,7 @@
 	Retries   Retries     `toml:"retries"`
 	Stop      Stop        `toml:"stop"`
 	Limits    Limits      `toml:"limits"`
+	Orders    Orders      `toml:"orders"`
 	Log       LogSettings `toml:"log"`
 }
 
@@ -53,6 +54,16 @@
 	Window time.Duration `toml:"window" validate:"gte=1s,lte=10m"`
 }
 
+// Orders say whether hosts may order engines to another stage.
+type Orders struct {
+	// Fenced is set where engines check fencing tokens; elsewhere nothing is
+	// ordered.
+	Fenced bool `toml:"fenced"`
+	// Lease is how long a host that was replaced may still take itself for the
+	// one that orders.
+	Lease time.Duration `toml:"lease" validate:"gte=0,lte=1m"`
+}
+
 // Stop says how the process stops as planned.
 type Stop struct {
 	// Announce is how long it goes on taking new connections after it reports
@@ -83,6 +94,7 @@
 	s.LogLevel = "info"
 	s.Retries = Retries{Ratio: 0.1, Slack: 10, Window: 10 * time.Second}
 	s.Stop = Stop{Announce: 3 * time.Second, Limit: 10 * time.Second}
+	s.Orders = Orders{Lease: 3 * time.Second}
 	s.Limits = Limits{MaxRequests: 4000}
 	s.Log = LogSettings{LinesPerSecond: 100, QueueLines: 1024}
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -109,12 +109,12 @@
 	load     Load
 	loadAt   time.Time
 
-	broken     int // failures in a row
+	broken int // failures in a row
 	// unreachable is set while nobody has connected since a try that failed.
 	unreachable bool
-	avoidUntil time.Time
-	probing    bool // somebody looks whether it can be reached again
-	fullUntil  time.Time
+	avoidUntil  time.Time
+	probing     bool // somebody looks whether it can be reached again
+	fullUntil   time.Time
 }
 
 // New gives a Placer that has seen nothing; the seed decides its draws.
@@ -343,13 +343,15 @@
 	return false
 }
 
-// Begin counts a call to e, and the tokens that it takes there.
-func (p *Placer) Begin(e *registrar.Endpoint, tokens identifier.Tokens) {
+// Begin counts a call to e, and the tokens that it takes there. It gives the
+// calls that run there now.
+func (p *Placer) Begin(e *registrar.Endpoint, tokens identifier.Tokens) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.state(e)
 	s.running++
 	s.tokens += tokens
+	return s.running
 }
 
 // End takes back what Begin has counted.
--- a/reserver/desk.go
+++ b/reserver/desk.go
@@ -14,6 +14,7 @@
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/placer"
 	"github.com/jackdawthread/jackdawthread/registrar"
+	"github.com/jackdawthread/jackdawthread/stager"
 )
 
 const (
@@ -62,6 +63,8 @@
 	last     admitter.Key
 	searches int
 	free     chan struct{} // told when room may have become free
+	stager   *stager.Stager
+	holding  holding
 }
 
 func newDesk(r *Reserver, s identifier.Service) *desk {
@@ -71,6 +74,7 @@
 		queue:    admitter.New(admitter.Options{Seed: r.deps.Seed}),
 		waiters:  map[admitter.Key]*waiter{},
 		free:     make(chan struct{}, 1),
+		stager:   stager.New(),
 	}
 }
 
@@ -255,11 +259,12 @@
 func (d *desk) candidates(all []*registrar.Endpoint, a *waiter, t *registrar.EngineTraits) []*registrar.Endpoint {
 	p := d.reserver.deps.Placer
 	now := time.Now()
-	list := p.Decodes(all, a.Exclude, placer.Room{Tokens: a.Tokens, Memory: t.Memory, Most: maxCandidates}, now)
+	exclude := append(d.changing(all, now), a.Exclude...)
+	list := p.Decodes(all, exclude, placer.Room{Tokens: a.Tokens, Memory: t.Memory, Most: maxCandidates}, now)
 	if len(list) > 0 {
 		return list
 	}
-	return p.Decodes(all, a.Exclude, placer.Room{Most: maxFullCandidates}, now)
+	return p.Decodes(all, exclude, placer.Room{Most: maxFullCandidates}, now)
 }
 
 func anyDecodes(all []*registrar.Endpoint) bool {
@@ -311,10 +316,14 @@
 // plan counts the room as taken and chooses the prefill engine.
 func (d *desk) plan(all []*registrar.Endpoint, e *registrar.Endpoint, reservation Reservation, a *waiter) Plan {
 	r := d.reserver
-	prefill := r.deps.Placer.Prefill(all, e.DataCenter, a.ExcludePrefill, time.Now())
+	now := time.Now()
+	exclude := append(d.changing(all, now), a.ExcludePrefill...)
+	prefill := r.deps.Placer.Prefill(all, e.DataCenter, exclude, now)
 	if prefill != nil && prefill.Stage != registrar.StagePrefill {
 		prefill = nil
 	}
-	id := r.give(&grant{home: a.home, prefill: prefill, decode: e, prompt: a.Prompt, tokens: a.Tokens, service: d.service})
+	g := &grant{home: a.home, prefill: prefill, decode: e, prompt: a.Prompt, tokens: a.Tokens, service: d.service}
+	d.expect(g)
+	id := r.give(g)
 	return Plan{Prefill: prefill, Decode: e, Reservation: reservation, grant: id}
 }
--- a/reserver/grants.go
+++ b/reserver/grants.go
@@ -27,7 +27,10 @@
 	prompt  identifier.Tokens
 	tokens  identifier.Tokens
 	service identifier.Service
+	given   time.Time
 	expires time.Time
+	// alone is set if the prefill engine had nothing else to read.
+	alone bool
 }
 
 // grants are kept under the reserver's lock.
@@ -44,9 +47,10 @@
 func (r *Reserver) give(g *grant) grantID {
 	r.deps.Placer.Begin(g.decode, g.tokens)
 	if g.prefill != nil {
-		r.deps.Placer.Begin(g.prefill, g.prompt)
+		g.alone = r.deps.Placer.Begin(g.prefill, g.prompt) == 1
 	}
-	g.expires = time.Now().Add(grantLife)
+	g.given = time.Now()
+	g.expires = g.given.Add(grantLife)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.grants.last++
@@ -84,8 +88,12 @@
 // endHere takes in what became of a part of a grant of this host.
 func (r *Reserver) endHere(id grantID, prefill bool, v placer.Verdict, home identifier.Incarnation) {
 	g := r.takeBack(id, prefill)
-	if g == nil || home == r.deps.Self {
-		return // judged already, or forgotten
+	if g == nil {
+		return // forgotten
+	}
+	r.desk(g.service).learn(g, prefill, v, time.Now())
+	if home == r.deps.Self {
+		return // judged already
 	}
 	at := g.decode
 	if prefill {
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -20,6 +20,11 @@
 // reach the placing host places its requests by itself, for as long as that
 // lasts, and a new placing host starts with nothing.
 //
+// The placing host also sees what the engines are needed for, and orders some of
+// them to another stage where that raises the service's capacity (package
+// stager). It does so only where engines check fencing tokens, after it has
+// been the placing host for longer than another one could think the same.
+//
 // No request waits long for a host that is gone: while an answer is
 // outstanding, the placing host is asked for a sign of life.
 package reserver
@@ -40,6 +45,14 @@
 	"github.com/jackdawthread/jackdawthread/timer"
 )
 
+const (
+	// FirstEventTime is what passes, as a rule, from the start of a prefill to
+	// the first event, and TokenTime what one token of output takes at a full
+	// engine.
+	FirstEventTime = 350 * time.Millisecond
+	TokenTime      = 7 * time.Millisecond
+)
+
 // Reservation names reserved room at an engine.
 type Reservation string
 
@@ -71,6 +84,9 @@
 	Log      *zap.Logger
 	// Seed starts the random choices.
 	Seed uint64
+	// Orders changes engines' stages, as OrderOptions allow.
+	Orders       Orders
+	OrderOptions OrderOptions
 }
 
 // Wish is a request that needs room.
@@ -110,6 +126,7 @@
 func New(d Deps) *Reserver {
 	r := &Reserver{deps: d, desks: map[identifier.Service]*desk{}, grants: newGrants()}
 	d.Timer.Every(expiryPeriod, func(now time.Time) { r.expire(now) })
+	d.Timer.Every(stagePeriod, r.restage)
 	d.Members.Subscribe(r.dropDead)
 	return r
 }
--- /dev/null
+++ b/stager/stager.go
@@ -0,0 +1,243 @@
+// Package stager decides how a service's model engines are shared between
+// prefill and decode. It decides only: it has no I/O, no clock and no
+// goroutines.
+//
+// # Usage
+//
+//	s := stager.New()
+//	s.Prefilled(tokens, took)                  // of a prompt that had its engine alone
+//	s.Expected(prompt, tokens, takes)          // of an answer that begins
+//	s.Answered(tokens, took)                   // of a whole answer
+//	if o, ok := s.Next(engines, memory, now); ok { /* order o.Engine to o.Stage */ }
+//
+// # Which share is best
+//
+// A request occupies a prefill engine for the time in which its prompt is
+// read, and a part of a decode engine's memory for the time of its answer. With
+// n engines, p of them for prefill, at most min(p/tp, (n-p)/td) requests a
+// second can be served, where tp is the prefill time and td the answer's time
+// times its share of an engine's memory. Both are measured: td directly, tp as
+// the slope of the prefill time over the prompt's length, since an engine reads
+// several prompts beside each other and the fixed part of the time doesn't
+// occupy it.
+package stager
+
+import (
+	"math"
+	"time"
+
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/registrar"
+)
+
+const (
+	// minSamples is how many prefills and answers are needed for a decision.
+	minSamples = 10
+	// memorySamples is about how many of the last samples count.
+	memorySamples = 150
+	// minGain is the gain in capacity that is worth an order.
+	minGain = 1.1
+	// minPrefill engines are kept where there are minShared engines or more.
+	minPrefill = 2
+	minShared  = 5
+	// orderInterval is the time between two orders, settleTime that in which
+	// an engine that was ordered counts as changing.
+	orderInterval = 500 * time.Millisecond
+	settleTime    = 10 * time.Second
+	// steadyTime is how long the list of engines must have been the same.
+	steadyTime = time.Second
+)
+
+// Order has an engine take a stage.
+type Order struct {
+	Engine *registrar.Endpoint
+	Stage  registrar.Stage
+}
+
+// Stager keeps the measurements of one service. It is not safe for concurrent
+// use.
+type Stager struct {
+	prefills regression
+	prompt   mean // tokens
+	answer   mean // token seconds
+	expected mean // the same, as expected of answers that have begun
+	ordered  map[identifier.Endpoint]change
+	last     time.Time
+	counted  counts
+	since    time.Time // counted is the same since then
+	goal     goal
+}
+
+// goal is a share that has been decided on, for a pool of a size; the zero
+// value is none. It is kept until it is reached, though the last steps alone
+// would not be worth it.
+type goal struct{ size, prefill int }
+
+type counts struct{ prefill, decode int }
+
+// change is the last order to an engine.
+type change struct {
+	stage registrar.Stage
+	at    time.Time
+}
+
+// New gives a Stager without measurements.
+func New() *Stager {
+	return &Stager{ordered: map[identifier.Endpoint]change{}}
+}
+
+// Prefilled notes how long a prefill took that had its engine alone.
+func (s *Stager) Prefilled(tokens identifier.Tokens, took time.Duration) {
+	s.prefills.add(float64(tokens), took.Seconds())
+}
+
+// Expected notes an answer that begins, with the time that it should take.
+// That counts until enough answers were whole.
+func (s *Stager) Expected(prompt, tokens identifier.Tokens, takes time.Duration) {
+	s.prompt.add(float64(prompt))
+	s.expected.add(float64(tokens) * takes.Seconds())
+}
+
+// Answered notes a whole answer: the tokens of memory that it took, and the
+// time for which it took them.
+func (s *Stager) Answered(tokens identifier.Tokens, took time.Duration) {
+	s.answer.add(float64(tokens) * took.Seconds())
+}
+
+// Next gives the order that raises the capacity the most; false: none is worth
+// it. The order counts as given.
+func (s *Stager) Next(all []*registrar.Endpoint, memory identifier.Tokens, now time.Time) (Order, bool) {
+	prefill, decode := s.count(all, now)
+	steady := s.steady(counts{len(prefill), len(decode)}, now)
+	tp, td, ok := s.times(memory)
+	if !ok || !steady || now.Sub(s.last) < orderInterval {
+		return Order{}, false
+	}
+	size := len(prefill) + len(decode)
+	if s.goal.size != size {
+		s.goal = goal{}
+	}
+	if best := bestPrefill(size, tp, td); capacity(best, size, tp, td) >= minGain*capacity(len(prefill), size, tp, td) {
+		s.goal = goal{size: size, prefill: best}
+	}
+	if s.goal.size == 0 || s.goal.prefill == len(prefill) {
+		return Order{}, false
+	}
+	o := Order{Stage: registrar.StageDecode}
+	if s.goal.prefill > len(prefill) {
+		o.Stage = registrar.StagePrefill
+		o.Engine = decode[len(decode)-1]
+	} else {
+		o.Engine = prefill[len(prefill)-1]
+	}
+	s.ordered[o.Engine.Name] = change{stage: o.Stage, at: now}
+	s.last = now
+	prefill, decode = s.count(all, now)
+	s.counted = counts{len(prefill), len(decode)} // this change was expected
+	return o, true
+}
+
+// Changing tells whether an engine has been ordered to take another stage just
+// now.
+func (s *Stager) Changing(e identifier.Endpoint, now time.Time) bool {
+	c, ok := s.ordered[e]
+	return ok && now.Sub(c.at) < settleTime
+}
+
+// count gives the engines of each stage, those that change counted where they
+// are going to.
+func (s *Stager) count(all []*registrar.Endpoint, now time.Time) (prefill, decode []*registrar.Endpoint) {
+	for _, e := range all {
+		stage := e.Stage
+		if e.Leaving || stage == registrar.StageAny {
+			continue
+		}
+		if s.Changing(e.Name, now) {
+			stage = s.ordered[e.Name].stage
+		}
+		if stage == registrar.StagePrefill {
+			prefill = append(prefill, e)
+		} else {
+			decode = append(decode, e)
+		}
+	}
+	return prefill, decode
+}
+
+func (s *Stager) steady(c counts, now time.Time) bool {
+	if c != s.counted {
+		s.counted = c
+		s.since = now
+	}
+	return now.Sub(s.since) >= steadyTime
+}
+
+// times gives what a request costs a prefill and a decode engine, in seconds.
+func (s *Stager) times(memory identifier.Tokens) (prefill, decode float64, ok bool) {
+	slope, ok := s.prefills.slope()
+	if !ok || s.prompt.count < minSamples || memory == 0 {
+		return 0, 0, false
+	}
+	answer := s.answer
+	if answer.count < minSamples {
+		answer = s.expected
+	}
+	return slope * s.prompt.value, answer.value / float64(memory), true
+}
+
+// capacity gives the requests a second that n engines can serve, p of them for
+// prefill.
+func capacity(p, n int, tp, td float64) float64 {
+	return min(float64(p)/tp, float64(n-p)/td)
+}
+
+// bestPrefill gives the number of prefill engines with the highest capacity.
+func bestPrefill(n int, tp, td float64) int {
+	least := 1
+	if n >= minShared {
+		least = minPrefill
+	}
+	best := least
+	for p := least; p < n; p++ {
+		if capacity(p, n, tp, td) > capacity(best, n, tp, td) {
+			best = p
+		}
+	}
+	return best
+}
+
+// mean is a mean in which old values fade.
+type mean struct {
+	count int
+	value float64
+}
+
+func (m *mean) add(v float64) {
+	m.count++
+	m.value += (v - m.value) / float64(min(m.count, memorySamples))
+}
+
+// regression fits a line, with old points fading.
+type regression struct {
+	count        int
+	x, y, xx, xy float64 // means
+}
+
+func (r *regression) add(x, y float64) {
+	r.count++
+	w := 1 / float64(min(r.count, memorySamples))
+	r.x += w * (x - r.x)
+	r.y += w * (y - r.y)
+	r.xx += w * (x*x - r.xx)
+	r.xy += w * (x*y - r.xy)
+}
+
+// slope gives the line's slope; false: it isn't known yet.
+func (r *regression) slope() (float64, bool) {
+	variance := r.xx - r.x*r.x
+	if r.count < minSamples || variance <= 0 {
+		return 0, false
+	}
+	slope := (r.xy - r.x*r.y) / variance
+	return slope, slope > 0 && !math.IsNaN(slope)
+}
--- /dev/null
+++ b/stager/stager_test.go
@@ -0,0 +1,126 @@
+package stager_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/registrar"
+	"github.com/jackdawthread/jackdawthread/stager"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+const memory = 60_000
+
+// pool gives engines, the first ones for prefill.
+func pool(prefill, decode int) []*registrar.Endpoint {
+	var all []*registrar.Endpoint
+	for n := range prefill + decode {
+		e := &registrar.Endpoint{Name: identifier.Endpoint(fmt.Sprintf("e%d", n)), Stage: registrar.StagePrefill}
+		if n >= prefill {
+			e.Stage = registrar.StageDecode
+		}
+		all = append(all, e)
+	}
+	return all
+}
+
+// measured gives a stager that has seen requests of 5,000 tokens of prompt, of
+// which engines read 50 in a ms beside a fixed 100 ms, with answers of a time.
+func measured(answer time.Duration) *stager.Stager {
+	s := stager.New()
+	for n := range 40 {
+		prompt := identifier.Tokens(3000 + 100*n)
+		s.Prefilled(prompt, 100*time.Millisecond+time.Duration(prompt)*20*time.Microsecond)
+		s.Expected(5000, 5500, time.Second) // answers tell better
+		s.Answered(5500, answer)
+	}
+	return s
+}
+
+// settle plays a pool in which orders are carried out, and gives the engines of
+// each stage and the orders that it took.
+func settle(s *stager.Stager, all []*registrar.Endpoint) (prefill, decode, orders int) {
+	for now := time.Duration(0); now < 2*time.Minute; now += 100 * time.Millisecond {
+		if o, ok := s.Next(all, memory, start.Add(now)); ok {
+			o.Engine.Stage = o.Stage
+			orders++
+		}
+	}
+	for _, e := range all {
+		if e.Stage == registrar.StagePrefill {
+			prefill++
+		} else {
+			decode++
+		}
+	}
+	return prefill, decode, orders
+}
+
+func TestNext(t *testing.T) {
+	cases := []struct {
+		name            string
+		prefill, decode int
+		answer          time.Duration
+		want            int
+	}{
+		{"a pool with too many prefill engines", 4, 5, 3500 * time.Millisecond, 2},
+		{"a larger pool with too many prefill engines", 5, 7, 3500 * time.Millisecond, 3},
+		{"long answers", 4, 5, 10 * time.Second, 2},
+		{"short answers", 2, 7, 300 * time.Millisecond, 7},
+		{"a pool in balance", 2, 7, 3500 * time.Millisecond, 2},
+		{"two engines", 1, 1, 10 * time.Second, 1},
+		{"many engines", 49, 91, 3500 * time.Millisecond, 33},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			i := is.New(t)
+			prefill, decode, orders := settle(measured(c.answer), pool(c.prefill, c.decode))
+			i.Equal(prefill+decode, c.prefill+c.decode)
+			i.True(prefill >= c.want-c.want/8 && prefill <= c.want+c.want/8)
+			i.True(orders <= max(c.prefill-c.want, c.want-c.prefill)+c.want/8) // none is taken back
+		})
+	}
+	t.Run("nothing is ordered before enough was measured", func(t *testing.T) {
+		_, _, orders := settle(stager.New(), pool(4, 5))
+		is.New(t).Equal(orders, 0)
+	})
+	t.Run("what is expected of answers counts until some were whole", func(t *testing.T) {
+		s := stager.New()
+		for n := range 40 {
+			prompt := identifier.Tokens(3000 + 100*n)
+			s.Prefilled(prompt, 100*time.Millisecond+time.Duration(prompt)*20*time.Microsecond)
+			s.Expected(5000, 5500, 3500*time.Millisecond)
+		}
+		prefill, _, _ := settle(s, pool(4, 5))
+		is.New(t).Equal(prefill, 2)
+	})
+	t.Run("engines that leave don't count", func(t *testing.T) {
+		all := pool(4, 5)
+		all[0].Leaving = true
+		prefill, _, _ := settle(measured(3500*time.Millisecond), all)
+		is.New(t).Equal(prefill, 3) // two, and the one that leaves
+	})
+	t.Run("nothing is ordered while the pool changes", func(t *testing.T) {
+		i := is.New(t)
+		s := measured(3500 * time.Millisecond)
+		for n := range 20 { // an engine comes or goes each half second
+			_, ok := s.Next(pool(4, 5+n%2), memory, start.Add(time.Duration(n)*time.Second/2))
+			i.True(!ok)
+		}
+	})
+	t.Run("an engine that was ordered counts as changing for a while", func(t *testing.T) {
+		i := is.New(t)
+		s := measured(3500 * time.Millisecond)
+		all := pool(4, 5)
+		s.Next(all, memory, start)
+		o, ok := s.Next(all, memory, start.Add(2*time.Second))
+		i.True(ok)
+		i.True(s.Changing(o.Engine.Name, start.Add(4*time.Second)))
+		i.True(!s.Changing(o.Engine.Name, start.Add(time.Minute)))
+	})
+}
