--- a/allocator/refuse.go
+++ b/allocator/refuse.go
@@ -18,6 +18,11 @@
 // drainWeight is the weight of one interval in the mean between grants.
 const drainWeight = 0.05
 
+// maxIntervalGrowth bounds one interval against the mean: a host that stood
+// still has measured its own standstill. A pool that does become slower is
+// still followed, within some grants.
+const maxIntervalGrowth = 10
+
 // drainRate measures how fast the queue drains while something waits.
 type drainRate struct {
 	interval float64 // seconds between grants, 0: unknown
@@ -31,6 +36,7 @@
 		if d.interval == 0 {
 			d.interval = passed
 		}
+		passed = min(passed, maxIntervalGrowth*d.interval)
 		d.interval += drainWeight * (passed - d.interval)
 	}
 	d.last = now
