--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -217,7 +217,7 @@
 	ctx := context.Background()
 	i := is.New(t)
 	ended := make(chan error, 1)
-	e := listen(t, func(_ *endpoint, c net.Conn, r *bufio.Reader) {
+	e := listen(t, func(_ *endpoint, _ net.Conn, r *bufio.Reader) {
 		time.Sleep(150 * time.Millisecond) // nothing is read until the request is given up
 		_, err := io.Copy(io.Discard, r)
 		ended <- err
--- a/replicator/contact_test.go
+++ b/replicator/contact_test.go
@@ -9,7 +9,7 @@
 
 func TestContact(t *testing.T) {
 	start := time.Unix(1_000_000, 0)
-	at := func(d time.Duration) time.Time { return start.Add(d) }
+	at := start.Add
 	lost := func(t *testing.T) *contact {
 		t.Helper()
 		i := is.New(t)
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -45,12 +45,12 @@
 	"github.com/jackdawthread/jackdawthread/timer"
 )
 
+// Times that requests take as a rule, until they have been measured.
 const (
-	// FirstEventTime is what passes, as a rule, from the start of a prefill to
-	// the first event, and TokenTime what one token of output takes at a full
-	// engine.
+	// FirstEventTime passes from the start of a prefill to the first event.
 	FirstEventTime = 350 * time.Millisecond
-	TokenTime      = 7 * time.Millisecond
+	// TokenTime is what one token of output takes at a full engine.
+	TokenTime = 7 * time.Millisecond
 )
 
 // Reservation names reserved room at an engine.
