--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -161,7 +161,7 @@
 	}
 }
 
-// CloseAll closes all idle connections, as after the machine stood still.
+// CloseAll closes all idle connections, as after the host stood still.
 func (x *Exchanger) CloseAll() {
 	x.CloseIdle(time.Now(), func(identifier.Address) bool { return false })
 }
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -34,10 +34,9 @@
 	request     *http.Request
 	observation *Observation
 
-	call     Call
-	route    *registrar.Route
-	service  *registrar.Service
-	snapshot *registrar.Snapshot
+	call    Call
+	route   *registrar.Route
+	service *registrar.Service
 	// exclude are the endpoints that failed or refused this request.
 	exclude []identifier.Endpoint
 	// sent counts the endpoints that the request was sent to to be run.
@@ -54,8 +53,7 @@
 func (e *exchange) prepare() error {
 	f := e.forwarder
 	f.deps.Trust(e.request.Context())
-	e.snapshot = f.deps.Registry.Snapshot()
-	d := e.snapshot.Declarations
+	d := f.deps.Registry.Snapshot().Declarations
 	if d == nil {
 		return classifier.NotRun(classifier.ReasonNotReady, classifier.Spread(notReadyRetryAfter), "this host knows no declarations yet")
 	}
--- a/hoster/suspension.go
+++ b/hoster/suspension.go
@@ -15,13 +15,13 @@
 	// suspensionGap how far they may move apart unnoticed.
 	suspensionPeriod = 100 * time.Millisecond
 	suspensionGap    = 250 * time.Millisecond
-	// trustWait bounds how long a request waits, after the machine stood
+	// trustWait bounds how long a request waits, after the host stood
 	// still, for news of what happened meanwhile.
 	trustWait = 400 * time.Millisecond
 	trustPoll = 5 * time.Millisecond
 )
 
-// clock reads a clock of the machine; ok is false if it can't be read.
+// clock reads a clock of the host; ok is false if it can't be read.
 func clock(id int32) (now time.Duration, ok bool) {
 	var t unix.Timespec
 	if err := unix.ClockGettime(id, &t); err != nil {
@@ -30,13 +30,13 @@
 	return time.Duration(t.Nano()), true
 }
 
-// standstill finds out for how long the machine was suspended. The steady
+// standstill finds out for how long the host was suspended. The steady
 // clock, which all timers go by, doesn't count that time; the boot clock does.
 type standstill struct {
 	apart time.Duration // boot clock less steady clock, when last compared
 }
 
-// compare takes both clocks and gives for how long the machine stood still
+// compare takes both clocks and gives for how long the host stood still
 // since the last comparison; 0: it didn't.
 func (s *standstill) compare(boot, steady time.Duration) time.Duration {
 	apart := boot - steady
@@ -48,7 +48,7 @@
 	return moved
 }
 
-// watchSuspension has the host doubt what it knows after the machine stood
+// watchSuspension has the host doubt what it knows after the host stood
 // still.
 func (h *Host) watchSuspension() {
 	s := &standstill{}
@@ -71,7 +71,7 @@
 	})
 }
 
-// woke drops what may have changed while the machine stood still: connections,
+// woke drops what may have changed while the host stood still: connections,
 // and the confirmation of what is known.
 func (h *Host) woke(stood time.Duration) {
 	h.log.Warn("process-was-suspended", zap.Duration("for", stood))
@@ -80,7 +80,7 @@
 }
 
 // trust waits, for a bounded time, until what is known has been confirmed since
-// the machine stood still.
+// the host stood still.
 func (h *Host) trust(ctx context.Context) {
 	end := time.Now().Add(trustWait)
 	for h.replicator.Load().Doubted() && time.Now().Before(end) {
