Read no prompt behind too many others; count prefills that were of no use

One prefill engine was left before a burst; every request sent it its prompt, gave up after 1.5 s and had its decode engine read it. Such prefills arrived and were no first ones, but took no token.

Change: no room is reserved while more than 0.6 s of prefill waits at the engine that would read the prompt; a prefill that arrived and failed takes a token; avoided prefill engines get none. A pool that has all but lost a stage is shared anew by an assumed rate.

--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -49,7 +49,7 @@
 	lastEvent string
 	lastAt    time.Time
 	rounds    int
-	// prefills counts those that arrived at an engine, prefilledAt is where
+	// prefills counts those that were carried out, prefilledAt is where
 	// the last good one was, and unfitPrefills are engines to keep away from.
 	prefills      int
 	prefilledAt   *registrar.Endpoint
@@ -197,7 +197,7 @@
 	if p.Prefill != nil {
 		result, o, err := s.prefill(ctx, p.Prefill)
 		rooms.PrefillEnded(p, o)
-		if result != nil || err != nil {
+		if result != nil || err != nil || !s.prefillsLeft {
 			return result, err
 		}
 	}
@@ -218,8 +218,7 @@
 
 // prefill has the prompt read by one engine; nil: that failed.
 func (s *stream) prefill(ctx context.Context, e *registrar.Endpoint) (*PrefillResult, placer.Outcome, error) {
-	s.prefillsLeft = s.mayPrefill()
-	if !s.prefillsLeft {
+	if s.prefillsLeft = s.mayPrefill(); !s.prefillsLeft {
 		return nil, placer.Outcome{Verdict: placer.VerdictNone}, nil
 	}
 	began := time.Now()
@@ -237,15 +236,16 @@
 		return nil, o, ended(ctx, classifier.VerdictNotRun)
 	}
 	if classifier.Of(err).Reason != classifier.ReasonHostUnreachable {
-		s.prefills++
+		// What arrived and was of no use is a repeat, whatever follows.
+		s.prefillsLeft = s.forwarder.deps.Budget.Take(s.service.Name)
 	}
 	s.note("prefill-failed", e, err, zap.Duration("took", took))
 	s.unfitPrefills = append(s.unfitPrefills, e.Name)
 	return nil, o, nil
 }
 
-// mayPrefill tells whether one more prefill may be sent: the first one that
-// arrives at an engine is free.
+// mayPrefill tells whether one more prefill may be sent: the first one that an
+// engine carries out is free.
 func (s *stream) mayPrefill() bool {
 	return s.prefills == 0 || s.forwarder.deps.Budget.Take(s.service.Name)
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -182,9 +182,10 @@
 	return otherPlaceCost
 }
 
-// Prefill chooses the engine that is expected to have read a prompt first.
+// Prefill chooses the engine that is expected to have read a prompt first; nil:
+// there is none that isn't avoided.
 func (p *Placer) Prefill(all []*registrar.Endpoint, near identifier.DataCenter, exclude []identifier.Endpoint, now time.Time) *registrar.Endpoint {
-	return p.best(all, exclude, func(e *registrar.Endpoint, s *state) float64 {
+	chosen, avoided := p.choose(all, exclude, func(e *registrar.Endpoint, s *state) float64 {
 		if e.Stage == registrar.StageDecode {
 			return math.Inf(1)
 		}
@@ -198,6 +199,17 @@
 		}
 		return cost / math.Pow(max(0.05, 1-s.failures), failurePenalty)
 	})
+	if avoided {
+		return nil
+	}
+	return chosen
+}
+
+// Tokens gives the tokens that are counted at e.
+func (p *Placer) Tokens(e *registrar.Endpoint) identifier.Tokens {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state(e).tokens
 }
 
 const (
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -198,6 +198,14 @@
 	t.Run("prompts go near their decode engine among equals", func(t *testing.T) {
 		is.New(t).Equal(newPlacer().Prefill(pool(registrar.StagePrefill), "b", nil, at(0)).Name, identifier.Endpoint("b"))
 	})
+	t.Run("no prompt goes to an avoided engine", func(t *testing.T) {
+		i := is.New(t)
+		p, all := newPlacer(), pool(registrar.StagePrefill)
+		for _, e := range all {
+			p.Judge(e, placer.Outcome{Verdict: placer.VerdictBroken}, at(0))
+		}
+		i.Equal(p.Prefill(all, "a", nil, at(0)), nil) // its decode engine reads it
+	})
 	t.Run("no prompt goes to a decode engine, and no decode to a prefill engine", func(t *testing.T) {
 		i := is.New(t)
 		i.Equal(newPlacer().Prefill(pool(registrar.StageDecode), "a", nil, at(0)), nil)
--- a/reserver/desk.go
+++ b/reserver/desk.go
@@ -32,6 +32,8 @@
 	// maxFullCandidates those of them that shouldn't have room.
 	maxCandidates     = 5
 	maxFullCandidates = 2
+	// prefillDepth is how much prefill may wait at an engine.
+	prefillDepth = 600 * time.Millisecond
 	// absentRetryAfter is when to come back to a service without an engine.
 	absentRetryAfter = 250 * time.Millisecond
 )
@@ -232,8 +234,12 @@
 	}
 }
 
-// errFull says that no engine has room now.
-var errFull = errors.New("all engines are full")
+// errFull says that no engine has room now, errPrefillsFull that prompts wait at
+// all prefill engines.
+var (
+	errFull         = errors.New("all engines are full")
+	errPrefillsFull = errors.New("prompts wait at all prefill engines")
+)
 
 // search looks for an engine with room, the emptiest first.
 func (d *desk) search(ctx context.Context, a *waiter) (Plan, error) {
@@ -244,6 +250,9 @@
 		return Plan{}, classifier.NotRun(classifier.ReasonNoEndpoint, classifier.Spread(absentRetryAfter), "service %q has no engine that decodes", d.service)
 	}
 	traits := traitsOf(s, d.service)
+	if d.prefillsFull(all, a) {
+		return Plan{}, errPrefillsFull
+	}
 	for _, e := range d.candidates(all, a, traits) {
 		reservation, err := d.reserve(ctx, e, a, traits)
 		if err != nil {
@@ -254,6 +263,25 @@
 	return Plan{}, errFull
 }
 
+// prefillsFull tells whether too much prefill waits at the engine that would
+// have read the request's prompt first.
+func (d *desk) prefillsFull(all []*registrar.Endpoint, a *waiter) bool {
+	p := d.reserver.deps.Placer
+	now := time.Now()
+	exclude := append(d.changing(all, now), a.ExcludePrefill...)
+	e := p.Prefill(all, d.reserver.deps.DataCenter, exclude, now)
+	if e == nil || e.Stage != registrar.StagePrefill {
+		return false // the decode engine reads it
+	}
+	d.mu.Lock()
+	rate, ok := d.stager.PrefillRate()
+	d.mu.Unlock()
+	if !ok {
+		rate = stager.AssumedRate
+	}
+	return float64(p.Tokens(e)) > rate*prefillDepth.Seconds()
+}
+
 // candidates gives the engines that should have room, or else the emptiest
 // ones: what is known of them may be wrong.
 func (d *desk) candidates(all []*registrar.Endpoint, a *waiter, t *registrar.EngineTraits) []*registrar.Endpoint {
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -73,15 +73,17 @@
 
 // Deps is what a Reserver works with.
 type Deps struct {
-	Self     identifier.Incarnation
-	Registry *registrar.Registrar
-	Engines  Engines
-	Placer   *placer.Placer
-	Members  Membership
-	Links    Links
-	Timer    *timer.Service
-	Group    *grouper.Group
-	Log      *zap.Logger
+	Self identifier.Incarnation
+	// DataCenter of this host.
+	DataCenter identifier.DataCenter
+	Registry   *registrar.Registrar
+	Engines    Engines
+	Placer     *placer.Placer
+	Members    Membership
+	Links      Links
+	Timer      *timer.Service
+	Group      *grouper.Group
+	Log        *zap.Logger
 	// Seed starts the random choices.
 	Seed uint64
 	// Orders changes engines' stages, as OrderOptions allow.
--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -95,6 +95,7 @@
 	group   *grouper.Group
 	engines *engines
 	hosts   []*host
+	prompt  identifier.Tokens
 }
 
 type host struct {
@@ -105,7 +106,7 @@
 
 func newFleet(t *testing.T, hosts int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, is: is.New(t), group: grouper.New(context.Background()), engines: newEngines()}
+	f := &fleet{t: t, is: is.New(t), group: grouper.New(context.Background()), engines: newEngines(), prompt: 100}
 	t.Cleanup(func() {
 		f.group.Stop()
 		_ = f.group.Wait() // members give no error
@@ -174,7 +175,7 @@
 	now := time.Now()
 	return f.hosts[h].reserver.Place(ctx, reserver.Wish{
 		Wish:    admitter.Wish{Arrived: now, OnTimeBy: now.Add(wait), StartBy: now.Add(wait)},
-		Service: "notes", Request: "q", Prompt: tokens, Tokens: tokens,
+		Service: "notes", Request: "q", Prompt: f.prompt, Tokens: tokens,
 	})
 }
 
@@ -259,6 +260,20 @@
 			return held == 0 && canceled == 1
 		})
 	})
+	t.Run("reserves nothing while too many prompts wait to be read", func(t *testing.T) {
+		// One prefill engine before a burst: each prompt would be read in vain.
+		f := newFleet(t, 1)
+		f.prompt = 30_000
+		p, err := f.place(ctx, 0, time.Second)
+		f.is.NoErr(err)
+		_, err = f.place(ctx, 0, 100*time.Millisecond)
+		f.is.Equal(classifier.VerdictOf(err), classifier.VerdictNotRun)
+		asked, _, _ := f.engines.count()
+		f.is.Equal(asked, 1)
+		f.hosts[0].reserver.PrefillEnded(p, placer.Outcome{})
+		_, err = f.place(ctx, 0, time.Second)
+		f.is.NoErr(err)
+	})
 	t.Run("passes over a dark engine", func(t *testing.T) {
 		f := newFleet(t, 1)
 		f.engines.dark["d1"] = true
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -30,6 +30,10 @@
 	"github.com/jackdawthread/jackdawthread/registrar"
 )
 
+// AssumedRate is the rate at which an engine reads prompts, in tokens a second,
+// until it has been measured.
+const AssumedRate = 40_000
+
 const (
 	// minSamples is how many prefills and answers are needed for a decision.
 	minSamples = 10
@@ -37,6 +41,9 @@
 	memorySamples = 150
 	// minGain is the gain in capacity that is worth an order.
 	minGain = 1.12
+	// unsureGain is what an order has to gain while the prefill rate is only
+	// assumed.
+	unsureGain = 1.5
 	// maxError is the relative standard error from which on a slope is not
 	// relied on.
 	maxError = 0.2
@@ -111,12 +118,22 @@
 	s.answer.add(float64(tokens) * took.Seconds())
 }
 
+// PrefillRate gives the tokens of prompt that an engine reads in a second;
+// false: it isn't known yet.
+func (s *Stager) PrefillRate() (float64, bool) {
+	slope, ok := s.prefills.slope()
+	if !ok {
+		return 0, false
+	}
+	return 1 / slope, true
+}
+
 // Next gives the order that raises the capacity the most; false: none is worth
 // it. The order counts as given.
 func (s *Stager) Next(all []*registrar.Endpoint, memory identifier.Tokens, now time.Time) (Order, bool) {
 	prefill, decode := s.count(all, now)
 	steady := s.steady(counts{len(prefill), len(decode)}, now)
-	tp, td, ok := s.times(memory)
+	tp, td, gain, ok := s.times(memory)
 	if !ok || !steady || now.Sub(s.last) < orderInterval {
 		return Order{}, false
 	}
@@ -124,7 +141,7 @@
 	if s.goal.size != size {
 		s.goal = goal{}
 	}
-	if best := bestPrefill(size, tp, td); capacity(best, size, tp, td) >= minGain*capacity(len(prefill), size, tp, td) {
+	if best := bestPrefill(size, tp, td); capacity(best, size, tp, td) >= gain*capacity(len(prefill), size, tp, td) {
 		s.goal = goal{size: size, prefill: best}
 	}
 	if s.goal.size == 0 || s.goal.prefill == len(prefill) {
@@ -185,17 +202,23 @@
 	return now.Sub(s.since) >= steadyTime
 }
 
-// times gives what a request costs a prefill and a decode engine, in seconds.
-func (s *Stager) times(memory identifier.Tokens) (prefill, decode float64, ok bool) {
-	slope, ok := s.prefills.slope()
-	if !ok || s.prompt.count < minSamples || memory == 0 {
-		return 0, 0, false
+// times gives what a request costs a prefill and a decode engine, in seconds,
+// and the gain that is worth an order by them.
+func (s *Stager) times(memory identifier.Tokens) (prefill, decode, gain float64, ok bool) {
+	if s.prompt.count < minSamples || memory == 0 {
+		return 0, 0, 0, false
+	}
+	gain = minGain
+	slope, sure := s.prefills.slope()
+	if !sure {
+		slope = 1.0 / AssumedRate
+		gain = unsureGain
 	}
 	answer := s.answer
 	if answer.count < minSamples {
 		answer = s.expected
 	}
-	return slope * s.prompt.value, answer.value / float64(memory), true
+	return slope * s.prompt.value, answer.value / float64(memory), gain, true
 }
 
 // capacity gives the requests a second that n engines can serve, p of them for
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -113,6 +113,14 @@
 			i.True(!ok)
 		}
 	})
+	t.Run("the prefill rate is the slope alone", func(t *testing.T) {
+		i := is.New(t)
+		_, ok := stager.New().PrefillRate()
+		i.True(!ok)
+		rate, ok := measured(time.Second).PrefillRate()
+		i.True(ok)
+		i.True(rate > 49_000 && rate < 51_000)
+	})
 	t.Run("nothing is ordered by measurements that scatter", func(t *testing.T) {
 		s := stager.New()
 		for n := range 30 { // as behind other hosts' prompts
@@ -122,6 +130,14 @@
 		_, _, orders := settle(s, pool(4, 5))
 		is.New(t).Equal(orders, 0)
 	})
+	t.Run("a pool that has all but lost its prefill engines gets some without measurements", func(t *testing.T) {
+		s := stager.New()
+		for range 20 {
+			s.Expected(5000, 5500, 3500*time.Millisecond)
+		}
+		prefill, _, _ := settle(s, pool(1, 9))
+		is.New(t).True(prefill >= 2)
+	})
 	t.Run("no engine is ordered to and fro", func(t *testing.T) {
 		i := is.New(t)
 		s := measured(3500 * time.Millisecond)
