--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -15,6 +15,9 @@
 	"github.com/jackdawthread/jackdawthread/registrar"
 )
 
+// never is longer than any request lasts.
+const never = time.Hour
+
 // hedgeShare is the share of the objective after which an idempotent call that
 // got no answer goes to a second endpoint as well.
 const hedgeShare = 0.6
@@ -94,8 +97,7 @@
 // hedgeTimer fires when an idempotent call may go to a second endpoint.
 func (e *exchange) hedgeTimer() *time.Timer {
 	if !e.route.Repeatable() || e.route.Attempts < 2 || e.route.Objective <= 0 {
-		t := time.NewTimer(time.Hour)
-		return t
+		return time.NewTimer(never)
 	}
 	return time.NewTimer(time.Duration(hedgeShare * float64(e.route.Objective)))
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -33,9 +33,6 @@
 	// firstEventShare is the share of a caller's patience that the first event
 	// of a decode may take before another engine is tried.
 	firstEventShare = 0.35
-	// reservedShare is the share of the expected output that is reserved: the
-	// requests of an engine are at different points of theirs.
-	reservedShare = 1.0
 	// maxRounds bounds how often one request looks for room anew.
 	maxRounds = 6
 )
@@ -186,7 +183,7 @@
 // room gives the tokens that the request takes at a decode engine: those that
 // are sure and the output that is to be expected.
 func (s *stream) room() identifier.Tokens {
-	return s.call.Prompt + identifier.Tokens(reservedShare*float64(s.output()))
+	return s.call.Prompt + s.output()
 }
 
 // readPrompt has the prompt read by the plan's prefill engine, or by another
@@ -469,7 +466,7 @@
 	s.sent++
 	s.observation.at(at)
 	f.deps.Placer.Begin(at, 0)
-	watchdog := time.NewTimer(time.Hour)
+	watchdog := time.NewTimer(never)
 	defer watchdog.Stop()
 	err := func() error {
 		response, err := f.deps.Endpoints.Forward(ctx, at, &s.call)
