Choose ports for processes below the range that systems give out

Both chose free ports and released them for a process to listen on; in between the other one's stand-in was given the port, and got the calls of the first one's hosts.

Change: such ports come from 12,000 to 29,999, which no listener on "any port" is given.

--- a/cmd/emulator/fleet_test.go
+++ b/cmd/emulator/fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/matryer/is"
 
 	"github.com/jackdawthread/jackdawthread/commander"
+	"github.com/jackdawthread/jackdawthread/common/socket"
 	"github.com/jackdawthread/jackdawthread/emulator"
 	"github.com/jackdawthread/jackdawthread/loader"
 )
@@ -121,7 +122,7 @@
 	t.Helper()
 	var found []string
 	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := socket.ChoosePort()
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/scripts_test.go
+++ b/scripts_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/jackdawthread/jackdawthread/common/socket"
 )
 
 // portCount is the number of free ports that a script gets, as $P0, $P1, ...
@@ -46,7 +48,7 @@
 // that no two are equal.
 func setPorts(e *testscript.Env) error {
 	for n := range portCount {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := socket.ChoosePort()
 		if err != nil {
 			return err
 		}
