--- a/cmd/emulator/fleet_test.go
+++ b/cmd/emulator/fleet_test.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"os/signal"
