Put the stand-ins and the soak beside the emulator

Nothing but import paths and pages changed.

Ruled out: leaving the stand-ins as test files, which the soak could not use.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -17,7 +17,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"github.com/jackdawthread/jackdawthread/platform/soaker"
+	"github.com/jackdawthread/jackdawthread/emulator/soaker"
 )
 
 // exitBroken is the exit code of a soak that found a broken promise.
--- a/platform/soaker/faults.go
+++ b/emulator/soaker/faults.go
@@ -6,7 +6,7 @@
 	"syscall"
 	"time"
 
-	"github.com/jackdawthread/jackdawthread/platform/standin"
+	"github.com/jackdawthread/jackdawthread/emulator/standin"
 )
 
 const (
--- a/platform/soaker/soaker_test.go
+++ b/emulator/soaker/soaker_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/jackdawthread/jackdawthread/platform/soaker"
+	"github.com/jackdawthread/jackdawthread/emulator/soaker"
 )
 
 // regressions are seeds that once failed, with the cause, and one that didn't.
