Let a host that is alone go through its seeds in turn

Cause: a host that starts knows only its seeds and tried one of them a second, drawn with replacement. After a rolling restart most seeds are ports that nobody listens on.

Ruled out: the planned stop (it waits for unredeemed tickets, and the issuers were never stopped), forwarding to a successor at the same address, views that lose a member that leaves.

Change: seeds are shuffled once and tried in turn, four a period while the host knows no live peer. A new list keeps the turns if it names the same addresses.

TestStaleSeeds (eight hosts, 12 stale seeds, one live) fails on the old rule (a host knows only itself after 5 s) and passes now.

--- a/gossiper/machine.go
+++ b/gossiper/machine.go
@@ -154,7 +154,7 @@
 	case Marked:
 		m.mark(e.Endpoint, e.Mark)
 	case Seeded:
-		m.seeds = slices.Clone(e.Addresses)
+		m.setSeeds(e.Addresses)
 	case LeaveStarted:
 		m.leave()
 	}
@@ -217,7 +217,7 @@
 		m.prune()
 	}
 	if period := m.seedPeriod(); due(m.now, &m.nextSeed, period/2+m.spread(period)) {
-		m.trySeed()
+		m.trySeeds()
 	}
 	if due(m.now, &m.nextSync, m.syncPeriod) {
 		m.syncPeriod = min(2*m.syncPeriod, m.options.Sync)
--- a/gossiper/probe.go
+++ b/gossiper/probe.go
@@ -205,35 +205,82 @@
 	}
 }
 
-// seedPeriod is short while this host is alone.
-func (m *Machine) seedPeriod() time.Duration {
+// lonelySeeds is the number of seeds that a host tries at a time while it
+// knows no live peer.
+const lonelySeeds = 4
+
+// alone tells whether this host knows no live peer.
+func (m *Machine) alone() bool {
 	for _, r := range m.order {
 		if r != m.self && !r.dead() {
-			return m.options.SeedPeriod
+			return false
 		}
 	}
-	return min(m.options.Period, m.options.SeedPeriod)
+	return true
 }
 
-// trySeed tries one dead member and one seed that is no member's address.
-func (m *Machine) trySeed() {
+// seedPeriod is short while this host is alone.
+func (m *Machine) seedPeriod() time.Duration {
+	if m.alone() {
+		return min(m.options.Period, m.options.SeedPeriod)
+	}
+	return m.options.SeedPeriod
+}
+
+// trySeeds tries one dead member and the next seeds that are no live member's
+// address: several while this host is alone, else one.
+func (m *Machine) trySeeds() {
 	if r := m.randomDead(); r != nil && !m.superseded() {
 		m.startProbe(r, purposeRevive)
 	}
-	known := map[identifier.Address]bool{}
+	count := 1
+	if m.alone() {
+		count = lonelySeeds
+	}
+	for _, a := range m.takeSeeds(count) {
+		m.requestSync(a)
+	}
+}
+
+// takeSeeds gives the next seeds in turn that are no live member's address, at
+// most count.
+func (m *Machine) takeSeeds(count int) []identifier.Address {
+	known := map[identifier.Address]bool{m.self.Address: true}
 	for _, r := range m.order {
 		known[r.Address] = !r.dead()
 	}
-	known[m.self.Address] = true
-	var unknown []identifier.Address
-	for _, a := range m.seeds {
+	var taken []identifier.Address
+	for range m.seeds {
+		a := m.seeds[0]
+		m.seeds = append(m.seeds[1:], a)
 		if !known[a] {
-			unknown = append(unknown, a)
+			taken = append(taken, a)
+		}
+		if len(taken) == count {
+			break
 		}
 	}
-	if len(unknown) > 0 {
-		m.requestSync(unknown[m.random.IntN(len(unknown))])
+	return taken
+}
+
+// setSeeds takes the addresses in a random order, so that hosts that start
+// together don't all ask the same peer. Addresses that are tried already keep
+// their turns.
+func (m *Machine) setSeeds(addresses []identifier.Address) {
+	if sameAddresses(m.seeds, addresses) {
+		return
 	}
+	m.seeds = slices.Clone(addresses)
+	m.random.Shuffle(len(m.seeds), func(i, j int) {
+		m.seeds[i], m.seeds[j] = m.seeds[j], m.seeds[i]
+	})
+}
+
+// sameAddresses tells whether both hold the same, in any order.
+func sameAddresses(a, b []identifier.Address) bool {
+	a = slices.Sorted(slices.Values(a))
+	b = slices.Sorted(slices.Values(b))
+	return slices.Equal(a, b)
 }
 
 func (m *Machine) randomDead() *record {
--- a/gossiper/virtual_test.go
+++ b/gossiper/virtual_test.go
@@ -146,3 +146,29 @@
 		}
 	})
 }
+
+// TestStaleSeeds starts a host whose seeds are mostly addresses that nobody
+// listens on any more, as after a restart of all other hosts on new ports.
+func TestStaleSeeds(t *testing.T) {
+	const stale = 12
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := &pipes{listeners: map[identifier.Address]*pipeListener{}}
+		first := p.start(0)
+		defer first.stop()
+		seeds := []identifier.Address{first.self.Address}
+		for i := range stale {
+			seeds = append(seeds, identifier.Address(fmt.Sprintf("10.0.1.%d:7400", i)))
+		}
+		var late []*process
+		for i := range 8 {
+			h := p.start(i+1, seeds...)
+			defer h.stop()
+			late = append(late, h)
+		}
+		time.Sleep(joinBound)
+		for _, h := range late {
+			is.Equal(len(h.View().Live("tw-north-1")), len(late)+1)
+		}
+	})
+}
