Keep engines whose attempts were canceled, and mend TestFrozenHostQuotes

An entry host that stood still for 8 s woke to refusals: 4 to 24 of 62 quotes were given up as "takes no more requests (deadline)".

Cause, from logs of refusals in the pool (three failed runs of 27, nine copies at a time): 22 quotes waited 1.6 s in the new pool without one grant, then passed their first-token bound. Nothing was granted because all three engines were avoided. While the host stood still its peer took it for dead and canceled its attempts at the engines; when it woke, each of these came back as a failure of the engine. Three in a row make an engine avoided, and each further one doubled the wait for the probe, up to 32 s.

Changes: an attempt that the endpoint says was canceled there is no failure of it (converter.CanceledThere). Failures of attempts that were under way when an endpoint came to be avoided don't double its wait; only a probe's does. The first interval of the pool's drain rate is bounded too: found by reading, no failed run shows it.

Ruled out: the drain rate (0 ms in all failed runs), engines that hold memory for lease and grace (the asks were refused with slots free).

--- a/allocator/drain_test.go
+++ b/allocator/drain_test.go
@@ -27,6 +27,15 @@
 		play(d, now.Add(8*time.Second), 20*time.Millisecond, 1) // it stood still for 8 s
 		i.True(d.expected(10) < 400*time.Millisecond)           // 200 ms before
 	})
+	t.Run("nor is it when nothing was measured before", func(t *testing.T) {
+		i := is.New(t)
+		d := &drainRate{}
+		d.waiting(true, start)
+		now := play(d, start.Add(8*time.Second), 20*time.Millisecond, 1)
+		i.True(d.expected(10) < 2*time.Second)
+		play(d, now, 20*time.Millisecond, 100)
+		i.True(d.expected(10) < 400*time.Millisecond)
+	})
 	t.Run("a pool that becomes slow is followed", func(t *testing.T) {
 		i := is.New(t)
 		d := &drainRate{}
--- a/allocator/health.go
+++ b/allocator/health.go
@@ -21,6 +21,7 @@
 	failures int
 	backoff  int
 	avoided  bool
+	probing  bool // a probe is under way
 	slow     bool
 	probeAt  time.Time
 }
@@ -35,11 +36,13 @@
 func (h *health) entered(now time.Time) {
 	if h.avoided && !now.Before(h.probeAt) {
 		h.probeAt = now.Add(time.Second << min(h.backoff, maxBackoff))
+		h.probing = true
 	}
 }
 
 func (h *health) succeeded() {
 	h.failures = 0
+	h.probing = false
 	if h.slow {
 		return
 	}
@@ -47,8 +50,13 @@
 	h.backoff = 0
 }
 
+// failed notes a failure. Attempts that were under way when the endpoint came
+// to be avoided may fail together; the wait doubles only with a probe's.
 func (h *health) failed(o Options, now time.Time) {
 	h.failures++
+	if h.avoided && !h.probing {
+		return
+	}
 	if h.failures >= o.FailuresToAvoid || h.avoided {
 		h.avoid(o, now)
 	}
@@ -56,6 +64,7 @@
 
 func (h *health) avoid(o Options, now time.Time) {
 	h.avoided = true
+	h.probing = false
 	h.probeAt = now.Add(o.ProbeInterval << min(h.backoff, maxBackoff))
 	h.backoff++
 }
--- a/allocator/pool_test.go
+++ b/allocator/pool_test.go
@@ -244,6 +244,19 @@
 		done := p.Release(attempt(1, 10), allocator.Outcome{Ending: allocator.EndingDone}, at(1200*time.Millisecond))
 		is.Equal(count[allocator.Granted](done), 1)
 	})
+	t.Run("an endpoint no longer than one probe interval, whatever fails with it", func(t *testing.T) {
+		is := is.New(t)
+		const underWay = 20
+		p := newPool(newService(1, 1, underWay))
+		for n := range underWay {
+			p.Ask(ask(n+1, compiler.UrgencyPatient), epoch)
+		}
+		for n := range underWay {
+			p.Release(attempt(1, n+1), allocator.Outcome{Ending: allocator.EndingFailed, Endpoint: "decode-0"}, epoch)
+		}
+		is.Equal(len(p.Ask(ask(underWay+1, compiler.UrgencyPatient), epoch)), 0)
+		is.Equal(count[allocator.Granted](p.Tick(at(1100*time.Millisecond))), 1)
+	})
 	t.Run("an endpoint with slow steps", func(t *testing.T) {
 		is := is.New(t)
 		p := newPool(newService(1, 2, 4))
--- a/allocator/refuse.go
+++ b/allocator/refuse.go
@@ -23,6 +23,9 @@
 // still followed, within some grants.
 const maxIntervalGrowth = 10
 
+// maxFirstInterval bounds the first interval, which has no mean to go by.
+const maxFirstInterval = 100 * time.Millisecond
+
 // drainRate measures how fast the queue drains while something waits.
 type drainRate struct {
 	interval float64 // seconds between grants, 0: unknown
@@ -34,7 +37,7 @@
 	if d.busy {
 		passed := now.Sub(d.last).Seconds()
 		if d.interval == 0 {
-			d.interval = passed
+			d.interval = min(passed, maxFirstInterval.Seconds())
 		}
 		passed = min(passed, maxIntervalGrowth*d.interval)
 		d.interval += drainWeight * (passed - d.interval)
--- a/common/converter/endpoint.go
+++ b/common/converter/endpoint.go
@@ -39,6 +39,13 @@
 	return errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
 }
 
+// CanceledThere tells whether an endpoint answered that the attempt was
+// canceled at it. The endpoint works; another entry host took the attempt for
+// one that nobody waits for.
+func CanceledThere(err error) bool {
+	return connect.CodeOf(err) == connect.CodeCanceled && connect.IsWireError(err)
+}
+
 // Refusal gives the reason with which an endpoint refused before it admitted
 // anything, for example "memory-full"; ok is false for all other errors.
 func Refusal(err error) (reason string, ok bool) {
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -197,7 +197,7 @@
 	if err == nil {
 		return allocator.Outcome{Ending: allocator.EndingDone}
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || converter.CanceledThere(err) {
 		return allocator.Outcome{Ending: allocator.EndingCancelled}
 	}
 	return allocator.Outcome{
