Claim the ports of tests' processes until the tests end

Cause: a test chose free ports, closed its listeners and started processes that listen there. Another test binary could choose the same port in between: of ten copies of TestFrozenHostQuotes at a time, five times each, one never started ("is not ready ... connection refused").

Change: ClaimPort, in place of ChoosePort, holds the UDP port of the same number until the test ends, which no other claimer can get; the process listens on TCP. Ruled out: ports that the system gives by itself, which are above the range.

--- a/cmd/emulator/fleet_test.go
+++ b/cmd/emulator/fleet_test.go
@@ -116,17 +116,18 @@
 	urls      []string          // of the entry hosts
 }
 
-// freeAddresses gives addresses that nothing listens on.
+// freeAddresses gives addresses that nothing listens on, claimed until the end
+// of the test.
 func freeAddresses(t *testing.T, count int) []string {
 	t.Helper()
 	var found []string
 	for range count {
-		l, err := socket.ChoosePort()
+		c, err := socket.ClaimPort()
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer func() { _ = l.Close() }()
-		found = append(found, l.Addr().String())
+		t.Cleanup(func() { _ = c.Close() })
+		found = append(found, c.String())
 	}
 	return found
 }
--- a/common/socket/socket_test.go
+++ b/common/socket/socket_test.go
@@ -54,14 +54,17 @@
 	})
 }
 
-func TestChoosePort(t *testing.T) {
+func TestClaimPort(t *testing.T) {
 	i := is.New(t)
 	seen := map[string]bool{}
 	for range 50 {
-		ln, err := socket.ChoosePort()
+		c, err := socket.ClaimPort()
 		i.NoErr(err)
-		defer func() { _ = ln.Close() }()
-		seen[ln.Addr().String()] = true
+		defer func() { _ = c.Close() }()
+		seen[c.String()] = true
+		ln, err := net.Listen("tcp", c.String())
+		i.NoErr(err) // a claimed port is free for the process that it is for
+		i.NoErr(ln.Close())
 	}
 	i.Equal(len(seen), 50)
 }
--- a/emulator/soaker/process.go
+++ b/emulator/soaker/process.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -26,6 +25,7 @@
 	number                    int
 	callers, readiness, peers identifier.Address
 	settings                  string
+	claims                    []*socket.PortClaim
 
 	group *grouper.Group
 
@@ -54,17 +54,14 @@
 
 func newProcess(g *grouper.Group, o Options, n int, store identifier.Address, seeds []identifier.Address) (*process, error) {
 	p := &process{group: g, options: o, number: n, settings: filepath.Join(o.Directory, fmt.Sprintf("host-%d.toml", n))}
-	var held []net.Listener // until all ports are chosen, so that they differ
 	for _, into := range []*identifier.Address{&p.callers, &p.readiness, &p.peers} {
-		ln, err := socket.ChoosePort()
+		c, err := socket.ClaimPort()
 		if err != nil {
-			return nil, eris.Wrap(err, "choose a port")
+			p.release()
+			return nil, eris.Wrap(err, "claim a port")
 		}
-		held = append(held, ln)
-		*into = identifier.Address(ln.Addr().String())
-	}
-	for _, ln := range held {
-		_ = ln.Close()
+		p.claims = append(p.claims, c)
+		*into = identifier.Address(c.String())
 	}
 	quoted := make([]string, len(seeds))
 	for i, a := range seeds {
@@ -74,6 +71,13 @@
 	return p, os.WriteFile(p.settings, []byte(text), 0o600)
 }
 
+// release gives the process's ports up.
+func (p *process) release() {
+	for _, c := range p.claims {
+		_ = c.Close() // nothing was sent on it
+	}
+}
+
 func (p *process) logName() string {
 	return fmt.Sprintf("host-%d.log", p.number)
 }
--- a/emulator/soaker/soaker.go
+++ b/emulator/soaker/soaker.go
@@ -120,6 +120,7 @@
 func (s *site) end() {
 	for _, p := range s.hosts {
 		p.kill()
+		p.release()
 	}
 	s.group.Stop()
 	_ = s.group.Wait() // stand-ins give no error
--- a/scripts_test.go
+++ b/scripts_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -44,16 +43,15 @@
 	return dir
 }
 
-// setPorts finds free ports. They are all held until the last is found, so
-// that no two are equal.
+// setPorts claims free ports for the script's programs.
 func setPorts(e *testscript.Env) error {
 	for n := range portCount {
-		l, err := socket.ChoosePort()
+		c, err := socket.ClaimPort()
 		if err != nil {
 			return err
 		}
-		defer func() { _ = l.Close() }() // the script's programs listen next
-		e.Setenv(fmt.Sprintf("P%d", n), fmt.Sprint(l.Addr().(*net.TCPAddr).Port))
+		e.Defer(func() { _ = c.Close() }) // only a lock on the number
+		e.Setenv(fmt.Sprintf("P%d", n), fmt.Sprint(c.Port()))
 	}
 	return nil
 }
