Refuse at once what can't start in time, and keep nothing for those who left

Of those placed at the last moment half had their first event after the objective, since prompts took 0.45 s to be read and not 0.2 s. A new property test found a leak: a home that gave up an ask just when its answer was on the way left room counted as taken for 30 s.

Changes: admitter refuses a fresh request by those on time before it, a late one by the late ones before it, at the pace of late turns for 2 s and of all turns then; returns follow one another. The placing host counts a request as on time by how long prompts take of late (readingTime). RoomDrop tells the placing host that nobody waits for an ask, and what it gave is taken back.

Ruled out: a cap on the time to return (a caller bounds it by itself).

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -10,7 +10,7 @@
 //	if key, ok := q.Next(now); ok {
 //		q.Take(key, now)
 //		/* look for room */
-//		q.Granted(now) // or q.Return(wish)
+//		q.Granted(&wish, now) // or q.Return(wish)
 //	}
 //
 // # Who goes first
@@ -21,9 +21,18 @@
 // urgent before the less urgent and the earlier before the later; those that
 // can't be on time any more follow, the oldest first. They get a share of the
 // turns in any case, so that none starves while fresh requests keep coming.
+//
+// # Who is refused
+//
+// A request is refused when it comes, or once it is late, if it can't be
+// expected to start in time in that order: a fresh one waits only for those that
+// can be on time before it, a late one for the turns that late ones get. Callers
+// that are refused are told to come back one after another, once what waits has
+// been served and those have returned who were refused before.
 package admitter
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -37,6 +46,8 @@
 	intervalWeight = 0.15
 	// longestInterval bounds what one pause counts for in that mean.
 	longestInterval = time.Second
+	// burstHorizon is how long fresh requests are expected to go before late ones.
+	burstHorizon = 2 * time.Second
 	// minRetryAfter keeps callers that were refused from coming straight back.
 	minRetryAfter = 100 * time.Millisecond
 )
@@ -70,12 +81,37 @@
 	options  Options
 	random   *rand.Rand
 	waiting  []Wish
-	credit   float64 // turns that late requests are owed
-	interval float64 // mean seconds between grants while requests wait; 0: unknown
-	granted  time.Time
+	credit   float64   // turns that late requests are owed
+	all      pace      // of all grants
+	late     pace      // of grants to late requests
+	returned time.Time // when the last of the callers that were refused returns
+}
+
+// pace is the mean time between grants while requests wait.
+type pace struct {
+	interval float64 // seconds; 0: unknown
+	last     time.Time
 	backlog  bool // requests waited at the last grant
 }
 
+// granted notes a grant; waiting are the requests that go on waiting.
+func (p *pace) granted(now time.Time, waiting int) {
+	if p.backlog {
+		passed := min(now.Sub(p.last), longestInterval).Seconds()
+		if p.interval == 0 {
+			p.interval = passed
+		}
+		p.interval += intervalWeight * (passed - p.interval)
+	}
+	p.last = now
+	p.backlog = waiting > 0
+}
+
+// wait gives how long count grants take.
+func (p *pace) wait(count int) time.Duration {
+	return time.Duration(float64(count) * p.interval * float64(time.Second))
+}
+
 // New gives an empty queue.
 func New(o Options) *Queue {
 	if o.LateShare <= 0 {
@@ -90,24 +126,66 @@
 }
 
 // Push lets a request wait. ok is false if it can't be expected to start in
-// time; retryAfter says then when the queue should have drained.
+// time; retryAfter says then when to come back.
 func (q *Queue) Push(w Wish, now time.Time) (retryAfter time.Duration, ok bool) {
-	wait := q.ExpectedWait(len(q.waiting))
-	if len(q.waiting) > 0 && now.Add(wait).After(w.StartBy) {
-		return q.spread(wait), false
+	if len(q.waiting) > 0 && q.hopeless(&w, now) {
+		return q.RetryAfter(now), false
 	}
 	q.waiting = append(q.waiting, w)
 	return 0, true
 }
 
-// ExpectedWait gives how long a request with count others before it waits.
-func (q *Queue) ExpectedWait(count int) time.Duration {
-	return time.Duration(float64(count) * q.interval * float64(time.Second))
+// hopeless tells whether a request that comes now can't be expected to start in
+// time: neither while it can be on time nor, once it is late, in its turn.
+func (q *Queue) hopeless(w *Wish, now time.Time) bool {
+	ahead, late := 0, 0
+	for i := range q.waiting {
+		o := &q.waiting[i]
+		switch {
+		case now.After(o.OnTimeBy):
+			late++
+		case !before(w, o):
+			ahead++
+		}
+	}
+	turns := q.freshTurns(w.OnTimeBy.Sub(now), late > 0)
+	if ahead <= turns {
+		return false
+	}
+	late += ahead - turns // they will be late before it
+	return later(now, w.OnTimeBy).Add(q.lateWait(late)).After(w.StartBy)
+}
+
+// freshTurns gives how many requests that can be on time start within d.
+func (q *Queue) freshTurns(d time.Duration, late bool) int {
+	if q.all.interval == 0 {
+		return math.MaxInt
+	}
+	turns := max(0, d.Seconds()) / q.all.interval
+	if late {
+		turns *= 1 - q.options.LateShare
+	}
+	return int(turns)
 }
 
-// RetryAfter gives when a caller should come back that has been refused now.
-func (q *Queue) RetryAfter() time.Duration {
-	return q.spread(q.ExpectedWait(len(q.waiting)))
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// ExpectedWait gives how long it takes until all that waits has been served.
+func (q *Queue) ExpectedWait() time.Duration {
+	return q.all.wait(len(q.waiting))
+}
+
+// RetryAfter gives when a caller should come back that is refused now: after
+// those that wait, and after those that were refused before it.
+func (q *Queue) RetryAfter(now time.Time) time.Duration {
+	drained := now.Add(q.ExpectedWait())
+	q.returned = later(drained, q.returned.Add(q.all.wait(1)))
+	return q.spread(q.returned.Sub(now))
 }
 
 // spread draws a time around d, so that callers don't return together.
@@ -126,11 +204,17 @@
 	return true
 }
 
-// Expired takes out the requests that can't start in time any more.
+// Expired takes out the requests that can't start in time any more: their time
+// has passed, or they are late and too many late ones go before them.
 func (q *Queue) Expired(now time.Time) []Key {
 	var expired []Key
+	late := q.lateRanks(now)
 	q.waiting = slices.DeleteFunc(q.waiting, func(w Wish) bool {
-		if now.Before(w.StartBy) {
+		starts := now
+		if n, ok := late[w.Key]; ok {
+			starts = now.Add(q.lateWait(n))
+		}
+		if starts.Before(w.StartBy) {
 			return false
 		}
 		expired = append(expired, w.Key)
@@ -139,6 +223,22 @@
 	return expired
 }
 
+// lateRanks gives how many late requests go before each of them.
+func (q *Queue) lateRanks(now time.Time) map[Key]int {
+	var late []Wish
+	for _, w := range q.waiting {
+		if now.After(w.OnTimeBy) {
+			late = append(late, w)
+		}
+	}
+	slices.SortFunc(late, func(a, b Wish) int { return a.Arrived.Compare(b.Arrived) })
+	ranks := make(map[Key]int, len(late))
+	for n, w := range late {
+		ranks[w.Key] = n
+	}
+	return ranks
+}
+
 // Next gives the request whose turn it is, without taking it out.
 func (q *Queue) Next(now time.Time) (Key, bool) {
 	onTime, late := q.first(now)
@@ -179,19 +279,42 @@
 	return a.Arrived.Before(b.Arrived)
 }
 
-// Take takes out a request for which room is looked for.
-func (q *Queue) Take(k Key, now time.Time) {
+// Take takes out a request for which room is looked for; false: it doesn't wait.
+func (q *Queue) Take(k Key, now time.Time) (Wish, bool) {
 	at := slices.IndexFunc(q.waiting, func(w Wish) bool { return w.Key == k })
 	if at < 0 {
-		return
+		return Wish{}, false
 	}
-	q.account(&q.waiting[at], now)
+	w := q.waiting[at]
+	q.account(&w, now)
 	q.waiting = slices.Delete(q.waiting, at, at+1)
+	return w, true
 }
 
 // Granted notes that a request that was taken out has been given room.
-func (q *Queue) Granted(now time.Time) {
-	q.learn(now)
+func (q *Queue) Granted(w *Wish, now time.Time) {
+	q.all.granted(now, len(q.waiting))
+	late := len(q.lateRanks(now))
+	switch {
+	case now.After(w.OnTimeBy):
+		q.late.granted(now, late)
+	case late == 0:
+		q.late.backlog = false
+	case !q.late.backlog:
+		q.late.last = now
+		q.late.backlog = true
+	}
+}
+
+// lateWait gives how long a late request waits that has count late ones before
+// it: at the pace of late requests while the burst goes on, then at that of all.
+func (q *Queue) lateWait(count int) time.Duration {
+	wait := q.late.wait(count)
+	if wait <= burstHorizon {
+		return wait
+	}
+	inBurst := int(burstHorizon.Seconds() / q.late.interval)
+	return min(wait, burstHorizon+q.all.wait(count-inBurst))
 }
 
 // account keeps what late requests are owed.
@@ -212,16 +335,3 @@
 func (q *Queue) Return(w Wish) {
 	q.waiting = append(q.waiting, w)
 }
-
-// learn measures the time between grants while requests wait.
-func (q *Queue) learn(now time.Time) {
-	if q.backlog {
-		passed := min(now.Sub(q.granted), longestInterval).Seconds()
-		if q.interval == 0 {
-			q.interval = passed
-		}
-		q.interval += intervalWeight * (passed - q.interval)
-	}
-	q.granted = now
-	q.backlog = len(q.waiting) > 0
-}
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -30,8 +30,9 @@
 	t.Helper()
 	k, ok := q.Next(at(now))
 	is.New(t).True(ok)
-	q.Take(k, at(now))
-	q.Granted(at(now))
+	w, ok := q.Take(k, at(now))
+	is.New(t).True(ok)
+	q.Granted(&w, at(now))
 	return k
 }
 
@@ -91,8 +92,8 @@
 				continue
 			}
 			if k, ok := q.Next(at(now)); ok {
-				q.Take(k, at(now))
-				q.Granted(at(now))
+				w, _ := q.Take(k, at(now))
+				q.Granted(&w, at(now))
 				waited := now - arrivals[k]
 				longest = max(longest, int(waited.Milliseconds()))
 				if waited <= 500*time.Millisecond {
@@ -115,6 +116,56 @@
 	})
 }
 
+// TestOverload plays a burst of twice what can be served, whose requests can be
+// late by 2.7 s at most.
+func TestOverload(t *testing.T) {
+	const (
+		arrival = 7 * time.Millisecond
+		service = 14 * time.Millisecond
+		onTime  = 550 * time.Millisecond
+		startBy = 3250 * time.Millisecond
+	)
+	q := admitter.New(admitter.Options{})
+	arrivals := map[admitter.Key]time.Duration{}
+	next, served, inTime, refused := admitter.Key(0), 0, 0, 0
+	longest, total := time.Duration(0), time.Duration(0) // that those waited who were refused
+	for now := time.Duration(0); now < 5*time.Second; now += time.Millisecond {
+		if now%arrival == 0 {
+			next++
+			arrivals[next] = now
+			w := admitter.Wish{Key: next, Arrived: at(now), OnTimeBy: at(now + onTime), StartBy: at(now + startBy)}
+			if _, ok := q.Push(w, at(now)); !ok {
+				refused++
+			}
+		}
+		for _, k := range q.Expired(at(now)) {
+			refused++
+			total += now - arrivals[k]
+			longest = max(longest, now-arrivals[k])
+		}
+		if now%service != 0 {
+			continue
+		}
+		if k, ok := q.Next(at(now)); ok {
+			w, _ := q.Take(k, at(now))
+			q.Granted(&w, at(now))
+			served++
+			if now-arrivals[k] <= onTime {
+				inTime++
+			}
+		}
+	}
+	t.Run("those that start are on time, but for the share of late ones", func(t *testing.T) {
+		is.New(t).True(float64(inTime) > 0.85*float64(served))
+	})
+	t.Run("those that are refused hear of it before they would be late", func(t *testing.T) {
+		is.New(t).True(refused > 0 && total/time.Duration(refused) < onTime)
+	})
+	t.Run("none waits until it can't be served any more", func(t *testing.T) {
+		is.New(t).True(longest < startBy-time.Second)
+	})
+}
+
 func TestStarvation(t *testing.T) {
 	t.Run("a late request gets its turn while fresh ones keep coming", func(t *testing.T) {
 		i := is.New(t)
@@ -157,12 +208,35 @@
 		i.True(!ok) // some 15 s of work wait, and it could wait for 10 s
 		i.True(retryAfter > 5*time.Second)
 	})
+	t.Run("come one after another for those who are told to return", func(t *testing.T) {
+		i := is.New(t)
+		q := admitter.New(admitter.Options{})
+		for k := range admitter.Key(40) {
+			q.Push(wish(k, 0), at(0))
+		}
+		for n := range 10 { // one start each 100 ms
+			serve(t, q, time.Duration(n)*100*time.Millisecond)
+		}
+		first, last := time.Duration(0), time.Duration(0)
+		const refused = 100
+		for n := range refused {
+			d := q.RetryAfter(at(time.Second))
+			if n < refused/10 {
+				first += d
+			}
+			if n >= refused-refused/10 {
+				last += d
+			}
+		}
+		// 100 starts, each 100 ms, lie between the first and the last.
+		i.True(last-first > refused/10*6*time.Second)
+	})
 	t.Run("spread returns", func(t *testing.T) {
 		i := is.New(t)
 		q := admitter.New(admitter.Options{})
 		seen := map[time.Duration]bool{}
 		for range 20 {
-			d := q.RetryAfter()
+			d := q.RetryAfter(at(0))
 			i.True(d >= 50*time.Millisecond)
 			seen[d] = true
 		}
--- a/peerwire/kinds.go
+++ b/peerwire/kinds.go
@@ -62,4 +62,6 @@
 	KindRoomEnd
 	// KindRoomPing asks whether a host still places requests.
 	KindRoomPing
+	// KindRoomDrop tells that nobody waits for an ask's answer any more.
+	KindRoomDrop
 )
--- a/peerwire/room.go
+++ b/peerwire/room.go
@@ -7,6 +7,8 @@
 type RoomAsk struct {
 	Service string `msg:"service"`
 	Request string `msg:"request"`
+	// Ask numbers the asks of a host, for RoomDrop.
+	Ask uint64 `msg:"ask"`
 	// Prompt and Tokens count the prompt, and all that is to be reserved.
 	Prompt uint32 `msg:"prompt"`
 	Tokens uint32 `msg:"tokens"`
@@ -41,6 +43,12 @@
 	Verdict uint8 `msg:"verdict"`
 }
 
+// RoomDrop tells the host that was asked for room that nobody waits for the
+// answer any more, which may be on its way.
+type RoomDrop struct {
+	Ask uint64 `msg:"ask"`
+}
+
 // RoomPing asks whether a host still places requests.
 type RoomPing struct{}
 
--- a/peerwire/room_gen.go
+++ b/peerwire/room_gen.go
@@ -214,6 +214,12 @@
 				err = msgp.WrapError(err, "Request")
 				return
 			}
+		case "ask":
+			z.Ask, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Ask")
+				return
+			}
 		case "prompt":
 			z.Prompt, err = dc.ReadUint32()
 			if err != nil {
@@ -301,9 +307,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *RoomAsk) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 10
+	// map header, size 11
 	// write "service"
-	err = en.Append(0x8a, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	err = en.Append(0x8b, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	if err != nil {
 		return
 	}
@@ -322,6 +328,16 @@
 		err = msgp.WrapError(err, "Request")
 		return
 	}
+	// write "ask"
+	err = en.Append(0xa3, 0x61, 0x73, 0x6b)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Ask)
+	if err != nil {
+		err = msgp.WrapError(err, "Ask")
+		return
+	}
 	// write "prompt"
 	err = en.Append(0xa6, 0x70, 0x72, 0x6f, 0x6d, 0x70, 0x74)
 	if err != nil {
@@ -422,13 +438,16 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RoomAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
+	// map header, size 11
 	// string "service"
-	o = append(o, 0x8a, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = append(o, 0x8b, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	o = msgp.AppendString(o, z.Service)
 	// string "request"
 	o = append(o, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
 	o = msgp.AppendString(o, z.Request)
+	// string "ask"
+	o = append(o, 0xa3, 0x61, 0x73, 0x6b)
+	o = msgp.AppendUint64(o, z.Ask)
 	// string "prompt"
 	o = append(o, 0xa6, 0x70, 0x72, 0x6f, 0x6d, 0x70, 0x74)
 	o = msgp.AppendUint32(o, z.Prompt)
@@ -492,6 +511,12 @@
 				err = msgp.WrapError(err, "Request")
 				return
 			}
+		case "ask":
+			z.Ask, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ask")
+				return
+			}
 		case "prompt":
 			z.Prompt, bts, err = msgp.ReadUint32Bytes(bts)
 			if err != nil {
@@ -580,7 +605,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RoomAsk) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Request) + 7 + msgp.Uint32Size + 7 + msgp.Uint32Size + 7 + msgp.Int64Size + 11 + msgp.Int64Size + 9 + msgp.Int64Size + 9 + msgp.IntSize + 8 + msgp.ArrayHeaderSize
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Request) + 4 + msgp.Uint64Size + 7 + msgp.Uint32Size + 7 + msgp.Uint32Size + 7 + msgp.Int64Size + 11 + msgp.Int64Size + 9 + msgp.Int64Size + 9 + msgp.IntSize + 8 + msgp.ArrayHeaderSize
 	for za0001 := range z.Exclude {
 		s += msgp.StringPrefixSize + len(z.Exclude[za0001])
 	}
@@ -591,6 +616,109 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *RoomDrop) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "ask":
+			z.Ask, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Ask")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z RoomDrop) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "ask"
+	err = en.Append(0x81, 0xa3, 0x61, 0x73, 0x6b)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Ask)
+	if err != nil {
+		err = msgp.WrapError(err, "Ask")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z RoomDrop) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "ask"
+	o = append(o, 0x81, 0xa3, 0x61, 0x73, 0x6b)
+	o = msgp.AppendUint64(o, z.Ask)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RoomDrop) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "ask":
+			z.Ask, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ask")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z RoomDrop) Msgsize() (s int) {
+	s = 1 + 4 + msgp.Uint64Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *RoomEnd) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
--- a/reserver/desk.go
+++ b/reserver/desk.go
@@ -48,6 +48,7 @@
 type waiter struct {
 	*Wish
 	home   identifier.Incarnation
+	ask    uint64 // of the home
 	answer chan placed
 	// gone is set once nobody waits for the answer.
 	gone bool
@@ -67,6 +68,7 @@
 	free     chan struct{} // told when room may have become free
 	stager   *stager.Stager
 	holding  holding
+	reading  readingTime
 }
 
 func newDesk(r *Reserver, s identifier.Service) *desk {
@@ -87,8 +89,8 @@
 }
 
 // place waits for room. Its error is NotRun.
-func (d *desk) place(ctx context.Context, home identifier.Incarnation, w *Wish) (Plan, error) {
-	a, err := d.enter(home, w)
+func (d *desk) place(ctx context.Context, home identifier.Incarnation, ask uint64, w *Wish) (Plan, error) {
+	a, err := d.enter(home, ask, w)
 	if err != nil {
 		return Plan{}, err
 	}
@@ -101,18 +103,19 @@
 	return Plan{}, classifier.NotRun(classifier.ReasonCanceled, 0, "wait for room at service %q ended: %w", d.service, context.Cause(ctx))
 }
 
-func (d *desk) enter(home identifier.Incarnation, w *Wish) (*waiter, error) {
+func (d *desk) enter(home identifier.Incarnation, ask uint64, w *Wish) (*waiter, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.last++
 	w.Key = d.last
+	w.OnTimeBy = w.OnTimeBy.Add(-d.reading.delay())
 	now := time.Now()
 	retryAfter, ok := d.queue.Push(w.Wish, now)
 	if !ok {
-		d.log("room-refused", w, zap.Duration("expected-wait", d.queue.ExpectedWait(d.queue.Len())), zap.Duration("retry-after", retryAfter))
+		d.log("room-refused", w, zap.Duration("expected-wait", d.queue.ExpectedWait()), zap.Duration("retry-after", retryAfter))
 		return nil, classifier.NotRun(classifier.ReasonQueueFull, retryAfter, "%d requests to service %q wait, more than can be served in time", d.queue.Len(), d.service)
 	}
-	a := &waiter{Wish: w, home: home, answer: make(chan placed, 1)}
+	a := &waiter{Wish: w, home: home, ask: ask, answer: make(chan placed, 1)}
 	d.waiters[w.Key] = a
 	if d.searches < maxSearches {
 		d.searches++
@@ -169,7 +172,7 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	for _, k := range d.queue.Expired(now) {
-		err := classifier.NotRun(classifier.ReasonDeadline, d.queue.RetryAfter(), "no room at service %q in time", d.service)
+		err := classifier.NotRun(classifier.ReasonDeadline, d.queue.RetryAfter(now), "no room at service %q in time", d.service)
 		d.log("room-refused", d.waiters[k].Wish, zap.Error(err))
 		d.waiters[k].answer <- placed{err: err}
 		delete(d.waiters, k)
@@ -201,7 +204,7 @@
 		a.answer <- p
 	}
 	if p.err == nil {
-		d.queue.Granted(time.Now())
+		d.queue.Granted(&a.Wish.Wish, time.Now())
 		d.log("room-given", a.Wish, zap.String("endpoint", string(p.plan.Decode.Name)))
 	}
 	d.mu.Unlock()
@@ -350,7 +353,10 @@
 	if prefill != nil && prefill.Stage != registrar.StagePrefill {
 		prefill = nil
 	}
-	g := &grant{home: a.home, prefill: prefill, decode: e, prompt: a.Prompt, tokens: a.Tokens, service: d.service}
+	g := &grant{
+		home: a.home, ask: a.ask, service: d.service, reservation: reservation,
+		prefill: prefill, decode: e, prompt: a.Prompt, tokens: a.Tokens,
+	}
 	d.expect(g)
 	id := r.give(g)
 	return Plan{Prefill: prefill, Decode: e, Reservation: reservation, grant: id}
--- a/reserver/grants.go
+++ b/reserver/grants.go
@@ -22,13 +22,16 @@
 // grant is room that this host has given and that counts as taken.
 type grant struct {
 	home    identifier.Incarnation
+	ask     uint64              // of the home; 0: this host's own
 	prefill *registrar.Endpoint // nil: none, or it has ended
 	decode  *registrar.Endpoint
 	prompt  identifier.Tokens
 	tokens  identifier.Tokens
 	service identifier.Service
-	given   time.Time
-	expires time.Time
+	// reservation at the decode engine; "": it takes none.
+	reservation Reservation
+	given       time.Time
+	expires     time.Time
 	// alone is set if the prefill engine had nothing else to read.
 	alone bool
 }
@@ -120,6 +123,8 @@
 	r.forget(func(g *grant) bool { return dead[g.home] })
 }
 
+// forget takes back grants whose home ends them no more, and what may still be
+// reserved for them.
 func (r *Reserver) forget(which func(*grant) bool) {
 	r.mu.Lock()
 	var ids []grantID
@@ -130,6 +135,8 @@
 	}
 	r.mu.Unlock()
 	for _, id := range ids {
-		r.takeBack(id, false)
+		if g := r.takeBack(id, false); g != nil && time.Since(g.given) < reservationLife {
+			r.Cancel(Plan{Decode: g.decode, Reservation: g.reservation})
+		}
 	}
 }
--- a/reserver/links.go
+++ b/reserver/links.go
@@ -45,6 +45,7 @@
 	to.Handle(peerwire.KindRoomAsk, r.handleAsk)
 	to.Handle(peerwire.KindRoomEnd, r.handleEnd)
 	to.Handle(peerwire.KindRoomPing, handlePing)
+	to.Handle(peerwire.KindRoomDrop, r.handleDrop)
 }
 
 // owner gives the host that places a service's requests; false: this one.
@@ -66,6 +67,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	ask := encodeAsk(w, time.Now())
+	ask.Ask = r.asks.Next()
 	var answer peerwire.RoomAnswer
 	done := make(chan error, 1)
 	r.deps.Group.Run(func(context.Context) {
@@ -77,17 +79,39 @@
 		select {
 		case err := <-done:
 			if err != nil {
+				r.drop(owner, ask.Ask)
 				return Plan{}, asNotRun(err)
 			}
 			return r.decodeAnswer(owner, &answer)
 		case <-alive.C:
 			if !r.ping(ctx, owner) && ctx.Err() == nil {
+				r.drop(owner, ask.Ask)
 				return Plan{}, errSilent
 			}
 		}
 	}
 }
 
+// drop tells a host that nobody waits for its answer any more. What it gave may
+// have been on its way, and would count as taken until its grant expires.
+func (r *Reserver) drop(owner gossiper.Member, ask uint64) {
+	r.deps.Group.Run(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+		defer cancel()
+		// A host that doesn't hear of it lets the grant expire.
+		_ = r.deps.Links.Send(ctx, owner.Address, peerwire.KindRoomDrop, &peerwire.RoomDrop{Ask: ask})
+	})
+}
+
+func (r *Reserver) handleDrop(_ context.Context, from messenger.Peer, payload []byte) (msgp.Marshaler, error) {
+	var m peerwire.RoomDrop
+	if _, err := m.UnmarshalMsg(payload); err != nil {
+		return nil, classifier.NotRun(classifier.ReasonBadRequest, 0, "end of an ask is malformed: %w", err)
+	}
+	r.forget(func(g *grant) bool { return g.home == from.Incarnation && g.ask == m.Ask })
+	return nil, nil
+}
+
 // asNotRun gives the failure of a question that runs no request.
 func asNotRun(err error) error {
 	failure := *classifier.Of(err)
@@ -114,10 +138,14 @@
 	if _, err := ask.UnmarshalMsg(payload); err != nil {
 		return nil, classifier.NotRun(classifier.ReasonBadRequest, 0, "ask for room is malformed: %w", err)
 	}
-	p, err := r.placeHere(ctx, from.Incarnation, decodeAsk(&ask, time.Now()))
+	p, err := r.placeHere(ctx, from.Incarnation, ask.Ask, decodeAsk(&ask, time.Now()))
 	if err != nil {
 		return nil, err
 	}
+	if ctx.Err() != nil { // nobody waits for the answer any more
+		r.GiveBack(p)
+		return nil, classifier.NotRun(classifier.ReasonCanceled, 0, "the ask was canceled: %w", context.Cause(ctx))
+	}
 	answer := &peerwire.RoomAnswer{Grant: uint64(p.grant), Decode: string(p.Decode.Name), Reservation: string(p.Reservation)}
 	if p.Prefill != nil {
 		answer.Prefill = string(p.Prefill.Name)
--- /dev/null
+++ b/reserver/property_test.go
@@ -0,0 +1,65 @@
+package reserver_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/jackdawthread/jackdawthread/common/grouper"
+	"github.com/jackdawthread/jackdawthread/placer"
+)
+
+// TestNothingIsKept has callers at all hosts place requests, wait for a random
+// time, leave while they wait, give plans back or end them, in any order. No
+// reservation may be left in the end, whoever lost its way.
+func TestNothingIsKept(t *testing.T) {
+	const (
+		callers = 24
+		calls   = 12
+	)
+	for seed := range uint64(3) {
+		f := newFleet(t, 3)
+		work := grouper.New(t.Context())
+		for n := range callers {
+			random := rand.New(rand.NewPCG(seed, uint64(n)))
+			work.Run(func(ctx context.Context) {
+				for range calls {
+					f.callOnce(ctx, random)
+				}
+			})
+		}
+		f.is.NoErr(work.Wait())
+		f.eventually("no reservation is left", func() bool {
+			_, held, _ := f.engines.count()
+			return held == 0
+		})
+		for _, h := range f.hosts {
+			f.is.Equal(h.reserver.Waiting(), 0)
+		}
+		p, err := f.place(t.Context(), 0, time.Second) // the room is there again
+		f.is.NoErr(err)
+		f.done(0, p)
+	}
+}
+
+// callOnce plays one request of a caller.
+func (f *fleet) callOnce(ctx context.Context, random *rand.Rand) {
+	host := random.IntN(len(f.hosts))
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(random.IntN(150))*time.Millisecond)
+	defer cancel()
+	p, err := f.place(ctx, host, time.Duration(random.IntN(300))*time.Millisecond)
+	if err != nil {
+		return // it was refused, or left
+	}
+	time.Sleep(time.Duration(random.IntN(30)) * time.Millisecond)
+	switch random.IntN(3) {
+	case 0:
+		f.hosts[host].reserver.GiveBack(p)
+	case 1:
+		f.hosts[host].reserver.PrefillEnded(p, placer.Outcome{Verdict: placer.VerdictBroken})
+		f.hosts[host].reserver.GiveBack(p)
+	default:
+		f.done(host, p)
+	}
+}
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -118,6 +118,7 @@
 type Reserver struct {
 	deps    Deps
 	breaker breaker
+	asks    identifier.Sequence // of other hosts
 
 	mu     sync.Mutex
 	desks  map[identifier.Service]*desk
@@ -144,11 +145,12 @@
 		r.deps.Log.Info("placing-host-lost",
 			zap.String("request", string(w.Request)), zap.String("peer", string(owner.Host)), zap.Error(err))
 	}
-	return r.placeHere(ctx, r.deps.Self, &w)
+	return r.placeHere(ctx, r.deps.Self, 0, &w)
 }
 
-func (r *Reserver) placeHere(ctx context.Context, home identifier.Incarnation, w *Wish) (Plan, error) {
-	return r.desk(w.Service).place(ctx, home, w)
+// placeHere places a request of a home, which numbered its ask.
+func (r *Reserver) placeHere(ctx context.Context, home identifier.Incarnation, ask uint64, w *Wish) (Plan, error) {
+	return r.desk(w.Service).place(ctx, home, ask, w)
 }
 
 func (r *Reserver) desk(s identifier.Service) *desk {
--- a/reserver/stages.go
+++ b/reserver/stages.go
@@ -177,7 +177,10 @@
 	took := now.Sub(g.given)
 	if !prefill {
 		d.stager.Answered(g.tokens, took)
-	} else if g.alone {
+		return
+	}
+	d.reading.add(took)
+	if g.alone {
 		d.stager.Prefilled(g.prompt, took)
 	}
 }
