Keep engines of both stages in each data centre

Change: the engines that are ordered come from the data centre that has the most of their stage left. Ruled out: keeping two prefill engines a data centre, which small pools can't spare.

The subtest of TestNext on data centres fails on the old choice.

--- a/stager/stager.go
+++ b/stager/stager.go
@@ -23,7 +23,9 @@
 package stager
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/jackdawthread/jackdawthread/common/identifier"
@@ -169,7 +171,7 @@
 	if stage != s.turn && now.Sub(s.last) < turnInterval && !s.last.IsZero() {
 		return nil
 	}
-	orders := s.order(from[len(from)-min(missing, spared(size)):], stage, now)
+	orders := s.order(spread(from, min(missing, spared(size))), stage, now)
 	prefill, decode = s.count(all, now)
 	s.counted = counts{len(prefill), len(decode)} // this change was expected
 	return orders
@@ -180,6 +182,29 @@
 	return max(1, size/sparedShare)
 }
 
+// spread gives count of the engines, each from the data centre that has the most
+// of them left, so that each data centre keeps engines of the stage.
+func spread(engines []*registrar.Endpoint, count int) []*registrar.Endpoint {
+	left := map[identifier.DataCenter][]*registrar.Endpoint{}
+	for _, e := range engines {
+		left[e.DataCenter] = append(left[e.DataCenter], e)
+	}
+	names := slices.Sorted(maps.Keys(left))
+	taken := make([]*registrar.Endpoint, 0, count)
+	for range count {
+		most := names[0]
+		for _, n := range names {
+			if len(left[n]) > len(left[most]) {
+				most = n
+			}
+		}
+		last := len(left[most]) - 1
+		taken = append(taken, left[most][last])
+		left[most] = left[most][:last]
+	}
+	return taken
+}
+
 // order notes orders of engines to a stage.
 func (s *Stager) order(engines []*registrar.Endpoint, stage registrar.Stage, now time.Time) []Order {
 	var orders []Order
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -129,6 +129,23 @@
 		i.True(orders >= 5)
 		i.True(last < 9*time.Second)
 	})
+	t.Run("each data centre keeps engines of both stages", func(t *testing.T) {
+		// A data centre that is cut off has to read its prompts by itself.
+		i := is.New(t)
+		all := pool(6, 9)
+		for n, dc := range []identifier.DataCenter{"a", "a", "b", "b", "c", "c", "a", "a", "a", "b", "b", "b", "c", "c", "c"} {
+			all[n].DataCenter = dc
+		}
+		prefill, _, _ := settle(measured(3500*time.Millisecond), all)
+		i.True(prefill >= 3 && prefill < 6)
+		left := map[identifier.DataCenter]int{}
+		for _, e := range all {
+			if e.Stage == registrar.StagePrefill {
+				left[e.DataCenter]++
+			}
+		}
+		i.Equal(len(left), 3)
+	})
 	t.Run("the prefill rate is the slope alone", func(t *testing.T) {
 		i := is.New(t)
 		_, ok := stager.New().PrefillRate()
