--- a/emulator/drafter/drafter_test.go
+++ b/emulator/drafter/drafter_test.go
@@ -71,7 +71,7 @@
 	t.Run("the second comes in the recovery from the first", func(t *testing.T) {
 		i := is.New(t)
 		for _, d := range drafter.Pairs(c, 7, 20) {
-			events := append(d.Plan, d.Faults...)
+			events := slices.Concat(d.Plan, d.Faults)
 			i.Equal(len(events), 8)
 			var times []float64
 			for _, e := range events {
--- a/reserver/links.go
+++ b/reserver/links.go
@@ -79,12 +79,15 @@
 		select {
 		case err := <-done:
 			if err != nil {
-				r.drop(owner, ask.Ask)
+				if classifier.VerdictOf(err) != classifier.VerdictNotRun {
+					r.drop(owner, ask.Ask)
+				}
 				return Plan{}, asNotRun(err)
 			}
 			return r.decodeAnswer(owner, &answer)
 		case <-alive.C:
 			if !r.ping(ctx, owner) && ctx.Err() == nil {
+				cancel(errSilent)
 				r.drop(owner, ask.Ask)
 				return Plan{}, errSilent
 			}
