Let as many requests look for room at once as the pool can take

Change: one search for each four engines, at most 48; those beyond four end when they find no room. Small pools keep four.

Ruled out as the only cause: memory is full in the same bursts, so the gain is small. A first reading of 43% of memory in use was wrong, as the log bounds its lines.

TestPlace/a_large_pool plays 63 engines that answer after 20 ms and fails with four searches (0.63 s against a bound of 0.4 s).

--- a/reserver/desk.go
+++ b/reserver/desk.go
@@ -26,8 +26,12 @@
 	// reservationLife is how long room is reserved: for the prefill, its
 	// transfer and the queue before both.
 	reservationLife = 1500 * time.Millisecond
-	// maxSearches is how many requests of a service look for room at once.
-	maxSearches = 4
+	// leastSearches is how many requests of a service look for room at once,
+	// also while none is found. A larger pool has one for each enginesPerSearch,
+	// at most mostSearches.
+	leastSearches    = 4
+	enginesPerSearch = 4
+	mostSearches     = 48
 	// maxCandidates bounds the engines that one search asks, and
 	// maxFullCandidates those of them that shouldn't have room.
 	maxCandidates     = 5
@@ -117,11 +121,28 @@
 	}
 	a := &waiter{Wish: w, home: home, ask: ask, answer: make(chan placed, 1)}
 	d.waiters[w.Key] = a
-	if d.searches < maxSearches {
+	d.startSearch()
+	return a, nil
+}
+
+// startSearch starts a search unless enough run; d.mu is held.
+func (d *desk) startSearch() {
+	engines := len(d.reserver.deps.Registry.Snapshot().Endpoints(d.service))
+	if d.searches < min(mostSearches, max(leastSearches, engines/enginesPerSearch)) {
 		d.searches++
 		d.reserver.deps.Group.Run(d.run)
 	}
-	return a, nil
+}
+
+// endSearch tells whether a search that found no room is one too many.
+func (d *desk) endSearch() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.searches <= leastSearches {
+		return false
+	}
+	d.searches--
+	return true
 }
 
 // withdraw forgets a wish, and gives back room that was found for it.
@@ -161,6 +182,9 @@
 			continue
 		}
 		d.putBack(a)
+		if d.endSearch() {
+			return
+		}
 		d.pause(ctx)
 	}
 }
@@ -205,6 +229,9 @@
 	}
 	if p.err == nil {
 		d.queue.Granted(&a.Wish.Wish, time.Now())
+		if d.queue.Len() > 0 {
+			d.startSearch()
+		}
 		d.log("room-given", a.Wish, zap.String("endpoint", string(p.plan.Decode.Name)))
 	}
 	d.mu.Unlock()
--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -36,6 +36,7 @@
 	asked    int
 	canceled int
 	dark     map[identifier.Endpoint]bool
+	delay    time.Duration // of each answer
 }
 
 func newEngines() *engines {
@@ -47,6 +48,7 @@
 }
 
 func (g *engines) Reserve(ctx context.Context, e *registrar.Endpoint, n identifier.Tokens, _ time.Duration) (reserver.Reservation, error) {
+	time.Sleep(g.delay)
 	g.mu.Lock()
 	g.asked++
 	name := reserver.Reservation(fmt.Sprintf("r%d", g.asked))
@@ -95,7 +97,9 @@
 	group   *grouper.Group
 	engines *engines
 	hosts   []*host
-	prompt  identifier.Tokens
+	// registry of all hosts.
+	registry *registrar.Registrar
+	prompt   identifier.Tokens
 }
 
 type host struct {
@@ -120,6 +124,7 @@
 		{Name: "d1", Service: "notes", DataCenter: "a", Stage: registrar.StageDecode},
 		{Name: "d2", Service: "notes", DataCenter: "a", Stage: registrar.StageDecode},
 	})
+	f.registry = registry
 	var seeds []identifier.Address
 	for n := range hosts {
 		h, address := f.start(n, registry)
@@ -274,6 +279,33 @@
 		_, err = f.place(ctx, 0, time.Second)
 		f.is.NoErr(err)
 	})
+	t.Run("a large pool with room is not kept waiting by slow answers of its engines", func(t *testing.T) {
+		const (
+			decodes  = 63
+			requests = 126
+		)
+		f := newFleet(t, 1)
+		f.engines.delay = 20 * time.Millisecond
+		endpoints := []*registrar.Endpoint{{Name: "f", Service: "notes", DataCenter: "a", Stage: registrar.StagePrefill}}
+		for n := range decodes {
+			name := identifier.Endpoint(fmt.Sprintf("d%d", n))
+			endpoints = append(endpoints, &registrar.Endpoint{Name: name, Service: "notes", DataCenter: "a", Stage: registrar.StageDecode})
+		}
+		f.registry.SetEndpoints(endpoints)
+		began := time.Now()
+		work := grouper.New(ctx)
+		for range requests {
+			work.Run(func(ctx context.Context) {
+				_, err := f.place(ctx, 0, 2*time.Second)
+				if err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		f.is.NoErr(work.Wait())
+		// Four at a time would take 126 / 4 * 20 ms = 630 ms.
+		f.is.True(time.Since(began) < 400*time.Millisecond)
+	})
 	t.Run("passes over a dark engine", func(t *testing.T) {
 		f := newFleet(t, 1)
 		f.engines.dark["d1"] = true
