Judge the ends of prefills and decodes in one place

The forwarder had the same end of a verdict twice (prefillOutcome, outcomeOf), and the soak wrote the key of the platform's declarations itself.

Ruled out: a difference between the two that would matter. They differed in one case: a prefill that went silent came to its verdict by the default branch, which is the same verdict, broken.

--- a/emulator/soaker/soaker.go
+++ b/emulator/soaker/soaker.go
@@ -204,7 +204,7 @@
 // configure publishes a new version.
 func (s *site) configure() {
 	s.version++
-	s.store.Put("op/config", standin.Config(s.version, soakMemory))
+	s.store.PutConfig(standin.Config(s.version, soakMemory))
 }
 
 func (s *site) awaitReady(within time.Duration) error {
--- a/emulator/standin/store.go
+++ b/emulator/standin/store.go
@@ -7,7 +7,7 @@
 //	store := standin.NewStore()
 //	address, err := store.Listen(group) // one for each host, to refuse them one by one
 //	runner, err := standin.StartRunner(group, store, standin.RunnerOptions{...})
-//	store.Put("op/config", config)
+//	store.PutConfig(config)
 //	store.SetFault(address, standin.FaultBusy)
 package standin
 
@@ -129,6 +129,11 @@
 	return s.reads
 }
 
+// PutConfig writes the declarations.
+func (s *Store) PutConfig(value []byte) uint64 {
+	return s.Put("op/config", value)
+}
+
 // Put writes an item.
 func (s *Store) Put(key string, value []byte) uint64 {
 	s.mu.Lock()
--- a/forwarder/plain_stream.go
+++ b/forwarder/plain_stream.go
@@ -42,7 +42,7 @@
 	}()
 	o := placer.Outcome{Verdict: placer.VerdictSound}
 	if err != nil {
-		o = s.outcomeOf(ctx, err)
+		o = outcomeOf(ctx, err, 0)
 	}
 	f.deps.Placer.End(at, 0)
 	f.judge(at, o)
--- a/forwarder/prefill.go
+++ b/forwarder/prefill.go
@@ -52,7 +52,7 @@
 	s.observation.at(e)
 	result, err := s.prefillAt(ctx, e)
 	took := time.Since(began)
-	o := prefillOutcome(ctx, err, took)
+	o := outcomeOf(ctx, err, took)
 	if err == nil {
 		s.observation.Prefill = took
 		s.prefills++
@@ -95,19 +95,3 @@
 }
 
 var errSilent = errors.New("the engine has gone silent")
-
-func prefillOutcome(ctx context.Context, err error, took time.Duration) placer.Outcome {
-	c := classifier.Of(err)
-	switch {
-	case err == nil:
-		return placer.Outcome{Verdict: placer.VerdictSound, Latency: took}
-	case ctx.Err() != nil:
-		return placer.Outcome{Verdict: placer.VerdictNone}
-	case c.Reason == classifier.ReasonEndpointRefused:
-		return placer.Outcome{Verdict: placer.VerdictFull}
-	case c.Verdict == classifier.VerdictRan:
-		return placer.Outcome{Verdict: placer.VerdictFailure}
-	default:
-		return placer.Outcome{Verdict: brokenVerdict(c)}
-	}
-}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -132,7 +132,7 @@
 	})
 	if err != nil {
 		s.exclude = append(s.exclude, p.Decode.Name)
-		return s.outcomeOf(ctx, err), s.cause(ctx, err)
+		return outcomeOf(ctx, err, 0), s.cause(ctx, err)
 	}
 	defer response.Close()
 	if l, ok := f.deps.Endpoints.Load(response); ok {
@@ -146,15 +146,15 @@
 			return placer.Outcome{Verdict: placer.VerdictUnfit}, err
 		}
 		s.exclude = append(s.exclude, p.Decode.Name)
-		return s.outcomeOf(ctx, err), err
+		return outcomeOf(ctx, err, 0), err
 	}
 	err = s.relay(ctx, response, p.Decode, watchdog)
 	if err != nil {
 		s.exclude = append(s.exclude, p.Decode.Name)
-		return s.outcomeOf(ctx, err), s.cause(ctx, err)
+		return outcomeOf(ctx, err, 0), s.cause(ctx, err)
 	}
 	s.observation.Answered = p.Decode.Name
-	return placer.Outcome{Verdict: placer.VerdictSound, Latency: time.Since(started)}, nil
+	return outcomeOf(ctx, nil, time.Since(started)), nil
 }
 
 // cause puts a silent engine in place of the canceled context behind it.
@@ -165,9 +165,13 @@
 	return err
 }
 
-func (s *stream) outcomeOf(ctx context.Context, err error) placer.Outcome {
+// outcomeOf tells what the end of a prefill or a decode says of its engine. ctx
+// ended if somebody here ended it.
+func outcomeOf(ctx context.Context, err error, took time.Duration) placer.Outcome {
 	c := classifier.Of(err)
 	switch {
+	case err == nil:
+		return placer.Outcome{Verdict: placer.VerdictSound, Latency: took}
 	case errors.Is(context.Cause(ctx), errSilent):
 		return placer.Outcome{Verdict: placer.VerdictBroken}
 	case ctx.Err() != nil:
