Keep engines for sizes of requests that get too little

Cause: room that becomes free at an engine is seldom enough for a large prompt. Its search fails, it is put back, and the next smaller one takes the room. Then it is late, and late ones get a tenth of the turns, one at a time. Beside that, all prompts were expected to take 350 ms to the first event, so large ones started too late to be on time, and some were given room only to have their caller leave during the prefill. Prompts larger than an engine waited until their time was over.

Now the queue keeps the share that is given room for each size; a size with less than 0.6 of the share of all goes first, and an engine is kept for it (earmarker: the one whose answers should have ended first, one of four at most). The time to the first event goes by the prompt. Too large prompts are refused at once.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -36,6 +36,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/jackdawthread/jackdawthread/common/identifier"
 )
 
 const (
@@ -63,8 +65,15 @@
 	Priority int
 	// OnTimeBy is when it has to start to be on time.
 	OnTimeBy time.Time
+	// Tokens are the memory that it takes.
+	Tokens identifier.Tokens
 	// StartBy is when it has to start to be answered at all.
 	StartBy time.Time
+	// Kept is set while an engine is kept for it: it starts once there is room,
+	// whoever else waits.
+	Kept bool
+	// Unkept is set once no engine could be kept for it in time.
+	Unkept bool
 }
 
 // Options of a Queue; zero fields get defaults.
@@ -81,9 +90,10 @@
 	options  Options
 	random   *rand.Rand
 	waiting  []Wish
-	credit   float64   // turns that late requests are owed
-	all      pace      // of all grants
-	late     pace      // of grants to late requests
+	credit   float64 // turns that late requests are owed
+	all      pace    // of all grants
+	late     pace    // of grants to late requests
+	fairness fairness
 	returned time.Time // when the last of the callers that were refused returns
 }
 
@@ -129,12 +139,18 @@
 // time; retryAfter says then when to come back.
 func (q *Queue) Push(w Wish, now time.Time) (retryAfter time.Duration, ok bool) {
 	if len(q.waiting) > 0 && q.hopeless(&w, now) {
+		q.fairness.add(w.Tokens, false)
 		return q.RetryAfter(now), false
 	}
-	q.waiting = append(q.waiting, w)
+	q.Admit(w)
 	return 0, true
 }
 
+// Admit lets a request wait whatever waits before it.
+func (q *Queue) Admit(w Wish) {
+	q.waiting = append(q.waiting, w)
+}
+
 // hopeless tells whether a request that comes now can't be expected to start in
 // time: neither while it can be on time nor, once it is late, in its turn.
 func (q *Queue) hopeless(w *Wish, now time.Time) bool {
@@ -144,7 +160,7 @@
 		switch {
 		case now.After(o.OnTimeBy):
 			late++
-		case !before(w, o):
+		case !q.before(w, o):
 			ahead++
 		}
 	}
@@ -218,6 +234,7 @@
 			return false
 		}
 		expired = append(expired, w.Key)
+		q.fairness.add(w.Tokens, false)
 		return true
 	})
 	return expired
@@ -227,7 +244,7 @@
 func (q *Queue) lateRanks(now time.Time) map[Key]int {
 	var late []Wish
 	for _, w := range q.waiting {
-		if now.After(w.OnTimeBy) {
+		if now.After(w.OnTimeBy) && !w.Kept {
 			late = append(late, w)
 		}
 	}
@@ -239,6 +256,11 @@
 	return ranks
 }
 
+// Waits tells whether a request waits and isn't taken out.
+func (q *Queue) Waits(k Key) bool {
+	return slices.ContainsFunc(q.waiting, func(w Wish) bool { return w.Key == k })
+}
+
 // Next gives the request whose turn it is, without taking it out.
 func (q *Queue) Next(now time.Time) (Key, bool) {
 	onTime, late := q.first(now)
@@ -264,7 +286,7 @@
 			}
 			continue
 		}
-		if onTime < 0 || before(w, &q.waiting[onTime]) {
+		if onTime < 0 || q.before(w, &q.waiting[onTime]) {
 			onTime = i
 		}
 	}
@@ -272,13 +294,42 @@
 }
 
 // before orders requests that can be on time.
-func before(a, b *Wish) bool {
+func (q *Queue) before(a, b *Wish) bool {
 	if a.Priority != b.Priority {
 		return a.Priority < b.Priority
 	}
+	if u := q.Underserved(a); u != q.Underserved(b) {
+		return u
+	}
 	return a.Arrived.Before(b.Arrived)
 }
 
+// Underserved tells whether requests of about this size are given room much less
+// often than others.
+func (q *Queue) Underserved(w *Wish) bool {
+	return q.fairness.underserved(w.Tokens)
+}
+
+// MostUnderserved gives the waiting request whose size is served least, of those
+// that are underserved and for which an engine may be kept.
+func (q *Queue) MostUnderserved() (Key, bool) {
+	first, least := -1, 0.0
+	for i := range q.waiting {
+		w := &q.waiting[i]
+		if w.Kept || w.Unkept || !q.Underserved(w) {
+			continue
+		}
+		share := q.fairness.share(w.Tokens)
+		if first < 0 || share < least {
+			first, least = i, share
+		}
+	}
+	if first < 0 {
+		return 0, false
+	}
+	return q.waiting[first].Key, true
+}
+
 // Take takes out a request for which room is looked for; false: it doesn't wait.
 func (q *Queue) Take(k Key, now time.Time) (Wish, bool) {
 	at := slices.IndexFunc(q.waiting, func(w Wish) bool { return w.Key == k })
@@ -293,6 +344,7 @@
 
 // Granted notes that a request that was taken out has been given room.
 func (q *Queue) Granted(w *Wish, now time.Time) {
+	q.fairness.add(w.Tokens, true)
 	q.all.granted(now, len(q.waiting))
 	late := len(q.lateRanks(now))
 	switch {
--- a/forwarder/wish.go
+++ b/forwarder/wish.go
@@ -24,7 +24,7 @@
 		Wish: admitter.Wish{
 			Arrived:  started,
 			Priority: s.route.Priority,
-			OnTimeBy: started.Add(s.route.Objective - reserver.FirstEventTime),
+			OnTimeBy: started.Add(s.route.Objective - reserver.FirstEventTime(s.call.Prompt)),
 			StartBy:  s.startBy(),
 		},
 		Service:        s.service.Name,
@@ -45,7 +45,7 @@
 // startBy is when the request has to start: in time for the whole answer before
 // its deadline, and for the first event before its caller leaves.
 func (s *stream) startBy() time.Time {
-	leaves := s.observation.Started.Add(s.patience() - reserver.FirstEventTime)
+	leaves := s.observation.Started.Add(s.patience() - reserver.FirstEventTime(s.call.Prompt))
 	whole := s.call.Deadline.Add(-s.answerTime())
 	if leaves.Before(whole) {
 		return leaves
@@ -60,7 +60,7 @@
 
 // answerTime is what the whole answer takes, as a rule.
 func (s *stream) answerTime() time.Duration {
-	return reserver.FirstEventTime + time.Duration(s.output())*reserver.TokenTime
+	return reserver.FirstEventTime(s.call.Prompt) + time.Duration(s.output())*reserver.TokenTime
 }
 
 // output gives the tokens of output that are to be expected.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -252,7 +252,7 @@
 func (p *Placer) Decodes(all []*registrar.Endpoint, exclude []identifier.Endpoint, r Room, now time.Time) []*registrar.Endpoint {
 	near := cmp.Or(r.Near, p.options.DataCenter)
 	var list []*registrar.Endpoint
-	anySound := p.anySound(all, exclude, now)
+	anySound := len(p.SoundDecodes(all, exclude, now)) > 0
 	for len(list) < r.Most {
 		e, rank := p.choose(all, append(exclude, names(list)...), now, func(e *registrar.Endpoint, s *state) float64 {
 			if e.Stage == registrar.StagePrefill || now.Before(s.fullUntil) || r.full(s) {
@@ -268,17 +268,28 @@
 	return list
 }
 
-// anySound tells whether there is a decode engine that isn't avoided, full or
-// not.
-func (p *Placer) anySound(all []*registrar.Endpoint, exclude []identifier.Endpoint, now time.Time) bool {
+// Fits tells whether an engine seems to have room for tokens, of memory that it
+// has; 0: unknown.
+func (p *Placer) Fits(name identifier.Endpoint, tokens, memory identifier.Tokens, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	s := p.states[name]
+	r := Room{Tokens: tokens, Memory: memory}
+	return s == nil || !now.Before(s.fullUntil) && !r.full(s)
+}
+
+// SoundDecodes gives the decode engines that are neither avoided nor doubted, full
+// or not.
+func (p *Placer) SoundDecodes(all []*registrar.Endpoint, exclude []identifier.Endpoint, now time.Time) []identifier.Endpoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var sound []identifier.Endpoint
 	for _, e := range all {
 		if e.Stage != registrar.StagePrefill && !e.Leaving && !contains(exclude, e.Name) && p.rank(e, now) == rankSound {
-			return true
+			sound = append(sound, e.Name)
 		}
 	}
-	return false
+	return sound
 }
 
 // full tells whether an engine can't have room, as far as is known here.
--- a/reserver/desk.go
+++ b/reserver/desk.go
@@ -12,6 +12,7 @@
 	"github.com/jackdawthread/jackdawthread/admitter"
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/earmarker"
 	"github.com/jackdawthread/jackdawthread/placer"
 	"github.com/jackdawthread/jackdawthread/registrar"
 	"github.com/jackdawthread/jackdawthread/stager"
@@ -73,6 +74,8 @@
 	stager   *stager.Stager
 	holding  holding
 	reading  readingTime
+	answers  answerPace
+	earmarks *earmarker.Earmarks
 }
 
 func newDesk(r *Reserver, s identifier.Service) *desk {
@@ -83,6 +86,7 @@
 		waiters:  map[admitter.Key]*waiter{},
 		free:     make(chan struct{}, 1),
 		stager:   stager.New(),
+		earmarks: earmarker.New(),
 	}
 }
 
@@ -108,14 +112,16 @@
 }
 
 func (d *desk) enter(home identifier.Incarnation, ask uint64, w *Wish) (*waiter, error) {
+	if err := d.fit(w); err != nil {
+		return nil, err
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.last++
 	w.Key = d.last
+	w.Wish.Tokens = w.Tokens
 	w.OnTimeBy = w.OnTimeBy.Add(-d.reading.delay())
-	now := time.Now()
-	retryAfter, ok := d.queue.Push(w.Wish, now)
-	if !ok {
+	if retryAfter, ok := d.push(w, time.Now()); !ok {
 		d.log("room-refused", w, zap.Duration("expected-wait", d.queue.ExpectedWait()), zap.Duration("retry-after", retryAfter))
 		return nil, classifier.NotRun(classifier.ReasonQueueFull, retryAfter, "%d requests to service %q wait, more than can be served in time", d.queue.Len(), d.service)
 	}
@@ -125,6 +131,29 @@
 	return a, nil
 }
 
+// fit keeps a wish within an engine's memory. A prompt that is larger fits
+// nowhere, and there is no time to come back.
+func (d *desk) fit(w *Wish) error {
+	memory := traitsOf(d.reserver.deps.Registry.Snapshot(), d.service).Memory
+	if memory <= 0 {
+		return nil
+	}
+	if w.Prompt > memory {
+		return classifier.NotRun(classifier.ReasonTooLarge, 0, "prompt of %d tokens is larger than an engine's memory of %d", w.Prompt, memory)
+	}
+	w.Tokens = min(w.Tokens, memory)
+	return nil
+}
+
+// push lets a wish wait, or says when to come back; d.mu is held.
+func (d *desk) push(w *Wish, now time.Time) (retryAfter time.Duration, ok bool) {
+	if d.queue.Underserved(&w.Wish) && d.spareEarmark() {
+		d.queue.Admit(w.Wish)
+		return 0, true
+	}
+	return d.queue.Push(w.Wish, now)
+}
+
 // startSearch starts a search unless enough run; d.mu is held.
 func (d *desk) startSearch() {
 	engines := len(d.reserver.deps.Registry.Snapshot().Endpoints(d.service))
@@ -150,6 +179,7 @@
 	d.mu.Lock()
 	a.gone = true
 	d.queue.Remove(a.Key)
+	d.earmarks.Release(a.Key)
 	delete(d.waiters, a.Key)
 	d.mu.Unlock()
 	select {
@@ -199,9 +229,16 @@
 		err := classifier.NotRun(classifier.ReasonDeadline, d.queue.RetryAfter(now), "no room at service %q in time", d.service)
 		d.log("room-refused", d.waiters[k].Wish, zap.Error(err))
 		d.waiters[k].answer <- placed{err: err}
+		d.earmarks.Release(k)
 		delete(d.waiters, k)
 	}
-	k, ok := d.queue.Next(now)
+	k, ok := d.keptWithRoom(now)
+	if !ok && d.spareEarmark() {
+		k, ok = d.queue.MostUnderserved()
+	}
+	if !ok {
+		k, ok = d.queue.Next(now)
+	}
 	if !ok {
 		d.searches--
 		return nil
@@ -229,6 +266,7 @@
 	}
 	if p.err == nil {
 		d.queue.Granted(&a.Wish.Wish, time.Now())
+		d.earmarks.Release(a.Key)
 		if d.queue.Len() > 0 {
 			d.startSearch()
 		}
@@ -276,7 +314,7 @@
 	r := d.reserver
 	s := r.deps.Registry.Snapshot()
 	all := s.Endpoints(d.service)
-	if !anyDecodes(all) {
+	if decoding(all) == 0 {
 		return Plan{}, classifier.NotRun(classifier.ReasonNoEndpoint, classifier.Spread(absentRetryAfter), "service %q has no engine that decodes", d.service)
 	}
 	traits := traitsOf(s, d.service)
@@ -290,6 +328,7 @@
 		}
 		return d.plan(all, e, reservation, a), nil
 	}
+	d.earmark(all, a)
 	return Plan{}, errFull
 }
 
@@ -318,6 +357,7 @@
 	p := d.reserver.deps.Placer
 	now := time.Now()
 	exclude := append(d.changing(all, now), a.Exclude...)
+	exclude = append(exclude, d.keptForOthers(a)...)
 	list := p.Decodes(all, exclude, placer.Room{Tokens: a.Tokens, Memory: t.Memory, Near: a.Near, Most: maxCandidates}, now)
 	if len(list) > 0 {
 		return list
@@ -325,15 +365,6 @@
 	return p.Decodes(all, exclude, placer.Room{Near: a.Near, Most: maxFullCandidates}, now)
 }
 
-func anyDecodes(all []*registrar.Endpoint) bool {
-	for _, e := range all {
-		if e.Stage != registrar.StagePrefill && !e.Leaving {
-			return true
-		}
-	}
-	return false
-}
-
 // traitsOf gives what a service's engines do; zero traits if that isn't known.
 func traitsOf(s *registrar.Snapshot, name identifier.Service) *registrar.EngineTraits {
 	if s.Declarations != nil {
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -31,6 +31,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,17 +44,30 @@
 	"github.com/jackdawthread/jackdawthread/gossiper"
 	"github.com/jackdawthread/jackdawthread/placer"
 	"github.com/jackdawthread/jackdawthread/registrar"
+	"github.com/jackdawthread/jackdawthread/stager"
 	"github.com/jackdawthread/jackdawthread/timer"
 )
 
 // Times that requests take as a rule, until they have been measured.
 const (
-	// FirstEventTime passes from the start of a prefill to the first event.
-	FirstEventTime = 350 * time.Millisecond
+	// firstEventBase passes from the start of a prefill to the first event,
+	// beside the time that reading the prompt takes.
+	firstEventBase = 225 * time.Millisecond
 	// TokenTime is what one token of output takes at a full engine.
 	TokenTime = 7 * time.Millisecond
 )
 
+// FirstEventTime passes from the start of a prompt's prefill to the first event.
+func FirstEventTime(prompt identifier.Tokens) time.Duration {
+	return firstEventBase + time.Duration(float64(prompt)/stager.AssumedRate*float64(time.Second))
+}
+
+// answerTime is what a whole answer takes.
+func answerTime(prompt, tokens identifier.Tokens) time.Duration {
+	output := tokens - min(tokens, prompt)
+	return FirstEventTime(prompt) + time.Duration(output)*TokenTime
+}
+
 // Reservation names reserved room at an engine.
 type Reservation string
 
@@ -122,7 +137,7 @@
 	breaker breaker
 	asks    identifier.Sequence // of other hosts
 
-	mu     sync.Mutex
+	mu     sync.Mutex // taken last
 	desks  map[identifier.Service]*desk
 	grants grants
 }
@@ -170,9 +185,10 @@
 // Waiting counts the requests that wait for room here.
 func (r *Reserver) Waiting() int {
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	desks := slices.Collect(maps.Values(r.desks))
+	r.mu.Unlock()
 	n := 0
-	for _, d := range r.desks {
+	for _, d := range desks {
 		n += d.waiting()
 	}
 	return n
--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -32,7 +32,7 @@
 type engines struct {
 	mu       sync.Mutex
 	used     map[identifier.Endpoint]identifier.Tokens
-	held     map[reserver.Reservation]identifier.Endpoint
+	held     map[reserver.Reservation]identifier.Tokens
 	asked    int
 	canceled int
 	dark     map[identifier.Endpoint]bool
@@ -42,7 +42,7 @@
 func newEngines() *engines {
 	return &engines{
 		used: map[identifier.Endpoint]identifier.Tokens{},
-		held: map[reserver.Reservation]identifier.Endpoint{},
+		held: map[reserver.Reservation]identifier.Tokens{},
 		dark: map[identifier.Endpoint]bool{},
 	}
 }
@@ -62,7 +62,7 @@
 		return "", classifier.NotRun(classifier.ReasonEndpointRefused, 0, "full")
 	}
 	g.used[e.Name] += n
-	g.held[name] = e.Name
+	g.held[name] = n
 	return name, nil
 }
 
@@ -78,9 +78,9 @@
 func (g *engines) free(e identifier.Endpoint, r reserver.Reservation) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if _, ok := g.held[r]; ok {
+	if n, ok := g.held[r]; ok {
 		delete(g.held, r)
-		g.used[e] -= tokens
+		g.used[e] -= n
 	}
 }
 
@@ -177,6 +177,10 @@
 
 // place has a host place a request that may wait for a time.
 func (f *fleet) place(ctx context.Context, h int, wait time.Duration) (reserver.Plan, error) {
+	return f.placeSized(ctx, h, tokens, wait)
+}
+
+func (f *fleet) placeSized(ctx context.Context, h int, tokens identifier.Tokens, wait time.Duration) (reserver.Plan, error) {
 	now := time.Now()
 	return f.hosts[h].reserver.Place(ctx, reserver.Wish{
 		Wish:    admitter.Wish{Arrived: now, OnTimeBy: now.Add(wait), StartBy: now.Add(wait)},
@@ -268,17 +272,28 @@
 	t.Run("reserves nothing while too many prompts wait to be read", func(t *testing.T) {
 		// One prefill engine before a burst: each prompt would be read in vain.
 		f := newFleet(t, 1)
-		f.prompt = 30_000
+		f.prompt = 15_000
 		p, err := f.place(ctx, 0, time.Second)
 		f.is.NoErr(err)
+		_, err = f.place(ctx, 0, time.Second)
+		f.is.NoErr(err)
 		_, err = f.place(ctx, 0, 100*time.Millisecond)
 		f.is.Equal(classifier.VerdictOf(err), classifier.VerdictNotRun)
 		asked, _, _ := f.engines.count()
-		f.is.Equal(asked, 1)
+		f.is.Equal(asked, 2)
 		f.hosts[0].reserver.PrefillEnded(p, placer.Outcome{})
 		_, err = f.place(ctx, 0, time.Second)
 		f.is.NoErr(err)
 	})
+	t.Run("refuses a prompt at once that is larger than an engine's memory", func(t *testing.T) {
+		f := newFleet(t, 1)
+		f.prompt = memory + 1
+		began := time.Now()
+		_, err := f.place(ctx, 0, 5*time.Second)
+		f.is.Equal(classifier.VerdictOf(err), classifier.VerdictNotRun)
+		f.is.Equal(classifier.Of(err).Reason, classifier.ReasonTooLarge)
+		f.is.True(time.Since(began) < time.Second)
+	})
 	t.Run("a large pool with room is not kept waiting by slow answers of its engines", func(t *testing.T) {
 		const (
 			decodes  = 63
--- a/reserver/stages.go
+++ b/reserver/stages.go
@@ -161,10 +161,9 @@
 
 // expect notes a grant's expected time.
 func (d *desk) expect(g *grant) {
-	output := g.tokens - min(g.tokens, g.prompt)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.stager.Expected(g.prompt, g.tokens, FirstEventTime+time.Duration(output)*TokenTime)
+	d.stager.Expected(g.prompt, g.tokens, answerTime(g.prompt, g.tokens))
 }
 
 // learn takes a grant's times in.
@@ -177,6 +176,7 @@
 	took := now.Sub(g.given)
 	if !prefill {
 		d.stager.Answered(g.tokens, took)
+		d.answers.add(took, answerTime(g.prompt, g.tokens))
 		return
 	}
 	d.reading.add(took)
