Let engines that were ordered count as changing until they show it

Now an engine counts as changing until its entry shows the stage, it has started anew or 30 s have passed.

Test: stager TestNext, "until it shows the new stage", fails on the old rule.

--- a/reserver/stages.go
+++ b/reserver/stages.go
@@ -152,7 +152,7 @@
 	defer d.mu.Unlock()
 	var names []identifier.Endpoint
 	for _, e := range all {
-		if d.stager.Changing(e.Name, now) {
+		if d.stager.Changing(e, now) {
 			names = append(names, e.Name)
 		}
 	}
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -53,13 +53,14 @@
 	minPrefill = 2
 	minShared  = 5
 	// orderInterval is the time between two orders, turnInterval that between
-	// two of opposite direction, and settleTime that in which an engine that
-	// was ordered counts as changing. A large pool spares several engines at
+	// two of opposite direction. settleTime is how long an engine that was
+	// ordered counts as changing while it doesn't show the new stage: it ends
+	// what runs first. A large pool spares several engines at
 	// once: one of each sparedShare.
 	sparedShare   = 16
 	orderInterval = 500 * time.Millisecond
 	turnInterval  = 30 * time.Second
-	settleTime    = 10 * time.Second
+	settleTime    = 30 * time.Second
 	// steadyTime is how long the list of engines must have been the same:
 	// longer than crashes and cuts last as a rule. In a large pool some engines
 	// always come and go: one of each strayShare is no change.
@@ -106,8 +107,9 @@
 
 // change is the last order to an engine.
 type change struct {
-	stage registrar.Stage
-	at    time.Time
+	stage   registrar.Stage
+	at      time.Time
+	started int64 // of the engine
 }
 
 // New gives a Stager without measurements.
@@ -209,7 +211,7 @@
 func (s *Stager) order(engines []*registrar.Endpoint, stage registrar.Stage, now time.Time) []Order {
 	var orders []Order
 	for _, e := range engines {
-		s.ordered[e.Name] = change{stage: stage, at: now}
+		s.ordered[e.Name] = change{stage: stage, at: now, started: e.Started}
 		orders = append(orders, Order{Engine: e, Stage: stage})
 	}
 	s.last = now
@@ -217,11 +219,11 @@
 	return orders
 }
 
-// Changing tells whether an engine has been ordered to take another stage just
-// now.
-func (s *Stager) Changing(e identifier.Endpoint, now time.Time) bool {
-	c, ok := s.ordered[e]
-	return ok && now.Sub(c.at) < settleTime
+// Changing tells whether an engine has been ordered to take another stage and
+// hasn't taken it yet.
+func (s *Stager) Changing(e *registrar.Endpoint, now time.Time) bool {
+	c, ok := s.ordered[e.Name]
+	return ok && c.stage != e.Stage && c.started == e.Started && now.Sub(c.at) < settleTime
 }
 
 // count gives the engines of each stage, those that change counted where they
@@ -232,7 +234,7 @@
 		if e.Leaving || stage == registrar.StageAny {
 			continue
 		}
-		if s.Changing(e.Name, now) {
+		if s.Changing(e, now) {
 			stage = s.ordered[e.Name].stage
 		}
 		if stage == registrar.StagePrefill {
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -204,7 +204,28 @@
 		s.Next(all, memory, start)
 		orders := s.Next(all, memory, start.Add(7*time.Second))
 		i.Equal(len(orders), 1)
-		i.True(s.Changing(orders[0].Engine.Name, start.Add(8*time.Second)))
-		i.True(!s.Changing(orders[0].Engine.Name, start.Add(time.Minute)))
+		i.True(s.Changing(orders[0].Engine, start.Add(8*time.Second)))
+		i.True(!s.Changing(orders[0].Engine, start.Add(time.Minute)))
+	})
+	t.Run("until it shows the new stage", func(t *testing.T) {
+		// An engine that was idle takes it after 6 s, one that ends long answers
+		// first after 12 s.
+		i := is.New(t)
+		s := measured(3500 * time.Millisecond)
+		all := pool(4, 5)
+		s.Next(all, memory, start)
+		o := s.Next(all, memory, start.Add(7*time.Second))[0]
+		i.True(s.Changing(o.Engine, start.Add(19*time.Second)))
+		o.Engine.Stage = o.Stage
+		i.True(!s.Changing(o.Engine, start.Add(13*time.Second)))
+	})
+	t.Run("or has started anew", func(t *testing.T) {
+		i := is.New(t)
+		s := measured(3500 * time.Millisecond)
+		all := pool(4, 5)
+		s.Next(all, memory, start)
+		o := s.Next(all, memory, start.Add(7*time.Second))[0]
+		o.Engine.Started++
+		i.True(!s.Changing(o.Engine, start.Add(8*time.Second)))
 	})
 }
