Read only the store's items that changed

Beside that, looking for avoided endpoints ten times a second went through all endpoints and made a record for each.

Now a host keeps what it read of each item (hoster.catalogue) and reads what has another revision; the adapter still remembers nothing. Avoided endpoints are looked for among those that were called, and endpoints are found by name.

--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -49,9 +49,9 @@
 	reserver.Engines
 	reserver.Orders
 	forwarder.Dialect
-	// Items reads what the store holds; what can't be read is left out and
-	// told by unreadable. Declarations are nil if there are none.
-	Items(items []replicator.Item, unreadable func(key string, err error)) (*registrar.Declarations, []*registrar.Endpoint)
+	// Read reads an item of the store, as declarations or an endpoint; both are
+	// nil if it is neither.
+	Read(i replicator.Item) (*registrar.Declarations, *registrar.Endpoint, error)
 	// Exchanger gives the connections to endpoints.
 	Exchanger() *exchanger.Exchanger
 }
@@ -74,6 +74,7 @@
 
 	timer      *timer.Service
 	registry   *registrar.Registrar
+	catalogue  catalogue
 	messenger  *messenger.Messenger
 	gossiper   *gossiper.Gossiper
 	replicator atomic.Pointer[replicator.Replicator]
@@ -122,6 +123,7 @@
 		log:         d.Log.With(zap.String("host", string(s.Host))),
 		group:       grouper.New(ctx),
 		registry:    registrar.New(),
+		catalogue:   catalogue{},
 		metrics:     newMetrics(),
 	}
 	l, err := h.listen(ctx)
@@ -324,20 +326,19 @@
 func (h *Host) sweep(now time.Time) {
 	s := h.registry.Snapshot()
 	addresses := map[identifier.Address]bool{}
-	names := map[identifier.Endpoint]bool{}
-	s.Each(func(e *registrar.Endpoint) {
-		addresses[e.Address] = true
-		names[e.Name] = true
-	})
+	s.Each(func(e *registrar.Endpoint) { addresses[e.Address] = true })
 	h.deps.Platform.Exchanger().CloseIdle(now, func(a identifier.Address) bool { return addresses[a] })
-	h.placer.Forget(func(e identifier.Endpoint) bool { return names[e] })
+	h.placer.Forget(func(e identifier.Endpoint) bool { return s.Endpoint(e) != nil })
 }
 
 // probe looks whether avoided endpoints can be reached again.
 func (h *Host) probe(now time.Time) {
-	var all []*registrar.Endpoint
-	h.registry.Snapshot().Each(func(e *registrar.Endpoint) { all = append(all, e) })
-	for _, e := range h.placer.Due(all, now) {
+	s := h.registry.Snapshot()
+	for _, name := range h.placer.Due(now) {
+		e := s.Endpoint(name)
+		if e == nil {
+			continue // sweep forgets it
+		}
 		h.group.Run(func(ctx context.Context) {
 			err := h.deps.Platform.Exchanger().Probe(ctx, e.Address)
 			h.placer.Probed(e, err == nil, time.Now())
--- a/placer/judge.go
+++ b/placer/judge.go
@@ -26,19 +26,18 @@
 	fullTime = 60 * time.Millisecond
 )
 
-// Due gives the avoided endpoints that are to be probed now. Each is given
-// once, until Probed tells how it went.
-func (p *Placer) Due(all []*registrar.Endpoint, now time.Time) []*registrar.Endpoint {
+// Due gives the avoided endpoints that are to be probed now. Each is given once,
+// until Probed tells how it went.
+func (p *Placer) Due(now time.Time) []identifier.Endpoint {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var due []*registrar.Endpoint
-	for _, e := range all {
-		s := p.state(e)
+	var due []identifier.Endpoint
+	for name, s := range p.states {
 		if s.broken == 0 || s.probing || now.Before(s.avoidUntil) {
 			continue
 		}
 		s.probing = true
-		due = append(due, e)
+		due = append(due, name)
 	}
 	return due
 }
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -137,11 +137,11 @@
 		call(p, all[0], placer.VerdictBroken, 0, 0)
 		probes := 0
 		for now := time.Duration(0); now < 30*time.Second; now += 10 * time.Millisecond {
-			for _, e := range p.Due(all, at(now)) {
-				i.Equal(e.Name, identifier.Endpoint("a"))
+			for _, name := range p.Due(at(now)) {
+				i.Equal(name, identifier.Endpoint("a"))
 				probes++
-				i.Equal(len(p.Due(all, at(now))), 0) // one at a time
-				p.Probed(e, false, at(now))
+				i.Equal(len(p.Due(at(now))), 0) // one at a time
+				p.Probed(all[0], false, at(now))
 			}
 		}
 		i.True(probes >= 28 && probes <= 34) // each second, in the end
@@ -176,7 +176,7 @@
 		for range 10 {
 			call(p, all[0], placer.VerdictBroken, 0, 0)
 		}
-		i.Equal(len(p.Due(all, at(400*time.Millisecond))), 1)
+		i.Equal(len(p.Due(at(400*time.Millisecond))), 1)
 	})
 }
 
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -221,7 +221,7 @@
 	// Declarations is nil until some are known.
 	Declarations *Declarations
 	byService    map[identifier.Service][]*Endpoint
-	count        int
+	byName       map[identifier.Endpoint]*Endpoint
 }
 
 // Endpoints gives all endpoints of a service, sorted by name.
@@ -231,26 +231,19 @@
 
 // Each calls f with every endpoint.
 func (s *Snapshot) Each(f func(*Endpoint)) {
-	for _, list := range s.byService {
-		for _, e := range list {
-			f(e)
-		}
+	for _, e := range s.byName {
+		f(e)
 	}
 }
 
 // Count gives the number of endpoints.
 func (s *Snapshot) Count() int {
-	return s.count
+	return len(s.byName)
 }
 
-// Has tells whether an endpoint is registered and takes new work.
-func (s *Snapshot) Has(e *Endpoint) bool {
-	for _, other := range s.byService[e.Service] {
-		if other.Name == e.Name && other.Started == e.Started {
-			return !other.Leaving
-		}
-	}
-	return false
+// Endpoint gives an endpoint by its name; nil: it isn't registered.
+func (s *Snapshot) Endpoint(name identifier.Endpoint) *Endpoint {
+	return s.byName[name]
 }
 
 // Registrar swaps snapshots. It is safe for use by several goroutines.
@@ -287,15 +280,17 @@
 	if old.Declarations != nil && old.Declarations.Version >= d.Version {
 		return false
 	}
-	r.swap(&Snapshot{Declarations: d, byService: old.byService, count: old.count})
+	r.swap(&Snapshot{Declarations: d, byService: old.byService, byName: old.byName})
 	return true
 }
 
 // SetEndpoints replaces the list of endpoints.
 func (r *Registrar) SetEndpoints(all []*Endpoint) {
 	byService := make(map[identifier.Service][]*Endpoint)
+	byName := make(map[identifier.Endpoint]*Endpoint, len(all))
 	for _, e := range all {
 		byService[e.Service] = append(byService[e.Service], e)
+		byName[e.Name] = e
 	}
 	for _, list := range byService {
 		slices.SortFunc(list, func(a, b *Endpoint) int {
@@ -305,7 +300,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.current.Load()
-	r.swap(&Snapshot{Declarations: old.Declarations, byService: byService, count: len(all)})
+	r.swap(&Snapshot{Declarations: old.Declarations, byService: byService, byName: byName})
 }
 
 // swap shows a new snapshot; r.mu is held.
--- a/reserver/links.go
+++ b/reserver/links.go
@@ -15,7 +15,6 @@
 	"github.com/jackdawthread/jackdawthread/messenger"
 	"github.com/jackdawthread/jackdawthread/peerwire"
 	"github.com/jackdawthread/jackdawthread/placer"
-	"github.com/jackdawthread/jackdawthread/registrar"
 )
 
 const (
@@ -232,14 +231,9 @@
 // decodeAnswer finds the engines that an answer names.
 func (r *Reserver) decodeAnswer(owner gossiper.Member, m *peerwire.RoomAnswer) (Plan, error) {
 	p := Plan{Reservation: Reservation(m.Reservation), grant: grantID(m.Grant), by: owner.Address}
-	r.deps.Registry.Snapshot().Each(func(e *registrar.Endpoint) {
-		switch string(e.Name) {
-		case m.Decode:
-			p.Decode = e
-		case m.Prefill:
-			p.Prefill = e
-		}
-	})
+	s := r.deps.Registry.Snapshot()
+	p.Decode = s.Endpoint(identifier.Endpoint(m.Decode))
+	p.Prefill = s.Endpoint(identifier.Endpoint(m.Prefill))
 	if p.Decode == nil {
 		r.end(p, false, placer.VerdictNone)
 		return Plan{}, classifier.NotRun(classifier.ReasonHostUnreachable, 0, "host %q gave room at %q, which is not known here", owner.Host, m.Decode)
