--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -22,6 +22,10 @@
 // can't be on time any more follow, the oldest first. They get a share of the
 // turns in any case, so that none starves while fresh requests keep coming.
 //
+// Among those that can be on time, requests of a size that is given room much less
+// often than others go before the rest of their priority: room that becomes free is
+// seldom enough for a large request, and small ones would take it each time.
+//
 // # Who is refused
 //
 // A request is refused when it comes, or once it is late, if it can't be
--- a/reserver/desk.go
+++ b/reserver/desk.go
@@ -264,9 +264,9 @@
 		delete(d.waiters, a.Key)
 		a.answer <- p
 	}
+	d.earmarks.Release(a.Key)
 	if p.err == nil {
 		d.queue.Granted(&a.Wish.Wish, time.Now())
-		d.earmarks.Release(a.Key)
 		if d.queue.Len() > 0 {
 			d.startSearch()
 		}
--- a/reserver/earmark.go
+++ b/reserver/earmark.go
@@ -25,6 +25,7 @@
 	if e, ok := d.earmarks.Kept(a.Key); ok && !usable(all, e, exclude) {
 		d.earmarks.Release(a.Key)
 		a.Kept = false
+		d.log("engine-kept-no-more", a.Wish, zap.String("endpoint", string(e)))
 	}
 	if a.Kept || a.Unkept || !d.queue.Underserved(&a.Wish.Wish) || !d.earmarks.Spare(decoding(all)) {
 		return
@@ -38,6 +39,7 @@
 	}
 	if at.After(a.StartBy) {
 		a.Unkept = true
+		d.log("engine-not-kept", a.Wish, zap.String("endpoint", string(e)), zap.Duration("expected-wait", at.Sub(now)))
 		return
 	}
 	d.earmarks.Keep(a.Key, e)
--- a/reserver/earmark_test.go
+++ b/reserver/earmark_test.go
@@ -22,25 +22,42 @@
 		answer   = 60 * time.Millisecond
 		length   = 4 * time.Second
 	)
-	t.Run("large requests are given room at least half as often", func(t *testing.T) {
-		f := newFleet(t, 1)
-		ctx, cancel := context.WithTimeout(context.Background(), length)
-		defer cancel()
+	load := func(ctx context.Context, f *fleet) (small, big *share) {
+		small, big = &share{}, &share{}
 		work := grouper.New(ctx)
-		var small, big share
 		for range callers {
-			work.Run(func(ctx context.Context) { f.keepAsking(ctx, tokens, patience, answer, &small) })
+			work.Run(func(ctx context.Context) { f.keepAsking(ctx, tokens, patience, answer, small) })
 		}
 		for range others {
-			work.Run(func(ctx context.Context) { f.keepAsking(ctx, large, patience, answer, &big) })
+			work.Run(func(ctx context.Context) { f.keepAsking(ctx, large, patience, answer, big) })
 		}
 		<-ctx.Done()
 		work.Stop()
 		f.is.NoErr(work.Wait())
+		return small, big
+	}
+	t.Run("large requests are given room at least half as often", func(t *testing.T) {
+		f := newFleet(t, 1)
+		ctx, cancel := context.WithTimeout(context.Background(), length)
+		defer cancel()
+		small, big := load(ctx, f)
 		t.Logf("small: %d of %d, large: %d of %d", small.given.Load(), small.asked.Load(), big.given.Load(), big.asked.Load())
 		f.is.True(big.asked.Load() > 20)
 		f.is.True(big.of() >= 0.5*small.of())
 	})
+	t.Run("no engine is kept for a request whose engines are all gone", func(t *testing.T) {
+		f := newFleet(t, 1)
+		ctx, cancel := context.WithTimeout(context.Background(), length)
+		defer cancel()
+		all := f.registry.Snapshot().Endpoints("notes")
+		time.AfterFunc(length-time.Second, func() { f.registry.SetEndpoints(all[2:]) }) // the prefill engine
+		load(ctx, f)
+		f.registry.SetEndpoints(all)
+		for range slots {
+			_, err := f.place(context.Background(), 0, 2*time.Second)
+			f.is.NoErr(err)
+		}
+	})
 }
 
 // share counts requests, and those that were given room.
