Don't take an endpoint for probed while it isn't registered

Test: placer, "is probed once it is registered again"; it needs the new parameter, so it was not run on the code before.

--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -328,17 +328,15 @@
 	addresses := map[identifier.Address]bool{}
 	s.Each(func(e *registrar.Endpoint) { addresses[e.Address] = true })
 	h.deps.Platform.Exchanger().CloseIdle(now, func(a identifier.Address) bool { return addresses[a] })
-	h.placer.Forget(func(e identifier.Endpoint) bool { return s.Endpoint(e) != nil })
+	h.placer.Forget(func(name identifier.Endpoint) bool { return s.Endpoint(name) != nil })
 }
 
 // probe looks whether avoided endpoints can be reached again.
 func (h *Host) probe(now time.Time) {
 	s := h.registry.Snapshot()
-	for _, name := range h.placer.Due(now) {
+	registered := func(name identifier.Endpoint) bool { return s.Endpoint(name) != nil }
+	for _, name := range h.placer.Due(registered, now) {
 		e := s.Endpoint(name)
-		if e == nil {
-			continue // sweep forgets it
-		}
 		h.group.Run(func(ctx context.Context) {
 			err := h.deps.Platform.Exchanger().Probe(ctx, e.Address)
 			h.placer.Probed(e, err == nil, time.Now())
--- a/placer/judge.go
+++ b/placer/judge.go
@@ -26,14 +26,14 @@
 	fullTime = 60 * time.Millisecond
 )
 
-// Due gives the avoided endpoints that are to be probed now. Each is given once,
-// until Probed tells how it went.
-func (p *Placer) Due(now time.Time) []identifier.Endpoint {
+// Due gives the avoided endpoints that are to be probed now, of those that are
+// registered. Each is given once, until Probed tells how it went.
+func (p *Placer) Due(registered func(identifier.Endpoint) bool, now time.Time) []identifier.Endpoint {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var due []identifier.Endpoint
 	for name, s := range p.states {
-		if s.broken == 0 || s.probing || now.Before(s.avoidUntil) {
+		if s.broken == 0 || s.probing || now.Before(s.avoidUntil) || !registered(name) {
 			continue
 		}
 		s.probing = true
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -137,15 +137,23 @@
 		call(p, all[0], placer.VerdictBroken, 0, 0)
 		probes := 0
 		for now := time.Duration(0); now < 30*time.Second; now += 10 * time.Millisecond {
-			for _, name := range p.Due(at(now)) {
+			for _, name := range p.Due(anyName, at(now)) {
 				i.Equal(name, identifier.Endpoint("a"))
 				probes++
-				i.Equal(len(p.Due(at(now))), 0) // one at a time
+				i.Equal(len(p.Due(anyName, at(now))), 0) // one at a time
 				p.Probed(all[0], false, at(now))
 			}
 		}
 		i.True(probes >= 28 && probes <= 34) // each second, in the end
 	})
+	t.Run("is probed once it is registered again", func(t *testing.T) {
+		i := is.New(t)
+		p, all := newPlacer(), pool(registrar.StageAny)
+		call(p, all[0], placer.VerdictBroken, 0, 0)
+		gone := func(identifier.Endpoint) bool { return false }
+		i.Equal(len(p.Due(gone, at(time.Second))), 0)
+		i.Equal(len(p.Due(anyName, at(time.Second))), 1)
+	})
 	t.Run("is called if all others broke off as well", func(t *testing.T) {
 		p, all := newPlacer(), pool(registrar.StageAny)
 		for _, e := range all {
@@ -176,7 +184,7 @@
 		for range 10 {
 			call(p, all[0], placer.VerdictBroken, 0, 0)
 		}
-		i.Equal(len(p.Due(at(400*time.Millisecond))), 1)
+		i.Equal(len(p.Due(anyName, at(400*time.Millisecond))), 1)
 	})
 }
 
@@ -277,3 +285,6 @@
 		}
 	})
 }
+
+// anyName has all endpoints registered.
+func anyName(identifier.Endpoint) bool { return true }
