Give hosts no slack of the retry budget until they know each other

Cause, in part: a host that starts took itself for one of eight.

Now a host gets no slack for retries.settle (3 s) after its start, then half of its burst by the hosts that it has seen. The ratio of its own requests counts from the start.

Ruled out: views that differ between hosts that run; the shares add up there.

--- a/hoster/budgets.go
+++ b/hoster/budgets.go
@@ -15,8 +15,7 @@
 	// budgetShare is the part of the declared budget that the hosts use
 	// together: their views of each other differ for moments.
 	budgetShare = 0.8
-	// fewestHosts is assumed until more are known, so that hosts that have
-	// just started don't spend more than their shares.
+	// fewestHosts is assumed until more are known.
 	fewestHosts = 8
 	// budgetTick is the time between two grants of slack.
 	budgetTick = 500 * time.Millisecond
@@ -24,7 +23,8 @@
 
 // budgets are this host's shares of the services' retry budgets. A share is
 // enough without any word between hosts: the ratio is of this host's own
-// requests, and the slack is divided by the most hosts that were ever seen.
+// requests, and the slack is divided by the most hosts that were ever seen. A
+// host that has just started has seen few, and gets no slack yet.
 type budgets struct {
 	settings Retries
 	// lot, in [0, 1), decides whether this host holds the one more token that
@@ -33,6 +33,7 @@
 	hosts atomic.Int64
 
 	mu       sync.Mutex
+	age      time.Duration // since the host's start, in whole ticks
 	services map[identifier.Service]*retrier.Budget
 }
 
@@ -85,18 +86,36 @@
 	}
 }
 
+// settled tells whether the host may have slack; b.mu is held.
+func (b *budgets) settled() bool {
+	return b.age >= b.settings.Settle
+}
+
 // tick grants the slack of one budgetTick.
 func (b *budgets) tick(time.Time) {
-	grant := b.burst() * budgetTick.Seconds() / b.settings.Window.Seconds()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	before := b.settled()
+	b.age += budgetTick
+	if !b.settled() {
+		return
+	}
+	grant := b.burst() * budgetTick.Seconds() / b.settings.Window.Seconds()
+	if !before {
+		grant = b.firstGrant()
+	}
 	for _, s := range b.services {
 		s.Grant(grant)
 	}
 }
 
-// of gives a service's budget. A new one is half full: the process before this
-// one may have spent its burst just now.
+// firstGrant is half of a burst: the process before this one may have spent its
+// own just now.
+func (b *budgets) firstGrant() float64 {
+	return b.burst() / 2
+}
+
+// of gives a service's budget.
 func (b *budgets) of(name identifier.Service) *retrier.Budget {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -104,7 +123,9 @@
 	if s == nil {
 		s = retrier.NewBudget(compiler.RetryBudget{Ratio: b.ratio(), Capacity: b.capacity()})
 		s.Drain()
-		s.Grant(b.burst() / 2)
+		if b.settled() {
+			s.Grant(b.firstGrant())
+		}
 		b.services[name] = s
 	}
 	return s
--- a/hoster/budgets_test.go
+++ b/hoster/budgets_test.go
@@ -10,17 +10,25 @@
 // TestBudgets plays hosts that each want to send everything again, and checks
 // what all of them send in any window.
 func TestBudgets(t *testing.T) {
-	declared := Retries{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}
+	small := Retries{Ratio: 0.2, Slack: 56, Window: 10 * time.Second, Settle: 3 * time.Second}
+	large := Retries{Ratio: 0.2, Slack: 178, Window: 10 * time.Second, Settle: 3 * time.Second}
 	// play gives the most that hosts send again in a window of a minute, with
 	// perSecond requests to each; every restart interval they all start anew.
-	play := func(hosts, perSecond int, restart time.Duration) (most, requests int) {
-		const step = budgetTick
+	play := func(declared Retries, hosts, perSecond int, restart time.Duration) (most, requests int) {
+		const (
+			step    = budgetTick
+			knowing = 1500 * time.Millisecond // until hosts know each other
+		)
 		fleet := make([]*budgets, hosts)
+		started := time.Duration(0)
 		var again, first []int
 		for now := time.Duration(0); now < time.Minute; now += step {
 			sent := 0
+			if restart > 0 && now%restart == 0 {
+				started = now
+			}
 			for n := range fleet {
-				if fleet[n] == nil || restart > 0 && now%restart == 0 {
+				if fleet[n] == nil || started == now {
 					fleet[n] = newBudgets(declared, (float64(n)+0.5)/float64(hosts))
 				}
 				for range perSecond * int(step) / int(time.Second) {
@@ -29,7 +37,9 @@
 				for fleet[n].Take("desk") {
 					sent++
 				}
-				fleet[n].sees(hosts)
+				if now-started >= knowing {
+					fleet[n].sees(hosts)
+				}
 				fleet[n].tick(time.Time{})
 			}
 			again = append(again, sent)
@@ -46,25 +56,28 @@
 		return most, requests
 	}
 	cases := []struct {
-		name    string
-		hosts   int
-		rate    int
-		restart time.Duration
+		name     string
+		declared Retries
+		hosts    int
+		rate     int
+		restart  time.Duration
 	}{
-		{"few hosts", 3, 4, 0},
-		{"all hosts of a site", 8, 2, 0},
-		{"many hosts", 69, 4, 0},
-		{"hosts that restart together", 8, 2, 7 * time.Second},
+		{"few hosts", small, 3, 4, 0},
+		{"all hosts of a site", small, 8, 2, 0},
+		{"many hosts", small, 69, 4, 0},
+		{"hosts that restart together", small, 8, 2, 7 * time.Second},
+		{"many hosts that restart together", large, 69, 4, 7 * time.Second},
+		{"many hosts that all start anew once", large, 69, 4, 41 * time.Second},
 	}
 	for _, c := range cases {
 		t.Run(c.name+" keep the declared budget together", func(t *testing.T) {
-			most, requests := play(c.hosts, c.rate, c.restart)
-			bound := declared.Slack + declared.Ratio*float64(requests)
+			most, requests := play(c.declared, c.hosts, c.rate, c.restart)
+			bound := c.declared.Slack + c.declared.Ratio*float64(requests)
 			is.New(t).True(float64(most) <= bound)
 		})
 	}
 	t.Run("a host makes use of its share", func(t *testing.T) {
-		most, requests := play(8, 2, 0)
-		is.New(t).True(float64(most) >= 0.4*(declared.Slack+declared.Ratio*float64(requests)))
+		most, requests := play(small, 8, 2, 0)
+		is.New(t).True(float64(most) >= 0.4*(small.Slack+small.Ratio*float64(requests)))
 	})
 }
--- a/hoster/settings.go
+++ b/hoster/settings.go
@@ -52,6 +52,9 @@
 	Ratio  float64       `toml:"ratio" validate:"gte=0,lte=1"`
 	Slack  float64       `toml:"slack" validate:"gte=0"`
 	Window time.Duration `toml:"window" validate:"gte=1s,lte=10m"`
+	// Settle is how long after its start a host gets no slack: it doesn't know
+	// yet among how many hosts the slack is shared.
+	Settle time.Duration `toml:"settle" validate:"gte=0,lte=1m"`
 }
 
 // Orders say whether hosts may order engines to another stage.
@@ -92,7 +95,7 @@
 // SetDefaults implements decoder.Defaulter.
 func (s *Settings) SetDefaults() {
 	s.LogLevel = "info"
-	s.Retries = Retries{Ratio: 0.1, Slack: 10, Window: 10 * time.Second}
+	s.Retries = Retries{Ratio: 0.1, Slack: 10, Window: 10 * time.Second, Settle: 3 * time.Second}
 	s.Stop = Stop{Announce: 3 * time.Second, Limit: 10 * time.Second}
 	s.Orders = Orders{Lease: 3 * time.Second}
 	s.Limits = Limits{MaxRequests: 4000}
