Move the stand-ins of the platform into its folder, and mend what the diff repeats

Cause: emulator/standin spoke the platform's names outside platform/; whether an endpoint decodes and takes work was told in two places; two tests of stager and two of admitter began alike.

--- a/admitter/fairness_test.go
+++ b/admitter/fairness_test.go
@@ -33,6 +33,14 @@
 	}
 }
 
+// starving gives a queue that has refused the large requests and served the small.
+func starving(small, large identifier.Tokens) *admitter.Queue {
+	q := admitter.New(admitter.Options{})
+	refuse(q, large, 40)
+	grant(q, small, 80)
+	return q
+}
+
 func TestUnderserved(t *testing.T) {
 	const small, large = 5_000, 25_000
 	t.Run("nobody is at first", func(t *testing.T) {
@@ -51,9 +59,7 @@
 	})
 	t.Run("a size is that gets much less than others, and goes first", func(t *testing.T) {
 		i := is.New(t)
-		q := admitter.New(admitter.Options{})
-		refuse(q, large, 40)
-		grant(q, small, 80)
+		q := starving(small, large)
 		q.Push(sized(1, small), at(0))
 		q.Push(sized(2, large), at(0))
 		k, ok := q.MostUnderserved()
@@ -63,9 +69,7 @@
 	})
 	t.Run("until it has caught up", func(t *testing.T) {
 		i := is.New(t)
-		q := admitter.New(admitter.Options{})
-		refuse(q, large, 40)
-		grant(q, small, 80)
+		q := starving(small, large)
 		grant(q, large, 40)
 		w := sized(1, large)
 		i.True(!q.Underserved(&w))
--- a/emulator/soaker/callers.go
+++ b/emulator/soaker/callers.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/jackdawthread/jackdawthread/common/identifier"
-	"github.com/jackdawthread/jackdawthread/emulator/standin"
+	"github.com/jackdawthread/jackdawthread/platform/standin"
 )
 
 const (
--- a/emulator/soaker/faults.go
+++ b/emulator/soaker/faults.go
@@ -6,7 +6,7 @@
 	"syscall"
 	"time"
 
-	"github.com/jackdawthread/jackdawthread/emulator/standin"
+	"github.com/jackdawthread/jackdawthread/platform/standin"
 )
 
 const (
--- a/emulator/soaker/soaker.go
+++ b/emulator/soaker/soaker.go
@@ -35,7 +35,7 @@
 
 	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
-	"github.com/jackdawthread/jackdawthread/emulator/standin"
+	"github.com/jackdawthread/jackdawthread/platform/standin"
 )
 
 // Options of a soak.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -285,7 +285,7 @@
 	defer p.mu.Unlock()
 	var sound []identifier.Endpoint
 	for _, e := range all {
-		if e.Stage != registrar.StagePrefill && !e.Leaving && !contains(exclude, e.Name) && p.rank(e, now) == rankSound {
+		if e.Decodes() && !contains(exclude, e.Name) && p.rank(e, now) == rankSound {
 			sound = append(sound, e.Name)
 		}
 	}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -216,6 +216,11 @@
 	Started int64
 }
 
+// Decodes tells whether an endpoint generates answers and takes new work.
+func (e *Endpoint) Decodes() bool {
+	return e.Stage != StagePrefill && !e.Leaving
+}
+
 // Snapshot is all that is known at one time. It is read-only.
 type Snapshot struct {
 	// Declarations is nil until some are known.
--- a/reserver/earmark.go
+++ b/reserver/earmark.go
@@ -87,18 +87,14 @@
 	if slices.Contains(exclude, name) {
 		return false
 	}
-	return slices.ContainsFunc(all, func(e *registrar.Endpoint) bool { return e.Name == name && decodes(e) })
-}
-
-func decodes(e *registrar.Endpoint) bool {
-	return e.Stage != registrar.StagePrefill && !e.Leaving
+	return slices.ContainsFunc(all, func(e *registrar.Endpoint) bool { return e.Name == name && e.Decodes() })
 }
 
 // decoding counts the engines that decode.
 func decoding(all []*registrar.Endpoint) int {
 	n := 0
 	for _, e := range all {
-		if decodes(e) {
+		if e.Decodes() {
 			n++
 		}
 	}
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -211,21 +211,23 @@
 		// An engine that was idle takes it after 6 s, one that ends long answers
 		// first after 12 s.
 		i := is.New(t)
-		s := measured(3500 * time.Millisecond)
-		all := pool(4, 5)
-		s.Next(all, memory, start)
-		o := s.Next(all, memory, start.Add(7*time.Second))[0]
+		s, o := ordered()
 		i.True(s.Changing(o.Engine, start.Add(19*time.Second)))
 		o.Engine.Stage = o.Stage
 		i.True(!s.Changing(o.Engine, start.Add(13*time.Second)))
 	})
 	t.Run("or has started anew", func(t *testing.T) {
 		i := is.New(t)
-		s := measured(3500 * time.Millisecond)
-		all := pool(4, 5)
-		s.Next(all, memory, start)
-		o := s.Next(all, memory, start.Add(7*time.Second))[0]
+		s, o := ordered()
 		o.Engine.Started++
 		i.True(!s.Changing(o.Engine, start.Add(8*time.Second)))
 	})
 }
+
+// ordered gives a stager that has just ordered an engine, at 7 s.
+func ordered() (*stager.Stager, stager.Order) {
+	s := measured(3500 * time.Millisecond)
+	all := pool(4, 5)
+	s.Next(all, memory, start)
+	return s, s.Next(all, memory, start.Add(7*time.Second))[0]
+}
