Take back the sooner end of silent prefills

They were not lost but waited: under such load prompts wait for longer than the 600 ms that one placing host lets pile up, as hosts place by themselves while they don't know each other.

Conclusion: a bound must go by the load that prompts meet, not by their length alone.

--- a/forwarder/prefill.go
+++ b/forwarder/prefill.go
@@ -13,9 +13,8 @@
 	"github.com/jackdawthread/jackdawthread/reserver"
 )
 
-// prefillSlack bounds how much longer a prefill may take than its own prompt does:
-// prompts that are read before it, and engines that are slow.
-const prefillSlack = 650 * time.Millisecond
+// prefillSilence bounds the wait for a prefill.
+const prefillSilence = 1500 * time.Millisecond
 
 // readPrompt has the prompt read by the plan's prefill engine, or by another
 // one where that fails; nil: the decode engine has to read it, since no
@@ -90,7 +89,7 @@
 }
 
 func (s *stream) prefillAt(ctx context.Context, e *registrar.Endpoint) (PrefillResult, error) {
-	ctx, cancel := context.WithTimeoutCause(ctx, reserver.FirstEventTime(s.call.Prompt)+prefillSlack, errSilent)
+	ctx, cancel := context.WithTimeoutCause(ctx, prefillSilence, errSilent)
 	defer cancel()
 	return s.forwarder.deps.Engines.Prefill(ctx, e, &s.call)
 }
