--- a/forwarder/placement.go
+++ b/forwarder/placement.go
@@ -22,50 +22,31 @@
 func (s *stream) placementRequest() reserver.PlacementRequest {
 	started := s.observation.Started
 	w := reserver.PlacementRequest{
-		Entry: admitter.Entry{
-			Arrived:           started,
-			Priority:          s.route.Priority,
-			LatestOnTimeStart: started.Add(s.route.Objective - reserver.ExpectedTimeToFirstEvent(s.call.Prompt)),
-			LatestStart:       s.latestStart(),
-		},
+		Entry:          admitter.Entry{Arrived: started, Priority: s.route.Priority},
 		Service:        s.service.Name,
 		Request:        s.call.ID,
 		Prompt:         s.call.Prompt,
 		Tokens:         s.requiredTokens(),
+		OnTimeBy:       started.Add(s.route.Objective),
+		FirstEventBy:   started.Add(s.callerEventTimeout()),
+		Deadline:       s.call.Deadline,
 		Exclude:        s.exclude,
 		ExcludePrefill: s.excludedPrefills,
 	}
 	if s.headWritten { // the caller is waiting for the next event
-		w.LatestOnTimeStart = s.call.Deadline
 		w.Priority = -1
-		w.LatestStart = s.call.Deadline
+		w.OnTimeBy = s.call.Deadline
+		w.FirstEventBy = s.call.Deadline
 	}
 	return w
 }
 
-// latestStart returns the latest time to start the request, so that the response is
-// complete before the deadline and the first event arrives before the caller
-// cancels.
-func (s *stream) latestStart() time.Time {
-	firstEventBy := s.observation.Started.Add(s.callerEventTimeout() - reserver.ExpectedTimeToFirstEvent(s.call.Prompt))
-	completeBy := s.call.Deadline.Add(-s.expectedDuration())
-	if firstEventBy.Before(completeBy) {
-		return firstEventBy
-	}
-	return completeBy
-}
-
 // callerEventTimeout is the assumed time that the caller waits for an event before
 // it cancels the request.
 func (s *stream) callerEventTimeout() time.Duration {
 	return max(minEventTimeout, objectiveTimeoutFactor*s.route.Objective, gapTimeoutFactor*s.route.GapObjective)
 }
 
-// expectedDuration is the typical time until the response is complete.
-func (s *stream) expectedDuration() time.Duration {
-	return reserver.ExpectedTimeToFirstEvent(s.call.Prompt) + time.Duration(s.expectedOutput())*reserver.TimePerToken
-}
-
 // expectedOutput returns the expected number of output tokens. Without an
 // estimate, half of the maximum is assumed.
 func (s *stream) expectedOutput() identifier.Tokens {
--- a/forwarder/prefill.go
+++ b/forwarder/prefill.go
@@ -13,8 +13,15 @@
 	"github.com/jackdawthread/jackdawthread/reserver"
 )
 
-// prefillTimeout is the timeout of a prefill call.
-const prefillTimeout = 1500 * time.Millisecond
+const (
+	// minPrefillTimeout is the lower limit of the timeout of a prefill call, which
+	// otherwise is prefillTimeoutFactor times the expected duration.
+	minPrefillTimeout    = 1500 * time.Millisecond
+	prefillTimeoutFactor = 2
+	// unmeasuredPrefillShare is the share of callerEventTimeout that is the timeout of
+	// a prefill whose expected duration is unknown.
+	unmeasuredPrefillShare = 0.5
+)
 
 // obtainPrefill runs the prefill on the plan's prefill engine, or on another one if
 // that fails. A nil result means that the decode engine has to perform the
@@ -22,7 +29,7 @@
 func (s *stream) obtainPrefill(ctx context.Context, p reserver.Plan) (*PrefillResult, error) {
 	reservations, endpoints := s.forwarder.deps.Reservations, s.forwarder.deps.Placer
 	if p.Prefill != nil {
-		result, o, err := s.tryPrefill(ctx, p.Prefill)
+		result, o, err := s.tryPrefill(ctx, p.Prefill, p.Expected)
 		reservations.RecordPrefillOutcome(p, o)
 		if result != nil || err != nil || !s.prefillAllowed {
 			return result, err
@@ -34,7 +41,7 @@
 			return nil, nil
 		}
 		endpoints.Begin(e, s.call.Prompt)
-		result, o, err := s.tryPrefill(ctx, e)
+		result, o, err := s.tryPrefill(ctx, e, p.Expected)
 		endpoints.End(e, s.call.Prompt)
 		s.forwarder.recordOutcome(e, o)
 		if result != nil || err != nil || !s.prefillAllowed {
@@ -45,13 +52,13 @@
 
 // tryPrefill runs the prefill on one engine. A nil result without an error means
 // that it failed or that the retry budget is exhausted.
-func (s *stream) tryPrefill(ctx context.Context, e *registrar.Endpoint) (*PrefillResult, placer.Outcome, error) {
+func (s *stream) tryPrefill(ctx context.Context, e *registrar.Endpoint, expected reserver.Expectation) (*PrefillResult, placer.Outcome, error) {
 	if s.prefillAllowed = s.mayPrefill(); !s.prefillAllowed {
 		return nil, placer.Outcome{Verdict: placer.VerdictNone}, nil
 	}
 	began := time.Now()
 	s.observation.addAttempt(e)
-	result, err := s.callPrefill(ctx, e)
+	result, err := s.callPrefill(ctx, e, expected)
 	took := time.Since(began)
 	o := engineOutcome(ctx, err, took)
 	if err == nil {
@@ -90,10 +97,18 @@
 	s.logDecision("prefill-not-fetched", s.prefillEndpoint, nil)
 }
 
-func (s *stream) callPrefill(ctx context.Context, e *registrar.Endpoint) (PrefillResult, error) {
-	ctx, cancel := context.WithTimeoutCause(ctx, prefillTimeout, errStalled)
+func (s *stream) callPrefill(ctx context.Context, e *registrar.Endpoint, expected reserver.Expectation) (PrefillResult, error) {
+	ctx, cancel := context.WithTimeoutCause(ctx, s.prefillTimeout(expected), errStalled)
 	defer cancel()
 	return s.forwarder.deps.Engines.Prefill(ctx, e, &s.call)
 }
 
+// prefillTimeout returns the timeout of a prefill call.
+func (s *stream) prefillTimeout(expected reserver.Expectation) time.Duration {
+	if expected.Prefill <= 0 {
+		return time.Duration(unmeasuredPrefillShare * float64(s.callerEventTimeout()))
+	}
+	return max(minPrefillTimeout, prefillTimeoutFactor*expected.Prefill)
+}
+
 var errStalled = errors.New("engine sent no data within the timeout")
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -12,9 +12,16 @@
 	"github.com/jackdawthread/jackdawthread/registrar"
 )
 
-// stallTimeout is the time without data after which a resumable stream is moved to
-// another engine: the duration of a few decode steps of a full batch.
-const stallTimeout = 1200 * time.Millisecond
+// A resumable stream is moved to another engine if no data arrives for
+// stallGapFactor times the objective for gaps, at least minStallTimeout.
+const (
+	minStallTimeout = 1200 * time.Millisecond
+	stallGapFactor  = 4
+)
+
+func (s *stream) stallTimeout() time.Duration {
+	return max(minStallTimeout, stallGapFactor*s.route.GapObjective)
+}
 
 // checkHead checks the status and headers of a response. An engine's error
 // response is kept, to be returned to the caller if all further attempts fail.
@@ -44,8 +51,11 @@
 		if err != nil {
 			return classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "stream from engine %q was interrupted: %w", at.Name, err)
 		}
+		if s.firstEventAt.IsZero() {
+			s.firstEventAt = time.Now()
+		}
 		if s.route.Resumable {
-			watchdog.Reset(stallTimeout)
+			watchdog.Reset(s.stallTimeout())
 		}
 		if alreadyDelivered(events.id, s.lastEventID) {
 			continue
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -17,8 +17,10 @@
 
 const (
 	// firstEventFraction is the fraction of callerEventTimeout after which
-	// another engine is tried if a decode has not sent its first event.
+	// another engine is tried if a decode has not sent its first event, and
+	// firstEventFactor the multiple of its expected time that must have passed.
 	firstEventFraction = 0.35
+	firstEventFactor   = 3
 	// maxPlacements is the maximum number of times that a request is placed.
 	maxPlacements = 6
 )
@@ -32,6 +34,8 @@
 	lastEventID string
 	lastWrite   time.Time
 	placements  int
+	// firstEventAt is when the current attempt's first event arrived.
+	firstEventAt time.Time
 	// completedPrefills counts the prefills that succeeded, prefillEndpoint is
 	// the endpoint of the last of them, and excludedPrefills are endpoints not to
 	// use again.
@@ -122,8 +126,9 @@
 	s.sent++
 	s.observation.addAttempt(p.Decode)
 	started := time.Now()
-	firstEventTimeout := time.Duration(firstEventFraction * float64(s.callerEventTimeout()))
-	watchdog := time.AfterFunc(firstEventTimeout, func() { cancel(errStalled) })
+	s.firstEventAt = time.Time{}
+	resumed := s.lastEventID != ""
+	watchdog := time.AfterFunc(s.firstEventTimeout(p.Expected), func() { cancel(errStalled) })
 	defer watchdog.Stop()
 	if !s.route.Resumable {
 		watchdog.Stop() // the request can't be moved to another engine
@@ -157,7 +162,17 @@
 		return engineOutcome(ctx, err, 0), s.stallError(ctx, err)
 	}
 	s.observation.RespondedBy = p.Decode.Name
-	return engineOutcome(ctx, nil, time.Since(started)), nil
+	o := engineOutcome(ctx, nil, time.Since(started))
+	if !resumed && !s.firstEventAt.IsZero() {
+		o.FirstEvent = s.firstEventAt.Sub(started)
+	}
+	return o, nil
+}
+
+// firstEventTimeout returns the time from a decode call after which its first event
+// is overdue.
+func (s *stream) firstEventTimeout(expected reserver.Expectation) time.Duration {
+	return max(time.Duration(firstEventFraction*float64(s.callerEventTimeout())), firstEventFactor*expected.FirstEvent)
 }
 
 // stallError replaces the error of a context that the watchdog canceled by
--- a/peerwire/room.go
+++ b/peerwire/room.go
@@ -14,16 +14,23 @@
 	// tokens to reserve.
 	Prompt uint32 `msg:"prompt"`
 	Tokens uint32 `msg:"tokens"`
-	// AgeMs is the time since the request arrived. OnTimeMs and StartMs are the
-	// remaining times in which the request must start to be on time, and to be
-	// served at all. All are in milliseconds.
-	AgeMs    int64 `msg:"age-ms"`
-	OnTimeMs int64 `msg:"on-time-ms"`
-	StartMs  int64 `msg:"start-ms"`
-	Priority int   `msg:"priority"`
+	// AgeMs is the time since the request arrived. OnTimeMs and FirstEventMs are the
+	// times left until its first event must arrive for it to be on time, and to be
+	// served at all, and DeadlineMs until its response must be complete; hosts of
+	// earlier versions don't send the last one. All are in milliseconds.
+	AgeMs        int64 `msg:"age-ms"`
+	OnTimeMs     int64 `msg:"on-time-ms"`
+	FirstEventMs int64 `msg:"start-ms"`
+	DeadlineMs   int64 `msg:"deadline-ms"`
+	Priority     int   `msg:"priority"`
 	// Exclude and ExcludePrefill list engines to avoid.
 	Exclude        []string `msg:"exclude"`
 	ExcludePrefill []string `msg:"exclude-prefill"`
+	// WantModel asks for the model in the reply. Model is the sender's copy, for a
+	// host that may have no measurements; nil if the sender has none either or has
+	// already sent it.
+	WantModel bool         `msg:"want-model"`
+	Model     *EngineModel `msg:"model"`
 }
 
 // ReservationReply replies to a ReservationRequest.
@@ -34,6 +41,8 @@
 	Prefill     string `msg:"prefill"`
 	Decode      string `msg:"decode"`
 	Reservation string `msg:"reservation"`
+	// Model is nil if it wasn't asked for or isn't known.
+	Model *EngineModel `msg:"model"`
 }
 
 // ReservationOutcome reports the outcome of a part of a reservation to the host
@@ -44,6 +53,10 @@
 	Prefill bool `msg:"prefill"`
 	// Verdict is a placer.Verdict.
 	Verdict uint8 `msg:"verdict"`
+	// TookUs and FirstEventUs are a successful response's duration and the time to
+	// its first event, in microseconds; 0 means unknown.
+	TookUs       int64 `msg:"took-us"`
+	FirstEventUs int64 `msg:"first-event-us"`
 }
 
 // ReservationCancel cancels a ReservationRequest whose reply is no longer
@@ -57,3 +70,33 @@
 
 // ReservationPong replies to a ReservationPing.
 type ReservationPong struct{}
+
+// EngineModel is an estimator.Model: what a host has measured of a service's
+// engines.
+type EngineModel struct {
+	Prefills          SampleRegression `msg:"prefills"`
+	BusyPrefills      SampleRegression `msg:"busy-prefills"`
+	Queueing          SampleAverage    `msg:"queueing"`
+	PromptTokens      SampleAverage    `msg:"prompt-tokens"`
+	FirstEvents       SampleAverage    `msg:"first-events"`
+	OutputTokens      SampleAverage    `msg:"output-tokens"`
+	MemoryUse         SampleAverage    `msg:"memory-use"`
+	ExpectedMemoryUse SampleAverage    `msg:"expected-memory-use"`
+}
+
+// SampleAverage is an estimator.Average.
+type SampleAverage struct {
+	Count     int     `msg:"count"`
+	Mean      float64 `msg:"mean"`
+	Deviation float64 `msg:"deviation"`
+}
+
+// SampleRegression is an estimator.Regression.
+type SampleRegression struct {
+	Count int     `msg:"count"`
+	X     float64 `msg:"x"`
+	Y     float64 `msg:"y"`
+	XX    float64 `msg:"xx"`
+	XY    float64 `msg:"xy"`
+	YY    float64 `msg:"yy"`
+}
--- a/peerwire/room_gen.go
+++ b/peerwire/room_gen.go
@@ -7,7 +7,7 @@
 )
 
 // DecodeMsg implements msgp.Decodable
-func (z *ReservationCancel) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *EngineModel) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -24,127 +24,264 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "ask":
-			z.ID, err = dc.ReadUint64()
+		case "prefills":
+			err = z.Prefills.DecodeMsg(dc)
 			if err != nil {
-				err = msgp.WrapError(err, "ID")
+				err = msgp.WrapError(err, "Prefills")
 				return
 			}
-		default:
-			err = dc.Skip()
+		case "busy-prefills":
+			err = z.BusyPrefills.DecodeMsg(dc)
 			if err != nil {
-				err = msgp.WrapError(err)
+				err = msgp.WrapError(err, "BusyPrefills")
 				return
 			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z ReservationCancel) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
-	// write "ask"
-	err = en.Append(0x81, 0xa3, 0x61, 0x73, 0x6b)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.ID)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z ReservationCancel) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "ask"
-	o = append(o, 0x81, 0xa3, 0x61, 0x73, 0x6b)
-	o = msgp.AppendUint64(o, z.ID)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *ReservationCancel) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "ask":
-			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+		case "queueing":
+			var zb0002 uint32
+			zb0002, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "ID")
+				err = msgp.WrapError(err, "Queueing")
 				return
 			}
-		default:
-			bts, err = msgp.Skip(bts)
+			for zb0002 > 0 {
+				zb0002--
+				field, err = dc.ReadMapKeyPtr()
+				if err != nil {
+					err = msgp.WrapError(err, "Queueing")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "count":
+					z.Queueing.Count, err = dc.ReadInt()
+					if err != nil {
+						err = msgp.WrapError(err, "Queueing", "Count")
+						return
+					}
+				case "mean":
+					z.Queueing.Mean, err = dc.ReadFloat64()
+					if err != nil {
+						err = msgp.WrapError(err, "Queueing", "Mean")
+						return
+					}
+				case "deviation":
+					z.Queueing.Deviation, err = dc.ReadFloat64()
+					if err != nil {
+						err = msgp.WrapError(err, "Queueing", "Deviation")
+						return
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "Queueing")
+						return
+					}
+				}
+			}
+		case "prompt-tokens":
+			var zb0003 uint32
+			zb0003, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err)
+				err = msgp.WrapError(err, "PromptTokens")
 				return
 			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z ReservationCancel) Msgsize() (s int) {
-	s = 1 + 4 + msgp.Uint64Size
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *ReservationOutcome) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "grant":
-			z.Grant, err = dc.ReadUint64()
+			for zb0003 > 0 {
+				zb0003--
+				field, err = dc.ReadMapKeyPtr()
+				if err != nil {
+					err = msgp.WrapError(err, "PromptTokens")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "count":
+					z.PromptTokens.Count, err = dc.ReadInt()
+					if err != nil {
+						err = msgp.WrapError(err, "PromptTokens", "Count")
+						return
+					}
+				case "mean":
+					z.PromptTokens.Mean, err = dc.ReadFloat64()
+					if err != nil {
+						err = msgp.WrapError(err, "PromptTokens", "Mean")
+						return
+					}
+				case "deviation":
+					z.PromptTokens.Deviation, err = dc.ReadFloat64()
+					if err != nil {
+						err = msgp.WrapError(err, "PromptTokens", "Deviation")
+						return
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "PromptTokens")
+						return
+					}
+				}
+			}
+		case "first-events":
+			var zb0004 uint32
+			zb0004, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Grant")
+				err = msgp.WrapError(err, "FirstEvents")
 				return
 			}
-		case "prefill":
-			z.Prefill, err = dc.ReadBool()
+			for zb0004 > 0 {
+				zb0004--
+				field, err = dc.ReadMapKeyPtr()
+				if err != nil {
+					err = msgp.WrapError(err, "FirstEvents")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "count":
+					z.FirstEvents.Count, err = dc.ReadInt()
+					if err != nil {
+						err = msgp.WrapError(err, "FirstEvents", "Count")
+						return
+					}
+				case "mean":
+					z.FirstEvents.Mean, err = dc.ReadFloat64()
+					if err != nil {
+						err = msgp.WrapError(err, "FirstEvents", "Mean")
+						return
+					}
+				case "deviation":
+					z.FirstEvents.Deviation, err = dc.ReadFloat64()
+					if err != nil {
+						err = msgp.WrapError(err, "FirstEvents", "Deviation")
+						return
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "FirstEvents")
+						return
+					}
+				}
+			}
+		case "output-tokens":
+			var zb0005 uint32
+			zb0005, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Prefill")
+				err = msgp.WrapError(err, "OutputTokens")
 				return
 			}
-		case "verdict":
-			z.Verdict, err = dc.ReadUint8()
+			for zb0005 > 0 {
+				zb0005--
+				field, err = dc.ReadMapKeyPtr()
+				if err != nil {
+					err = msgp.WrapError(err, "OutputTokens")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "count":
+					z.OutputTokens.Count, err = dc.ReadInt()
+					if err != nil {
+						err = msgp.WrapError(err, "OutputTokens", "Count")
+						return
+					}
+				case "mean":
+					z.OutputTokens.Mean, err = dc.ReadFloat64()
+					if err != nil {
+						err = msgp.WrapError(err, "OutputTokens", "Mean")
+						return
+					}
+				case "deviation":
+					z.OutputTokens.Deviation, err = dc.ReadFloat64()
+					if err != nil {
+						err = msgp.WrapError(err, "OutputTokens", "Deviation")
+						return
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "OutputTokens")
+						return
+					}
+				}
+			}
+		case "memory-use":
+			var zb0006 uint32
+			zb0006, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Verdict")
+				err = msgp.WrapError(err, "MemoryUse")
+				return
+			}
+			for zb0006 > 0 {
+				zb0006--
+				field, err = dc.ReadMapKeyPtr()
+				if err != nil {
+					err = msgp.WrapError(err, "MemoryUse")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "count":
+					z.MemoryUse.Count, err = dc.ReadInt()
+					if err != nil {
+						err = msgp.WrapError(err, "MemoryUse", "Count")
+						return
+					}
+				case "mean":
+					z.MemoryUse.Mean, err = dc.ReadFloat64()
+					if err != nil {
+						err = msgp.WrapError(err, "MemoryUse", "Mean")
+						return
+					}
+				case "deviation":
+					z.MemoryUse.Deviation, err = dc.ReadFloat64()
+					if err != nil {
+						err = msgp.WrapError(err, "MemoryUse", "Deviation")
+						return
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "MemoryUse")
+						return
+					}
+				}
+			}
+		case "expected-memory-use":
+			var zb0007 uint32
+			zb0007, err = dc.ReadMapHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "ExpectedMemoryUse")
 				return
 			}
+			for zb0007 > 0 {
+				zb0007--
+				field, err = dc.ReadMapKeyPtr()
+				if err != nil {
+					err = msgp.WrapError(err, "ExpectedMemoryUse")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "count":
+					z.ExpectedMemoryUse.Count, err = dc.ReadInt()
+					if err != nil {
+						err = msgp.WrapError(err, "ExpectedMemoryUse", "Count")
+						return
+					}
+				case "mean":
+					z.ExpectedMemoryUse.Mean, err = dc.ReadFloat64()
+					if err != nil {
+						err = msgp.WrapError(err, "ExpectedMemoryUse", "Mean")
+						return
+					}
+				case "deviation":
+					z.ExpectedMemoryUse.Deviation, err = dc.ReadFloat64()
+					if err != nil {
+						err = msgp.WrapError(err, "ExpectedMemoryUse", "Deviation")
+						return
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "ExpectedMemoryUse")
+						return
+					}
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -157,162 +294,342 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z ReservationOutcome) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "grant"
-	err = en.Append(0x83, 0xa5, 0x67, 0x72, 0x61, 0x6e, 0x74)
+func (z *EngineModel) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 8
+	// write "prefills"
+	err = en.Append(0x88, 0xa8, 0x70, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c, 0x73)
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(z.Grant)
+	err = z.Prefills.EncodeMsg(en)
 	if err != nil {
-		err = msgp.WrapError(err, "Grant")
+		err = msgp.WrapError(err, "Prefills")
 		return
 	}
-	// write "prefill"
-	err = en.Append(0xa7, 0x70, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c)
+	// write "busy-prefills"
+	err = en.Append(0xad, 0x62, 0x75, 0x73, 0x79, 0x2d, 0x70, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c, 0x73)
 	if err != nil {
 		return
 	}
-	err = en.WriteBool(z.Prefill)
+	err = z.BusyPrefills.EncodeMsg(en)
 	if err != nil {
-		err = msgp.WrapError(err, "Prefill")
+		err = msgp.WrapError(err, "BusyPrefills")
 		return
 	}
-	// write "verdict"
-	err = en.Append(0xa7, 0x76, 0x65, 0x72, 0x64, 0x69, 0x63, 0x74)
+	// write "queueing"
+	err = en.Append(0xa8, 0x71, 0x75, 0x65, 0x75, 0x65, 0x69, 0x6e, 0x67)
 	if err != nil {
 		return
 	}
-	err = en.WriteUint8(z.Verdict)
+	// map header, size 3
+	// write "count"
+	err = en.Append(0x83, 0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
 	if err != nil {
-		err = msgp.WrapError(err, "Verdict")
 		return
 	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z ReservationOutcome) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "grant"
-	o = append(o, 0x83, 0xa5, 0x67, 0x72, 0x61, 0x6e, 0x74)
-	o = msgp.AppendUint64(o, z.Grant)
-	// string "prefill"
-	o = append(o, 0xa7, 0x70, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c)
-	o = msgp.AppendBool(o, z.Prefill)
-	// string "verdict"
-	o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x64, 0x69, 0x63, 0x74)
-	o = msgp.AppendUint8(o, z.Verdict)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *ReservationOutcome) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	err = en.WriteInt(z.Queueing.Count)
 	if err != nil {
-		err = msgp.WrapError(err)
+		err = msgp.WrapError(err, "Queueing", "Count")
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "grant":
-			z.Grant, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Grant")
-				return
-			}
-		case "prefill":
-			z.Prefill, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Prefill")
-				return
-			}
-		case "verdict":
-			z.Verdict, bts, err = msgp.ReadUint8Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Verdict")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+	// write "mean"
+	err = en.Append(0xa4, 0x6d, 0x65, 0x61, 0x6e)
+	if err != nil {
+		return
 	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z ReservationOutcome) Msgsize() (s int) {
-	s = 1 + 6 + msgp.Uint64Size + 8 + msgp.BoolSize + 8 + msgp.Uint8Size
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *ReservationPing) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
+	err = en.WriteFloat64(z.Queueing.Mean)
 	if err != nil {
-		err = msgp.WrapError(err)
+		err = msgp.WrapError(err, "Queueing", "Mean")
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+	// write "deviation"
+	err = en.Append(0xa9, 0x64, 0x65, 0x76, 0x69, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	if err != nil {
+		return
 	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z ReservationPing) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 0
-	_ = z
-	err = en.Append(0x80)
+	err = en.WriteFloat64(z.Queueing.Deviation)
 	if err != nil {
+		err = msgp.WrapError(err, "Queueing", "Deviation")
 		return
 	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z ReservationPing) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 0
-	_ = z
-	o = append(o, 0x80)
+	// write "prompt-tokens"
+	err = en.Append(0xad, 0x70, 0x72, 0x6f, 0x6d, 0x70, 0x74, 0x2d, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
+	if err != nil {
+		return
+	}
+	// map header, size 3
+	// write "count"
+	err = en.Append(0x83, 0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.PromptTokens.Count)
+	if err != nil {
+		err = msgp.WrapError(err, "PromptTokens", "Count")
+		return
+	}
+	// write "mean"
+	err = en.Append(0xa4, 0x6d, 0x65, 0x61, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteFloat64(z.PromptTokens.Mean)
+	if err != nil {
+		err = msgp.WrapError(err, "PromptTokens", "Mean")
+		return
+	}
+	// write "deviation"
+	err = en.Append(0xa9, 0x64, 0x65, 0x76, 0x69, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteFloat64(z.PromptTokens.Deviation)
+	if err != nil {
+		err = msgp.WrapError(err, "PromptTokens", "Deviation")
+		return
+	}
+	// write "first-events"
+	err = en.Append(0xac, 0x66, 0x69, 0x72, 0x73, 0x74, 0x2d, 0x65, 0x76, 0x65, 0x6e, 0x74, 0x73)
+	if err != nil {
+		return
+	}
+	// map header, size 3
+	// write "count"
+	err = en.Append(0x83, 0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.FirstEvents.Count)
+	if err != nil {
+		err = msgp.WrapError(err, "FirstEvents", "Count")
+		return
+	}
+	// write "mean"
+	err = en.Append(0xa4, 0x6d, 0x65, 0x61, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteFloat64(z.FirstEvents.Mean)
+	if err != nil {
+		err = msgp.WrapError(err, "FirstEvents", "Mean")
+		return
+	}
+	// write "deviation"
+	err = en.Append(0xa9, 0x64, 0x65, 0x76, 0x69, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteFloat64(z.FirstEvents.Deviation)
+	if err != nil {
+		err = msgp.WrapError(err, "FirstEvents", "Deviation")
+		return
+	}
+	// write "output-tokens"
+	err = en.Append(0xad, 0x6f, 0x75, 0x74, 0x70, 0x75, 0x74, 0x2d, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
+	if err != nil {
+		return
+	}
+	// map header, size 3
+	// write "count"
+	err = en.Append(0x83, 0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.OutputTokens.Count)
+	if err != nil {
+		err = msgp.WrapError(err, "OutputTokens", "Count")
+		return
+	}
+	// write "mean"
+	err = en.Append(0xa4, 0x6d, 0x65, 0x61, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteFloat64(z.OutputTokens.Mean)
+	if err != nil {
+		err = msgp.WrapError(err, "OutputTokens", "Mean")
+		return
+	}
+	// write "deviation"
+	err = en.Append(0xa9, 0x64, 0x65, 0x76, 0x69, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteFloat64(z.OutputTokens.Deviation)
+	if err != nil {
+		err = msgp.WrapError(err, "OutputTokens", "Deviation")
+		return
+	}
+	// write "memory-use"
+	err = en.Append(0xaa, 0x6d, 0x65, 0x6d, 0x6f, 0x72, 0x79, 0x2d, 0x75, 0x73, 0x65)
+	if err != nil {
+		return
+	}
+	// map header, size 3
+	// write "count"
+	err = en.Append(0x83, 0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.MemoryUse.Count)
+	if err != nil {
+		err = msgp.WrapError(err, "MemoryUse", "Count")
+		return
+	}
+	// write "mean"
+	err = en.Append(0xa4, 0x6d, 0x65, 0x61, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteFloat64(z.MemoryUse.Mean)
+	if err != nil {
+		err = msgp.WrapError(err, "MemoryUse", "Mean")
+		return
+	}
+	// write "deviation"
+	err = en.Append(0xa9, 0x64, 0x65, 0x76, 0x69, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteFloat64(z.MemoryUse.Deviation)
+	if err != nil {
+		err = msgp.WrapError(err, "MemoryUse", "Deviation")
+		return
+	}
+	// write "expected-memory-use"
+	err = en.Append(0xb3, 0x65, 0x78, 0x70, 0x65, 0x63, 0x74, 0x65, 0x64, 0x2d, 0x6d, 0x65, 0x6d, 0x6f, 0x72, 0x79, 0x2d, 0x75, 0x73, 0x65)
+	if err != nil {
+		return
+	}
+	// map header, size 3
+	// write "count"
+	err = en.Append(0x83, 0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.ExpectedMemoryUse.Count)
+	if err != nil {
+		err = msgp.WrapError(err, "ExpectedMemoryUse", "Count")
+		return
+	}
+	// write "mean"
+	err = en.Append(0xa4, 0x6d, 0x65, 0x61, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteFloat64(z.ExpectedMemoryUse.Mean)
+	if err != nil {
+		err = msgp.WrapError(err, "ExpectedMemoryUse", "Mean")
+		return
+	}
+	// write "deviation"
+	err = en.Append(0xa9, 0x64, 0x65, 0x76, 0x69, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteFloat64(z.ExpectedMemoryUse.Deviation)
+	if err != nil {
+		err = msgp.WrapError(err, "ExpectedMemoryUse", "Deviation")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *EngineModel) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 8
+	// string "prefills"
+	o = append(o, 0x88, 0xa8, 0x70, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c, 0x73)
+	o, err = z.Prefills.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Prefills")
+		return
+	}
+	// string "busy-prefills"
+	o = append(o, 0xad, 0x62, 0x75, 0x73, 0x79, 0x2d, 0x70, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c, 0x73)
+	o, err = z.BusyPrefills.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "BusyPrefills")
+		return
+	}
+	// string "queueing"
+	o = append(o, 0xa8, 0x71, 0x75, 0x65, 0x75, 0x65, 0x69, 0x6e, 0x67)
+	// map header, size 3
+	// string "count"
+	o = append(o, 0x83, 0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+	o = msgp.AppendInt(o, z.Queueing.Count)
+	// string "mean"
+	o = append(o, 0xa4, 0x6d, 0x65, 0x61, 0x6e)
+	o = msgp.AppendFloat64(o, z.Queueing.Mean)
+	// string "deviation"
+	o = append(o, 0xa9, 0x64, 0x65, 0x76, 0x69, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendFloat64(o, z.Queueing.Deviation)
+	// string "prompt-tokens"
+	o = append(o, 0xad, 0x70, 0x72, 0x6f, 0x6d, 0x70, 0x74, 0x2d, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
+	// map header, size 3
+	// string "count"
+	o = append(o, 0x83, 0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+	o = msgp.AppendInt(o, z.PromptTokens.Count)
+	// string "mean"
+	o = append(o, 0xa4, 0x6d, 0x65, 0x61, 0x6e)
+	o = msgp.AppendFloat64(o, z.PromptTokens.Mean)
+	// string "deviation"
+	o = append(o, 0xa9, 0x64, 0x65, 0x76, 0x69, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendFloat64(o, z.PromptTokens.Deviation)
+	// string "first-events"
+	o = append(o, 0xac, 0x66, 0x69, 0x72, 0x73, 0x74, 0x2d, 0x65, 0x76, 0x65, 0x6e, 0x74, 0x73)
+	// map header, size 3
+	// string "count"
+	o = append(o, 0x83, 0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+	o = msgp.AppendInt(o, z.FirstEvents.Count)
+	// string "mean"
+	o = append(o, 0xa4, 0x6d, 0x65, 0x61, 0x6e)
+	o = msgp.AppendFloat64(o, z.FirstEvents.Mean)
+	// string "deviation"
+	o = append(o, 0xa9, 0x64, 0x65, 0x76, 0x69, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendFloat64(o, z.FirstEvents.Deviation)
+	// string "output-tokens"
+	o = append(o, 0xad, 0x6f, 0x75, 0x74, 0x70, 0x75, 0x74, 0x2d, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
+	// map header, size 3
+	// string "count"
+	o = append(o, 0x83, 0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+	o = msgp.AppendInt(o, z.OutputTokens.Count)
+	// string "mean"
+	o = append(o, 0xa4, 0x6d, 0x65, 0x61, 0x6e)
+	o = msgp.AppendFloat64(o, z.OutputTokens.Mean)
+	// string "deviation"
+	o = append(o, 0xa9, 0x64, 0x65, 0x76, 0x69, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendFloat64(o, z.OutputTokens.Deviation)
+	// string "memory-use"
+	o = append(o, 0xaa, 0x6d, 0x65, 0x6d, 0x6f, 0x72, 0x79, 0x2d, 0x75, 0x73, 0x65)
+	// map header, size 3
+	// string "count"
+	o = append(o, 0x83, 0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+	o = msgp.AppendInt(o, z.MemoryUse.Count)
+	// string "mean"
+	o = append(o, 0xa4, 0x6d, 0x65, 0x61, 0x6e)
+	o = msgp.AppendFloat64(o, z.MemoryUse.Mean)
+	// string "deviation"
+	o = append(o, 0xa9, 0x64, 0x65, 0x76, 0x69, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendFloat64(o, z.MemoryUse.Deviation)
+	// string "expected-memory-use"
+	o = append(o, 0xb3, 0x65, 0x78, 0x70, 0x65, 0x63, 0x74, 0x65, 0x64, 0x2d, 0x6d, 0x65, 0x6d, 0x6f, 0x72, 0x79, 0x2d, 0x75, 0x73, 0x65)
+	// map header, size 3
+	// string "count"
+	o = append(o, 0x83, 0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+	o = msgp.AppendInt(o, z.ExpectedMemoryUse.Count)
+	// string "mean"
+	o = append(o, 0xa4, 0x6d, 0x65, 0x61, 0x6e)
+	o = msgp.AppendFloat64(o, z.ExpectedMemoryUse.Mean)
+	// string "deviation"
+	o = append(o, 0xa9, 0x64, 0x65, 0x76, 0x69, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendFloat64(o, z.ExpectedMemoryUse.Deviation)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *ReservationPing) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *EngineModel) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -329,6 +646,264 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "prefills":
+			bts, err = z.Prefills.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Prefills")
+				return
+			}
+		case "busy-prefills":
+			bts, err = z.BusyPrefills.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "BusyPrefills")
+				return
+			}
+		case "queueing":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Queueing")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Queueing")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "count":
+					z.Queueing.Count, bts, err = msgp.ReadIntBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Queueing", "Count")
+						return
+					}
+				case "mean":
+					z.Queueing.Mean, bts, err = msgp.ReadFloat64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Queueing", "Mean")
+						return
+					}
+				case "deviation":
+					z.Queueing.Deviation, bts, err = msgp.ReadFloat64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Queueing", "Deviation")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Queueing")
+						return
+					}
+				}
+			}
+		case "prompt-tokens":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PromptTokens")
+				return
+			}
+			for zb0003 > 0 {
+				zb0003--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "PromptTokens")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "count":
+					z.PromptTokens.Count, bts, err = msgp.ReadIntBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "PromptTokens", "Count")
+						return
+					}
+				case "mean":
+					z.PromptTokens.Mean, bts, err = msgp.ReadFloat64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "PromptTokens", "Mean")
+						return
+					}
+				case "deviation":
+					z.PromptTokens.Deviation, bts, err = msgp.ReadFloat64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "PromptTokens", "Deviation")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "PromptTokens")
+						return
+					}
+				}
+			}
+		case "first-events":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FirstEvents")
+				return
+			}
+			for zb0004 > 0 {
+				zb0004--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "FirstEvents")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "count":
+					z.FirstEvents.Count, bts, err = msgp.ReadIntBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "FirstEvents", "Count")
+						return
+					}
+				case "mean":
+					z.FirstEvents.Mean, bts, err = msgp.ReadFloat64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "FirstEvents", "Mean")
+						return
+					}
+				case "deviation":
+					z.FirstEvents.Deviation, bts, err = msgp.ReadFloat64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "FirstEvents", "Deviation")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "FirstEvents")
+						return
+					}
+				}
+			}
+		case "output-tokens":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OutputTokens")
+				return
+			}
+			for zb0005 > 0 {
+				zb0005--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "OutputTokens")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "count":
+					z.OutputTokens.Count, bts, err = msgp.ReadIntBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "OutputTokens", "Count")
+						return
+					}
+				case "mean":
+					z.OutputTokens.Mean, bts, err = msgp.ReadFloat64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "OutputTokens", "Mean")
+						return
+					}
+				case "deviation":
+					z.OutputTokens.Deviation, bts, err = msgp.ReadFloat64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "OutputTokens", "Deviation")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "OutputTokens")
+						return
+					}
+				}
+			}
+		case "memory-use":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MemoryUse")
+				return
+			}
+			for zb0006 > 0 {
+				zb0006--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "MemoryUse")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "count":
+					z.MemoryUse.Count, bts, err = msgp.ReadIntBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "MemoryUse", "Count")
+						return
+					}
+				case "mean":
+					z.MemoryUse.Mean, bts, err = msgp.ReadFloat64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "MemoryUse", "Mean")
+						return
+					}
+				case "deviation":
+					z.MemoryUse.Deviation, bts, err = msgp.ReadFloat64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "MemoryUse", "Deviation")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "MemoryUse")
+						return
+					}
+				}
+			}
+		case "expected-memory-use":
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ExpectedMemoryUse")
+				return
+			}
+			for zb0007 > 0 {
+				zb0007--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "ExpectedMemoryUse")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "count":
+					z.ExpectedMemoryUse.Count, bts, err = msgp.ReadIntBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "ExpectedMemoryUse", "Count")
+						return
+					}
+				case "mean":
+					z.ExpectedMemoryUse.Mean, bts, err = msgp.ReadFloat64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "ExpectedMemoryUse", "Mean")
+						return
+					}
+				case "deviation":
+					z.ExpectedMemoryUse.Deviation, bts, err = msgp.ReadFloat64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "ExpectedMemoryUse", "Deviation")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "ExpectedMemoryUse")
+						return
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -342,13 +917,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z ReservationPing) Msgsize() (s int) {
-	s = 1
+func (z *EngineModel) Msgsize() (s int) {
+	s = 1 + 9 + z.Prefills.Msgsize() + 14 + z.BusyPrefills.Msgsize() + 9 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 14 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 13 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 14 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 11 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 20 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *ReservationPong) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *ReservationCancel) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -365,6 +940,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "ask":
+			z.ID, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -373,31 +954,1079 @@
 			}
 		}
 	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z ReservationPong) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 0
-	_ = z
-	err = en.Append(0x80)
-	if err != nil {
-		return
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z ReservationCancel) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "ask"
+	err = en.Append(0x81, 0xa3, 0x61, 0x73, 0x6b)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.ID)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ReservationCancel) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "ask"
+	o = append(o, 0x81, 0xa3, 0x61, 0x73, 0x6b)
+	o = msgp.AppendUint64(o, z.ID)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ReservationCancel) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "ask":
+			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ReservationCancel) Msgsize() (s int) {
+	s = 1 + 4 + msgp.Uint64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *ReservationOutcome) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "grant":
+			z.Grant, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Grant")
+				return
+			}
+		case "prefill":
+			z.Prefill, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Prefill")
+				return
+			}
+		case "verdict":
+			z.Verdict, err = dc.ReadUint8()
+			if err != nil {
+				err = msgp.WrapError(err, "Verdict")
+				return
+			}
+		case "took-us":
+			z.TookUs, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "TookUs")
+				return
+			}
+		case "first-event-us":
+			z.FirstEventUs, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "FirstEventUs")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *ReservationOutcome) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 5
+	// write "grant"
+	err = en.Append(0x85, 0xa5, 0x67, 0x72, 0x61, 0x6e, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Grant)
+	if err != nil {
+		err = msgp.WrapError(err, "Grant")
+		return
+	}
+	// write "prefill"
+	err = en.Append(0xa7, 0x70, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Prefill)
+	if err != nil {
+		err = msgp.WrapError(err, "Prefill")
+		return
+	}
+	// write "verdict"
+	err = en.Append(0xa7, 0x76, 0x65, 0x72, 0x64, 0x69, 0x63, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint8(z.Verdict)
+	if err != nil {
+		err = msgp.WrapError(err, "Verdict")
+		return
+	}
+	// write "took-us"
+	err = en.Append(0xa7, 0x74, 0x6f, 0x6f, 0x6b, 0x2d, 0x75, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.TookUs)
+	if err != nil {
+		err = msgp.WrapError(err, "TookUs")
+		return
+	}
+	// write "first-event-us"
+	err = en.Append(0xae, 0x66, 0x69, 0x72, 0x73, 0x74, 0x2d, 0x65, 0x76, 0x65, 0x6e, 0x74, 0x2d, 0x75, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.FirstEventUs)
+	if err != nil {
+		err = msgp.WrapError(err, "FirstEventUs")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ReservationOutcome) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "grant"
+	o = append(o, 0x85, 0xa5, 0x67, 0x72, 0x61, 0x6e, 0x74)
+	o = msgp.AppendUint64(o, z.Grant)
+	// string "prefill"
+	o = append(o, 0xa7, 0x70, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c)
+	o = msgp.AppendBool(o, z.Prefill)
+	// string "verdict"
+	o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x64, 0x69, 0x63, 0x74)
+	o = msgp.AppendUint8(o, z.Verdict)
+	// string "took-us"
+	o = append(o, 0xa7, 0x74, 0x6f, 0x6f, 0x6b, 0x2d, 0x75, 0x73)
+	o = msgp.AppendInt64(o, z.TookUs)
+	// string "first-event-us"
+	o = append(o, 0xae, 0x66, 0x69, 0x72, 0x73, 0x74, 0x2d, 0x65, 0x76, 0x65, 0x6e, 0x74, 0x2d, 0x75, 0x73)
+	o = msgp.AppendInt64(o, z.FirstEventUs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ReservationOutcome) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "grant":
+			z.Grant, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Grant")
+				return
+			}
+		case "prefill":
+			z.Prefill, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Prefill")
+				return
+			}
+		case "verdict":
+			z.Verdict, bts, err = msgp.ReadUint8Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Verdict")
+				return
+			}
+		case "took-us":
+			z.TookUs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TookUs")
+				return
+			}
+		case "first-event-us":
+			z.FirstEventUs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FirstEventUs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ReservationOutcome) Msgsize() (s int) {
+	s = 1 + 6 + msgp.Uint64Size + 8 + msgp.BoolSize + 8 + msgp.Uint8Size + 8 + msgp.Int64Size + 15 + msgp.Int64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *ReservationPing) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z ReservationPing) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 0
+	_ = z
+	err = en.Append(0x80)
+	if err != nil {
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ReservationPing) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 0
+	_ = z
+	o = append(o, 0x80)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ReservationPing) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ReservationPing) Msgsize() (s int) {
+	s = 1
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *ReservationPong) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z ReservationPong) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 0
+	_ = z
+	err = en.Append(0x80)
+	if err != nil {
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ReservationPong) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 0
+	_ = z
+	o = append(o, 0x80)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ReservationPong) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ReservationPong) Msgsize() (s int) {
+	s = 1
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *ReservationReply) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "grant":
+			z.Grant, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Grant")
+				return
+			}
+		case "prefill":
+			z.Prefill, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Prefill")
+				return
+			}
+		case "decode":
+			z.Decode, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Decode")
+				return
+			}
+		case "reservation":
+			z.Reservation, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Reservation")
+				return
+			}
+		case "model":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "Model")
+					return
+				}
+				z.Model = nil
+			} else {
+				if z.Model == nil {
+					z.Model = new(EngineModel)
+				}
+				err = z.Model.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Model")
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *ReservationReply) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 5
+	// write "grant"
+	err = en.Append(0x85, 0xa5, 0x67, 0x72, 0x61, 0x6e, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Grant)
+	if err != nil {
+		err = msgp.WrapError(err, "Grant")
+		return
+	}
+	// write "prefill"
+	err = en.Append(0xa7, 0x70, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Prefill)
+	if err != nil {
+		err = msgp.WrapError(err, "Prefill")
+		return
+	}
+	// write "decode"
+	err = en.Append(0xa6, 0x64, 0x65, 0x63, 0x6f, 0x64, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Decode)
+	if err != nil {
+		err = msgp.WrapError(err, "Decode")
+		return
+	}
+	// write "reservation"
+	err = en.Append(0xab, 0x72, 0x65, 0x73, 0x65, 0x72, 0x76, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Reservation)
+	if err != nil {
+		err = msgp.WrapError(err, "Reservation")
+		return
+	}
+	// write "model"
+	err = en.Append(0xa5, 0x6d, 0x6f, 0x64, 0x65, 0x6c)
+	if err != nil {
+		return
+	}
+	if z.Model == nil {
+		err = en.WriteNil()
+		if err != nil {
+			return
+		}
+	} else {
+		err = z.Model.EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Model")
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ReservationReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "grant"
+	o = append(o, 0x85, 0xa5, 0x67, 0x72, 0x61, 0x6e, 0x74)
+	o = msgp.AppendUint64(o, z.Grant)
+	// string "prefill"
+	o = append(o, 0xa7, 0x70, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c)
+	o = msgp.AppendString(o, z.Prefill)
+	// string "decode"
+	o = append(o, 0xa6, 0x64, 0x65, 0x63, 0x6f, 0x64, 0x65)
+	o = msgp.AppendString(o, z.Decode)
+	// string "reservation"
+	o = append(o, 0xab, 0x72, 0x65, 0x73, 0x65, 0x72, 0x76, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendString(o, z.Reservation)
+	// string "model"
+	o = append(o, 0xa5, 0x6d, 0x6f, 0x64, 0x65, 0x6c)
+	if z.Model == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Model.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Model")
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ReservationReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "grant":
+			z.Grant, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Grant")
+				return
+			}
+		case "prefill":
+			z.Prefill, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Prefill")
+				return
+			}
+		case "decode":
+			z.Decode, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Decode")
+				return
+			}
+		case "reservation":
+			z.Reservation, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reservation")
+				return
+			}
+		case "model":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Model = nil
+			} else {
+				if z.Model == nil {
+					z.Model = new(EngineModel)
+				}
+				bts, err = z.Model.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Model")
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ReservationReply) Msgsize() (s int) {
+	s = 1 + 6 + msgp.Uint64Size + 8 + msgp.StringPrefixSize + len(z.Prefill) + 7 + msgp.StringPrefixSize + len(z.Decode) + 12 + msgp.StringPrefixSize + len(z.Reservation) + 6
+	if z.Model == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Model.Msgsize()
+	}
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *ReservationRequest) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "service":
+			z.Service, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "request":
+			z.Request, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Request")
+				return
+			}
+		case "ask":
+			z.ID, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "prompt":
+			z.Prompt, err = dc.ReadUint32()
+			if err != nil {
+				err = msgp.WrapError(err, "Prompt")
+				return
+			}
+		case "tokens":
+			z.Tokens, err = dc.ReadUint32()
+			if err != nil {
+				err = msgp.WrapError(err, "Tokens")
+				return
+			}
+		case "age-ms":
+			z.AgeMs, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "AgeMs")
+				return
+			}
+		case "on-time-ms":
+			z.OnTimeMs, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "OnTimeMs")
+				return
+			}
+		case "start-ms":
+			z.FirstEventMs, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "FirstEventMs")
+				return
+			}
+		case "deadline-ms":
+			z.DeadlineMs, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "DeadlineMs")
+				return
+			}
+		case "priority":
+			z.Priority, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Priority")
+				return
+			}
+		case "exclude":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Exclude")
+				return
+			}
+			if cap(z.Exclude) >= int(zb0002) {
+				z.Exclude = (z.Exclude)[:zb0002]
+			} else {
+				z.Exclude = make([]string, zb0002)
+			}
+			for za0001 := range z.Exclude {
+				z.Exclude[za0001], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Exclude", za0001)
+					return
+				}
+			}
+		case "exclude-prefill":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "ExcludePrefill")
+				return
+			}
+			if cap(z.ExcludePrefill) >= int(zb0003) {
+				z.ExcludePrefill = (z.ExcludePrefill)[:zb0003]
+			} else {
+				z.ExcludePrefill = make([]string, zb0003)
+			}
+			for za0002 := range z.ExcludePrefill {
+				z.ExcludePrefill[za0002], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "ExcludePrefill", za0002)
+					return
+				}
+			}
+		case "want-model":
+			z.WantModel, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "WantModel")
+				return
+			}
+		case "model":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "Model")
+					return
+				}
+				z.Model = nil
+			} else {
+				if z.Model == nil {
+					z.Model = new(EngineModel)
+				}
+				err = z.Model.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Model")
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *ReservationRequest) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 14
+	// write "service"
+	err = en.Append(0x8e, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	// write "request"
+	err = en.Append(0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Request)
+	if err != nil {
+		err = msgp.WrapError(err, "Request")
+		return
+	}
+	// write "ask"
+	err = en.Append(0xa3, 0x61, 0x73, 0x6b)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.ID)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	// write "prompt"
+	err = en.Append(0xa6, 0x70, 0x72, 0x6f, 0x6d, 0x70, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint32(z.Prompt)
+	if err != nil {
+		err = msgp.WrapError(err, "Prompt")
+		return
+	}
+	// write "tokens"
+	err = en.Append(0xa6, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint32(z.Tokens)
+	if err != nil {
+		err = msgp.WrapError(err, "Tokens")
+		return
+	}
+	// write "age-ms"
+	err = en.Append(0xa6, 0x61, 0x67, 0x65, 0x2d, 0x6d, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.AgeMs)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMs")
+		return
+	}
+	// write "on-time-ms"
+	err = en.Append(0xaa, 0x6f, 0x6e, 0x2d, 0x74, 0x69, 0x6d, 0x65, 0x2d, 0x6d, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.OnTimeMs)
+	if err != nil {
+		err = msgp.WrapError(err, "OnTimeMs")
+		return
+	}
+	// write "start-ms"
+	err = en.Append(0xa8, 0x73, 0x74, 0x61, 0x72, 0x74, 0x2d, 0x6d, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.FirstEventMs)
+	if err != nil {
+		err = msgp.WrapError(err, "FirstEventMs")
+		return
+	}
+	// write "deadline-ms"
+	err = en.Append(0xab, 0x64, 0x65, 0x61, 0x64, 0x6c, 0x69, 0x6e, 0x65, 0x2d, 0x6d, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.DeadlineMs)
+	if err != nil {
+		err = msgp.WrapError(err, "DeadlineMs")
+		return
+	}
+	// write "priority"
+	err = en.Append(0xa8, 0x70, 0x72, 0x69, 0x6f, 0x72, 0x69, 0x74, 0x79)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Priority)
+	if err != nil {
+		err = msgp.WrapError(err, "Priority")
+		return
+	}
+	// write "exclude"
+	err = en.Append(0xa7, 0x65, 0x78, 0x63, 0x6c, 0x75, 0x64, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Exclude)))
+	if err != nil {
+		err = msgp.WrapError(err, "Exclude")
+		return
+	}
+	for za0001 := range z.Exclude {
+		err = en.WriteString(z.Exclude[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "Exclude", za0001)
+			return
+		}
+	}
+	// write "exclude-prefill"
+	err = en.Append(0xaf, 0x65, 0x78, 0x63, 0x6c, 0x75, 0x64, 0x65, 0x2d, 0x70, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.ExcludePrefill)))
+	if err != nil {
+		err = msgp.WrapError(err, "ExcludePrefill")
+		return
+	}
+	for za0002 := range z.ExcludePrefill {
+		err = en.WriteString(z.ExcludePrefill[za0002])
+		if err != nil {
+			err = msgp.WrapError(err, "ExcludePrefill", za0002)
+			return
+		}
+	}
+	// write "want-model"
+	err = en.Append(0xaa, 0x77, 0x61, 0x6e, 0x74, 0x2d, 0x6d, 0x6f, 0x64, 0x65, 0x6c)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.WantModel)
+	if err != nil {
+		err = msgp.WrapError(err, "WantModel")
+		return
+	}
+	// write "model"
+	err = en.Append(0xa5, 0x6d, 0x6f, 0x64, 0x65, 0x6c)
+	if err != nil {
+		return
+	}
+	if z.Model == nil {
+		err = en.WriteNil()
+		if err != nil {
+			return
+		}
+	} else {
+		err = z.Model.EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Model")
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ReservationRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 14
+	// string "service"
+	o = append(o, 0x8e, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Service)
+	// string "request"
+	o = append(o, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
+	o = msgp.AppendString(o, z.Request)
+	// string "ask"
+	o = append(o, 0xa3, 0x61, 0x73, 0x6b)
+	o = msgp.AppendUint64(o, z.ID)
+	// string "prompt"
+	o = append(o, 0xa6, 0x70, 0x72, 0x6f, 0x6d, 0x70, 0x74)
+	o = msgp.AppendUint32(o, z.Prompt)
+	// string "tokens"
+	o = append(o, 0xa6, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
+	o = msgp.AppendUint32(o, z.Tokens)
+	// string "age-ms"
+	o = append(o, 0xa6, 0x61, 0x67, 0x65, 0x2d, 0x6d, 0x73)
+	o = msgp.AppendInt64(o, z.AgeMs)
+	// string "on-time-ms"
+	o = append(o, 0xaa, 0x6f, 0x6e, 0x2d, 0x74, 0x69, 0x6d, 0x65, 0x2d, 0x6d, 0x73)
+	o = msgp.AppendInt64(o, z.OnTimeMs)
+	// string "start-ms"
+	o = append(o, 0xa8, 0x73, 0x74, 0x61, 0x72, 0x74, 0x2d, 0x6d, 0x73)
+	o = msgp.AppendInt64(o, z.FirstEventMs)
+	// string "deadline-ms"
+	o = append(o, 0xab, 0x64, 0x65, 0x61, 0x64, 0x6c, 0x69, 0x6e, 0x65, 0x2d, 0x6d, 0x73)
+	o = msgp.AppendInt64(o, z.DeadlineMs)
+	// string "priority"
+	o = append(o, 0xa8, 0x70, 0x72, 0x69, 0x6f, 0x72, 0x69, 0x74, 0x79)
+	o = msgp.AppendInt(o, z.Priority)
+	// string "exclude"
+	o = append(o, 0xa7, 0x65, 0x78, 0x63, 0x6c, 0x75, 0x64, 0x65)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Exclude)))
+	for za0001 := range z.Exclude {
+		o = msgp.AppendString(o, z.Exclude[za0001])
+	}
+	// string "exclude-prefill"
+	o = append(o, 0xaf, 0x65, 0x78, 0x63, 0x6c, 0x75, 0x64, 0x65, 0x2d, 0x70, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.ExcludePrefill)))
+	for za0002 := range z.ExcludePrefill {
+		o = msgp.AppendString(o, z.ExcludePrefill[za0002])
+	}
+	// string "want-model"
+	o = append(o, 0xaa, 0x77, 0x61, 0x6e, 0x74, 0x2d, 0x6d, 0x6f, 0x64, 0x65, 0x6c)
+	o = msgp.AppendBool(o, z.WantModel)
+	// string "model"
+	o = append(o, 0xa5, 0x6d, 0x6f, 0x64, 0x65, 0x6c)
+	if z.Model == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Model.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Model")
+			return
+		}
 	}
 	return
 }
 
-// MarshalMsg implements msgp.Marshaler
-func (z ReservationPong) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 0
-	_ = z
-	o = append(o, 0x80)
-	return
-}
-
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *ReservationPong) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *ReservationRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -414,6 +2043,127 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "service":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "request":
+			z.Request, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Request")
+				return
+			}
+		case "ask":
+			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "prompt":
+			z.Prompt, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Prompt")
+				return
+			}
+		case "tokens":
+			z.Tokens, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tokens")
+				return
+			}
+		case "age-ms":
+			z.AgeMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AgeMs")
+				return
+			}
+		case "on-time-ms":
+			z.OnTimeMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OnTimeMs")
+				return
+			}
+		case "start-ms":
+			z.FirstEventMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FirstEventMs")
+				return
+			}
+		case "deadline-ms":
+			z.DeadlineMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DeadlineMs")
+				return
+			}
+		case "priority":
+			z.Priority, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Priority")
+				return
+			}
+		case "exclude":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Exclude")
+				return
+			}
+			if cap(z.Exclude) >= int(zb0002) {
+				z.Exclude = (z.Exclude)[:zb0002]
+			} else {
+				z.Exclude = make([]string, zb0002)
+			}
+			for za0001 := range z.Exclude {
+				z.Exclude[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Exclude", za0001)
+					return
+				}
+			}
+		case "exclude-prefill":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ExcludePrefill")
+				return
+			}
+			if cap(z.ExcludePrefill) >= int(zb0003) {
+				z.ExcludePrefill = (z.ExcludePrefill)[:zb0003]
+			} else {
+				z.ExcludePrefill = make([]string, zb0003)
+			}
+			for za0002 := range z.ExcludePrefill {
+				z.ExcludePrefill[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "ExcludePrefill", za0002)
+					return
+				}
+			}
+		case "want-model":
+			z.WantModel, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WantModel")
+				return
+			}
+		case "model":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Model = nil
+			} else {
+				if z.Model == nil {
+					z.Model = new(EngineModel)
+				}
+				bts, err = z.Model.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Model")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -427,13 +2177,26 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z ReservationPong) Msgsize() (s int) {
-	s = 1
+func (z *ReservationRequest) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Request) + 4 + msgp.Uint64Size + 7 + msgp.Uint32Size + 7 + msgp.Uint32Size + 7 + msgp.Int64Size + 11 + msgp.Int64Size + 9 + msgp.Int64Size + 12 + msgp.Int64Size + 9 + msgp.IntSize + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Exclude {
+		s += msgp.StringPrefixSize + len(z.Exclude[za0001])
+	}
+	s += 16 + msgp.ArrayHeaderSize
+	for za0002 := range z.ExcludePrefill {
+		s += msgp.StringPrefixSize + len(z.ExcludePrefill[za0002])
+	}
+	s += 11 + msgp.BoolSize + 6
+	if z.Model == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Model.Msgsize()
+	}
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *ReservationReply) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *SampleAverage) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -450,28 +2213,22 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "grant":
-			z.Grant, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Grant")
-				return
-			}
-		case "prefill":
-			z.Prefill, err = dc.ReadString()
+		case "count":
+			z.Count, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "Prefill")
+				err = msgp.WrapError(err, "Count")
 				return
 			}
-		case "decode":
-			z.Decode, err = dc.ReadString()
+		case "mean":
+			z.Mean, err = dc.ReadFloat64()
 			if err != nil {
-				err = msgp.WrapError(err, "Decode")
+				err = msgp.WrapError(err, "Mean")
 				return
 			}
-		case "reservation":
-			z.Reservation, err = dc.ReadString()
+		case "deviation":
+			z.Deviation, err = dc.ReadFloat64()
 			if err != nil {
-				err = msgp.WrapError(err, "Reservation")
+				err = msgp.WrapError(err, "Deviation")
 				return
 			}
 		default:
@@ -486,72 +2243,59 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *ReservationReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "grant"
-	err = en.Append(0x84, 0xa5, 0x67, 0x72, 0x61, 0x6e, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Grant)
-	if err != nil {
-		err = msgp.WrapError(err, "Grant")
-		return
-	}
-	// write "prefill"
-	err = en.Append(0xa7, 0x70, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c)
+func (z SampleAverage) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "count"
+	err = en.Append(0x83, 0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
 	if err != nil {
 		return
 	}
-	err = en.WriteString(z.Prefill)
+	err = en.WriteInt(z.Count)
 	if err != nil {
-		err = msgp.WrapError(err, "Prefill")
+		err = msgp.WrapError(err, "Count")
 		return
 	}
-	// write "decode"
-	err = en.Append(0xa6, 0x64, 0x65, 0x63, 0x6f, 0x64, 0x65)
+	// write "mean"
+	err = en.Append(0xa4, 0x6d, 0x65, 0x61, 0x6e)
 	if err != nil {
 		return
 	}
-	err = en.WriteString(z.Decode)
+	err = en.WriteFloat64(z.Mean)
 	if err != nil {
-		err = msgp.WrapError(err, "Decode")
+		err = msgp.WrapError(err, "Mean")
 		return
 	}
-	// write "reservation"
-	err = en.Append(0xab, 0x72, 0x65, 0x73, 0x65, 0x72, 0x76, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	// write "deviation"
+	err = en.Append(0xa9, 0x64, 0x65, 0x76, 0x69, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 	if err != nil {
 		return
 	}
-	err = en.WriteString(z.Reservation)
+	err = en.WriteFloat64(z.Deviation)
 	if err != nil {
-		err = msgp.WrapError(err, "Reservation")
+		err = msgp.WrapError(err, "Deviation")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *ReservationReply) MarshalMsg(b []byte) (o []byte, err error) {
+func (z SampleAverage) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "grant"
-	o = append(o, 0x84, 0xa5, 0x67, 0x72, 0x61, 0x6e, 0x74)
-	o = msgp.AppendUint64(o, z.Grant)
-	// string "prefill"
-	o = append(o, 0xa7, 0x70, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c)
-	o = msgp.AppendString(o, z.Prefill)
-	// string "decode"
-	o = append(o, 0xa6, 0x64, 0x65, 0x63, 0x6f, 0x64, 0x65)
-	o = msgp.AppendString(o, z.Decode)
-	// string "reservation"
-	o = append(o, 0xab, 0x72, 0x65, 0x73, 0x65, 0x72, 0x76, 0x61, 0x74, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendString(o, z.Reservation)
+	// map header, size 3
+	// string "count"
+	o = append(o, 0x83, 0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+	o = msgp.AppendInt(o, z.Count)
+	// string "mean"
+	o = append(o, 0xa4, 0x6d, 0x65, 0x61, 0x6e)
+	o = msgp.AppendFloat64(o, z.Mean)
+	// string "deviation"
+	o = append(o, 0xa9, 0x64, 0x65, 0x76, 0x69, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendFloat64(o, z.Deviation)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *ReservationReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *SampleAverage) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -568,28 +2312,22 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "grant":
-			z.Grant, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Grant")
-				return
-			}
-		case "prefill":
-			z.Prefill, bts, err = msgp.ReadStringBytes(bts)
+		case "count":
+			z.Count, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Prefill")
+				err = msgp.WrapError(err, "Count")
 				return
 			}
-		case "decode":
-			z.Decode, bts, err = msgp.ReadStringBytes(bts)
+		case "mean":
+			z.Mean, bts, err = msgp.ReadFloat64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Decode")
+				err = msgp.WrapError(err, "Mean")
 				return
 			}
-		case "reservation":
-			z.Reservation, bts, err = msgp.ReadStringBytes(bts)
+		case "deviation":
+			z.Deviation, bts, err = msgp.ReadFloat64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Reservation")
+				err = msgp.WrapError(err, "Deviation")
 				return
 			}
 		default:
@@ -605,121 +2343,65 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ReservationReply) Msgsize() (s int) {
-	s = 1 + 6 + msgp.Uint64Size + 8 + msgp.StringPrefixSize + len(z.Prefill) + 7 + msgp.StringPrefixSize + len(z.Decode) + 12 + msgp.StringPrefixSize + len(z.Reservation)
+func (z SampleAverage) Msgsize() (s int) {
+	s = 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *ReservationRequest) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *SampleRegression) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
 	zb0001, err = dc.ReadMapHeader()
 	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "service":
-			z.Service, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Service")
-				return
-			}
-		case "request":
-			z.Request, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Request")
-				return
-			}
-		case "ask":
-			z.ID, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "ID")
-				return
-			}
-		case "prompt":
-			z.Prompt, err = dc.ReadUint32()
-			if err != nil {
-				err = msgp.WrapError(err, "Prompt")
-				return
-			}
-		case "tokens":
-			z.Tokens, err = dc.ReadUint32()
-			if err != nil {
-				err = msgp.WrapError(err, "Tokens")
-				return
-			}
-		case "age-ms":
-			z.AgeMs, err = dc.ReadInt64()
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "count":
+			z.Count, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "AgeMs")
+				err = msgp.WrapError(err, "Count")
 				return
 			}
-		case "on-time-ms":
-			z.OnTimeMs, err = dc.ReadInt64()
+		case "x":
+			z.X, err = dc.ReadFloat64()
 			if err != nil {
-				err = msgp.WrapError(err, "OnTimeMs")
+				err = msgp.WrapError(err, "X")
 				return
 			}
-		case "start-ms":
-			z.StartMs, err = dc.ReadInt64()
+		case "y":
+			z.Y, err = dc.ReadFloat64()
 			if err != nil {
-				err = msgp.WrapError(err, "StartMs")
+				err = msgp.WrapError(err, "Y")
 				return
 			}
-		case "priority":
-			z.Priority, err = dc.ReadInt()
+		case "xx":
+			z.XX, err = dc.ReadFloat64()
 			if err != nil {
-				err = msgp.WrapError(err, "Priority")
+				err = msgp.WrapError(err, "XX")
 				return
 			}
-		case "exclude":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
+		case "xy":
+			z.XY, err = dc.ReadFloat64()
 			if err != nil {
-				err = msgp.WrapError(err, "Exclude")
+				err = msgp.WrapError(err, "XY")
 				return
 			}
-			if cap(z.Exclude) >= int(zb0002) {
-				z.Exclude = (z.Exclude)[:zb0002]
-			} else {
-				z.Exclude = make([]string, zb0002)
-			}
-			for za0001 := range z.Exclude {
-				z.Exclude[za0001], err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "Exclude", za0001)
-					return
-				}
-			}
-		case "exclude-prefill":
-			var zb0003 uint32
-			zb0003, err = dc.ReadArrayHeader()
+		case "yy":
+			z.YY, err = dc.ReadFloat64()
 			if err != nil {
-				err = msgp.WrapError(err, "ExcludePrefill")
+				err = msgp.WrapError(err, "YY")
 				return
 			}
-			if cap(z.ExcludePrefill) >= int(zb0003) {
-				z.ExcludePrefill = (z.ExcludePrefill)[:zb0003]
-			} else {
-				z.ExcludePrefill = make([]string, zb0003)
-			}
-			for za0002 := range z.ExcludePrefill {
-				z.ExcludePrefill[za0002], err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "ExcludePrefill", za0002)
-					return
-				}
-			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -732,183 +2414,98 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *ReservationRequest) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 11
-	// write "service"
-	err = en.Append(0x8b, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Service)
-	if err != nil {
-		err = msgp.WrapError(err, "Service")
-		return
-	}
-	// write "request"
-	err = en.Append(0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Request)
-	if err != nil {
-		err = msgp.WrapError(err, "Request")
-		return
-	}
-	// write "ask"
-	err = en.Append(0xa3, 0x61, 0x73, 0x6b)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.ID)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	// write "prompt"
-	err = en.Append(0xa6, 0x70, 0x72, 0x6f, 0x6d, 0x70, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint32(z.Prompt)
-	if err != nil {
-		err = msgp.WrapError(err, "Prompt")
-		return
-	}
-	// write "tokens"
-	err = en.Append(0xa6, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint32(z.Tokens)
-	if err != nil {
-		err = msgp.WrapError(err, "Tokens")
-		return
-	}
-	// write "age-ms"
-	err = en.Append(0xa6, 0x61, 0x67, 0x65, 0x2d, 0x6d, 0x73)
+func (z *SampleRegression) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 6
+	// write "count"
+	err = en.Append(0x86, 0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
 	if err != nil {
 		return
 	}
-	err = en.WriteInt64(z.AgeMs)
+	err = en.WriteInt(z.Count)
 	if err != nil {
-		err = msgp.WrapError(err, "AgeMs")
+		err = msgp.WrapError(err, "Count")
 		return
 	}
-	// write "on-time-ms"
-	err = en.Append(0xaa, 0x6f, 0x6e, 0x2d, 0x74, 0x69, 0x6d, 0x65, 0x2d, 0x6d, 0x73)
+	// write "x"
+	err = en.Append(0xa1, 0x78)
 	if err != nil {
 		return
 	}
-	err = en.WriteInt64(z.OnTimeMs)
+	err = en.WriteFloat64(z.X)
 	if err != nil {
-		err = msgp.WrapError(err, "OnTimeMs")
+		err = msgp.WrapError(err, "X")
 		return
 	}
-	// write "start-ms"
-	err = en.Append(0xa8, 0x73, 0x74, 0x61, 0x72, 0x74, 0x2d, 0x6d, 0x73)
+	// write "y"
+	err = en.Append(0xa1, 0x79)
 	if err != nil {
 		return
 	}
-	err = en.WriteInt64(z.StartMs)
+	err = en.WriteFloat64(z.Y)
 	if err != nil {
-		err = msgp.WrapError(err, "StartMs")
+		err = msgp.WrapError(err, "Y")
 		return
 	}
-	// write "priority"
-	err = en.Append(0xa8, 0x70, 0x72, 0x69, 0x6f, 0x72, 0x69, 0x74, 0x79)
+	// write "xx"
+	err = en.Append(0xa2, 0x78, 0x78)
 	if err != nil {
 		return
 	}
-	err = en.WriteInt(z.Priority)
+	err = en.WriteFloat64(z.XX)
 	if err != nil {
-		err = msgp.WrapError(err, "Priority")
+		err = msgp.WrapError(err, "XX")
 		return
 	}
-	// write "exclude"
-	err = en.Append(0xa7, 0x65, 0x78, 0x63, 0x6c, 0x75, 0x64, 0x65)
+	// write "xy"
+	err = en.Append(0xa2, 0x78, 0x79)
 	if err != nil {
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Exclude)))
+	err = en.WriteFloat64(z.XY)
 	if err != nil {
-		err = msgp.WrapError(err, "Exclude")
+		err = msgp.WrapError(err, "XY")
 		return
 	}
-	for za0001 := range z.Exclude {
-		err = en.WriteString(z.Exclude[za0001])
-		if err != nil {
-			err = msgp.WrapError(err, "Exclude", za0001)
-			return
-		}
-	}
-	// write "exclude-prefill"
-	err = en.Append(0xaf, 0x65, 0x78, 0x63, 0x6c, 0x75, 0x64, 0x65, 0x2d, 0x70, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c)
+	// write "yy"
+	err = en.Append(0xa2, 0x79, 0x79)
 	if err != nil {
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.ExcludePrefill)))
+	err = en.WriteFloat64(z.YY)
 	if err != nil {
-		err = msgp.WrapError(err, "ExcludePrefill")
+		err = msgp.WrapError(err, "YY")
 		return
 	}
-	for za0002 := range z.ExcludePrefill {
-		err = en.WriteString(z.ExcludePrefill[za0002])
-		if err != nil {
-			err = msgp.WrapError(err, "ExcludePrefill", za0002)
-			return
-		}
-	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *ReservationRequest) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *SampleRegression) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 11
-	// string "service"
-	o = append(o, 0x8b, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
-	o = msgp.AppendString(o, z.Service)
-	// string "request"
-	o = append(o, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
-	o = msgp.AppendString(o, z.Request)
-	// string "ask"
-	o = append(o, 0xa3, 0x61, 0x73, 0x6b)
-	o = msgp.AppendUint64(o, z.ID)
-	// string "prompt"
-	o = append(o, 0xa6, 0x70, 0x72, 0x6f, 0x6d, 0x70, 0x74)
-	o = msgp.AppendUint32(o, z.Prompt)
-	// string "tokens"
-	o = append(o, 0xa6, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
-	o = msgp.AppendUint32(o, z.Tokens)
-	// string "age-ms"
-	o = append(o, 0xa6, 0x61, 0x67, 0x65, 0x2d, 0x6d, 0x73)
-	o = msgp.AppendInt64(o, z.AgeMs)
-	// string "on-time-ms"
-	o = append(o, 0xaa, 0x6f, 0x6e, 0x2d, 0x74, 0x69, 0x6d, 0x65, 0x2d, 0x6d, 0x73)
-	o = msgp.AppendInt64(o, z.OnTimeMs)
-	// string "start-ms"
-	o = append(o, 0xa8, 0x73, 0x74, 0x61, 0x72, 0x74, 0x2d, 0x6d, 0x73)
-	o = msgp.AppendInt64(o, z.StartMs)
-	// string "priority"
-	o = append(o, 0xa8, 0x70, 0x72, 0x69, 0x6f, 0x72, 0x69, 0x74, 0x79)
-	o = msgp.AppendInt(o, z.Priority)
-	// string "exclude"
-	o = append(o, 0xa7, 0x65, 0x78, 0x63, 0x6c, 0x75, 0x64, 0x65)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Exclude)))
-	for za0001 := range z.Exclude {
-		o = msgp.AppendString(o, z.Exclude[za0001])
-	}
-	// string "exclude-prefill"
-	o = append(o, 0xaf, 0x65, 0x78, 0x63, 0x6c, 0x75, 0x64, 0x65, 0x2d, 0x70, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.ExcludePrefill)))
-	for za0002 := range z.ExcludePrefill {
-		o = msgp.AppendString(o, z.ExcludePrefill[za0002])
-	}
+	// map header, size 6
+	// string "count"
+	o = append(o, 0x86, 0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+	o = msgp.AppendInt(o, z.Count)
+	// string "x"
+	o = append(o, 0xa1, 0x78)
+	o = msgp.AppendFloat64(o, z.X)
+	// string "y"
+	o = append(o, 0xa1, 0x79)
+	o = msgp.AppendFloat64(o, z.Y)
+	// string "xx"
+	o = append(o, 0xa2, 0x78, 0x78)
+	o = msgp.AppendFloat64(o, z.XX)
+	// string "xy"
+	o = append(o, 0xa2, 0x78, 0x79)
+	o = msgp.AppendFloat64(o, z.XY)
+	// string "yy"
+	o = append(o, 0xa2, 0x79, 0x79)
+	o = msgp.AppendFloat64(o, z.YY)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *ReservationRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *SampleRegression) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -925,98 +2522,42 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "service":
-			z.Service, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Service")
-				return
-			}
-		case "request":
-			z.Request, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Request")
-				return
-			}
-		case "ask":
-			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "ID")
-				return
-			}
-		case "prompt":
-			z.Prompt, bts, err = msgp.ReadUint32Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Prompt")
-				return
-			}
-		case "tokens":
-			z.Tokens, bts, err = msgp.ReadUint32Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Tokens")
-				return
-			}
-		case "age-ms":
-			z.AgeMs, bts, err = msgp.ReadInt64Bytes(bts)
+		case "count":
+			z.Count, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "AgeMs")
+				err = msgp.WrapError(err, "Count")
 				return
 			}
-		case "on-time-ms":
-			z.OnTimeMs, bts, err = msgp.ReadInt64Bytes(bts)
+		case "x":
+			z.X, bts, err = msgp.ReadFloat64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "OnTimeMs")
+				err = msgp.WrapError(err, "X")
 				return
 			}
-		case "start-ms":
-			z.StartMs, bts, err = msgp.ReadInt64Bytes(bts)
+		case "y":
+			z.Y, bts, err = msgp.ReadFloat64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "StartMs")
+				err = msgp.WrapError(err, "Y")
 				return
 			}
-		case "priority":
-			z.Priority, bts, err = msgp.ReadIntBytes(bts)
+		case "xx":
+			z.XX, bts, err = msgp.ReadFloat64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Priority")
+				err = msgp.WrapError(err, "XX")
 				return
 			}
-		case "exclude":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "xy":
+			z.XY, bts, err = msgp.ReadFloat64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Exclude")
+				err = msgp.WrapError(err, "XY")
 				return
 			}
-			if cap(z.Exclude) >= int(zb0002) {
-				z.Exclude = (z.Exclude)[:zb0002]
-			} else {
-				z.Exclude = make([]string, zb0002)
-			}
-			for za0001 := range z.Exclude {
-				z.Exclude[za0001], bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Exclude", za0001)
-					return
-				}
-			}
-		case "exclude-prefill":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "yy":
+			z.YY, bts, err = msgp.ReadFloat64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "ExcludePrefill")
+				err = msgp.WrapError(err, "YY")
 				return
 			}
-			if cap(z.ExcludePrefill) >= int(zb0003) {
-				z.ExcludePrefill = (z.ExcludePrefill)[:zb0003]
-			} else {
-				z.ExcludePrefill = make([]string, zb0003)
-			}
-			for za0002 := range z.ExcludePrefill {
-				z.ExcludePrefill[za0002], bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "ExcludePrefill", za0002)
-					return
-				}
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1030,14 +2571,7 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ReservationRequest) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Request) + 4 + msgp.Uint64Size + 7 + msgp.Uint32Size + 7 + msgp.Uint32Size + 7 + msgp.Int64Size + 11 + msgp.Int64Size + 9 + msgp.Int64Size + 9 + msgp.IntSize + 8 + msgp.ArrayHeaderSize
-	for za0001 := range z.Exclude {
-		s += msgp.StringPrefixSize + len(z.Exclude[za0001])
-	}
-	s += 16 + msgp.ArrayHeaderSize
-	for za0002 := range z.ExcludePrefill {
-		s += msgp.StringPrefixSize + len(z.ExcludePrefill[za0002])
-	}
+func (z *SampleRegression) Msgsize() (s int) {
+	s = 1 + 6 + msgp.IntSize + 2 + msgp.Float64Size + 2 + msgp.Float64Size + 3 + msgp.Float64Size + 3 + msgp.Float64Size + 3 + msgp.Float64Size
 	return
 }
--- a/placer/outcome.go
+++ b/placer/outcome.go
@@ -59,15 +59,13 @@
 	s.avoid(now)
 }
 
-// Begin records the start of a call to e that occupies tokens there. It returns
-// the number of calls from this host that are running on e.
-func (p *Placer) Begin(e *registrar.Endpoint, tokens identifier.Tokens) int {
+// Begin records the start of a call to e that occupies tokens there.
+func (p *Placer) Begin(e *registrar.Endpoint, tokens identifier.Tokens) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.state(e)
 	s.running++
 	s.tokens += tokens
-	return s.running
 }
 
 // End reverses the effect of Begin at the end of a call.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -88,8 +88,11 @@
 type Outcome struct {
 	Verdict Verdict
 	// Latency is the time until the response of a successful call was
-	// complete or its first event arrived; 0 means unknown.
+	// complete, or a plain stream's first event arrived; 0 means unknown.
 	Latency time.Duration
+	// FirstEvent is the time until the first event of a model engine's response;
+	// 0 means unknown.
+	FirstEvent time.Duration
 }
 
 // Load is the load that an endpoint reports.
--- a/reserver/earmark.go
+++ b/reserver/earmark.go
@@ -9,6 +9,7 @@
 	"github.com/jackdawthread/jackdawthread/admitter"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/earmarker"
+	"github.com/jackdawthread/jackdawthread/estimator"
 	"github.com/jackdawthread/jackdawthread/registrar"
 )
 
@@ -34,7 +35,7 @@
 	exclude = append(exclude, q.earmarks.EnginesOfOthers(a.Key)...)
 	engines := q.reserver.deps.Placer.HealthyDecodeEngines(all, exclude, now)
 	need := earmarker.Demand{Tokens: a.Tokens, Memory: engineConfig(q.reserver.deps.Registry.Snapshot(), q.service).Memory}
-	e, at := earmarker.EarliestEngine(engines, q.reserver.runningRequests(&q.responsePace), need, now)
+	e, at := earmarker.EarliestEngine(engines, q.reserver.runningRequests(q.model), need, now)
 	if e == "" {
 		return
 	}
@@ -49,13 +50,14 @@
 }
 
 // runningRequests returns the requests that this host has placed, with their
-// predicted ends.
-func (r *Reserver) runningRequests(p *responsePace) []earmarker.RunningRequest {
+// predicted ends. Without measurements these are their starts, which have passed.
+func (r *Reserver) runningRequests(m *estimator.Model) []earmarker.RunningRequest {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	all := make([]earmarker.RunningRequest, 0, len(r.grants.all))
 	for _, g := range r.grants.all {
-		all = append(all, earmarker.RunningRequest{Engine: g.decode.Name, Tokens: g.tokens, ExpectedEnd: g.grantedAt.Add(p.estimate(responseTime(g.prompt, g.tokens)))})
+		response, _ := m.Response(g.prompt, g.tokens-min(g.tokens, g.prompt))
+		all = append(all, earmarker.RunningRequest{Engine: g.decode.Name, Tokens: g.tokens, ExpectedEnd: g.grantedAt.Add(response)})
 	}
 	return all
 }
--- a/reserver/grants.go
+++ b/reserver/grants.go
@@ -29,11 +29,13 @@
 	tokens    identifier.Tokens
 	service   identifier.Service
 	// reservation at the decode engine; empty if the engine doesn't support them.
-	reservation Reservation
-	grantedAt   time.Time
-	expires     time.Time
-	// exclusivePrefill is set if the prefill engine had no other prompts.
-	exclusivePrefill bool
+	reservation   Reservation
+	reservedUntil time.Time // when the reservation has expired if it wasn't used
+	grantedAt     time.Time
+	expires       time.Time
+	// prefillWork is the length of the prompts that the prefill engine had to process
+	// when the grant was made, including this one.
+	prefillWork identifier.Tokens
 }
 
 // grants holds the active grants. It is guarded by Reserver.mu.
@@ -50,7 +52,8 @@
 func (r *Reserver) addGrant(g *grant) grantID {
 	r.deps.Placer.Begin(g.decode, g.tokens)
 	if g.prefill != nil {
-		g.exclusivePrefill = r.deps.Placer.Begin(g.prefill, g.prompt) == 1
+		r.deps.Placer.Begin(g.prefill, g.prompt)
+		g.prefillWork = r.deps.Placer.AssignedTokens(g.prefill)
 	}
 	g.grantedAt = time.Now()
 	g.expires = g.grantedAt.Add(grantTTL)
@@ -91,12 +94,14 @@
 }
 
 // endGrant processes the outcome of a part of a grant that this host issued.
-func (r *Reserver) endGrant(id grantID, prefill bool, v placer.Verdict, origin identifier.Incarnation) {
+func (r *Reserver) endGrant(id grantID, prefill bool, o placer.Outcome, origin identifier.Incarnation) {
 	g := r.removeGrant(id, prefill)
 	if g == nil {
 		return // expired or revoked
 	}
-	r.serviceQueue(g.service).recordMeasured(g, prefill, v, time.Now())
+	if o.Verdict == placer.VerdictSuccess {
+		r.serviceQueue(g.service).recordMeasured(g, prefill, o, time.Now())
+	}
 	if origin == r.deps.Self {
 		return // the outcome was recorded by RecordPrefillOutcome or RecordOutcome
 	}
@@ -105,7 +110,7 @@
 		at = g.prefill
 	}
 	if at != nil {
-		r.recordEndpointOutcome(at, placer.Outcome{Verdict: v})
+		r.recordEndpointOutcome(at, placer.Outcome{Verdict: o.Verdict})
 	}
 }
 
@@ -137,7 +142,7 @@
 	}
 	r.mu.Unlock()
 	for _, id := range ids {
-		if g := r.removeGrant(id, false); g != nil && time.Since(g.grantedAt) < reservationTTL {
+		if g := r.removeGrant(id, false); g != nil && time.Now().Before(g.reservedUntil) {
 			r.Cancel(Plan{Decode: g.decode, Reservation: g.reservation})
 		}
 	}
--- a/reserver/links.go
+++ b/reserver/links.go
@@ -68,6 +68,7 @@
 	defer cancel(nil)
 	message := encodeRequest(req, time.Now())
 	message.ID = r.outgoingSeq.Next()
+	r.serviceQueue(req.Service).exchangeModel(message, owner.Incarnation, time.Now())
 	var reply peerwire.ReservationReply
 	done := make(chan error, 1)
 	r.deps.Group.Run(func(context.Context) {
@@ -84,6 +85,7 @@
 				}
 				return Plan{}, asNotRun(err)
 			}
+			r.serviceQueue(req.Service).replaceModel(reply.Model)
 			return r.decodeReply(owner, &reply)
 		case <-pings.C:
 			if !r.ping(ctx, owner) && ctx.Err() == nil {
@@ -144,6 +146,8 @@
 	}
 	req := decodeRequest(&ask, time.Now())
 	req.PreferredDataCenter = from.DataCenter
+	q := r.serviceQueue(req.Service)
+	q.adoptModel(ask.Model, from.Incarnation)
 	p, err := r.placeLocally(ctx, from.Incarnation, ask.ID, req)
 	if err != nil {
 		return nil, err
@@ -156,6 +160,9 @@
 	if p.Prefill != nil {
 		reply.Prefill = string(p.Prefill.Name)
 	}
+	if ask.WantModel {
+		reply.Model = q.sharedModel()
+	}
 	return reply, nil
 }
 
@@ -164,17 +171,28 @@
 	if _, err := m.UnmarshalMsg(payload); err != nil {
 		return nil, classifier.NotRun(classifier.ReasonBadRequest, 0, "malformed ReservationOutcome message: %w", err)
 	}
-	r.endGrant(grantID(m.Grant), m.Prefill, placer.Verdict(m.Verdict), from.Incarnation)
+	o := placer.Outcome{
+		Verdict:    placer.Verdict(m.Verdict),
+		Latency:    time.Duration(m.TookUs) * time.Microsecond,
+		FirstEvent: time.Duration(m.FirstEventUs) * time.Microsecond,
+	}
+	r.endGrant(grantID(m.Grant), m.Prefill, o, from.Incarnation)
 	return nil, nil
 }
 
 // endPlan reports the outcome of a part of a plan to the host that issued it.
-func (r *Reserver) endPlan(p Plan, prefill bool, v placer.Verdict) {
+func (r *Reserver) endPlan(p Plan, prefill bool, o placer.Outcome) {
 	if p.grantedBy == "" {
-		r.endGrant(p.grant, prefill, v, r.deps.Self)
+		r.endGrant(p.grant, prefill, o, r.deps.Self)
 		return
 	}
-	m := &peerwire.ReservationOutcome{Grant: uint64(p.grant), Prefill: prefill, Verdict: uint8(v)}
+	m := &peerwire.ReservationOutcome{
+		Grant:        uint64(p.grant),
+		Prefill:      prefill,
+		Verdict:      uint8(o.Verdict),
+		TookUs:       o.Latency.Microseconds(),
+		FirstEventUs: o.FirstEvent.Microseconds(),
+	}
 	r.deps.Group.Run(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 		defer cancel()
@@ -190,8 +208,9 @@
 		Prompt:         uint32(req.Prompt),
 		Tokens:         uint32(req.Tokens),
 		AgeMs:          now.Sub(req.Arrived).Milliseconds(),
-		OnTimeMs:       req.LatestOnTimeStart.Sub(now).Milliseconds(),
-		StartMs:        req.LatestStart.Sub(now).Milliseconds(),
+		OnTimeMs:       req.OnTimeBy.Sub(now).Milliseconds(),
+		FirstEventMs:   req.FirstEventBy.Sub(now).Milliseconds(),
+		DeadlineMs:     req.Deadline.Sub(now).Milliseconds(),
 		Priority:       req.Priority,
 		Exclude:        endpointStrings(req.Exclude),
 		ExcludePrefill: endpointStrings(req.ExcludePrefill),
@@ -208,8 +227,12 @@
 		ExcludePrefill: endpointNames(m.ExcludePrefill),
 	}
 	req.Arrived = now.Add(-time.Duration(m.AgeMs) * time.Millisecond)
-	req.LatestOnTimeStart = now.Add(time.Duration(m.OnTimeMs) * time.Millisecond)
-	req.LatestStart = now.Add(time.Duration(m.StartMs) * time.Millisecond)
+	req.OnTimeBy = now.Add(time.Duration(m.OnTimeMs) * time.Millisecond)
+	req.FirstEventBy = now.Add(time.Duration(m.FirstEventMs) * time.Millisecond)
+	req.Deadline = now.Add(time.Duration(m.DeadlineMs) * time.Millisecond)
+	if m.DeadlineMs == 0 {
+		req.Deadline = req.FirstEventBy
+	}
 	req.Priority = m.Priority
 	return req
 }
@@ -238,7 +261,7 @@
 	p.Decode = s.Endpoint(identifier.Endpoint(m.Decode))
 	p.Prefill = s.Endpoint(identifier.Endpoint(m.Prefill))
 	if p.Decode == nil {
-		r.endPlan(p, false, placer.VerdictNone)
+		r.endPlan(p, false, placer.Outcome{Verdict: placer.VerdictNone})
 		return Plan{}, classifier.NotRun(classifier.ReasonHostUnreachable, 0, "host %q placed the request on engine %q, which this host does not know", owner.Host, m.Decode)
 	}
 	return p, nil
--- /dev/null
+++ b/reserver/model.go
@@ -0,0 +1,206 @@
+package reserver
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/jackdawthread/jackdawthread/admitter"
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/estimator"
+	"github.com/jackdawthread/jackdawthread/peerwire"
+	"github.com/jackdawthread/jackdawthread/placer"
+)
+
+const (
+	// modelRefreshPeriod is the interval at which a host asks the placing host for
+	// its model.
+	modelRefreshPeriod = 2 * time.Second
+	// maxLeadShare is the largest share of a request's objective by which its latest
+	// on-time start precedes the objective. When prefill engines are overloaded,
+	// every request would otherwise count as late on arrival, and the on-time ones
+	// would lose their precedence.
+	maxLeadShare = 0.8
+	// unmeasuredWaitShare is the share of a request's time until it must start that it
+	// may wait for capacity while the engines have not been measured.
+	unmeasuredWaitShare = 0.5
+)
+
+// Expectation holds the durations to expect at the engines of a plan. They are 0
+// while the engines have not been measured.
+type Expectation struct {
+	// Prefill is a time that most prefills don't exceed, FirstEvent the same from the
+	// call of the decode engine to the first event.
+	Prefill, FirstEvent time.Duration
+}
+
+// modelCopy records where this host's model of a service came from.
+type modelCopy struct {
+	source identifier.Incarnation
+	at     time.Time
+}
+
+// expectation returns the durations to expect for a prompt.
+func (q *serviceQueue) expectation(prompt identifier.Tokens) Expectation {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	prefill, ok := q.model.Prefill(prompt)
+	first, firstOK := q.model.FirstEvent(prompt)
+	if !ok || !firstOK {
+		return Expectation{}
+	}
+	return Expectation{Prefill: prefill.High(), FirstEvent: first.High() - prefill.High()}
+}
+
+// setStartTimes sets the latest times at which a request may start. Durations that
+// have not been measured are left out. q.mu must be held.
+func (q *serviceQueue) setStartTimes(req *PlacementRequest) {
+	first, ok := q.model.FirstEvent(req.Prompt)
+	if !ok {
+		req.LatestOnTimeStart = req.OnTimeBy
+		left := earliest(req.FirstEventBy, req.Deadline).Sub(req.Arrived)
+		req.LatestStart = req.Arrived.Add(time.Duration(unmeasuredWaitShare * float64(left)))
+		return
+	}
+	objective := req.OnTimeBy.Sub(req.Arrived)
+	lead := min(first.High(), time.Duration(maxLeadShare*float64(objective)))
+	req.LatestOnTimeStart = req.OnTimeBy.Add(-lead)
+	req.LatestStart = req.FirstEventBy.Add(-first.Mean)
+	if response, ok := q.model.Response(req.Prompt, req.output()); ok {
+		req.LatestStart = earliest(req.LatestStart, req.Deadline.Add(-response))
+	}
+}
+
+// unconditional returns the request's queue entry without the estimates that could
+// reject it.
+func (r *PlacementRequest) unconditional() admitter.Entry {
+	e := r.Entry
+	e.LatestStart = earliest(r.FirstEventBy, r.Deadline)
+	return e
+}
+
+// output returns the expected number of output tokens.
+func (r *PlacementRequest) output() identifier.Tokens {
+	return r.Tokens - min(r.Tokens, r.Prompt)
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// recordPlacement adds a request that was placed to the model.
+func (q *serviceQueue) recordPlacement(a *waiter) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.model.RecordPlacement(a.Prompt, a.output())
+}
+
+// recordMeasured adds the measurements of a successful part of a grant to the
+// model.
+func (q *serviceQueue) recordMeasured(g *grant, prefill bool, o placer.Outcome, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	took := now.Sub(g.grantedAt)
+	if prefill {
+		q.model.RecordPrefill(estimator.Prefill{Prompt: g.prompt, Work: g.prefillWork, Delay: took})
+		return
+	}
+	q.model.RecordResponse(estimator.Response{
+		Prompt: g.prompt, Output: g.tokens - min(g.tokens, g.prompt),
+		Occupied: took, FirstEvent: o.FirstEvent, Took: o.Latency,
+	})
+}
+
+// modelFields returns the estimates for a request, for its log line. q.mu must be
+// held.
+func (q *serviceQueue) modelFields(req *PlacementRequest) []zap.Field {
+	fields := []zap.Field{zap.Int("samples", q.model.Samples())}
+	if first, ok := q.model.FirstEvent(req.Prompt); ok {
+		fields = append(fields, zap.Duration("expected-first-event", first.Mean))
+	}
+	if response, ok := q.model.Response(req.Prompt, req.output()); ok {
+		fields = append(fields, zap.Duration("expected-response", response))
+	}
+	return fields
+}
+
+// exchangeModel asks the placing host for its model if this host's copy is old, and
+// sends that copy to a placing host that is new to this host, as it may have no
+// measurements yet.
+func (q *serviceQueue) exchangeModel(m *peerwire.ReservationRequest, owner identifier.Incarnation, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.modelCopy.source != owner && q.model.Known() {
+		m.Model = encodeModel(q.model)
+	}
+	m.WantModel = q.modelCopy.source != owner || now.Sub(q.modelCopy.at) > modelRefreshPeriod
+	if m.WantModel {
+		q.modelCopy = modelCopy{source: owner, at: now}
+	}
+}
+
+// replaceModel replaces this host's copy by the placing host's model.
+func (q *serviceQueue) replaceModel(m *peerwire.EngineModel) {
+	if m == nil {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.model = decodeModel(m)
+}
+
+// adoptModel takes over another host's model if this host has not measured the
+// engines itself.
+func (q *serviceQueue) adoptModel(m *peerwire.EngineModel, from identifier.Incarnation) {
+	if m == nil {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.model.Known() {
+		return
+	}
+	q.model = decodeModel(m)
+	q.reserver.deps.Log.Info("engine-model-adopted",
+		zap.String("service", string(q.service)), zap.Uint64("from", uint64(from)), zap.Int("samples", q.model.Samples()))
+}
+
+// sharedModel returns the model to send to another host, or nil without enough
+// measurements.
+func (q *serviceQueue) sharedModel() *peerwire.EngineModel {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.model.Known() {
+		return nil
+	}
+	return encodeModel(q.model)
+}
+
+func encodeModel(m *estimator.Model) *peerwire.EngineModel {
+	return &peerwire.EngineModel{
+		Prefills:          peerwire.SampleRegression(m.Prefills),
+		BusyPrefills:      peerwire.SampleRegression(m.BusyPrefills),
+		Queueing:          peerwire.SampleAverage(m.Queueing),
+		PromptTokens:      peerwire.SampleAverage(m.PromptTokens),
+		FirstEvents:       peerwire.SampleAverage(m.FirstEvents),
+		OutputTokens:      peerwire.SampleAverage(m.OutputTokens),
+		MemoryUse:         peerwire.SampleAverage(m.MemoryUse),
+		ExpectedMemoryUse: peerwire.SampleAverage(m.ExpectedMemoryUse),
+	}
+}
+
+func decodeModel(m *peerwire.EngineModel) *estimator.Model {
+	return &estimator.Model{
+		Prefills:          estimator.Regression(m.Prefills),
+		BusyPrefills:      estimator.Regression(m.BusyPrefills),
+		Queueing:          estimator.Average(m.Queueing),
+		PromptTokens:      estimator.Average(m.PromptTokens),
+		FirstEvents:       estimator.Average(m.FirstEvents),
+		OutputTokens:      estimator.Average(m.OutputTokens),
+		MemoryUse:         estimator.Average(m.MemoryUse),
+		ExpectedMemoryUse: estimator.Average(m.ExpectedMemoryUse),
+	}
+}
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -26,6 +26,13 @@
 // tokens, and only after it has been the placing host for longer than another
 // host could still take itself for it.
 //
+// # Measured engines
+//
+// The placing host measures its service's engines (package estimator) and passes
+// the model on with its answers. A request is rejected for the time that it would
+// take only if that was measured, and never before engines were searched for it:
+// otherwise a wrong estimate that rejects all requests could not be corrected.
+//
 // Requests don't wait long for a placing host that has failed: it is pinged while
 // an answer is outstanding.
 package reserver
@@ -45,32 +52,9 @@
 	"github.com/jackdawthread/jackdawthread/gossiper"
 	"github.com/jackdawthread/jackdawthread/placer"
 	"github.com/jackdawthread/jackdawthread/registrar"
-	"github.com/jackdawthread/jackdawthread/stager"
 	"github.com/jackdawthread/jackdawthread/timer"
 )
 
-// Typical latencies, used until there are measurements.
-const (
-	// firstEventBase is the time from the start of a prefill to the first event
-	// that doesn't depend on the prompt length.
-	firstEventBase = 225 * time.Millisecond
-	// TimePerToken is the time per output token at a full engine.
-	TimePerToken = 7 * time.Millisecond
-)
-
-// ExpectedTimeToFirstEvent returns the expected time from the start of a
-// prompt's prefill to the first event.
-func ExpectedTimeToFirstEvent(prompt identifier.Tokens) time.Duration {
-	return firstEventBase + time.Duration(float64(prompt)/stager.DefaultPrefillRate*float64(time.Second))
-}
-
-// responseTime returns the expected time until a response is complete. tokens
-// includes the prompt.
-func responseTime(prompt, tokens identifier.Tokens) time.Duration {
-	output := tokens - min(tokens, prompt)
-	return ExpectedTimeToFirstEvent(prompt) + time.Duration(output)*TimePerToken
-}
-
 // Reservation identifies a reservation at an engine.
 type Reservation string
 
@@ -111,6 +95,7 @@
 
 // PlacementRequest is a request for placement.
 type PlacementRequest struct {
+	// Entry needs only Arrived and Priority; the placing host sets the rest.
 	admitter.Entry
 	Service identifier.Service
 	Request identifier.Request
@@ -120,6 +105,10 @@
 	// Prompt is the length of the prompt, Tokens the memory to reserve, which
 	// includes the prompt.
 	Prompt, Tokens identifier.Tokens
+	// OnTimeBy is when the first event has to arrive for the request to meet its
+	// objective, FirstEventBy when the caller cancels without one. The response must
+	// be complete by Deadline.
+	OnTimeBy, FirstEventBy, Deadline time.Time
 	// Exclude and ExcludePrefill are the engines not to use for decode and for
 	// prefill.
 	Exclude, ExcludePrefill []identifier.Endpoint
@@ -131,6 +120,8 @@
 	Prefill     *registrar.Endpoint
 	Decode      *registrar.Endpoint
 	Reservation Reservation
+	// Expected are the durations to expect at the engines.
+	Expected Expectation
 
 	grant grantID
 	// grantedBy is the address of the host that issued the grant; empty for this
@@ -165,13 +156,16 @@
 	if owner, ok := r.owner(req.Service); ok && !r.breaker.isOpen(owner.Incarnation, time.Now()) {
 		plan, err := r.placeRemotely(ctx, owner, &req)
 		if !isUnreachable(err) || ctx.Err() != nil {
+			plan.Expected = r.serviceQueue(req.Service).expectation(req.Prompt)
 			return plan, err
 		}
 		r.breaker.trip(owner.Incarnation, time.Now())
 		r.deps.Log.Info("placing-host-unreachable",
 			zap.String("request", string(req.Request)), zap.String("peer", string(owner.Host)), zap.Error(err))
 	}
-	return r.placeLocally(ctx, r.deps.Self, 0, &req)
+	plan, err := r.placeLocally(ctx, r.deps.Self, 0, &req)
+	plan.Expected = r.serviceQueue(req.Service).expectation(req.Prompt)
+	return plan, err
 }
 
 // placeLocally places a request on behalf of an origin host, which numbered it
@@ -209,13 +203,13 @@
 		return
 	}
 	r.recordEndpointOutcome(p.Prefill, o)
-	r.endPlan(p, true, o.Verdict)
+	r.endPlan(p, true, o)
 }
 
 // RecordOutcome reports the outcome of a plan.
 func (r *Reserver) RecordOutcome(p Plan, o placer.Outcome) {
 	r.recordEndpointOutcome(p.Decode, o)
-	r.endPlan(p, false, o.Verdict)
+	r.endPlan(p, false, o)
 }
 
 // recordEndpointOutcome reports the outcome at an engine to the placer.
--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -215,8 +215,9 @@
 func (f *fleet) placeSized(ctx context.Context, h int, tokens identifier.Tokens, wait time.Duration) (reserver.Plan, error) {
 	now := time.Now()
 	return f.hosts[h].reserver.Place(ctx, reserver.PlacementRequest{
-		Entry:   admitter.Entry{Arrived: now, LatestOnTimeStart: now.Add(wait), LatestStart: now.Add(wait)},
+		Entry:   admitter.Entry{Arrived: now},
 		Service: "notes", Request: "q", Prompt: f.prompt, Tokens: tokens,
+		OnTimeBy: now.Add(wait), FirstEventBy: now.Add(wait), Deadline: now.Add(wait),
 	})
 }
 
--- a/reserver/search.go
+++ b/reserver/search.go
@@ -11,22 +11,28 @@
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/placer"
 	"github.com/jackdawthread/jackdawthread/registrar"
-	"github.com/jackdawthread/jackdawthread/stager"
 )
 
 const (
 	// reserveTimeout is the timeout of a reservation call, which takes an engine
 	// one round trip.
 	reserveTimeout = 150 * time.Millisecond
-	// reservationTTL is the lifetime of a reservation. It covers the prefill, the
-	// transfer of its result and the queues for both.
-	reservationTTL = 1500 * time.Millisecond
+	// minReservationTTL is the lifetime of a reservation, unless the prefill, the
+	// transfer of its result and the queues for both are expected to take longer.
+	// reservationMargin is the ratio of the lifetime to that expected time.
+	minReservationTTL = 1500 * time.Millisecond
+	reservationMargin = 2
 	// maxCandidates limits the engines tried per search, and maxFullCandidates
 	// those tried if all appear to be full.
 	maxCandidates     = 5
 	maxFullCandidates = 2
-	// maxPrefillBacklog is the prefill time that may be queued at an engine.
-	maxPrefillBacklog = 600 * time.Millisecond
+	// maxPrefillBacklog is the prefill time that may be queued at an engine. It is a
+	// part of minReservationTTL, since the reservation at the decode engine has to
+	// outlast it.
+	maxPrefillBacklog = 2 * minReservationTTL / 5
+	// maxUnmeasuredPrefillWork is the number of prompt tokens that may be queued at an
+	// engine while their rate has not been measured.
+	maxUnmeasuredPrefillWork identifier.Tokens = 24_000
 )
 
 // errNoCapacity is returned if no decode engine has capacity, errPrefillBacklog if
@@ -69,13 +75,22 @@
 	if e == nil || e.Stage != registrar.StagePrefill {
 		return false // the decode engine runs the prefill
 	}
+	return p.AssignedTokens(e) > q.maxPrefillWork()
+}
+
+// maxPrefillWork returns the number of prompt tokens that a prefill engine may have
+// to process before it gets further prompts.
+func (q *serviceQueue) maxPrefillWork() identifier.Tokens {
 	q.mu.Lock()
-	rate, ok := q.stager.PrefillRate()
-	q.mu.Unlock()
+	defer q.mu.Unlock()
+	rate, ok := q.model.PrefillRate()
+	if !ok {
+		rate, ok = q.model.BusyPrefillRate()
+	}
 	if !ok {
-		rate = stager.DefaultPrefillRate
+		return maxUnmeasuredPrefillWork
 	}
-	return float64(p.AssignedTokens(e)) > rate*maxPrefillBacklog.Seconds()
+	return identifier.Tokens(rate * maxPrefillBacklog.Seconds())
 }
 
 // candidates returns the engines that appear to have capacity. If there are none,
@@ -112,7 +127,7 @@
 	r := q.reserver
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	reservation, err := r.deps.Engines.Reserve(ctx, e, a.Tokens, min(reservationTTL, t.ReservationLimit))
+	reservation, err := r.deps.Engines.Reserve(ctx, e, a.Tokens, min(q.reservationTTL(a.Prompt), t.ReservationLimit))
 	if err == nil {
 		return reservation, nil
 	}
@@ -130,6 +145,14 @@
 	return "", err
 }
 
+// reservationTTL returns the lifetime of a reservation for a prompt.
+func (q *serviceQueue) reservationTTL(prompt identifier.Tokens) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	first, _ := q.model.FirstEvent(prompt) // 0 without measurements
+	return max(minReservationTTL, reservationMargin*first.High())
+}
+
 // plan chooses the prefill engine and records the grant.
 func (q *serviceQueue) plan(all []*registrar.Endpoint, e *registrar.Endpoint, reservation Reservation, a *waiter) Plan {
 	r := q.reserver
@@ -140,10 +163,11 @@
 		prefill = nil
 	}
 	g := &grant{
-		origin: a.origin, originSeq: a.originSeq, service: q.service, reservation: reservation,
+		origin: a.origin, originSeq: a.originSeq, service: q.service,
+		reservation: reservation, reservedUntil: now.Add(q.reservationTTL(a.Prompt)),
 		prefill: prefill, decode: e, prompt: a.Prompt, tokens: a.Tokens,
 	}
-	q.recordExpected(g)
+	q.recordPlacement(a)
 	id := r.addGrant(g)
 	return Plan{Prefill: prefill, Decode: e, Reservation: reservation, grant: id}
 }
--- a/reserver/service_queue.go
+++ b/reserver/service_queue.go
@@ -12,6 +12,7 @@
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/earmarker"
+	"github.com/jackdawthread/jackdawthread/estimator"
 	"github.com/jackdawthread/jackdawthread/stager"
 )
 
@@ -51,17 +52,17 @@
 	reserver *Reserver
 	service  identifier.Service
 
-	mu             sync.Mutex
-	admission      *admitter.Queue
-	waiters        map[admitter.Key]*waiter
-	lastKey        admitter.Key
-	searches       int
-	released       chan struct{} // signaled when capacity may have been released
-	stager         *stager.Stager
-	tenure         tenure
-	prefillLatency prefillLatency
-	responsePace   responsePace
-	earmarks       *earmarker.Earmarks
+	mu        sync.Mutex
+	admission *admitter.Queue
+	waiters   map[admitter.Key]*waiter
+	lastKey   admitter.Key
+	searches  int
+	released  chan struct{} // signaled when capacity may have been released
+	stager    *stager.Stager
+	tenure    tenure
+	model     *estimator.Model
+	modelCopy modelCopy
+	earmarks  *earmarker.Earmarks
 }
 
 func newServiceQueue(r *Reserver, s identifier.Service) *serviceQueue {
@@ -72,6 +73,7 @@
 		waiters:   map[admitter.Key]*waiter{},
 		released:  make(chan struct{}, 1),
 		stager:    stager.New(),
+		model:     estimator.New(),
 		earmarks:  earmarker.New(),
 	}
 }
@@ -106,7 +108,7 @@
 	q.lastKey++
 	req.Key = q.lastKey
 	req.Entry.Tokens = req.Tokens
-	req.LatestOnTimeStart = req.LatestOnTimeStart.Add(-q.prefillLatency.excess())
+	q.setStartTimes(req)
 	if retryAfter, ok := q.admit(req, time.Now()); !ok {
 		q.log("placement-rejected", req, zap.Duration("expected-wait", q.admission.ExpectedWait()), zap.Duration("retry-after", retryAfter))
 		return nil, classifier.NotRun(classifier.ReasonQueueFull, retryAfter, "queue of service %q is full: its %d requests are more than can be served in time", q.service, q.admission.Len())
@@ -131,10 +133,15 @@
 	return nil
 }
 
-// admit queues a request or returns the delay before a retry. A request of an
+// admit queues a request or returns the delay before a retry. If no other request
+// waits, engines are searched for it whatever its estimates are. A request of an
 // underserved size skips admission control if an engine can be earmarked for it.
 // q.mu must be held.
 func (q *serviceQueue) admit(req *PlacementRequest, now time.Time) (retryAfter time.Duration, ok bool) {
+	if q.admission.Len() == 0 {
+		q.admission.Admit(req.unconditional())
+		return 0, true
+	}
 	if q.admission.Underserved(&req.Entry) && q.canEarmark() {
 		q.admission.Admit(req.Entry)
 		return 0, true
@@ -278,6 +285,7 @@
 		zap.Uint32("tokens", uint32(req.Tokens)),
 		zap.Int("waiting", q.admission.Len()),
 	}
+	fields = append(fields, q.modelFields(req)...)
 	q.reserver.deps.Log.Info(event, append(fields, extra...)...)
 }
 
--- a/reserver/stages.go
+++ b/reserver/stages.go
@@ -9,7 +9,6 @@
 
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/gossiper"
-	"github.com/jackdawthread/jackdawthread/placer"
 	"github.com/jackdawthread/jackdawthread/registrar"
 	"github.com/jackdawthread/jackdawthread/stager"
 )
@@ -80,7 +79,7 @@
 		q.mu.Unlock()
 		return
 	}
-	orders := q.stager.NextOrders(s.Endpoints(q.service), engineConfig(s, q.service).Memory, now)
+	orders := q.stager.NextOrders(s.Endpoints(q.service), q.model, engineConfig(s, q.service).Memory, now)
 	fences := make([]Fence, len(orders))
 	for i := range fences {
 		fences[i] = q.tenure.nextFence(r.deps.OrderOptions.Holder, now)
@@ -158,30 +157,3 @@
 	}
 	return names
 }
-
-// recordExpected records the expected response time of a grant.
-func (q *serviceQueue) recordExpected(g *grant) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.stager.RecordExpected(g.prompt, g.tokens, responseTime(g.prompt, g.tokens))
-}
-
-// recordMeasured records the measured prefill or response time of a grant that
-// succeeded.
-func (q *serviceQueue) recordMeasured(g *grant, prefill bool, v placer.Verdict, now time.Time) {
-	if v != placer.VerdictSuccess {
-		return
-	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	took := now.Sub(g.grantedAt)
-	if !prefill {
-		q.stager.RecordResponse(g.tokens, took)
-		q.responsePace.add(took, responseTime(g.prompt, g.tokens))
-		return
-	}
-	q.prefillLatency.add(took)
-	if g.exclusivePrefill {
-		q.stager.RecordPrefill(g.prompt, took)
-	}
-}
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -5,10 +5,7 @@
 // # Usage
 //
 //	s := stager.New()
-//	s.RecordPrefill(tokens, took)             // prefill without concurrent prompts
-//	s.RecordExpected(prompt, tokens, takes)   // response started
-//	s.RecordResponse(tokens, took)            // response completed
-//	for _, o := range s.NextOrders(engines, memory, now) { /* order o.Engine to o.Stage */ }
+//	for _, o := range s.NextOrders(engines, model, memory, now) { /* order o.Engine to o.Stage */ }
 //
 // # Capacity model
 //
@@ -16,39 +13,28 @@
 // a decode engine's memory until its response is complete. With n engines, p of
 // them running prefill, the capacity is min(p/tp, (n-p)/td) requests per second,
 // where tp is the prefill time and td the response time multiplied by the
-// request's share of an engine's memory. Both are measured: td directly, and tp
-// as the slope of prefill time over prompt length. The intercept is left out
-// because an engine processes several prompts concurrently and the fixed part of
-// the latency doesn't occupy it.
+// request's share of an engine's memory. Both come from the service's
+// [estimator.Model]: td directly, and tp as the slope of prefill time over prompt
+// length. The intercept is left out because an engine processes several prompts
+// concurrently and the fixed part of the latency doesn't occupy it.
 package stager
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"time"
 
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/estimator"
 	"github.com/jackdawthread/jackdawthread/registrar"
 )
 
-// DefaultPrefillRate is the assumed prefill rate of an engine, in prompt tokens
-// per second, until it has been measured.
-const DefaultPrefillRate = 40_000
-
 const (
-	// minSamples is the number of samples required before a measurement is used.
-	minSamples = 10
-	// sampleWindow is the approximate number of recent samples in an average.
-	sampleWindow = 150
 	// minGain is the ratio of new to current capacity from which a new split is
 	// adopted.
 	minGain = 1.12
-	// minGainUnmeasured replaces minGain while DefaultPrefillRate is in use.
-	minGainUnmeasured = 1.5
-	// maxSlopeError is the largest relative standard error at which a slope is
-	// used.
-	maxSlopeError = 0.2
+	// minGainRough replaces minGain while only a rough prefill rate is known.
+	minGainRough = 1.5
 	// minPrefillEngines is the minimum number of prefill engines in pools of at
 	// least minPoolForMinPrefill engines; smaller pools keep one.
 	minPrefillEngines    = 2
@@ -76,19 +62,15 @@
 	Stage  registrar.Stage
 }
 
-// Stager holds the measurements and the target split of one service. It is not
-// safe for concurrent use.
+// Stager holds the target split of one service and the orders that lead to it. It is
+// not safe for concurrent use.
 type Stager struct {
-	prefills     regression
-	promptTokens movingMean
-	measuredUse  movingMean // token seconds per response
-	expectedUse  movingMean // the same, estimated when responses start
-	transitions  map[identifier.Endpoint]transition
-	lastOrder    time.Time
-	lastStage    registrar.Stage
-	lastCounts   stageCounts
-	stableSince  time.Time // when lastCounts last changed
-	target       target
+	transitions map[identifier.Endpoint]transition
+	lastOrder   time.Time
+	lastStage   registrar.Stage
+	lastCounts  stageCounts
+	stableSince time.Time // when lastCounts last changed
+	target      target
 }
 
 // target is the number of prefill engines to reach in a pool of a given size; the
@@ -114,46 +96,18 @@
 	started int64 // the engine's StartID at the time of the order
 }
 
-// New returns a Stager without measurements.
+// New returns a Stager that has given no orders.
 func New() *Stager {
 	return &Stager{transitions: map[identifier.Endpoint]transition{}}
 }
 
-// RecordPrefill records the duration of a prefill that had its engine to itself.
-func (s *Stager) RecordPrefill(tokens identifier.Tokens, took time.Duration) {
-	s.prefills.add(float64(tokens), took.Seconds())
-}
-
-// RecordExpected records the start of a response and its estimated duration. The
-// estimates are used until minSamples responses have completed.
-func (s *Stager) RecordExpected(prompt, tokens identifier.Tokens, takes time.Duration) {
-	s.promptTokens.add(float64(prompt))
-	s.expectedUse.add(float64(tokens) * takes.Seconds())
-}
-
-// RecordResponse records a completed response: the tokens of memory it occupied,
-// and for how long.
-func (s *Stager) RecordResponse(tokens identifier.Tokens, took time.Duration) {
-	s.measuredUse.add(float64(tokens) * took.Seconds())
-}
-
-// PrefillRate returns an engine's measured prefill rate in prompt tokens per
-// second. It is false while there is no reliable measurement.
-func (s *Stager) PrefillRate() (float64, bool) {
-	slope, ok := s.prefills.slope()
-	if !ok {
-		return 0, false
-	}
-	return 1 / slope, true
-}
-
 // NextOrders returns the orders that move the pool towards the split with the
 // highest capacity, or none if the gain is too small. The returned orders are
 // recorded as issued.
-func (s *Stager) NextOrders(all []*registrar.Endpoint, memory identifier.Tokens, now time.Time) []Order {
+func (s *Stager) NextOrders(all []*registrar.Endpoint, m *estimator.Model, memory identifier.Tokens, now time.Time) []Order {
 	prefill, decode := s.count(all, now)
 	stable := s.updateStable(stageCounts{len(prefill), len(decode)}, now)
-	tp, td, gain, ok := s.costs(memory)
+	tp, td, gain, ok := costs(m, memory)
 	if !ok || !stable || now.Sub(s.lastOrder) < orderInterval {
 		return nil
 	}
@@ -261,22 +215,20 @@
 }
 
 // costs returns the seconds of a prefill engine and of a decode engine that a
-// request takes, and the gain required for an order based on them.
-func (s *Stager) costs(memory identifier.Tokens) (prefill, decode, gain float64, ok bool) {
-	if s.promptTokens.count < minSamples || memory == 0 {
+// request takes, and the gain required for an order based on them. It is false
+// without enough measurements.
+func costs(m *estimator.Model, memory identifier.Tokens) (prefill, decode, gain float64, ok bool) {
+	use, ok := m.TokenSeconds()
+	if !ok || !m.PromptTokens.Known() || memory == 0 {
 		return 0, 0, 0, false
 	}
 	gain = minGain
-	slope, measured := s.prefills.slope()
-	if !measured {
-		slope = 1.0 / DefaultPrefillRate
-		gain = minGainUnmeasured
-	}
-	use := s.measuredUse
-	if use.count < minSamples {
-		use = s.expectedUse
+	rate, ok := m.PrefillRate()
+	if !ok {
+		rate, ok = m.BusyPrefillRate()
+		gain = minGainRough
 	}
-	return slope * s.promptTokens.value, use.value / float64(memory), gain, true
+	return m.PromptTokens.Mean / rate, use / float64(memory), gain, ok
 }
 
 // capacity returns the requests per second that n engines can serve, p of them
@@ -299,44 +251,3 @@
 	}
 	return best
 }
-
-// movingMean is a mean over all samples up to sampleWindow, and an exponential
-// moving average after that.
-type movingMean struct {
-	count int
-	value float64
-}
-
-func (m *movingMean) add(v float64) {
-	m.count++
-	m.value += (v - m.value) / float64(min(m.count, sampleWindow))
-}
-
-// regression is a linear regression with the same weighting as movingMean.
-type regression struct {
-	count            int
-	x, y, xx, xy, yy float64 // means
-}
-
-func (r *regression) add(x, y float64) {
-	r.count++
-	w := 1 / float64(min(r.count, sampleWindow))
-	r.x += w * (x - r.x)
-	r.y += w * (y - r.y)
-	r.xx += w * (x*x - r.xx)
-	r.xy += w * (x*y - r.xy)
-	r.yy += w * (y*y - r.yy)
-}
-
-// slope returns the slope of the fitted line. It is false if the relative
-// standard error exceeds maxSlopeError or there are too few samples.
-func (r *regression) slope() (float64, bool) {
-	xx, yy, xy := r.xx-r.x*r.x, r.yy-r.y*r.y, r.xy-r.x*r.y
-	if r.count < minSamples || xx <= 0 || yy <= 0 || xy <= 0 {
-		return 0, false
-	}
-	explained := min(1, xy*xy/(xx*yy)) // coefficient of determination
-	points := float64(min(r.count, sampleWindow) - 2)
-	relativeError := math.Sqrt((1 - explained) / explained / points)
-	return xy / xx, relativeError <= maxSlopeError
-}
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/estimator"
 	"github.com/jackdawthread/jackdawthread/registrar"
 	"github.com/jackdawthread/jackdawthread/stager"
 )
@@ -29,25 +30,32 @@
 	return all
 }
 
-// trainedStager returns a stager with samples of 3,000 to 6,900 prompt tokens,
-// processed at 50 tokens per ms after a fixed 100 ms, and of the given response
-// time.
-func trainedStager(responseTime time.Duration) *stager.Stager {
-	s := stager.New()
+// trainedModel returns a model with samples of 3,000 to 6,900 prompt tokens,
+// processed at 50 tokens per ms after a fixed 100 ms, and of responses that occupy
+// an engine for the given time.
+func trainedModel(occupied time.Duration) *estimator.Model {
+	m := estimator.New()
 	for n := range 40 {
 		prompt := identifier.Tokens(3000 + 100*n)
-		s.RecordPrefill(prompt, 100*time.Millisecond+time.Duration(prompt)*20*time.Microsecond)
-		s.RecordExpected(5000, 5500, time.Second) // superseded by measured responses
-		s.RecordResponse(5500, responseTime)
+		m.RecordPrefill(estimator.Prefill{
+			Prompt: prompt, Work: prompt, Delay: 100*time.Millisecond + time.Duration(prompt)*20*time.Microsecond,
+		})
+		m.RecordPlacement(prompt, 500)
+		m.RecordResponse(response(occupied))
 	}
-	return s
+	return m
+}
+
+func response(occupied time.Duration) estimator.Response {
+	return estimator.Response{Prompt: 5000, Output: 500, Occupied: occupied}
 }
 
 // runToConvergence simulates a pool that carries out every order immediately, and
 // returns the engines of each stage and the number of orders.
-func runToConvergence(s *stager.Stager, all []*registrar.Endpoint) (prefill, decode, orders int) {
+func runToConvergence(m *estimator.Model, all []*registrar.Endpoint) (prefill, decode, orders int) {
+	s := stager.New()
 	for now := time.Duration(0); now < 2*time.Minute; now += 100 * time.Millisecond {
-		for _, o := range s.NextOrders(all, memory, start.Add(now)) {
+		for _, o := range s.NextOrders(all, m, memory, start.Add(now)) {
 			o.Engine.Stage = o.Stage
 			orders++
 		}
@@ -80,48 +88,55 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			i := is.New(t)
-			prefill, decode, orders := runToConvergence(trainedStager(c.responseTime), enginePool(c.prefill, c.decode))
+			prefill, decode, orders := runToConvergence(trainedModel(c.responseTime), enginePool(c.prefill, c.decode))
 			i.Equal(prefill+decode, c.prefill+c.decode)
 			i.True(prefill >= c.want-c.want/8 && prefill <= c.want+c.want/8)
 			i.True(orders <= max(c.prefill-c.want, c.want-c.prefill)+c.want/8) // no order is reversed
 		})
 	}
 	t.Run("no orders without enough measurements", func(t *testing.T) {
-		_, _, orders := runToConvergence(stager.New(), enginePool(4, 5))
+		_, _, orders := runToConvergence(estimator.New(), enginePool(4, 5))
 		is.New(t).Equal(orders, 0)
 	})
-	t.Run("estimated response times are used until responses complete", func(t *testing.T) {
-		s := stager.New()
+	t.Run("no orders until responses have completed", func(t *testing.T) {
+		m := estimator.New()
 		for n := range 40 {
 			prompt := identifier.Tokens(3000 + 100*n)
-			s.RecordPrefill(prompt, 100*time.Millisecond+time.Duration(prompt)*20*time.Microsecond)
-			s.RecordExpected(5000, 5500, 3500*time.Millisecond)
+			m.RecordPlacement(prompt, 500)
+			m.RecordPrefill(estimator.Prefill{
+				Prompt: prompt, Work: prompt, Delay: 100*time.Millisecond + time.Duration(prompt)*20*time.Microsecond,
+			})
 		}
-		prefill, _, _ := runToConvergence(s, enginePool(4, 5))
+		_, _, orders := runToConvergence(m, enginePool(4, 5))
+		is.New(t).Equal(orders, 0)
+		for range estimator.MinSamples {
+			m.RecordResponse(response(3500 * time.Millisecond))
+		}
+		prefill, _, _ := runToConvergence(m, enginePool(4, 5))
 		is.New(t).Equal(prefill, 2)
 	})
 	t.Run("leaving engines are ignored", func(t *testing.T) {
 		all := enginePool(4, 5)
 		all[0].Leaving = true
-		prefill, _, _ := runToConvergence(trainedStager(3500*time.Millisecond), all)
+		prefill, _, _ := runToConvergence(trainedModel(3500*time.Millisecond), all)
 		is.New(t).Equal(prefill, 3) // two, and the leaving one
 	})
 	t.Run("no orders while the pool changes", func(t *testing.T) {
 		i := is.New(t)
-		s := trainedStager(3500 * time.Millisecond)
+		s, m := stager.New(), trainedModel(3500*time.Millisecond)
 		for n := range 60 { // an engine joins or leaves every half second
-			orders := s.NextOrders(enginePool(4, 5+n%2), memory, start.Add(time.Duration(n)*time.Second/2))
+			orders := s.NextOrders(enginePool(4, 5+n%2), m, memory, start.Add(time.Duration(n)*time.Second/2))
 			i.Equal(len(orders), 0)
 		}
 	})
 	t.Run("a large pool is rebalanced within seconds while some engines join and leave", func(t *testing.T) {
 		i := is.New(t)
-		s := trainedStager(3500 * time.Millisecond)
+		s, m := stager.New(), trainedModel(3500*time.Millisecond)
 		all := enginePool(21, 39)
 		orders, last := 0, time.Duration(0)
 		for now := time.Duration(0); now < 20*time.Second; now += 250 * time.Millisecond {
 			absent := int(now/time.Second) % 4 // decode engines
-			for _, o := range s.NextOrders(all[:len(all)-absent], memory, start.Add(now)) {
+			for _, o := range s.NextOrders(all[:len(all)-absent], m, memory, start.Add(now)) {
 				o.Engine.Stage = o.Stage
 				orders++
 				last = now
@@ -137,7 +152,7 @@
 		for n, dc := range []identifier.DataCenter{"a", "a", "b", "b", "c", "c", "a", "a", "a", "b", "b", "b", "c", "c", "c"} {
 			all[n].DataCenter = dc
 		}
-		prefill, _, _ := runToConvergence(trainedStager(3500*time.Millisecond), all)
+		prefill, _, _ := runToConvergence(trainedModel(3500*time.Millisecond), all)
 		i.True(prefill >= 3 && prefill < 6)
 		left := map[identifier.DataCenter]int{}
 		for _, e := range all {
@@ -147,48 +162,47 @@
 		}
 		i.Equal(len(left), 3)
 	})
-	t.Run("the prefill rate excludes the fixed latency", func(t *testing.T) {
-		i := is.New(t)
-		_, ok := stager.New().PrefillRate()
-		i.True(!ok)
-		rate, ok := trainedStager(time.Second).PrefillRate()
-		i.True(ok)
-		i.True(rate > 49_000 && rate < 51_000)
-	})
 	t.Run("no orders based on noisy measurements", func(t *testing.T) {
-		s := stager.New()
+		m := estimator.New()
 		for n := range 30 { // as if queued behind other hosts' prompts
-			s.RecordPrefill(identifier.Tokens(3000+100*(n*7%30)), time.Duration(100+400*(n%3))*time.Millisecond)
-			s.RecordExpected(5000, 5500, 3500*time.Millisecond)
+			prompt := identifier.Tokens(3000 + 100*(n*7%30))
+			m.RecordPlacement(prompt, 500)
+			m.RecordPrefill(estimator.Prefill{
+				Prompt: prompt, Work: prompt, Delay: time.Duration(100+400*(n%3)) * time.Millisecond,
+			})
+			m.RecordResponse(response(3500 * time.Millisecond))
 		}
-		_, _, orders := runToConvergence(s, enginePool(4, 5))
+		_, _, orders := runToConvergence(m, enginePool(4, 5))
 		is.New(t).Equal(orders, 0)
 	})
-	t.Run("a pool with almost no prefill engines gets some without measurements", func(t *testing.T) {
-		s := stager.New()
-		for range 20 {
-			s.RecordExpected(5000, 5500, 3500*time.Millisecond)
+	t.Run("a pool with almost no prefill engines gets some although no prefill had its engine to itself", func(t *testing.T) {
+		m := estimator.New()
+		for n := range 20 {
+			work := identifier.Tokens(20_000 + 1000*n)
+			m.RecordPlacement(5000, 500)
+			m.RecordPrefill(estimator.Prefill{Prompt: 5000, Work: work, Delay: 100*time.Millisecond + time.Duration(work)*20*time.Microsecond})
+			m.RecordResponse(response(1500 * time.Millisecond))
 		}
-		prefill, _, _ := runToConvergence(s, enginePool(1, 9))
+		prefill, _, _ := runToConvergence(m, enginePool(1, 9))
 		is.New(t).True(prefill >= 2)
 	})
 	t.Run("stages do not flap", func(t *testing.T) {
 		i := is.New(t)
-		s := trainedStager(3500 * time.Millisecond)
+		s, m := stager.New(), trainedModel(3500*time.Millisecond)
 		all := enginePool(4, 5)
 		turns, last := 0, registrar.StageAny
 		for now := time.Duration(0); now < time.Minute; now += 100 * time.Millisecond {
 			if now%(10*time.Second) == 0 { // traffic alternates between long and short responses
 				for range 150 {
-					s.RecordResponse(5500, 3500*time.Millisecond)
+					m.RecordResponse(response(3500 * time.Millisecond))
 				}
 			}
 			if now%(10*time.Second) == 5*time.Second {
 				for range 150 {
-					s.RecordResponse(5500, 200*time.Millisecond)
+					m.RecordResponse(response(200 * time.Millisecond))
 				}
 			}
-			for _, o := range s.NextOrders(all, memory, start.Add(now)) {
+			for _, o := range s.NextOrders(all, m, memory, start.Add(now)) {
 				o.Engine.Stage = o.Stage
 				if o.Stage != last {
 					turns++
@@ -200,10 +214,10 @@
 	})
 	t.Run("an ordered engine is in transition until the timeout", func(t *testing.T) {
 		i := is.New(t)
-		s := trainedStager(3500 * time.Millisecond)
+		s, m := stager.New(), trainedModel(3500*time.Millisecond)
 		all := enginePool(4, 5)
-		s.NextOrders(all, memory, start)
-		orders := s.NextOrders(all, memory, start.Add(7*time.Second))
+		s.NextOrders(all, m, memory, start)
+		orders := s.NextOrders(all, m, memory, start.Add(7*time.Second))
 		i.Equal(len(orders), 1)
 		i.True(s.InTransition(orders[0].Engine, start.Add(8*time.Second)))
 		i.True(!s.InTransition(orders[0].Engine, start.Add(time.Minute)))
@@ -227,8 +241,8 @@
 
 // stagerAfterOrder returns a stager and the order that it gave at 7 s.
 func stagerAfterOrder() (*stager.Stager, stager.Order) {
-	s := trainedStager(3500 * time.Millisecond)
+	s, m := stager.New(), trainedModel(3500*time.Millisecond)
 	all := enginePool(4, 5)
-	s.NextOrders(all, memory, start)
-	return s, s.NextOrders(all, memory, start.Add(7*time.Second))[0]
+	s.NextOrders(all, m, memory, start)
+	return s, s.NextOrders(all, m, memory, start.Add(7*time.Second))[0]
 }
