Order stages also where engines check no fencing tokens

Without a check by the engines a host must not order while another one may have taken over. The placing host already waits for twice the lease and needs a majority; it now also needs a copy of the store that is at most 2 s old, which a host that was cut off has not. Tokens follow the store's revision in place of the clock, which differs between hosts and jumps; they exceed the tokens of earlier versions, so engines that check them accept them after an upgrade.

Setting orders.enabled (default true) turns orders off; orders.fenced=false no longer does.

Tests: TestOrdersWithoutFencing; without the check of the age its case "old knowledge, not fenced" fails.

--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -236,10 +237,12 @@
 		Seed:       uint64(h.incarnation),
 		Orders:     h.deps.Platform,
 		OrderOptions: reserver.OrderOptions{
-			Enabled: s.Orders.Fenced,
+			Enabled: s.Orders.Enabled,
+			Fenced:  s.Orders.Fenced,
 			Holder:  s.Host,
 			Lease:   s.Orders.Lease,
 		},
+		Knowledge: h.knowledge,
 	})
 	h.reserver.Register(h.messenger)
 	h.forwarder = forwarder.New(forwarder.Deps{
@@ -350,6 +353,15 @@
 	}
 }
 
+// knowledge returns how current this host's copy of the store is.
+func (h *Host) knowledge() reserver.Knowledge {
+	r := h.replicator.Load()
+	if r == nil { // the host is starting
+		return reserver.Knowledge{Age: math.MaxInt64}
+	}
+	return reserver.Knowledge{Revision: r.Replica().Revision(), Age: r.Age()}
+}
+
 // Endpoints returns the number of registered endpoints.
 func (h *Host) Endpoints() int {
 	return h.registry.Snapshot().Count()
--- a/hoster/settings.go
+++ b/hoster/settings.go
@@ -60,8 +60,10 @@
 
 // Orders configure whether hosts may order engines to switch to another stage.
 type Orders struct {
-	// Fenced is set if engines check fencing tokens; otherwise hosts give no
-	// orders.
+	// Enabled allows orders.
+	Enabled bool `toml:"enabled"`
+	// Fenced is set if engines check fencing tokens; otherwise hosts give orders
+	// only while their copy of the store is current.
 	Fenced bool `toml:"fenced"`
 	// Lease is how long a host that was replaced may still consider itself the
 	// one that gives orders.
@@ -98,7 +100,7 @@
 	s.LogLevel = "info"
 	s.Retries = Retries{Ratio: 0.1, Slack: 10, Window: 10 * time.Second, Settle: 3 * time.Second}
 	s.Stop = Stop{Announce: 3 * time.Second, Limit: 10 * time.Second}
-	s.Orders = Orders{Lease: 3 * time.Second}
+	s.Orders = Orders{Enabled: true, Lease: 3 * time.Second}
 	s.Limits = Limits{MaxRequests: 4000}
 	s.Log = LogSettings{LinesPerSecond: 100, QueueLines: 1024}
 }
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -22,9 +22,9 @@
 // state.
 //
 // The placing host also switches engines between stages where that raises the
-// service's capacity (package stager). It does so only if engines check fencing
-// tokens, and only after it has been the placing host for longer than another
-// host could still take itself for it.
+// service's capacity (package stager). It does so only after it has been the placing
+// host for longer than another host could still take itself for it, and, if engines
+// check no fencing tokens, only while its knowledge of the store is current.
 //
 // # Measured engines
 //
@@ -91,6 +91,8 @@
 	// Orders sends stage orders to engines if OrderOptions enables them.
 	Orders       Orders
 	OrderOptions OrderOptions
+	// Knowledge returns how current this host's knowledge of the store is.
+	Knowledge func() Knowledge
 }
 
 // PlacementRequest is a request for placement.
--- a/reserver/stages.go
+++ b/reserver/stages.go
@@ -20,10 +20,18 @@
 	// refusedOrderBackoff is how long no orders are given after an order failed. An
 	// engine refuses an order if another host has used a higher fencing token.
 	refusedOrderBackoff = 30 * time.Second
-	// fencesPerMillisecond is the number of fencing tokens per millisecond. Hosts
-	// hash their names into this range, so that two hosts are unlikely to use the
-	// same token.
-	fencesPerMillisecond = 1000
+	// fencesPerRevision is the number of fencing tokens for each revision of the
+	// store. Hosts hash their names into this range, so that two hosts are unlikely to
+	// use the same token.
+	fencesPerRevision = 1000
+	// fenceBase makes fencing tokens exceed those of earlier versions, which were
+	// a thousand times the Unix time in milliseconds.
+	fenceBase = 2_000_000_000_000_000
+	// maxKnowledgeAge is the age of a host's knowledge from which it doesn't order
+	// engines that check no fencing tokens: another host, which knows a later
+	// revision, may have taken over. It is longer than the store holds a watch open
+	// without a change, and shorter than a lease.
+	maxKnowledgeAge = 2 * time.Second
 )
 
 // Fence is the fencing token of an order.
@@ -36,10 +44,20 @@
 	Order(ctx context.Context, e *registrar.Endpoint, s registrar.Stage, holder identifier.Host, f Fence) error
 }
 
+// Knowledge states how current a host's knowledge of the store is.
+type Knowledge struct {
+	Revision identifier.Revision
+	// Age is the time since the store confirmed that revision.
+	Age time.Duration
+}
+
 // OrderOptions configures stage orders.
 type OrderOptions struct {
-	// Enabled allows orders. It requires engines that check fencing tokens.
+	// Enabled allows orders.
 	Enabled bool
+	// Fenced is set if engines check fencing tokens. Without that, a host gives orders
+	// only while its knowledge is current.
+	Fenced bool
 	// Holder is this host's name.
 	Holder identifier.Host
 	// Lease is how long a former placing host may still give orders.
@@ -75,14 +93,15 @@
 	r := q.reserver
 	s := r.deps.Registry.Snapshot()
 	q.mu.Lock()
-	if !q.mayOrder(now) {
+	known := r.deps.Knowledge()
+	if !q.mayOrder(now) || !r.deps.OrderOptions.Fenced && known.Age > maxKnowledgeAge {
 		q.mu.Unlock()
 		return
 	}
 	orders := q.stager.NextOrders(s.Endpoints(q.service), q.model, engineConfig(s, q.service).Memory, now)
 	fences := make([]Fence, len(orders))
 	for i := range fences {
-		fences[i] = q.tenure.nextFence(r.deps.OrderOptions.Holder, now)
+		fences[i] = q.tenure.nextFence(r.deps.OrderOptions.Holder, known.Revision)
 	}
 	q.mu.Unlock()
 	for i, o := range orders {
@@ -114,11 +133,13 @@
 	return now.Sub(q.tenure.since) > 2*r.deps.OrderOptions.Lease && !now.Before(q.tenure.pausedUntil)
 }
 
-// nextFence returns a fencing token higher than all that this host has used.
-func (h *tenure) nextFence(holder identifier.Host, now time.Time) Fence {
-	f := Fence(uint64(now.UnixMilli())*fencesPerMillisecond + xxhash.Sum64String(string(holder))%fencesPerMillisecond)
+// nextFence returns a fencing token higher than all that this host has used, and
+// than those of hosts that knew an earlier revision. Revisions are the same for all
+// hosts, unlike their clocks.
+func (h *tenure) nextFence(holder identifier.Host, known identifier.Revision) Fence {
+	f := Fence(fenceBase + uint64(known)*fencesPerRevision + xxhash.Sum64String(string(holder))%fencesPerRevision)
 	if f <= h.lastFence {
-		f = h.lastFence + fencesPerMillisecond
+		f = h.lastFence + fencesPerRevision
 	}
 	h.lastFence = f
 	return f
--- a/reserver/stages_test.go
+++ b/reserver/stages_test.go
@@ -1,15 +1,21 @@
 package reserver
 
 import (
+	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/estimator"
 	"github.com/jackdawthread/jackdawthread/gossiper"
+	"github.com/jackdawthread/jackdawthread/messenger"
 	"github.com/jackdawthread/jackdawthread/registrar"
+	"github.com/jackdawthread/jackdawthread/timer"
 )
 
 // soleMembership is the membership of a host that knows no other hosts.
@@ -19,6 +25,106 @@
 
 func (soleMembership) Subscribe(func(*gossiper.View)) {}
 
+// newLoneMember returns the membership of the only host of a fleet.
+func newLoneMember(g *grouper.Group) *gossiper.Gossiper {
+	self := gossiper.Member{Host: "h", Incarnation: identifier.NewIncarnation(), DataCenter: "a", Address: "127.0.0.1:1"}
+	m := messenger.New(messenger.Peer{Host: self.Host, Incarnation: self.Incarnation, DataCenter: self.DataCenter}, messenger.Options{}, g)
+	return gossiper.New(self, gossiper.Options{}, m, timer.New(g), g)
+}
+
+// recordedOrders implements Orders and keeps the orders.
+type recordedOrders chan Fence
+
+func (o recordedOrders) Order(_ context.Context, _ *registrar.Endpoint, _ registrar.Stage, _ identifier.Host, f Fence) error {
+	o <- f
+	return nil
+}
+
+// orderingReserver returns a reserver that only switches stages.
+func orderingReserver(registry *registrar.Registrar, options OrderOptions, known Knowledge, orders Orders) *Reserver {
+	return &Reserver{
+		deps: Deps{
+			Registry: registry, Members: soleMembership{}, Log: zap.NewNop(),
+			Orders: orders, OrderOptions: options, Knowledge: func() Knowledge { return known },
+			Group: grouper.New(context.Background()),
+		},
+		serviceQueues: map[identifier.Service]*serviceQueue{},
+	}
+}
+
+// TestOrdersWithoutFencing guards against a host that orders engines although
+// another one has replaced it, where engines can't tell.
+func TestOrdersWithoutFencing(t *testing.T) {
+	registry := registrar.New()
+	registry.SetDeclarations(registrar.NewDeclarations(1, nil, []*registrar.Service{
+		{Name: "notes", Engine: &registrar.EngineConfig{Slots: 8, Memory: 20_000}},
+	}, registrar.Limits{}))
+	var engines []*registrar.Endpoint
+	for n := range 10 {
+		engines = append(engines, &registrar.Endpoint{Name: identifier.Endpoint(fmt.Sprintf("e%d", n)), Service: "notes", Stage: registrar.StagePrefill})
+	}
+	engines[9].Stage = registrar.StageDecode
+	registry.SetEndpoints(engines)
+	cases := []struct {
+		name      string
+		fenced    bool
+		age       time.Duration
+		wantOrder bool
+	}{
+		{"current knowledge, fenced", true, 0, true},
+		{"old knowledge, fenced", true, time.Minute, true},
+		{"current knowledge, not fenced", false, maxKnowledgeAge / 2, true},
+		{"old knowledge, not fenced", false, 2 * maxKnowledgeAge, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			orders := make(recordedOrders, 100)
+			r := orderingReserver(registry, OrderOptions{Enabled: true, Fenced: c.fenced, Lease: time.Second},
+				Knowledge{Revision: 40, Age: c.age}, orders)
+			members := newLoneMember(r.deps.Group)
+			r.deps.Self, r.deps.Members = members.View().Members()[0].Incarnation, members
+			m := r.serviceQueue("notes").model
+			for n := range 40 {
+				prompt := identifier.Tokens(3000 + 100*n)
+				m.RecordPlacement(prompt, 500)
+				m.RecordPrefill(estimator.Prefill{Prompt: prompt, Work: prompt, Delay: time.Duration(prompt) * 20 * time.Microsecond})
+				m.RecordResponse(estimator.Response{Prompt: prompt, Output: 500, Occupied: 5 * time.Second})
+			}
+			start := time.Unix(1_000_000, 0)
+			for at := time.Duration(0); at < 20*time.Second; at += rebalancePeriod {
+				r.rebalance(start.Add(at))
+			}
+			r.deps.Group.Stop()
+			is.New(t).NoErr(r.deps.Group.Wait())
+			is.New(t).Equal(len(orders) > 0, c.wantOrder)
+		})
+	}
+	t.Run("tokens rise with the revision, whatever host uses them", func(t *testing.T) {
+		i := is.New(t)
+		last := Fence(0)
+		for revision := range identifier.Revision(50) {
+			host := identifier.Host(fmt.Sprintf("h%d", revision%7))
+			f := (&tenure{}).nextFence(host, revision)
+			i.True(f > last)
+			last = f
+		}
+	})
+	t.Run("tokens of one host rise within a revision", func(t *testing.T) {
+		i := is.New(t)
+		h := &tenure{}
+		last := h.nextFence("h", 7)
+		for range 5 {
+			f := h.nextFence("h", 7)
+			i.True(f > last)
+			last = f
+		}
+	})
+	t.Run("tokens exceed those of earlier versions, which were based on clocks", func(t *testing.T) {
+		clock := uint64(time.Date(2032, 1, 1, 0, 0, 0, 0, time.UTC).UnixMilli()) * 1000
+		is.New(t).True(uint64((&tenure{}).nextFence("h", 1)) > clock)
+	})
+}
+
 // TestRebalance guards against a stability period that only begins with the first
 // request: the engines of declared services are checked before any traffic.
 func TestRebalance(t *testing.T) {
@@ -28,13 +134,7 @@
 		{Name: "desk"},
 	}, registrar.Limits{}))
 	newReserver := func(enabled bool) *Reserver {
-		return &Reserver{
-			deps: Deps{
-				Registry: registry, Members: soleMembership{}, Log: zap.NewNop(),
-				OrderOptions: OrderOptions{Enabled: enabled, Lease: time.Second},
-			},
-			serviceQueues: map[identifier.Service]*serviceQueue{},
-		}
+		return orderingReserver(registry, OrderOptions{Enabled: enabled, Lease: time.Second}, Knowledge{Revision: 1}, nil)
 	}
 	t.Run("covers services with engines before the first request", func(t *testing.T) {
 		i := is.New(t)
@@ -43,7 +143,7 @@
 		i.Equal(len(r.serviceQueues), 1)
 		i.True(r.serviceQueues["notes"] != nil)
 	})
-	t.Run("does nothing if engines check no fencing tokens", func(t *testing.T) {
+	t.Run("does nothing if orders are disabled", func(t *testing.T) {
 		r := newReserver(false)
 		r.rebalance(time.Unix(1_000_000, 0))
 		is.New(t).Equal(len(r.serviceQueues), 0)
