--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -44,6 +44,7 @@
 func (m *metrics) registerGauges(h *Host) {
 	m.root.Set("running", expvar.Func(func() any { return h.forwarder.Running() }))
 	m.root.Set("waiting", expvar.Func(func() any { return h.reserver.Waiting() }))
+	m.root.Set("engine-models", expvar.Func(func() any { return h.reserver.Models() }))
 	m.root.Set("connections", expvar.Func(func() any { return h.deps.Platform.Exchanger().Stats() }))
 	m.root.Set("links", expvar.Func(func() any { return h.messenger.Stats() }))
 	m.root.Set("membership", expvar.Func(func() any { return h.gossiper.Stats() }))
--- a/reserver/earmark.go
+++ b/reserver/earmark.go
@@ -56,7 +56,7 @@
 	defer r.mu.Unlock()
 	all := make([]earmarker.RunningRequest, 0, len(r.grants.all))
 	for _, g := range r.grants.all {
-		response, _ := m.Response(g.prompt, g.tokens-min(g.tokens, g.prompt))
+		response, _ := m.Response(g.prompt, outputTokens(g.prompt, g.tokens))
 		all = append(all, earmarker.RunningRequest{Engine: g.decode.Name, Tokens: g.tokens, ExpectedEnd: g.grantedAt.Add(response)})
 	}
 	return all
--- /dev/null
+++ b/reserver/export_test.go
@@ -0,0 +1,4 @@
+package reserver
+
+// PlacingKey exports placingKey for tests.
+var PlacingKey = placingKey
--- a/reserver/links.go
+++ b/reserver/links.go
@@ -49,10 +49,15 @@
 
 // owner returns the placing host of a service, and whether it is another host.
 func (r *Reserver) owner(s identifier.Service) (gossiper.Member, bool) {
-	m, ok := r.deps.Members.View().FleetOwner(xxhash.Sum64String("room\x00" + string(s)))
+	m, ok := r.deps.Members.View().FleetOwner(placingKey(s))
 	return m, ok && m.Incarnation != r.deps.Self
 }
 
+// placingKey returns the key by which a service's placing host is chosen.
+func placingKey(s identifier.Service) uint64 {
+	return xxhash.Sum64String("room\x00" + string(s))
+}
+
 // errPingFailed is returned if the placing host doesn't answer a ping.
 var errPingFailed = classifier.NotRun(classifier.ReasonHostUnreachable, 0, "placing host did not answer a ping")
 
--- a/reserver/model.go
+++ b/reserver/model.go
@@ -34,12 +34,59 @@
 	Prefill, FirstEvent time.Duration
 }
 
-// modelCopy records where this host's model of a service came from.
+// modelCopy records the last exchange of models with a placing host.
 type modelCopy struct {
 	source identifier.Incarnation
 	at     time.Time
 }
 
+// ModelStatus is a summary of the model of a service's engines that a host uses,
+// for operators. Durations that are unknown are 0.
+type ModelStatus struct {
+	// Samples is the number of completed responses in the model, and AgeMs the time
+	// since it last changed.
+	Samples int   `json:"samples"`
+	AgeMs   int64 `json:"age-ms"`
+	// Known reports whether there are enough samples to use the durations.
+	Known bool `json:"known"`
+	// PrefillTokensPerSecond is the prefill rate of an engine; 0 means unknown.
+	PrefillTokensPerSecond float64 `json:"prefill-tokens-per-second"`
+	// QueueingMs is the time that prefills take beyond that of one which has its
+	// engine to itself, FirstEventMs the time from the call of a decode engine to the
+	// first event, and OutputTokenUs that of an expected output token.
+	QueueingMs    float64 `json:"queueing-ms"`
+	FirstEventMs  float64 `json:"first-event-ms"`
+	OutputTokenUs float64 `json:"output-token-us"`
+}
+
+// Models returns the models of all services that this host has placed requests of.
+func (r *Reserver) Models() map[identifier.Service]ModelStatus {
+	now := time.Now()
+	all := map[identifier.Service]ModelStatus{}
+	for _, q := range r.allQueues() {
+		if s := q.modelStatus(now); s.Samples > 0 {
+			all[q.service] = s
+		}
+	}
+	return all
+}
+
+func (q *serviceQueue) modelStatus(now time.Time) ModelStatus {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	m := q.model
+	rate, _ := m.PrefillRate() // 0 if unknown
+	return ModelStatus{
+		Samples:                m.Samples(),
+		AgeMs:                  now.Sub(q.modelChanged).Milliseconds(),
+		Known:                  m.Known(),
+		PrefillTokensPerSecond: rate,
+		QueueingMs:             m.Queueing.Mean * 1e3,
+		FirstEventMs:           m.FirstEvents.Mean * 1e3,
+		OutputTokenUs:          m.OutputTokens.Mean * 1e6,
+	}
+}
+
 // expectation returns the durations to expect for a prompt.
 func (q *serviceQueue) expectation(prompt identifier.Tokens) Expectation {
 	q.mu.Lock()
@@ -81,7 +128,13 @@
 
 // output returns the expected number of output tokens.
 func (r *PlacementRequest) output() identifier.Tokens {
-	return r.Tokens - min(r.Tokens, r.Prompt)
+	return outputTokens(r.Prompt, r.Tokens)
+}
+
+// outputTokens returns the output tokens of a request that occupies tokens in
+// total.
+func outputTokens(prompt, tokens identifier.Tokens) identifier.Tokens {
+	return tokens - min(tokens, prompt)
 }
 
 func earliest(a, b time.Time) time.Time {
@@ -103,13 +156,14 @@
 func (q *serviceQueue) recordMeasured(g *grant, prefill bool, o placer.Outcome, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.modelChanged = now
 	took := now.Sub(g.grantedAt)
 	if prefill {
 		q.model.RecordPrefill(estimator.Prefill{Prompt: g.prompt, Work: g.prefillWork, Delay: took})
 		return
 	}
 	q.model.RecordResponse(estimator.Response{
-		Prompt: g.prompt, Output: g.tokens - min(g.tokens, g.prompt),
+		Prompt: g.prompt, Output: outputTokens(g.prompt, g.tokens),
 		Occupied: took, FirstEvent: o.FirstEvent, Took: o.Latency,
 	})
 }
@@ -150,6 +204,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.model = decodeModel(m)
+	q.modelChanged = time.Now()
 }
 
 // adoptModel takes over another host's model if this host has not measured the
@@ -164,6 +219,7 @@
 		return
 	}
 	q.model = decodeModel(m)
+	q.modelChanged = time.Now()
 	q.reserver.deps.Log.Info("engine-model-adopted",
 		zap.String("service", string(q.service)), zap.Uint64("from", uint64(from)), zap.Int("samples", q.model.Samples()))
 }
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -189,16 +189,19 @@
 
 // Waiting returns the number of requests that wait for placement at this host.
 func (r *Reserver) Waiting() int {
-	r.mu.Lock()
-	queues := slices.Collect(maps.Values(r.serviceQueues))
-	r.mu.Unlock()
 	n := 0
-	for _, q := range queues {
+	for _, q := range r.allQueues() {
 		n += q.waiting()
 	}
 	return n
 }
 
+func (r *Reserver) allQueues() []*serviceQueue {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Collect(maps.Values(r.serviceQueues))
+}
+
 // RecordPrefillOutcome reports the outcome of a plan's prefill.
 func (r *Reserver) RecordPrefillOutcome(p Plan, o placer.Outcome) {
 	if p.Prefill == nil {
--- a/reserver/service_queue.go
+++ b/reserver/service_queue.go
@@ -52,17 +52,18 @@
 	reserver *Reserver
 	service  identifier.Service
 
-	mu        sync.Mutex
-	admission *admitter.Queue
-	waiters   map[admitter.Key]*waiter
-	lastKey   admitter.Key
-	searches  int
-	released  chan struct{} // signaled when capacity may have been released
-	stager    *stager.Stager
-	tenure    tenure
-	model     *estimator.Model
-	modelCopy modelCopy
-	earmarks  *earmarker.Earmarks
+	mu           sync.Mutex
+	admission    *admitter.Queue
+	waiters      map[admitter.Key]*waiter
+	lastKey      admitter.Key
+	searches     int
+	released     chan struct{} // signaled when capacity may have been released
+	stager       *stager.Stager
+	tenure       tenure
+	model        *estimator.Model
+	modelCopy    modelCopy
+	modelChanged time.Time
+	earmarks     *earmarker.Earmarks
 }
 
 func newServiceQueue(r *Reserver, s identifier.Service) *serviceQueue {
