--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -91,9 +91,10 @@
 	// FirstEvents is the time in seconds from the call of the decode engine to the
 	// first event.
 	FirstEvents Average
-	// OutputTokens is the time in seconds per expected output token after the first
-	// event.
-	OutputTokens Average
+	// OutputTokens is the expected number of output tokens, OutputTimes the time in
+	// seconds that they took after the first event. Their ratio is steadier than the
+	// mean of ratios, as expected numbers are often far off.
+	OutputTokens, OutputTimes Average
 	// MemoryUse is the product of the tokens that a request occupied at its decode
 	// engine and the seconds for which it did. ExpectedMemoryUse is the same,
 	// estimated when the request was placed.
@@ -107,7 +108,7 @@
 
 // Known reports whether the model has enough samples for all of its estimates.
 func (m *Model) Known() bool {
-	return m.Queueing.Known() && m.FirstEvents.Known() && m.OutputTokens.Known()
+	return m.Queueing.Known() && m.FirstEvents.Known() && m.OutputTimes.Known()
 }
 
 // Samples returns the number of completed responses that were recorded.
@@ -139,7 +140,8 @@
 		return
 	}
 	m.FirstEvents.add(r.FirstEvent.Seconds(), shortWindow)
-	m.OutputTokens.add((r.Took-r.FirstEvent).Seconds()/float64(max(1, r.Output)), shortWindow)
+	m.OutputTokens.add(float64(r.Output), shortWindow)
+	m.OutputTimes.add((r.Took - r.FirstEvent).Seconds(), shortWindow)
 }
 
 // exclusivePrefill returns the expected time in seconds of a prefill that has its
@@ -195,7 +197,16 @@
 // of the response. It is false without enough samples.
 func (m *Model) Response(prompt, output identifier.Tokens) (time.Duration, bool) {
 	first, ok := m.FirstEvent(prompt)
-	return first.Mean + seconds(m.OutputTokens.Mean*float64(output)), ok && m.OutputTokens.Known()
+	return first.Mean + seconds(m.TimePerToken()*float64(output)), ok && m.OutputTimes.Known()
+}
+
+// TimePerToken returns the time in seconds per expected output token, or 0 without
+// samples.
+func (m *Model) TimePerToken() float64 {
+	if m.OutputTokens.Mean <= 0 {
+		return 0
+	}
+	return m.OutputTimes.Mean / m.OutputTokens.Mean
 }
 
 // TokenSeconds returns the expected product of the tokens that a request occupies at
--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -141,6 +141,13 @@
 		i.True(ok)
 		i.True(math.Abs(use-(short+long)/2) < 0.1*(short+long)/2)
 	})
+	t.Run("aren't thrown off by an expected length that is far too low", func(t *testing.T) {
+		m := estimator.New()
+		typical.serveMany(m, 50, 0)
+		m.RecordResponse(estimator.Response{Prompt: 5000, Output: 10, Occupied: time.Second, FirstEvent: typical.firstEvent, Took: typical.response(500)})
+		response, _ := m.Response(5000, 500)
+		assertNear(t, response, typical.prefill(5000)+typical.response(500), 0.15)
+	})
 	t.Run("follow a change of the output speed within 20 samples", func(t *testing.T) {
 		slow := typical
 		slow.perOutput *= 5
--- a/peerwire/room.go
+++ b/peerwire/room.go
@@ -80,6 +80,7 @@
 	PromptTokens      SampleAverage    `msg:"prompt-tokens"`
 	FirstEvents       SampleAverage    `msg:"first-events"`
 	OutputTokens      SampleAverage    `msg:"output-tokens"`
+	OutputTimes       SampleAverage    `msg:"output-times"`
 	MemoryUse         SampleAverage    `msg:"memory-use"`
 	ExpectedMemoryUse SampleAverage    `msg:"expected-memory-use"`
 }
--- a/reserver/model.go
+++ b/reserver/model.go
@@ -83,7 +83,7 @@
 		PrefillTokensPerSecond: rate,
 		QueueingMs:             m.Queueing.Mean * 1e3,
 		FirstEventMs:           m.FirstEvents.Mean * 1e3,
-		OutputTokenUs:          m.OutputTokens.Mean * 1e6,
+		OutputTokenUs:          m.TimePerToken() * 1e6,
 	}
 }
 
@@ -243,6 +243,7 @@
 		PromptTokens:      peerwire.SampleAverage(m.PromptTokens),
 		FirstEvents:       peerwire.SampleAverage(m.FirstEvents),
 		OutputTokens:      peerwire.SampleAverage(m.OutputTokens),
+		OutputTimes:       peerwire.SampleAverage(m.OutputTimes),
 		MemoryUse:         peerwire.SampleAverage(m.MemoryUse),
 		ExpectedMemoryUse: peerwire.SampleAverage(m.ExpectedMemoryUse),
 	}
@@ -256,6 +257,7 @@
 		PromptTokens:      estimator.Average(m.PromptTokens),
 		FirstEvents:       estimator.Average(m.FirstEvents),
 		OutputTokens:      estimator.Average(m.OutputTokens),
+		OutputTimes:       estimator.Average(m.OutputTimes),
 		MemoryUse:         estimator.Average(m.MemoryUse),
 		ExpectedMemoryUse: estimator.Average(m.ExpectedMemoryUse),
 	}
