Leave the spread of outputs free in an engine's memory

Cause: engines count what requests occupy so far and accept reservations while those still grow. The placing host counted all of a request's expected tokens, up to 1.1 times the memory, but when no engine was left it asked the two least loaded ones all the same, and they accepted.

The host now asks only engines that fit by its own count, and leaves one standard deviation of all outputs together free. The deviation is measured (estimator: output times against expected ones), so short outputs fill an engine up.

--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -27,6 +27,7 @@
 package estimator
 
 import (
+	"math"
 	"time"
 
 	"github.com/jackdawthread/jackdawthread/common/identifier"
@@ -95,6 +96,9 @@
 	// seconds that they took after the first event. Their ratio is steadier than the
 	// mean of ratios, as expected numbers are often far off.
 	OutputTokens, OutputTimes Average
+	// OutputErrors is the deviation of output times from the expected ones, as a share
+	// of the latter.
+	OutputErrors Average
 	// MemoryUse is the product of the tokens that a request occupied at its decode
 	// engine and the seconds for which it did. ExpectedMemoryUse is the same,
 	// estimated when the request was placed.
@@ -140,6 +144,9 @@
 		return
 	}
 	m.FirstEvents.add(r.FirstEvent.Seconds(), shortWindow)
+	if expected := m.TimePerToken() * float64(r.Output); expected > 0 {
+		m.OutputErrors.add(math.Abs((r.Took-r.FirstEvent).Seconds()/expected-1), longWindow)
+	}
 	m.OutputTokens.add(float64(r.Output), shortWindow)
 	m.OutputTimes.add((r.Took - r.FirstEvent).Seconds(), shortWindow)
 }
@@ -200,6 +207,16 @@
 	return first.Mean + seconds(m.TimePerToken()*float64(output)), ok && m.OutputTimes.Known()
 }
 
+// OutputSpread returns the standard deviation of the length of outputs, as a share of
+// the expected length. It is false without enough samples.
+func (m *Model) OutputSpread() (float64, bool) {
+	return deviationRatio * m.OutputErrors.Mean, m.OutputErrors.Known()
+}
+
+// deviationRatio is the ratio of the standard deviation to the mean absolute
+// deviation of a normal distribution.
+const deviationRatio = 1.25
+
 // TimePerToken returns the time in seconds per expected output token, or 0 without
 // samples.
 func (m *Model) TimePerToken() float64 {
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -127,10 +127,10 @@
 	e.observation.addAttempt(endpoint)
 	e.sent++
 	e.exclude = append(e.exclude, endpoint.Name)
-	f.deps.Placer.Begin(endpoint, 0)
+	f.deps.Placer.Begin(endpoint, placer.Size{})
 	f.deps.Group.Run(func(context.Context) {
 		a := f.call(ctx, endpoint, &e.call)
-		f.deps.Placer.End(endpoint, 0)
+		f.deps.Placer.End(endpoint, placer.Size{})
 		f.recordOutcome(endpoint, plainOutcome(ctx, a, time.Since(now)))
 		responses <- a
 	})
--- a/forwarder/plain_stream.go
+++ b/forwarder/plain_stream.go
@@ -27,7 +27,7 @@
 	}
 	s.sent++
 	s.observation.addAttempt(at)
-	f.deps.Placer.Begin(at, 0)
+	f.deps.Placer.Begin(at, placer.Size{})
 	watchdog := time.NewTimer(noTimeout)
 	defer watchdog.Stop()
 	err := func() error {
@@ -45,7 +45,7 @@
 	if err != nil {
 		o = engineOutcome(ctx, err, 0)
 	}
-	f.deps.Placer.End(at, 0)
+	f.deps.Placer.End(at, placer.Size{})
 	f.recordOutcome(at, o)
 	return err
 }
--- a/forwarder/prefill.go
+++ b/forwarder/prefill.go
@@ -40,9 +40,10 @@
 		if e == nil || e.Stage != registrar.StagePrefill {
 			return nil, nil
 		}
-		endpoints.Begin(e, s.call.Prompt)
+		size := placer.Size{Tokens: s.call.Prompt}
+		endpoints.Begin(e, size)
 		result, o, err := s.tryPrefill(ctx, e, p.Expected)
-		endpoints.End(e, s.call.Prompt)
+		endpoints.End(e, size)
 		s.forwarder.recordOutcome(e, o)
 		if result != nil || err != nil || !s.prefillAllowed {
 			return result, err
--- a/peerwire/room.go
+++ b/peerwire/room.go
@@ -81,6 +81,7 @@
 	FirstEvents       SampleAverage    `msg:"first-events"`
 	OutputTokens      SampleAverage    `msg:"output-tokens"`
 	OutputTimes       SampleAverage    `msg:"output-times"`
+	OutputErrors      SampleAverage    `msg:"output-errors"`
 	MemoryUse         SampleAverage    `msg:"memory-use"`
 	ExpectedMemoryUse SampleAverage    `msg:"expected-memory-use"`
 }
--- a/placer/data_center_test.go
+++ b/placer/data_center_test.go
@@ -100,11 +100,11 @@
 	fill := func(count int) (near, far int) {
 		p, all := newPlacer(), twoDataCenters(each, registrar.StageDecode)
 		for range count {
-			list := p.DecodeCandidates(all, nil, placer.CapacityDemand{Tokens: tokens, Memory: memory, PreferredDataCenter: "b", MaxEngines: 1}, at(0))
+			list := p.DecodeCandidates(all, nil, placer.CapacityDemand{Size: placer.Size{Tokens: tokens}, Memory: memory, PreferredDataCenter: "b", MaxEngines: 1}, at(0))
 			if len(list) == 0 {
 				return near, far
 			}
-			p.Begin(list[0], tokens)
+			p.Begin(list[0], placer.Size{Tokens: tokens})
 			if list[0].DataCenter == "b" {
 				near++
 			} else {
--- a/placer/outcome.go
+++ b/placer/outcome.go
@@ -59,22 +59,24 @@
 	s.avoid(now)
 }
 
-// Begin records the start of a call to e that occupies tokens there.
-func (p *Placer) Begin(e *registrar.Endpoint, tokens identifier.Tokens) {
+// Begin records the start of a call to e of the given size.
+func (p *Placer) Begin(e *registrar.Endpoint, z Size) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.state(e)
 	s.running++
-	s.tokens += tokens
+	s.tokens += z.Tokens
+	s.outputs += z.squaredOutput()
 }
 
 // End reverses the effect of Begin at the end of a call.
-func (p *Placer) End(e *registrar.Endpoint, tokens identifier.Tokens) {
+func (p *Placer) End(e *registrar.Endpoint, z Size) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.state(e)
 	s.running = max(0, s.running-1)
-	s.tokens -= min(s.tokens, tokens)
+	s.tokens -= min(s.tokens, z.Tokens)
+	s.outputs = max(0, s.outputs-z.squaredOutput())
 }
 
 // RecordOutcome updates the state of e with the outcome of a call, and reports
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -7,9 +7,9 @@
 //
 //	p := placer.New(placer.Options{DataCenter: "tw-north-1"}, seed)
 //	e := p.ChoosePlain(snapshot.Endpoints("dealer-desk"), exclude, now)
-//	p.Begin(e, 0)
+//	p.Begin(e, placer.Size{})
 //	...
-//	p.End(e, 0)
+//	p.End(e, placer.Size{})
 //	p.RecordOutcome(e, placer.Outcome{...}, now)
 //
 // # Health of endpoints
@@ -116,6 +116,7 @@
 	started        int64
 	running        int // calls of this host in flight
 	tokens         identifier.Tokens
+	outputs        float64 // sum of the squares of expected outputs, in tokens
 	latency        float64 // seconds; 0: unknown
 	failureRate    float64 // moving average, between 0 and 1
 	load           Load
@@ -244,11 +245,27 @@
 	remotePrefillTokens = 800
 )
 
+// Size is the memory that a call occupies at an endpoint. It is zero for calls to
+// plain services.
+type Size struct {
+	// Tokens is the number of tokens, including those of Output, the output that is
+	// expected.
+	Tokens, Output identifier.Tokens
+}
+
+// squaredOutput returns the square of the expected output.
+func (z Size) squaredOutput() float64 {
+	return float64(z.Output) * float64(z.Output)
+}
+
 // CapacityDemand describes the decode capacity that a request needs.
 type CapacityDemand struct {
-	// Tokens is the demand of the request, and Memory the KV cache capacity
-	// of an engine in tokens; 0 means unknown.
-	Tokens, Memory identifier.Tokens
+	Size
+	// Memory is the KV cache capacity of an engine in tokens; 0 means unknown.
+	Memory identifier.Tokens
+	// OutputSpread is the standard deviation of outputs as a share of the expected
+	// ones; 0 means unknown.
+	OutputSpread float64
 	// PreferredDataCenter is the preferred data center, that of the request's home
 	// host: engines there stay reachable when the links to other data centers
 	// fail. It defaults to this host's.
@@ -257,11 +274,6 @@
 	MaxEngines int
 }
 
-// overcommitFactor is the ratio by which the tokens assigned to an engine may
-// exceed its memory. Requests are counted with all of their expected output from
-// the start, so their actual use is lower.
-const overcommitFactor = 1.1
-
 // DecodeCandidates returns up to r.MaxEngines engines that are expected to have
 // capacity, by ascending cost. It returns avoided and suspect engines only if
 // no healthy decode engine is registered, even a full one.
@@ -284,13 +296,11 @@
 	return list
 }
 
-// HasCapacity reports whether an engine with the given memory is expected to have
-// capacity for tokens; a memory of 0 means unknown.
-func (p *Placer) HasCapacity(name identifier.Endpoint, tokens, memory identifier.Tokens, now time.Time) bool {
+// HasCapacity reports whether an engine is expected to have capacity for a request.
+func (p *Placer) HasCapacity(name identifier.Endpoint, r CapacityDemand, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.states[name]
-	r := CapacityDemand{Tokens: tokens, Memory: memory}
 	return s == nil || !now.Before(s.fullUntil) && !r.exceedsMemory(s)
 }
 
@@ -309,9 +319,16 @@
 }
 
 // exceedsMemory reports whether the request would exceed the engine's memory,
-// going by the calls of this host. An engine without calls always fits.
+// going by the calls of this host. Outputs vary around what is expected; engines
+// don't hold memory for that and preempt requests when they run out of it, so one
+// standard deviation of all outputs together is left free. An engine without calls
+// always fits.
 func (r *CapacityDemand) exceedsMemory(s *endpointState) bool {
-	return r.Memory > 0 && s.tokens > 0 && float64(s.tokens+r.Tokens) > overcommitFactor*float64(r.Memory)
+	if r.Memory <= 0 || s.tokens == 0 {
+		return false
+	}
+	deviation := r.OutputSpread * math.Sqrt(s.outputs+r.squaredOutput())
+	return float64(s.tokens+r.Tokens)+deviation > float64(r.Memory)
 }
 
 func names(list []*registrar.Endpoint) []identifier.Endpoint {
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -34,8 +34,8 @@
 
 // call records a call to e with the given verdict and latency.
 func call(p *placer.Placer, e *registrar.Endpoint, v placer.Verdict, took, now time.Duration) {
-	p.Begin(e, 0)
-	p.End(e, 0)
+	p.Begin(e, placer.Size{})
+	p.End(e, placer.Size{})
 	p.RecordOutcome(e, placer.Outcome{Verdict: v, Latency: took}, at(now))
 }
 
@@ -69,11 +69,11 @@
 		i := is.New(t)
 		p, all := newPlacer(), threeEndpoints(registrar.StageAny)
 		for range 12 {
-			p.Begin(p.ChoosePlain(all, nil, at(0)), 0)
+			p.Begin(p.ChoosePlain(all, nil, at(0)), placer.Size{})
 		}
 		for range 3 {
 			e := p.ChoosePlain(all, nil, at(0))
-			p.Begin(e, 0)
+			p.Begin(e, placer.Size{})
 			i.True(e != nil)
 		}
 	})
@@ -127,7 +127,7 @@
 		seen := false
 		for range 20 {
 			e := p.ChoosePlain(all, nil, at(20*time.Second))
-			p.Begin(e, 0)
+			p.Begin(e, placer.Size{})
 			seen = seen || e.Name == "a"
 		}
 		i.True(seen)
@@ -190,7 +190,7 @@
 }
 
 // demand is the capacity that a request needs in the tests.
-var demand = placer.CapacityDemand{Tokens: 5000, Memory: 50_000, MaxEngines: 5}
+var demand = placer.CapacityDemand{Size: placer.Size{Tokens: 5000}, Memory: 50_000, MaxEngines: 5}
 
 func TestEngines(t *testing.T) {
 	t.Run("prefills go to the engine with the fewest tokens in flight", func(t *testing.T) {
@@ -199,7 +199,7 @@
 		got := map[identifier.Endpoint]int{}
 		for range 9 {
 			e := p.ChoosePrefill(all, "a", nil, at(0))
-			p.Begin(e, 5000)
+			p.Begin(e, placer.Size{Tokens: 5000})
 			got[e.Name]++
 		}
 		i.Equal(got, map[identifier.Endpoint]int{"a": 3, "b": 3, "c": 3})
@@ -223,8 +223,8 @@
 	t.Run("decode engines are ordered by ascending load", func(t *testing.T) {
 		i := is.New(t)
 		p, all := newPlacer(), threeEndpoints(registrar.StageDecode)
-		p.Begin(all[0], 20_000)
-		p.Begin(all[1], 10_000)
+		p.Begin(all[0], placer.Size{Tokens: 20_000})
+		p.Begin(all[1], placer.Size{Tokens: 10_000})
 		var order []identifier.Endpoint
 		for _, e := range p.DecodeCandidates(all, nil, demand, at(0)) {
 			order = append(order, e.Name)
@@ -234,7 +234,7 @@
 	t.Run("engines without memory for the request are skipped", func(t *testing.T) {
 		i := is.New(t)
 		p, all := newPlacer(), threeEndpoints(registrar.StageDecode)
-		p.Begin(all[0], 52_000)
+		p.Begin(all[0], placer.Size{Tokens: 52_000})
 		i.Equal(len(p.DecodeCandidates(all, nil, demand, at(0))), 2)
 		i.Equal(len(p.DecodeCandidates(all, nil, placer.CapacityDemand{MaxEngines: 5}, at(0))), 3) // the memory is unknown
 		i.Equal(len(p.DecodeCandidates(all, nil, placer.CapacityDemand{MaxEngines: 1}, at(0))), 1)
@@ -280,8 +280,8 @@
 		p, all := newPlacer(), threeEndpoints(registrar.StagePrefill)
 		for range 30 {
 			e := p.ChoosePrefill(all, "a", nil, at(0))
-			p.Begin(e, 5000)
-			p.End(e, 5000)
+			p.Begin(e, placer.Size{Tokens: 5000})
+			p.End(e, placer.Size{Tokens: 5000})
 			i.Equal(e.Name, identifier.Endpoint("a"))
 		}
 	})
--- a/reserver/earmark.go
+++ b/reserver/earmark.go
@@ -79,7 +79,7 @@
 func (q *serviceQueue) earmarkedWithCapacity(now time.Time) (admitter.Key, bool) {
 	memory := engineConfig(q.reserver.deps.Registry.Snapshot(), q.service).Memory
 	for k, e := range q.earmarks.All() {
-		if a := q.waiters[k]; a != nil && q.admission.Contains(k) && q.reserver.deps.Placer.HasCapacity(e, a.Tokens, memory, now) {
+		if a := q.waiters[k]; a != nil && q.admission.Contains(k) && q.reserver.deps.Placer.HasCapacity(e, q.demandLocked(a.PlacementRequest, memory), now) {
 			return k, true
 		}
 	}
--- a/reserver/grants.go
+++ b/reserver/grants.go
@@ -38,6 +38,16 @@
 	prefillWork identifier.Tokens
 }
 
+// decodeSize and prefillSize return the memory that the request occupies at its
+// engines.
+func (g *grant) decodeSize() placer.Size {
+	return placer.Size{Tokens: g.tokens, Output: outputTokens(g.prompt, g.tokens)}
+}
+
+func (g *grant) prefillSize() placer.Size {
+	return placer.Size{Tokens: g.prompt}
+}
+
 // grants holds the active grants. It is guarded by Reserver.mu.
 type grants struct {
 	last grantID
@@ -50,9 +60,9 @@
 
 // addGrant records a grant and adds its load to the engines.
 func (r *Reserver) addGrant(g *grant) grantID {
-	r.deps.Placer.Begin(g.decode, g.tokens)
+	r.deps.Placer.Begin(g.decode, g.decodeSize())
 	if g.prefill != nil {
-		r.deps.Placer.Begin(g.prefill, g.prompt)
+		r.deps.Placer.Begin(g.prefill, g.prefillSize())
 		g.prefillWork = r.deps.Placer.AssignedTokens(g.prefill)
 	}
 	g.grantedAt = time.Now()
@@ -82,10 +92,10 @@
 	q := r.serviceQueues[g.service]
 	r.mu.Unlock()
 	if ended.prefill != nil {
-		r.deps.Placer.End(ended.prefill, ended.prompt)
+		r.deps.Placer.End(ended.prefill, ended.prefillSize())
 	}
 	if !prefill {
-		r.deps.Placer.End(ended.decode, ended.tokens)
+		r.deps.Placer.End(ended.decode, ended.decodeSize())
 	}
 	if q != nil {
 		q.notifyReleased()
--- a/reserver/model.go
+++ b/reserver/model.go
@@ -144,6 +144,28 @@
 	return b
 }
 
+// demand returns the capacity that a request needs at a decode engine with the given
+// memory.
+func (q *serviceQueue) demand(req *PlacementRequest, memory identifier.Tokens) placer.CapacityDemand {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.demandLocked(req, memory)
+}
+
+// demandLocked is demand if q.mu is held.
+func (q *serviceQueue) demandLocked(req *PlacementRequest, memory identifier.Tokens) placer.CapacityDemand {
+	spread, ok := q.model.OutputSpread()
+	if !ok {
+		spread = 0
+	}
+	return placer.CapacityDemand{
+		Size:                placer.Size{Tokens: req.Tokens, Output: req.output()},
+		Memory:              memory,
+		OutputSpread:        spread,
+		PreferredDataCenter: req.PreferredDataCenter,
+	}
+}
+
 // recordPlacement adds a request that was placed to the model.
 func (q *serviceQueue) recordPlacement(a *waiter) {
 	q.mu.Lock()
@@ -244,6 +266,7 @@
 		FirstEvents:       peerwire.SampleAverage(m.FirstEvents),
 		OutputTokens:      peerwire.SampleAverage(m.OutputTokens),
 		OutputTimes:       peerwire.SampleAverage(m.OutputTimes),
+		OutputErrors:      peerwire.SampleAverage(m.OutputErrors),
 		MemoryUse:         peerwire.SampleAverage(m.MemoryUse),
 		ExpectedMemoryUse: peerwire.SampleAverage(m.ExpectedMemoryUse),
 	}
@@ -258,6 +281,7 @@
 		FirstEvents:       estimator.Average(m.FirstEvents),
 		OutputTokens:      estimator.Average(m.OutputTokens),
 		OutputTimes:       estimator.Average(m.OutputTimes),
+		OutputErrors:      estimator.Average(m.OutputErrors),
 		MemoryUse:         estimator.Average(m.MemoryUse),
 		ExpectedMemoryUse: estimator.Average(m.ExpectedMemoryUse),
 	}
--- a/reserver/model_test.go
+++ b/reserver/model_test.go
@@ -49,10 +49,11 @@
 		for range 2 * estimator.MinSamples {
 			f.serve(0, time.Hour)
 		}
-		for range slots {
+		for range slots - 2 { // a further request on either engine leaves no room for the spread
 			_, err := f.place(context.Background(), 0, time.Second)
 			f.is.NoErr(err)
 		}
+		f.engines.acceptsAll = true
 		began := time.Now()
 		_, err := f.place(context.Background(), 0, 5*time.Second)
 		f.is.Equal(classifier.VerdictOf(err), classifier.VerdictNotRun)
@@ -62,7 +63,6 @@
 	t.Run("reaches the hosts that the requests come from", func(t *testing.T) {
 		f := newFleet(t, 3)
 		origin := (f.placingHost() + 1) % 3
-		f.eventually("waiting requests are canceled", func() bool { return f.waiting() == 0 })
 		p := f.serve(origin, time.Second)
 		f.is.Equal(p.Expected, reserver.Expectation{})
 		for range 2 * estimator.MinSamples {
@@ -89,7 +89,6 @@
 func handOverModel(t *testing.T, offset int) bool {
 	f := newFleet(t, 3)
 	owner := f.placingHost()
-	f.eventually("waiting requests are canceled", func() bool { return f.waiting() == 0 })
 	sender := (owner + offset) % 3
 	f.eventually("sender has the model", func() bool {
 		f.serve(sender, time.Second)
--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -37,6 +37,7 @@
 	reserveCalls int
 	cancelCalls  int
 	unresponsive map[identifier.Endpoint]bool
+	acceptsAll   bool // Reserve refuses nothing
 	// barrier, if set, blocks Reserve calls until enough of them run at once.
 	barrier *barrier
 }
@@ -90,7 +91,7 @@
 		return "", classifier.NotRun(classifier.ReasonHostUnreachable, 0, "engine does not respond")
 	}
 	defer g.mu.Unlock()
-	if g.used[e.Name]+n > memory {
+	if g.used[e.Name]+n > memory && !g.acceptsAll {
 		return "", classifier.NotRun(classifier.ReasonEndpointRefused, 0, "engine is full")
 	}
 	g.used[e.Name] += n
@@ -357,6 +358,19 @@
 		f.is.NoErr(work.Wait())
 		f.is.True(!f.engines.barrier.timedOut.Load())
 	})
+	t.Run("gives no engine more than fits once all responses are complete", func(t *testing.T) {
+		// An engine accepts a reservation while its running requests are still short.
+		f := newFleet(t, 1)
+		f.engines.acceptsAll = true
+		for range slots {
+			_, err := f.place(ctx, 0, time.Second)
+			f.is.NoErr(err)
+		}
+		_, err := f.place(ctx, 0, 200*time.Millisecond)
+		f.is.Equal(classifier.VerdictOf(err), classifier.VerdictNotRun)
+		reserveCalls, _, _ := f.engines.count()
+		f.is.Equal(reserveCalls, slots)
+	})
 	t.Run("skips an unresponsive engine", func(t *testing.T) {
 		f := newFleet(t, 1)
 		f.engines.unresponsive["d1"] = true
@@ -390,9 +404,11 @@
 // finds the host whose queue holds the requests of all hosts.
 func (f *fleet) placingHost() int {
 	f.t.Helper()
-	for n := range slots {
-		_, err := f.place(context.Background(), n%len(f.hosts), time.Second)
+	plans := make([]reserver.Plan, slots)
+	for n := range plans {
+		p, err := f.place(context.Background(), n%len(f.hosts), time.Second)
 		f.is.NoErr(err)
+		plans[n] = p
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -409,8 +425,10 @@
 		}
 		return false
 	})
-	f.engines.mu.Lock()
-	defer f.engines.mu.Unlock()
-	clear(f.engines.used)
+	cancel()
+	f.eventually("waiting requests are canceled", func() bool { return f.waiting() == 0 })
+	for n, p := range plans {
+		f.complete(n%len(f.hosts), p)
+	}
 	return found
 }
--- a/reserver/search.go
+++ b/reserver/search.go
@@ -22,10 +22,8 @@
 	// reservationMargin is the ratio of the lifetime to that expected time.
 	minReservationTTL = 1500 * time.Millisecond
 	reservationMargin = 2
-	// maxCandidates limits the engines tried per search, and maxFullCandidates
-	// those tried if all appear to be full.
-	maxCandidates     = 5
-	maxFullCandidates = 2
+	// maxCandidates limits the engines tried per search.
+	maxCandidates = 5
 	// maxPrefillBacklog is the prefill time that may be queued at an engine. It is a
 	// part of minReservationTTL, since the reservation at the decode engine has to
 	// outlast it.
@@ -93,18 +91,16 @@
 	return identifier.Tokens(rate * maxPrefillBacklog.Seconds())
 }
 
-// candidates returns the engines that appear to have capacity. If there are none,
-// it returns the least loaded ones, since the known load may be outdated.
+// candidates returns the engines that are expected to have capacity, least loaded
+// first. Engines count only what requests occupy so far and accept further ones
+// while those still grow, so no others are asked.
 func (q *serviceQueue) candidates(all []*registrar.Endpoint, a *waiter, t *registrar.EngineConfig) []*registrar.Endpoint {
-	p := q.reserver.deps.Placer
 	now := time.Now()
 	exclude := append(q.enginesInTransition(all, now), a.Exclude...)
 	exclude = append(exclude, q.earmarkedForOthers(a)...)
-	list := p.DecodeCandidates(all, exclude, placer.CapacityDemand{Tokens: a.Tokens, Memory: t.Memory, PreferredDataCenter: a.PreferredDataCenter, MaxEngines: maxCandidates}, now)
-	if len(list) > 0 {
-		return list
-	}
-	return p.DecodeCandidates(all, exclude, placer.CapacityDemand{PreferredDataCenter: a.PreferredDataCenter, MaxEngines: maxFullCandidates}, now)
+	d := q.demand(a.PlacementRequest, t.Memory)
+	d.MaxEngines = maxCandidates
+	return q.reserver.deps.Placer.DecodeCandidates(all, exclude, d, now)
 }
 
 // engineConfig returns the declared traits of a service's engines, or zero traits
