Count what running requests have occupied when engines are assigned to stages

Cause: until 50 responses had completed, the memory that a request occupies was estimated from the model's times, which come from the first responses to complete, the short ones.

The early estimate is now the memory time that all requests have occupied so far, divided by the geometric mean of completed and all requests: it lies between what is too much and what is too little.

Tests: estimator, "of memory in use aren't biased towards the short responses that complete first", rewritten for the case that only short ones have completed; the one before had long ones that were only placed.

--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	m := estimator.New()
-//	m.RecordPlacement(5000, 640)
+//	m.RecordPlacement(5000)
 //	m.RecordPrefill(estimator.Prefill{Prompt: 5000, Work: 5000, Delay: sinceGrant})
 //	m.RecordResponse(estimator.Response{Prompt: 5000, Output: 640, FirstEvent: first, Took: took})
 //	if e, ok := m.FirstEvent(prompt); ok { /* e.Mean, e.High() */ }
@@ -100,9 +100,8 @@
 	// of the latter.
 	OutputErrors Average
 	// MemoryUse is the product of the tokens that a request occupied at its decode
-	// engine and the seconds for which it did. ExpectedMemoryUse is the same,
-	// estimated when the request was placed.
-	MemoryUse, ExpectedMemoryUse Average
+	// engine and the seconds for which it did.
+	MemoryUse Average
 }
 
 // New returns a model without measurements.
@@ -121,11 +120,8 @@
 }
 
 // RecordPlacement records that a request was placed on engines.
-func (m *Model) RecordPlacement(prompt, output identifier.Tokens) {
+func (m *Model) RecordPlacement(prompt identifier.Tokens) {
 	m.PromptTokens.add(float64(prompt), longWindow)
-	if response, ok := m.Response(prompt, output); ok {
-		m.ExpectedMemoryUse.add(float64(prompt+output)*response.Seconds(), longWindow)
-	}
 }
 
 // RecordPrefill records a successful prefill.
@@ -226,14 +222,29 @@
 	return m.OutputTimes.Mean / m.OutputTokens.Mean
 }
 
+// Running is what the requests that are still running have occupied so far.
+type Running struct {
+	Count int
+	// TokenSeconds is the sum of the products of their tokens and the seconds for
+	// which they have occupied them.
+	TokenSeconds float64
+}
+
 // TokenSeconds returns the expected product of the tokens that a request occupies at
 // its decode engine and the seconds for which it does. It is false without enough
 // samples.
-func (m *Model) TokenSeconds() (float64, bool) {
-	if m.MemoryUse.Count < minMemoryUseSamples && m.ExpectedMemoryUse.Known() {
-		return m.ExpectedMemoryUse.Mean, true
+func (m *Model) TokenSeconds(r Running) (float64, bool) {
+	if m.MemoryUse.Count >= minMemoryUseSamples {
+		return m.MemoryUse.Mean, true
+	}
+	if !m.MemoryUse.Known() {
+		return 0, false
 	}
-	return m.MemoryUse.Mean, m.MemoryUse.Known()
+	// What all requests have occupied so far is too much for the completed ones, and
+	// too little for all of them. The truth is between the two.
+	completed := float64(m.MemoryUse.Count)
+	total := completed*m.MemoryUse.Mean + r.TokenSeconds
+	return total / math.Sqrt(completed*(completed+float64(r.Count))), true
 }
 
 func seconds(s float64) time.Duration {
--- a/peerwire/room_gen.go
+++ b/peerwire/room_gen.go
@@ -323,47 +323,6 @@
 					}
 				}
 			}
-		case "expected-memory-use":
-			var zb0009 uint32
-			zb0009, err = dc.ReadMapHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "ExpectedMemoryUse")
-				return
-			}
-			for zb0009 > 0 {
-				zb0009--
-				field, err = dc.ReadMapKeyPtr()
-				if err != nil {
-					err = msgp.WrapError(err, "ExpectedMemoryUse")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "count":
-					z.ExpectedMemoryUse.Count, err = dc.ReadInt()
-					if err != nil {
-						err = msgp.WrapError(err, "ExpectedMemoryUse", "Count")
-						return
-					}
-				case "mean":
-					z.ExpectedMemoryUse.Mean, err = dc.ReadFloat64()
-					if err != nil {
-						err = msgp.WrapError(err, "ExpectedMemoryUse", "Mean")
-						return
-					}
-				case "deviation":
-					z.ExpectedMemoryUse.Deviation, err = dc.ReadFloat64()
-					if err != nil {
-						err = msgp.WrapError(err, "ExpectedMemoryUse", "Deviation")
-						return
-					}
-				default:
-					err = dc.Skip()
-					if err != nil {
-						err = msgp.WrapError(err, "ExpectedMemoryUse")
-						return
-					}
-				}
-			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -377,9 +336,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *EngineModel) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 10
+	// map header, size 9
 	// write "prefills"
-	err = en.Append(0x8a, 0xa8, 0x70, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c, 0x73)
+	err = en.Append(0x89, 0xa8, 0x70, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c, 0x73)
 	if err != nil {
 		return
 	}
@@ -650,51 +609,15 @@
 		err = msgp.WrapError(err, "MemoryUse", "Deviation")
 		return
 	}
-	// write "expected-memory-use"
-	err = en.Append(0xb3, 0x65, 0x78, 0x70, 0x65, 0x63, 0x74, 0x65, 0x64, 0x2d, 0x6d, 0x65, 0x6d, 0x6f, 0x72, 0x79, 0x2d, 0x75, 0x73, 0x65)
-	if err != nil {
-		return
-	}
-	// map header, size 3
-	// write "count"
-	err = en.Append(0x83, 0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.ExpectedMemoryUse.Count)
-	if err != nil {
-		err = msgp.WrapError(err, "ExpectedMemoryUse", "Count")
-		return
-	}
-	// write "mean"
-	err = en.Append(0xa4, 0x6d, 0x65, 0x61, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteFloat64(z.ExpectedMemoryUse.Mean)
-	if err != nil {
-		err = msgp.WrapError(err, "ExpectedMemoryUse", "Mean")
-		return
-	}
-	// write "deviation"
-	err = en.Append(0xa9, 0x64, 0x65, 0x76, 0x69, 0x61, 0x74, 0x69, 0x6f, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteFloat64(z.ExpectedMemoryUse.Deviation)
-	if err != nil {
-		err = msgp.WrapError(err, "ExpectedMemoryUse", "Deviation")
-		return
-	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *EngineModel) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
+	// map header, size 9
 	// string "prefills"
-	o = append(o, 0x8a, 0xa8, 0x70, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c, 0x73)
+	o = append(o, 0x89, 0xa8, 0x70, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c, 0x73)
 	o, err = z.Prefills.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Prefills")
@@ -791,18 +714,6 @@
 	// string "deviation"
 	o = append(o, 0xa9, 0x64, 0x65, 0x76, 0x69, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendFloat64(o, z.MemoryUse.Deviation)
-	// string "expected-memory-use"
-	o = append(o, 0xb3, 0x65, 0x78, 0x70, 0x65, 0x63, 0x74, 0x65, 0x64, 0x2d, 0x6d, 0x65, 0x6d, 0x6f, 0x72, 0x79, 0x2d, 0x75, 0x73, 0x65)
-	// map header, size 3
-	// string "count"
-	o = append(o, 0x83, 0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
-	o = msgp.AppendInt(o, z.ExpectedMemoryUse.Count)
-	// string "mean"
-	o = append(o, 0xa4, 0x6d, 0x65, 0x61, 0x6e)
-	o = msgp.AppendFloat64(o, z.ExpectedMemoryUse.Mean)
-	// string "deviation"
-	o = append(o, 0xa9, 0x64, 0x65, 0x76, 0x69, 0x61, 0x74, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendFloat64(o, z.ExpectedMemoryUse.Deviation)
 	return
 }
 
@@ -1123,47 +1034,6 @@
 					}
 				}
 			}
-		case "expected-memory-use":
-			var zb0009 uint32
-			zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "ExpectedMemoryUse")
-				return
-			}
-			for zb0009 > 0 {
-				zb0009--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "ExpectedMemoryUse")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "count":
-					z.ExpectedMemoryUse.Count, bts, err = msgp.ReadIntBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "ExpectedMemoryUse", "Count")
-						return
-					}
-				case "mean":
-					z.ExpectedMemoryUse.Mean, bts, err = msgp.ReadFloat64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "ExpectedMemoryUse", "Mean")
-						return
-					}
-				case "deviation":
-					z.ExpectedMemoryUse.Deviation, bts, err = msgp.ReadFloat64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "ExpectedMemoryUse", "Deviation")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "ExpectedMemoryUse")
-						return
-					}
-				}
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1178,7 +1048,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *EngineModel) Msgsize() (s int) {
-	s = 1 + 9 + z.Prefills.Msgsize() + 14 + z.BusyPrefills.Msgsize() + 9 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 14 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 13 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 14 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 13 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 14 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 11 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 20 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size
+	s = 1 + 9 + z.Prefills.Msgsize() + 14 + z.BusyPrefills.Msgsize() + 9 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 14 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 13 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 14 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 13 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 14 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 11 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size
 	return
 }
 
--- a/reserver/model.go
+++ b/reserver/model.go
@@ -170,7 +170,7 @@
 func (q *serviceQueue) recordPlacement(a *waiter) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.model.RecordPlacement(a.Prompt, a.output())
+	q.model.RecordPlacement(a.Prompt)
 }
 
 // recordMeasured adds the measurements of a successful part of a grant to the
@@ -259,30 +259,28 @@
 
 func encodeModel(m *estimator.Model) *peerwire.EngineModel {
 	return &peerwire.EngineModel{
-		Prefills:          peerwire.SampleRegression(m.Prefills),
-		BusyPrefills:      peerwire.SampleRegression(m.BusyPrefills),
-		Queueing:          peerwire.SampleAverage(m.Queueing),
-		PromptTokens:      peerwire.SampleAverage(m.PromptTokens),
-		FirstEvents:       peerwire.SampleAverage(m.FirstEvents),
-		OutputTokens:      peerwire.SampleAverage(m.OutputTokens),
-		OutputTimes:       peerwire.SampleAverage(m.OutputTimes),
-		OutputErrors:      peerwire.SampleAverage(m.OutputErrors),
-		MemoryUse:         peerwire.SampleAverage(m.MemoryUse),
-		ExpectedMemoryUse: peerwire.SampleAverage(m.ExpectedMemoryUse),
+		Prefills:     peerwire.SampleRegression(m.Prefills),
+		BusyPrefills: peerwire.SampleRegression(m.BusyPrefills),
+		Queueing:     peerwire.SampleAverage(m.Queueing),
+		PromptTokens: peerwire.SampleAverage(m.PromptTokens),
+		FirstEvents:  peerwire.SampleAverage(m.FirstEvents),
+		OutputTokens: peerwire.SampleAverage(m.OutputTokens),
+		OutputTimes:  peerwire.SampleAverage(m.OutputTimes),
+		OutputErrors: peerwire.SampleAverage(m.OutputErrors),
+		MemoryUse:    peerwire.SampleAverage(m.MemoryUse),
 	}
 }
 
 func decodeModel(m *peerwire.EngineModel) *estimator.Model {
 	return &estimator.Model{
-		Prefills:          estimator.Regression(m.Prefills),
-		BusyPrefills:      estimator.Regression(m.BusyPrefills),
-		Queueing:          estimator.Average(m.Queueing),
-		PromptTokens:      estimator.Average(m.PromptTokens),
-		FirstEvents:       estimator.Average(m.FirstEvents),
-		OutputTokens:      estimator.Average(m.OutputTokens),
-		OutputTimes:       estimator.Average(m.OutputTimes),
-		OutputErrors:      estimator.Average(m.OutputErrors),
-		MemoryUse:         estimator.Average(m.MemoryUse),
-		ExpectedMemoryUse: estimator.Average(m.ExpectedMemoryUse),
+		Prefills:     estimator.Regression(m.Prefills),
+		BusyPrefills: estimator.Regression(m.BusyPrefills),
+		Queueing:     estimator.Average(m.Queueing),
+		PromptTokens: estimator.Average(m.PromptTokens),
+		FirstEvents:  estimator.Average(m.FirstEvents),
+		OutputTokens: estimator.Average(m.OutputTokens),
+		OutputTimes:  estimator.Average(m.OutputTimes),
+		OutputErrors: estimator.Average(m.OutputErrors),
+		MemoryUse:    estimator.Average(m.MemoryUse),
 	}
 }
--- a/reserver/stages.go
+++ b/reserver/stages.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/estimator"
 	"github.com/jackdawthread/jackdawthread/gossiper"
 	"github.com/jackdawthread/jackdawthread/registrar"
 	"github.com/jackdawthread/jackdawthread/stager"
@@ -98,7 +99,8 @@
 		q.mu.Unlock()
 		return
 	}
-	orders := q.stager.NextOrders(s.Endpoints(q.service), q.model, engineConfig(s, q.service).Memory, now)
+	w := stager.Workload{Model: q.model, Running: r.runningUse(q.service, now), Memory: engineConfig(s, q.service).Memory}
+	orders := q.stager.NextOrders(s.Endpoints(q.service), w, now)
 	fences := make([]Fence, len(orders))
 	for i := range fences {
 		fences[i] = q.tenure.nextFence(r.deps.OrderOptions.Holder, known.Revision)
@@ -109,6 +111,20 @@
 	}
 }
 
+// runningUse returns what the running requests of a service have occupied.
+func (r *Reserver) runningUse(s identifier.Service, now time.Time) estimator.Running {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var u estimator.Running
+	for _, g := range r.grants.all {
+		if g.service == s {
+			u.Count++
+			u.TokenSeconds += float64(g.tokens) * now.Sub(g.grantedAt).Seconds()
+		}
+	}
+	return u
+}
+
 // mayOrder reports whether this host may give orders. It must have been the
 // placing host for longer than any other host could still take itself for it, and
 // see a majority of the hosts. q.mu must be held.
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	s := stager.New()
-//	for _, o := range s.NextOrders(engines, model, memory, now) { /* order o.Engine to o.Stage */ }
+//	for _, o := range s.NextOrders(engines, workload, now) { /* order o.Engine to o.Stage */ }
 //
 // # Capacity model
 //
@@ -62,6 +62,14 @@
 	Stage  registrar.Stage
 }
 
+// Workload is what is known of a service's engines and requests.
+type Workload struct {
+	Model   *estimator.Model
+	Running estimator.Running
+	// Memory is the memory of an engine in tokens; 0 means unknown.
+	Memory identifier.Tokens
+}
+
 // Stager holds the target split of one service and the orders that lead to it. It is
 // not safe for concurrent use.
 type Stager struct {
@@ -104,10 +112,10 @@
 // NextOrders returns the orders that move the pool towards the split with the
 // highest capacity, or none if the gain is too small. The returned orders are
 // recorded as issued.
-func (s *Stager) NextOrders(all []*registrar.Endpoint, m *estimator.Model, memory identifier.Tokens, now time.Time) []Order {
+func (s *Stager) NextOrders(all []*registrar.Endpoint, w Workload, now time.Time) []Order {
 	prefill, decode := s.count(all, now)
 	stable := s.updateStable(stageCounts{len(prefill), len(decode)}, now)
-	tp, td, gain, ok := costs(m, memory)
+	tp, td, gain, ok := w.costs()
 	if !ok || !stable || now.Sub(s.lastOrder) < orderInterval {
 		return nil
 	}
@@ -217,9 +225,10 @@
 // costs returns the seconds of a prefill engine and of a decode engine that a
 // request takes, and the gain required for an order based on them. It is false
 // without enough measurements.
-func costs(m *estimator.Model, memory identifier.Tokens) (prefill, decode, gain float64, ok bool) {
-	use, ok := m.TokenSeconds()
-	if !ok || !m.PromptTokens.Known() || memory == 0 {
+func (w *Workload) costs() (prefill, decode, gain float64, ok bool) {
+	m := w.Model
+	use, ok := m.TokenSeconds(w.Running)
+	if !ok || !m.PromptTokens.Known() || w.Memory == 0 {
 		return 0, 0, 0, false
 	}
 	gain = minGain
@@ -228,7 +237,7 @@
 		rate, ok = m.BusyPrefillRate()
 		gain = minGainRough
 	}
-	return m.PromptTokens.Mean / rate, use / float64(memory), gain, ok
+	return m.PromptTokens.Mean / rate, use / float64(w.Memory), gain, ok
 }
 
 // capacity returns the requests per second that n engines can serve, p of them
