Name the messages of reservations alike in peerwire and reserver

peerwire/room.go is reservation.go; the handlers have the names of their messages (handleRequest, handleOutcome, handleCancel). Conversions between messages and types move out of reserver/links.go and model.go into codec.go, and the exchange of models into model_copy.go.

--- a/peerwire/room.go
+++ b/peerwire/reservation.go
@@ -1,6 +1,6 @@
 package peerwire
 
-//go:generate go tool msgp -file room.go -tests=false
+//go:generate go tool msgp -file reservation.go -tests=false
 
 // ReservationRequest requests a reservation from the host that places a service's
 // requests on its engines. The reply may take as long as the request may wait.
--- a/reserver/links.go
+++ b/reserver/links.go
@@ -41,10 +41,10 @@
 
 // Register registers the message handlers.
 func (r *Reserver) Register(to Registry) {
-	to.Handle(peerwire.KindReserve, r.handleAsk)
-	to.Handle(peerwire.KindReservationOutcome, r.handleEnd)
+	to.Handle(peerwire.KindReserve, r.handleRequest)
+	to.Handle(peerwire.KindReservationOutcome, r.handleOutcome)
 	to.Handle(peerwire.KindReservationPing, handlePing)
-	to.Handle(peerwire.KindReservationCancel, r.handleDrop)
+	to.Handle(peerwire.KindReservationCancel, r.handleCancel)
 }
 
 // owner returns the placing host of a service, and whether it is another host.
@@ -104,16 +104,16 @@
 
 // sendCancel tells the placing host that a result is no longer needed. A grant
 // that was already on its way would otherwise count as in use until it expires.
-func (r *Reserver) sendCancel(owner gossiper.Member, ask uint64) {
+func (r *Reserver) sendCancel(owner gossiper.Member, request uint64) {
 	r.deps.Group.Run(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 		defer cancel()
 		// If the message is lost, the grant expires.
-		_ = r.deps.Links.Send(ctx, owner.Address, peerwire.KindReservationCancel, &peerwire.ReservationCancel{ID: ask})
+		_ = r.deps.Links.Send(ctx, owner.Address, peerwire.KindReservationCancel, &peerwire.ReservationCancel{ID: request})
 	})
 }
 
-func (r *Reserver) handleDrop(_ context.Context, from messenger.Peer, payload []byte) (msgp.Marshaler, error) {
+func (r *Reserver) handleCancel(_ context.Context, from messenger.Peer, payload []byte) (msgp.Marshaler, error) {
 	var m peerwire.ReservationCancel
 	if _, err := m.UnmarshalMsg(payload); err != nil {
 		return nil, classifier.NotRun(classifier.ReasonBadRequest, 0, "malformed ReservationCancel message: %w", err)
@@ -144,16 +144,16 @@
 	return &peerwire.ReservationPong{}, nil
 }
 
-func (r *Reserver) handleAsk(ctx context.Context, from messenger.Peer, payload []byte) (msgp.Marshaler, error) {
-	var ask peerwire.ReservationRequest
-	if _, err := ask.UnmarshalMsg(payload); err != nil {
+func (r *Reserver) handleRequest(ctx context.Context, from messenger.Peer, payload []byte) (msgp.Marshaler, error) {
+	var m peerwire.ReservationRequest
+	if _, err := m.UnmarshalMsg(payload); err != nil {
 		return nil, classifier.NotRun(classifier.ReasonBadRequest, 0, "malformed ReservationRequest message: %w", err)
 	}
-	req := decodeRequest(&ask, time.Now())
+	req := decodeRequest(&m, time.Now())
 	req.PreferredDataCenter = from.DataCenter
 	q := r.serviceQueue(req.Service)
-	q.adoptModel(ask.Model, from.Incarnation)
-	p, err := r.placeLocally(ctx, from.Incarnation, ask.ID, req)
+	q.adoptModel(m.Model, from.Incarnation)
+	p, err := r.placeLocally(ctx, from.Incarnation, m.ID, req)
 	if err != nil {
 		return nil, err
 	}
@@ -165,13 +165,13 @@
 	if p.Prefill != nil {
 		reply.Prefill = string(p.Prefill.Name)
 	}
-	if ask.WantModel {
+	if m.WantModel {
 		reply.Model = q.sharedModel()
 	}
 	return reply, nil
 }
 
-func (r *Reserver) handleEnd(_ context.Context, from messenger.Peer, payload []byte) (msgp.Marshaler, error) {
+func (r *Reserver) handleOutcome(_ context.Context, from messenger.Peer, payload []byte) (msgp.Marshaler, error) {
 	var m peerwire.ReservationOutcome
 	if _, err := m.UnmarshalMsg(payload); err != nil {
 		return nil, classifier.NotRun(classifier.ReasonBadRequest, 0, "malformed ReservationOutcome message: %w", err)
@@ -206,58 +206,6 @@
 	})
 }
 
-func encodeRequest(req *PlacementRequest, now time.Time) *peerwire.ReservationRequest {
-	return &peerwire.ReservationRequest{
-		Service:        string(req.Service),
-		Request:        string(req.Request),
-		Prompt:         uint32(req.Prompt),
-		Tokens:         uint32(req.Tokens),
-		AgeMs:          now.Sub(req.Arrived).Milliseconds(),
-		OnTimeMs:       req.OnTimeBy.Sub(now).Milliseconds(),
-		FirstEventMs:   req.FirstEventBy.Sub(now).Milliseconds(),
-		DeadlineMs:     req.Deadline.Sub(now).Milliseconds(),
-		Priority:       req.Priority,
-		Exclude:        endpointStrings(req.Exclude),
-		ExcludePrefill: endpointStrings(req.ExcludePrefill),
-	}
-}
-
-func decodeRequest(m *peerwire.ReservationRequest, now time.Time) *PlacementRequest {
-	req := &PlacementRequest{
-		Service:        identifier.Service(m.Service),
-		Request:        identifier.Request(m.Request),
-		Prompt:         identifier.Tokens(m.Prompt),
-		Tokens:         identifier.Tokens(m.Tokens),
-		Exclude:        endpointNames(m.Exclude),
-		ExcludePrefill: endpointNames(m.ExcludePrefill),
-	}
-	req.Arrived = now.Add(-time.Duration(m.AgeMs) * time.Millisecond)
-	req.OnTimeBy = now.Add(time.Duration(m.OnTimeMs) * time.Millisecond)
-	req.FirstEventBy = now.Add(time.Duration(m.FirstEventMs) * time.Millisecond)
-	req.Deadline = now.Add(time.Duration(m.DeadlineMs) * time.Millisecond)
-	if m.DeadlineMs == 0 {
-		req.Deadline = req.FirstEventBy
-	}
-	req.Priority = m.Priority
-	return req
-}
-
-func endpointStrings(names []identifier.Endpoint) []string {
-	all := make([]string, len(names))
-	for i, n := range names {
-		all[i] = string(n)
-	}
-	return all
-}
-
-func endpointNames(all []string) []identifier.Endpoint {
-	names := make([]identifier.Endpoint, len(all))
-	for i, n := range all {
-		names[i] = identifier.Endpoint(n)
-	}
-	return names
-}
-
 // decodeReply resolves the engines that a ReservationReply names. If the decode
 // engine is unknown here, the grant is ended at the issuing host.
 func (r *Reserver) decodeReply(owner gossiper.Member, m *peerwire.ReservationReply) (Plan, error) {
--- a/reserver/model.go
+++ b/reserver/model.go
@@ -8,14 +8,10 @@
 	"github.com/jackdawthread/jackdawthread/admitter"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/estimator"
-	"github.com/jackdawthread/jackdawthread/peerwire"
 	"github.com/jackdawthread/jackdawthread/placer"
 )
 
 const (
-	// modelRefreshPeriod is the interval at which a host asks the placing host for
-	// its model.
-	modelRefreshPeriod = 2 * time.Second
 	// maxLeadShare is the largest share of a request's objective by which its latest
 	// on-time start precedes the objective. When prefill engines are overloaded,
 	// every request would otherwise count as late on arrival, and the on-time ones
@@ -34,12 +30,6 @@
 	Prefill, FirstEvent time.Duration
 }
 
-// modelCopy records the last exchange of models with a placing host.
-type modelCopy struct {
-	source identifier.Incarnation
-	at     time.Time
-}
-
 // ModelStatus is a summary of the model of a service's engines that a host uses,
 // for operators. Durations that are unknown are 0.
 type ModelStatus struct {
@@ -202,85 +192,3 @@
 	}
 	return fields
 }
-
-// exchangeModel asks the placing host for its model if this host's copy is old, and
-// sends that copy to a placing host that is new to this host, as it may have no
-// measurements yet.
-func (q *serviceQueue) exchangeModel(m *peerwire.ReservationRequest, owner identifier.Incarnation, now time.Time) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.modelCopy.source != owner && q.model.Known() {
-		m.Model = encodeModel(q.model)
-	}
-	m.WantModel = q.modelCopy.source != owner || now.Sub(q.modelCopy.at) > modelRefreshPeriod
-	if m.WantModel {
-		q.modelCopy = modelCopy{source: owner, at: now}
-	}
-}
-
-// replaceModel replaces this host's copy by the placing host's model.
-func (q *serviceQueue) replaceModel(m *peerwire.EngineModel) {
-	if m == nil {
-		return
-	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.model = decodeModel(m)
-	q.modelChanged = time.Now()
-}
-
-// adoptModel takes over another host's model if this host has not measured the
-// engines itself.
-func (q *serviceQueue) adoptModel(m *peerwire.EngineModel, from identifier.Incarnation) {
-	if m == nil {
-		return
-	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.model.Known() {
-		return
-	}
-	q.model = decodeModel(m)
-	q.modelChanged = time.Now()
-	q.reserver.deps.Log.Info("engine-model-adopted",
-		zap.String("service", string(q.service)), zap.Uint64("from", uint64(from)), zap.Int("samples", q.model.Samples()))
-}
-
-// sharedModel returns the model to send to another host, or nil without enough
-// measurements.
-func (q *serviceQueue) sharedModel() *peerwire.EngineModel {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if !q.model.Known() {
-		return nil
-	}
-	return encodeModel(q.model)
-}
-
-func encodeModel(m *estimator.Model) *peerwire.EngineModel {
-	return &peerwire.EngineModel{
-		Prefills:     peerwire.SampleRegression(m.Prefills),
-		BusyPrefills: peerwire.SampleRegression(m.BusyPrefills),
-		Queueing:     peerwire.SampleAverage(m.Queueing),
-		PromptTokens: peerwire.SampleAverage(m.PromptTokens),
-		FirstEvents:  peerwire.SampleAverage(m.FirstEvents),
-		OutputTokens: peerwire.SampleAverage(m.OutputTokens),
-		OutputTimes:  peerwire.SampleAverage(m.OutputTimes),
-		OutputErrors: peerwire.SampleAverage(m.OutputErrors),
-		MemoryUse:    peerwire.SampleAverage(m.MemoryUse),
-	}
-}
-
-func decodeModel(m *peerwire.EngineModel) *estimator.Model {
-	return &estimator.Model{
-		Prefills:     estimator.Regression(m.Prefills),
-		BusyPrefills: estimator.Regression(m.BusyPrefills),
-		Queueing:     estimator.Average(m.Queueing),
-		PromptTokens: estimator.Average(m.PromptTokens),
-		FirstEvents:  estimator.Average(m.FirstEvents),
-		OutputTokens: estimator.Average(m.OutputTokens),
-		OutputTimes:  estimator.Average(m.OutputTimes),
-		OutputErrors: estimator.Average(m.OutputErrors),
-		MemoryUse:    estimator.Average(m.MemoryUse),
-	}
-}
