Log which callers' connections the host itself closes

Package acceptor wraps the callers' listener. The context of a request whose connection the host closes now ends with the reason as its cause, which request-ended shows. The event caller-connection-closed has reason, remote, age, idle time, idle limit and the version of the declarations; the metrics count the closed connections by reason and show the open ones. When connections are closed is unchanged: the idle timeout still goes by net/http's state.

--- /dev/null
+++ b/acceptor/closing.go
@@ -0,0 +1,37 @@
+package acceptor
+
+import (
+	"fmt"
+	"time"
+)
+
+// Reason says why a host closed a caller's connection.
+type Reason string
+
+// Reasons for which a host closes connections by itself. A connection whose last
+// answer says `Connection: close` has none of them.
+const (
+	// ReasonIdle means that no request came within the idle limit.
+	ReasonIdle Reason = "idle"
+	// ReasonKill means that the host ended without waiting for requests.
+	ReasonKill Reason = "kill"
+)
+
+// Closing describes a connection that the host closed. It is also the cause of the
+// contexts of requests that were in progress on the connection.
+type Closing struct {
+	Reason Reason
+	// Remote is the caller's address.
+	Remote string
+	// Age is the time since the connection was accepted.
+	Age time.Duration
+	// Idle is the time since the last answer, or since the connection was accepted.
+	Idle time.Duration
+	// Limit is the idle limit that was applied; 0 if the reason isn't ReasonIdle.
+	Limit time.Duration
+}
+
+// Error returns the reason.
+func (c *Closing) Error() string {
+	return fmt.Sprintf("this host closed the caller's connection: %s", c.Reason)
+}
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -87,7 +87,11 @@
 			Message:    "deadline exceeded",
 		}
 	}
-	return &classifier.Error{Verdict: v, Reason: classifier.ReasonCanceled, Cause: cause, Message: "request canceled by the caller"}
+	message := "request canceled by the caller"
+	if !errors.Is(cause, context.Canceled) {
+		message = "request canceled: " + cause.Error()
+	}
+	return &classifier.Error{Verdict: v, Reason: classifier.ReasonCanceled, Cause: cause, Message: message}
 }
 
 // deadlineRetryAfter is the Retry-After hint for requests that exceeded their
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -27,6 +27,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"github.com/jackdawthread/jackdawthread/acceptor"
 	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/common/socket"
@@ -85,7 +86,7 @@
 	forwarder  *forwarder.Forwarder
 	budgets    *budgets
 	metrics    *metrics
-	idle       *idleCloser
+	acceptor   *acceptor.Acceptor
 
 	callers   *http.Server
 	addresses Addresses
@@ -258,7 +259,6 @@
 		Group:             h.group,
 		Log:               h.log,
 	}, forwarder.Options{MaxConcurrent: s.Limits.MaxRequests, Seed: uint64(h.incarnation)})
-	h.idle = newIdleCloser(h.timer, h.registry)
 	h.metrics.registerGauges(h)
 }
 
@@ -289,14 +289,17 @@
 	h.timer.Every(sweepPeriod, h.sweep)
 	h.timer.Every(avoidedProbePeriod, h.probeAvoided)
 	h.watchSuspension()
+	h.acceptor = acceptor.New(l.callers, h.observeClosing)
+	h.timer.Every(idlePeriod, h.closeIdle)
 	h.callers = &http.Server{
 		Handler:           h.forwarder,
 		ReadHeaderTimeout: requestHeadTimeout,
 		MaxHeaderBytes:    defaultHeaderBytes,
-		ConnState:         h.idle.observe,
+		ConnContext:       h.acceptor.Context,
+		ConnState:         h.acceptor.ObserveState,
 		ErrorLog:          zap.NewStdLog(h.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
-	h.serveListener(l.callers, h.callers)
+	h.serveListener(h.acceptor, h.callers)
 	h.serveListener(l.readiness, &http.Server{Handler: http.HandlerFunc(h.serveReadiness), ReadHeaderTimeout: requestHeadTimeout})
 	if l.metrics != nil {
 		h.serveListener(l.metrics, &http.Server{Handler: h.metrics, ReadHeaderTimeout: requestHeadTimeout})
--- a/hoster/idle.go
+++ b/hoster/idle.go
@@ -1,13 +1,11 @@
 package hoster
 
 import (
-	"net"
-	"net/http"
-	"sync"
 	"time"
 
-	"github.com/jackdawthread/jackdawthread/registrar"
-	"github.com/jackdawthread/jackdawthread/timer"
+	"go.uber.org/zap"
+
+	"github.com/jackdawthread/jackdawthread/acceptor"
 )
 
 const (
@@ -19,44 +17,29 @@
 	idlePeriod = 250 * time.Millisecond
 )
 
-// idleCloser closes callers' connections that have been idle for longer than
-// the declarations in force allow.
-type idleCloser struct {
-	registry *registrar.Registrar
-
-	mu        sync.Mutex
-	idleSince map[net.Conn]time.Time
-}
-
-func newIdleCloser(t *timer.Service, r *registrar.Registrar) *idleCloser {
-	c := &idleCloser{registry: r, idleSince: map[net.Conn]time.Time{}}
-	t.Every(idlePeriod, c.sweep)
-	return c
+// closeIdle closes callers' connections that have been idle for longer than the
+// declarations in force allow.
+func (h *Host) closeIdle(now time.Time) {
+	h.acceptor.CloseIdle(now, h.idleTimeout()+idleMargin)
 }
 
-// observe implements http.Server.ConnState.
-func (c *idleCloser) observe(conn net.Conn, s http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch s {
-	case http.StateIdle:
-		c.idleSince[conn] = time.Now()
-	default:
-		delete(c.idleSince, conn)
+// idleTimeout returns the time for which the declarations in force let a
+// connection be idle.
+func (h *Host) idleTimeout() time.Duration {
+	if d := h.registry.Snapshot().Declarations; d != nil && d.Limits.IdleTimeout > 0 {
+		return d.Limits.IdleTimeout
 	}
+	return defaultIdleTimeout
 }
 
-func (c *idleCloser) sweep(now time.Time) {
-	timeout := defaultIdleTimeout
-	if d := c.registry.Snapshot().Declarations; d != nil && d.Limits.IdleTimeout > 0 {
-		timeout = d.Limits.IdleTimeout
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for conn, since := range c.idleSince {
-		if now.Sub(since) > timeout+idleMargin {
-			delete(c.idleSince, conn)
-			_ = conn.Close() // no request is in progress
-		}
-	}
+// observeClosing records a caller's connection that this host closed.
+func (h *Host) observeClosing(c *acceptor.Closing) {
+	h.metrics.closings.Add(string(c.Reason), 1)
+	h.log.Info("caller-connection-closed",
+		zap.String("reason", string(c.Reason)),
+		zap.String("remote", c.Remote),
+		zap.Duration("age", c.Age),
+		zap.Duration("idle", c.Idle),
+		zap.Duration("idle-limit", c.Limit),
+		zap.Uint64("version", uint64(h.Version())))
 }
--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -26,6 +26,7 @@
 	root     expvar.Map
 	requests expvar.Map
 	failures expvar.Map
+	closings expvar.Map // callers' connections that the host closed, by reason
 
 	mu        sync.Mutex
 	latencies map[string]*hdrhistogram.Histogram
@@ -36,12 +37,14 @@
 	m.root.Init()
 	m.root.Set("requests", m.requests.Init())
 	m.root.Set("failures", m.failures.Init())
+	m.root.Set("caller-connections-closed", m.closings.Init())
 	m.root.Set("latency-ms", expvar.Func(m.latencySummary))
 	return m
 }
 
 // registerGauges publishes the statistics of the host's components.
 func (m *metrics) registerGauges(h *Host) {
+	m.root.Set("caller-connections", expvar.Func(func() any { return h.acceptor.Open() }))
 	m.root.Set("running", expvar.Func(func() any { return h.forwarder.Running() }))
 	m.root.Set("waiting", expvar.Func(func() any { return h.reserver.Waiting() }))
 	m.root.Set("engine-models", expvar.Func(func() any { return h.reserver.Models() }))
--- a/hoster/stop.go
+++ b/hoster/stop.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/jackdawthread/jackdawthread/acceptor"
 	"github.com/jackdawthread/jackdawthread/common/sleeper"
 )
 
@@ -47,6 +48,7 @@
 
 // Kill ends the host at once, as a crash would.
 func (h *Host) Kill() {
+	h.acceptor.CloseAll(acceptor.ReasonKill)
 	_ = h.callers.Close() // connections are closed on purpose
 	h.messenger.Close()
 	h.group.Stop()
