End callers' connections only between two requests

Cause, one class of fault: the state of net/http was taken for the state of the connection. net/http reports a connection as idle until it has parsed the next request's header. hoster closed connections by that state from another goroutine, so a request that had been read, but not parsed yet, ran while its connection was gone.

Fix: acceptor's connections end only in their own Read. Shutdown and net/http's read timeouts are not used any more. A lowered idle limit doesn't apply to connections that became idle under a larger one. The planned stop keeps connections for 0.5 s after their last answer, accepts what is in the listener's queue, and ends when every connection has ended: the forwarder's count reaches 0 before net/http has sent the end of an answer.

With it the declared header limit is applied. It was a constant of 10 s, counted for a connection's first request from when it was accepted, so a first request that came late on a new connection could be cut though it kept to the limit. Now it runs from the first byte, and such a request is answered 408.

Ruled out: the answer's end lost when Kill follows (Shutdown waited for it). Remains: a connection may still cross its close with a request that nobody has read, as HTTP/1.1 allows; it isn't forwarded.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -1,37 +1,91 @@
-// Package acceptor accepts callers' connections and records which of them the host
-// closes, and why, so that a caller that left can be told from one whose connection
-// was closed.
+// Package acceptor accepts callers' connections and ends them only between two
+// requests. It also records which connections the host ends, and why, so that a
+// caller that left can be told from one whose connection was closed.
 //
 // # Usage
 //
 //	a := acceptor.New(listener, func(c *acceptor.Closing) { log(c) })
-//	server := &http.Server{ConnContext: a.Context, ConnState: a.ObserveState}
+//	server := &http.Server{
+//		Handler:     a.Handler(handler),
+//		ConnContext: a.Context,
+//		ConnState:   a.ObserveState,
+//	}
 //	err := server.Serve(a)
 //
+// The server must have no timeouts for reading: the limits given to Sweep replace
+// them. It serves HTTP/1.1 only.
+//
+// # How a connection ends
+//
+// net/http reports a connection as idle until it has parsed the next request's
+// header. A connection that is closed because of that state may have a request on
+// it that is then run without an answer. http.Server.Shutdown closes connections
+// in this way, and it drops requests that it reads afterwards. So neither is used.
+//
+// Sweep and Drain only ask a connection to end: they expire its read deadline. The
+// goroutine that reads the connection decides. If it has read a byte of a request, or
+// one waits in the socket, the request is served, and its answer says `Connection:
+// close`. Otherwise the connection ends, and a request that is still on its way was
+// never read. Only CloseAll closes connections from outside.
+//
+// A caller may send the beginning of its next request together with the previous
+// one, against the practice of HTTP clients. This package doesn't see these bytes,
+// and may end the connection while the rest of that request hasn't arrived.
+//
+// # Limits
+//
+// A connection is ended by the largest idle limit that was in force at any time
+// since it became idle, since callers reuse connections by the limit that they knew
+// then. In the same way the largest header limit since a request's first byte
+// applies to its header.
+//
 // The context of a request whose connection the host closes ends with a *Closing as
 // its cause.
 package acceptor
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
 
-// Observe is called once for each connection that the host closes by itself. It
-// must not block.
+const (
+	// drainIdleLimit is the idle limit in a planned stop. A caller that got an answer
+	// without `Connection: close` just before may send its next request in this time.
+	drainIdleLimit = 500 * time.Millisecond
+	// acceptLinger is how long a planned stop still accepts connections, so that those
+	// in the queue of the listener aren't reset.
+	acceptLinger = 50 * time.Millisecond
+)
+
+// Observe is called once for each connection that the host ends by itself. It must
+// not block.
 type Observe func(*Closing)
 
+// Limits bound how long callers may take.
+type Limits struct {
+	// Idle is the time that a connection may stay without a request.
+	Idle time.Duration
+	// Header is the time from a request's first byte to the end of its header.
+	Header time.Duration
+}
+
 // Acceptor is a listener whose connections are of type *Connection. It is safe for
 // concurrent use.
 type Acceptor struct {
 	net.Listener
 	observe Observe
 
-	mu   sync.Mutex
-	open map[*Connection]struct{}
+	mu       sync.Mutex
+	open     map[*Connection]struct{}
+	limits   Limits // of the last sweep
+	draining bool
+	// closed is set once a planned stop accepts no more connections.
+	closed bool
 }
 
 // New returns an Acceptor of connections that ln accepts.
@@ -39,37 +93,113 @@
 	return &Acceptor{Listener: ln, observe: observe, open: map[*Connection]struct{}{}}
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. It returns net.ErrClosed once Drain has closed the
+// listener.
 func (a *Acceptor) Accept() (net.Conn, error) {
 	raw, err := a.Listener.Accept()
 	if err != nil {
-		return nil, err
+		return nil, a.acceptError(err)
 	}
-	now := time.Now()
-	c := &Connection{Conn: raw, acceptor: a, accepted: now, since: now}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	now := time.Now()
+	c := &Connection{Conn: raw, acceptor: a, accepted: now, since: now, limit: a.limits.Idle}
 	a.open[c] = struct{}{}
 	return c, nil
 }
 
+// acceptError ends a planned stop's accepting of connections, for which Drain has set
+// a deadline.
+func (a *Acceptor) acceptError(err error) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.draining {
+		return err
+	}
+	a.closed = true
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
+	}
+	_ = a.Close() // it accepts no more in any case
+	return net.ErrClosed
+}
+
 // Context implements http.Server.ConnContext.
 func (a *Acceptor) Context(ctx context.Context, conn net.Conn) context.Context {
 	c, ok := conn.(*Connection)
 	if !ok {
 		return ctx
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
+	ctx, cancel := context.WithCancelCause(context.WithValue(ctx, connectionKey{}, c))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.cancel = cancel
 	return ctx
 }
 
+type connectionKey struct{}
+
 // ObserveState implements http.Server.ConnState.
 func (a *Acceptor) ObserveState(conn net.Conn, s http.ConnState) {
-	if c, ok := conn.(*Connection); ok {
-		c.observeState(s)
+	c, ok := conn.(*Connection)
+	if !ok {
+		return
+	}
+	switch s {
+	case http.StateActive:
+		c.startServing()
+	case http.StateIdle:
+		c.startWaiting(time.Now(), a.currentLimits())
+	}
+}
+
+// Handler makes the answers of next that are the last on their connections say so.
+func (a *Acceptor) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connectionKey{}).(*Connection)
+		if a.isDraining() || ok && c.isLast() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Sweep asks the connections that exceed a limit to end.
+func (a *Acceptor) Sweep(now time.Time, l Limits) {
+	a.mu.Lock()
+	a.limits = l
+	draining := a.draining
+	a.mu.Unlock()
+	for _, c := range a.connections() {
+		c.check(now, l, draining)
+	}
+}
+
+// Drain begins a planned stop: it accepts no more connections, and further sweeps
+// end connections that have no request, until Drained returns true.
+func (a *Acceptor) Drain(now time.Time) {
+	a.mu.Lock()
+	a.draining = true
+	a.mu.Unlock()
+	ln, ok := a.Listener.(interface{ SetDeadline(t time.Time) error })
+	if !ok || ln.SetDeadline(now.Add(acceptLinger)) != nil {
+		_ = a.Close() // it may be closed already
+	}
+}
+
+// Drained reports whether a planned stop is complete: no connection is open, and none
+// will be accepted.
+func (a *Acceptor) Drained() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.closed && len(a.open) == 0
+}
+
+// CloseAll closes all connections at once, whether or not they have requests.
+func (a *Acceptor) CloseAll(r Reason) {
+	now := time.Now()
+	for _, c := range a.connections() {
+		c.abort(r, now)
 	}
 }
 
@@ -80,6 +210,18 @@
 	return len(a.open)
 }
 
+func (a *Acceptor) isDraining() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.draining
+}
+
+func (a *Acceptor) currentLimits() Limits {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.limits
+}
+
 // connections returns the open connections.
 func (a *Acceptor) connections() []*Connection {
 	a.mu.Lock()
@@ -91,24 +233,6 @@
 	return all
 }
 
-// CloseIdle closes the connections that have been waiting for a request for longer
-// than limit.
-func (a *Acceptor) CloseIdle(now time.Time, limit time.Duration) {
-	for _, c := range a.connections() {
-		if c.idleFor(now) > limit {
-			c.closeBecause(ReasonIdle, now, limit)
-		}
-	}
-}
-
-// CloseAll closes all connections for the reason r.
-func (a *Acceptor) CloseAll(r Reason) {
-	now := time.Now()
-	for _, c := range a.connections() {
-		c.closeBecause(r, now, 0)
-	}
-}
-
 // remove removes a closed connection.
 func (a *Acceptor) remove(c *Connection) {
 	a.mu.Lock()
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -1,12 +1,15 @@
 package acceptor_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,6 +23,10 @@
 // testTimeout bounds how long a test waits for an expected state.
 const testTimeout = 5 * time.Second
 
+// settleTime is how long sent bytes need to arrive, and the server's goroutine to
+// wait for the next request after an answer.
+const settleTime = 20 * time.Millisecond
+
 // server is an HTTP server behind an Acceptor.
 type server struct {
 	is       *is.I
@@ -41,7 +48,7 @@
 		ln = wrap(ln)
 	}
 	s.acceptor = acceptor.New(ln, s.observe)
-	hs := &http.Server{Handler: h, ConnContext: s.acceptor.Context, ConnState: s.acceptor.ObserveState}
+	hs := &http.Server{Handler: s.acceptor.Handler(h), ConnContext: s.acceptor.Context, ConnState: s.acceptor.ObserveState}
 	g := grouper.New(context.Background())
 	g.Run(func(context.Context) { _ = hs.Serve(s.acceptor) }) // ends with an error when it is closed
 	t.Cleanup(func() {
@@ -69,20 +76,6 @@
 	return all
 }
 
-func (s *server) dial(t *testing.T) net.Conn {
-	t.Helper()
-	c, err := net.Dial("tcp", s.address)
-	s.is.NoErr(err)
-	t.Cleanup(func() { _ = c.Close() })
-	return c
-}
-
-// send sends a request.
-func (s *server) send(c net.Conn) {
-	_, err := fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: test.example\r\n\r\n")
-	s.is.NoErr(err)
-}
-
 // await returns the next value of the channel.
 func await[T any](t *testing.T, values <-chan T) T {
 	t.Helper()
@@ -107,7 +100,7 @@
 	})
 	t.Run("name the host's reason if the host closes the connection", func(t *testing.T) {
 		s := startServer(t, h, nil)
-		s.send(s.dial(t))
+		s.call(t).send()
 		await(t, running)
 		s.acceptor.CloseAll(acceptor.ReasonKill)
 		closing, ok := errors.AsType[*acceptor.Closing](await(t, causes))
@@ -117,11 +110,364 @@
 	})
 	t.Run("are a plain cancellation if the caller leaves", func(t *testing.T) {
 		s := startServer(t, h, nil)
-		c := s.dial(t)
-		s.send(c)
+		c := s.call(t)
+		c.send()
 		await(t, running)
-		s.is.NoErr(c.Close())
+		s.is.NoErr(c.conn.Close())
 		s.is.Equal(await(t, causes), context.Canceled)
 		s.is.Equal(len(s.reasons()), 0)
 	})
 }
+
+// gate holds back the reads of a listener's connections.
+type gate struct {
+	net.Listener
+	// before and after, if not nil, are called around each read that returns data.
+	before, after func()
+}
+
+func (g *gate) Accept() (net.Conn, error) {
+	c, err := g.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &gatedConnection{TCPConn: c.(*net.TCPConn), gate: g}, nil
+}
+
+type gatedConnection struct {
+	*net.TCPConn
+	gate *gate
+}
+
+func (c *gatedConnection) Read(b []byte) (int, error) {
+	if c.gate.before != nil && len(b) > 1 {
+		c.gate.before()
+	}
+	n, err := c.TCPConn.Read(b)
+	if c.gate.after != nil && len(b) > 1 && n > 0 {
+		c.gate.after()
+	}
+	return n, err
+}
+
+// limits are the limits of most tests.
+var limits = acceptor.Limits{Idle: time.Second, Header: time.Second}
+
+// later is a time at which all limits of the tests have passed.
+func later() time.Time { return time.Now().Add(time.Hour) }
+
+// caller sends requests on one connection.
+type caller struct {
+	is     *is.I
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func (s *server) call(t *testing.T) *caller {
+	t.Helper()
+	c, err := net.Dial("tcp", s.address)
+	s.is.NoErr(err)
+	t.Cleanup(func() { _ = c.Close() })
+	s.is.NoErr(c.SetDeadline(time.Now().Add(testTimeout)))
+	return &caller{is: s.is, conn: c, reader: bufio.NewReader(c)}
+}
+
+func (c *caller) send() {
+	_, err := fmt.Fprint(c.conn, "GET / HTTP/1.1\r\nHost: test.example\r\n\r\n")
+	c.is.NoErr(err)
+}
+
+// assertAnswered checks that the request was answered, and whether its answer is the
+// connection's last.
+func (c *caller) assertAnswered(last bool) {
+	c.is.Helper()
+	response, err := http.ReadResponse(c.reader, nil)
+	c.is.NoErr(err)
+	c.is.Equal(response.StatusCode, http.StatusOK)
+	_, err = io.ReadAll(response.Body)
+	c.is.NoErr(err)
+	c.is.Equal(response.Close, last)
+	if last {
+		c.assertEnded()
+	}
+}
+
+// assertEnded checks that the connection ends without a further byte.
+func (c *caller) assertEnded() {
+	c.is.Helper()
+	_, err := c.reader.ReadByte()
+	c.is.Equal(err, io.EOF)
+}
+
+// holdNth returns a function that blocks in its nth call until it is released.
+func holdNth(n int32) (f func(), held <-chan struct{}, release func()) {
+	var calls atomic.Int32
+	reached, released := make(chan struct{}, 1), make(chan struct{})
+	return func() {
+		if calls.Add(1) == n {
+			reached <- struct{}{}
+			<-released
+		}
+	}, reached, func() { close(released) }
+}
+
+var answer = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+
+// TestRequestsThatMeetTheIdleLimit guards against the failure LOST of issue 22: a
+// connection was closed as idle after a request on it had been read, and the request
+// ran without an answer.
+func TestRequestsThatMeetTheIdleLimit(t *testing.T) {
+	t.Run("are answered if they were read, but not parsed yet", func(t *testing.T) {
+		after, held, release := holdNth(2) // the second request's bytes are in memory
+		s := startServer(t, answer, func(ln net.Listener) net.Listener { return &gate{Listener: ln, after: after} })
+		c := s.call(t)
+		c.send()
+		c.assertAnswered(false)
+		time.Sleep(settleTime)
+		c.send()
+		await(t, held)
+		s.acceptor.Sweep(later(), limits)
+		release()
+		c.assertAnswered(true)
+		s.is.Equal(len(s.reasons()), 0)
+	})
+	t.Run("are answered if they wait in the socket", func(t *testing.T) {
+		before, held, release := holdNth(2) // the second request isn't read for now
+		s := startServer(t, answer, func(ln net.Listener) net.Listener { return &gate{Listener: ln, before: before} })
+		c := s.call(t)
+		c.send()
+		c.assertAnswered(false)
+		await(t, held)
+		c.send()
+		time.Sleep(settleTime)
+		s.acceptor.Sweep(later(), limits)
+		release()
+		c.assertAnswered(true)
+		s.is.Equal(len(s.reasons()), 0)
+	})
+	t.Run("are answered if they arrive while another one is answered", func(t *testing.T) {
+		running, finish := make(chan struct{}, 2), make(chan struct{}, 2)
+		s := startServer(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			running <- struct{}{}
+			<-finish
+		}), nil)
+		c := s.call(t)
+		c.send()
+		await(t, running)
+		c.send() // net/http reads its first byte while it watches for a disconnect
+		time.Sleep(settleTime)
+		s.acceptor.Sweep(later(), limits)
+		finish <- struct{}{}
+		c.assertAnswered(false)
+		await(t, running)
+		finish <- struct{}{}
+		c.assertAnswered(false)
+		s.is.Equal(len(s.reasons()), 0)
+	})
+}
+
+func TestIdleConnections(t *testing.T) {
+	// answered returns a connection that got an answer under the limits l.
+	answered := func(t *testing.T, s *server, l acceptor.Limits) *caller {
+		t.Helper()
+		s.acceptor.Sweep(time.Now(), l)
+		c := s.call(t)
+		c.send()
+		c.assertAnswered(false)
+		return c
+	}
+	t.Run("end after the limit", func(t *testing.T) {
+		s := startServer(t, answer, nil)
+		c := answered(t, s, limits)
+		s.acceptor.Sweep(time.Now(), limits)
+		c.send()
+		c.assertAnswered(false) // still open
+		time.Sleep(settleTime)
+		s.acceptor.Sweep(later(), limits)
+		c.assertEnded()
+		s.is.Equal(s.reasons(), []acceptor.Reason{acceptor.ReasonIdle})
+	})
+	t.Run("keep the limit under which they became idle when it is lowered", func(t *testing.T) {
+		s := startServer(t, answer, nil)
+		c := answered(t, s, acceptor.Limits{Idle: time.Minute, Header: time.Second})
+		time.Sleep(settleTime)
+		s.acceptor.Sweep(time.Now().Add(30*time.Second), limits)
+		c.send()
+		c.assertAnswered(false)
+		time.Sleep(settleTime)
+		s.acceptor.Sweep(time.Now().Add(30*time.Second), limits) // the lower limit applies from now on
+		c.assertEnded()
+	})
+	t.Run("get a limit that is raised", func(t *testing.T) {
+		s := startServer(t, answer, nil)
+		c := answered(t, s, limits)
+		time.Sleep(settleTime)
+		s.acceptor.Sweep(time.Now().Add(30*time.Second), acceptor.Limits{Idle: time.Minute, Header: time.Second})
+		c.send()
+		c.assertAnswered(false)
+	})
+	t.Run("without a first request end too", func(t *testing.T) {
+		s := startServer(t, answer, nil)
+		c := s.call(t)
+		s.awaitOpen(t, 1)
+		s.acceptor.Sweep(later(), limits)
+		c.assertEnded()
+		s.awaitOpen(t, 0)
+	})
+}
+
+// awaitOpen waits until n connections are open.
+func (s *server) awaitOpen(t *testing.T, n int) {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); s.acceptor.Open() != n; {
+		if time.Now().After(end) {
+			t.Fatalf("%d connections are open, want %d", s.acceptor.Open(), n)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestHeaderLimit(t *testing.T) {
+	// begin sends the beginning of a request, and returns when it has been read.
+	begin := func(t *testing.T, l acceptor.Limits) (*server, *caller) {
+		t.Helper()
+		read := make(chan struct{}, 2)
+		s := startServer(t, answer, func(ln net.Listener) net.Listener {
+			return &gate{Listener: ln, after: func() { read <- struct{}{} }}
+		})
+		s.acceptor.Sweep(time.Now(), l)
+		c := s.call(t)
+		_, err := fmt.Fprint(c.conn, "GET / HTTP/1.1\r\nHo")
+		s.is.NoErr(err)
+		await(t, read)
+		time.Sleep(settleTime)
+		return s, c
+	}
+	// finish sends the rest of the request.
+	finish := func(c *caller) {
+		_, err := fmt.Fprint(c.conn, "st: test.example\r\n\r\n")
+		c.is.NoErr(err)
+	}
+	t.Run("refuses a request whose header takes longer", func(t *testing.T) {
+		s, c := begin(t, limits)
+		s.acceptor.Sweep(later(), limits)
+		response, err := http.ReadResponse(c.reader, nil)
+		s.is.NoErr(err)
+		s.is.Equal(response.StatusCode, http.StatusRequestTimeout)
+		c.assertEnded()
+		s.is.Equal(s.reasons(), []acceptor.Reason{acceptor.ReasonHeader})
+	})
+	t.Run("isn't lowered for a request that has begun", func(t *testing.T) {
+		s, c := begin(t, acceptor.Limits{Idle: time.Second, Header: time.Minute})
+		s.acceptor.Sweep(time.Now().Add(30*time.Second), limits)
+		finish(c)
+		c.assertAnswered(false)
+	})
+	t.Run("isn't the idle limit", func(t *testing.T) {
+		s, c := begin(t, acceptor.Limits{Idle: time.Second, Header: time.Minute})
+		s.acceptor.Sweep(time.Now().Add(30*time.Second), acceptor.Limits{Idle: time.Millisecond, Header: time.Minute})
+		finish(c)
+		c.assertAnswered(false)
+	})
+}
+
+// TestPlannedStop guards against the failure LOST of issue 22 in planned stops: once
+// http.Server.Shutdown had been called, net/http read requests and dropped them.
+func TestPlannedStop(t *testing.T) {
+	t.Run("answers a request on a connection that had none before", func(t *testing.T) {
+		s := startServer(t, answer, nil)
+		c := s.call(t)
+		s.awaitOpen(t, 1)
+		s.acceptor.Drain(time.Now())
+		s.acceptor.Sweep(time.Now(), limits)
+		c.send()
+		c.assertAnswered(true)
+		s.awaitDrained(t)
+	})
+	t.Run("answers the request that follows an answer that was begun before", func(t *testing.T) {
+		running, finish := make(chan struct{}, 2), make(chan struct{}, 2)
+		s := startServer(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusOK)
+			w.(http.Flusher).Flush()
+			running <- struct{}{}
+			<-finish
+		}), nil)
+		c := s.call(t)
+		c.send()
+		await(t, running)
+		s.acceptor.Drain(time.Now())
+		finish <- struct{}{}
+		c.assertAnswered(false)
+		s.acceptor.Sweep(time.Now(), limits)
+		c.send()
+		await(t, running)
+		finish <- struct{}{}
+		c.assertAnswered(true)
+		s.awaitDrained(t)
+	})
+	t.Run("answers a request that has been read, but not parsed yet", func(t *testing.T) {
+		after, held, release := holdNth(1)
+		s := startServer(t, answer, func(ln net.Listener) net.Listener { return &gate{Listener: ln, after: after} })
+		c := s.call(t)
+		c.send()
+		await(t, held)
+		s.acceptor.Drain(time.Now())
+		s.acceptor.Sweep(later(), limits)
+		release()
+		c.assertAnswered(true)
+		s.awaitDrained(t)
+	})
+	t.Run("answers a request on a connection in the listener's queue", func(t *testing.T) {
+		accept, held, release := holdNth(1)
+		s := startServer(t, answer, func(ln net.Listener) net.Listener { return &slowListener{Listener: ln, before: accept} })
+		await(t, held)
+		c := s.call(t)
+		c.send()
+		s.acceptor.Drain(time.Now())
+		release()
+		c.assertAnswered(true)
+		s.awaitDrained(t)
+	})
+	t.Run("ends connections without a request, and accepts no more", func(t *testing.T) {
+		s := startServer(t, answer, nil)
+		unused, used := s.call(t), s.call(t)
+		used.send()
+		used.assertAnswered(false)
+		s.awaitOpen(t, 2)
+		s.acceptor.Drain(time.Now())
+		s.acceptor.Sweep(later(), limits)
+		unused.assertEnded()
+		used.assertEnded()
+		s.awaitDrained(t)
+		s.is.Equal(s.reasons(), []acceptor.Reason{acceptor.ReasonStop, acceptor.ReasonStop})
+		_, err := net.Dial("tcp", s.address)
+		s.is.True(err != nil)
+	})
+}
+
+// slowListener calls before ahead of each Accept.
+type slowListener struct {
+	net.Listener
+	before func()
+}
+
+func (l *slowListener) Accept() (net.Conn, error) {
+	l.before()
+	return l.Listener.Accept()
+}
+
+func (l *slowListener) SetDeadline(t time.Time) error {
+	return l.Listener.(*net.TCPListener).SetDeadline(t)
+}
+
+// awaitDrained sweeps until the planned stop is complete.
+func (s *server) awaitDrained(t *testing.T) {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); !s.acceptor.Drained(); {
+		if time.Now().After(end) {
+			t.Fatalf("%d connections are open", s.acceptor.Open())
+		}
+		s.acceptor.Sweep(time.Now(), limits)
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/acceptor/closing.go
+++ b/acceptor/closing.go
@@ -13,6 +13,10 @@
 const (
 	// ReasonIdle means that no request came within the idle limit.
 	ReasonIdle Reason = "idle"
+	// ReasonHeader means that a request's header didn't arrive within its limit.
+	ReasonHeader Reason = "header-timeout"
+	// ReasonStop means that no request came in a planned stop.
+	ReasonStop Reason = "stop"
 	// ReasonKill means that the host ended without waiting for requests.
 	ReasonKill Reason = "kill"
 )
@@ -25,9 +29,10 @@
 	Remote string
 	// Age is the time since the connection was accepted.
 	Age time.Duration
-	// Idle is the time since the last answer, or since the connection was accepted.
+	// Idle is the time since the last answer, since the connection was accepted, or,
+	// with ReasonHeader, since the first byte of the request.
 	Idle time.Duration
-	// Limit is the idle limit that was applied; 0 if the reason isn't ReasonIdle.
+	// Limit is the limit that Idle exceeded; 0 with ReasonKill.
 	Limit time.Duration
 }
 
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -2,78 +2,230 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
-	"net/http"
+	"os"
 	"sync"
 	"time"
+
+	"github.com/jackdawthread/jackdawthread/common/socket"
+)
+
+// phase is what a connection's reader does.
+type phase uint8
+
+const (
+	// phaseWaiting: no byte has been read since the connection was accepted, or since
+	// the last answer.
+	phaseWaiting phase = iota
+	// phaseHeader: a byte of a request has been read, but not its whole header.
+	phaseHeader
+	// phaseServing: the request's header has been read, and its answer isn't complete.
+	phaseServing
 )
 
+const (
+	// headerTimeoutAnswer refuses a request whose header didn't arrive in time.
+	headerTimeoutAnswer = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// refusalTimeout bounds the time to send headerTimeoutAnswer.
+	refusalTimeout = 100 * time.Millisecond
+)
+
+// expired is a deadline in the past.
+var expired = time.Unix(1, 0)
+
 // Connection is a caller's connection. It is safe for concurrent use.
 type Connection struct {
 	net.Conn
 	acceptor *Acceptor
 	accepted time.Time
 
-	mu sync.Mutex
-	// since is the time of the last answer, or at which the connection was accepted.
+	mu    sync.Mutex
+	phase phase
+	// since is the start of the phase.
 	since time.Time
-	// waiting is set while net/http reports that the connection waits for another
-	// request.
-	waiting bool
+	// limit is the largest limit that applied to the phase so far.
+	limit time.Duration
+	// asked is the reason for which the connection should end; empty if there is none.
+	asked Reason
+	// last is set if the connection's next answer has to be the last one.
+	last bool
+	// readAhead is set if a byte of the next request has been read during phaseServing.
+	readAhead bool
 	// cancel ends the contexts of the connection's requests.
 	cancel context.CancelCauseFunc
 	closed bool
 }
 
-func (c *Connection) observeState(s http.ConnState) {
+// Read implements net.Conn. It returns io.EOF if the connection was asked to end and
+// has no request.
+func (c *Connection) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if n > 0 {
+			c.noteRead(time.Now(), len(b))
+			return n, err
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		closing, readAgain := c.decide(time.Now())
+		if closing != nil {
+			return 0, c.end(closing)
+		}
+		if !readAgain {
+			return n, err
+		}
+	}
+}
+
+// noteRead records that bytes were read into a buffer of the given size.
+func (c *Connection) noteRead(now time.Time, size int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting = s == http.StateIdle
-	if c.waiting {
-		c.since = time.Now()
+	switch c.phase {
+	case phaseWaiting:
+		c.last = c.asked != ""
+		c.startHeader(now, c.acceptor.currentLimits())
+	case phaseServing:
+		// net/http watches for the caller's disconnect with reads of one byte.
+		c.readAhead = c.readAhead || size == 1
 	}
 }
 
-// idleFor returns for how long the connection has been waiting for another request.
-func (c *Connection) idleFor(now time.Time) time.Duration {
+// startHeader begins phaseHeader. The caller holds the lock.
+func (c *Connection) startHeader(now time.Time, l Limits) {
+	c.enter(phaseHeader, now, l.Header)
+	_ = c.Conn.SetReadDeadline(time.Time{}) // fails only if the connection is closed
+}
+
+// enter begins a phase. The caller holds the lock.
+func (c *Connection) enter(p phase, now time.Time, limit time.Duration) {
+	c.phase = p
+	c.since = now
+	c.limit = limit
+	c.asked = ""
+}
+
+// startServing records that net/http has read a request's header.
+func (c *Connection) startServing() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.waiting {
-		return 0
+	c.enter(phaseServing, time.Now(), 0)
+	_ = c.Conn.SetReadDeadline(time.Time{}) // fails only if the connection is closed
+}
+
+// startWaiting records that an answer is complete.
+func (c *Connection) startWaiting(now time.Time, l Limits) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.readAhead {
+		c.readAhead = false
+		c.startHeader(now, l)
+		return
 	}
-	return now.Sub(c.since)
+	c.enter(phaseWaiting, now, l.Idle)
 }
 
-// closeBecause closes the connection and reports it, unless it was closed before.
-func (c *Connection) closeBecause(r Reason, now time.Time, limit time.Duration) {
-	closing := c.startClosing(r, now, limit)
-	if closing == nil {
+// check asks the connection to end if it exceeds a limit.
+func (c *Connection) check(now time.Time, l Limits, draining bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var reason Reason
+	switch c.phase {
+	case phaseWaiting:
+		c.limit = max(c.limit, l.Idle)
+		reason = ReasonIdle
+		if draining {
+			c.limit = drainIdleLimit
+			reason = ReasonStop
+		}
+	case phaseHeader:
+		c.limit = max(c.limit, l.Header)
+		reason = ReasonHeader
+	default:
 		return
 	}
-	c.acceptor.observe(closing)
-	_ = c.Close() // the caller may have closed it at the same time
+	if now.Sub(c.since) <= c.limit {
+		return
+	}
+	c.asked = reason
+	_ = c.Conn.SetReadDeadline(expired) // fails only if the connection is closed
 }
 
-// startClosing ends the connection's requests. It returns nil if the connection was
-// closed before.
-func (c *Connection) startClosing(r Reason, now time.Time, limit time.Duration) *Closing {
+// decide returns whether to end the connection or to read again after a read's
+// deadline has expired. The deadline is net/http's in phaseServing, else check's.
+func (c *Connection) decide(now time.Time) (closing *Closing, readAgain bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
-		return nil
+	if c.phase == phaseServing || c.closed {
+		return nil, false
+	}
+	_ = c.Conn.SetReadDeadline(time.Time{}) // fails only if the connection is closed
+	if c.asked != "" && socket.NothingToRead(c.Conn) {
+		return c.close(c.asked, now), false
 	}
+	return nil, true
+}
+
+// close marks the connection as closed. The caller holds the lock.
+func (c *Connection) close(r Reason, now time.Time) *Closing {
 	c.closed = true
-	closing := &Closing{
+	return &Closing{
 		Reason: r,
 		Remote: c.RemoteAddr().String(),
 		Age:    now.Sub(c.accepted),
 		Idle:   now.Sub(c.since),
-		Limit:  limit,
+		Limit:  c.limit,
+	}
+}
+
+// end closes a connection without a whole request, on behalf of its reader.
+func (c *Connection) end(closing *Closing) error {
+	c.acceptor.observe(closing)
+	if closing.Reason == ReasonHeader {
+		_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
+		_, _ = io.WriteString(c.Conn, headerTimeoutAnswer) // the caller may be gone
+	}
+	_ = c.Conn.Close() // net/http may read or write again after an error
+	return io.EOF
+}
+
+// abort closes the connection and ends its requests.
+func (c *Connection) abort(r Reason, now time.Time) {
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return
 	}
-	if c.cancel != nil {
-		c.cancel(closing)
+	closing := c.close(r, now)
+	closing.Limit = 0
+	cancel := c.cancel
+	c.mu.Unlock()
+	if cancel != nil {
+		cancel(closing)
+	}
+	c.acceptor.observe(closing)
+	_ = c.Close() // the caller may have closed it at the same time
+}
+
+// isLast reports whether the answer in progress has to be the connection's last.
+func (c *Connection) isLast() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.last
+}
+
+// SetReadDeadline implements net.Conn. Outside of phaseServing, the deadline is
+// under the control of this package, and t, which is zero there, is ignored.
+func (c *Connection) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != phaseServing {
+		return nil
 	}
-	return closing
+	return c.Conn.SetReadDeadline(t)
 }
 
 // Close implements net.Conn.
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -108,7 +109,8 @@
 	// avoidedProbePeriod is the time between two checks for avoided endpoints that
 	// are due for a probe.
 	avoidedProbePeriod = 100 * time.Millisecond
-	// requestHeadTimeout bounds the time to read a request's headers.
+	// requestHeadTimeout bounds the time to read the headers of a request for
+	// readiness or metrics.
 	requestHeadTimeout = 10 * time.Second
 	// defaultHeaderBytes bounds the size of a request's headers; declarations set
 	// a lower limit.
@@ -290,14 +292,14 @@
 	h.timer.Every(avoidedProbePeriod, h.probeAvoided)
 	h.watchSuspension()
 	h.acceptor = acceptor.New(l.callers, h.observeClosing)
-	h.timer.Every(idlePeriod, h.closeIdle)
+	h.sweepConnections(time.Now())
+	h.timer.Every(sweepConnectionsPeriod, h.sweepConnections)
 	h.callers = &http.Server{
-		Handler:           h.forwarder,
-		ReadHeaderTimeout: requestHeadTimeout,
-		MaxHeaderBytes:    defaultHeaderBytes,
-		ConnContext:       h.acceptor.Context,
-		ConnState:         h.acceptor.ObserveState,
-		ErrorLog:          zap.NewStdLog(h.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+		Handler:        h.acceptor.Handler(h.forwarder),
+		MaxHeaderBytes: defaultHeaderBytes,
+		ConnContext:    h.acceptor.Context,
+		ConnState:      h.acceptor.ObserveState,
+		ErrorLog:       zap.NewStdLog(h.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
 	h.serveListener(h.acceptor, h.callers)
 	h.serveListener(l.readiness, &http.Server{Handler: http.HandlerFunc(h.serveReadiness), ReadHeaderTimeout: requestHeadTimeout})
@@ -311,7 +313,7 @@
 	h.group.Run(func(ctx context.Context) {
 		stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 		defer stop()
-		if err := s.Serve(ln); err != nil && ctx.Err() == nil && err != http.ErrServerClosed {
+		if err := s.Serve(ln); err != nil && ctx.Err() == nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			h.log.Error("listener-failed", zap.String("address", ln.Addr().String()), zap.Error(err))
 		}
 	})
--- a/hoster/stop.go
+++ b/hoster/stop.go
@@ -14,12 +14,12 @@
 	// stopMargin is the part of the limit that is reserved for terminating
 	// requests that still run.
 	stopMargin = 700 * time.Millisecond
-	// drainPollPeriod is how often a stopping host checks whether it is idle.
+	// drainPollPeriod is how often a stopping host checks callers' connections.
 	drainPollPeriod = 20 * time.Millisecond
 )
 
-// Stop performs a planned stop. It returns when no request runs any more, or
-// shortly before the limit of the settings.
+// Stop performs a planned stop. It returns when all callers' connections have ended
+// after their answers, or shortly before the limit of the settings.
 func (h *Host) Stop(ctx context.Context) {
 	began := time.Now()
 	h.stopping.Store(true)
@@ -29,21 +29,28 @@
 	defer cancel()
 	h.forwarder.CloseConnections()
 	_ = sleeper.Sleep(ctx, h.settings.Stop.Announce) // only the limit can end the wait early
-	if err := h.callers.Shutdown(ctx); err != nil {
-		h.log.Warn("stop-timed-out", zap.Int64("running", h.forwarder.Running()), zap.Error(err))
+	h.acceptor.Drain(time.Now())
+	if err := h.waitForConnections(ctx); err != nil {
+		h.log.Warn("stop-timed-out",
+			zap.Int64("running", h.forwarder.Running()),
+			zap.Int("connections", h.acceptor.Open()),
+			zap.Error(err))
 	}
-	h.waitForRequests(ctx)
 	h.gossiper.Leave(ctx)
 	h.log.Info("stop-completed", zap.Duration("took", time.Since(began)))
 	h.Kill()
 }
 
-func (h *Host) waitForRequests(ctx context.Context) {
-	for h.forwarder.Running() > 0 {
-		if sleeper.Sleep(ctx, drainPollPeriod) != nil {
-			return
+// waitForConnections waits until no caller's connection is open. Running is no
+// substitute: net/http sends the end of an answer after the forwarder has returned.
+func (h *Host) waitForConnections(ctx context.Context) error {
+	for !h.acceptor.Drained() {
+		h.sweepConnections(time.Now())
+		if err := sleeper.Sleep(ctx, drainPollPeriod); err != nil {
+			return err
 		}
 	}
+	return nil
 }
 
 // Kill ends the host at once, as a crash would.
