Refuse a request that a planned stop would interrupt

Cause: a stopping host took every request that it read, whatever time was left.

Now a request that arrives after stop.announce is refused at once with 503 and a short Retry-After, unless it will have ended before the stop does: by its deadline, or by the 99.9th percentile of what its route's requests took, once 100 have been measured. Those that arrive before, while load balancers may still send, are served as before.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -23,6 +23,9 @@
 	// noEndpointRetryAfter is the Retry-After hint for a service without a
 	// reachable endpoint.
 	noEndpointRetryAfter = 250 * time.Millisecond
+	// stoppingRetryAfter is the Retry-After hint of a stopping host. Another host can
+	// serve the request at once.
+	stoppingRetryAfter = 50 * time.Millisecond
 	// maxBufferedBytes limits the size of buffered responses, and of request bodies
 	// if the declarations set no limit.
 	maxBufferedBytes = 16 << 20
@@ -89,9 +92,31 @@
 		AtMostOnce:        !route.Repeatable(),
 	}
 	f.deps.Dialect.Strip(e.call.Header)
+	if err := e.checkStop(time.Now()); err != nil {
+		return err
+	}
 	return e.chooseService(d)
 }
 
+// checkStop refuses a request that a planned stop would interrupt.
+func (e *exchange) checkStop(now time.Time) error {
+	p := e.forwarder.stop.Load()
+	if p == nil || !p.refuses(e.observation.Started, e.expectedEnd(now)) {
+		return nil
+	}
+	return classifier.NotRun(classifier.ReasonStopping, classifier.Jitter(stoppingRetryAfter), "host is stopping and ends in %v", p.End.Sub(now))
+}
+
+// expectedEnd returns the time by which the request will have ended: its deadline, or
+// earlier if the route's requests are known to take less time.
+func (e *exchange) expectedEnd(now time.Time) time.Time {
+	expected := e.forwarder.deps.ExpectedDuration(e.route)
+	if end := now.Add(expected); expected > 0 && end.Before(e.call.Deadline) {
+		return end
+	}
+	return e.call.Deadline
+}
+
 var errNoRoute = errors.New("no route matches the request")
 
 // chooseService chooses one of the route's services at random, by weight.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -166,8 +166,11 @@
 	// AwaitConfirmation waits, for a bounded time, until the replicated state is
 	// confirmed to be current, for example after the process was suspended.
 	AwaitConfirmation func(ctx context.Context)
-	Group             *grouper.Group
-	Log               *zap.Logger
+	// ExpectedDuration returns how long requests of a route take at most, as far as
+	// measured; 0 if unknown.
+	ExpectedDuration func(r *registrar.Route) time.Duration
+	Group            *grouper.Group
+	Log              *zap.Logger
 }
 
 // Options configures a Forwarder.
@@ -186,7 +189,7 @@
 	deps    Deps
 	options Options
 	running atomic.Int64
-	closing atomic.Bool
+	stop    atomic.Pointer[PlannedStop]
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -212,10 +215,10 @@
 	return f.running.Load()
 }
 
-// CloseConnections makes every further response close its connection, in
-// preparation for a planned stop.
-func (f *Forwarder) CloseConnections() {
-	f.closing.Store(true)
+// BeginStop prepares a planned stop: every further response closes its connection, and
+// requests that p refuses aren't forwarded.
+func (f *Forwarder) BeginStop(p PlannedStop) {
+	f.stop.Store(&p)
 }
 
 // randomFloat returns a random number in [0, 1).
@@ -255,5 +258,5 @@
 // may be one whose end the caller and this host see differently (request
 // smuggling).
 func (f *Forwarder) closesConnection(r *http.Request) bool {
-	return f.closing.Load() || len(r.TransferEncoding) > 0
+	return f.stop.Load() != nil || len(r.TransferEncoding) > 0
 }
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -258,6 +258,7 @@
 		Placer:            h.placer,
 		Observer:          h,
 		AwaitConfirmation: h.awaitConfirmation,
+		ExpectedDuration:  h.metrics.expectedDuration,
 		Group:             h.group,
 		Log:               h.log,
 	}, forwarder.Options{MaxConcurrent: s.Limits.MaxRequests, Seed: uint64(h.incarnation)})
--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -12,6 +12,7 @@
 
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/forwarder"
+	"github.com/jackdawthread/jackdawthread/registrar"
 )
 
 const (
@@ -19,6 +20,14 @@
 	minLatencyMs     = 1
 	maxLatencyMs     = 60_000
 	latencyPrecision = 2 // significant figures
+
+	// answeredSuffix names the histogram of a route's requests that got an endpoint's
+	// whole answer.
+	answeredSuffix = ".answered"
+	// expectedQuantile is the share of requests, in percent, that end within the
+	// expected duration, and minExpectedSamples how many must have been measured.
+	expectedQuantile   = 99.9
+	minExpectedSamples = 100
 )
 
 // metrics holds the host's counters and latency histograms.
@@ -69,6 +78,9 @@
 		m.failures.Add(route+"."+string(f.Reason)+"."+f.Verdict.String(), 1)
 	}
 	m.record(route+".whole", o.Duration)
+	if o.Err == nil {
+		m.record(route+answeredSuffix, o.Duration)
+	}
 	if o.FirstEvent > 0 {
 		m.record(route+".first-event", o.FirstEvent)
 	}
@@ -98,6 +110,18 @@
 	_ = h.RecordValue(min(maxLatencyMs, max(minLatencyMs, d.Milliseconds()))) // can't fail: the value is in range
 }
 
+// expectedDuration returns how long requests of the route that are answered take at
+// most, except for a few; 0 if too few were measured.
+func (m *metrics) expectedDuration(r *registrar.Route) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h := m.latencies[r.Name+answeredSuffix]
+	if h == nil || h.TotalCount() < minExpectedSamples {
+		return 0
+	}
+	return time.Duration(h.ValueAtQuantile(expectedQuantile)) * time.Millisecond
+}
+
 // latencySummary returns the counts and quantiles of all latencies.
 func (m *metrics) latencySummary() any {
 	m.mu.Lock()
--- /dev/null
+++ b/hoster/metrics_test.go
@@ -0,0 +1,35 @@
+package hoster
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/jackdawthread/jackdawthread/forwarder"
+	"github.com/jackdawthread/jackdawthread/registrar"
+)
+
+func TestExpectedDuration(t *testing.T) {
+	route := &registrar.Route{Name: "notes"}
+	observe := func(m *metrics, times int, o forwarder.Observation) {
+		o.Route = route
+		for range times {
+			m.observe(&o)
+		}
+	}
+	t.Run("is unknown until enough requests were answered", func(t *testing.T) {
+		i, m := is.New(t), newMetrics()
+		observe(m, minExpectedSamples-1, forwarder.Observation{Duration: time.Second})
+		observe(m, 1000, forwarder.Observation{Duration: time.Millisecond, Err: errors.New("refused")})
+		i.Equal(m.expectedDuration(route), 0*time.Second)
+	})
+	t.Run("is that of the longest requests", func(t *testing.T) {
+		i, m := is.New(t), newMetrics()
+		observe(m, minExpectedSamples, forwarder.Observation{Duration: time.Second})
+		observe(m, 1, forwarder.Observation{Duration: 4 * time.Second})
+		expected := m.expectedDuration(route)
+		i.True(expected >= 4*time.Second && expected < 4100*time.Millisecond)
+	})
+}
--- a/hoster/stop.go
+++ b/hoster/stop.go
@@ -8,6 +8,7 @@
 
 	"github.com/jackdawthread/jackdawthread/acceptor"
 	"github.com/jackdawthread/jackdawthread/common/sleeper"
+	"github.com/jackdawthread/jackdawthread/forwarder"
 )
 
 const (
@@ -25,9 +26,13 @@
 	h.stopping.Store(true)
 	h.ready.Store(false)
 	h.log.Info("stop-started", zap.Int64("running", h.forwarder.Running()))
-	ctx, cancel := context.WithTimeout(ctx, h.settings.Stop.Limit-stopMargin)
+	plan := forwarder.PlannedStop{
+		Announced: began.Add(h.settings.Stop.Announce),
+		End:       began.Add(h.settings.Stop.Limit - stopMargin),
+	}
+	ctx, cancel := context.WithDeadline(ctx, plan.End)
 	defer cancel()
-	h.forwarder.CloseConnections()
+	h.forwarder.BeginStop(plan)
 	_ = sleeper.Sleep(ctx, h.settings.Stop.Announce) // only the limit can end the wait early
 	h.acceptor.Drain(time.Now())
 	if err := h.waitForConnections(ctx); err != nil {
