--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -12,6 +12,7 @@
 
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/forwarder"
+	"github.com/jackdawthread/jackdawthread/registrar"
 )
 
 const (
@@ -19,6 +20,14 @@
 	minLatencyMs     = 1
 	maxLatencyMs     = 60_000
 	latencyPrecision = 2 // significant figures
+
+	// answeredSuffix names the histogram of a route's requests that got an endpoint's
+	// whole answer.
+	answeredSuffix = ".answered"
+	// expectedQuantile is the share of requests, in percent, that end within the
+	// expected duration, and minExpectedSamples how many must have been measured.
+	expectedQuantile   = 99.9
+	minExpectedSamples = 100
 )
 
 // metrics holds the host's counters and latency histograms.
@@ -26,6 +35,7 @@
 	root     expvar.Map
 	requests expvar.Map
 	failures expvar.Map
+	closings expvar.Map // callers' connections that the host closed, by reason
 
 	mu        sync.Mutex
 	latencies map[string]*hdrhistogram.Histogram
@@ -36,12 +46,14 @@
 	m.root.Init()
 	m.root.Set("requests", m.requests.Init())
 	m.root.Set("failures", m.failures.Init())
+	m.root.Set("caller-connections-closed", m.closings.Init())
 	m.root.Set("latency-ms", expvar.Func(m.latencySummary))
 	return m
 }
 
 // registerGauges publishes the statistics of the host's components.
 func (m *metrics) registerGauges(h *Host) {
+	m.root.Set("caller-connections", expvar.Func(func() any { return h.acceptor.Open() }))
 	m.root.Set("running", expvar.Func(func() any { return h.forwarder.Running() }))
 	m.root.Set("waiting", expvar.Func(func() any { return h.reserver.Waiting() }))
 	m.root.Set("engine-models", expvar.Func(func() any { return h.reserver.Models() }))
@@ -66,6 +78,9 @@
 		m.failures.Add(route+"."+string(f.Reason)+"."+f.Verdict.String(), 1)
 	}
 	m.record(route+".whole", o.Duration)
+	if o.Err == nil {
+		m.record(route+answeredSuffix, o.Duration)
+	}
 	if o.FirstEvent > 0 {
 		m.record(route+".first-event", o.FirstEvent)
 	}
@@ -95,6 +110,18 @@
 	_ = h.RecordValue(min(maxLatencyMs, max(minLatencyMs, d.Milliseconds()))) // can't fail: the value is in range
 }
 
+// expectedDuration returns how long requests of the route that are answered take at
+// most, except for a few; 0 if too few were measured.
+func (m *metrics) expectedDuration(r *registrar.Route) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h := m.latencies[r.Name+answeredSuffix]
+	if h == nil || h.TotalCount() < minExpectedSamples {
+		return 0
+	}
+	return time.Duration(h.ValueAtQuantile(expectedQuantile)) * time.Millisecond
+}
+
 // latencySummary returns the counts and quantiles of all latencies.
 func (m *metrics) latencySummary() any {
 	m.mu.Lock()
--- a/hoster/stop.go
+++ b/hoster/stop.go
@@ -6,47 +6,61 @@
 
 	"go.uber.org/zap"
 
+	"github.com/jackdawthread/jackdawthread/acceptor"
 	"github.com/jackdawthread/jackdawthread/common/sleeper"
+	"github.com/jackdawthread/jackdawthread/forwarder"
 )
 
 const (
 	// stopMargin is the part of the limit that is reserved for terminating
 	// requests that still run.
 	stopMargin = 700 * time.Millisecond
-	// drainPollPeriod is how often a stopping host checks whether it is idle.
+	// drainPollPeriod is how often a stopping host checks callers' connections.
 	drainPollPeriod = 20 * time.Millisecond
 )
 
-// Stop performs a planned stop. It returns when no request runs any more, or
-// shortly before the limit of the settings.
+// Stop performs a planned stop. It returns when all callers' connections have ended
+// after their answers, or shortly before the limit of the settings.
 func (h *Host) Stop(ctx context.Context) {
 	began := time.Now()
 	h.stopping.Store(true)
 	h.ready.Store(false)
 	h.log.Info("stop-started", zap.Int64("running", h.forwarder.Running()))
-	ctx, cancel := context.WithTimeout(ctx, h.settings.Stop.Limit-stopMargin)
+	plan := forwarder.PlannedStop{
+		Announced: began.Add(h.settings.Stop.Announce),
+		End:       began.Add(h.settings.Stop.Limit - stopMargin),
+	}
+	ctx, cancel := context.WithDeadline(ctx, plan.End)
 	defer cancel()
-	h.forwarder.CloseConnections()
+	h.forwarder.BeginStop(plan)
 	_ = sleeper.Sleep(ctx, h.settings.Stop.Announce) // only the limit can end the wait early
-	if err := h.callers.Shutdown(ctx); err != nil {
-		h.log.Warn("stop-timed-out", zap.Int64("running", h.forwarder.Running()), zap.Error(err))
+	h.acceptor.Drain(time.Now())
+	if err := h.waitForConnections(ctx); err != nil {
+		h.log.Warn("stop-timed-out",
+			zap.Int64("running", h.forwarder.Running()),
+			zap.Int("connections", h.acceptor.Open()),
+			zap.Error(err))
 	}
-	h.waitForRequests(ctx)
 	h.gossiper.Leave(ctx)
 	h.log.Info("stop-completed", zap.Duration("took", time.Since(began)))
 	h.Kill()
 }
 
-func (h *Host) waitForRequests(ctx context.Context) {
-	for h.forwarder.Running() > 0 {
-		if sleeper.Sleep(ctx, drainPollPeriod) != nil {
-			return
+// waitForConnections waits until no caller's connection is open. Running is no
+// substitute: net/http sends the end of an answer after the forwarder has returned.
+func (h *Host) waitForConnections(ctx context.Context) error {
+	for !h.acceptor.Drained() {
+		h.sweepConnections(time.Now())
+		if err := sleeper.Sleep(ctx, drainPollPeriod); err != nil {
+			return err
 		}
 	}
+	return nil
 }
 
 // Kill ends the host at once, as a crash would.
 func (h *Host) Kill() {
+	h.acceptor.CloseAll(acceptor.ReasonKill)
 	_ = h.callers.Close() // connections are closed on purpose
 	h.messenger.Close()
 	h.group.Stop()
