Accept the whole queue of the listener in a planned stop

A busy host lost connections that callers had opened just before a planned stop accepted no more: Drain set one deadline of 50 ms, and a goroutine that ran only after it found it expired and left the queue unread, so the kernel reset these connections.

Now Drain only wakes the accepting goroutine, which accepts until none has come for 50 ms, at most 0.5 s. A listener without deadlines is closed at once, as before, and counts as drained, also if it had failed before.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -57,9 +57,10 @@
 	// drainIdleLimit is the idle limit in a planned stop. A caller that got an answer
 	// without `Connection: close` just before may send its next request in this time.
 	drainIdleLimit = 500 * time.Millisecond
-	// acceptLinger is how long a planned stop still accepts connections, so that those
-	// in the queue of the listener aren't reset.
+	// A planned stop accepts connections until none has come for acceptLinger, so that
+	// those in the queue of the listener aren't reset, and no longer than acceptLimit.
 	acceptLinger = 50 * time.Millisecond
+	acceptLimit  = 500 * time.Millisecond
 )
 
 // Observe is called once for each connection that the host ends by itself. It must
@@ -84,7 +85,9 @@
 	open     map[*Connection]struct{}
 	limits   Limits // of the last sweep
 	draining bool
-	// closed is set once a planned stop accepts no more connections.
+	// acceptUntil is when a planned stop accepts no more connections at the latest.
+	acceptUntil time.Time
+	// closed is set while no more connections are accepted.
 	closed bool
 }
 
@@ -93,37 +96,67 @@
 	return &Acceptor{Listener: ln, observe: observe, open: map[*Connection]struct{}{}}
 }
 
-// Accept implements net.Listener. It returns net.ErrClosed once Drain has closed the
-// listener.
+// Accept implements net.Listener. It returns net.ErrClosed once a planned stop accepts
+// no more connections.
 func (a *Acceptor) Accept() (net.Conn, error) {
-	raw, err := a.Listener.Accept()
-	if err != nil {
-		return nil, a.acceptError(err)
+	for {
+		draining := a.limitAccept(time.Now())
+		raw, err := a.Listener.Accept()
+		if err == nil {
+			return a.add(raw, time.Now()), nil
+		}
+		if !draining && a.isDraining() && errors.Is(err, os.ErrDeadlineExceeded) {
+			continue // Drain has interrupted the wait: accept what is in the queue
+		}
+		return nil, a.stopAccepting(err)
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	now := time.Now()
-	c := &Connection{Conn: raw, acceptor: a, accepted: now, since: now, limit: a.limits.Idle}
-	a.open[c] = struct{}{}
-	return c, nil
 }
 
-// acceptError ends a planned stop's accepting of connections, for which Drain has set
-// a deadline.
-func (a *Acceptor) acceptError(err error) error {
+// limitAccept limits the time of the next Accept, and returns true, in a planned stop.
+func (a *Acceptor) limitAccept(now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.draining {
-		return err
+		return false
+	}
+	end := now.Add(acceptLinger)
+	if a.acceptUntil.Before(end) {
+		end = a.acceptUntil
+	}
+	setAcceptDeadline(a.Listener, end)
+	return true
+}
+
+// setAcceptDeadline closes ln if it doesn't support deadlines.
+func setAcceptDeadline(ln net.Listener, t time.Time) {
+	limited, ok := ln.(interface{ SetDeadline(t time.Time) error })
+	if !ok || limited.SetDeadline(t) != nil {
+		_ = ln.Close() // it may be closed already
 	}
+}
+
+// stopAccepting records that err ended the accepting of connections. It returns the
+// error for the server.
+func (a *Acceptor) stopAccepting(err error) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.closed = true
-	if !errors.Is(err, os.ErrDeadlineExceeded) {
+	if !a.draining {
 		return err
 	}
-	_ = a.Close() // it accepts no more in any case
+	_ = a.Close() // it may be closed already
 	return net.ErrClosed
 }
 
+func (a *Acceptor) add(raw net.Conn, now time.Time) *Connection {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.closed = false // an error before was temporary
+	c := &Connection{Conn: raw, acceptor: a, accepted: now, since: now, limit: a.limits.Idle}
+	a.open[c] = struct{}{}
+	return c
+}
+
 // Context implements http.Server.ConnContext.
 func (a *Acceptor) Context(ctx context.Context, conn net.Conn) context.Context {
 	c, ok := conn.(*Connection)
@@ -179,12 +212,10 @@
 // end connections that have no request, until Drained returns true.
 func (a *Acceptor) Drain(now time.Time) {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.draining = true
-	a.mu.Unlock()
-	ln, ok := a.Listener.(interface{ SetDeadline(t time.Time) error })
-	if !ok || ln.SetDeadline(now.Add(acceptLinger)) != nil {
-		_ = a.Close() // it may be closed already
-	}
+	a.acceptUntil = now.Add(acceptLimit)
+	setAcceptDeadline(a.Listener, expired)
 }
 
 // Drained reports whether a planned stop is complete: no connection is open, and none
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -23,8 +23,7 @@
 // testTimeout bounds how long a test waits for an expected state.
 const testTimeout = 5 * time.Second
 
-// settleTime is how long sent bytes need to arrive, and the server's goroutine to
-// wait for the next request after an answer.
+// settleTime is how long sent bytes need to arrive.
 const settleTime = 20 * time.Millisecond
 
 // server is an HTTP server behind an Acceptor.
@@ -32,29 +31,34 @@
 	is       *is.I
 	acceptor *acceptor.Acceptor
 	address  string
+	// reads counts the reads that have begun on all connections, without those with
+	// which net/http watches for a disconnect.
+	reads atomic.Int32
 
 	mu       sync.Mutex
 	closings []*acceptor.Closing
 }
 
-// startServer starts a server. wrap, if not nil, wraps its listener.
-func startServer(t *testing.T, h http.Handler, wrap func(net.Listener) net.Listener) *server {
+// startServer starts a server whose connections' reads, and its listener, g holds
+// back; g may be nil.
+func startServer(t *testing.T, h http.Handler, g *gate) *server {
 	t.Helper()
 	s := &server{is: is.New(t)}
 	ln, err := socket.Listen(context.Background(), "127.0.0.1:0")
 	s.is.NoErr(err)
 	s.address = ln.Addr().String()
-	if wrap != nil {
-		ln = wrap(ln)
+	if g == nil {
+		g = &gate{}
 	}
-	s.acceptor = acceptor.New(ln, s.observe)
+	g.TCPListener, g.reads = ln.(*net.TCPListener), &s.reads
+	s.acceptor = acceptor.New(g, s.observe)
 	hs := &http.Server{Handler: s.acceptor.Handler(h), ConnContext: s.acceptor.Context, ConnState: s.acceptor.ObserveState}
-	g := grouper.New(context.Background())
-	g.Run(func(context.Context) { _ = hs.Serve(s.acceptor) }) // ends with an error when it is closed
+	group := grouper.New(context.Background())
+	group.Run(func(context.Context) { _ = hs.Serve(s.acceptor) }) // ends with an error when it is closed
 	t.Cleanup(func() {
 		_ = hs.Close()
-		g.Stop()
-		_ = g.Wait() // the group's functions return no error
+		group.Stop()
+		_ = group.Wait() // its functions return no error
 	})
 	return s
 }
@@ -119,19 +123,24 @@
 	})
 }
 
-// gate holds back the reads of a listener's connections.
+// gate is a listener that can hold back its connections' reads.
 type gate struct {
-	net.Listener
-	// before and after, if not nil, are called around each read that returns data.
-	before, after func()
+	*net.TCPListener
+	reads *atomic.Int32
+	// accept is called before each Accept, before and after around each read, after
+	// only if it returns data. Each may be nil.
+	accept, before, after func()
 }
 
 func (g *gate) Accept() (net.Conn, error) {
-	c, err := g.Listener.Accept()
+	if g.accept != nil {
+		g.accept()
+	}
+	c, err := g.AcceptTCP()
 	if err != nil {
 		return nil, err
 	}
-	return &gatedConnection{TCPConn: c.(*net.TCPConn), gate: g}, nil
+	return &gatedConnection{TCPConn: c, gate: g}, nil
 }
 
 type gatedConnection struct {
@@ -140,16 +149,30 @@
 }
 
 func (c *gatedConnection) Read(b []byte) (int, error) {
-	if c.gate.before != nil && len(b) > 1 {
+	if len(b) == 1 { // net/http watches for a disconnect
+		return c.TCPConn.Read(b)
+	}
+	c.gate.reads.Add(1)
+	if c.gate.before != nil {
 		c.gate.before()
 	}
 	n, err := c.TCPConn.Read(b)
-	if c.gate.after != nil && len(b) > 1 && n > 0 {
+	if c.gate.after != nil && n > 0 {
 		c.gate.after()
 	}
 	return n, err
 }
 
+// awaitReads waits until n reads have begun: what was read before has been handled.
+func (s *server) awaitReads(t *testing.T, n int32) {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); s.reads.Load() < n; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d reads have begun, want %d", s.reads.Load(), n)
+		}
+	}
+}
+
 // limits are the limits of most tests.
 var limits = acceptor.Limits{Idle: time.Second, Header: time.Second}
 
@@ -219,11 +242,11 @@
 func TestRequestsThatMeetTheIdleLimit(t *testing.T) {
 	t.Run("are answered if they were read, but not parsed yet", func(t *testing.T) {
 		after, held, release := holdNth(2) // the second request's bytes are in memory
-		s := startServer(t, answer, func(ln net.Listener) net.Listener { return &gate{Listener: ln, after: after} })
+		s := startServer(t, answer, &gate{after: after})
 		c := s.call(t)
 		c.send()
 		c.assertAnswered(false)
-		time.Sleep(settleTime)
+		s.awaitReads(t, 2)
 		c.send()
 		await(t, held)
 		s.acceptor.Sweep(later(), limits)
@@ -233,7 +256,7 @@
 	})
 	t.Run("are answered if they wait in the socket", func(t *testing.T) {
 		before, held, release := holdNth(2) // the second request isn't read for now
-		s := startServer(t, answer, func(ln net.Listener) net.Listener { return &gate{Listener: ln, before: before} })
+		s := startServer(t, answer, &gate{before: before})
 		c := s.call(t)
 		c.send()
 		c.assertAnswered(false)
@@ -274,6 +297,7 @@
 		c := s.call(t)
 		c.send()
 		c.assertAnswered(false)
+		s.awaitReads(t, 2)
 		return c
 	}
 	t.Run("end after the limit", func(t *testing.T) {
@@ -282,7 +306,7 @@
 		s.acceptor.Sweep(time.Now(), limits)
 		c.send()
 		c.assertAnswered(false) // still open
-		time.Sleep(settleTime)
+		s.awaitReads(t, 3)
 		s.acceptor.Sweep(later(), limits)
 		c.assertEnded()
 		s.is.Equal(s.reasons(), []acceptor.Reason{acceptor.ReasonIdle})
@@ -290,18 +314,16 @@
 	t.Run("keep the limit under which they became idle when it is lowered", func(t *testing.T) {
 		s := startServer(t, answer, nil)
 		c := answered(t, s, acceptor.Limits{Idle: time.Minute, Header: time.Second})
-		time.Sleep(settleTime)
 		s.acceptor.Sweep(time.Now().Add(30*time.Second), limits)
 		c.send()
 		c.assertAnswered(false)
-		time.Sleep(settleTime)
+		s.awaitReads(t, 3)
 		s.acceptor.Sweep(time.Now().Add(30*time.Second), limits) // the lower limit applies from now on
 		c.assertEnded()
 	})
 	t.Run("get a limit that is raised", func(t *testing.T) {
 		s := startServer(t, answer, nil)
 		c := answered(t, s, limits)
-		time.Sleep(settleTime)
 		s.acceptor.Sweep(time.Now().Add(30*time.Second), acceptor.Limits{Idle: time.Minute, Header: time.Second})
 		c.send()
 		c.assertAnswered(false)
@@ -331,16 +353,12 @@
 	// begin sends the beginning of a request, and returns when it has been read.
 	begin := func(t *testing.T, l acceptor.Limits) (*server, *caller) {
 		t.Helper()
-		read := make(chan struct{}, 2)
-		s := startServer(t, answer, func(ln net.Listener) net.Listener {
-			return &gate{Listener: ln, after: func() { read <- struct{}{} }}
-		})
+		s := startServer(t, answer, nil)
 		s.acceptor.Sweep(time.Now(), l)
 		c := s.call(t)
 		_, err := fmt.Fprint(c.conn, "GET / HTTP/1.1\r\nHo")
 		s.is.NoErr(err)
-		await(t, read)
-		time.Sleep(settleTime)
+		s.awaitReads(t, 2)
 		return s, c
 	}
 	// finish sends the rest of the request.
@@ -398,6 +416,7 @@
 		s.acceptor.Drain(time.Now())
 		finish <- struct{}{}
 		c.assertAnswered(false)
+		s.awaitReads(t, 2)
 		s.acceptor.Sweep(time.Now(), limits)
 		c.send()
 		await(t, running)
@@ -407,7 +426,7 @@
 	})
 	t.Run("answers a request that has been read, but not parsed yet", func(t *testing.T) {
 		after, held, release := holdNth(1)
-		s := startServer(t, answer, func(ln net.Listener) net.Listener { return &gate{Listener: ln, after: after} })
+		s := startServer(t, answer, &gate{after: after})
 		c := s.call(t)
 		c.send()
 		await(t, held)
@@ -419,7 +438,7 @@
 	})
 	t.Run("answers a request on a connection in the listener's queue", func(t *testing.T) {
 		accept, held, release := holdNth(1)
-		s := startServer(t, answer, func(ln net.Listener) net.Listener { return &slowListener{Listener: ln, before: accept} })
+		s := startServer(t, answer, &gate{accept: accept})
 		await(t, held)
 		c := s.call(t)
 		c.send()
@@ -433,7 +452,7 @@
 		unused, used := s.call(t), s.call(t)
 		used.send()
 		used.assertAnswered(false)
-		s.awaitOpen(t, 2)
+		s.awaitReads(t, 3)
 		s.acceptor.Drain(time.Now())
 		s.acceptor.Sweep(later(), limits)
 		unused.assertEnded()
@@ -445,21 +464,6 @@
 	})
 }
 
-// slowListener calls before ahead of each Accept.
-type slowListener struct {
-	net.Listener
-	before func()
-}
-
-func (l *slowListener) Accept() (net.Conn, error) {
-	l.before()
-	return l.Listener.Accept()
-}
-
-func (l *slowListener) SetDeadline(t time.Time) error {
-	return l.Listener.(*net.TCPListener).SetDeadline(t)
-}
-
 // awaitDrained sweeps until the planned stop is complete.
 func (s *server) awaitDrained(t *testing.T) {
 	t.Helper()
