Drop no request that a stopping host's own protocol has read

Callers of package server's interface over HTTP/1.1 got a closed connection instead of an answer when their request arrived on an open connection during a planned stop.

Listener.Stop called http.Server.Shutdown, after which net/http drops the requests that it reads, and closes connections by its own state.

Now a Listener without TLS accepts through acceptor too, ends its HTTP/1.1 connections between requests first, and then calls Shutdown for those of HTTP/2, whose callers are told to go by GOAWAY, at their next answer or by Shutdown. HTTP/2 is recognized by its preface and otherwise left to net/http.

Remains: with TLS, HTTP/1.1 connections are still closed by Shutdown; for HTTP/2, a request that the reader has taken while Shutdown closes the idle connection.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -12,8 +12,11 @@
 //	}
 //	err := server.Serve(a)
 //
-// The server must have no timeouts for reading: the limits given to Sweep replace
-// them. It serves HTTP/1.1 only.
+// The limits given to Sweep replace the server's timeouts for reading.
+//
+// With AllowHTTP2, connections that begin with the preface of HTTP/2 are left to the
+// server, also its timeouts and their closing by http.Server.Shutdown, which is called
+// after the others have ended. Other protocols, such as TLS, must not use an Acceptor.
 //
 // # How a connection ends
 //
@@ -79,7 +82,8 @@
 // concurrent use.
 type Acceptor struct {
 	net.Listener
-	observe Observe
+	observe    Observe
+	allowHTTP2 bool
 
 	mu       sync.Mutex
 	open     map[*Connection]struct{}
@@ -96,6 +100,11 @@
 	return &Acceptor{Listener: ln, observe: observe, open: map[*Connection]struct{}{}}
 }
 
+// AllowHTTP2 lets callers use HTTP/2 without TLS. It must be called before Accept.
+func (a *Acceptor) AllowHTTP2() {
+	a.allowHTTP2 = true
+}
+
 // Accept implements net.Listener. It returns net.ErrClosed once a planned stop accepts
 // no more connections.
 func (a *Acceptor) Accept() (net.Conn, error) {
@@ -218,12 +227,20 @@
 	setAcceptDeadline(a.Listener, expired)
 }
 
-// Drained reports whether a planned stop is complete: no connection is open, and none
-// will be accepted.
+// Drained reports whether a planned stop is complete: no connection is open, except
+// those of HTTP/2, and none will be accepted.
 func (a *Acceptor) Drained() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.closed && len(a.open) == 0
+	if !a.closed {
+		return false
+	}
+	for c := range a.open {
+		if !c.isHTTP2.Load() {
+			return false
+		}
+	}
+	return true
 }
 
 // CloseAll closes all connections at once, whether or not they have requests.
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackdawthread/jackdawthread/common/socket"
@@ -56,15 +57,26 @@
 	// cancel ends the contexts of the connection's requests.
 	cancel context.CancelCauseFunc
 	closed bool
+
+	// isHTTP2 is set once the beginning of http2Preface was read, if the Acceptor allows
+	// HTTP/2. The other fields then have no effect.
+	isHTTP2 atomic.Bool
+	// beginning holds the first bytes that were read, as many as http2Preface has.
+	beginning []byte
+	// deadline is the last one that net/http set outside of phaseServing.
+	deadline time.Time
 }
 
+// http2Preface is how a connection of HTTP/2 begins, and no request of HTTP/1.1.
+const http2Preface = "PRI"
+
 // Read implements net.Conn. It returns io.EOF if the connection was asked to end and
 // has no request.
 func (c *Connection) Read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
 		if n > 0 {
-			c.noteRead(time.Now(), len(b))
+			c.noteRead(time.Now(), b[:n], len(b))
 			return n, err
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -80,20 +92,36 @@
 	}
 }
 
-// noteRead records that bytes were read into a buffer of the given size.
-func (c *Connection) noteRead(now time.Time, size int) {
+// noteRead records that b was read into a buffer of the given size.
+func (c *Connection) noteRead(now time.Time, b []byte, size int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch c.phase {
-	case phaseWaiting:
+	c.recognize(b)
+	switch {
+	case c.isHTTP2.Load():
+	case c.phase == phaseWaiting:
 		c.last = c.asked != ""
 		c.startHeader(now, c.acceptor.currentLimits())
-	case phaseServing:
+	case c.phase == phaseServing:
 		// net/http watches for the caller's disconnect with reads of one byte.
 		c.readAhead = c.readAhead || size == 1
 	}
 }
 
+// recognize sets isHTTP2 from the connection's first bytes. The caller holds the lock.
+func (c *Connection) recognize(b []byte) {
+	missing := len(http2Preface) - len(c.beginning)
+	if !c.acceptor.allowHTTP2 || missing == 0 {
+		return
+	}
+	c.beginning = append(c.beginning, b[:min(missing, len(b))]...)
+	if string(c.beginning) != http2Preface {
+		return
+	}
+	c.isHTTP2.Store(true)
+	_ = c.Conn.SetReadDeadline(c.deadline) // fails only if the connection is closed
+}
+
 // startHeader begins phaseHeader. The caller holds the lock.
 func (c *Connection) startHeader(now time.Time, l Limits) {
 	c.enter(phaseHeader, now, l.Header)
@@ -112,6 +140,9 @@
 func (c *Connection) startServing() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.isHTTP2.Load() {
+		return
+	}
 	c.enter(phaseServing, time.Now(), 0)
 	_ = c.Conn.SetReadDeadline(time.Time{}) // fails only if the connection is closed
 }
@@ -120,6 +151,9 @@
 func (c *Connection) startWaiting(now time.Time, l Limits) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.isHTTP2.Load() {
+		return
+	}
 	if c.readAhead {
 		c.readAhead = false
 		c.startHeader(now, l)
@@ -132,6 +166,9 @@
 func (c *Connection) check(now time.Time, l Limits, draining bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.isHTTP2.Load() {
+		return
+	}
 	var reason Reason
 	switch c.phase {
 	case phaseWaiting:
@@ -159,7 +196,7 @@
 func (c *Connection) decide(now time.Time) (closing *Closing, readAgain bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == phaseServing || c.closed {
+	if c.phase == phaseServing || c.isHTTP2.Load() || c.closed {
 		return nil, false
 	}
 	_ = c.Conn.SetReadDeadline(time.Time{}) // fails only if the connection is closed
@@ -218,11 +255,12 @@
 }
 
 // SetReadDeadline implements net.Conn. Outside of phaseServing, the deadline is
-// under the control of this package, and t, which is zero there, is ignored.
+// under the control of this package, and t is ignored.
 func (c *Connection) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase != phaseServing {
+	if c.phase != phaseServing && !c.isHTTP2.Load() {
+		c.deadline = t
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
--- a/server/listener.go
+++ b/server/listener.go
@@ -11,7 +11,9 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"github.com/jackdawthread/jackdawthread/acceptor"
 	"github.com/jackdawthread/jackdawthread/common/grouper"
+	"github.com/jackdawthread/jackdawthread/common/sleeper"
 )
 
 // ListenerOptions limits how long a connection can hold resources.
@@ -41,9 +43,19 @@
 // Listener serves a handler on one address, over HTTP/1.1 and HTTP/2.
 type Listener struct {
 	server *http.Server
-	log    *zap.Logger
+	// acceptor ends the connections of HTTP/1.1; nil with TLS.
+	acceptor *acceptor.Acceptor
+	limits   acceptor.Limits
+	log      *zap.Logger
 }
 
+const (
+	// sweepPeriod is the time between two checks of connections for their limits, and
+	// drainPollPeriod the one in a planned stop.
+	sweepPeriod     = time.Second
+	drainPollPeriod = 20 * time.Millisecond
+)
+
 // Listen starts serving h on ln in a goroutine of g.
 func Listen(g *grouper.Group, ln net.Listener, h http.Handler, o ListenerOptions, log *zap.Logger) *Listener {
 	protocols := new(http.Protocols)
@@ -51,7 +63,8 @@
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
 	l := &Listener{
-		log: log,
+		log:    log,
+		limits: acceptor.Limits{Idle: o.IdleTimeout, Header: o.HeaderTimeout},
 		server: &http.Server{
 			Handler:           limitTime(h, o),
 			ReadHeaderTimeout: o.HeaderTimeout,
@@ -61,10 +74,38 @@
 			ErrorLog:          zap.NewStdLog(log),
 		},
 	}
+	if o.TLS == nil {
+		ln = l.useAcceptor(g, ln)
+	}
 	g.Go(func(context.Context) error { return l.serve(ln) })
 	return l
 }
 
+// useAcceptor makes l accept connections from ln by an Acceptor, and returns it.
+func (l *Listener) useAcceptor(g *grouper.Group, ln net.Listener) net.Listener {
+	l.acceptor = acceptor.New(ln, l.observeClosing)
+	l.acceptor.AllowHTTP2()
+	l.acceptor.Sweep(time.Now(), l.limits)
+	l.server.Handler = l.acceptor.Handler(l.server.Handler)
+	l.server.ConnContext = l.acceptor.Context
+	l.server.ConnState = l.acceptor.ObserveState
+	g.Run(func(ctx context.Context) {
+		for sleeper.Sleep(ctx, sweepPeriod) == nil {
+			l.acceptor.Sweep(time.Now(), l.limits)
+		}
+	})
+	return l.acceptor
+}
+
+func (l *Listener) observeClosing(c *acceptor.Closing) {
+	l.log.Debug("caller-connection-closed",
+		zap.String("reason", string(c.Reason)),
+		zap.String("remote", c.Remote),
+		zap.Duration("age", c.Age),
+		zap.Duration("idle", c.Idle),
+		zap.Duration("limit", c.Limit))
+}
+
 func (l *Listener) serve(ln net.Listener) error {
 	var err error
 	if l.server.TLSConfig != nil {
@@ -72,7 +113,7 @@
 	} else {
 		err = l.server.Serve(ln)
 	}
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return eris.Wrapf(err, "listener on %s failed", ln.Addr())
@@ -81,6 +122,7 @@
 // Stop stops accepting connections and waits until all requests are answered. If
 // ctx ends first, it closes the remaining connections.
 func (l *Listener) Stop(ctx context.Context) error {
+	l.drain(ctx)
 	err := l.server.Shutdown(ctx)
 	if err != nil {
 		_ = l.server.Close() // the error of Shutdown is more informative
@@ -88,6 +130,22 @@
 	return err
 }
 
+// drain ends the connections of HTTP/1.1 after their answers: once Shutdown is called,
+// net/http drops the requests that it reads from them. Those of HTTP/2 are told to
+// use another connection by their next answer, the others by Shutdown.
+func (l *Listener) drain(ctx context.Context) {
+	if l.acceptor == nil {
+		return
+	}
+	l.acceptor.Drain(time.Now())
+	for !l.acceptor.Drained() {
+		l.acceptor.Sweep(time.Now(), l.limits)
+		if sleeper.Sleep(ctx, drainPollPeriod) != nil {
+			return // Shutdown reports it
+		}
+	}
+}
+
 // Close closes the listener and all connections immediately.
 func (l *Listener) Close() {
 	_ = l.server.Close() // there is no way to handle an error here
