Test that a planned stop waits for the end of an answer

The forwarder counts a request as ended before net/http sends the end of its answer, so a stop must not go by that count. http.Server.Shutdown waited for it, and so does acceptor; now a test holds the write back and checks it.

--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -127,9 +127,9 @@
 type gate struct {
 	*net.TCPListener
 	reads *atomic.Int32
-	// accept is called before each Accept, before and after around each read, after
-	// only if it returns data. Each may be nil.
-	accept, before, after func()
+	// accept is called before each Accept, write before each Write, before and after
+	// around each read, after only if it returns data. Each may be nil.
+	accept, write, before, after func()
 }
 
 func (g *gate) Accept() (net.Conn, error) {
@@ -163,6 +163,13 @@
 	return n, err
 }
 
+func (c *gatedConnection) Write(b []byte) (int, error) {
+	if c.gate.write != nil {
+		c.gate.write()
+	}
+	return c.TCPConn.Write(b)
+}
+
 // awaitReads waits until n reads have begun: what was read before has been handled.
 func (s *server) awaitReads(t *testing.T, n int32) {
 	t.Helper()
@@ -447,6 +454,20 @@
 		c.assertAnswered(true)
 		s.awaitDrained(t)
 	})
+	t.Run("waits until the end of an answer is sent", func(t *testing.T) {
+		write, held, release := holdNth(1) // net/http sends it after the handler has returned
+		s := startServer(t, answer, &gate{write: write})
+		c := s.call(t)
+		c.send()
+		await(t, held)
+		s.acceptor.Drain(time.Now())
+		time.Sleep(100 * time.Millisecond) // the listener is closed
+		s.acceptor.Sweep(later(), limits)
+		s.is.True(!s.acceptor.Drained())
+		release()
+		c.assertAnswered(false)
+		s.awaitDrained(t)
+	})
 	t.Run("ends connections without a request, and accepts no more", func(t *testing.T) {
 		s := startServer(t, answer, nil)
 		unused, used := s.call(t), s.call(t)
