Pass changes on to followers that a listing contained early

What callers may see: a host that follows another one never learns of an endpoint, or of another change, until the item changes again or the host lists the store itself; it may refuse requests, or use an endpoint's old state.

When the store's watch then reports that item, it has no effect at the host that listed it, and Replica.apply returned before it was added to the log for peers. A peer at revision 5 then got revision 6 without the change.

The new subtest failed on the old code ("a=1 != a=1 b=1") and passes now. Ruled out: taking the revision of the last page instead, which would lose changes to the first ones.

--- a/replicator/replica.go
+++ b/replicator/replica.go
@@ -144,12 +144,23 @@
 		applied = append(applied, Change{Item: old, Deleted: true})
 	}
 	r.revision = c.Revision
-	// A listing has the current items, but not the changes that led to them.
-	r.log = nil
-	r.logStart = c.Revision
+	r.startLog(c)
 	return applied
 }
 
+// startLog starts the log anew: a listing has the current items, but not the changes
+// that led to them. Items that it contained early stay in the log, as they have no
+// effect when they arrive as changes. r.mu must be held.
+func (r *Replica) startLog(listing ChangeSet) {
+	r.log = nil
+	r.logStart = listing.Revision
+	for _, c := range listing.Changes {
+		if c.Revision > r.logStart {
+			r.appendLog(c)
+		}
+	}
+}
+
 // appendLog keeps a change for peers; r.mu must be held. Changes arrive in
 // order, except for those that a listing contained early.
 func (r *Replica) appendLog(c Change) {
--- a/replicator/replica_test.go
+++ b/replicator/replica_test.go
@@ -73,6 +73,16 @@
 		i.True(!r.Since(5).Complete)
 		i.Equal(len(r.Since(5).Changes), 0)
 	})
+	t.Run("passes on changes that a listing contained early", func(t *testing.T) {
+		i := is.New(t)
+		r, follower := replicator.NewReplica(), replicator.NewReplica()
+		first := put("a", "1", 5)
+		r.Apply(replicator.ChangeSet{Revision: 5, Complete: true, Changes: []replicator.Change{first, put("b", "1", 6)}})
+		follower.Apply(replicator.ChangeSet{Revision: 5, Complete: true, Changes: []replicator.Change{first}})
+		r.Apply(changes(6, put("b", "1", 6)))
+		follower.Apply(r.Since(5))
+		i.Equal(keys(follower), "a=1 b=1 ")
+	})
 }
 
 // modelStore is a reference store with its complete history.
