--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -270,7 +270,7 @@
 // this host has no data yet.
 func (h *Host) serve(l *listeners) {
 	p := &peers{messenger: h.messenger, gossiper: h.gossiper, self: h.incarnation, dataCenter: h.settings.DataCenter}
-	p.answer = func(ctx context.Context, after identifier.Revision, wait time.Duration) replicator.ChangeSet {
+	p.answer = func(ctx context.Context, after identifier.Position, wait time.Duration) replicator.ChangeSet {
 		return h.replicator.Load().WaitForChanges(ctx, after, wait)
 	}
 	h.messenger.Handle(peerwire.KindChanges, p.handleChanges)
@@ -279,9 +279,12 @@
 		Peers:      p,
 		ReadsStore: p.ReadsStore,
 		OnChange:   h.applyItems,
-		Timer:      h.timer,
-		Group:      h.group,
-		Log:        h.log,
+		Permanent: func(known, restored replicator.Item) bool {
+			return isFinal(h.deps.Platform.Read, known, restored)
+		},
+		Timer: h.timer,
+		Group: h.group,
+		Log:   h.log,
 	}, replicator.DefaultOptions())
 	h.replicator.Store(r)
 	h.messenger.Serve(l.peers)
@@ -359,7 +362,7 @@
 	if r == nil { // the host is starting
 		return reserver.Knowledge{Age: math.MaxInt64}
 	}
-	return reserver.Knowledge{Revision: r.Replica().Revision(), Age: r.Age()}
+	return reserver.Knowledge{Revision: r.Replica().Position().Revision, Age: r.Age()}
 }
 
 // Endpoints returns the number of registered endpoints.
--- a/hoster/item_cache_test.go
+++ b/hoster/item_cache_test.go
@@ -55,6 +55,15 @@
 			i.Equal(e.StartID == 2, e.Name == "e7")
 		}
 	})
+	t.Run("parses an item again whose revision was given out twice", func(t *testing.T) {
+		i := is.New(t)
+		c, r := itemCache{}, &reader{}
+		all := items(3)
+		c.update(all, r.read, never)
+		all[1].Value = []byte("other") // of a later era
+		c.update(all, r.read, never)
+		i.Equal(r.count, 4)
+	})
 	t.Run("drops deleted items", func(t *testing.T) {
 		i := is.New(t)
 		c, r := itemCache{}, &reader{}
@@ -86,3 +95,33 @@
 		i.Equal(d.Version, identifier.Revision(4))
 	})
 }
+
+func TestIsFinal(t *testing.T) {
+	endpoint := func(leaving bool, startID int64) *registrar.Endpoint {
+		return &registrar.Endpoint{Leaving: leaving, StartID: startID}
+	}
+	cases := []struct {
+		name            string
+		known, restored *registrar.Endpoint
+		want            bool
+	}{
+		{"an endpoint that leaves", endpoint(true, 1), endpoint(false, 1), true},
+		{"an endpoint that serves", endpoint(false, 1), endpoint(false, 1), false},
+		{"an endpoint that leaves and an earlier start", endpoint(true, 2), endpoint(false, 1), false},
+		{"an endpoint that leaves and an unreadable entry", endpoint(true, 1), nil, false},
+		{"an unreadable entry", nil, endpoint(false, 1), false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			read := func(i replicator.Item) (*registrar.Declarations, *registrar.Endpoint, error) {
+				e := map[string]*registrar.Endpoint{"known": c.known, "restored": c.restored}[i.Key]
+				if e == nil {
+					return nil, nil, errUnreadable
+				}
+				return nil, e, nil
+			}
+			got := isFinal(read, replicator.Item{Key: "known"}, replicator.Item{Key: "restored"})
+			is.New(t).Equal(got, c.want)
+		})
+	}
+}
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -22,7 +22,7 @@
 	gossiper   *gossiper.Gossiper
 	self       identifier.Incarnation
 	dataCenter identifier.DataCenter
-	answer     func(ctx context.Context, after identifier.Revision, wait time.Duration) replicator.ChangeSet
+	answer     func(ctx context.Context, after identifier.Position, wait time.Duration) replicator.ChangeSet
 }
 
 // readersKey is the rendezvous key that selects the hosts that read the store.
@@ -36,22 +36,26 @@
 }
 
 // Query implements replicator.Peers: it queries a random live host.
-func (p *peers) Query(ctx context.Context, after identifier.Revision) (replicator.ChangeSet, error) {
+func (p *peers) Query(ctx context.Context, after identifier.Position) (replicator.ChangeSet, error) {
 	at, ok := p.randomPeer()
 	if !ok {
 		return replicator.ChangeSet{}, errNoPeer
 	}
-	return p.call(ctx, at, &peerwire.ChangesRequest{After: after})
+	return p.call(ctx, at, changesRequest(after, 0))
 }
 
 // Follow implements replicator.Peers: it waits at the reader of this host's data
 // center.
-func (p *peers) Follow(ctx context.Context, after identifier.Revision, wait time.Duration) (replicator.ChangeSet, error) {
+func (p *peers) Follow(ctx context.Context, after identifier.Position, wait time.Duration) (replicator.ChangeSet, error) {
 	at, ok := p.gossiper.View().Owner(p.dataCenter, readersKey)
 	if !ok {
 		return replicator.ChangeSet{}, errNoPeer
 	}
-	return p.call(ctx, at, &peerwire.ChangesRequest{After: after, WaitMs: uint32(wait.Milliseconds())})
+	return p.call(ctx, at, changesRequest(after, wait))
+}
+
+func changesRequest(after identifier.Position, wait time.Duration) *peerwire.ChangesRequest {
+	return &peerwire.ChangesRequest{After: after.Revision, Era: after.Era, WaitMs: uint32(wait.Milliseconds())}
 }
 
 var errNoPeer = classifier.NotRun(classifier.ReasonHostUnreachable, 0, "no other host is known")
@@ -87,20 +91,27 @@
 		return nil, classifier.NotRun(classifier.ReasonBadRequest, 0, "malformed query for changes: %w", err)
 	}
 	wait := min(maxPeerWait, time.Duration(request.WaitMs)*time.Millisecond)
-	return encodeChanges(p.answer(ctx, request.After, wait)), nil
+	after := identifier.Position{Era: request.Era, Revision: request.After}
+	return encodeChanges(p.answer(ctx, after, wait)), nil
 }
 
 // maxPeerWait bounds how long this host holds a peer's query open.
 const maxPeerWait = 10 * time.Second
 
 func encodeChanges(c replicator.ChangeSet) *peerwire.ChangesReply {
-	reply := &peerwire.ChangesReply{Revision: c.Revision, Snapshot: c.Complete, AgeMs: uint32(c.Age.Milliseconds())}
+	reply := &peerwire.ChangesReply{
+		Revision: c.Position.Revision,
+		Era:      c.Position.Era,
+		Snapshot: c.Complete,
+		AgeMs:    uint32(c.Age.Milliseconds()),
+	}
 	for _, change := range c.Changes {
 		reply.Changes = append(reply.Changes, peerwire.StoreItem{
 			Key:      change.Key,
 			Value:    change.Value,
 			Revision: change.Revision,
 			Deleted:  change.Deleted,
+			Era:      change.Era,
 		})
 	}
 	return reply
@@ -108,13 +119,13 @@
 
 func decodeChanges(reply *peerwire.ChangesReply) replicator.ChangeSet {
 	c := replicator.ChangeSet{
-		Revision: reply.Revision,
+		Position: identifier.Position{Era: reply.Era, Revision: reply.Revision},
 		Complete: reply.Snapshot,
 		Age:      time.Duration(reply.AgeMs) * time.Millisecond,
 	}
 	for _, i := range reply.Changes {
 		c.Changes = append(c.Changes, replicator.Change{
-			Item:    replicator.Item{Key: i.Key, Value: i.Value, Revision: i.Revision},
+			Item:    replicator.Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Era: i.Era},
 			Deleted: i.Deleted,
 		})
 	}
--- a/peerwire/changes.go
+++ b/peerwire/changes.go
@@ -3,14 +3,17 @@
 import "github.com/jackdawthread/jackdawthread/common/identifier"
 
 //msgp:replace identifier.Revision with:uint64
+//msgp:replace identifier.Era with:uint64
 
 //go:generate go tool msgp -file changes.go -tests=false
 
-// ChangesRequest requests the changes of the configuration store after a revision
+// ChangesRequest requests the changes of the configuration store after a position
 // from a peer.
 type ChangesRequest struct {
 	// After is the store revision that the requester has, or 0 if it has none.
 	After identifier.Revision `msg:"after"`
+	// Era is the store's era at After. Builds that know no eras leave it out.
+	Era identifier.Era `msg:"era"`
 	// WaitMs is how long the peer may wait for a newer revision in
 	// milliseconds. If 0, it replies immediately.
 	WaitMs uint32 `msg:"wait-ms"`
@@ -18,9 +21,10 @@
 
 // ChangesReply replies to a ChangesRequest.
 type ChangesReply struct {
-	// Revision is the store revision that the peer has. If it is not newer
-	// than the requester's, the other fields are empty.
+	// Revision is the store revision that the peer has, and Era the store's era
+	// at it. If they are not newer than the requester's, the other fields are empty.
 	Revision identifier.Revision `msg:"revision"`
+	Era      identifier.Era      `msg:"era"`
 	// Snapshot is set if Changes is a snapshot of all existing items.
 	Snapshot bool `msg:"whole"`
 	// AgeMs is the time since the store confirmed Revision in milliseconds.
@@ -34,4 +38,7 @@
 	Value    []byte              `msg:"value"`
 	Revision identifier.Revision `msg:"revision"`
 	Deleted  bool                `msg:"deleted"`
+	// Era is the era in which the item is known to have been written; 0 if that
+	// isn't known.
+	Era identifier.Era `msg:"era"`
 }
--- a/peerwire/changes_gen.go
+++ b/peerwire/changes_gen.go
@@ -35,6 +35,16 @@
 				}
 				z.Revision = identifier.Revision(zb0002)
 			}
+		case "era":
+			{
+				var zb0003 uint64
+				zb0003, err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "Era")
+					return
+				}
+				z.Era = identifier.Era(zb0003)
+			}
 		case "whole":
 			z.Snapshot, err = dc.ReadBool()
 			if err != nil {
@@ -48,16 +58,16 @@
 				return
 			}
 		case "changes":
-			var zb0003 uint32
-			zb0003, err = dc.ReadArrayHeader()
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Changes")
 				return
 			}
-			if cap(z.Changes) >= int(zb0003) {
-				z.Changes = (z.Changes)[:zb0003]
+			if cap(z.Changes) >= int(zb0004) {
+				z.Changes = (z.Changes)[:zb0004]
 			} else {
-				z.Changes = make([]StoreItem, zb0003)
+				z.Changes = make([]StoreItem, zb0004)
 			}
 			for za0001 := range z.Changes {
 				err = z.Changes[za0001].DecodeMsg(dc)
@@ -79,9 +89,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *ChangesReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
+	// map header, size 5
 	// write "revision"
-	err = en.Append(0x84, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	err = en.Append(0x85, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
 	if err != nil {
 		return
 	}
@@ -90,6 +100,16 @@
 		err = msgp.WrapError(err, "Revision")
 		return
 	}
+	// write "era"
+	err = en.Append(0xa3, 0x65, 0x72, 0x61)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(uint64(z.Era))
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
 	// write "whole"
 	err = en.Append(0xa5, 0x77, 0x68, 0x6f, 0x6c, 0x65)
 	if err != nil {
@@ -133,10 +153,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ChangesReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "revision"
-	o = append(o, 0x84, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	o = append(o, 0x85, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendUint64(o, uint64(z.Revision))
+	// string "era"
+	o = append(o, 0xa3, 0x65, 0x72, 0x61)
+	o = msgp.AppendUint64(o, uint64(z.Era))
 	// string "whole"
 	o = append(o, 0xa5, 0x77, 0x68, 0x6f, 0x6c, 0x65)
 	o = msgp.AppendBool(o, z.Snapshot)
@@ -184,6 +207,16 @@
 				}
 				z.Revision = identifier.Revision(zb0002)
 			}
+		case "era":
+			{
+				var zb0003 uint64
+				zb0003, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Era")
+					return
+				}
+				z.Era = identifier.Era(zb0003)
+			}
 		case "whole":
 			z.Snapshot, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -197,16 +230,16 @@
 				return
 			}
 		case "changes":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Changes")
 				return
 			}
-			if cap(z.Changes) >= int(zb0003) {
-				z.Changes = (z.Changes)[:zb0003]
+			if cap(z.Changes) >= int(zb0004) {
+				z.Changes = (z.Changes)[:zb0004]
 			} else {
-				z.Changes = make([]StoreItem, zb0003)
+				z.Changes = make([]StoreItem, zb0004)
 			}
 			for za0001 := range z.Changes {
 				bts, err = z.Changes[za0001].UnmarshalMsg(bts)
@@ -229,7 +262,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ChangesReply) Msgsize() (s int) {
-	s = 1 + 9 + msgp.Uint64Size + 6 + msgp.BoolSize + 7 + msgp.Uint32Size + 8 + msgp.ArrayHeaderSize
+	s = 1 + 9 + msgp.Uint64Size + 4 + msgp.Uint64Size + 6 + msgp.BoolSize + 7 + msgp.Uint32Size + 8 + msgp.ArrayHeaderSize
 	for za0001 := range z.Changes {
 		s += z.Changes[za0001].Msgsize()
 	}
@@ -264,6 +297,16 @@
 				}
 				z.After = identifier.Revision(zb0002)
 			}
+		case "era":
+			{
+				var zb0003 uint64
+				zb0003, err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "Era")
+					return
+				}
+				z.Era = identifier.Era(zb0003)
+			}
 		case "wait-ms":
 			z.WaitMs, err = dc.ReadUint32()
 			if err != nil {
@@ -283,9 +326,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z ChangesRequest) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+	// map header, size 3
 	// write "after"
-	err = en.Append(0x82, 0xa5, 0x61, 0x66, 0x74, 0x65, 0x72)
+	err = en.Append(0x83, 0xa5, 0x61, 0x66, 0x74, 0x65, 0x72)
 	if err != nil {
 		return
 	}
@@ -294,6 +337,16 @@
 		err = msgp.WrapError(err, "After")
 		return
 	}
+	// write "era"
+	err = en.Append(0xa3, 0x65, 0x72, 0x61)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(uint64(z.Era))
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
 	// write "wait-ms"
 	err = en.Append(0xa7, 0x77, 0x61, 0x69, 0x74, 0x2d, 0x6d, 0x73)
 	if err != nil {
@@ -310,10 +363,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z ChangesRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "after"
-	o = append(o, 0x82, 0xa5, 0x61, 0x66, 0x74, 0x65, 0x72)
+	o = append(o, 0x83, 0xa5, 0x61, 0x66, 0x74, 0x65, 0x72)
 	o = msgp.AppendUint64(o, uint64(z.After))
+	// string "era"
+	o = append(o, 0xa3, 0x65, 0x72, 0x61)
+	o = msgp.AppendUint64(o, uint64(z.Era))
 	// string "wait-ms"
 	o = append(o, 0xa7, 0x77, 0x61, 0x69, 0x74, 0x2d, 0x6d, 0x73)
 	o = msgp.AppendUint32(o, z.WaitMs)
@@ -348,6 +404,16 @@
 				}
 				z.After = identifier.Revision(zb0002)
 			}
+		case "era":
+			{
+				var zb0003 uint64
+				zb0003, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Era")
+					return
+				}
+				z.Era = identifier.Era(zb0003)
+			}
 		case "wait-ms":
 			z.WaitMs, bts, err = msgp.ReadUint32Bytes(bts)
 			if err != nil {
@@ -368,7 +434,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z ChangesRequest) Msgsize() (s int) {
-	s = 1 + 6 + msgp.Uint64Size + 8 + msgp.Uint32Size
+	s = 1 + 6 + msgp.Uint64Size + 4 + msgp.Uint64Size + 8 + msgp.Uint32Size
 	return
 }
 
@@ -418,6 +484,16 @@
 				err = msgp.WrapError(err, "Deleted")
 				return
 			}
+		case "era":
+			{
+				var zb0003 uint64
+				zb0003, err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "Era")
+					return
+				}
+				z.Era = identifier.Era(zb0003)
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -431,9 +507,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *StoreItem) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
+	// map header, size 5
 	// write "key"
-	err = en.Append(0x84, 0xa3, 0x6b, 0x65, 0x79)
+	err = en.Append(0x85, 0xa3, 0x6b, 0x65, 0x79)
 	if err != nil {
 		return
 	}
@@ -472,15 +548,25 @@
 		err = msgp.WrapError(err, "Deleted")
 		return
 	}
+	// write "era"
+	err = en.Append(0xa3, 0x65, 0x72, 0x61)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(uint64(z.Era))
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *StoreItem) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "key"
-	o = append(o, 0x84, 0xa3, 0x6b, 0x65, 0x79)
+	o = append(o, 0x85, 0xa3, 0x6b, 0x65, 0x79)
 	o = msgp.AppendString(o, z.Key)
 	// string "value"
 	o = append(o, 0xa5, 0x76, 0x61, 0x6c, 0x75, 0x65)
@@ -491,6 +577,9 @@
 	// string "deleted"
 	o = append(o, 0xa7, 0x64, 0x65, 0x6c, 0x65, 0x74, 0x65, 0x64)
 	o = msgp.AppendBool(o, z.Deleted)
+	// string "era"
+	o = append(o, 0xa3, 0x65, 0x72, 0x61)
+	o = msgp.AppendUint64(o, uint64(z.Era))
 	return
 }
 
@@ -540,6 +629,16 @@
 				err = msgp.WrapError(err, "Deleted")
 				return
 			}
+		case "era":
+			{
+				var zb0003 uint64
+				zb0003, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Era")
+					return
+				}
+				z.Era = identifier.Era(zb0003)
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -554,6 +653,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *StoreItem) Msgsize() (s int) {
-	s = 1 + 4 + msgp.StringPrefixSize + len(z.Key) + 6 + msgp.BytesPrefixSize + len(z.Value) + 9 + msgp.Uint64Size + 8 + msgp.BoolSize
+	s = 1 + 4 + msgp.StringPrefixSize + len(z.Key) + 6 + msgp.BytesPrefixSize + len(z.Value) + 9 + msgp.Uint64Size + 8 + msgp.BoolSize + 4 + msgp.Uint64Size
 	return
 }
--- /dev/null
+++ b/replicator/reading_test.go
@@ -0,0 +1,147 @@
+package replicator
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/jackdawthread/jackdawthread/common/grouper"
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/timer"
+)
+
+// scriptedStore implements Store with given answers. The last ones repeat.
+type scriptedStore struct {
+	mu       sync.Mutex
+	listings []answer
+	watches  []answer
+	listed   int
+}
+
+type answer struct {
+	changes ChangeSet
+	err     error
+}
+
+func (s *scriptedStore) List(context.Context) (ChangeSet, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listed++
+	return next(&s.listings)
+}
+
+func (s *scriptedStore) Watch(ctx context.Context, _ identifier.Position, _ time.Duration) (ChangeSet, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.watches) == 0 {
+		s.mu.Unlock()
+		<-ctx.Done()
+		s.mu.Lock()
+		return ChangeSet{}, ctx.Err()
+	}
+	return next(&s.watches)
+}
+
+func next(all *[]answer) (ChangeSet, error) {
+	a := (*all)[0]
+	if len(*all) > 1 {
+		*all = (*all)[1:]
+	}
+	return a.changes, a.err
+}
+
+// noPeers implements Peers for a host without any.
+type noPeers struct{}
+
+var errNoPeers = errors.New("no peers")
+
+func (noPeers) Query(context.Context, identifier.Position) (ChangeSet, error) {
+	return ChangeSet{}, errNoPeers
+}
+
+func (noPeers) Follow(context.Context, identifier.Position, time.Duration) (ChangeSet, error) {
+	return ChangeSet{}, errNoPeers
+}
+
+// oncePeer implements Peers: the first query returns changes.
+type oncePeer struct {
+	noPeers
+	changes chan ChangeSet
+}
+
+func (p oncePeer) Query(context.Context, identifier.Position) (ChangeSet, error) {
+	select {
+	case c := <-p.changes:
+		return c, nil
+	default:
+		return ChangeSet{}, errNoPeers
+	}
+}
+
+// startReading starts a replicator that reads a store.
+func startReading(t *testing.T, s Store, p Peers) *Replicator {
+	t.Helper()
+	g := grouper.New(context.Background())
+	t.Cleanup(func() {
+		g.Stop()
+		_ = g.Wait() // its members return no errors
+	})
+	return Start(Deps{
+		Store: s, Peers: p, ReadsStore: func() bool { return true },
+		OnChange: func([]Item, identifier.Position) {},
+		Timer:    timer.New(g), Group: g, Log: zap.NewNop(),
+	}, DefaultOptions())
+}
+
+// assertPosition waits until a replicator is at a position.
+func assertPosition(t *testing.T, r *Replicator, want identifier.Position) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); r.Replica().Position() != want; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("replica is at %v, expected %v", r.Replica().Position(), want)
+		}
+	}
+}
+
+func TestReadingRestoredStore(t *testing.T) {
+	second := identifier.Position{Era: 2, Revision: 5}
+	t.Run("lists it when a watch answers in a later era", func(t *testing.T) {
+		s := &scriptedStore{
+			listings: []answer{{changes: listing(1, 9)}, {changes: listing(2, 5)}},
+			watches:  []answer{{changes: update(2, 12)}, {err: errNoPeers}},
+		}
+		assertPosition(t, startReading(t, s, noPeers{}), second)
+	})
+	t.Run("lists it when a watch has lost its history", func(t *testing.T) {
+		s := &scriptedStore{
+			listings: []answer{{changes: listing(1, 9)}, {changes: listing(2, 5)}},
+			watches:  []answer{{err: ErrHistoryLost}, {err: errNoPeers}},
+		}
+		assertPosition(t, startReading(t, s, noPeers{}), second)
+	})
+	t.Run("lists it again when it was restored during a listing", func(t *testing.T) {
+		s := &scriptedStore{listings: []answer{{err: ErrEraChanged}, {changes: listing(2, 5)}}}
+		assertPosition(t, startReading(t, s, noPeers{}), second)
+		is.New(t).Equal(s.listed, 2)
+	})
+	t.Run("takes no confirmation from an answer of an earlier era", func(t *testing.T) {
+		i := is.New(t)
+		s := &scriptedStore{
+			listings: []answer{{changes: listing(1, 9)}},
+			watches:  []answer{{changes: update(1, 9)}},
+		}
+		peer := oncePeer{changes: make(chan ChangeSet, 1)}
+		peer.changes <- listing(2, 5)
+		r := startReading(t, s, peer)
+		assertPosition(t, r, second)
+		age := r.Age()
+		time.Sleep(300 * time.Millisecond)
+		i.True(r.Age() >= age+200*time.Millisecond)
+		i.Equal(r.Replica().Position(), second)
+	})
+}
--- a/replicator/replica.go
+++ b/replicator/replica.go
@@ -1,6 +1,7 @@
 package replicator
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -18,6 +19,9 @@
 	Value []byte
 	// Revision is the store's revision at the item's last change.
 	Revision identifier.Revision
+	// Era is the era in which the item is known to have been written; 0 if that
+	// isn't known, since it may come from the copy from which the store was restored.
+	Era identifier.Era
 }
 
 // Change is a written item or a deletion.
@@ -26,46 +30,67 @@
 	Deleted bool
 }
 
-// ChangeSet holds the changes after a revision.
+// ChangeSet holds the changes after a position.
 type ChangeSet struct {
-	// Revision is the store's revision after the changes.
-	Revision identifier.Revision
+	// Position is the store's position after the changes.
+	Position identifier.Position
 	// Complete is set if the changes list all items, so that items that aren't
 	// listed don't exist.
 	Complete bool
 	Changes  []Change
-	// Age is the time since the store confirmed the revision; 0 for the store's
+	// Age is the time since the store confirmed the position; 0 for the store's
 	// own answer.
 	Age time.Duration
 }
 
-// Replica is a copy of the store's items at one revision. The store's revisions
-// order all changes, so any source with a newer revision can update a replica.
-// It is safe for concurrent use.
+// Outdated is an item that a restored store has, although a later state of its
+// key is known from an earlier era.
+type Outdated struct {
+	Item  Item
+	Known Change
+}
+
+// Applied is the effect of a change set on a replica.
+type Applied struct {
+	// Changes had an effect; deletions carry the deleted item.
+	Changes []Change
+	// Restored is set if the replica has moved to a later era. The deletions in
+	// Changes are then items that the restored store lacks.
+	Restored bool
+	// Outdated is set in a later era only. These items are part of the replica,
+	// but not of Changes.
+	Outdated []Outdated
+}
+
+// Replica is a copy of the store's items at one position. Positions order all
+// changes, so any source at a later one can update a replica. Revisions of
+// different eras can't be compared, so only a complete change set leads from one
+// era to another. Replica is safe for concurrent use.
 type Replica struct {
 	mu       sync.Mutex
 	items    map[string]Item
-	log      []Change // ordered by revision
-	logStart identifier.Revision
-	revision identifier.Revision
-	changed  chan struct{} // closed and replaced when the revision increases
+	log      []Change            // ordered by revision, all in the era of position
+	logStart identifier.Revision // the log has all changes after it
+	position identifier.Position
+	history  history
+	changed  chan struct{} // closed and replaced when the position moves on
 }
 
-// NewReplica returns an empty replica at revision 0.
+// NewReplica returns an empty replica at no position.
 func NewReplica() *Replica {
-	return &Replica{items: map[string]Item{}, changed: make(chan struct{})}
+	return &Replica{items: map[string]Item{}, history: newHistory(), changed: make(chan struct{})}
 }
 
-// Revision returns the store's revision that the replica holds; 0 if it has
+// Position returns the store's position that the replica holds; zero if it has
 // none yet.
-func (r *Replica) Revision() identifier.Revision {
+func (r *Replica) Position() identifier.Position {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.revision
+	return r.position
 }
 
 // Changed returns a channel that is closed when the replica leaves its current
-// revision.
+// position.
 func (r *Replica) Changed() <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -88,27 +113,53 @@
 	return all
 }
 
-// Apply applies changes and returns those that had an effect; deletions carry
-// the deleted item. Change sets with a revision older than the replica's are
-// ignored entirely.
-func (r *Replica) Apply(c ChangeSet) []Change {
+// Accepts reports whether a change set has the replica's era, or leads to a later
+// one.
+func (r *Replica) Accepts(c ChangeSet) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.accepts(c)
+}
+
+func (r *Replica) accepts(c ChangeSet) bool {
+	return c.Position.Era == r.position.Era || c.Complete && c.Position.Era > r.position.Era
+}
+
+// Apply applies changes and returns their effect. Change sets with a position
+// before the replica's are ignored entirely, and so are those of a later era that
+// aren't complete.
+func (r *Replica) Apply(c ChangeSet) Applied {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if c.Revision < r.revision {
-		return nil
+	if !r.accepts(c) || c.Position.Before(r.position) {
+		return Applied{}
 	}
-	if c.Revision > r.revision {
+	if r.position.Before(c.Position) {
 		close(r.changed)
 		r.changed = make(chan struct{})
 	}
-	if c.Complete {
-		return r.reset(c)
+	var applied Applied
+	switch {
+	case c.Position.Era > r.position.Era && !r.position.IsZero():
+		applied = r.adoptEra(c)
+	case c.Complete:
+		applied.Changes = r.reset(c)
+	default:
+		applied.Changes = r.applyAll(c)
 	}
+	r.position = c.Position
+	return applied
+}
+
+// applyAll applies the changes of the replica's own era; r.mu must be held.
+func (r *Replica) applyAll(c ChangeSet) []Change {
 	var applied []Change
 	for _, change := range c.Changes {
+		if r.position.Revision > 0 && change.Revision > r.position.Revision {
+			change.Era = c.Position.Era
+		}
 		applied = r.apply(applied, change)
 	}
-	r.revision = c.Revision
 	return applied
 }
 
@@ -120,6 +171,7 @@
 		return applied
 	}
 	r.appendLog(c)
+	r.remember(old, known, c)
 	if !c.Deleted {
 		r.items[c.Key] = c.Item
 		return append(applied, c)
@@ -128,32 +180,44 @@
 	return append(applied, Change{Item: old, Deleted: true})
 }
 
-// reset replaces all items; r.mu must be held.
-func (r *Replica) reset(c ChangeSet) []Change {
-	listed := make(map[string]bool, len(c.Changes))
-	var applied []Change
-	for _, change := range c.Changes {
-		listed[change.Key] = true
-		applied = r.apply(applied, change)
+// remember adds a change and the item that it replaces to the history; r.mu must
+// be held. The first listing isn't remembered: it replaces nothing.
+func (r *Replica) remember(old Item, known bool, c Change) {
+	if known {
+		r.history.add(Change{Item: old})
 	}
-	for key, old := range r.items {
-		if listed[key] {
-			continue
-		}
+	if known || !r.position.IsZero() {
+		r.history.add(c)
+	}
+}
+
+// reset replaces all items by those of the same era; r.mu must be held.
+func (r *Replica) reset(c ChangeSet) []Change {
+	applied := r.applyAll(c)
+	for key, old := range r.missing(c) {
 		delete(r.items, key)
+		r.remember(old, true, Change{Item: Item{Key: key, Revision: c.Position.Revision}, Deleted: true})
 		applied = append(applied, Change{Item: old, Deleted: true})
 	}
-	r.revision = c.Revision
 	r.startLog(c)
 	return applied
 }
 
+// missing returns the items that a complete change set lacks; r.mu must be held.
+func (r *Replica) missing(c ChangeSet) map[string]Item {
+	missing := maps.Clone(r.items)
+	for _, change := range c.Changes {
+		delete(missing, change.Key)
+	}
+	return missing
+}
+
 // startLog starts the log anew: a listing has the current items, but not the changes
 // that led to them. Items that it contained early stay in the log, as they have no
 // effect when they arrive as changes. r.mu must be held.
 func (r *Replica) startLog(listing ChangeSet) {
 	r.log = nil
-	r.logStart = listing.Revision
+	r.logStart = listing.Position.Revision
 	for _, c := range listing.Changes {
 		if c.Revision > r.logStart {
 			r.appendLog(c)
@@ -171,16 +235,16 @@
 	}
 }
 
-// Since returns the changes after a revision, or all items if the log doesn't
-// reach back that far.
-func (r *Replica) Since(after identifier.Revision) ChangeSet {
+// Since returns the changes after a position, or all items if the log doesn't
+// reach back that far or the position has another era.
+func (r *Replica) Since(after identifier.Position) ChangeSet {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	c := ChangeSet{Revision: r.revision}
-	if after >= r.revision {
+	c := ChangeSet{Position: r.position}
+	if !after.Before(r.position) {
 		return c
 	}
-	if after < r.logStart || after == 0 {
+	if after.Era < r.position.Era || after.Revision < r.logStart || after.Revision == 0 {
 		c.Complete = true
 		for _, i := range r.sorted() {
 			c.Changes = append(c.Changes, Change{Item: i})
@@ -188,7 +252,7 @@
 		return c
 	}
 	for _, change := range r.log {
-		if change.Revision > after {
+		if change.Revision > after.Revision {
 			c.Changes = append(c.Changes, change)
 		}
 	}
--- a/replicator/replica_test.go
+++ b/replicator/replica_test.go
@@ -19,8 +19,13 @@
 	return replicator.Change{Item: replicator.Item{Key: key, Revision: r}, Deleted: true}
 }
 
+// at returns a position in the first era.
+func at(r identifier.Revision) identifier.Position {
+	return identifier.Position{Revision: r}
+}
+
 func changes(r identifier.Revision, all ...replicator.Change) replicator.ChangeSet {
-	return replicator.ChangeSet{Revision: r, Changes: all}
+	return replicator.ChangeSet{Position: at(r), Changes: all}
 }
 
 func keys(r *replicator.Replica) string {
@@ -35,23 +40,23 @@
 	t.Run("applies changes once, and returns those with an effect", func(t *testing.T) {
 		i := is.New(t)
 		r := replicator.NewReplica()
-		i.Equal(len(r.Apply(changes(2, put("a", "1", 1), put("b", "1", 2)))), 2)
-		i.Equal(len(r.Apply(changes(2, put("a", "1", 1), put("b", "1", 2)))), 0)
-		i.Equal(len(r.Apply(changes(3, put("b", "1", 2), put("a", "2", 3)))), 1)
+		i.Equal(len(r.Apply(changes(2, put("a", "1", 1), put("b", "1", 2))).Changes), 2)
+		i.Equal(len(r.Apply(changes(2, put("a", "1", 1), put("b", "1", 2))).Changes), 0)
+		i.Equal(len(r.Apply(changes(3, put("b", "1", 2), put("a", "2", 3))).Changes), 1)
 		i.Equal(keys(r), "a=2 b=1 ")
 	})
 	t.Run("ignores change sets with an older revision", func(t *testing.T) {
 		i := is.New(t)
 		r := replicator.NewReplica()
 		r.Apply(changes(9, put("a", "new", 9)))
-		i.Equal(len(r.Apply(replicator.ChangeSet{Revision: 5, Complete: true, Changes: []replicator.Change{put("a", "old", 5)}})), 0)
+		i.Equal(len(r.Apply(replicator.ChangeSet{Position: at(5), Complete: true, Changes: []replicator.Change{put("a", "old", 5)}}).Changes), 0)
 		i.Equal(keys(r), "a=new ")
 	})
 	t.Run("returns deleted items with their last value", func(t *testing.T) {
 		i := is.New(t)
 		r := replicator.NewReplica()
 		r.Apply(changes(1, put("a", "1", 1)))
-		applied := r.Apply(changes(2, deletion("a", 2)))
+		applied := r.Apply(changes(2, deletion("a", 2))).Changes
 		i.Equal(len(applied), 1)
 		i.True(applied[0].Deleted)
 		i.Equal(string(applied[0].Value), "1")
@@ -60,7 +65,7 @@
 		i := is.New(t)
 		r := replicator.NewReplica()
 		r.Apply(changes(2, put("a", "1", 1), put("b", "1", 2)))
-		applied := r.Apply(replicator.ChangeSet{Revision: 7, Complete: true, Changes: []replicator.Change{put("b", "1", 2)}})
+		applied := r.Apply(replicator.ChangeSet{Position: at(7), Complete: true, Changes: []replicator.Change{put("b", "1", 2)}}).Changes
 		i.Equal(len(applied), 1)
 		i.True(applied[0].Deleted)
 		i.Equal(keys(r), "b=1 ")
@@ -68,19 +73,19 @@
 	t.Run("returns a complete listing for revisions older than its log", func(t *testing.T) {
 		i := is.New(t)
 		r := replicator.NewReplica()
-		r.Apply(replicator.ChangeSet{Revision: 5, Complete: true, Changes: []replicator.Change{put("a", "1", 3)}})
-		i.True(r.Since(4).Complete)
-		i.True(!r.Since(5).Complete)
-		i.Equal(len(r.Since(5).Changes), 0)
+		r.Apply(replicator.ChangeSet{Position: at(5), Complete: true, Changes: []replicator.Change{put("a", "1", 3)}})
+		i.True(r.Since(at(4)).Complete)
+		i.True(!r.Since(at(5)).Complete)
+		i.Equal(len(r.Since(at(5)).Changes), 0)
 	})
 	t.Run("passes on changes that a listing contained early", func(t *testing.T) {
 		i := is.New(t)
 		r, follower := replicator.NewReplica(), replicator.NewReplica()
 		first := put("a", "1", 5)
-		r.Apply(replicator.ChangeSet{Revision: 5, Complete: true, Changes: []replicator.Change{first, put("b", "1", 6)}})
-		follower.Apply(replicator.ChangeSet{Revision: 5, Complete: true, Changes: []replicator.Change{first}})
+		r.Apply(replicator.ChangeSet{Position: at(5), Complete: true, Changes: []replicator.Change{first, put("b", "1", 6)}})
+		follower.Apply(replicator.ChangeSet{Position: at(5), Complete: true, Changes: []replicator.Change{first}})
 		r.Apply(changes(6, put("b", "1", 6)))
-		follower.Apply(r.Since(5))
+		follower.Apply(r.Since(at(5)))
 		i.Equal(keys(follower), "a=1 b=1 ")
 	})
 }
@@ -109,7 +114,7 @@
 }
 
 func (w *modelStore) since(r identifier.Revision) replicator.ChangeSet {
-	c := replicator.ChangeSet{Revision: w.revision}
+	c := replicator.ChangeSet{Position: at(w.revision)}
 	for _, h := range w.history {
 		if h.Revision > r {
 			c.Changes = append(c.Changes, h)
@@ -121,7 +126,7 @@
 func (w *modelStore) listing() replicator.ChangeSet {
 	replica := replicator.NewReplica()
 	replica.Apply(w.since(0))
-	c := replicator.ChangeSet{Revision: w.revision, Complete: true}
+	c := replicator.ChangeSet{Position: at(w.revision), Complete: true}
 	for _, i := range replica.Items() {
 		c.Changes = append(c.Changes, replicator.Change{Item: i})
 	}
@@ -142,10 +147,10 @@
 				delayed = append(delayed, c)
 				return
 			}
-			before := r.Revision()
+			before := r.Position()
 			r.Apply(c)
-			if r.Revision() < before {
-				t.Fatalf("replica went back from %d to %d", before, r.Revision())
+			if r.Position().Before(before) {
+				t.Fatalf("replica went back from %v to %v", before, r.Position())
 			}
 		}
 		t.Repeat(map[string]func(*rapid.T){
@@ -157,12 +162,12 @@
 			},
 			"watch": func(t *rapid.T) {
 				r := pickReplica(t)
-				apply(t, r, w.since(r.Revision()))
+				apply(t, r, w.since(r.Position().Revision))
 			},
 			"list": func(t *rapid.T) { apply(t, pickReplica(t), w.listing()) },
 			"peer": func(t *rapid.T) {
 				r, peer := pickReplica(t), pickReplica(t)
-				apply(t, r, peer.Since(r.Revision()))
+				apply(t, r, peer.Since(r.Position()))
 			},
 			"late": func(t *rapid.T) {
 				if len(delayed) > 0 {
@@ -172,8 +177,8 @@
 			},
 			"": func(t *rapid.T) {
 				for n, r := range replicas {
-					if got, want := keys(r), w.at(r.Revision()); got != want {
-						t.Fatalf("replica %d at %d holds %q, the store held %q", n, r.Revision(), got, want)
+					if got, want := keys(r), w.at(r.Position().Revision); got != want {
+						t.Fatalf("replica %d at %d holds %q, the store held %q", n, r.Position().Revision, got, want)
 					}
 				}
 			},
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -11,6 +11,20 @@
 //	if r.Synced() { ... }                                 // there is data to serve from
 //	answer := r.WaitForChanges(ctx, ask.After, ask.Wait) // for a peer's query
 //
+// # Restored stores
+//
+// A store may come back from an older copy. It has then lost what was written
+// since, gives the same revisions out again, and states a later era. A replica
+// moves to a later era by a complete listing only, the store's own or a peer's, and
+// ignores all answers of earlier ones. What the listing takes back is still used
+// for a while, as its writers are expected to write it again:
+//
+//   - An item that it lacks is used for Options.DeletionGrace.
+//   - In place of an item that it sets back to an older state, the latest known state
+//     is used for Options.OutdatedHold, or until it is written again. The same holds
+//     for an item whose deletion is known. Deps.Permanent names states that an older
+//     one never replaces.
+//
 // # Readers
 //
 // A host watches the store itself if Deps.ReadsStore returns true. The others do
@@ -42,26 +56,38 @@
 	"github.com/jackdawthread/jackdawthread/timer"
 )
 
-// ErrHistoryLost reports that the store no longer has the changes after a
-// revision, so that all items have to be listed again.
-var ErrHistoryLost = errors.New("store has discarded the changes after this revision")
+var (
+	// ErrHistoryLost reports that the store doesn't have the changes after a
+	// revision, so that all items have to be listed again.
+	ErrHistoryLost = errors.New("store doesn't have the changes after this revision")
+	// ErrEraChanged reports that the store was restored during a listing.
+	ErrEraChanged = errors.New("store was restored during the listing")
+	// errEarlierEra reports an answer from an era before the replica's.
+	errEarlierEra = errors.New("store's answer is from an earlier era")
+)
+
+// maxListings is how often the store is listed in a row if it is restored
+// meanwhile.
+const maxListings = 3
 
 // Store is read access to the configuration store.
 type Store interface {
-	// List returns all items.
+	// List returns all items. It returns ErrEraChanged if the store was restored
+	// meanwhile.
 	List(ctx context.Context) (ChangeSet, error)
-	// Watch waits, for at most wait, for changes after a revision. It returns
-	// ErrHistoryLost if the store no longer has them.
-	Watch(ctx context.Context, after identifier.Revision, wait time.Duration) (ChangeSet, error)
+	// Watch waits, for at most wait, for changes after a position. It returns
+	// ErrHistoryLost if the store doesn't have them. If the result has a later era,
+	// the store was restored, and its changes aren't those after the position.
+	Watch(ctx context.Context, after identifier.Position, wait time.Duration) (ChangeSet, error)
 }
 
 // Peers gives access to the replicas of other hosts.
 type Peers interface {
-	// Query asks a random host for the changes after a revision.
-	Query(ctx context.Context, after identifier.Revision) (ChangeSet, error)
-	// Follow waits, for at most wait, for changes after a revision at a host that
+	// Query asks a random host for the changes after a position.
+	Query(ctx context.Context, after identifier.Position) (ChangeSet, error)
+	// Follow waits, for at most wait, for changes after a position at a host that
 	// reads the store.
-	Follow(ctx context.Context, after identifier.Revision, wait time.Duration) (ChangeSet, error)
+	Follow(ctx context.Context, after identifier.Position, wait time.Duration) (ChangeSet, error)
 }
 
 // Deps are the dependencies of a Replicator.
@@ -70,11 +96,16 @@
 	Peers Peers
 	// ReadsStore reports whether this host is one of those that watch the store.
 	ReadsStore func() bool
-	// OnChange receives all items after each change. Calls don't overlap.
-	OnChange func([]Item)
-	Timer    *timer.Service
-	Group    *grouper.Group
-	Log      *zap.Logger
+	// OnChange receives all items to use after each change, and the store's
+	// position. Calls don't overlap.
+	OnChange func([]Item, identifier.Position)
+	// Permanent reports whether a known state of an item isn't replaced by an older
+	// one that a restored store has, however long nobody writes it again. If nil,
+	// there is no such state.
+	Permanent func(known, restored Item) bool
+	Timer     *timer.Service
+	Group     *grouper.Group
+	Log       *zap.Logger
 }
 
 // Options are the timing parameters of a Replicator.
@@ -102,8 +133,13 @@
 	// OutageAfter is how long no host may have reached the store before this
 	// counts as an outage.
 	OutageAfter time.Duration
-	// DeletionGrace is how long after an outage deletions are still deferred.
+	// DeletionGrace is how long after an outage deletions are still deferred, and
+	// after a restore of the store those of items that it lacks.
 	DeletionGrace time.Duration
+	// OutdatedHold is how long after a restore the latest known state of an item is
+	// used in place of the older one that the store has. It is longer than the store
+	// keeps items that their writers have to keep alive.
+	OutdatedHold time.Duration
 }
 
 // DefaultOptions returns options that suit stores that answer within
@@ -122,6 +158,7 @@
 		PeerQueryTimeout:  300 * time.Millisecond,
 		OutageAfter:       1500 * time.Millisecond,
 		DeletionGrace:     2 * time.Second,
+		OutdatedHold:      10 * time.Second,
 	}
 }
 
@@ -141,27 +178,21 @@
 	// confirmation.
 	unconfirmed atomic.Bool
 
-	mu               sync.Mutex
-	connectivity     connectivity
-	pendingDeletions map[string]pendingDeletion
-	interrupt        context.CancelFunc // cancels the current step
-}
-
-// pendingDeletion is a deleted item that is still published.
-type pendingDeletion struct {
-	item  Item
-	until time.Time
+	mu           sync.Mutex
+	connectivity connectivity
+	retention    retention
+	interrupt    context.CancelFunc // cancels the current step
 }
 
 // Start starts a Replicator, which runs until the group ends.
 func Start(d Deps, o Options) *Replicator {
 	r := &Replicator{
-		deps:             d,
-		options:          o,
-		replica:          NewReplica(),
-		started:          time.Now(),
-		pendingDeletions: map[string]pendingDeletion{},
-		connectivity:     connectivity{options: o},
+		deps:         d,
+		options:      o,
+		replica:      NewReplica(),
+		started:      time.Now(),
+		retention:    newRetention(o, d.Permanent),
+		connectivity: connectivity{options: o},
 	}
 	d.Group.Run(r.follow)
 	d.Timer.Every(o.OutageQueryPeriod, r.tick)
@@ -173,9 +204,9 @@
 	return r.replica
 }
 
-// Synced reports whether the replica has received any revision.
+// Synced reports whether the replica has received any position.
 func (r *Replicator) Synced() bool {
-	return r.replica.Revision() > 0
+	return !r.replica.Position().IsZero()
 }
 
 // Connected reports whether the store answers to this host or to another one.
@@ -190,12 +221,12 @@
 	return time.Since(r.started) - time.Duration(r.confirmedAt.Load())
 }
 
-// WaitForChanges returns the changes after a revision, for a peer. If there are
+// WaitForChanges returns the changes after a position, for a peer. If there are
 // none, it waits for at most wait.
-func (r *Replicator) WaitForChanges(ctx context.Context, after identifier.Revision, wait time.Duration) ChangeSet {
+func (r *Replicator) WaitForChanges(ctx context.Context, after identifier.Position, wait time.Duration) ChangeSet {
 	changed := r.replica.Changed()
 	wait = min(wait, r.options.StaleAfter-r.Age())
-	if wait > 0 && r.replica.Revision() <= after {
+	if wait > 0 && nothingNew(after, r.replica.Position()) {
 		timeout := time.NewTimer(wait)
 		defer timeout.Stop()
 		select {
@@ -209,6 +240,16 @@
 	return c
 }
 
+// nothingNew reports whether a peer at a position has to wait for changes to a
+// replica at another one. A peer that states no era may be of a build that knows
+// none: it can't take over a later one, and would query again at once.
+func nothingNew(peer, own identifier.Position) bool {
+	if peer.Era == 0 && peer.Revision > 0 {
+		return own.Revision <= peer.Revision
+	}
+	return !peer.Before(own)
+}
+
 // Invalidate marks the replica as unconfirmed after the host was suspended, adds
 // the time of the suspension to the replica's age, and looks for changes at
 // once.
@@ -276,14 +317,13 @@
 var errReaderStale = errors.New("reader's data is stale: the store has not confirmed it recently")
 
 func (r *Replicator) followReader(ctx context.Context) error {
-	after := r.replica.Revision()
+	after := r.replica.Position()
 	ctx, cancel := context.WithTimeout(ctx, r.options.FollowWait+r.options.PeerQueryTimeout)
 	defer cancel()
 	changes, err := r.deps.Peers.Follow(ctx, after, r.options.FollowWait)
 	if err == nil {
-		r.peerConfirmed(changes.Age)
-		r.applyChanges(changes, "reader")
-		if changes.Age >= r.options.StaleAfter {
+		accepted := r.applyPeerChanges(changes, "reader")
+		if !accepted || changes.Age >= r.options.StaleAfter {
 			err = errReaderStale
 		}
 	}
@@ -296,37 +336,59 @@
 // read lists or watches the store once. A replica that was already filled by a
 // peer needs no listing.
 func (r *Replicator) read(ctx context.Context) error {
-	after := r.replica.Revision()
+	after := r.replica.Position()
 	ctx, cancel := context.WithTimeout(ctx, r.options.WatchWait+r.options.ReplyMargin)
 	defer cancel()
 	changes, err := r.listOrWatch(ctx, after)
 	if err != nil {
 		return err
 	}
+	if !r.replica.Accepts(changes) {
+		return errEarlierEra
+	}
 	r.readSucceeded()
 	r.applyChanges(changes, "store")
 	return nil
 }
 
-func (r *Replicator) listOrWatch(ctx context.Context, after identifier.Revision) (ChangeSet, error) {
-	if after == 0 {
-		return r.deps.Store.List(ctx)
+func (r *Replicator) listOrWatch(ctx context.Context, after identifier.Position) (ChangeSet, error) {
+	if after.IsZero() {
+		return r.list(ctx)
 	}
 	changes, err := r.deps.Store.Watch(ctx, after, r.options.WatchWait)
 	if errors.Is(err, ErrHistoryLost) {
-		r.deps.Log.Info("store-history-unavailable", zap.Uint64("revision", uint64(after)))
-		return r.deps.Store.List(ctx)
+		r.deps.Log.Info("store-history-unavailable", append(positionFields(after), zap.Error(err))...)
+		return r.list(ctx)
+	}
+	if err == nil && changes.Position.Era > after.Era {
+		return r.list(ctx)
 	}
 	return changes, err
 }
 
+// list lists the store, again if it is restored meanwhile.
+func (r *Replicator) list(ctx context.Context) (ChangeSet, error) {
+	for range maxListings - 1 {
+		changes, err := r.deps.Store.List(ctx)
+		if !errors.Is(err, ErrEraChanged) {
+			return changes, err
+		}
+	}
+	return r.deps.Store.List(ctx)
+}
+
+// positionFields returns the log fields of a position.
+func positionFields(p identifier.Position) []zap.Field {
+	return []zap.Field{zap.Uint64("era", uint64(p.Era)), zap.Uint64("revision", uint64(p.Revision))}
+}
+
 // readFailed records a failed read of the store.
 func (r *Replicator) readFailed(err error) {
 	r.mu.Lock()
 	outageBegan := r.connectivity.readFailed(time.Now(), r.Age())
 	r.mu.Unlock()
 	if outageBegan {
-		r.deps.Log.Warn("store-unavailable", zap.Uint64("revision", uint64(r.replica.Revision())), zap.Error(err))
+		r.deps.Log.Warn("store-unavailable", append(positionFields(r.replica.Position()), zap.Error(err))...)
 	}
 }
 
@@ -353,7 +415,7 @@
 
 func (r *Replicator) logRecovery(outage time.Duration, recovered bool) {
 	if recovered {
-		r.deps.Log.Info("store-recovered", zap.Duration("outage", outage), zap.Uint64("revision", uint64(r.replica.Revision())))
+		r.deps.Log.Info("store-recovered", append(positionFields(r.replica.Position()), zap.Duration("outage", outage))...)
 	}
 }
 
@@ -369,70 +431,76 @@
 	}
 }
 
+// applyPeerChanges applies a peer's answer. It reports false if the answer is from
+// an earlier era: it then changes and confirms nothing.
+func (r *Replicator) applyPeerChanges(c ChangeSet, source string) bool {
+	if !r.replica.Accepts(c) {
+		return false
+	}
+	r.peerConfirmed(c.Age)
+	r.applyChanges(c, source)
+	return true
+}
+
 // applyChanges applies changes to the replica and publishes the items if any
 // changed.
 func (r *Replicator) applyChanges(c ChangeSet, source string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	previous := r.replica.Position()
 	applied := r.replica.Apply(c)
-	if len(applied) == 0 {
+	if len(applied.Changes) == 0 && !applied.Restored {
 		return
 	}
 	now := time.Now()
-	if graceEnd := r.connectivity.deletionGraceEnd(now); graceEnd.After(now) {
-		r.deferDeletions(applied, graceEnd)
+	r.retention.record(applied, r.connectivity.deletionGraceEnd(now), now)
+	if applied.Restored {
+		r.logRestore(previous, c.Position, applied)
 	}
-	r.deps.Log.Info("store-changes-applied",
+	r.deps.Log.Info("store-changes-applied", append(positionFields(c.Position),
 		zap.String("source", source),
-		zap.Uint64("revision", uint64(c.Revision)),
 		zap.Bool("whole", c.Complete),
-		zap.Int("changes", len(applied)),
-		zap.Int("doubted", len(r.pendingDeletions)))
+		zap.Int("changes", len(applied.Changes)),
+		zap.Int("doubted", len(r.retention.entries)))...)
 	r.publish(now)
 }
 
-// deferDeletions keeps deleted items published until the given time; r.mu must
-// be held.
-func (r *Replicator) deferDeletions(applied []Change, until time.Time) {
-	for _, c := range applied {
-		if c.Deleted {
-			r.pendingDeletions[c.Key] = pendingDeletion{item: c.Item, until: until}
-		}
+// logRestore logs that the store was restored, and each item that it has set back.
+func (r *Replicator) logRestore(previous, next identifier.Position, a Applied) {
+	r.deps.Log.Warn("store-restored", append(positionFields(next),
+		zap.Uint64("previous-era", uint64(previous.Era)),
+		zap.Uint64("previous-revision", uint64(previous.Revision)),
+		zap.Int("changes", len(a.Changes)),
+		zap.Int("outdated", len(a.Outdated)))...)
+	for _, o := range a.Outdated {
+		r.deps.Log.Info("store-item-outdated",
+			zap.String("key", o.Item.Key),
+			zap.Uint64("revision", uint64(o.Item.Revision)),
+			zap.Uint64("known-revision", uint64(o.Known.Revision)),
+			zap.Bool("known-deleted", o.Known.Deleted))
 	}
 }
 
-// publish passes the items to OnChange, including those whose deletion is
-// deferred; r.mu must be held.
+// publish passes the items to use to OnChange; r.mu must be held.
 func (r *Replicator) publish(now time.Time) {
-	items := r.replica.Items()
-	for _, i := range items {
-		delete(r.pendingDeletions, i.Key)
-	}
-	for key, d := range r.pendingDeletions {
-		if !now.Before(d.until) {
-			delete(r.pendingDeletions, key)
-			continue
-		}
-		items = append(items, d.item)
-	}
-	r.deps.OnChange(items)
+	r.deps.OnChange(r.retention.overlay(r.replica.Items(), now), r.replica.Position())
 }
 
-// tick carries out deferred deletions that are due, and queries a peer if a
+// tick ends the use of items that the store doesn't have, and queries a peer if a
 // query is due.
 func (r *Replicator) tick(now time.Time) {
 	r.mu.Lock()
-	expired := 0
-	for _, d := range r.pendingDeletions {
-		if !now.Before(d.until) {
-			expired++
-		}
+	deletions, outdated := r.retention.endedCount(now)
+	if deletions > 0 {
+		r.deps.Log.Info("unconfirmed-items-removed", zap.Int("items", deletions))
+	}
+	if outdated > 0 {
+		r.deps.Log.Info("outdated-items-accepted", zap.Int("items", outdated))
 	}
-	if expired > 0 {
-		r.deps.Log.Info("unconfirmed-items-removed", zap.Int("items", expired))
+	if deletions+outdated > 0 {
 		r.publish(now)
 	}
-	due := r.connectivity.peerQueryDue(now, r.replica.Revision() == 0)
+	due := r.connectivity.peerQueryDue(now, r.replica.Position().IsZero())
 	r.mu.Unlock()
 	if due {
 		r.queryPeer()
@@ -448,12 +516,11 @@
 		defer r.querying.Store(false)
 		ctx, cancel := context.WithTimeout(ctx, r.options.PeerQueryTimeout)
 		defer cancel()
-		changes, err := r.deps.Peers.Query(ctx, r.replica.Revision())
+		changes, err := r.deps.Peers.Query(ctx, r.replica.Position())
 		if err != nil {
 			r.deps.Log.Debug("peer-query-failed", zap.Error(err))
 			return
 		}
-		r.peerConfirmed(changes.Age)
-		r.applyChanges(changes, "peer")
+		r.applyPeerChanges(changes, "peer")
 	})
 }
