Order fencing tokens by the store's era first

What could happen: tokens followed the store's revision. After a restore from an older copy the revision goes back, so the placing host's orders got lower tokens than those before and were refused (412) until the revision had caught up, and a token that one host had used could be given to another one.

In era 0 the format is unchanged, so tokens don't go down in a rolling upgrade. A host's knowledge (reserver.Knowledge) is a position.

Bound: a restore may lose ten million revisions, far more than some seconds' worth.

--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -362,7 +362,7 @@
 	if r == nil { // the host is starting
 		return reserver.Knowledge{Age: math.MaxInt64}
 	}
-	return reserver.Knowledge{Revision: r.Replica().Position().Revision, Age: r.Age()}
+	return reserver.Knowledge{Position: r.Replica().Position(), Age: r.Age()}
 }
 
 // Endpoints returns the number of registered endpoints.
--- a/reserver/stages.go
+++ b/reserver/stages.go
@@ -25,6 +25,10 @@
 	// store. Hosts hash their names into this range, so that two hosts are unlikely to
 	// use the same token.
 	fencesPerRevision = 1000
+	// fencesPerEra is the number of fencing tokens for each era of the store. A
+	// store that is restored may lose ten million revisions until tokens are used
+	// again.
+	fencesPerEra = 10_000_000 * fencesPerRevision
 	// fenceBase makes fencing tokens exceed those of earlier versions, which were
 	// a thousand times the Unix time in milliseconds.
 	fenceBase = 2_000_000_000_000_000
@@ -47,8 +51,8 @@
 
 // Knowledge states how current a host's knowledge of the store is.
 type Knowledge struct {
-	Revision identifier.Revision
-	// Age is the time since the store confirmed that revision.
+	Position identifier.Position
+	// Age is the time since the store confirmed that position.
 	Age time.Duration
 }
 
@@ -103,7 +107,7 @@
 	orders := q.stager.NextOrders(s.Endpoints(q.service), w, now)
 	fences := make([]Fence, len(orders))
 	for i := range fences {
-		fences[i] = q.tenure.nextFence(r.deps.OrderOptions.Holder, known.Revision)
+		fences[i] = q.tenure.nextFence(r.deps.OrderOptions.Holder, known.Position)
 	}
 	q.mu.Unlock()
 	for i, o := range orders {
@@ -150,10 +154,11 @@
 }
 
 // nextFence returns a fencing token higher than all that this host has used, and
-// than those of hosts that knew an earlier revision. Revisions are the same for all
+// than those of hosts that knew an earlier position. Positions are the same for all
 // hosts, unlike their clocks.
-func (h *tenure) nextFence(holder identifier.Host, known identifier.Revision) Fence {
-	f := Fence(fenceBase + uint64(known)*fencesPerRevision + xxhash.Sum64String(string(holder))%fencesPerRevision)
+func (h *tenure) nextFence(holder identifier.Host, known identifier.Position) Fence {
+	first := fenceBase + uint64(known.Era)*fencesPerEra + uint64(known.Revision)*fencesPerRevision
+	f := Fence(first + xxhash.Sum64String(string(holder))%fencesPerRevision)
 	if f <= h.lastFence {
 		f = h.lastFence + fencesPerRevision
 	}
--- a/reserver/stages_test.go
+++ b/reserver/stages_test.go
@@ -80,7 +80,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			orders := make(recordedOrders, 100)
 			r := orderingReserver(registry, OrderOptions{Enabled: true, Fenced: c.fenced, Lease: time.Second},
-				Knowledge{Revision: 40, Age: c.age}, orders)
+				Knowledge{Position: identifier.Position{Revision: 40}, Age: c.age}, orders)
 			members := newLoneMember(r.deps.Group)
 			r.deps.Self, r.deps.Members = members.View().Members()[0].Incarnation, members
 			m := r.serviceQueue("notes").model
@@ -104,7 +104,7 @@
 		last := Fence(0)
 		for revision := range identifier.Revision(50) {
 			host := identifier.Host(fmt.Sprintf("h%d", revision%7))
-			f := (&tenure{}).nextFence(host, revision)
+			f := (&tenure{}).nextFence(host, identifier.Position{Revision: revision})
 			i.True(f > last)
 			last = f
 		}
@@ -112,16 +112,16 @@
 	t.Run("tokens of one host rise within a revision", func(t *testing.T) {
 		i := is.New(t)
 		h := &tenure{}
-		last := h.nextFence("h", 7)
+		last := h.nextFence("h", identifier.Position{Revision: 7})
 		for range 5 {
-			f := h.nextFence("h", 7)
+			f := h.nextFence("h", identifier.Position{Revision: 7})
 			i.True(f > last)
 			last = f
 		}
 	})
 	t.Run("tokens exceed those of earlier versions, which were based on clocks", func(t *testing.T) {
 		clock := uint64(time.Date(2032, 1, 1, 0, 0, 0, 0, time.UTC).UnixMilli()) * 1000
-		is.New(t).True(uint64((&tenure{}).nextFence("h", 1)) > clock)
+		is.New(t).True(uint64((&tenure{}).nextFence("h", identifier.Position{Revision: 1})) > clock)
 	})
 }
 
@@ -134,7 +134,7 @@
 		{Name: "desk"},
 	}, registrar.Limits{}))
 	newReserver := func(enabled bool) *Reserver {
-		return orderingReserver(registry, OrderOptions{Enabled: enabled, Lease: time.Second}, Knowledge{Revision: 1}, nil)
+		return orderingReserver(registry, OrderOptions{Enabled: enabled, Lease: time.Second}, Knowledge{Position: identifier.Position{Revision: 1}}, nil)
 	}
 	t.Run("covers services with engines before the first request", func(t *testing.T) {
 		i := is.New(t)
