Ask right before a request is written whether it may be

Request.MayWrite is asked before a connection is opened and again before the first byte. If it objects, nothing is sent, and Send returns its error. The test sends against a server that counts requests, with the first and with the second answer negative; it doesn't compile on the code before.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -23,8 +23,8 @@
 // has arrived since. A response with another request's ID is discarded, and
 // the matching one is read after it.
 //
-// Errors of Send are of type [*classifier.Error]. The verdict is not-run if no
-// byte of the request was written.
+// Errors of Send are of type [*classifier.Error], or those of Request.MayWrite. The
+// verdict is not-run if no byte of the request was written.
 package exchanger
 
 import (
@@ -87,6 +87,17 @@
 	// idle. Calls that can't be retried set it low, since they would fail on
 	// a stale connection. 0 means Options.IdleTimeout.
 	MaxIdle time.Duration
+	// MayWrite is called before a connection is opened, and again before the first
+	// byte is written, since opening one takes time. If it returns an error,
+	// nothing is sent and Send returns that error. Nil allows every request.
+	MayWrite func() error
+}
+
+func (r *Request) mayWrite() error {
+	if r.MayWrite == nil {
+		return nil
+	}
+	return r.MayWrite()
 }
 
 // Exchanger sends requests over pooled connections. It is safe for concurrent
@@ -175,10 +186,17 @@
 // headers. The connection is closed when ctx ends, even while the response
 // body is being read.
 func (x *Exchanger) Send(ctx context.Context, a identifier.Address, r *Request) (*Response, error) {
+	if err := r.mayWrite(); err != nil {
+		return nil, err
+	}
 	c, err := x.connect(ctx, a, r.MaxIdle)
 	if err != nil {
 		return nil, err
 	}
+	if err := r.mayWrite(); err != nil {
+		c.close()
+		return nil, err
+	}
 	response := &Response{exchanger: x, connection: c, ctx: ctx}
 	response.stopWatch = context.AfterFunc(ctx, c.abort)
 	writeErr := c.write(r)
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -108,6 +108,8 @@
 	}
 }
 
+var errNotAllowed = errors.New("not allowed")
+
 func newExchanger() *exchanger.Exchanger {
 	return exchanger.New(exchanger.Options{IDHeader: idHeader})
 }
@@ -185,6 +187,24 @@
 		_, err = newExchanger().Send(ctx, identifier.Address(ln.Addr().String()), request("one"))
 		assertVerdict(t, err, classifier.VerdictNotRun)
 	})
+	t.Run("sends nothing that may not be written, also once it is connected", func(t *testing.T) {
+		i := is.New(t)
+		e := listen(t, respondWith(func(id string) string { return completeResponse(id, "x") }))
+		for allowed := range 2 {
+			q, asked := request("one"), 0
+			q.MayWrite = func() error {
+				asked++
+				if asked > allowed {
+					return errNotAllowed
+				}
+				return nil
+			}
+			_, err := newExchanger().Send(ctx, e.address, q)
+			i.True(errors.Is(err, errNotAllowed))
+		}
+		_, requests := e.counts()
+		i.Equal(requests, 0)
+	})
 	t.Run("accepts a response sent before the whole body is read", func(t *testing.T) {
 		i := is.New(t)
 		e := listen(t, func(e *scriptedServer, c net.Conn, r *bufio.Reader) {
