Let marks carry the news of an endpoint that leaves, with its source and age

Forwarding hosts have no carrier for what an endpoint told one of them. Marks are spread at once and reconciled, but they are about a revision of the declarations, and are kept for the lifetime of a process.

ReportLeaving makes a mark that carries the start ID of the endpoint's process instead, the host that was told, and the age, which each host passes on as it is at that time. Such marks end with the retention time (an hour), also at hosts that learn of them late, so their number is bounded. Hosts of earlier versions skip the two new fields. Marks of declarations are as before; their tests are unchanged.

Alternatives: a message kind of its own (needs its own repetition for lost messages), the published digest (too old in large fleets).

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -130,6 +130,15 @@
 	g.apply(Marked{Endpoint: e, Mark: Mark{Revision: r, Leaving: true}})
 }
 
+// ReportLeaving marks an endpoint as leaving, at all hosts, because it announced
+// that to this host. The mark is about the process that the start ID identifies.
+func (g *Gossiper) ReportLeaving(e identifier.Endpoint, start identifier.Revision) {
+	g.mu.Lock()
+	source := g.machine.self.Host
+	g.mu.Unlock()
+	g.apply(Marked{Endpoint: e, Mark: Mark{Revision: start, Leaving: true, Source: source, At: time.Now()}})
+}
+
 // MarkServing clears leaving marks of revisions before r.
 func (g *Gossiper) MarkServing(e identifier.Endpoint, r identifier.Revision) {
 	g.apply(Marked{Endpoint: e, Mark: Mark{Revision: r}})
--- a/gossiper/machine.go
+++ b/gossiper/machine.go
@@ -299,7 +299,8 @@
 	m.viewStale = true
 }
 
-// prune removes dead and replaced processes after the retention time.
+// prune removes dead and replaced processes, and marks that came from endpoints,
+// after the retention time.
 func (m *Machine) prune() {
 	before := m.now.Add(-m.options.Retention)
 	for i, d := range m.departed {
@@ -308,6 +309,12 @@
 			m.viewStale = true
 		}
 	}
+	for e, k := range m.marks {
+		if k.Source != "" && k.At.Before(before) {
+			delete(m.marks, e)
+			m.viewStale = true
+		}
+	}
 	for _, r := range slices.Clone(m.order) {
 		if r != m.self && r.dead() && r.diedAt.Before(before) {
 			m.remove(r)
--- a/gossiper/machine_test.go
+++ b/gossiper/machine_test.go
@@ -368,3 +368,48 @@
 		is.Equal(updateOf(replyTo(m, 11), 12).Address, second.Address)
 	})
 }
+
+// TestReportedMarks checks the marks that come from endpoints themselves.
+func TestReportedMarks(t *testing.T) {
+	start := time.Unix(0, 0)
+	told := peerwire.Mark{Endpoint: "engine-1", Revision: 5, Leaving: true, Source: "entry-1", AgeMs: 2000}
+	learn := func(m *gossiper.Machine, now time.Time, k peerwire.Mark) {
+		m.Step(now, gossiper.GossipArrived{Gossip: &peerwire.Gossip{Marks: []peerwire.Mark{k}}})
+	}
+	t.Run("keep their source and age on their way", func(t *testing.T) {
+		is := is.New(t)
+		m := newMachine(start)
+		learn(m, start, told)
+		is.Equal(m.View().Marks()["engine-1"], gossiper.Mark{Revision: 5, Leaving: true, Source: "entry-1", At: start.Add(-2 * time.Second)})
+		var passed []peerwire.Mark
+		for _, a := range m.Step(start.Add(3*time.Second), gossiper.GossipArrived{From: 11, Gossip: &peerwire.Gossip{}, Reply: true}) {
+			if r, ok := a.(gossiper.Reply); ok {
+				passed = r.Gossip.Marks
+			}
+		}
+		is.Equal(len(passed), 1)
+		is.Equal(passed[0].Source, told.Source)
+		is.Equal(passed[0].AgeMs, int64(5000))
+	})
+	t.Run("of a later start replace those of an earlier one", func(t *testing.T) {
+		m := newMachine(start)
+		later := told
+		later.Revision = 6
+		learn(m, start, later)
+		learn(m, start, told)
+		is.New(t).Equal(m.View().Marks()["engine-1"].Revision, identifier.Revision(6))
+	})
+	t.Run("end with the retention time, also at hosts that learn of them late", func(t *testing.T) {
+		is := is.New(t)
+		m := newMachine(start)
+		old := told
+		old.AgeMs = time.Hour.Milliseconds()
+		learn(m, start, old)
+		is.Equal(len(m.View().Marks()), 0)
+		learn(m, start, told)
+		for d := time.Minute; d <= 70*time.Minute; d += time.Minute {
+			m.Step(start.Add(d), gossiper.Ticked{})
+		}
+		is.Equal(len(m.View().Marks()), 0)
+	})
+}
--- a/gossiper/merge.go
+++ b/gossiper/merge.go
@@ -15,7 +15,7 @@
 		m.mergeUpdate(&n.Updates[i])
 	}
 	for _, k := range n.Marks {
-		m.mergeMark(k.Endpoint, Mark{Revision: k.Revision, Leaving: k.Leaving})
+		m.mergeWireMark(&k)
 	}
 }
 
@@ -170,6 +170,20 @@
 	m.enqueue(m.self, itemMember)
 }
 
+// mergeWireMark applies a mark from another host. Marks that came from endpoints
+// are kept for Options.Retention only.
+func (m *Machine) mergeWireMark(k *peerwire.Mark) {
+	mark := Mark{Revision: k.Revision, Leaving: k.Leaving}
+	if k.Source != "" {
+		if k.AgeMs >= m.options.Retention.Milliseconds() {
+			return
+		}
+		mark.Source = k.Source
+		mark.At = m.now.Add(-time.Duration(max(0, k.AgeMs)) * time.Millisecond)
+	}
+	m.mergeMark(k.Endpoint, mark)
+}
+
 // mergeMark applies a mark of an endpoint unless a newer one is known.
 func (m *Machine) mergeMark(e identifier.Endpoint, k Mark) {
 	old, known := m.marks[e]
--- a/gossiper/news.go
+++ b/gossiper/news.go
@@ -35,7 +35,11 @@
 // negative if it is obsolete.
 func (m *Machine) itemSize(k itemKey, scope gossipScope) int {
 	if k.kind == itemMark {
-		return markBytes + len(k.name)
+		mark, ok := m.marks[identifier.Endpoint(k.name)]
+		if !ok {
+			return -1
+		}
+		return markBytes + len(k.name) + len(mark.Source)
 	}
 	r := m.table[identifier.Host(k.name)]
 	if r == nil {
@@ -70,7 +74,12 @@
 
 func (m *Machine) wireMark(e identifier.Endpoint) peerwire.Mark {
 	k := m.marks[e]
-	return peerwire.Mark{Endpoint: e, Revision: k.Revision, Leaving: k.Leaving}
+	mark := peerwire.Mark{Endpoint: e, Revision: k.Revision, Leaving: k.Leaving}
+	if k.Source != "" {
+		mark.Source = k.Source
+		mark.AgeMs = m.now.Sub(k.At).Milliseconds()
+	}
+	return mark
 }
 
 // addUpdate adds parts of a record to n. It extends the update of the same
--- a/gossiper/view.go
+++ b/gossiper/view.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/binary"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -23,10 +24,15 @@
 }
 
 // Mark records that an endpoint is leaving, or serving again, as of a revision
-// of the declarations.
+// of the declarations, or, if Source is set, as of the start of the endpoint that
+// Revision identifies.
 type Mark struct {
 	Revision identifier.Revision
 	Leaving  bool
+	// Source is the host to which the endpoint itself announced that it is
+	// leaving, at the time At.
+	Source identifier.Host
+	At     time.Time
 }
 
 // newView builds a view of members, which it sorts. Departed processes are found
--- a/peerwire/membership.go
+++ b/peerwire/membership.go
@@ -41,11 +41,17 @@
 }
 
 // Mark records that an endpoint is leaving or serving again as of a revision of
-// the declarations.
+// the declarations, or, if Source is set, as of the start of the endpoint that
+// Revision identifies.
 type Mark struct {
 	Endpoint identifier.Endpoint `msg:"e"`
 	Revision identifier.Revision `msg:"n"`
 	Leaving  bool                `msg:"l,omitempty"`
+	// Source is the host to which the endpoint itself announced that it is
+	// leaving, AgeMs milliseconds ago. Hosts of earlier versions neither send nor
+	// pass on the two.
+	Source identifier.Host `msg:"s,omitempty"`
+	AgeMs  int64           `msg:"a,omitempty"`
 }
 
 // Gossip carries membership updates. It is the payload of KindProbe, its reply
--- a/peerwire/membership_gen.go
+++ b/peerwire/membership_gen.go
@@ -57,64 +57,21 @@
 				z.Marks = make([]Mark, zb0003)
 			}
 			for za0002 := range z.Marks {
-				var zb0004 uint32
-				zb0004, err = dc.ReadMapHeader()
+				err = z.Marks[za0002].DecodeMsg(dc)
 				if err != nil {
 					err = msgp.WrapError(err, "Marks", za0002)
 					return
 				}
-				for zb0004 > 0 {
-					zb0004--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Marks", za0002)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "e":
-						{
-							var zb0005 string
-							zb0005, err = dc.ReadString()
-							if err != nil {
-								err = msgp.WrapError(err, "Marks", za0002, "Endpoint")
-								return
-							}
-							z.Marks[za0002].Endpoint = identifier.Endpoint(zb0005)
-						}
-					case "n":
-						{
-							var zb0006 uint64
-							zb0006, err = dc.ReadUint64()
-							if err != nil {
-								err = msgp.WrapError(err, "Marks", za0002, "Revision")
-								return
-							}
-							z.Marks[za0002].Revision = identifier.Revision(zb0006)
-						}
-					case "l":
-						z.Marks[za0002].Leaving, err = dc.ReadBool()
-						if err != nil {
-							err = msgp.WrapError(err, "Marks", za0002, "Leaving")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Marks", za0002)
-							return
-						}
-					}
-				}
 			}
 		case "f":
 			{
-				var zb0007 uint64
-				zb0007, err = dc.ReadUint64()
+				var zb0004 uint64
+				zb0004, err = dc.ReadUint64()
 				if err != nil {
 					err = msgp.WrapError(err, "From")
 					return
 				}
-				z.From = identifier.Incarnation(zb0007)
+				z.From = identifier.Incarnation(zb0004)
 			}
 		case "x":
 			z.Unknown, err = dc.ReadBool()
@@ -194,55 +151,11 @@
 				return
 			}
 			for za0002 := range z.Marks {
-				// check for omitted fields
-				zb0002Len := uint32(3)
-				var zb0002Mask uint8 /* 3 bits */
-				_ = zb0002Mask
-				if z.Marks[za0002].Leaving == false {
-					zb0002Len--
-					zb0002Mask |= 0x4
-				}
-				// variable map header, size zb0002Len
-				err = en.Append(0x80 | uint8(zb0002Len))
+				err = z.Marks[za0002].EncodeMsg(en)
 				if err != nil {
+					err = msgp.WrapError(err, "Marks", za0002)
 					return
 				}
-
-				// skip if no fields are to be emitted
-				if zb0002Len != 0 {
-					// write "e"
-					err = en.Append(0xa1, 0x65)
-					if err != nil {
-						return
-					}
-					err = en.WriteString(string(z.Marks[za0002].Endpoint))
-					if err != nil {
-						err = msgp.WrapError(err, "Marks", za0002, "Endpoint")
-						return
-					}
-					// write "n"
-					err = en.Append(0xa1, 0x6e)
-					if err != nil {
-						return
-					}
-					err = en.WriteUint64(uint64(z.Marks[za0002].Revision))
-					if err != nil {
-						err = msgp.WrapError(err, "Marks", za0002, "Revision")
-						return
-					}
-					if (zb0002Mask & 0x4) == 0 { // if not omitted
-						// write "l"
-						err = en.Append(0xa1, 0x6c)
-						if err != nil {
-							return
-						}
-						err = en.WriteBool(z.Marks[za0002].Leaving)
-						if err != nil {
-							err = msgp.WrapError(err, "Marks", za0002, "Leaving")
-							return
-						}
-					}
-				}
 			}
 		}
 		if (zb0001Mask & 0x4) == 0 { // if not omitted
@@ -318,30 +231,10 @@
 			o = append(o, 0xa1, 0x6d)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Marks)))
 			for za0002 := range z.Marks {
-				// check for omitted fields
-				zb0002Len := uint32(3)
-				var zb0002Mask uint8 /* 3 bits */
-				_ = zb0002Mask
-				if z.Marks[za0002].Leaving == false {
-					zb0002Len--
-					zb0002Mask |= 0x4
-				}
-				// variable map header, size zb0002Len
-				o = append(o, 0x80|uint8(zb0002Len))
-
-				// skip if no fields are to be emitted
-				if zb0002Len != 0 {
-					// string "e"
-					o = append(o, 0xa1, 0x65)
-					o = msgp.AppendString(o, string(z.Marks[za0002].Endpoint))
-					// string "n"
-					o = append(o, 0xa1, 0x6e)
-					o = msgp.AppendUint64(o, uint64(z.Marks[za0002].Revision))
-					if (zb0002Mask & 0x4) == 0 { // if not omitted
-						// string "l"
-						o = append(o, 0xa1, 0x6c)
-						o = msgp.AppendBool(o, z.Marks[za0002].Leaving)
-					}
+				o, err = z.Marks[za0002].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Marks", za0002)
+					return
 				}
 			}
 		}
@@ -409,64 +302,21 @@
 				z.Marks = make([]Mark, zb0003)
 			}
 			for za0002 := range z.Marks {
-				var zb0004 uint32
-				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Marks[za0002].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Marks", za0002)
 					return
 				}
-				for zb0004 > 0 {
-					zb0004--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Marks", za0002)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "e":
-						{
-							var zb0005 string
-							zb0005, bts, err = msgp.ReadStringBytes(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "Marks", za0002, "Endpoint")
-								return
-							}
-							z.Marks[za0002].Endpoint = identifier.Endpoint(zb0005)
-						}
-					case "n":
-						{
-							var zb0006 uint64
-							zb0006, bts, err = msgp.ReadUint64Bytes(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "Marks", za0002, "Revision")
-								return
-							}
-							z.Marks[za0002].Revision = identifier.Revision(zb0006)
-						}
-					case "l":
-						z.Marks[za0002].Leaving, bts, err = msgp.ReadBoolBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Marks", za0002, "Leaving")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Marks", za0002)
-							return
-						}
-					}
-				}
 			}
 		case "f":
 			{
-				var zb0007 uint64
-				zb0007, bts, err = msgp.ReadUint64Bytes(bts)
+				var zb0004 uint64
+				zb0004, bts, err = msgp.ReadUint64Bytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "From")
 					return
 				}
-				z.From = identifier.Incarnation(zb0007)
+				z.From = identifier.Incarnation(zb0004)
 			}
 		case "x":
 			z.Unknown, bts, err = msgp.ReadBoolBytes(bts)
@@ -494,7 +344,7 @@
 	}
 	s += 2 + msgp.ArrayHeaderSize
 	for za0002 := range z.Marks {
-		s += 1 + 2 + msgp.StringPrefixSize + len(string(z.Marks[za0002].Endpoint)) + 2 + msgp.Uint64Size + 2 + msgp.BoolSize
+		s += z.Marks[za0002].Msgsize()
 	}
 	s += 2 + msgp.Uint64Size + 2 + msgp.BoolSize
 	return
@@ -824,6 +674,22 @@
 				err = msgp.WrapError(err, "Leaving")
 				return
 			}
+		case "s":
+			{
+				var zb0004 string
+				zb0004, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Source")
+					return
+				}
+				z.Source = identifier.Host(zb0004)
+			}
+		case "a":
+			z.AgeMs, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "AgeMs")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -836,15 +702,23 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z Mark) EncodeMsg(en *msgp.Writer) (err error) {
+func (z *Mark) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(3)
-	var zb0001Mask uint8 /* 3 bits */
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
 	_ = zb0001Mask
 	if z.Leaving == false {
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
+	if z.Source == "" {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.AgeMs == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
@@ -885,21 +759,53 @@
 				return
 			}
 		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// write "s"
+			err = en.Append(0xa1, 0x73)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(string(z.Source))
+			if err != nil {
+				err = msgp.WrapError(err, "Source")
+				return
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// write "a"
+			err = en.Append(0xa1, 0x61)
+			if err != nil {
+				return
+			}
+			err = en.WriteInt64(z.AgeMs)
+			if err != nil {
+				err = msgp.WrapError(err, "AgeMs")
+				return
+			}
+		}
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Mark) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Mark) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(3)
-	var zb0001Mask uint8 /* 3 bits */
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
 	_ = zb0001Mask
 	if z.Leaving == false {
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
+	if z.Source == "" {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.AgeMs == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -916,6 +822,16 @@
 			o = append(o, 0xa1, 0x6c)
 			o = msgp.AppendBool(o, z.Leaving)
 		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "s"
+			o = append(o, 0xa1, 0x73)
+			o = msgp.AppendString(o, string(z.Source))
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "a"
+			o = append(o, 0xa1, 0x61)
+			o = msgp.AppendInt64(o, z.AgeMs)
+		}
 	}
 	return
 }
@@ -964,6 +880,22 @@
 				err = msgp.WrapError(err, "Leaving")
 				return
 			}
+		case "s":
+			{
+				var zb0004 string
+				zb0004, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Source")
+					return
+				}
+				z.Source = identifier.Host(zb0004)
+			}
+		case "a":
+			z.AgeMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AgeMs")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -977,8 +909,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Mark) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(string(z.Endpoint)) + 2 + msgp.Uint64Size + 2 + msgp.BoolSize
+func (z *Mark) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(string(z.Endpoint)) + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(string(z.Source)) + 2 + msgp.Int64Size
 	return
 }
 
