Send nothing to endpoints that leave or ask for a pause

An endpoint that refused a call with 503 and Retry-After got the next one at once, and if all endpoints of a service did so, callers were refused one by one with a Retry-After of about half a second, whatever the endpoints had asked for.

Cause: the two headers were not read.

Choosing an endpoint leaves excluded ones out, a placement request tells the placing host which engines asked its home for no calls, and the other hosts learn of leaving endpoints by marks.

Ruled out: a check in each place that sends (nine of them), and one decorator around the platform's interfaces, which would see no headers of control calls and decide up to 250 ms before the first byte.

--- a/common/classifier/classifier.go
+++ b/common/classifier/classifier.go
@@ -67,6 +67,7 @@
 	ReasonNoEndpoint       Reason = "no-endpoint"
 	ReasonEndpointFailed   Reason = "endpoint-failed"
 	ReasonEndpointRefused  Reason = "endpoint-refused"
+	ReasonEndpointExcluded Reason = "endpoint-excluded"
 	ReasonHostUnreachable  Reason = "host-unreachable"
 	ReasonTicketRequired   Reason = "ticket-required"
 	ReasonTicketUnknown    Reason = "ticket-unknown"
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -78,6 +78,16 @@
 	Cancel(p reserver.Plan)
 }
 
+// Exclusions knows the endpoints that asked for no calls.
+type Exclusions interface {
+	// Usable returns the endpoints that may get new calls.
+	Usable(all []*registrar.Endpoint) []*registrar.Endpoint
+	// RetryAfter returns the time after which a caller may return whose request
+	// found none of the endpoints; if the exclusions don't tell, a random time
+	// around d.
+	RetryAfter(all []*registrar.Endpoint, d time.Duration) time.Duration
+}
+
 // PrefillResult identifies the KV cache of a prompt that an engine holds.
 type PrefillResult struct {
 	Handle string
@@ -162,7 +172,9 @@
 	Dialect      Dialect
 	Budget       Budget
 	Placer       *placer.Placer
-	Observer     Observer
+	// Exclusions is optional; without it, no endpoints are excluded.
+	Exclusions Exclusions
+	Observer   Observer
 	// AwaitConfirmation waits, for a bounded time, until the replicated state is
 	// confirmed to be current, for example after the process was suspended.
 	AwaitConfirmation func(ctx context.Context)
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/jackdawthread/jackdawthread/common/classifier"
+	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/exchanger"
 	"github.com/jackdawthread/jackdawthread/placer"
 	"github.com/jackdawthread/jackdawthread/registrar"
@@ -120,9 +121,9 @@
 func (e *exchange) startCall(ctx context.Context, responses chan<- *endpointResponse) *classifier.Error {
 	f := e.forwarder
 	now := time.Now()
-	endpoint := f.deps.Placer.ChoosePlain(e.registeredEndpoints(), e.exclude, now)
+	endpoint := f.deps.Placer.ChoosePlain(e.usableEndpoints(), e.exclude, now)
 	if endpoint == nil {
-		return classifier.NotRun(classifier.ReasonNoEndpoint, classifier.Jitter(noEndpointRetryAfter), "service %q has no further endpoint for the request", e.service.Name)
+		return classifier.NotRun(classifier.ReasonNoEndpoint, e.forwarder.retryAfter(e.service.Name, noEndpointRetryAfter), "service %q has no further endpoint for the request", e.service.Name)
 	}
 	e.observation.addAttempt(endpoint)
 	e.sent++
@@ -137,10 +138,23 @@
 	return nil
 }
 
-// registeredEndpoints returns the currently registered endpoints of the
-// service.
-func (e *exchange) registeredEndpoints() []*registrar.Endpoint {
-	return e.forwarder.deps.Registry.Snapshot().Endpoints(e.service.Name)
+// usableEndpoints returns the currently registered endpoints of the service that
+// may get new calls.
+func (e *exchange) usableEndpoints() []*registrar.Endpoint {
+	all := e.forwarder.deps.Registry.Snapshot().Endpoints(e.service.Name)
+	if e.forwarder.deps.Exclusions == nil {
+		return all
+	}
+	return e.forwarder.deps.Exclusions.Usable(all)
+}
+
+// retryAfter returns the time after which a caller may return whose request found
+// no endpoint of a service.
+func (f *Forwarder) retryAfter(s identifier.Service, d time.Duration) time.Duration {
+	if f.deps.Exclusions == nil {
+		return classifier.Jitter(d)
+	}
+	return f.deps.Exclusions.RetryAfter(f.deps.Registry.Snapshot().Endpoints(s), d)
 }
 
 // call sends a plain call to an endpoint and reads the whole response.
@@ -169,7 +183,7 @@
 // the endpoint refused the call, or if a successful response is not signed.
 func (f *Forwarder) checkResponse(r *exchanger.Response, e *registrar.Endpoint) error {
 	if f.deps.Endpoints.Refused(r) {
-		return classifier.NotRun(classifier.ReasonEndpointRefused, classifier.Jitter(overloadedRetryAfter), "endpoint %q refused the request with status %d", e.Name, r.Status)
+		return classifier.NotRun(classifier.ReasonEndpointRefused, f.retryAfter(e.Service, overloadedRetryAfter), "endpoint %q refused the request with status %d", e.Name, r.Status)
 	}
 	if r.Status < http.StatusMultipleChoices && !f.deps.Dialect.Signed(r.Header) {
 		return classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "response from endpoint %q is not signed", e.Name)
@@ -201,12 +215,17 @@
 	}
 }
 
-// failureVerdict distinguishes unreachable endpoints from failed ones.
+// failureVerdict distinguishes endpoints that got no call, and unreachable ones,
+// from failed ones.
 func failureVerdict(c *classifier.Error) placer.Verdict {
-	if c.Reason == classifier.ReasonHostUnreachable {
+	switch c.Reason {
+	case classifier.ReasonEndpointExcluded:
+		return placer.VerdictNone
+	case classifier.ReasonHostUnreachable:
 		return placer.VerdictUnreachable
+	default:
+		return placer.VerdictResponseFailed
 	}
-	return placer.VerdictResponseFailed
 }
 
 // writeResponse sends an endpoint's response to the caller.
--- a/forwarder/plain_stream.go
+++ b/forwarder/plain_stream.go
@@ -21,9 +21,9 @@
 func (s *stream) attemptPlain(ctx context.Context) error {
 	f := s.forwarder
 	now := time.Now()
-	at := f.deps.Placer.ChoosePlain(s.registeredEndpoints(), s.exclude, now)
+	at := f.deps.Placer.ChoosePlain(s.usableEndpoints(), s.exclude, now)
 	if at == nil {
-		return classifier.NotRun(classifier.ReasonNoEndpoint, classifier.Jitter(noEndpointRetryAfter), "service %q has no endpoint", s.service.Name)
+		return classifier.NotRun(classifier.ReasonNoEndpoint, f.retryAfter(s.service.Name, noEndpointRetryAfter), "service %q has no endpoint", s.service.Name)
 	}
 	s.sent++
 	s.observation.addAttempt(at)
--- a/forwarder/prefill.go
+++ b/forwarder/prefill.go
@@ -36,7 +36,7 @@
 		}
 	}
 	for {
-		e := endpoints.ChoosePrefill(s.registeredEndpoints(), p.Decode.DataCenter, s.excludedPrefills, time.Now())
+		e := endpoints.ChoosePrefill(s.usableEndpoints(), p.Decode.DataCenter, s.excludedPrefills, time.Now())
 		if e == nil || e.Stage != registrar.StagePrefill {
 			return nil, nil
 		}
@@ -71,7 +71,7 @@
 	if ctx.Err() != nil {
 		return nil, o, contextError(ctx, classifier.VerdictNotRun)
 	}
-	if classifier.Of(err).Reason != classifier.ReasonHostUnreachable {
+	if r := classifier.Of(err).Reason; r != classifier.ReasonHostUnreachable && r != classifier.ReasonEndpointExcluded {
 		// A failed prefill that reached its engine counts against the budget,
 		// whatever follows.
 		s.prefillAllowed = s.forwarder.deps.Budget.Take(s.service.Name)
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -33,6 +33,7 @@
 	"github.com/jackdawthread/jackdawthread/exchanger"
 	"github.com/jackdawthread/jackdawthread/forwarder"
 	"github.com/jackdawthread/jackdawthread/gossiper"
+	"github.com/jackdawthread/jackdawthread/interceptor"
 	"github.com/jackdawthread/jackdawthread/messenger"
 	"github.com/jackdawthread/jackdawthread/peerwire"
 	"github.com/jackdawthread/jackdawthread/placer"
@@ -54,6 +55,10 @@
 	// Read parses a store item as declarations or as an endpoint; both are nil
 	// for other keys.
 	Read(i replicator.Item) (*registrar.Declarations, *registrar.Endpoint, error)
+	// Intercept makes the platform check each call to an endpoint with i right
+	// before it is sent, and pass the notices of responses to i. It is called once,
+	// before any call.
+	Intercept(i *interceptor.Interceptor)
 	// Exchanger returns the client that holds the connections to endpoints.
 	Exchanger() *exchanger.Exchanger
 }
@@ -81,11 +86,13 @@
 	gossiper   *gossiper.Gossiper
 	replicator atomic.Pointer[replicator.Replicator]
 	placer     *placer.Placer
-	reserver   *reserver.Reserver
-	forwarder  *forwarder.Forwarder
-	budgets    *budgets
-	metrics    *metrics
-	idle       *idleCloser
+	// interceptor excludes endpoints that asked for no calls.
+	interceptor *interceptor.Interceptor
+	reserver    *reserver.Reserver
+	forwarder   *forwarder.Forwarder
+	budgets     *budgets
+	metrics     *metrics
+	idle        *idleCloser
 
 	callers   *http.Server
 	addresses Addresses
@@ -220,6 +227,8 @@
 		Logger:           h.log,
 	}, h.messenger, h.timer, h.group)
 	h.gossiper.Seed(s.Seeds)
+	h.interceptor = interceptor.New(interceptor.Deps{Registry: h.registry, Gossip: h.gossiper, Timer: h.timer, Log: h.log})
+	h.deps.Platform.Intercept(h.interceptor)
 	h.placer = placer.New(placer.Options{DataCenter: s.DataCenter}, uint64(h.incarnation))
 	h.budgets = newBudgets(s.Retries, rand.Float64())
 	h.gossiper.Subscribe(func(v *gossiper.View) { h.budgets.observeHosts(len(v.Members())) })
@@ -228,6 +237,7 @@
 		DataCenter: s.DataCenter,
 		Registry:   h.registry,
 		Engines:    h.deps.Platform,
+		Exclusions: h.interceptor,
 		Placer:     h.placer,
 		Members:    h.gossiper,
 		Links:      h.messenger,
@@ -253,6 +263,7 @@
 		Dialect:           h.deps.Platform,
 		Budget:            h.budgets,
 		Placer:            h.placer,
+		Exclusions:        h.interceptor,
 		Observer:          h,
 		AwaitConfirmation: h.awaitConfirmation,
 		Group:             h.group,
@@ -342,7 +353,10 @@
 // probeAvoided checks whether avoided endpoints can be reached again.
 func (h *Host) probeAvoided(now time.Time) {
 	s := h.registry.Snapshot()
-	registered := func(name identifier.Endpoint) bool { return s.Endpoint(name) != nil }
+	registered := func(name identifier.Endpoint) bool {
+		e := s.Endpoint(name)
+		return e != nil && h.interceptor.Allows(e)
+	}
 	for _, name := range h.placer.DueProbes(registered, now) {
 		e := s.Endpoint(name)
 		h.group.Run(func(ctx context.Context) {
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -67,6 +67,16 @@
 	CancelReservation(ctx context.Context, e *registrar.Endpoint, r Reservation) error
 }
 
+// Exclusions knows the engines that asked for no calls from this host.
+type Exclusions interface {
+	// Usable returns the engines that may get new calls.
+	Usable(all []*registrar.Endpoint) []*registrar.Endpoint
+	// RetryAfter returns the time after which a caller may return whose request
+	// found none of the engines; if the exclusions don't tell, a random time
+	// around d.
+	RetryAfter(all []*registrar.Endpoint, d time.Duration) time.Duration
+}
+
 // Membership provides the current view of the fleet's hosts.
 type Membership interface {
 	View() *gossiper.View
@@ -80,6 +90,8 @@
 	DataCenter identifier.DataCenter
 	Registry   *registrar.Registrar
 	Engines    Engines
+	// Exclusions is optional; without it, no engines are excluded.
+	Exclusions Exclusions
 	Placer     *placer.Placer
 	Members    Membership
 	Links      Links
@@ -155,6 +167,9 @@
 // NotRun.
 func (r *Reserver) Place(ctx context.Context, req PlacementRequest) (Plan, error) {
 	req.PreferredDataCenter = r.deps.DataCenter
+	if err := r.excludeUnusable(&req); err != nil {
+		return Plan{}, err
+	}
 	if owner, ok := r.owner(req.Service); ok && !r.breaker.isOpen(owner.Incarnation, time.Now()) {
 		plan, err := r.placeRemotely(ctx, owner, &req)
 		if !isUnreachable(err) || ctx.Err() != nil {
--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -133,6 +134,41 @@
 	// registry is shared by all hosts.
 	registry *registrar.Registrar
 	prompt   identifier.Tokens
+	// excluded are the engines that asked a host for no calls.
+	excluded *excludedEngines
+}
+
+// excludedEngines are the engines that asked each host for no calls.
+type excludedEngines struct {
+	mu     sync.Mutex
+	byHost map[int][]identifier.Endpoint
+}
+
+func (x *excludedEngines) set(host int, engines ...identifier.Endpoint) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.byHost[host] = engines
+}
+
+// hostExclusions implements reserver.Exclusions for one host.
+type hostExclusions struct {
+	engines *excludedEngines
+	host    int
+}
+
+func (x hostExclusions) Usable(all []*registrar.Endpoint) []*registrar.Endpoint {
+	x.engines.mu.Lock()
+	defer x.engines.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(all), func(e *registrar.Endpoint) bool {
+		return slices.Contains(x.engines.byHost[x.host], e.Name)
+	})
+}
+
+// exclusionWait is the time that excludedEngines tells callers to wait.
+const exclusionWait = 7 * time.Second
+
+func (x hostExclusions) RetryAfter([]*registrar.Endpoint, time.Duration) time.Duration {
+	return exclusionWait
 }
 
 type host struct {
@@ -143,7 +179,7 @@
 
 func newFleet(t *testing.T, hosts int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, is: is.New(t), group: grouper.New(context.Background()), engines: newEngines(), prompt: 100}
+	f := &fleet{t: t, is: is.New(t), group: grouper.New(context.Background()), engines: newEngines(), prompt: 100, excluded: &excludedEngines{byHost: map[int][]identifier.Endpoint{}}}
 	t.Cleanup(func() {
 		f.group.Stop()
 		_ = f.group.Wait() // its goroutines return no errors
@@ -190,7 +226,8 @@
 	h := &host{messenger: m, gossiper: g}
 	h.reserver = reserver.New(reserver.Deps{
 		Self: incarnation, Registry: registry, Engines: f.engines, Members: g, Links: m, Timer: t, Group: f.group,
-		Placer: placer.New(placer.Options{DataCenter: "a"}, uint64(n)), Log: zap.NewNop(), Seed: uint64(n),
+		Exclusions: hostExclusions{engines: f.excluded, host: n},
+		Placer:     placer.New(placer.Options{DataCenter: "a"}, uint64(n)), Log: zap.NewNop(), Seed: uint64(n),
 	})
 	h.reserver.Register(m)
 	m.Serve(ln)
@@ -432,3 +469,48 @@
 	}
 	return found
 }
+
+func TestExclusions(t *testing.T) {
+	ctx := context.Background()
+	for _, hosts := range []int{1, 3} {
+		t.Run(fmt.Sprintf("of a host apply to its own requests only, with %d hosts", hosts), func(t *testing.T) {
+			f := newFleet(t, hosts)
+			placing := f.placingHost()
+			home := (placing + 1) % hosts
+			f.excluded.set(home, "d1")
+			for range slots / 2 {
+				p, err := f.place(ctx, home, time.Second)
+				f.is.NoErr(err)
+				f.is.Equal(p.Decode.Name, identifier.Endpoint("d2"))
+			}
+			if hosts > 1 {
+				p, err := f.place(ctx, placing, time.Second)
+				f.is.NoErr(err)
+				f.is.Equal(p.Decode.Name, identifier.Endpoint("d1"))
+			}
+		})
+		t.Run(fmt.Sprintf("of all engines refuse at once, with %d hosts", hosts), func(t *testing.T) {
+			f := newFleet(t, hosts)
+			placing := f.placingHost()
+			home := (placing + 1) % hosts
+			f.excluded.set(home, "d1", "d2")
+			before, _, _ := f.engines.count()
+			began := time.Now()
+			_, err := f.place(ctx, home, 5*time.Second)
+			f.is.Equal(classifier.VerdictOf(err), classifier.VerdictNotRun)
+			f.is.Equal(classifier.Of(err).RetryAfter, exclusionWait)
+			f.is.True(time.Since(began) < time.Second)
+			after, _, _ := f.engines.count()
+			f.is.Equal(after, before)
+		})
+		t.Run(fmt.Sprintf("of the prefill engine leave the prefill to the decode engine, with %d hosts", hosts), func(t *testing.T) {
+			f := newFleet(t, hosts)
+			placing := f.placingHost()
+			home := (placing + 1) % hosts
+			f.excluded.set(home, "f")
+			p, err := f.place(ctx, home, time.Second)
+			f.is.NoErr(err)
+			f.is.True(p.Prefill == nil)
+		})
+	}
+}
--- a/reserver/search.go
+++ b/reserver/search.go
@@ -44,9 +44,9 @@
 func (q *serviceQueue) search(ctx context.Context, a *waiter) (Plan, error) {
 	r := q.reserver
 	s := r.deps.Registry.Snapshot()
-	all := s.Endpoints(q.service)
+	all := r.usableEngines(s.Endpoints(q.service))
 	if countDecoders(all) == 0 {
-		return Plan{}, classifier.NotRun(classifier.ReasonNoEndpoint, classifier.Jitter(noEndpointRetryAfter), "service %q has no decode engine", q.service)
+		return Plan{}, r.noDecoder(s.Endpoints(q.service), q.service)
 	}
 	traits := engineConfig(s, q.service)
 	if q.prefillBacklogged(all, a) {
@@ -131,6 +131,9 @@
 		r.recordEndpointOutcome(e, placer.Outcome{Verdict: placer.VerdictAtCapacity})
 		return "", err
 	}
+	if classifier.Of(err).Reason == classifier.ReasonEndpointExcluded {
+		return "", err // nothing was sent
+	}
 	verdict := placer.VerdictResponseFailed
 	if classifier.Of(err).Reason == classifier.ReasonHostUnreachable {
 		verdict = placer.VerdictUnreachable
--- a/reserver/stages.go
+++ b/reserver/stages.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/estimator"
 	"github.com/jackdawthread/jackdawthread/gossiper"
@@ -173,7 +174,7 @@
 		zap.Stringer("to", o.Stage),
 		zap.Uint64("fence", uint64(f)),
 		zap.Error(err))
-	if err == nil {
+	if err == nil || classifier.Of(err).Reason == classifier.ReasonEndpointExcluded {
 		return
 	}
 	q.mu.Lock()
