Leave engines that announced that they are leaving out of stage orders

The stager counted such engines and could order them. Their orders are stopped right before they are sent, but a stopped order still counts as a transition for 30 s, in which the pool is taken to be larger than it is.

The new case of TestOrdersWithoutFencing (all engines leaving) fails without the change in stages.go: orders are given. Paused engines still count, since a pause is short against the time that a change of stage takes.

--- a/excluder/excluder.go
+++ b/excluder/excluder.go
@@ -271,6 +271,21 @@
 	return usable
 }
 
+// Staying returns the endpoints that are not known to be leaving, from their own
+// responses or from other hosts.
+func (x *Excluder) Staying(all []*registrar.Endpoint) []*registrar.Endpoint {
+	if len(x.records) == 0 {
+		return all
+	}
+	staying := make([]*registrar.Endpoint, 0, len(all))
+	for _, e := range all {
+		if r := x.find(e); r == nil || r.leavingSince.IsZero() && !r.reportedLeaving {
+			staying = append(staying, e)
+		}
+	}
+	return staying
+}
+
 func isPrefill(e *registrar.Endpoint) bool {
 	return e.Stage == registrar.StagePrefill
 }
--- a/excluder/excluder_test.go
+++ b/excluder/excluder_test.go
@@ -74,6 +74,13 @@
 		c.Leaving = true
 		requireNames(t, leaving(a).Usable([]*registrar.Endpoint{a, c}, at(time.Second)), "a")
 	})
+	t.Run("is not staying, and neither is one that another host reports", func(t *testing.T) {
+		c := endpoint("c", 8)
+		x := leaving(a)
+		x.Report(b, 6)
+		x.Observe(c, excluder.Notice{Pause: time.Minute}, start)
+		requireNames(t, x.Staying([]*registrar.Endpoint{a, b, c}), "c")
+	})
 	t.Run("isn't taken back by a later response, and doesn't begin anew", func(t *testing.T) {
 		i := is.New(t)
 		x := leaving(a)
--- a/interceptor/interceptor.go
+++ b/interceptor/interceptor.go
@@ -163,6 +163,13 @@
 	return i.excluder.Usable(all, time.Now())
 }
 
+// Staying returns the endpoints that are not known to be leaving.
+func (i *Interceptor) Staying(all []*registrar.Endpoint) []*registrar.Endpoint {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.excluder.Staying(all)
+}
+
 // RetryAfter returns the time after which a caller may return whose request found
 // none of the endpoints: when the first of them ends its pause, if all of them are
 // paused, and otherwise a random time around d. Callers are spread over some time
--- a/reserver/exclusions.go
+++ b/reserver/exclusions.go
@@ -21,6 +21,14 @@
 	return r.deps.Exclusions.Usable(all)
 }
 
+// stayingEngines returns the engines that are not known to be leaving.
+func (r *Reserver) stayingEngines(all []*registrar.Endpoint) []*registrar.Endpoint {
+	if r.deps.Exclusions == nil {
+		return all
+	}
+	return r.deps.Exclusions.Staying(all)
+}
+
 // noDecoder returns the refusal of a request for which no decode engine is usable.
 func (r *Reserver) noDecoder(all []*registrar.Endpoint, s identifier.Service) error {
 	if countDecoders(all) == 0 || r.deps.Exclusions == nil {
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -71,6 +71,8 @@
 type Exclusions interface {
 	// Usable returns the engines that may get new calls.
 	Usable(all []*registrar.Endpoint) []*registrar.Endpoint
+	// Staying returns the engines that are not known to be leaving.
+	Staying(all []*registrar.Endpoint) []*registrar.Endpoint
 	// RetryAfter returns the time after which a caller may return whose request
 	// found none of the engines; if the exclusions don't tell, a random time
 	// around d.
--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -164,6 +164,10 @@
 	})
 }
 
+func (x hostExclusions) Staying(all []*registrar.Endpoint) []*registrar.Endpoint {
+	return x.Usable(all)
+}
+
 // exclusionWait is the time that excludedEngines tells callers to wait.
 const exclusionWait = 7 * time.Second
 
--- a/reserver/stages.go
+++ b/reserver/stages.go
@@ -101,7 +101,7 @@
 		return
 	}
 	w := stager.Workload{Model: q.model, Running: r.runningUse(q.service, now), Memory: engineConfig(s, q.service).Memory}
-	orders := q.stager.NextOrders(s.Endpoints(q.service), w, now)
+	orders := q.stager.NextOrders(r.stayingEngines(s.Endpoints(q.service)), w, now)
 	fences := make([]Fence, len(orders))
 	for i := range fences {
 		fences[i] = q.tenure.nextFence(r.deps.OrderOptions.Holder, known.Revision)
--- a/reserver/stages_test.go
+++ b/reserver/stages_test.go
@@ -40,6 +40,14 @@
 	return nil
 }
 
+// allLeaving implements Exclusions; all engines are leaving.
+type allLeaving struct{}
+
+func (allLeaving) Usable([]*registrar.Endpoint) []*registrar.Endpoint  { return nil }
+func (allLeaving) Staying([]*registrar.Endpoint) []*registrar.Endpoint { return nil }
+
+func (allLeaving) RetryAfter(_ []*registrar.Endpoint, d time.Duration) time.Duration { return d }
+
 // orderingReserver returns a reserver that only switches stages.
 func orderingReserver(registry *registrar.Registrar, options OrderOptions, known Knowledge, orders Orders) *Reserver {
 	return &Reserver{
@@ -69,18 +77,23 @@
 		name      string
 		fenced    bool
 		age       time.Duration
+		leaving   bool // all engines have announced that they are leaving
 		wantOrder bool
 	}{
-		{"current knowledge, fenced", true, 0, true},
-		{"old knowledge, fenced", true, time.Minute, true},
-		{"current knowledge, not fenced", false, maxKnowledgeAge / 2, true},
-		{"old knowledge, not fenced", false, 2 * maxKnowledgeAge, false},
+		{"current knowledge, fenced", true, 0, false, true},
+		{"old knowledge, fenced", true, time.Minute, false, true},
+		{"current knowledge, not fenced", false, maxKnowledgeAge / 2, false, true},
+		{"old knowledge, not fenced", false, 2 * maxKnowledgeAge, false, false},
+		{"leaving engines", true, 0, true, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			orders := make(recordedOrders, 100)
 			r := orderingReserver(registry, OrderOptions{Enabled: true, Fenced: c.fenced, Lease: time.Second},
 				Knowledge{Revision: 40, Age: c.age}, orders)
+			if c.leaving {
+				r.deps.Exclusions = allLeaving{}
+			}
 			members := newLoneMember(r.deps.Group)
 			r.deps.Self, r.deps.Members = members.View().Members()[0].Incarnation, members
 			m := r.serviceQueue("notes").model
