Give a stopped call's error a time to return

A request without further attempts whose call is stopped right before it is sent, such as a stream of a plain service, was refused without Retry-After: callers take that as useless to retry. Another endpoint can be chosen at once, so it is told about 0.1 s. TestNotices checks it; it fails without the change.

--- a/interceptor/interceptor.go
+++ b/interceptor/interceptor.go
@@ -38,6 +38,9 @@
 	// returnMargin keeps the rounding of the time told to a caller from sending it
 	// back before the pause ends.
 	returnMargin = 5 * time.Millisecond
+	// stoppedRetryAfter is the Retry-After hint of a request that has no attempt
+	// left after its call was stopped. Another endpoint may be chosen at once.
+	stoppedRetryAfter = 100 * time.Millisecond
 )
 
 // Gossip carries the news of leaving endpoints between hosts.
@@ -96,7 +99,7 @@
 	}
 	i.stats.StoppedCalls++
 	i.deps.Log.Info("call-stopped", zap.String("endpoint", string(e.Name)), zap.Stringer("endpoint-state", r))
-	return classifier.NotRun(classifier.ReasonEndpointExcluded, 0, "endpoint %q is %v and gets no calls", e.Name, r)
+	return classifier.NotRun(classifier.ReasonEndpointExcluded, classifier.Jitter(stoppedRetryAfter), "endpoint %q is %v and gets no calls", e.Name, r)
 }
 
 // Allows reports whether calls may be sent to e at this time.
--- a/interceptor/interceptor_test.go
+++ b/interceptor/interceptor_test.go
@@ -93,6 +93,7 @@
 		err := b.Check(b.a)
 		b.is.Equal(classifier.VerdictOf(err), classifier.VerdictNotRun)
 		b.is.Equal(classifier.Of(err).Reason, classifier.ReasonEndpointExcluded)
+		b.is.True(classifier.Of(err).RetryAfter > 0) // for a request without further attempts
 		b.is.True(!b.Allows(b.a))
 		b.is.NoErr(b.Check(b.b))
 		b.requireLogged("endpoint-paused", "call-stopped")
