Don't take a hedge that wasn't sent for an attempt that may have run

A caller whose idempotent request ran nowhere got 502 in place of 503, so that it couldn't know that: a hedge was due, found no second endpoint, and the only call then failed without having been sent. The host set the request to may-have-run when the hedge was due, before it knew whether there was an endpoint for it. With endpoints excluded while they leave or pause, this is more frequent.

TestHedgeWithoutEndpoint got 502 before and gets 503 now. The request counts as hedged only if the hedge was sent.

Found while tracing a 502 in one of three runs of TestLeavingRunners ("are avoided by other hosts") at a load average of about 790, which other work on the machine caused. Whether this was its cause isn't known: that run kept no log, and 105 repetitions of the case didn't fail again.

Open: the retry budget is charged for a hedge that isn't sent.

--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -109,11 +109,14 @@
 	if e.sent >= e.route.Attempts || !e.forwarder.deps.Budget.Take(e.service.Name) {
 		return
 	}
+	if err := start(); err != nil {
+		if ctx.Err() == nil {
+			e.logDecision("hedge-not-sent", nil, err)
+		}
+		return
+	}
 	e.mayHaveRun = true
 	e.observation.Hedged = true
-	if err := start(); err != nil && ctx.Err() == nil {
-		e.logDecision("hedge-not-sent", nil, err)
-	}
 }
 
 // startCall sends the call to another endpoint. Its response is sent on the
