Let requests read the notices of endpoints at the same time

While any endpoint leaves or pauses, each choice of an endpoint goes through the interceptor's lock; choices change nothing, so they share it.

--- a/interceptor/interceptor.go
+++ b/interceptor/interceptor.go
@@ -76,7 +76,7 @@
 type Interceptor struct {
 	deps Deps
 
-	mu       sync.Mutex
+	mu       sync.RWMutex
 	excluder *excluder.Excluder
 	stats    Stats
 }
@@ -104,8 +104,8 @@
 
 // Allows reports whether calls may be sent to e at this time.
 func (i *Interceptor) Allows(e *registrar.Endpoint) bool {
-	i.mu.Lock()
-	defer i.mu.Unlock()
+	i.mu.RLock()
+	defer i.mu.RUnlock()
 	return i.excluder.Check(e, time.Now()) == excluder.RefusalNone
 }
 
@@ -161,15 +161,15 @@
 
 // Usable returns the endpoints that may get new calls.
 func (i *Interceptor) Usable(all []*registrar.Endpoint) []*registrar.Endpoint {
-	i.mu.Lock()
-	defer i.mu.Unlock()
+	i.mu.RLock()
+	defer i.mu.RUnlock()
 	return i.excluder.Usable(all, time.Now())
 }
 
 // Staying returns the endpoints that are not known to be leaving.
 func (i *Interceptor) Staying(all []*registrar.Endpoint) []*registrar.Endpoint {
-	i.mu.Lock()
-	defer i.mu.Unlock()
+	i.mu.RLock()
+	defer i.mu.RUnlock()
 	return i.excluder.Staying(all)
 }
 
@@ -178,9 +178,9 @@
 // paused, and otherwise a random time around d. Callers are spread over some time
 // after a pause.
 func (i *Interceptor) RetryAfter(all []*registrar.Endpoint, d time.Duration) time.Duration {
-	i.mu.Lock()
+	i.mu.RLock()
 	wait, ok := i.excluder.EarliestReturn(all, time.Now())
-	i.mu.Unlock()
+	i.mu.RUnlock()
 	if !ok {
 		return classifier.Jitter(d)
 	}
