--- a/reserver/stages.go
+++ b/reserver/stages.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/estimator"
 	"github.com/jackdawthread/jackdawthread/gossiper"
@@ -104,7 +105,7 @@
 		return
 	}
 	w := stager.Workload{Model: q.model, Running: r.runningUse(q.service, now), Memory: engineConfig(s, q.service).Memory}
-	orders := q.stager.NextOrders(s.Endpoints(q.service), w, now)
+	orders := q.stager.NextOrders(r.stayingEngines(s.Endpoints(q.service)), w, now)
 	fences := make([]Fence, len(orders))
 	for i := range fences {
 		fences[i] = q.tenure.nextFence(r.deps.OrderOptions.Holder, known.Position)
@@ -178,7 +179,7 @@
 		zap.Stringer("to", o.Stage),
 		zap.Uint64("fence", uint64(f)),
 		zap.Error(err))
-	if err == nil {
+	if err == nil || classifier.Of(err).Reason == classifier.ReasonEndpointExcluded {
 		return
 	}
 	q.mu.Lock()
