Name the settings variable in the platform package only

cmd/entry-host and emulator/soaker each spelled JACKDAWTHREAD_SETTINGS, a word of the operators' boundary that belongs in platform/. It is one exported constant there now; nothing changes for callers or operators. Only the usage lines of documentation still spell it out. Built; no test depends on the name.

--- a/cmd/entry-host/main.go
+++ b/cmd/entry-host/main.go
@@ -15,14 +15,11 @@
 	"github.com/jackdawthread/jackdawthread/platform"
 )
 
-// settingsVariable is the environment variable with the settings file's path.
-const settingsVariable = "JACKDAWTHREAD_SETTINGS"
-
 func main() {
 	connect := func(s *hoster.Settings) hoster.Platform {
 		return platform.New(platform.Options{Store: s.Store.Address})
 	}
-	if err := hoster.Run(os.Getenv(settingsVariable), connect, os.Stdout); err != nil {
+	if err := hoster.Run(os.Getenv(platform.SettingsVariable), connect, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/emulator/soaker/process.go
+++ b/emulator/soaker/process.go
@@ -17,6 +17,7 @@
 	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/common/socket"
+	"github.com/jackdawthread/jackdawthread/platform"
 )
 
 // process is an entry host process.
@@ -94,7 +95,7 @@
 		return eris.Wrap(err, "open log of host")
 	}
 	c := exec.Command(p.options.Binary)
-	c.Env = append(os.Environ(), "JACKDAWTHREAD_SETTINGS="+p.settings)
+	c.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settings)
 	c.Stdout, c.Stderr = log, log
 	if err := c.Start(); err != nil {
 		_ = log.Close()
