Log why slots were refused, and trace a known failure as far as it repeats

Callers saw: quotes refused with 'accepts no more requests' (deadline exceeded) 20 s before their deadline, beside a killed engine on a busy machine. Neither the host nor the allocator logged a refusal, so that the reason could not be told from its message: the deadline, the first-token target and the expected wait share it.

Now the allocating host logs slot-request-refused with the attempt, the time waited and left, the number waiting and the expected wait; the request's host logs slots-not-granted with the request's ID and the attempt (both at level debug, as attempt-failed beside them). The process tests run their hosts at that level and print the logs of a failed test only.

--- a/cmd/emulator/fleet_test.go
+++ b/cmd/emulator/fleet_test.go
@@ -151,7 +151,7 @@
 		"--host", "a@tw-1="+a[6], "--host", "b@tw-1="+a[9])
 	for i, name := range []string{"a", "b"} {
 		at := a[5+3*i:]
-		f.start(name, "jackdawthread", "serve", "--set", "host="+name, "--set", "firm=tamsui", "--set", "data-center=tw-1",
+		f.start(name, "jackdawthread", "serve", "--set", "host="+name, "--set", "firm=tamsui", "--set", "data-center=tw-1", "--set", "log-level=debug",
 			"--set", "listeners.callers="+at[0], "--set", "listeners.peers="+at[1], "--set", "listeners.operators="+at[2],
 			"--set", "platform.address="+a[4])
 		f.urls = append(f.urls, "http://"+at[0])
--- a/coordinator/pool.go
+++ b/coordinator/pool.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/jackdawthread/jackdawthread/allocator"
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
@@ -20,6 +22,13 @@
 	err     error
 }
 
+// waitingRequest is a slot request that waits for the allocator's answer.
+type waitingRequest struct {
+	request allocator.SlotRequest
+	since   time.Time
+	answer  chan askResult
+}
+
 // pool runs the allocator of one pool on this host: it passes events to the
 // allocator, executes the resulting actions and probes the pool's endpoints.
 type pool struct {
@@ -29,7 +38,7 @@
 
 	mu        sync.Mutex
 	allocator *allocator.Pool
-	waiting   map[identifier.Attempt]chan askResult
+	waiting   map[identifier.Attempt]waitingRequest
 	bindings  map[identifier.Attempt]chan allocator.Bound
 	wakeUp    *timer.Subscription
 	wakeUpAt  time.Time
@@ -46,7 +55,7 @@
 		deps:      d,
 		orphans:   o,
 		allocator: allocator.New(f.Services[k.Service], k.DataCenter, f.Links, options, seed),
-		waiting:   make(map[identifier.Attempt]chan askResult),
+		waiting:   make(map[identifier.Attempt]waitingRequest),
 		bindings:  make(map[identifier.Attempt]chan allocator.Bound),
 		probes:    make(map[identifier.Endpoint]*probe),
 		lastUsed:  time.Now(),
@@ -80,7 +89,7 @@
 	}
 	now := time.Now()
 	p.lastUsed = now
-	p.waiting[a.Attempt] = answer
+	p.waiting[a.Attempt] = waitingRequest{request: a, since: now, answer: answer}
 	p.runActions(p.allocator.Ask(a, now), now)
 	return true
 }
@@ -191,6 +200,7 @@
 		case allocator.Bound:
 			p.deliverBinding(a)
 		case allocator.Refused:
+			p.logRefused(a, now)
 			p.reply(a.Attempt, askResult{err: p.refusedError(a)})
 		case allocator.CancelAt:
 			p.deps.Group.Run(func(ctx context.Context) { p.orphans.cancel(ctx, a) })
@@ -209,7 +219,7 @@
 		return false
 	}
 	delete(p.waiting, a)
-	waiting <- v
+	waiting.answer <- v
 	return true
 }
 
@@ -217,6 +227,22 @@
 	return classifier.NotRun(r.Reason, r.RetryAfter, "service %q in data center %q accepts no more requests", p.key.Service, p.key.DataCenter)
 }
 
+// logRefused logs the inputs of a refusal. The caller holds p.mu.
+func (p *pool) logRefused(r allocator.Refused, now time.Time) {
+	w := p.waiting[r.Attempt]
+	waited := now.Sub(w.since)
+	p.deps.Log.Debug("slot-request-refused",
+		zap.Stringer("attempt", r.Attempt),
+		zap.String("service", string(p.key.Service)),
+		zap.String("reason", string(r.Reason)),
+		zap.Stringer("urgency", w.request.Urgency),
+		zap.Bool("resumes", w.request.Resumes),
+		zap.Duration("waited", waited),
+		zap.Duration("time-left", w.request.TimeLeft-waited),
+		zap.Int("waiting", len(p.waiting)),
+		zap.Duration("expected-wait", p.allocator.ExpectedWait(w.request.Urgency)))
+}
+
 // schedule sets the timer for the allocator's next due time. The caller holds p.mu.
 func (p *pool) schedule() {
 	due := p.allocator.Due()
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -23,8 +23,13 @@
 // hold resources for it.
 func (g *generation) attempt(ctx context.Context) error {
 	d := g.dispatcher
-	grant, err := d.deps.Allocator.Ask(ctx, g.slotRequest())
+	slots := g.slotRequest()
+	grant, err := d.deps.Allocator.Ask(ctx, slots)
 	if err != nil {
+		d.deps.Log.Debug("slots-not-granted",
+			zap.String("request", string(g.request.ID)),
+			zap.Stringer("attempt", slots.Attempt),
+			zap.Error(err))
 		return err
 	}
 	a := &attempt{generation: g, grant: grant}
