Check from outside that each sent request is answered, and more

The soak's callers used Go's transport, which hides what happens to a kept connection, and no check asked whether a request that was sent got an answer: a connection that ended counted as failed.

Callers now hold raw connections until these end, send some requests in two parts and some large ones, and note the time of the last byte. New faults: hosts slowed in short turns, slow engines, runners silent for 0.5 to 2.5 s, leaving by header, asking for pauses, a store restored from a copy, changes of idle time, body limit and routes and reloads in series. New checks: an answer for each sent request unless the host was killed or paused or a runner broke off; none later than the deadline; no stream interrupted by a silence; leaving runners and pauses left alone; the retry budget; no denial that no configuration allows; the newest content of the store at the end.

--- a/emulator/soaker/callers.go
+++ b/emulator/soaker/callers.go
@@ -3,170 +3,99 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net/http"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/jackdawthread/jackdawthread/common/identifier"
-	"github.com/jackdawthread/jackdawthread/platform/standin"
 )
 
 const (
-	callerCount   = 8
+	minCallers    = 30
 	meanCallPause = 40 * time.Millisecond
-	callTimeout   = 3 * time.Second
-	promptTokens  = 1000
-	outputTokens  = 100
+	// keptConnections is how many open connections to a host a caller keeps.
+	keptConnections = 3
+	// One request in splitShare is sent in two parts, up to maxSplit apart.
+	splitShare = 8
+	maxSplit   = 4 * time.Millisecond
+	// One request in largeShare has a body of largePadding bytes more, which some
+	// configurations don't allow.
+	largeShare   = 12
+	largePadding = 5000
 )
 
-// outcome is the response that a caller received.
-type outcome struct {
-	id     identifier.Request
-	path   string
-	status int // 0 if there was no response
-	body   string
-	// complete is set if the response body was read without an error.
-	complete bool
-}
-
 // outcomeLog collects the outcomes of all callers.
 type outcomeLog struct {
 	mu       sync.Mutex
 	outcomes []outcome
 }
 
-func newOutcomeLog() *outcomeLog {
-	return &outcomeLog{}
+func (l *outcomeLog) add(o *outcome) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.outcomes = append(l.outcomes, *o)
 }
 
-var requestPaths = []string{"/quotes/", "/locks/", "/locks/", "/notes/", "/digests/"}
+var requestPaths = []string{"/quotes/", "/quotes/", "/locks/", "/locks/", "/notes/", "/digests/", "/digests/", "/extras/"}
 
-// runCaller sends requests over persistent connections until ctx is canceled.
-func (s *system) runCaller(ctx context.Context, number int) {
-	random := rand.New(rand.NewPCG(s.options.Seed, uint64(number)))
-	transport := &http.Transport{}
-	defer transport.CloseIdleConnections()
-	for n := 0; ctx.Err() == nil; n++ {
-		o := outcome{id: identifier.Request(fmt.Sprintf("c%d-%d", number, n)), path: requestPaths[random.IntN(len(requestPaths))]}
-		host := s.hosts[random.IntN(len(s.hosts))]
-		send(transport, host, &o)
-		s.outcomeLog.mu.Lock()
-		s.outcomeLog.outcomes = append(s.outcomeLog.outcomes, o)
-		s.outcomeLog.mu.Unlock()
-		time.Sleep(time.Duration(random.Int64N(int64(2 * meanCallPause))))
-	}
+// caller sends requests in series, over connections that it keeps open until
+// they end.
+type caller struct {
+	system *system
+	number int
+	random *rand.Rand
+	kept   map[int][]*connection // by host
 }
 
-// send sends one request exactly once. The body has no GetBody, so the
-// transport does not retry the request.
-func send(transport *http.Transport, host *process, o *outcome) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	body := io.NopCloser(strings.NewReader("body of " + string(o.id)))
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(host.callers)+o.path+"1", body)
-	if err != nil {
-		return
-	}
-	r.ContentLength = int64(len("body of " + string(o.id)))
-	r.Host = standin.ConfigHost
-	r.Header.Set("X-Request-Id", string(o.id))
-	r.Header.Set("X-Deadline-Ms", fmt.Sprint(callTimeout.Milliseconds()))
-	r.Header.Set("X-Token-Counts", fmt.Sprintf("%d,%d", promptTokens, outputTokens))
-	response, err := transport.RoundTrip(r)
-	if err != nil {
-		return
+// runCaller sends requests until ctx is canceled.
+func (s *system) runCaller(ctx context.Context, number int) {
+	c := &caller{system: s, number: number, random: rand.New(rand.NewPCG(s.options.Seed, uint64(number))), kept: map[int][]*connection{}}
+	for n := 0; ctx.Err() == nil; n++ {
+		c.call(n)
+		time.Sleep(time.Duration(c.random.Int64N(int64(2 * meanCallPause))))
 	}
-	defer func() { _ = response.Body.Close() }()
-	o.status = response.StatusCode
-	read, err := io.ReadAll(response.Body)
-	o.body = string(read)
-	o.complete = err == nil
-}
-
-// checkGuarantees checks the guarantees of the system against all outcomes.
-func (s *system) checkGuarantees() {
-	runs := map[identifier.Request]int{}
-	for _, r := range s.runners {
-		for _, n := range r.Runs() {
-			runs[n.ID]++
-			if n.Body != "body of "+string(n.ID) {
-				s.reportViolation("request %s ran on runner %s with a wrong body: %q", n.ID, r.Options().ID, n.Body)
-			}
-			if n.Ended.IsZero() {
-				s.reportViolation("request %s is still running on runner %s", n.ID, r.Options().ID)
-			}
+	for _, all := range c.kept {
+		for _, k := range all {
+			k.close()
 		}
 	}
-	s.outcomeLog.mu.Lock()
-	defer s.outcomeLog.mu.Unlock()
-	for i := range s.outcomeLog.outcomes {
-		s.checkOutcome(&s.outcomeLog.outcomes[i], runs)
-	}
-	s.checkHosts()
 }
 
-func (s *system) checkOutcome(o *outcome, runs map[identifier.Request]int) {
-	s.report.Sent++
-	notRepeatable := o.path == "/locks/" || o.path == "/notes/"
-	if notRepeatable && runs[o.id] > 1 {
-		s.reportViolation("non-repeatable request %s to %s ran %d times", o.id, o.path, runs[o.id])
+func (c *caller) call(n int) {
+	o := outcome{
+		id:   identifier.Request(fmt.Sprintf("c%d-%d", c.number, n)),
+		path: requestPaths[c.random.IntN(len(requestPaths))],
+		host: c.random.IntN(len(c.system.hosts)),
 	}
-	if limit := 2; !notRepeatable && runs[o.id] > limit {
-		s.reportViolation("request %s to %s ran %d times, its route allows %d", o.id, o.path, runs[o.id], limit)
+	if c.random.IntN(largeShare) == 0 {
+		o.padding = largePadding
 	}
-	switch {
-	case o.status == http.StatusOK && o.complete:
-		s.report.Served++
-		s.checkResponse(o)
-	case o.status == http.StatusServiceUnavailable:
-		s.report.Refused++
-		if runs[o.id] > 0 {
-			s.reportViolation("request %s to %s was refused but ran", o.id, o.path)
-		}
-	default:
-		s.report.Failed++
-		if o.status == http.StatusOK && !strings.HasPrefix(standin.StreamBody(o.id, streamEvents), o.body) {
-			s.reportViolation("request %s received bytes that are not part of its response: %q", o.id, o.body)
-		}
+	var split time.Duration
+	if c.random.IntN(splitShare) == 0 {
+		split = time.Duration(1 + c.random.Int64N(int64(maxSplit)))
 	}
+	k, err := c.take(o.host)
+	if err == nil {
+		c.put(o.host, k, k.exchange(&o, split))
+	}
+	c.system.outcomeLog.add(&o)
 }
 
-func (s *system) checkResponse(o *outcome) {
-	if o.path == "/notes/" || o.path == "/digests/" {
-		if o.body != standin.StreamBody(o.id, streamEvents) {
-			s.reportViolation("request %s received a stream that appears complete but is not: %q", o.id, o.body)
-		}
-		return
+// take returns a kept connection, or a new one if there are few.
+func (c *caller) take(host int) (*connection, error) {
+	kept := c.kept[host]
+	if at := c.random.IntN(keptConnections); at < len(kept) {
+		k := kept[at]
+		c.kept[host] = append(kept[:at:at], kept[at+1:]...)
+		return k, nil
 	}
-	for _, r := range s.runners {
-		if o.body == standin.ResponseBody(r.Options().ID, o.id) {
-			return
-		}
-	}
-	s.reportViolation("request %s received a response that no runner sends for it: %q", o.id, o.body)
+	return connect(c.system.hosts[host].callers)
 }
 
-// checkHosts checks that every host has recovered and serves the newest
-// configuration.
-func (s *system) checkHosts() {
-	if err := s.awaitReady(recoveryTime); err != nil {
-		s.reportViolation("%v", err)
+func (c *caller) put(host int, k *connection, usable bool) {
+	if !usable || len(c.kept[host]) >= keptConnections {
+		k.close()
 		return
 	}
-	transport := &http.Transport{DisableKeepAlives: true}
-	for n, p := range s.hosts {
-		o := outcome{id: identifier.Request(fmt.Sprintf("last-%d", n)), path: standin.ConfigPrefix(s.version)}
-		send(transport, p, &o)
-		if o.status != http.StatusOK {
-			s.reportViolation("host %d returned status %d on the newest route %s", n, o.status, o.path)
-		}
-	}
-	for _, r := range s.runners {
-		if used := r.UsedTokens(); used != 0 {
-			s.reportViolation("runner %s still holds %d tokens", r.Options().ID, used)
-		}
-	}
+	c.kept[host] = append(c.kept[host], k)
 }
--- /dev/null
+++ b/emulator/soaker/connection.go
@@ -0,0 +1,127 @@
+package soaker
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/platform/standin"
+)
+
+const (
+	dialTimeout = time.Second
+	// callTimeout is the deadline that a caller states.
+	callTimeout = 3 * time.Second
+	// answerMargin is how long after its deadline a caller waits for an answer.
+	answerMargin = 600 * time.Millisecond
+	promptTokens = 1000
+	outputTokens = 100
+)
+
+// outcome is what a caller saw of one request.
+type outcome struct {
+	id   identifier.Request
+	path string
+	host int
+	// padding is the number of bytes that enlarge the body.
+	padding int
+	// sentAt is when the last byte was sent; zero if the request was not sent
+	// completely. endedAt is when the response, or the connection, ended.
+	sentAt, endedAt time.Time
+	// reused is set if the connection had carried a request before.
+	reused bool
+	status int // 0 if there was no response
+	// runner is the one that signed the response; "" for the host's own.
+	runner string
+	body   string
+	// complete is set if the response was received to its end.
+	complete bool
+	// timedOut is set if the connection was still open callTimeout +
+	// answerMargin after the request.
+	timedOut bool
+	// surplus is the number of bytes received after the response.
+	surplus int
+}
+
+// requestBody returns the body that the request is sent with.
+func (o *outcome) requestBody() string {
+	return "body of " + string(o.id) + strings.Repeat(".", o.padding)
+}
+
+// connection is a caller's persistent connection to a host. It sends each
+// request once.
+type connection struct {
+	raw    net.Conn
+	reader *bufio.Reader
+	used   bool
+}
+
+func connect(a identifier.Address) (*connection, error) {
+	raw, err := net.DialTimeout("tcp", string(a), dialTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return &connection{raw: raw, reader: bufio.NewReader(raw)}, nil
+}
+
+func (c *connection) close() {
+	_ = c.raw.Close() // nothing is expected on it any more
+}
+
+// exchange sends a request and records its response. It reports whether the
+// connection can be used again. A split request is sent in two parts.
+func (c *connection) exchange(o *outcome, split time.Duration) bool {
+	o.reused = c.used
+	c.used = true
+	defer func() { o.endedAt = time.Now() }()
+	if !c.send(o, split) {
+		return false
+	}
+	_ = c.raw.SetReadDeadline(o.sentAt.Add(callTimeout + answerMargin)) // fails if the connection has ended, as reads do
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		o.timedOut = errors.Is(err, os.ErrDeadlineExceeded)
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	o.status = response.StatusCode
+	o.runner, _, _ = strings.Cut(response.Header.Get("X-Server-Stamp"), ".")
+	read, err := io.ReadAll(response.Body)
+	o.body = string(read)
+	o.complete = err == nil
+	o.timedOut = errors.Is(err, os.ErrDeadlineExceeded)
+	o.surplus = c.reader.Buffered()
+	return o.complete && !response.Close && o.surplus == 0
+}
+
+func (c *connection) send(o *outcome, split time.Duration) bool {
+	text := requestText(o)
+	half := len(text)
+	if split > 0 {
+		half /= 2
+	}
+	if _, err := io.WriteString(c.raw, text[:half]); err != nil {
+		return false
+	}
+	if split > 0 {
+		time.Sleep(split)
+		if _, err := io.WriteString(c.raw, text[half:]); err != nil {
+			return false
+		}
+	}
+	o.sentAt = time.Now()
+	return true
+}
+
+func requestText(o *outcome) string {
+	body := o.requestBody()
+	return fmt.Sprintf("POST %s1 HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nX-Token-Counts: %d,%d\r\nContent-Length: %d\r\n\r\n%s",
+		o.path, standin.ConfigHost, o.id, callTimeout.Milliseconds(), promptTokens, outputTokens, len(body), body)
+}
--- a/emulator/soaker/faults.go
+++ b/emulator/soaker/faults.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"syscall"
 	"time"
 
@@ -10,125 +9,237 @@
 )
 
 const (
-	// Bounds of the pause between two faults and of a fault's duration.
+	// Bounds of the pause between two faults, for hostsPerFault hosts, and of a
+	// fault's duration.
 	minPause         = 100 * time.Millisecond
-	maxPause         = 900 * time.Millisecond
+	maxPause         = 700 * time.Millisecond
+	hostsPerFault    = 4
 	minFaultDuration = 200 * time.Millisecond
 	maxFaultDuration = 3 * time.Second
+	minSilence       = 500 * time.Millisecond
+	maxSilence       = 2500 * time.Millisecond
 	restartDelay     = 100 * time.Millisecond
+	// A slowed host runs for slowRun of each slowRun + slowStop.
+	slowRun  = 20 * time.Millisecond
+	slowStop = 80 * time.Millisecond
+	// slowWorkFactor is how much longer a slow runner's work takes.
+	slowWorkFactor = 8
+	// askedPause is the pause that runners ask for.
+	askedPause = 1500 * time.Millisecond
+	// maxSeries is the number of signals or changes in a series, seriesPause the
+	// longest time between two.
+	maxSeries   = 5
+	seriesPause = 300 * time.Millisecond
 )
 
+// injection is a fault that can be injected.
+type injection struct {
+	kind    faultKind
+	subject string
+	// inject starts the fault, waits for the duration and ends it.
+	inject func(time.Duration)
+}
+
+// lasting returns an injection of a fault with a beginning and an end.
+func lasting(k faultKind, subject string, begin, end func()) injection {
+	return injection{kind: k, subject: subject, inject: func(d time.Duration) {
+		begin()
+		time.Sleep(d)
+		end()
+	}}
+}
+
 func (s *system) randomDuration(low, high time.Duration) time.Duration {
 	return low + time.Duration(s.random.Int64N(int64(high-low)))
 }
 
-// injectFaults injects faults for the configured duration; they may overlap.
+// injectFaults injects faults for the configured duration. They may overlap, but
+// not with others of the same kind and subject.
 func (s *system) injectFaults() {
 	deadline := time.Now().Add(s.options.Duration)
-	faults := []func() (string, func(), func()){s.processFault, s.runnerProxyFault, s.storeProxyFault, s.runnerFault, s.configurationFault}
-	ended := make(chan struct{}, 1000)
+	families := []func() injection{
+		s.processFault, s.processFault, s.linkFault, s.storeLinkFault, s.runnerFault,
+		s.runnerFault, s.silence, s.membershipFault, s.configurationFault, s.storeFault,
+	}
+	ended := make(chan struct{})
 	running := 0
 	for time.Now().Before(deadline) {
-		name, begin, end := faults[s.random.IntN(len(faults))]()
+		f := families[s.random.IntN(len(families))]()
 		duration := s.randomDuration(minFaultDuration, maxFaultDuration)
-		s.report.Faults = append(s.report.Faults, fmt.Sprintf("%s for %v", name, duration.Round(time.Millisecond)))
-		running++
-		s.group.Run(func(context.Context) {
-			begin()
-			time.Sleep(duration)
-			end()
-			ended <- struct{}{}
-		})
-		time.Sleep(s.randomDuration(minPause, maxPause))
+		pause := s.randomDuration(minPause, maxPause) * hostsPerFault / time.Duration(max(hostsPerFault, len(s.hosts)))
+		if !s.history.has(f.subject, time.Now(), time.Now(), f.kind) {
+			running++
+			finish := s.history.begin(f.kind, f.subject)
+			s.group.Run(func(context.Context) {
+				f.inject(duration)
+				finish()
+				ended <- struct{}{}
+			})
+		}
+		time.Sleep(pause)
 	}
 	for range running {
 		<-ended
 	}
 }
 
-func noop() {}
-
-// processFault kills, pauses, stops or reloads one host. Each fault takes down
-// at most one host, so that the others can serve callers.
-func (s *system) processFault() (string, func(), func()) {
-	p := s.hosts[s.random.IntN(len(s.hosts))]
+// processFault kills, pauses, slows, stops or reloads one host. Each fault takes
+// down at most one host, so that the others can serve callers.
+func (s *system) processFault() injection {
+	n := s.random.IntN(len(s.hosts))
+	p := s.hosts[n]
 	restart := func() {
 		time.Sleep(restartDelay)
 		_ = p.start() // checkHosts reports a host that fails to start
 	}
-	switch s.random.IntN(4) {
+	series := 1 + s.random.IntN(maxSeries)
+	switch s.random.IntN(5) {
 	case 0:
-		return fmt.Sprintf("host %d killed", p.number), p.kill, restart
+		return lasting(hostKilled, hostName(n), p.kill, restart)
 	case 1:
-		return fmt.Sprintf("host %d paused", p.number), func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT) }
+		return lasting(hostPaused, hostName(n), func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT) })
 	case 2:
-		return fmt.Sprintf("host %d stopped gracefully", p.number), p.stop, restart
+		return lasting(hostStopped, hostName(n), p.stop, restart)
+	case 3:
+		return injection{kind: hostSlowed, subject: hostName(n), inject: p.slow}
 	default:
-		return fmt.Sprintf("host %d reloaded", p.number), func() { p.signal(syscall.SIGHUP) }, noop
+		return injection{kind: hostReloaded, subject: hostName(n), inject: func(d time.Duration) {
+			for range series {
+				p.signal(syscall.SIGHUP)
+				time.Sleep(d / maxSeries)
+			}
+		}}
 	}
 }
 
-func (s *system) randomProxyFault() proxyFault {
-	return []proxyFault{faultDelay, faultDropBoth, faultDropToServer, faultReset}[s.random.IntN(4)]
+var linkFaults = map[proxyFault]faultKind{
+	faultDelay:        linkDelayed,
+	faultDropBoth:     linkSilent,
+	faultDropToServer: linkSilentOneWay,
+	faultReset:        linkReset,
 }
 
-func (s *system) runnerProxyFault() (string, func(), func()) {
-	n, f := s.random.IntN(len(s.runnerProxies)), s.randomProxyFault()
-	p := s.runnerProxies[n]
-	return fmt.Sprintf("proxy fault %d to runner %s", f, s.runners[n].Options().ID), func() { p.setFault(f) }, func() { p.setFault(faultNone) }
+func (s *system) proxyFault(p *proxy, subject string) injection {
+	f := []proxyFault{faultDelay, faultDropBoth, faultDropToServer, faultReset}[s.random.IntN(len(linkFaults))]
+	return lasting(linkFaults[f], subject, func() { p.setFault(f) }, func() { p.setFault(faultNone) })
 }
 
-func (s *system) storeProxyFault() (string, func(), func()) {
-	n, f := s.random.IntN(len(s.storeProxies)), s.randomProxyFault()
-	p := s.storeProxies[n]
-	return fmt.Sprintf("proxy fault %d from host %d to the store", f, n), func() { p.setFault(f) }, func() { p.setFault(faultNone) }
+func (s *system) linkFault() injection {
+	n := s.random.IntN(len(s.runnerProxies))
+	return s.proxyFault(s.runnerProxies[n], linkName(s.runners[n].Options().ID))
+}
+
+func (s *system) storeLinkFault() injection {
+	n := s.random.IntN(len(s.storeProxies))
+	return s.proxyFault(s.storeProxies[n], "link to the store of "+hostName(n))
 }
 
 // runnerFault makes a runner misbehave.
-func (s *system) runnerFault() (string, func(), func()) {
+func (s *system) runnerFault() injection {
 	r := s.runners[s.random.IntN(len(s.runners))]
-	kinds := []struct {
-		name string
+	work := s.work[r]
+	faults := []struct {
+		kind faultKind
 		set  func(o *standin.RunnerOptions, on bool)
 	}{
-		{"sheds", func(o *standin.RunnerOptions, on bool) { o.RejectAll = on }},
-		{"drops responses", func(o *standin.RunnerOptions, on bool) { o.DropResponse = on }},
-		{"hangs", func(o *standin.RunnerOptions, on bool) { o.Hang = on }},
-		{"truncates", func(o *standin.RunnerOptions, on bool) { o.Truncate = on }},
-		{"sends extra responses", func(o *standin.RunnerOptions, on bool) { o.ExtraResponse = on }},
-		{"expires handles", func(o *standin.RunnerOptions, on bool) { o.ExpireHandles = on }},
-		{"breaks off streams", func(o *standin.RunnerOptions, on bool) {
+		{runnerRejects, func(o *standin.RunnerOptions, on bool) { o.RejectAll = on }},
+		{runnerDrops, func(o *standin.RunnerOptions, on bool) { o.DropResponse = on }},
+		{runnerHangs, func(o *standin.RunnerOptions, on bool) { o.Hang = on }},
+		{runnerTruncates, func(o *standin.RunnerOptions, on bool) { o.Truncate = on }},
+		{runnerSendsExtra, func(o *standin.RunnerOptions, on bool) { o.ExtraResponse = on }},
+		{runnerExpires, func(o *standin.RunnerOptions, on bool) { o.ExpireHandles = on }},
+		{runnerBreaks, func(o *standin.RunnerOptions, on bool) {
 			o.BreakAfter, o.HalfEvent = 0, on
 			if on {
 				o.BreakAfter = streamEvents / 2
 			}
 		}},
+		{runnerSlow, func(o *standin.RunnerOptions, on bool) {
+			o.Work = work
+			if on {
+				o.Work *= slowWorkFactor
+			}
+		}},
+		{runnerAsksPause, func(o *standin.RunnerOptions, on bool) {
+			o.Pause = 0
+			if on {
+				o.Pause = askedPause
+			}
+		}},
 	}
-	k := kinds[s.random.IntN(len(kinds))]
+	f := faults[s.random.IntN(len(faults))]
 	set := func(on bool) func() {
-		return func() { r.UpdateOptions(func(o *standin.RunnerOptions) { k.set(o, on) }) }
+		return func() { r.UpdateOptions(func(o *standin.RunnerOptions) { f.set(o, on) }) }
 	}
-	return fmt.Sprintf("runner %s %s", r.Options().ID, k.name), set(true), set(false)
+	return lasting(f.kind, runnerName(r.Options().ID), set(true), set(false))
+}
+
+// silence makes a runner send nothing for a while; its connections stay open.
+func (s *system) silence() injection {
+	r := s.runners[s.random.IntN(len(s.runners))]
+	d := s.randomDuration(minSilence, maxSilence)
+	return injection{kind: runnerSilent, subject: runnerName(r.Options().ID), inject: func(time.Duration) {
+		r.Silence(d)
+		time.Sleep(d)
+	}}
 }
 
-// configurationFault publishes a new configuration or deregisters a runner.
-func (s *system) configurationFault() (string, func(), func()) {
+// membershipFault deregisters a runner, or makes it announce that it leaves.
+// Either returns, the latter as a new incarnation.
+func (s *system) membershipFault() injection {
+	r := s.runners[s.random.IntN(len(s.runners))]
+	subject := runnerName(r.Options().ID)
 	if s.random.IntN(2) == 0 {
-		return "new configuration", s.publishConfiguration, noop
+		return lasting(runnerDeregistered, subject, r.Deregister, func() { r.Register("ready") })
 	}
-	r := s.runners[s.random.IntN(len(s.runners))]
-	return fmt.Sprintf("runner %s deregistered", r.Options().ID), r.Deregister, func() { r.Register("ready") }
+	return injection{kind: runnerLeaves, subject: subject, inject: func(d time.Duration) {
+		r.UpdateOptions(func(o *standin.RunnerOptions) { o.Leaving = true })
+		time.Sleep(leavingDelay + d)
+		r.Restart()
+	}}
 }
 
-func (s *system) publishConfiguration() {
-	s.outcomeLog.mu.Lock()
-	defer s.outcomeLog.mu.Unlock()
-	s.publishNextVersion()
+// configurationFault publishes a series of configurations.
+func (s *system) configurationFault() injection {
+	var versions []standin.ConfigOptions
+	for range 1 + s.random.IntN(maxSeries) {
+		versions = append(versions, s.randomConfiguration())
+	}
+	pause := s.randomDuration(0, seriesPause)
+	return injection{kind: configurationSent, subject: "configuration", inject: func(time.Duration) {
+		for _, o := range versions {
+			s.publish(o)
+			time.Sleep(pause)
+		}
+	}}
+}
+
+func (s *system) randomConfiguration() standin.ConfigOptions {
+	return standin.ConfigOptions{
+		IdleTimeout:   []time.Duration{400 * time.Millisecond, time.Second, 3 * time.Second, 15 * time.Second}[s.random.IntN(4)],
+		MaxBodyBytes:  []int{1000, 100_000}[s.random.IntN(2)],
+		QuotesService: []string{"desk", "counter"}[s.random.IntN(2)],
+		Extras:        s.random.IntN(2) == 0,
+	}
+}
+
+// storeFault restores the store from a copy. What was written since the copy is
+// written again after a while.
+func (s *system) storeFault() injection {
+	absence := s.randomDuration(0, maxRewriteDelay)
+	return injection{kind: storeRestored, subject: "store", inject: func(d time.Duration) {
+		snapshot := s.store.Snapshot()
+		time.Sleep(d)
+		s.store.Restore(snapshot)
+		time.Sleep(absence)
+		s.store.Rewrite("servers/")
+		s.store.Rewrite("op/")
+	}}
 }
 
 // endFaults ends all faults, restarts the hosts that are not running, registers
-// all runners and publishes a new configuration.
-func (s *system) endFaults() {
+// all runners and publishes the last configuration.
+func (s *system) endFaults() error {
 	for _, p := range append(s.runnerProxies, s.storeProxies...) {
 		p.setFault(faultNone)
 	}
@@ -139,5 +250,11 @@
 	for _, r := range s.runners {
 		r.Register("ready")
 	}
-	s.publishConfiguration()
+	s.store.Rewrite("")
+	// Only hosts with the newest content of the store can serve quotes by it.
+	if err := s.startRunner(standin.RunnerOptions{ID: "last-0", Service: lastService, Slots: 6, Work: plainWork}); err != nil {
+		return err
+	}
+	s.publish(standin.ConfigOptions{QuotesService: lastService})
+	return nil
 }
--- a/emulator/soaker/process.go
+++ b/emulator/soaker/process.go
@@ -24,6 +24,7 @@
 type process struct {
 	options                   Options
 	number                    int
+	starts                    int
 	callers, readiness, peers identifier.Address
 	settings                  string
 	portClaims                []*socket.PortReservation
@@ -45,9 +46,9 @@
 [store]
 address = "%s"
 [retries]
-ratio = 0.2
-slack = 100
-window = "10s"
+ratio = %g
+slack = %d
+window = "%v"
 [stop]
 announce = "300ms"
 limit = "8s"
@@ -68,7 +69,7 @@
 	for i, a := range seeds {
 		quoted[i] = fmt.Sprintf("%q", a)
 	}
-	text := fmt.Sprintf(settingsTemplate, n, strings.Join(quoted, ", "), p.callers, p.readiness, p.peers, store)
+	text := fmt.Sprintf(settingsTemplate, n, strings.Join(quoted, ", "), p.callers, p.readiness, p.peers, store, retryBudget.ratio, retryBudget.slack, budgetWindow)
 	return p, os.WriteFile(p.settings, []byte(text), 0o600)
 }
 
@@ -94,7 +95,7 @@
 	if err != nil {
 		return eris.Wrap(err, "open log of host")
 	}
-	c := exec.Command(p.options.Binary)
+	c := exec.Command(p.nextBinary())
 	c.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settings)
 	c.Stdout, c.Stderr = log, log
 	if err := c.Start(); err != nil {
@@ -111,6 +112,45 @@
 	return nil
 }
 
+// nextBinary returns the program of the next start. With two programs, half of the
+// hosts start as each, and each start of a host is of the other. The caller must
+// hold p.mu.
+func (p *process) nextBinary() string {
+	p.starts++
+	if p.options.OtherBinary != "" && (p.number+p.starts)%2 == 0 {
+		return p.options.OtherBinary
+	}
+	return p.options.Binary
+}
+
+// slow lets the process run in short turns for the duration.
+func (p *process) slow(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		p.signal(syscall.SIGSTOP)
+		time.Sleep(slowStop)
+		p.signal(syscall.SIGCONT)
+		time.Sleep(slowRun)
+	}
+}
+
+// memory returns the process's resident memory in bytes; 0 if it is not running.
+func (p *process) memory() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.running() {
+		return 0
+	}
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.command.Process.Pid))
+	if err != nil {
+		return 0 // the process may have just exited
+	}
+	var size, resident int64
+	if _, err := fmt.Sscan(string(text), &size, &resident); err != nil {
+		return 0
+	}
+	return resident * int64(os.Getpagesize())
+}
+
 // running reports whether the process is running. The caller must hold p.mu.
 func (p *process) running() bool {
 	if p.command == nil {
--- a/emulator/soaker/soaker.go
+++ b/emulator/soaker/soaker.go
@@ -10,33 +10,45 @@
 //
 // # Faults
 //
-// Signals kill, pause, gracefully stop and reload processes. Connections to
-// runners and to the store pass through proxies that delay, drop (in one or
-// both directions) or reset them. Runners lose responses, break off, refuse and
-// leave. Configurations change. Faults are injected in series and overlap. Only
-// processes started by the soak are terminated, by their process ids.
+// Signals kill, pause, gracefully stop and reload processes, and slow them down
+// by pausing them in short turns. Connections to runners and to the store pass
+// through proxies that delay, drop (in one or both directions) or reset them.
+// Runners lose responses, break off, refuse, slow down, fall silent and go on,
+// ask for pauses, announce that they leave, and leave. The store is restored from
+// an older copy. Configurations change in idle timeout, body limit and routes.
+// Faults are injected in series and overlap. Only processes started by the soak
+// are terminated, by their process ids. Options.OtherBinary mixes two builds.
 //
 // # Guarantees
 //
-// A request that may not be repeated runs at most once. A refused request never
-// runs. A successful response is the runner's complete response to that
-// request. A stream that appears complete is complete. No request is left
-// running. After the faults end, every host has the newest configuration and
-// serves requests.
+// Each guarantee is a constant; checker compares what callers saw with what
+// runners saw. Callers use their connections until these end, and state no
+// preference among hosts. A request that was sent completely must end with a
+// complete answer, unless its host was killed or paused or a runner broke it off.
+//
+// # Replays
+//
+// A seed determines the faults, their times and the requests. The interleaving
+// with the processes differs from run to run.
 package soaker
 
 import (
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/common/sleeper"
 	"github.com/jackdawthread/jackdawthread/platform/standin"
 )
 
@@ -44,6 +56,9 @@
 type Options struct {
 	// Binary is the path of the entry host executable.
 	Binary string
+	// OtherBinary is the path of another build's executable, if hosts of two
+	// builds are to be mixed.
+	OtherBinary string
 	// Directory receives the settings and logs of the processes.
 	Directory string
 	Seed      uint64
@@ -51,20 +66,32 @@
 	// follows.
 	Duration time.Duration
 	Hosts    int
+	// MaxMemory is the number of bytes of resident memory of all hosts above
+	// which the soak is ended; 0 means no limit.
+	MaxMemory int64
 }
 
 // Report is the result of a soak.
 type Report struct {
+	// Sent counts requests that were sent completely. Failed ones got no answer
+	// or a failure.
 	Sent, Served, Refused, Failed int
-	Faults                        []string
-	// Violations describes each violated guarantee.
-	Violations []string
+	// Statuses counts the sent requests by status; 0 is a connection that ended.
+	Statuses map[int]int
+	// Starts counts the starts of processes.
+	Starts int
+	// PeakMemory is the highest resident memory of all hosts together, in bytes.
+	PeakMemory int64
+	Began      time.Time
+	Faults     []Fault
+	// Violations are the broken guarantees.
+	Violations []Violation
 }
 
 const (
 	defaultHosts  = 3
-	plainRunners  = 3
 	decodeRunners = 3
+	runnerSlots   = 16
 	streamEvents  = 8
 	runnerMemory  = 20_000
 	// recoveryTime bounds how long the system may take to recover after the
@@ -72,8 +99,20 @@
 	recoveryTime = 12 * time.Second
 	// startupTimeout bounds how long all hosts may take to become ready.
 	startupTimeout = 15 * time.Second
+	// lastService is the service of quotes by the last configuration.
+	lastService     = "last"
+	plainWork       = 5 * time.Millisecond
+	prefillWork     = 20 * time.Millisecond
+	eventWork       = 50 * time.Millisecond
+	maxRewriteDelay = 1500 * time.Millisecond
+	memoryPeriod    = 500 * time.Millisecond
 )
 
+var retryBudget = budget{ratio: 0.1, slack: 40}
+
+// plainWorks are the durations of requests at the plain runners.
+var plainWorks = []time.Duration{plainWork, 40 * time.Millisecond, 200 * time.Millisecond}
+
 // system is the system under test with its emulated platform.
 type system struct {
 	options       Options
@@ -84,9 +123,14 @@
 	runnerProxies []*proxy // one per runner
 	storeProxies  []*proxy // one per host
 	hosts         []*process
-	version       int
-	outcomeLog    *outcomeLog
-	report        Report
+	// work is each runner's usual duration of work.
+	work       map[*standin.Runner]time.Duration
+	history    *history
+	outcomeLog *outcomeLog
+	report     Report
+
+	mu      sync.Mutex
+	version int
 }
 
 // Run runs one soak.
@@ -99,7 +143,9 @@
 		group:      grouper.New(ctx),
 		random:     rand.New(rand.NewPCG(o.Seed, 1)),
 		store:      standin.NewStore(),
-		outcomeLog: newOutcomeLog(),
+		work:       map[*standin.Runner]time.Duration{},
+		history:    &history{},
+		outcomeLog: &outcomeLog{},
 	}
 	defer s.stop()
 	if err := s.start(); err != nil {
@@ -109,18 +155,122 @@
 		return nil, err
 	}
 	callers := grouper.New(s.group.Context())
-	for n := range callerCount {
+	for n := range max(minCallers, len(s.hosts)) {
 		callers.Run(func(ctx context.Context) { s.runCaller(ctx, n) })
 	}
+	callers.Run(s.watchMemory)
+	s.report.Began = time.Now()
 	s.injectFaults()
-	s.endFaults()
+	err := s.endFaults()
 	time.Sleep(recoveryTime / 2)
 	callers.Stop()
 	_ = callers.Wait() // callers return no errors
+	if err != nil {
+		return nil, err
+	}
 	s.checkGuarantees()
 	return &s.report, nil
 }
 
+// watchMemory records the peak memory, and kills the hosts above the limit.
+func (s *system) watchMemory(ctx context.Context) {
+	for sleeper.Sleep(ctx, memoryPeriod) == nil {
+		total := int64(0)
+		for _, p := range s.hosts {
+			total += p.memory()
+		}
+		s.report.PeakMemory = max(s.report.PeakMemory, total)
+		if s.options.MaxMemory > 0 && total > s.options.MaxMemory {
+			for _, p := range s.hosts {
+				p.kill()
+			}
+		}
+	}
+}
+
+// checkGuarantees checks the guarantees of the system against all outcomes.
+func (s *system) checkGuarantees() {
+	c := &checker{outcomes: s.outcomeLog.outcomes, history: s.history, budget: retryBudget}
+	for _, r := range s.runners {
+		c.runners = append(c.runners, runnerRecord{
+			id: r.Options().ID, service: r.Options().Service, received: r.AllReceived(), runs: r.Runs(), pause: askedPause,
+		})
+	}
+	s.report.Violations = c.check()
+	s.count()
+	s.checkHosts()
+	s.checkLogs()
+	s.report.Faults = s.history.all()
+	for _, p := range s.hosts {
+		s.report.Starts += p.starts
+	}
+}
+
+func (s *system) count() {
+	s.report.Statuses = map[int]int{}
+	for i := range s.outcomeLog.outcomes {
+		o := &s.outcomeLog.outcomes[i]
+		switch {
+		case o.sentAt.IsZero():
+			continue
+		case o.status == http.StatusOK && o.complete:
+			s.report.Served++
+		case refused(o.status):
+			s.report.Refused++
+		default:
+			s.report.Failed++
+		}
+		s.report.Sent++
+		s.report.Statuses[o.status]++
+	}
+}
+
+// checkHosts checks that every host has recovered and serves by the newest
+// content of the store: its configuration and its runners.
+func (s *system) checkHosts() {
+	if err := s.awaitReady(recoveryTime); err != nil {
+		s.reportViolation(recovered, "%v", err)
+		return
+	}
+	for n, p := range s.hosts {
+		for _, path := range []string{standin.ConfigPrefix(s.version), "/quotes/"} {
+			o := outcome{id: identifier.Request(fmt.Sprintf("last-%d", n)), path: path}
+			if k, err := connect(p.callers); err == nil {
+				k.exchange(&o, 0)
+				k.close()
+			}
+			newest := path != "/quotes/" || o.runner == "last-0"
+			if o.status != http.StatusOK || !newest {
+				s.reportViolation(recovered, "host %d returned status %d of runner %q on the newest route %s", n, o.status, o.runner, path)
+			}
+		}
+	}
+	for _, r := range s.runners {
+		if used := r.UsedTokens(); used != 0 {
+			s.reportViolation(released, "runner %s still holds %d tokens", r.Options().ID, used)
+		}
+	}
+}
+
+// unreadable are the log events of a message that a host could not read.
+var unreadable = []string{"event=message-refused", "event=peer-refused", "event=listener-failed"}
+
+// checkLogs checks that no host logged a message that it could not read.
+func (s *system) checkLogs() {
+	for _, p := range s.hosts {
+		text, err := os.ReadFile(filepath.Join(s.options.Directory, p.logName()))
+		if err != nil {
+			s.reportViolation(readable, "host %d has no log: %v", p.number, err)
+			continue
+		}
+		for line := range strings.Lines(string(text)) {
+			if slices.ContainsFunc(unreadable, func(e string) bool { return strings.Contains(line, e) }) {
+				s.reportViolation(readable, "host %d logged %s", p.number, line)
+			}
+		}
+	}
+}
+
 func (s *system) stop() {
 	for _, p := range s.hosts {
 		p.kill()
@@ -132,22 +282,24 @@
 
 // start starts the runners, the proxies and the hosts.
 func (s *system) start() error {
-	s.publishNextVersion()
-	for n := range plainRunners {
-		if err := s.startRunner(standin.RunnerOptions{ID: fmt.Sprintf("plain-%d", n), Service: "desk", Slots: 6, Work: 5 * time.Millisecond}); err != nil {
-			return err
+	s.publish(standin.ConfigOptions{})
+	for n, work := range plainWorks {
+		for _, service := range []string{"desk", "counter"} {
+			if err := s.startRunner(standin.RunnerOptions{ID: fmt.Sprintf("%s-%d", service, n), Service: service, Slots: s.slots(), Work: work}); err != nil {
+				return err
+			}
 		}
 	}
 	for n := range decodeRunners {
 		o := standin.RunnerOptions{
 			ID: fmt.Sprintf("decode-%d", n), Service: "notes", Stage: "decode",
-			Slots: 16, Memory: runnerMemory, Work: 20 * time.Millisecond, Events: streamEvents,
+			Slots: s.slots(), Memory: runnerMemory, Work: eventWork, Events: streamEvents,
 		}
 		if err := s.startRunner(o); err != nil {
 			return err
 		}
 	}
-	if err := s.startRunner(standin.RunnerOptions{ID: "prefill-0", Service: "notes", Stage: "prefill", Slots: 16, Memory: runnerMemory, Work: 20 * time.Millisecond}); err != nil {
+	if err := s.startRunner(standin.RunnerOptions{ID: "prefill-0", Service: "notes", Stage: "prefill", Slots: s.slots(), Memory: runnerMemory, Work: prefillWork}); err != nil {
 		return err
 	}
 	if err := os.MkdirAll(s.options.Directory, 0o755); err != nil {
@@ -174,6 +326,7 @@
 	}
 	r.AdvertiseAddress(p.address)
 	standin.ShareHandles(s.group.Context(), r)
+	s.work[r] = o.Work
 	s.runners = append(s.runners, r)
 	s.runnerProxies = append(s.runnerProxies, p)
 	return nil
@@ -205,10 +358,18 @@
 	return seeds
 }
 
-// publishNextVersion publishes a new version of the configuration.
-func (s *system) publishNextVersion() {
+// publish publishes the next version of the configuration.
+func (s *system) publish(o standin.ConfigOptions) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.version++
-	s.store.PutConfig(standin.Config(s.version, runnerMemory))
+	o.Version, o.Memory = s.version, runnerMemory
+	s.store.PutConfig(standin.ConfigWith(o))
+}
+
+// slots is the number of slots of each runner.
+func (s *system) slots() int {
+	return max(runnerSlots, s.options.Hosts)
 }
 
 func (s *system) awaitReady(timeout time.Duration) error {
@@ -224,7 +385,6 @@
 	return nil
 }
 
-// reportViolation records a violated guarantee.
-func (s *system) reportViolation(format string, args ...any) {
-	s.report.Violations = append(s.report.Violations, fmt.Sprintf(format, args...))
+func (s *system) reportViolation(g guarantee, format string, args ...any) {
+	s.report.Violations = append(s.report.Violations, Violation{Guarantee: g, Detail: fmt.Sprintf(format, args...)})
 }
--- a/emulator/soaker/soaker_test.go
+++ b/emulator/soaker/soaker_test.go
@@ -40,7 +40,7 @@
 			})
 			i.NoErr(err)
 			for _, b := range report.Violations {
-				t.Errorf("seed %d: %s", r.seed, b)
+				t.Errorf("seed %d: %v", r.seed, b)
 			}
 			i.True(report.Served > 100)
 		})
