--- a/cmd/emulator/fleet_test.go
+++ b/cmd/emulator/fleet_test.go
@@ -114,6 +114,8 @@
 	engines   map[string]string // addresses by name
 	lock      string            // address of the plain service
 	urls      []string          // of the entry hosts
+	hostArgs  map[string][]string
+	logs      map[string]*bytes.Buffer // of each program's last start
 }
 
 // freeAddresses returns loopback addresses with unused ports, reserved until the
@@ -134,7 +136,19 @@
 
 func startFleet(t *testing.T) *fleet {
 	t.Helper()
-	f := &fleet{t: t, is: is.New(t), processes: make(map[string]*exec.Cmd), engines: make(map[string]string)}
+	return startFleetOf(t, thisBuild, thisBuild)
+}
+
+// thisBuild names the test binary as a host's program.
+const thisBuild = ""
+
+// startFleetOf starts a fleet whose hosts a and b run the given programs.
+func startFleetOf(t *testing.T, programs ...string) *fleet {
+	t.Helper()
+	f := &fleet{
+		t: t, is: is.New(t), processes: make(map[string]*exec.Cmd), engines: make(map[string]string),
+		hostArgs: make(map[string][]string), logs: make(map[string]*bytes.Buffer),
+	}
 	a := freeAddresses(t, 11)
 	declarations := filepath.Join(t.TempDir(), "fleet.toml")
 	f.is.NoErr(os.WriteFile(declarations, fmt.Appendf(nil, declarationsFormat, a[0], a[1], a[2], a[3]), 0o600))
@@ -151,27 +165,55 @@
 		"--host", "a@tw-1="+a[6], "--host", "b@tw-1="+a[9])
 	for i, name := range []string{"a", "b"} {
 		at := a[5+3*i:]
-		f.start(name, "jackdawthread", "serve", "--set", "host="+name, "--set", "firm=tamsui", "--set", "data-center=tw-1", "--set", "log-level=debug",
-			"--set", "listeners.callers="+at[0], "--set", "listeners.peers="+at[1], "--set", "listeners.operators="+at[2],
-			"--set", "platform.address="+a[4])
+		f.hostArgs[name] = []string{
+			"serve", "--set", "host=" + name, "--set", "firm=tamsui", "--set", "data-center=tw-1", "--set", "log-level=debug",
+			"--set", "listeners.callers=" + at[0], "--set", "listeners.peers=" + at[1], "--set", "listeners.operators=" + at[2],
+			"--set", "platform.address=" + a[4],
+		}
+		f.startHost(name, programs[i])
 		f.urls = append(f.urls, "http://"+at[0])
 	}
 	f.waitReady()
 	return f
 }
 
+// startHost starts an entry host of the given program, or of the test binary.
+func (f *fleet) startHost(name, program string) {
+	f.t.Helper()
+	if program != thisBuild {
+		f.run(name, exec.Command(program, f.hostArgs[name]...))
+		return
+	}
+	f.start(name, "jackdawthread", f.hostArgs[name]...)
+}
+
 // start runs the test binary as the given program. For the emulator it waits
 // until the process listens.
 func (f *fleet) start(name, program string, args ...string) {
 	f.t.Helper()
 	c := exec.Command(os.Args[0], args...)
 	c.Env = append(os.Environ(), programVariable+"="+program)
+	if program != "emulator" {
+		f.run(name, c)
+		return
+	}
 	out, err := c.StdoutPipe()
 	f.is.NoErr(err)
+	f.run(name, c)
+	lines := bufio.NewScanner(out)
+	for lines.Scan() && !strings.HasPrefix(lines.Text(), "listening") {
+	}
+	f.is.NoErr(lines.Err())
+}
+
+// run starts a process, which ends with the test.
+func (f *fleet) run(name string, c *exec.Cmd) {
+	f.t.Helper()
 	log := new(bytes.Buffer)
 	c.Stderr = log
 	f.is.NoErr(c.Start())
 	f.processes[name] = c
+	f.logs[name] = log
 	f.t.Cleanup(func() {
 		_ = c.Process.Kill() // may have exited already
 		_ = c.Wait()
@@ -179,12 +221,6 @@
 			f.t.Logf("log of %s:\n%s", name, log)
 		}
 	})
-	if program == "emulator" {
-		lines := bufio.NewScanner(out)
-		for lines.Scan() && !strings.HasPrefix(lines.Text(), "listening") {
-		}
-		f.is.NoErr(lines.Err())
-	}
 }
 
 func (f *fleet) signal(name string, s os.Signal) {
--- a/cmd/emulator/processes_test.go
+++ b/cmd/emulator/processes_test.go
@@ -62,6 +62,12 @@
 // load sends traffic for 3 s, calls injectFault after the first second and
 // returns the reports on quotes and locks.
 func (f *fleet) load(c loader.Caller, hangUps float64, injectFault func()) (quotes, locks loader.KindReport) {
+	f.t.Helper()
+	return f.loadFor(3*time.Second, c, hangUps, injectFault)
+}
+
+// loadFor is load with another duration.
+func (f *fleet) loadFor(d time.Duration, c loader.Caller, hangUps float64, injectFault func()) (quotes, locks loader.KindReport) {
 	f.t.Helper()
 	g := grouper.New(f.t.Context())
 	g.Run(func(context.Context) {
@@ -69,7 +75,7 @@
 		injectFault()
 	})
 	r, err := loader.Run(f.t.Context(), loader.Settings{
-		Mix: trafficMix(), Rate: 20, Duration: 3 * time.Second, Seed: 1, CancelShare: hangUps, CancelWithin: time.Second,
+		Mix: trafficMix(), Rate: 20, Duration: d, Seed: 1, CancelShare: hangUps, CancelWithin: time.Second,
 	}, c, expectedAnswers{})
 	f.is.NoErr(err)
 	f.is.NoErr(g.Wait())
