--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -8,6 +8,7 @@
 //	go run ./cmd/soak --binary target/entry-host --hosts 120
 //	go run ./cmd/soak --binary target/entry-host --other-binary previous/entry-host
 //	go run ./cmd/soak --binary target/entry-host --first 17 --faults
+//	go run ./cmd/soak --binary target/entry-host --regressions
 //
 // The logs of a seed's hosts are in the directory named after the seed. The exit
 // code is 3 if a guarantee was broken.
@@ -47,6 +48,7 @@
 			&cli.StringFlag{Name: "directory", Value: filepath.Join(os.TempDir(), "jackdawthread-soak"), Usage: "directory for the hosts' settings and logs"},
 			&cli.Uint64Flag{Name: "first", Value: 1, Usage: "first seed"},
 			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of seeds"},
+			&cli.BoolFlag{Name: "regressions", Usage: "play the regression seeds instead"},
 			&cli.DurationFlag{Name: "duration", Value: 20 * time.Second, Usage: "time during which faults are injected, per seed"},
 			&cli.IntFlag{Name: "hosts", Value: 3, Usage: fmt.Sprintf("number of entry hosts, at most %d", maxHosts)},
 			&cli.Int64Flag{Name: "max-memory-mb", Value: 8192, Usage: "resident memory of all hosts above which they are ended"},
@@ -64,9 +66,12 @@
 	if c.Int("hosts") > maxHosts {
 		return fmt.Errorf("at most %d hosts are allowed", maxHosts)
 	}
+	seeds, err := chooseSeeds(c)
+	if err != nil {
+		return err
+	}
 	var failed []uint64
-	for n := range c.Int("seeds") {
-		seed := c.Uint64("first") + uint64(n)
+	for _, seed := range seeds {
 		directory := filepath.Join(c.String("directory"), fmt.Sprint(seed))
 		if err := os.RemoveAll(directory); err != nil {
 			return err
@@ -89,11 +94,27 @@
 		}
 	}
 	if len(failed) > 0 {
-		return cli.Exit(fmt.Sprintf("%d of %d seeds broke a guarantee: %d", len(failed), c.Int("seeds"), failed), exitViolation)
+		return cli.Exit(fmt.Sprintf("%d of %d seeds broke a guarantee: %d", len(failed), len(seeds), failed), exitViolation)
 	}
 	return nil
 }
 
+// chooseSeeds returns the seeds that the flags ask for.
+func chooseSeeds(c *cli.Command) ([]uint64, error) {
+	var seeds []uint64
+	if !c.Bool("regressions") {
+		for n := range c.Int("seeds") {
+			seeds = append(seeds, c.Uint64("first")+uint64(n))
+		}
+		return seeds, nil
+	}
+	regressions, err := soaker.Regressions()
+	for _, r := range regressions {
+		seeds = append(seeds, r.Seed)
+	}
+	return seeds, err
+}
+
 func printReport(seed uint64, r *soaker.Report, faults bool) {
 	fmt.Printf("seed %d: %d sent, %d served, %d refused, %d failed, %d faults, %d starts, peak memory %d MB, %d broken\n",
 		seed, r.Sent, r.Served, r.Refused, r.Failed, len(r.Faults), r.Starts, r.PeakMemory/megabyte, len(r.Violations))
--- a/emulator/soaker/callers.go
+++ b/emulator/soaker/callers.go
@@ -87,7 +87,10 @@
 	if at := c.random.IntN(keptConnections); at < len(kept) {
 		k := kept[at]
 		c.kept[host] = append(kept[:at:at], kept[at+1:]...)
-		return k, nil
+		if k.open() {
+			return k, nil
+		}
+		k.close()
 	}
 	return connect(c.system.hosts[host].callers)
 }
--- a/emulator/soaker/connection.go
+++ b/emulator/soaker/connection.go
@@ -21,6 +21,8 @@
 	callTimeout = 3 * time.Second
 	// answerMargin is how long after its deadline a caller waits for an answer.
 	answerMargin = 600 * time.Millisecond
+	// openTimeout is how long a check for the end of a connection takes.
+	openTimeout  = time.Millisecond
 	promptTokens = 1000
 	outputTokens = 100
 )
@@ -75,6 +77,14 @@
 	_ = c.raw.Close() // nothing is expected on it any more
 }
 
+// open reports whether the host has neither closed the connection nor sent
+// anything on it. Bytes that no request asked for are left for the next exchange.
+func (c *connection) open() bool {
+	_ = c.raw.SetReadDeadline(time.Now().Add(openTimeout)) // fails if the connection has ended, as reads do
+	_, err := c.reader.Peek(1)
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // exchange sends a request and records its response. It reports whether the
 // connection can be used again. A split request is sent in two parts.
 func (c *connection) exchange(o *outcome, split time.Duration) bool {
