End the hosts of a soak that is ended by a signal

A soak that got SIGTERM left its hosts running: 287 of 300 after a trial that had been given 200 s, at a load of 800, until they were ended by their pids. Run now ends the hosts when its context is canceled, and soak cancels it at SIGINT and SIGTERM. At most 200 hosts may be asked for: 300 on eight shared cores left no time for anything else.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -19,8 +19,10 @@
 	"fmt"
 	"maps"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -31,8 +33,8 @@
 const (
 	// exitViolation is the exit code of a run that found a broken guarantee.
 	exitViolation = 3
-	// maxHosts is the largest number of hosts of a run.
-	maxHosts = 400
+	// maxHosts bounds the hosts of a run, so that the machine stays usable.
+	maxHosts = 200
 	megabyte = 1 << 20
 	// maxPrinted is the number of violations of each guarantee that are printed.
 	maxPrinted = 3
@@ -56,7 +58,10 @@
 		},
 		Action: soak,
 	}
-	if err := command.Run(context.Background(), os.Args); err != nil {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := command.Run(ctx, os.Args)
+	stop()
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/emulator/soaker/faults.go
+++ b/emulator/soaker/faults.go
@@ -53,9 +53,9 @@
 	return low + time.Duration(s.random.Int64N(int64(high-low)))
 }
 
-// injectFaults injects faults for the configured duration. They may overlap, but
-// not with others of the same kind and subject.
-func (s *system) injectFaults() {
+// injectFaults injects faults for the configured duration, or until ctx is canceled.
+// They may overlap, but not with others of the same kind and subject.
+func (s *system) injectFaults(ctx context.Context) {
 	deadline := time.Now().Add(s.options.Duration)
 	families := []func() injection{
 		s.processFault, s.processFault, s.linkFault, s.storeLinkFault, s.runnerFault,
@@ -63,7 +63,7 @@
 	}
 	ended := make(chan struct{})
 	running := 0
-	for time.Now().Before(deadline) {
+	for ctx.Err() == nil && time.Now().Before(deadline) {
 		f := families[s.random.IntN(len(families))]()
 		duration := s.randomDuration(minFaultDuration, maxFaultDuration)
 		pause := s.randomDuration(minPause, maxPause) * hostsPerFault / time.Duration(max(hostsPerFault, len(s.hosts)))
--- a/emulator/soaker/soaker.go
+++ b/emulator/soaker/soaker.go
@@ -97,8 +97,10 @@
 	// recoveryTime bounds how long the system may take to recover after the
 	// faults end.
 	recoveryTime = 12 * time.Second
-	// startupTimeout bounds how long all hosts may take to become ready.
+	// startupTimeout + hosts * startupPerHost bounds how long all hosts may take to
+	// become ready.
 	startupTimeout = 15 * time.Second
+	startupPerHost = 100 * time.Millisecond
 	// lastService is the service of quotes by the last configuration.
 	lastService     = "last"
 	plainWork       = 5 * time.Millisecond
@@ -133,7 +135,7 @@
 	version int
 }
 
-// Run runs one soak.
+// Run runs one soak. If ctx is canceled, it ends the hosts and returns an error.
 func Run(ctx context.Context, o Options) (*Report, error) {
 	if o.Hosts == 0 {
 		o.Hosts = defaultHosts
@@ -151,7 +153,7 @@
 	if err := s.start(); err != nil {
 		return nil, err
 	}
-	if err := s.awaitReady(startupTimeout); err != nil {
+	if err := s.awaitReady(startupTimeout + time.Duration(len(s.hosts))*startupPerHost); err != nil {
 		return nil, err
 	}
 	callers := grouper.New(s.group.Context())
@@ -160,9 +162,11 @@
 	}
 	callers.Run(s.watchMemory)
 	s.report.Began = time.Now()
-	s.injectFaults()
+	s.injectFaults(ctx)
 	err := s.endFaults()
-	time.Sleep(recoveryTime / 2)
+	if err == nil {
+		err = sleeper.Sleep(ctx, recoveryTime/2)
+	}
 	callers.Stop()
 	_ = callers.Wait() // callers return no errors
 	if err != nil {
@@ -376,7 +380,7 @@
 	deadline := time.Now().Add(timeout)
 	for _, p := range s.hosts {
 		for !p.ready() {
-			if time.Now().After(deadline) {
+			if s.group.Context().Err() != nil || time.Now().After(deadline) {
 				return fmt.Errorf("host %d is not ready after %v, see %s", p.number, timeout, filepath.Join(s.options.Directory, p.logName()))
 			}
 			time.Sleep(20 * time.Millisecond)
