--- a/emulator/soaker/faults.go
+++ b/emulator/soaker/faults.go
@@ -251,7 +251,9 @@
 		r.Register("ready")
 	}
 	s.store.Rewrite("")
-	// Only hosts with the newest content of the store can serve quotes by it.
+	// Hosts with the newest content of the store don't use the runner that is
+	// removed, and only they can serve quotes, by the one that is added.
+	s.runners[removedRunner].Deregister()
 	if err := s.startRunner(standin.RunnerOptions{ID: "last-0", Service: lastService, Slots: 6, Work: plainWork}); err != nil {
 		return err
 	}
--- a/emulator/soaker/soaker.go
+++ b/emulator/soaker/soaker.go
@@ -101,6 +101,11 @@
 	// become ready.
 	startupTimeout = 15 * time.Second
 	startupPerHost = 100 * time.Millisecond
+	// removedRunner is the index of the runner that is gone at the end, the
+	// fastest of its service, and lastLocks how many requests each host then gets
+	// for its service.
+	removedRunner = 0
+	lastLocks     = 10
 	// lastService is the service of quotes by the last configuration.
 	lastService     = "last"
 	plainWork       = 5 * time.Millisecond
@@ -237,17 +242,7 @@
 		return
 	}
 	for n, p := range s.hosts {
-		for _, path := range []string{standin.ConfigPrefix(s.version), "/quotes/"} {
-			o := outcome{id: identifier.Request(fmt.Sprintf("last-%d", n)), path: path}
-			if k, err := connect(p.callers); err == nil {
-				k.exchange(&o, 0)
-				k.close()
-			}
-			newest := path != "/quotes/" || o.runner == "last-0"
-			if o.status != http.StatusOK || !newest {
-				s.reportViolation(recovered, "host %d returned status %d of runner %q on the newest route %s", n, o.status, o.runner, path)
-			}
-		}
+		s.checkHost(n, p.callers)
 	}
 	for _, r := range s.runners {
 		if used := r.UsedTokens(); used != 0 {
@@ -256,6 +251,27 @@
 	}
 }
 
+// checkHost checks that a host knows the newest content of the store.
+func (s *system) checkHost(n int, a identifier.Address) {
+	ask := func(path string, accept func(runner string) bool) {
+		o := outcome{id: identifier.Request(fmt.Sprintf("last-%d", n)), path: path}
+		if k, err := connect(a); err == nil {
+			k.exchange(&o, 0)
+			k.close()
+		}
+		if o.status != http.StatusOK || !accept(o.runner) {
+			s.reportViolation(recovered, "host %d returned status %d of runner %q on route %s", n, o.status, o.runner, path)
+		}
+	}
+	removed := s.runners[removedRunner].Options().ID
+	remains := func(runner string) bool { return runner != removed }
+	ask(standin.ConfigPrefix(s.version), remains)
+	ask("/quotes/", func(runner string) bool { return runner == "last-0" })
+	for range lastLocks {
+		ask("/locks/", remains)
+	}
+}
+
 // unreadable are the log events of a message that a host could not read.
 var unreadable = []string{"event=message-refused", "event=peer-refused", "event=listener-failed"}
 
