Refuse from nine tenths of the announced time what a stop would interrupt

A busy process notices SIGTERM late, so requests that come at the end of stop.announce may have been sent after it. Load balancers stop sending after two checks, well before.

--- a/hoster/stop.go
+++ b/hoster/stop.go
@@ -15,6 +15,10 @@
 	// stopMargin is the part of the limit that is reserved for terminating
 	// requests that still run.
 	stopMargin = 700 * time.Millisecond
+	// announcedShare is the part of Stop.Announce in which all requests are served. The
+	// process may notice late that it should stop, so requests that come at the end of
+	// this time may have been sent after it.
+	announcedShare = 0.9
 	// drainPollPeriod is how often a stopping host checks callers' connections.
 	drainPollPeriod = 20 * time.Millisecond
 )
@@ -26,10 +30,7 @@
 	h.stopping.Store(true)
 	h.ready.Store(false)
 	h.log.Info("stop-started", zap.Int64("running", h.forwarder.Running()))
-	plan := forwarder.PlannedStop{
-		Announced: began.Add(h.settings.Stop.Announce),
-		End:       began.Add(h.settings.Stop.Limit - stopMargin),
-	}
+	plan := planStop(began, h.settings.Stop)
 	ctx, cancel := context.WithDeadline(ctx, plan.End)
 	defer cancel()
 	h.forwarder.BeginStop(plan)
@@ -46,6 +47,14 @@
 	h.Kill()
 }
 
+// planStop returns the times of a planned stop.
+func planStop(began time.Time, s Stop) forwarder.PlannedStop {
+	return forwarder.PlannedStop{
+		Announced: began.Add(time.Duration(announcedShare * float64(s.Announce))),
+		End:       began.Add(s.Limit - stopMargin),
+	}
+}
+
 // waitForConnections waits until no caller's connection is open. Running is no
 // substitute: net/http sends the end of an answer after the forwarder has returned.
 func (h *Host) waitForConnections(ctx context.Context) error {
