Answer the requests that still run at the end of a planned stop

Callers saw a closed connection, neither an answer nor a refusal, if their request still ran, or waited for an engine, shortly before the stop's limit.

Cause: the process closed all connections at once, the waiting ones too, though it knew of each request whether it had run.

Now the contexts of these requests are ended first, and up to 0.2 s of the 0.7 s that were reserved go to their answers: 502, or 503 with Retry-After if the request has not run. Streams that have begun are interrupted as before.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -243,6 +243,15 @@
 	return true
 }
 
+// CancelRequests ends the contexts of all requests in progress, so that they can be
+// answered before CloseAll.
+func (a *Acceptor) CancelRequests(r Reason) {
+	now := time.Now()
+	for _, c := range a.connections() {
+		c.cancelRequest(r, now)
+	}
+}
+
 // CloseAll closes all connections at once, whether or not they have requests.
 func (a *Acceptor) CloseAll(r Reason) {
 	now := time.Now()
--- a/acceptor/closing.go
+++ b/acceptor/closing.go
@@ -17,6 +17,8 @@
 	ReasonHeader Reason = "header-timeout"
 	// ReasonStop means that no request came in a planned stop.
 	ReasonStop Reason = "stop"
+	// ReasonStopLimit means that the time of a planned stop was over.
+	ReasonStopLimit Reason = "stop-limit"
 	// ReasonKill means that the host ended without waiting for requests.
 	ReasonKill Reason = "kill"
 )
@@ -32,7 +34,7 @@
 	// Idle is the time since the last answer, since the connection was accepted, or,
 	// with ReasonHeader, since the first byte of the request.
 	Idle time.Duration
-	// Limit is the limit that Idle exceeded; 0 with ReasonKill.
+	// Limit is the limit that Idle exceeded; 0 with ReasonStopLimit and ReasonKill.
 	Limit time.Duration
 }
 
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -209,6 +209,11 @@
 // close marks the connection as closed. The caller holds the lock.
 func (c *Connection) close(r Reason, now time.Time) *Closing {
 	c.closed = true
+	return c.describe(r, now)
+}
+
+// describe returns the connection's state. The caller holds the lock.
+func (c *Connection) describe(r Reason, now time.Time) *Closing {
 	return &Closing{
 		Reason: r,
 		Remote: c.RemoteAddr().String(),
@@ -229,6 +234,18 @@
 	return io.EOF
 }
 
+// cancelRequest ends the context of the connection's requests.
+func (c *Connection) cancelRequest(r Reason, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != phaseServing || c.cancel == nil {
+		return
+	}
+	closing := c.describe(r, now)
+	closing.Limit = 0
+	c.cancel(closing)
+}
+
 // abort closes the connection and ends its requests.
 func (c *Connection) abort(r Reason, now time.Time) {
 	c.mu.Lock()
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -87,11 +87,12 @@
 			Message:    "deadline exceeded",
 		}
 	}
-	message := "request canceled by the caller"
+	canceled := &classifier.Error{Verdict: v, Reason: classifier.ReasonCanceled, Cause: cause, Message: "request canceled by the caller"}
 	if !errors.Is(cause, context.Canceled) {
-		message = "request canceled: " + cause.Error()
+		canceled.Message = "request canceled: " + cause.Error()
+		canceled.RetryAfter = classifier.Jitter(stoppingRetryAfter)
 	}
-	return &classifier.Error{Verdict: v, Reason: classifier.ReasonCanceled, Cause: cause, Message: message}
+	return canceled
 }
 
 // deadlineRetryAfter is the Retry-After hint for requests that exceeded their
--- a/hoster/stop.go
+++ b/hoster/stop.go
@@ -15,6 +15,8 @@
 	// stopMargin is the part of the limit that is reserved for terminating
 	// requests that still run.
 	stopMargin = 700 * time.Millisecond
+	// cancelTimeout bounds the time for answers to requests that are terminated.
+	cancelTimeout = 200 * time.Millisecond
 	// announcedShare is the part of Stop.Announce in which all requests are served. The
 	// process may notice late that it should stop, so requests that come at the end of
 	// this time may have been sent after it.
@@ -41,6 +43,7 @@
 			zap.Int64("running", h.forwarder.Running()),
 			zap.Int("connections", h.acceptor.Open()),
 			zap.Error(err))
+		h.cancelRequests()
 	}
 	h.gossiper.Leave(ctx)
 	h.log.Info("stop-completed", zap.Duration("took", time.Since(began)))
@@ -67,6 +70,15 @@
 	return nil
 }
 
+// cancelRequests ends the requests that still run at the end of a planned stop. Those
+// whose answer hasn't begun are answered before their connections are closed.
+func (h *Host) cancelRequests() {
+	h.acceptor.CancelRequests(acceptor.ReasonStopLimit)
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	_ = h.waitForConnections(ctx) // Kill closes those that remain
+}
+
 // Kill ends the host at once, as a crash would.
 func (h *Host) Kill() {
 	h.acceptor.CloseAll(acceptor.ReasonKill)
