Tell other hosts what a restored store has set back

What callers may see: a host that starts right after a restore of the store, or that hadn't heard of a lost write, used the store's older entries until their writers wrote again: an older configuration, with routes that had been removed, and endpoints that were leaving or gone.

Replies between peers now also carry the states that a host uses in place of the store's older ones (Kept), until their end. A host takes over what it knows nothing of, if its store still has that older item. Only certain knowledge is passed on: the property test found that a doubtful state (the history didn't reach back) replaced a newer one at a host that knew better. An item that was accepted after all stays so: its entry is kept, so that a peer with a later end doesn't hide it again.

Builds without the field skip it.

--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -106,17 +106,22 @@
 		AgeMs:    uint32(c.Age.Milliseconds()),
 	}
 	for _, change := range c.Changes {
-		reply.Changes = append(reply.Changes, peerwire.StoreItem{
-			Key:      change.Key,
-			Value:    change.Value,
-			Revision: change.Revision,
-			Deleted:  change.Deleted,
-			Era:      change.Era,
+		reply.Changes = append(reply.Changes, encodeChange(change))
+	}
+	for _, k := range c.Kept {
+		reply.Kept = append(reply.Kept, peerwire.KeptItem{
+			Known:            encodeChange(k.Known),
+			RestoredRevision: k.RestoredRevision,
+			LeftMs:           uint32(k.Left.Milliseconds()),
 		})
 	}
 	return reply
 }
 
+func encodeChange(c replicator.Change) peerwire.StoreItem {
+	return peerwire.StoreItem{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted, Era: c.Era}
+}
+
 func decodeChanges(reply *peerwire.ChangesReply) replicator.ChangeSet {
 	c := replicator.ChangeSet{
 		Position: identifier.Position{Era: reply.Era, Revision: reply.Revision},
@@ -124,10 +129,21 @@
 		Age:      time.Duration(reply.AgeMs) * time.Millisecond,
 	}
 	for _, i := range reply.Changes {
-		c.Changes = append(c.Changes, replicator.Change{
-			Item:    replicator.Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Era: i.Era},
-			Deleted: i.Deleted,
+		c.Changes = append(c.Changes, decodeChange(i))
+	}
+	for _, k := range reply.Kept {
+		c.Kept = append(c.Kept, replicator.Kept{
+			Known:            decodeChange(k.Known),
+			RestoredRevision: k.RestoredRevision,
+			Left:             time.Duration(k.LeftMs) * time.Millisecond,
 		})
 	}
 	return c
 }
+
+func decodeChange(i peerwire.StoreItem) replicator.Change {
+	return replicator.Change{
+		Item:    replicator.Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Era: i.Era},
+		Deleted: i.Deleted,
+	}
+}
--- a/hoster/peers_test.go
+++ b/hoster/peers_test.go
@@ -25,6 +25,11 @@
 			{Item: replicator.Item{Key: "a", Value: []byte("1"), Revision: 6, Era: 3}},
 			{Item: replicator.Item{Key: "b", Revision: 7}, Deleted: true},
 		},
+		Kept: []replicator.Kept{{
+			Known:            replicator.Change{Item: replicator.Item{Key: "a", Value: []byte("2"), Revision: 9}},
+			RestoredRevision: 6,
+			Left:             time.Second,
+		}},
 	}
 	t.Run("replies arrive as they were sent", func(t *testing.T) {
 		i := is.New(t)
--- a/peerwire/changes.go
+++ b/peerwire/changes.go
@@ -22,7 +22,7 @@
 // ChangesReply replies to a ChangesRequest.
 type ChangesReply struct {
 	// Revision is the store revision that the peer has, and Era the store's era
-	// at it. If they are not newer than the requester's, the other fields are empty.
+	// at it. If they are not newer than the requester's, Snapshot and Changes are empty.
 	Revision identifier.Revision `msg:"revision"`
 	Era      identifier.Era      `msg:"era"`
 	// Snapshot is set if Changes is a snapshot of all existing items.
@@ -30,6 +30,18 @@
 	// AgeMs is the time since the store confirmed Revision in milliseconds.
 	AgeMs   uint32      `msg:"age-ms"`
 	Changes []StoreItem `msg:"changes"`
+	// Kept lists what the peer uses in place of items that a restored store has set
+	// back. It doesn't depend on the requester's position.
+	Kept []KeptItem `msg:"kept"`
+}
+
+// KeptItem is the latest known state of an item that a restored store has set back.
+type KeptItem struct {
+	Known StoreItem `msg:"known"`
+	// RestoredRevision is the revision of the store's item.
+	RestoredRevision identifier.Revision `msg:"restored-revision"`
+	// LeftMs is how much longer the peer uses the known state in milliseconds.
+	LeftMs uint32 `msg:"left-ms"`
 }
 
 // StoreItem is an item of the configuration store or its deletion.
--- a/peerwire/changes_gen.go
+++ b/peerwire/changes_gen.go
@@ -76,6 +76,64 @@
 					return
 				}
 			}
+		case "kept":
+			var zb0005 uint32
+			zb0005, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Kept")
+				return
+			}
+			if cap(z.Kept) >= int(zb0005) {
+				z.Kept = (z.Kept)[:zb0005]
+			} else {
+				z.Kept = make([]KeptItem, zb0005)
+			}
+			for za0002 := range z.Kept {
+				var zb0006 uint32
+				zb0006, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Kept", za0002)
+					return
+				}
+				for zb0006 > 0 {
+					zb0006--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "Kept", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "known":
+						err = z.Kept[za0002].Known.DecodeMsg(dc)
+						if err != nil {
+							err = msgp.WrapError(err, "Kept", za0002, "Known")
+							return
+						}
+					case "restored-revision":
+						{
+							var zb0007 uint64
+							zb0007, err = dc.ReadUint64()
+							if err != nil {
+								err = msgp.WrapError(err, "Kept", za0002, "RestoredRevision")
+								return
+							}
+							z.Kept[za0002].RestoredRevision = identifier.Revision(zb0007)
+						}
+					case "left-ms":
+						z.Kept[za0002].LeftMs, err = dc.ReadUint32()
+						if err != nil {
+							err = msgp.WrapError(err, "Kept", za0002, "LeftMs")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "Kept", za0002)
+							return
+						}
+					}
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -89,9 +147,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *ChangesReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
+	// map header, size 6
 	// write "revision"
-	err = en.Append(0x85, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	err = en.Append(0x86, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
 	if err != nil {
 		return
 	}
@@ -147,15 +205,58 @@
 			return
 		}
 	}
+	// write "kept"
+	err = en.Append(0xa4, 0x6b, 0x65, 0x70, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Kept)))
+	if err != nil {
+		err = msgp.WrapError(err, "Kept")
+		return
+	}
+	for za0002 := range z.Kept {
+		// map header, size 3
+		// write "known"
+		err = en.Append(0x83, 0xa5, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+		if err != nil {
+			return
+		}
+		err = z.Kept[za0002].Known.EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Kept", za0002, "Known")
+			return
+		}
+		// write "restored-revision"
+		err = en.Append(0xb1, 0x72, 0x65, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x64, 0x2d, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(uint64(z.Kept[za0002].RestoredRevision))
+		if err != nil {
+			err = msgp.WrapError(err, "Kept", za0002, "RestoredRevision")
+			return
+		}
+		// write "left-ms"
+		err = en.Append(0xa7, 0x6c, 0x65, 0x66, 0x74, 0x2d, 0x6d, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint32(z.Kept[za0002].LeftMs)
+		if err != nil {
+			err = msgp.WrapError(err, "Kept", za0002, "LeftMs")
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *ChangesReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "revision"
-	o = append(o, 0x85, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	o = append(o, 0x86, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendUint64(o, uint64(z.Revision))
 	// string "era"
 	o = append(o, 0xa3, 0x65, 0x72, 0x61)
@@ -176,6 +277,25 @@
 			return
 		}
 	}
+	// string "kept"
+	o = append(o, 0xa4, 0x6b, 0x65, 0x70, 0x74)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Kept)))
+	for za0002 := range z.Kept {
+		// map header, size 3
+		// string "known"
+		o = append(o, 0x83, 0xa5, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+		o, err = z.Kept[za0002].Known.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Kept", za0002, "Known")
+			return
+		}
+		// string "restored-revision"
+		o = append(o, 0xb1, 0x72, 0x65, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x64, 0x2d, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint64(o, uint64(z.Kept[za0002].RestoredRevision))
+		// string "left-ms"
+		o = append(o, 0xa7, 0x6c, 0x65, 0x66, 0x74, 0x2d, 0x6d, 0x73)
+		o = msgp.AppendUint32(o, z.Kept[za0002].LeftMs)
+	}
 	return
 }
 
@@ -248,6 +368,64 @@
 					return
 				}
 			}
+		case "kept":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Kept")
+				return
+			}
+			if cap(z.Kept) >= int(zb0005) {
+				z.Kept = (z.Kept)[:zb0005]
+			} else {
+				z.Kept = make([]KeptItem, zb0005)
+			}
+			for za0002 := range z.Kept {
+				var zb0006 uint32
+				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Kept", za0002)
+					return
+				}
+				for zb0006 > 0 {
+					zb0006--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Kept", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "known":
+						bts, err = z.Kept[za0002].Known.UnmarshalMsg(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Kept", za0002, "Known")
+							return
+						}
+					case "restored-revision":
+						{
+							var zb0007 uint64
+							zb0007, bts, err = msgp.ReadUint64Bytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Kept", za0002, "RestoredRevision")
+								return
+							}
+							z.Kept[za0002].RestoredRevision = identifier.Revision(zb0007)
+						}
+					case "left-ms":
+						z.Kept[za0002].LeftMs, bts, err = msgp.ReadUint32Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Kept", za0002, "LeftMs")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Kept", za0002)
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -266,6 +444,10 @@
 	for za0001 := range z.Changes {
 		s += z.Changes[za0001].Msgsize()
 	}
+	s += 5 + msgp.ArrayHeaderSize
+	for za0002 := range z.Kept {
+		s += 1 + 6 + z.Kept[za0002].Known.Msgsize() + 18 + msgp.Uint64Size + 8 + msgp.Uint32Size
+	}
 	return
 }
 
@@ -438,6 +620,171 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *KeptItem) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "known":
+			err = z.Known.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "Known")
+				return
+			}
+		case "restored-revision":
+			{
+				var zb0002 uint64
+				zb0002, err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "RestoredRevision")
+					return
+				}
+				z.RestoredRevision = identifier.Revision(zb0002)
+			}
+		case "left-ms":
+			z.LeftMs, err = dc.ReadUint32()
+			if err != nil {
+				err = msgp.WrapError(err, "LeftMs")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *KeptItem) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "known"
+	err = en.Append(0x83, 0xa5, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+	if err != nil {
+		return
+	}
+	err = z.Known.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Known")
+		return
+	}
+	// write "restored-revision"
+	err = en.Append(0xb1, 0x72, 0x65, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x64, 0x2d, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(uint64(z.RestoredRevision))
+	if err != nil {
+		err = msgp.WrapError(err, "RestoredRevision")
+		return
+	}
+	// write "left-ms"
+	err = en.Append(0xa7, 0x6c, 0x65, 0x66, 0x74, 0x2d, 0x6d, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint32(z.LeftMs)
+	if err != nil {
+		err = msgp.WrapError(err, "LeftMs")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *KeptItem) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "known"
+	o = append(o, 0x83, 0xa5, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+	o, err = z.Known.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Known")
+		return
+	}
+	// string "restored-revision"
+	o = append(o, 0xb1, 0x72, 0x65, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x64, 0x2d, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, uint64(z.RestoredRevision))
+	// string "left-ms"
+	o = append(o, 0xa7, 0x6c, 0x65, 0x66, 0x74, 0x2d, 0x6d, 0x73)
+	o = msgp.AppendUint32(o, z.LeftMs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *KeptItem) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "known":
+			bts, err = z.Known.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Known")
+				return
+			}
+		case "restored-revision":
+			{
+				var zb0002 uint64
+				zb0002, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "RestoredRevision")
+					return
+				}
+				z.RestoredRevision = identifier.Revision(zb0002)
+			}
+		case "left-ms":
+			z.LeftMs, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LeftMs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *KeptItem) Msgsize() (s int) {
+	s = 1 + 6 + z.Known.Msgsize() + 18 + msgp.Uint64Size + 8 + msgp.Uint32Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *StoreItem) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
--- a/replicator/replica.go
+++ b/replicator/replica.go
@@ -41,6 +41,19 @@
 	// Age is the time since the store confirmed the position; 0 for the store's
 	// own answer.
 	Age time.Duration
+	// Kept lists what a peer uses in place of items that a restored store has
+	// certainly set back, whatever the position is.
+	Kept []Kept
+}
+
+// Kept is the latest known state of a key, used in place of an older item that a
+// restored store has.
+type Kept struct {
+	Known Change
+	// RestoredRevision is the revision of the store's item.
+	RestoredRevision identifier.Revision
+	// Left is how much longer the state is kept.
+	Left time.Duration
 }
 
 // Outdated is an item that a restored store has, although a later state of its
@@ -48,6 +61,9 @@
 type Outdated struct {
 	Item  Item
 	Known Change
+	// Certain is set if the item was once replaced by the known state, or by one
+	// before that. Otherwise it may also have been written since.
+	Certain bool
 }
 
 // Applied is the effect of a change set on a replica.
@@ -104,6 +120,14 @@
 	return r.sorted()
 }
 
+// Item returns the item with a key.
+func (r *Replica) Item(key string) (Item, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i, ok := r.items[key]
+	return i, ok
+}
+
 func (r *Replica) sorted() []Item {
 	all := make([]Item, 0, len(r.items))
 	for _, i := range r.items {
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -235,8 +235,11 @@
 		case <-ctx.Done():
 		}
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	c := r.replica.Since(after)
 	c.Age = r.Age()
+	c.Kept = r.retention.kept(time.Now())
 	return c
 }
 
@@ -439,9 +442,25 @@
 	}
 	r.peerConfirmed(c.Age)
 	r.applyChanges(c, source)
+	r.learnKept(c)
 	return true
 }
 
+// learnKept takes over what a peer of the same era keeps in use.
+func (r *Replicator) learnKept(c ChangeSet) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c.Position.Era != r.replica.Position().Era {
+		return
+	}
+	now := time.Now()
+	learned := r.retention.learn(c.Kept, r.replica.Item, now)
+	if len(learned) > 0 {
+		r.logOutdated(learned, "peer")
+		r.publish(now)
+	}
+}
+
 // applyChanges applies changes to the replica and publishes the items if any
 // changed.
 func (r *Replicator) applyChanges(c ChangeSet, source string) {
@@ -461,7 +480,7 @@
 		zap.String("source", source),
 		zap.Bool("whole", c.Complete),
 		zap.Int("changes", len(applied.Changes)),
-		zap.Int("doubted", len(r.retention.entries)))...)
+		zap.Int("doubted", r.retention.active()))...)
 	r.publish(now)
 }
 
@@ -472,8 +491,15 @@
 		zap.Uint64("previous-revision", uint64(previous.Revision)),
 		zap.Int("changes", len(a.Changes)),
 		zap.Int("outdated", len(a.Outdated)))...)
-	for _, o := range a.Outdated {
+	r.logOutdated(a.Outdated, "own")
+}
+
+// logOutdated logs each item in whose place the latest known state is used. Source
+// is whose knowledge it is.
+func (r *Replicator) logOutdated(all []Outdated, source string) {
+	for _, o := range all {
 		r.deps.Log.Info("store-item-outdated",
+			zap.String("knowledge", source),
 			zap.String("key", o.Item.Key),
 			zap.Uint64("revision", uint64(o.Item.Revision)),
 			zap.Uint64("known-revision", uint64(o.Known.Revision)),
--- a/replicator/restore.go
+++ b/replicator/restore.go
@@ -41,9 +41,9 @@
 	}
 	r.items[i.Key] = i
 	switch verdict {
-	case originOutdated:
+	case originOutdated, originDoubtful:
 		r.history.add(known) // it is no longer among the items
-		applied.Outdated = append(applied.Outdated, Outdated{Item: i, Known: known})
+		applied.Outdated = append(applied.Outdated, Outdated{Item: i, Known: known, Certain: verdict == originOutdated})
 	case originKnown:
 		if !present {
 			applied.Changes = append(applied.Changes, Change{Item: i})
@@ -72,8 +72,10 @@
 	// originKnown items are the latest state that is known.
 	originKnown
 	// originOutdated items come from the copy, and are older than the latest state
-	// that is known, or may be.
+	// that is known.
 	originOutdated
+	// originDoubtful items may be outdated or new.
+	originDoubtful
 )
 
 // origin returns where an item of the given, later, era comes from. Nothing in the
@@ -92,6 +94,6 @@
 	case i.Revision > r.logStart || i.Revision >= known.Revision:
 		return originNew
 	default:
-		return originOutdated
+		return originDoubtful
 	}
 }
--- a/replicator/restore_test.go
+++ b/replicator/restore_test.go
@@ -162,6 +162,13 @@
 	m.publish(now)
 }
 
+func (m *mirror) learnKept(era identifier.Era, all []Kept, now time.Time) {
+	if m.replica.Position().Era == era {
+		m.retention.learn(all, m.replica.Item, now)
+		m.publish(now)
+	}
+}
+
 func (m *mirror) learn(a Applied, p identifier.Position) {
 	for _, c := range a.Changes {
 		state := m.store.statesAt[p][c.Key]
@@ -318,6 +325,7 @@
 				c := peer.replica.Since(m.replica.Position())
 				m.paged = m.paged || peer.paged
 				deliver(t, m, c)
+				m.learnKept(c.Position.Era, peer.retention.kept(h.now), h.now)
 			},
 			"arrive": func(t *rapid.T) {
 				if len(h.late) > 0 {
--- a/replicator/retention.go
+++ b/replicator/retention.go
@@ -20,8 +20,13 @@
 	// restored is the store's item; nil if it has none. Any other item of the store
 	// ends the retention.
 	restored *Item
+	// certain is Outdated.Certain.
+	certain bool
 	// until is the end; zero if there is none.
 	until time.Time
+	// accepted is set if the restored item is used after all. The entry stays, so
+	// that it isn't learned from a peer again.
+	accepted bool
 }
 
 func newRetention(o Options, permanent func(known, restored Item) bool) retention {
@@ -45,13 +50,46 @@
 		delete(t.entries, c.Key) // the store says otherwise
 	}
 	for _, o := range a.Outdated {
-		t.keepKnown(o, now)
+		t.keepKnown(o, now.Add(t.options.OutdatedHold))
 	}
 }
 
+// learn takes over what a peer keeps in place of items that the store has, where
+// this host knows of nothing. It returns these items.
+func (t *retention) learn(all []Kept, stored func(key string) (Item, bool), now time.Time) []Outdated {
+	var learned []Outdated
+	for _, k := range all {
+		i, ok := stored(k.Known.Key)
+		if _, known := t.entries[k.Known.Key]; known || !ok || i.Revision != k.RestoredRevision {
+			continue
+		}
+		o := Outdated{Item: i, Known: k.Known, Certain: true}
+		t.keepKnown(o, now.Add(min(k.Left, t.options.OutdatedHold)))
+		learned = append(learned, o)
+	}
+	return learned
+}
+
+// kept returns what is used in place of items that the store has certainly set
+// back: a doubt of this host may be none for others.
+func (t *retention) kept(now time.Time) []Kept {
+	var all []Kept
+	for _, k := range t.entries {
+		if k.restored == nil || !k.certain || k.accepted {
+			continue
+		}
+		all = append(all, Kept{
+			Known:            Change{Item: k.item, Deleted: k.removed},
+			RestoredRevision: k.restored.Revision,
+			Left:             max(0, k.until.Sub(now)),
+		})
+	}
+	return all
+}
+
 // deferDeletion keeps the item in use that was used until now.
 func (t *retention) deferDeletion(i Item, until time.Time) {
-	if old, ok := t.entries[i.Key]; ok {
+	if old, ok := t.entries[i.Key]; ok && !old.accepted {
 		if old.removed {
 			return // it isn't used
 		}
@@ -61,15 +99,15 @@
 }
 
 // keepKnown uses the later state of an item that the store has set back.
-func (t *retention) keepKnown(o Outdated, now time.Time) {
-	kept := retained{item: o.Known.Item, removed: o.Known.Deleted, restored: &o.Item, until: now.Add(t.options.OutdatedHold)}
+func (t *retention) keepKnown(o Outdated, until time.Time) {
+	kept := retained{item: o.Known.Item, removed: o.Known.Deleted, restored: &o.Item, certain: o.Certain, until: until}
 	if !kept.removed && t.permanent(kept.item, o.Item) {
 		kept.until = time.Time{}
 	}
 	t.entries[o.Item.Key] = kept
 }
 
-// overlay returns the items to use, given the store's. It forgets what has ended.
+// overlay returns the items to use, given the store's. It ends what is due.
 func (t *retention) overlay(stored []Item, now time.Time) []Item {
 	items := make([]Item, 0, len(stored)+len(t.entries))
 	present := make(map[string]bool, len(stored))
@@ -79,9 +117,13 @@
 		switch {
 		case !ok:
 			items = append(items, i)
-		case !kept.replaces(i) || kept.ended(now):
+		case !kept.replaces(i):
 			delete(t.entries, i.Key)
 			items = append(items, i)
+		case kept.accepted || kept.ended(now):
+			kept.accepted = true
+			t.entries[i.Key] = kept
+			items = append(items, i)
 		case !kept.removed:
 			items = append(items, kept.item)
 		}
@@ -114,12 +156,23 @@
 	return !k.until.IsZero() && !now.Before(k.until)
 }
 
+// active returns how many items are used that differ from the store's.
+func (t *retention) active() int {
+	count := 0
+	for _, k := range t.entries {
+		if !k.accepted {
+			count++
+		}
+	}
+	return count
+}
+
 // endedCount returns how many entries have ended, of deferred deletions and of
 // outdated items.
 func (t *retention) endedCount(now time.Time) (deletions, outdated int) {
 	for _, kept := range t.entries {
 		switch {
-		case !kept.ended(now):
+		case !kept.ended(now) || kept.accepted:
 		case kept.restored == nil:
 			deletions++
 		default:
--- a/replicator/retention_test.go
+++ b/replicator/retention_test.go
@@ -137,6 +137,51 @@
 	})
 }
 
+func TestKeptByPeers(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	hold := DefaultOptions().OutdatedHold
+	deleted := Change{Item: Item{Key: "b", Revision: 9}, Deleted: true}
+	restored := listing(2, 6, item("a", "1", 5), item("b", "1", 4))
+	knowing := newRestoredHost(nil)
+	knowing.apply(start, listing(1, 5, item("a", "1", 5), item("b", "1", 4)), update(1, 9, Change{Item: item("a", "2", 8)}, deleted), restored)
+	// learn lets a host learn from the one that knows more, after some time.
+	learn := func(h *restoredHost, after time.Duration) {
+		h.retention.learn(knowing.retention.kept(start.Add(after)), h.replica.Item, start.Add(after))
+	}
+	t.Run("is used by a host that starts after the restore", func(t *testing.T) {
+		i := is.New(t)
+		h := newRestoredHost(nil)
+		h.apply(start, restored)
+		i.Equal(h.uses(start), "a=1 b=1 ")
+		learn(h, time.Second)
+		i.Equal(h.uses(start.Add(hold-1)), "a=2 ")
+		i.Equal(h.uses(start.Add(hold)), "a=1 b=1 ")
+	})
+	t.Run("isn't learned again once the store's items are accepted", func(t *testing.T) {
+		i := is.New(t)
+		h := newRestoredHost(nil)
+		h.apply(start, restored)
+		h.retention.learn([]Kept{{Known: deleted, RestoredRevision: 4, Left: time.Second}}, h.replica.Item, start)
+		i.Equal(h.uses(start.Add(time.Second)), "a=1 b=1 ")
+		h.retention.learn([]Kept{{Known: deleted, RestoredRevision: 4, Left: time.Second}}, h.replica.Item, start.Add(time.Second))
+		i.Equal(h.uses(start.Add(time.Second)), "a=1 b=1 ")
+	})
+	t.Run("isn't passed on if the store's item may be newer", func(t *testing.T) {
+		i := is.New(t)
+		h := newRestoredHost(nil)
+		h.apply(start, listing(1, 9, item("a", "2", 8)), restored)
+		i.Equal(h.uses(start), "a=2 b=1 ")
+		i.Equal(len(h.retention.kept(start)), 0)
+	})
+	t.Run("has no effect on items that were written since", func(t *testing.T) {
+		i := is.New(t)
+		h := newRestoredHost(nil)
+		h.apply(start, restored, update(2, 8, Change{Item: item("a", "3", 7)}, Change{Item: Item{Key: "b", Revision: 8}, Deleted: true}))
+		learn(h, time.Second)
+		i.Equal(h.uses(start.Add(time.Second)), "a=3 ")
+	})
+}
+
 func TestNothingNew(t *testing.T) {
 	own := identifier.Position{Era: 2, Revision: 5}
 	cases := []struct {
