Read the store in a file of its own

How a host reads the store or follows its reader moves to reading.go, unchanged. A test shows that a host that was suspended during a restore lists the store; it passes on the code before, too.

--- /dev/null
+++ b/replicator/reading.go
@@ -0,0 +1,166 @@
+package replicator
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/common/sleeper"
+)
+
+// maxListings is how often the store is listed in a row if it is restored
+// meanwhile.
+const maxListings = 3
+
+var (
+	// errEarlierEra reports an answer from an era before the replica's.
+	errEarlierEra = errors.New("store's answer is from an earlier era")
+	// errReaderStale reports that a reader's answer is stale or from an earlier era.
+	errReaderStale = errors.New("reader's data is stale: the store has not confirmed it recently")
+)
+
+// follow keeps the replica up to date until the group ends.
+func (r *Replicator) follow(ctx context.Context) {
+	backoff := r.options.MinBackoff
+	for ctx.Err() == nil {
+		err := r.interruptibleStep(ctx)
+		if err == nil {
+			backoff = r.options.MinBackoff
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if sleeper.Sleep(ctx, backoff/2+rand.N(backoff)) != nil {
+			return
+		}
+		backoff = min(2*backoff, r.options.MaxBackoff)
+	}
+}
+
+// interruptibleStep runs a step that Invalidate can cancel.
+func (r *Replicator) interruptibleStep(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r.mu.Lock()
+	r.interrupt = cancel
+	r.mu.Unlock()
+	return r.step(ctx)
+}
+
+// step waits for changes once, at the store or at a host that reads it.
+func (r *Replicator) step(ctx context.Context) error {
+	if !r.deps.ReadsStore() && r.Synced() && time.Now().After(r.readUntil) {
+		if err := r.followReader(ctx); err == nil || ctx.Err() != nil {
+			return err
+		}
+		r.readUntil = time.Now().Add(r.options.DirectReadPeriod)
+	}
+	err := r.read(ctx)
+	if err != nil && ctx.Err() == nil {
+		r.readFailed(err)
+	}
+	return err
+}
+
+func (r *Replicator) followReader(ctx context.Context) error {
+	after := r.replica.Position()
+	ctx, cancel := context.WithTimeout(ctx, r.options.FollowWait+r.options.PeerQueryTimeout)
+	defer cancel()
+	changes, err := r.deps.Peers.Follow(ctx, after, r.options.FollowWait)
+	if err == nil {
+		accepted := r.applyPeerChanges(changes, "reader")
+		if !accepted || changes.Age >= r.options.StaleAfter {
+			err = errReaderStale
+		}
+	}
+	if err != nil {
+		r.deps.Log.Info("reader-unavailable", zap.Duration("knowledge-age", r.Age()), zap.Error(err))
+	}
+	return err
+}
+
+// read lists or watches the store once. A replica that was already filled by a
+// peer needs no listing.
+func (r *Replicator) read(ctx context.Context) error {
+	after := r.replica.Position()
+	ctx, cancel := context.WithTimeout(ctx, r.options.WatchWait+r.options.ReplyMargin)
+	defer cancel()
+	changes, err := r.listOrWatch(ctx, after)
+	if err != nil {
+		return err
+	}
+	if !r.replica.Accepts(changes) {
+		return errEarlierEra
+	}
+	r.readSucceeded()
+	r.applyChanges(changes, "store")
+	return nil
+}
+
+func (r *Replicator) listOrWatch(ctx context.Context, after identifier.Position) (ChangeSet, error) {
+	if after.IsZero() {
+		return r.list(ctx)
+	}
+	changes, err := r.deps.Store.Watch(ctx, after, r.options.WatchWait)
+	if errors.Is(err, ErrHistoryLost) {
+		r.deps.Log.Info("store-history-unavailable", append(positionFields(after), zap.Error(err))...)
+		return r.list(ctx)
+	}
+	if err == nil && changes.Position.Era > after.Era {
+		return r.list(ctx)
+	}
+	return changes, err
+}
+
+// list lists the store, again if it is restored meanwhile.
+func (r *Replicator) list(ctx context.Context) (ChangeSet, error) {
+	for range maxListings - 1 {
+		changes, err := r.deps.Store.List(ctx)
+		if !errors.Is(err, ErrEraChanged) {
+			return changes, err
+		}
+	}
+	return r.deps.Store.List(ctx)
+}
+
+// readFailed records a failed read of the store.
+func (r *Replicator) readFailed(err error) {
+	r.mu.Lock()
+	outageBegan := r.connectivity.readFailed(time.Now(), r.Age())
+	r.mu.Unlock()
+	if outageBegan {
+		r.deps.Log.Warn("store-unavailable", append(positionFields(r.replica.Position()), zap.Error(err))...)
+	}
+}
+
+// readSucceeded records an answer of the store.
+func (r *Replicator) readSucceeded() {
+	r.updateConfirmedAt(0)
+	r.mu.Lock()
+	outage, recovered := r.connectivity.readSucceeded(time.Now())
+	r.mu.Unlock()
+	r.logRecovery(outage, recovered)
+}
+
+// peerConfirmed records a peer's answer, which the store confirmed age ago.
+func (r *Replicator) peerConfirmed(age time.Duration) {
+	r.updateConfirmedAt(age)
+	if age >= r.options.StaleAfter {
+		return
+	}
+	r.mu.Lock()
+	outage, recovered := r.connectivity.confirmed(time.Now())
+	r.mu.Unlock()
+	r.logRecovery(outage, recovered)
+}
+
+func (r *Replicator) logRecovery(outage time.Duration, recovered bool) {
+	if recovered {
+		r.deps.Log.Info("store-recovered", append(positionFields(r.replica.Position()), zap.Duration("outage", outage))...)
+	}
+}
--- a/replicator/reading_test.go
+++ b/replicator/reading_test.go
@@ -129,6 +129,16 @@
 		assertPosition(t, startReading(t, s, noPeers{}), second)
 		is.New(t).Equal(s.listed, 2)
 	})
+	t.Run("lists it after a suspension of the host", func(t *testing.T) {
+		s := &scriptedStore{listings: []answer{{changes: listing(1, 9)}, {changes: listing(2, 5)}}}
+		r := startReading(t, s, noPeers{})
+		assertPosition(t, r, identifier.Position{Era: 1, Revision: 9})
+		s.mu.Lock()
+		s.watches = []answer{{changes: update(2, 12)}, {err: errNoPeers}}
+		s.mu.Unlock()
+		r.Invalidate(time.Minute)
+		assertPosition(t, r, second)
+	})
 	t.Run("takes no confirmation from an answer of an earlier era", func(t *testing.T) {
 		i := is.New(t)
 		s := &scriptedStore{
