Keep what was accepted from a restored store when it is restored again

What callers could see: an endpoint that had been removed for its silence, that a restore brought back and that was accepted after ten seconds since it was alive, was unused for ten seconds more after the next restore; another one was used at the stage that it had before the first restore.

Cause: the replica's history still had the state from before the first restore as the latest one. Accepted items are now the latest states of their keys.

The new subtest of TestRestoredStore failed before (a=2 instead of a=1).

--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -351,7 +351,9 @@
 
 // publish passes the items to use to OnChange; r.mu must be held.
 func (r *Replicator) publish(now time.Time) {
-	r.deps.OnChange(r.retention.overlay(r.replica.Items(), now), r.replica.Position())
+	items := r.retention.overlay(r.replica.Items(), now)
+	r.replica.Accept(r.retention.takeAccepted())
+	r.deps.OnChange(items, r.replica.Position())
 }
 
 // tick ends the use of items that the store doesn't have, and queries a peer if a
--- a/replicator/restore.go
+++ b/replicator/restore.go
@@ -54,6 +54,15 @@
 	}
 }
 
+// Accept makes items of a restored store the latest known states of their keys.
+func (r *Replica) Accept(items []Item) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, i := range items {
+		r.history.add(Change{Item: i})
+	}
+}
+
 // latest returns the latest known state of a key; r.mu must be held.
 func (r *Replica) latest(key string) (Change, bool) {
 	if c, ok := r.history.latest[key]; ok {
--- a/replicator/restore_test.go
+++ b/replicator/restore_test.go
@@ -180,7 +180,13 @@
 
 func (m *mirror) publish(now time.Time) {
 	m.used = map[string]Item{}
-	for _, i := range m.retention.overlay(m.replica.Items(), now) {
+	items := m.retention.overlay(m.replica.Items(), now)
+	accepted := m.retention.takeAccepted()
+	m.replica.Accept(accepted)
+	for _, i := range accepted {
+		m.known[i.Key] = written{number: number(i), present: true}
+	}
+	for _, i := range items {
 		m.used[i.Key] = i
 		if i.Key == keyOfConfig {
 			m.inForce = max(m.inForce, number(i))
@@ -339,6 +345,12 @@
 			"wait": func(t *rapid.T) {
 				h.now = h.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
 			},
+			"wait long": func(*rapid.T) {
+				h.now = h.now.Add(DefaultOptions().OutdatedHold)
+				for _, m := range h.mirrors {
+					m.publish(h.now)
+				}
+			},
 			"": h.check,
 		})
 		h.finish(t, rapid.Bool().Draw(t, "written again"))
--- a/replicator/retention.go
+++ b/replicator/retention.go
@@ -10,6 +10,8 @@
 	// permanent is Deps.Permanent.
 	permanent func(known, restored Item) bool
 	entries   map[string]retained
+	// newlyAccepted is returned by takeAccepted.
+	newlyAccepted []Item
 }
 
 // retained is what is used for a key in place of the store's state.
@@ -120,9 +122,12 @@
 		case !kept.replaces(i):
 			delete(t.entries, i.Key)
 			items = append(items, i)
-		case kept.accepted || kept.ended(now):
+		case kept.accepted:
+			items = append(items, i)
+		case kept.ended(now):
 			kept.accepted = true
 			t.entries[i.Key] = kept
+			t.newlyAccepted = append(t.newlyAccepted, i)
 			items = append(items, i)
 		case !kept.removed:
 			items = append(items, kept.item)
@@ -156,6 +161,14 @@
 	return !k.until.IsZero() && !now.Before(k.until)
 }
 
+// takeAccepted returns the items of a restored store that have been accepted in
+// place of a later known state since the last call.
+func (t *retention) takeAccepted() []Item {
+	accepted := t.newlyAccepted
+	t.newlyAccepted = nil
+	return accepted
+}
+
 // active returns how many items are used that differ from the store's.
 func (t *retention) active() int {
 	count := 0
--- a/replicator/retention_test.go
+++ b/replicator/retention_test.go
@@ -48,6 +48,7 @@
 	for _, i := range h.retention.overlay(h.replica.Items(), now) {
 		text += i.Key + "=" + string(i.Value) + " "
 	}
+	h.replica.Accept(h.retention.takeAccepted())
 	return text
 }
 
@@ -128,6 +129,14 @@
 		h.apply(start, listing(1, 5, item("a", "1", 5)), update(1, 8, Change{Item: item("a", "2", 8)}), listing(2, 7, item("a", "3", 7)))
 		i.Equal(h.uses(start), "a=3 ")
 	})
+	t.Run("may be restored again with items that were accepted", func(t *testing.T) {
+		i := is.New(t)
+		h := newRestoredHost(nil)
+		h.apply(start, listing(1, 5, item("a", "1", 5)), update(1, 8, Change{Item: item("a", "2", 8)}), listing(2, 6, item("a", "1", 5)))
+		i.Equal(h.uses(start.Add(hold)), "a=1 ")
+		h.apply(start.Add(hold), listing(3, 6, item("a", "1", 5)))
+		i.Equal(h.uses(start.Add(hold)), "a=1 ")
+	})
 	t.Run("may be restored again", func(t *testing.T) {
 		i := is.New(t)
 		h := newRestoredHost(nil)
