Show in the metrics what differs from a restored store

store-items-retained is the number of keys for which a host uses something else than the store has, after an outage or a restore.

--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -208,6 +208,14 @@
 	return !r.connectivity.outage
 }
 
+// Retained returns the number of keys for which something else is used than the
+// store has.
+func (r *Replicator) Retained() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.retention.active()
+}
+
 // Age returns the time since the store last confirmed the replica.
 func (r *Replicator) Age() time.Duration {
 	return time.Since(r.started) - time.Duration(r.confirmedAt.Load())
