--- a/replicator/restore_test.go
+++ b/replicator/restore_test.go
@@ -162,6 +162,13 @@
 	m.publish(now)
 }
 
+func (m *mirror) learnKept(era identifier.Era, all []Kept, now time.Time) {
+	if m.replica.Position().Era == era {
+		m.retention.learn(all, m.replica.Item, now)
+		m.publish(now)
+	}
+}
+
 func (m *mirror) learn(a Applied, p identifier.Position) {
 	for _, c := range a.Changes {
 		state := m.store.statesAt[p][c.Key]
@@ -173,7 +180,13 @@
 
 func (m *mirror) publish(now time.Time) {
 	m.used = map[string]Item{}
-	for _, i := range m.retention.overlay(m.replica.Items(), now) {
+	items := m.retention.overlay(m.replica.Items(), now)
+	accepted := m.retention.takeAccepted()
+	m.replica.Accept(accepted)
+	for _, i := range accepted {
+		m.known[i.Key] = written{number: number(i), present: true}
+	}
+	for _, i := range items {
 		m.used[i.Key] = i
 		if i.Key == keyOfConfig {
 			m.inForce = max(m.inForce, number(i))
@@ -318,6 +331,7 @@
 				c := peer.replica.Since(m.replica.Position())
 				m.paged = m.paged || peer.paged
 				deliver(t, m, c)
+				m.learnKept(c.Position.Era, peer.retention.kept(h.now), h.now)
 			},
 			"arrive": func(t *rapid.T) {
 				if len(h.late) > 0 {
@@ -331,6 +345,12 @@
 			"wait": func(t *rapid.T) {
 				h.now = h.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
 			},
+			"wait long": func(*rapid.T) {
+				h.now = h.now.Add(DefaultOptions().OutdatedHold)
+				for _, m := range h.mirrors {
+					m.publish(h.now)
+				}
+			},
 			"": h.check,
 		})
 		h.finish(t, rapid.Bool().Draw(t, "written again"))
