Bound the soak's rate of faults with many hosts

The pause between faults was divided by the number of hosts: some 190 faults a second at 300, by which the machine did little but start processes. The rate stays that of 60 hosts now. Not run with more than 60 hosts since.

--- a/emulator/soaker/faults.go
+++ b/emulator/soaker/faults.go
@@ -10,10 +10,11 @@
 
 const (
 	// Bounds of the pause between two faults, for hostsPerFault hosts, and of a
-	// fault's duration.
+	// fault's duration. The pause gets shorter with more hosts, up to maxFaultHosts.
 	minPause         = 100 * time.Millisecond
 	maxPause         = 700 * time.Millisecond
 	hostsPerFault    = 4
+	maxFaultHosts    = 60
 	minFaultDuration = 200 * time.Millisecond
 	maxFaultDuration = 3 * time.Second
 	minSilence       = 500 * time.Millisecond
@@ -66,7 +67,7 @@
 	for ctx.Err() == nil && time.Now().Before(deadline) {
 		f := families[s.random.IntN(len(families))]()
 		duration := s.randomDuration(minFaultDuration, maxFaultDuration)
-		pause := s.randomDuration(minPause, maxPause) * hostsPerFault / time.Duration(max(hostsPerFault, len(s.hosts)))
+		pause := s.randomDuration(minPause, maxPause) * hostsPerFault / time.Duration(min(max(hostsPerFault, len(s.hosts)), maxFaultHosts))
 		if !s.history.has(f.subject, time.Now(), time.Now(), f.kind) {
 			running++
 			finish := s.history.begin(f.kind, f.subject)
