--- a/emulator/soaker/checks.go
+++ b/emulator/soaker/checks.go
@@ -214,7 +214,7 @@
 		c.reportOutcome(survives, o, "its stream was interrupted")
 		return
 	}
-	c.reportOutcome(answered, o, "its connection ended, reused=%t", o.reused)
+	c.reportOutcome(answered, o, "its connection ended, reused=%t, reset=%t", o.reused, o.reset)
 }
 
 // hostFailed reports whether the request's host was killed or paused.
--- a/emulator/soaker/connection.go
+++ b/emulator/soaker/connection.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/jackdawthread/jackdawthread/common/identifier"
@@ -45,6 +46,9 @@
 	body   string
 	// complete is set if the response was received to its end.
 	complete bool
+	// reset is set if the connection was reset, as by a host that closes it with
+	// bytes unread.
+	reset bool
 	// timedOut is set if the connection was still open callTimeout +
 	// answerMargin after the request.
 	timedOut bool
@@ -97,7 +101,7 @@
 	_ = c.raw.SetReadDeadline(o.sentAt.Add(callTimeout + answerMargin)) // fails if the connection has ended, as reads do
 	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
-		o.timedOut = errors.Is(err, os.ErrDeadlineExceeded)
+		o.fail(err)
 		return false
 	}
 	defer func() { _ = response.Body.Close() }()
@@ -106,11 +110,17 @@
 	read, err := io.ReadAll(response.Body)
 	o.body = string(read)
 	o.complete = err == nil
-	o.timedOut = errors.Is(err, os.ErrDeadlineExceeded)
+	o.fail(err)
 	o.surplus = c.reader.Buffered()
 	return o.complete && !response.Close && o.surplus == 0
 }
 
+// fail records why a response is incomplete.
+func (o *outcome) fail(err error) {
+	o.timedOut = errors.Is(err, os.ErrDeadlineExceeded)
+	o.reset = errors.Is(err, syscall.ECONNRESET)
+}
+
 func (c *connection) send(o *outcome, split time.Duration) bool {
 	text := requestText(o)
 	half := len(text)
