Keep a silent stream at its engine until a replacement is ready

A sound engine may send nothing for a second or so and go on. Callers saw resumable streams interrupted, or got 502 or 504 before their deadline, then: after 1.2 s without an event (before the first one, a third of the caller's patience) the call was canceled before another engine had been found. If the queue, the attempts or the retry budget refused the move, nothing was left to continue.

The response is now read by a goroutine of its own, and the request's goroutine waits for events, for the silence to become too long, and for a replacement that is prepared (reservation, prefill) while the first call goes on. `mover` decides without I/O. If the engine goes on, the replacement is released and the token of its decode returned; if the move is refused, the stream stays and asks again with backoff until its deadline. A prefill isn't given up for its silence either, unless the retry budget has a token for having the decode engine read the prompt; that is charged before.

Ruled out: streams that can't be resumed, which were left at their engine before too.

Silence in prefill did not fail a request before; it cost a prefill in vain and an arrival each time, and hid the engines' slowness from the model, as canceled calls are no samples.

Logs: stream-stalled, stream-continued, stream-moved, move-refused, prefill-overdue; metrics: stream-moves.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -146,6 +146,8 @@
 	RecordFirstAttempt(s identifier.Service)
 	// Take reports whether another call may be made. If so, it is counted.
 	Take(s identifier.Service) bool
+	// Return returns the token of a call that was not made.
+	Return(s identifier.Service)
 }
 
 // Observer is notified of every completed request.
--- a/forwarder/observation.go
+++ b/forwarder/observation.go
@@ -23,7 +23,7 @@
 	RespondedBy identifier.Endpoint
 	Status      int
 	Hedged      bool
-	Resumed     int
+	Moves       Moves
 	// PlacementTime, Prefill and FirstEvent are the time from the start until
 	// capacity was reserved, the duration of the prefill, and the time from the
 	// start until the first event was forwarded.
@@ -34,6 +34,15 @@
 	Err error
 }
 
+// Moves counts the decisions about a stream whose engine was silent.
+type Moves struct {
+	// Stalled counts the replacements that were prepared, Moved those that were used,
+	// and Continued those that were not, since the engine went on.
+	Stalled, Moved, Continued int
+	// Refused counts the times that no replacement was available.
+	Refused int
+}
+
 func (o *Observation) addAttempt(e *registrar.Endpoint) {
 	o.Attempted = append(o.Attempted, e.Name)
 }
--- a/forwarder/plain_stream.go
+++ b/forwarder/plain_stream.go
@@ -5,14 +5,16 @@
 	"time"
 
 	"github.com/jackdawthread/jackdawthread/common/classifier"
+	"github.com/jackdawthread/jackdawthread/exchanger"
 	"github.com/jackdawthread/jackdawthread/placer"
 )
 
 // relayPlainStream handles a streaming request to a plain service. It makes a
 // single attempt.
 func (e *exchange) relayPlainStream(ctx context.Context) {
-	s := &stream{exchange: e}
+	s := newStream(ctx, e)
 	err := s.attemptPlain(ctx)
+	s.stop()
 	if err != nil {
 		s.giveUp(ctx, err)
 	}
@@ -20,27 +22,17 @@
 
 func (s *stream) attemptPlain(ctx context.Context) error {
 	f := s.forwarder
-	now := time.Now()
-	at := f.deps.Placer.ChoosePlain(s.registeredEndpoints(), s.exclude, now)
+	at := f.deps.Placer.ChoosePlain(s.registeredEndpoints(), s.exclude, time.Now())
 	if at == nil {
 		return classifier.NotRun(classifier.ReasonNoEndpoint, classifier.Jitter(noEndpointRetryAfter), "service %q has no endpoint", s.service.Name)
 	}
 	s.sent++
 	s.observation.addAttempt(at)
 	f.deps.Placer.Begin(at, placer.Size{})
-	watchdog := time.NewTimer(noTimeout)
-	defer watchdog.Stop()
-	err := func() error {
-		response, err := f.deps.Endpoints.Forward(ctx, at, &s.call)
-		if err != nil {
-			return err
-		}
-		defer response.Close()
-		if err := s.checkHead(response, at); err != nil {
-			return err
-		}
-		return s.relay(ctx, response, at, watchdog)
-	}()
+	c := s.callEndpoint(ctx, at, func(ctx context.Context) (*exchanger.Response, error) {
+		return f.deps.Endpoints.Forward(ctx, at, &s.call)
+	})
+	_, err := s.follow(ctx, c, newMover(false, c.started, noTimeout))
 	o := placer.Outcome{Verdict: placer.VerdictSuccess}
 	if err != nil {
 		o = engineOutcome(ctx, err, 0)
--- a/forwarder/prefill.go
+++ b/forwarder/prefill.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,102 +13,182 @@
 )
 
 const (
-	// minPrefillTimeout is the lower limit of the timeout of a prefill call, which
-	// otherwise is prefillTimeoutFactor times the expected duration.
-	minPrefillTimeout    = 1500 * time.Millisecond
-	prefillTimeoutFactor = 2
-	// unmeasuredPrefillShare is the share of callerEventTimeout that is the timeout of
-	// a prefill whose expected duration is unknown.
+	// minPrefillPatience is the lower limit of the time after which a prefill is
+	// overdue, which otherwise is prefillPatienceFactor times the expected duration.
+	minPrefillPatience    = 1500 * time.Millisecond
+	prefillPatienceFactor = 2
+	// unmeasuredPrefillShare is the share of callerEventTimeout that is the patience
+	// for a prefill whose expected duration is unknown.
 	unmeasuredPrefillShare = 0.5
 )
 
-// obtainPrefill runs the prefill on the plan's prefill engine, or on another one if
-// that fails. A nil result means that the decode engine has to perform the
-// prefill, since no prefill engine is left or the retry budget is exhausted.
-func (s *stream) obtainPrefill(ctx context.Context, p reserver.Plan) (*PrefillResult, error) {
-	reservations, endpoints := s.forwarder.deps.Reservations, s.forwarder.deps.Placer
-	if p.Prefill != nil {
-		result, o, err := s.tryPrefill(ctx, p.Prefill, p.Expected)
-		reservations.RecordPrefillOutcome(p, o)
-		if result != nil || err != nil || !s.prefillAllowed {
-			return result, err
+// unusedOutcome is the outcome of a call that was not made or not completed.
+var unusedOutcome = placer.Outcome{Verdict: placer.VerdictNone}
+
+// prefillAccount counts a request's prefill calls that reached an engine. The first
+// that an engine accepts is free, all others count against the retry budget, those that
+// were refused too. The calls so far are therefore charged before another one is sent.
+type prefillAccount struct {
+	arrived, charged int
+}
+
+// pay charges the retry budget for the prefill calls so far. It reports whether a
+// further prefill may be sent, or a decode without the result of one.
+func (s *stream) pay() bool {
+	a := &s.prefills
+	for a.charged < a.arrived {
+		if !s.forwarder.deps.Budget.Take(s.service.Name) {
+			return false
 		}
+		a.charged++
 	}
+	return true
+}
+
+// prefillCall is a prefill at one engine.
+type prefillCall struct {
+	at    *registrar.Endpoint
+	began time.Time
+	// report reports the call's outcome.
+	report func(placer.Outcome)
+}
+
+// prefillEnd is the end of a prefillCall.
+type prefillEnd struct {
+	result PrefillResult
+	err    error
+}
+
+// obtainPrefill runs the prefill on the plan's prefill engine, or on another one if
+// that fails. Without a result, the decode engine has to perform the prefill, since no
+// prefill engine is left or the prefill is overdue.
+func (s *stream) obtainPrefill(ctx context.Context, p *preparation) error {
+	c := s.plannedPrefill(p.plan)
 	for {
-		e := endpoints.ChoosePrefill(s.registeredEndpoints(), p.Decode.DataCenter, s.excludedPrefills, time.Now())
-		if e == nil || e.Stage != registrar.StagePrefill {
-			return nil, nil
+		if !s.pay() {
+			s.skip(c)
+			return &hostRefusal{cause: classifier.NotRun(classifier.ReasonEndpointRefused,
+				classifier.Jitter(overloadedRetryAfter), "prefill failed and the retry budget is used up")}
+		}
+		if c == nil {
+			c = s.unplannedPrefill(p.plan)
 		}
-		size := placer.Size{Tokens: s.call.Prompt}
-		endpoints.Begin(e, size)
-		result, o, err := s.tryPrefill(ctx, e, p.Expected)
-		endpoints.End(e, size)
-		s.forwarder.recordOutcome(e, o)
-		if result != nil || err != nil || !s.prefillAllowed {
-			return result, err
+		if c == nil {
+			return nil
 		}
+		end, ended := s.runPrefill(ctx, c, p.plan.Expected)
+		switch {
+		case !ended:
+			return nil
+		case end.err == nil:
+			s.observation.Prefill = time.Since(c.began)
+			p.result, p.prefilledBy, p.prefilledAt = &end.result, c.at, time.Now()
+			return nil
+		case ctx.Err() != nil:
+			return contextError(ctx, classifier.VerdictNotRun)
+		}
+		s.excludedPrefills = append(s.excludedPrefills, c.at.Name)
+		c = nil
 	}
 }
 
-// tryPrefill runs the prefill on one engine. A nil result without an error means
-// that it failed or that the retry budget is exhausted.
-func (s *stream) tryPrefill(ctx context.Context, e *registrar.Endpoint, expected reserver.Expectation) (*PrefillResult, placer.Outcome, error) {
-	if s.prefillAllowed = s.mayPrefill(); !s.prefillAllowed {
-		return nil, placer.Outcome{Verdict: placer.VerdictNone}, nil
-	}
-	began := time.Now()
-	s.observation.addAttempt(e)
-	result, err := s.callPrefill(ctx, e, expected)
-	took := time.Since(began)
-	o := engineOutcome(ctx, err, took)
-	if err == nil {
-		s.observation.Prefill = took
-		s.completedPrefills++
-		s.prefillEndpoint = e
-		return &result, o, nil
+// plannedPrefill returns the call to the plan's prefill engine, or nil if there is none.
+func (s *stream) plannedPrefill(p reserver.Plan) *prefillCall {
+	if p.Prefill == nil {
+		return nil
 	}
-	if ctx.Err() != nil {
-		return nil, o, contextError(ctx, classifier.VerdictNotRun)
+	return &prefillCall{at: p.Prefill, report: func(o placer.Outcome) {
+		s.forwarder.deps.Reservations.RecordPrefillOutcome(p, o)
+	}}
+}
+
+// skip reports that a call, if there is one, is not made.
+func (s *stream) skip(c *prefillCall) {
+	if c != nil {
+		c.report(unusedOutcome)
 	}
-	if classifier.Of(err).Reason != classifier.ReasonHostUnreachable {
-		// A failed prefill that reached its engine counts against the budget,
-		// whatever follows.
-		s.prefillAllowed = s.forwarder.deps.Budget.Take(s.service.Name)
+}
+
+// unplannedPrefill returns the call to an engine that the plan doesn't name, or nil if
+// none is left.
+func (s *stream) unplannedPrefill(p reserver.Plan) *prefillCall {
+	f := s.forwarder
+	e := f.deps.Placer.ChoosePrefill(s.registeredEndpoints(), p.Decode.DataCenter, s.excludedPrefills, time.Now())
+	if e == nil || e.Stage != registrar.StagePrefill {
+		return nil
 	}
-	s.logDecision("prefill-failed", e, err, zap.Duration("took", took))
-	s.excludedPrefills = append(s.excludedPrefills, e.Name)
-	return nil, o, nil
+	size := placer.Size{Tokens: s.call.Prompt}
+	f.deps.Placer.Begin(e, size)
+	return &prefillCall{at: e, report: func(o placer.Outcome) {
+		f.deps.Placer.End(e, size)
+		f.recordOutcome(e, o)
+	}}
 }
 
-// mayPrefill reports whether another prefill may be sent. It charges the retry
-// budget only if an earlier prefill has succeeded.
-func (s *stream) mayPrefill() bool {
-	return s.completedPrefills == 0 || s.forwarder.deps.Budget.Take(s.service.Name)
+// runPrefill calls a prefill engine. An engine that is silent for longer than expected
+// may be sound, so the call goes on unless the decode engine may perform the prefill
+// instead; it returns false then.
+func (s *stream) runPrefill(ctx context.Context, c *prefillCall, expected reserver.Expectation) (end prefillEnd, ended bool) {
+	call, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c.began = time.Now()
+	s.observation.addAttempt(c.at)
+	s.prefills.arrived++
+	ends := make(chan prefillEnd, 1)
+	s.group.Run(func(context.Context) {
+		result, err := s.forwarder.deps.Engines.Prefill(call, c.at, &s.call)
+		ends <- prefillEnd{result: result, err: err}
+	})
+	patience := time.NewTimer(s.prefillPatience(expected))
+	defer patience.Stop()
+	for {
+		select {
+		case end := <-ends:
+			s.recordPrefill(ctx, c, end.err)
+			return end, true
+		case <-patience.C:
+			if !s.pay() {
+				patience.Reset(s.prefillPatience(expected))
+				continue
+			}
+			s.logDecision("prefill-overdue", c.at, nil,
+				zap.Duration("silence", time.Since(c.began)), zap.Duration("expected", expected.Prefill))
+			cancel()
+			if end := <-ends; end.err == nil {
+				s.recordPrefill(ctx, c, nil)
+				return end, true
+			}
+			c.report(placer.Outcome{Verdict: placer.VerdictResponseFailed})
+			return prefillEnd{}, false
+		}
+	}
 }
 
-// recordFailedFetch records that a decode engine could not fetch a prefill's result,
-// and excludes the prefill engine from further attempts of the request.
-func (s *stream) recordFailedFetch() {
-	if s.prefillEndpoint == nil {
+// recordPrefill records the end of a prefill call.
+func (s *stream) recordPrefill(ctx context.Context, c *prefillCall, err error) {
+	took := time.Since(c.began)
+	c.report(engineOutcome(ctx, err, took))
+	if err == nil || ctx.Err() != nil {
 		return
 	}
-	s.excludedPrefills = append(s.excludedPrefills, s.prefillEndpoint.Name)
-	s.forwarder.recordOutcome(s.prefillEndpoint, placer.Outcome{Verdict: placer.VerdictServerError})
-	s.logDecision("prefill-not-fetched", s.prefillEndpoint, nil)
+	if classifier.Of(err).Reason == classifier.ReasonHostUnreachable {
+		s.prefills.arrived--
+	}
+	s.logDecision("prefill-failed", c.at, err, zap.Duration("took", took))
 }
 
-func (s *stream) callPrefill(ctx context.Context, e *registrar.Endpoint, expected reserver.Expectation) (PrefillResult, error) {
-	ctx, cancel := context.WithTimeoutCause(ctx, s.prefillTimeout(expected), errStalled)
-	defer cancel()
-	return s.forwarder.deps.Engines.Prefill(ctx, e, &s.call)
+// recordFailedFetch records that a decode engine could not fetch a prefill's result,
+// and excludes the prefill engine from further attempts of the request.
+func (s *stream) recordFailedFetch(e *registrar.Endpoint) {
+	s.excludedPrefills = append(s.excludedPrefills, e.Name)
+	s.forwarder.recordOutcome(e, placer.Outcome{Verdict: placer.VerdictServerError})
+	s.logDecision("prefill-not-fetched", e, nil)
 }
 
-// prefillTimeout returns the timeout of a prefill call.
-func (s *stream) prefillTimeout(expected reserver.Expectation) time.Duration {
+// prefillPatience returns the time after which a prefill is overdue.
+func (s *stream) prefillPatience(expected reserver.Expectation) time.Duration {
 	if expected.Prefill <= 0 {
 		return time.Duration(unmeasuredPrefillShare * float64(s.callerEventTimeout()))
 	}
-	return max(minPrefillTimeout, prefillTimeoutFactor*expected.Prefill)
+	return max(minPrefillPatience, prefillPatienceFactor*expected.Prefill)
 }
-
-var errStalled = errors.New("engine sent no data within the timeout")
--- a/forwarder/property_test.go
+++ b/forwarder/property_test.go
@@ -31,6 +31,11 @@
 	return true
 }
 
+func (p *fixedBudget) Return(identifier.Service) {
+	p.left++
+	p.taken--
+}
+
 // drawFailure generates the failure of an attempt.
 func drawFailure(t *rapid.T) error {
 	reason := rapid.SampledFrom([]classifier.Reason{
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -9,9 +9,10 @@
 	"go.uber.org/zap"
 
 	"github.com/jackdawthread/jackdawthread/common/classifier"
+	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/exchanger"
 	"github.com/jackdawthread/jackdawthread/placer"
-	"github.com/jackdawthread/jackdawthread/registrar"
 	"github.com/jackdawthread/jackdawthread/reserver"
 )
 
@@ -26,8 +27,14 @@
 )
 
 // stream is an exchange whose response is an event stream.
+//
+// Its fields belong to the request's goroutine, except that prefills, excludedPrefills
+// and the observation's fields of placement, prefill and attempts belong to a
+// preparation while one is under way.
 type stream struct {
 	*exchange
+	// group runs the request's goroutines, which end before the request does.
+	group *grouper.Group
 	// headWritten is set once the status and headers were sent to the caller.
 	headWritten bool
 	// lastEventID is the ID of the last event that was forwarded.
@@ -36,13 +43,10 @@
 	placements  int
 	// firstEventAt is when the current attempt's first event arrived.
 	firstEventAt time.Time
-	// completedPrefills counts the prefills that succeeded, prefillEndpoint is
-	// the endpoint of the last of them, and excludedPrefills are endpoints not to
-	// use again.
-	completedPrefills int
-	prefillEndpoint   *registrar.Endpoint
-	prefillAllowed    bool // whether the retry budget allowed the last prefill
-	excludedPrefills  []identifier.Endpoint
+	// prefills are the calls for the request's prompt.
+	prefills prefillAccount
+	// excludedPrefills are endpoints not to use again for a prefill.
+	excludedPrefills []identifier.Endpoint
 	// engineFailure is an engine's error response, returned to the caller if
 	// all further attempts fail.
 	engineFailure *endpointResponse
@@ -50,35 +54,64 @@
 
 // generate handles a streaming request to a model service.
 func (e *exchange) generate(ctx context.Context) {
-	s := &stream{exchange: e}
+	s := newStream(ctx, e)
+	err := s.run(ctx)
+	s.stop()
+	if err != nil {
+		s.giveUp(ctx, err)
+	}
+}
+
+func newStream(ctx context.Context, e *exchange) *stream {
+	return &stream{exchange: e, group: grouper.New(ctx)}
+}
+
+// stop waits for the request's goroutines.
+func (s *stream) stop() {
+	s.group.Stop()
+	_ = s.group.Wait() // they return no error
+}
+
+// run executes the request at one engine after another until its stream is
+// complete.
+func (s *stream) run(ctx context.Context) error {
+	var next *preparation
 	for {
-		s.placements++
-		err := s.attempt(ctx)
+		err := error(nil)
+		if next == nil {
+			s.placements++
+			next, err = s.prepare(ctx, s.placementRequest())
+		}
 		if err == nil {
-			return
+			next, err = s.decode(ctx, next)
+		}
+		if err == nil && next == nil {
+			return nil
+		}
+		if err == nil { // the replacement of an engine is ready
+			continue
 		}
 		if s.placements >= maxPlacements || !s.mayRetry(ctx, err) {
-			s.giveUp(ctx, err)
-			return
+			return err
 		}
-		e.logDecision("stream-retried", nil, err, zap.String("last-event", s.lastEventID), zap.Int("round", s.placements))
+		s.logDecision("stream-retried", nil, err, zap.String("last-event", s.lastEventID), zap.Int("round", s.placements))
 	}
 }
 
 // mayRetry reports whether the request may be placed again after a failure. A
-// refusal by this host's own queue is final.
+// refusal by this host is final.
 func (s *stream) mayRetry(ctx context.Context, err error) bool {
-	if _, own := errors.AsType[*localQueueError](err); own {
+	if _, own := errors.AsType[*hostRefusal](err); own {
 		return false
 	}
 	return s.mayResend(ctx, err)
 }
 
-// localQueueError wraps a refusal by this host's own queue.
-type localQueueError struct{ cause error }
+// hostRefusal wraps a refusal by this host's own queue or retry budget.
+type hostRefusal struct{ cause error }
 
-func (q *localQueueError) Error() string { return q.cause.Error() }
-func (q *localQueueError) Unwrap() error { return q.cause }
+func (r *hostRefusal) Error() string { return r.cause.Error() }
+func (r *hostRefusal) Unwrap() error { return r.cause }
 
 // giveUp writes the final response, or aborts the connection if a stream has
 // already started.
@@ -98,75 +131,47 @@
 	s.fail(err)
 }
 
-// attempt runs placement, prefill and decode once.
-func (s *stream) attempt(ctx context.Context) error {
-	reservations := s.forwarder.deps.Reservations
-	p, err := reservations.Place(ctx, s.placementRequest())
-	if err != nil {
-		return &localQueueError{cause: err}
-	}
-	if s.observation.PlacementTime == 0 {
-		s.observation.PlacementTime = time.Since(s.observation.Started)
-	}
-	result, err := s.obtainPrefill(ctx, p)
-	if err != nil {
-		reservations.Release(p)
-		return err
-	}
-	o, err := s.decode(ctx, p, result)
-	reservations.RecordOutcome(p, o)
-	return err
-}
-
-// decode calls the decode engine and forwards its stream.
-func (s *stream) decode(ctx context.Context, p reserver.Plan, from *PrefillResult) (placer.Outcome, error) {
+// decode calls the decode engine and forwards its stream. If the engine is silent or
+// its stream breaks and a replacement is ready, it returns that.
+func (s *stream) decode(ctx context.Context, p *preparation) (*preparation, error) {
 	f := s.forwarder
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
+	at := p.plan.Decode
 	s.sent++
-	s.observation.addAttempt(p.Decode)
-	started := time.Now()
+	s.observation.addAttempt(at)
 	s.firstEventAt = time.Time{}
 	resumed := s.lastEventID != ""
-	watchdog := time.AfterFunc(s.firstEventTimeout(p.Expected), func() { cancel(errStalled) })
-	defer watchdog.Stop()
-	if !s.route.Resumable {
-		watchdog.Stop() // the request can't be moved to another engine
-	}
-	response, err := f.deps.Engines.Decode(ctx, p.Decode, &s.call, DecodeOptions{
-		Prefill:     from,
-		Reservation: p.Reservation,
-		LastEvent:   s.lastEventID,
+	options := DecodeOptions{Prefill: p.result, Reservation: p.plan.Reservation, LastEvent: s.lastEventID}
+	c := s.callEndpoint(ctx, at, func(ctx context.Context) (*exchanger.Response, error) {
+		return f.deps.Engines.Decode(ctx, at, &s.call, options)
 	})
-	if err != nil {
-		s.exclude = append(s.exclude, p.Decode.Name)
-		return engineOutcome(ctx, err, 0), s.stallError(ctx, err)
-	}
-	defer response.Close()
-	if l, ok := f.deps.Endpoints.Load(response); ok {
-		f.deps.Placer.RecordLoad(p.Decode, l, time.Now())
-	}
-	if err := s.checkHead(response, p.Decode); err != nil {
-		if from != nil && f.deps.Endpoints.Refused(response) {
-			s.recordFailedFetch()
-			f.deps.Reservations.Cancel(p)
-			s.exclude = append(s.exclude, p.Decode.Name)
-			return placer.Outcome{Verdict: placer.VerdictReservationRefused}, err
+	next, err := s.follow(ctx, c, newMover(s.route.Resumable, c.started, s.firstEventTimeout(p.plan.Expected)))
+	if err == nil && next == nil {
+		s.observation.RespondedBy = at.Name
+		o := engineOutcome(ctx, nil, time.Since(c.started))
+		if !resumed && !s.firstEventAt.IsZero() {
+			o.FirstEvent = s.firstEventAt.Sub(c.started)
 		}
-		s.exclude = append(s.exclude, p.Decode.Name)
-		return engineOutcome(ctx, err, 0), err
+		f.deps.Reservations.RecordOutcome(p.plan, o)
+		return nil, nil
 	}
-	err = s.relay(ctx, response, p.Decode, watchdog)
-	if err != nil {
-		s.exclude = append(s.exclude, p.Decode.Name)
-		return engineOutcome(ctx, err, 0), s.stallError(ctx, err)
+	s.exclude = append(s.exclude, at.Name)
+	f.deps.Reservations.RecordOutcome(p.plan, s.failedDecode(ctx, p, err))
+	return next, err
+}
+
+// failedDecode returns the outcome of a decode that did not complete the stream; a nil
+// error means that the stream was moved. If the engine refused the decode although
+// capacity was reserved, it could not fetch the prefill's result.
+func (s *stream) failedDecode(ctx context.Context, p *preparation, err error) placer.Outcome {
+	if err == nil {
+		return placer.Outcome{Verdict: placer.VerdictResponseFailed}
 	}
-	s.observation.RespondedBy = p.Decode.Name
-	o := engineOutcome(ctx, nil, time.Since(started))
-	if !resumed && !s.firstEventAt.IsZero() {
-		o.FirstEvent = s.firstEventAt.Sub(started)
+	if p.result == nil || classifier.Of(err).Reason != classifier.ReasonEndpointRefused {
+		return engineOutcome(ctx, err, 0)
 	}
-	return o, nil
+	s.recordFailedFetch(p.prefilledBy)
+	s.forwarder.deps.Reservations.Cancel(p.plan)
+	return placer.Outcome{Verdict: placer.VerdictReservationRefused}
 }
 
 // firstEventTimeout returns the time from a decode call after which its first event
@@ -175,15 +180,6 @@
 	return max(time.Duration(firstEventFraction*float64(s.callerEventTimeout())), firstEventFactor*expected.FirstEvent)
 }
 
-// stallError replaces the error of a context that the watchdog canceled by
-// errStalled.
-func (s *stream) stallError(ctx context.Context, err error) error {
-	if errors.Is(context.Cause(ctx), errStalled) {
-		return classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "%w: %v", errStalled, err)
-	}
-	return err
-}
-
 // engineOutcome classifies the result of a prefill or decode for the placer. If
 // ctx has ended, this host canceled the call.
 func engineOutcome(ctx context.Context, err error, took time.Duration) placer.Outcome {
@@ -191,8 +187,6 @@
 	switch {
 	case err == nil:
 		return placer.Outcome{Verdict: placer.VerdictSuccess, Latency: took}
-	case errors.Is(context.Cause(ctx), errStalled):
-		return placer.Outcome{Verdict: placer.VerdictResponseFailed}
 	case ctx.Err() != nil:
 		return placer.Outcome{Verdict: placer.VerdictNone}
 	case c.Reason == classifier.ReasonEndpointRefused:
--- a/hoster/budgets.go
+++ b/hoster/budgets.go
@@ -140,3 +140,8 @@
 func (b *budgets) Take(name identifier.Service) bool {
 	return b.budgetFor(name).Take()
 }
+
+// Return implements forwarder.Budget.
+func (b *budgets) Return(name identifier.Service) {
+	b.budgetFor(name).AddTokens(1)
+}
--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -26,6 +26,7 @@
 	root     expvar.Map
 	requests expvar.Map
 	failures expvar.Map
+	moves    expvar.Map
 
 	mu        sync.Mutex
 	latencies map[string]*hdrhistogram.Histogram
@@ -36,6 +37,7 @@
 	m.root.Init()
 	m.root.Set("requests", m.requests.Init())
 	m.root.Set("failures", m.failures.Init())
+	m.root.Set("stream-moves", m.moves.Init())
 	m.root.Set("latency-ms", expvar.Func(m.latencySummary))
 	return m
 }
@@ -65,6 +67,10 @@
 	if f := classifier.Of(o.Err); f != nil {
 		m.failures.Add(route+"."+string(f.Reason)+"."+f.Verdict.String(), 1)
 	}
+	m.moves.Add("stalled", int64(o.Moves.Stalled))
+	m.moves.Add("moved", int64(o.Moves.Moved))
+	m.moves.Add("continued", int64(o.Moves.Continued))
+	m.moves.Add("refused", int64(o.Moves.Refused))
 	m.record(route+".whole", o.Duration)
 	if o.FirstEvent > 0 {
 		m.record(route+".first-event", o.FirstEvent)
