Check a plan again before each call to one of its engines

Nothing looked at the registry between the placement and the decode.

Before a prefill and before a decode, the engine must still be listed as it was when it was chosen: not leaving, same start, stage and address. Otherwise the request is placed again, with the prefill's result if it is younger than 0.6 of its lifetime.

--- a/forwarder/prefill.go
+++ b/forwarder/prefill.go
@@ -92,14 +92,20 @@
 	}
 }
 
-// plannedPrefill returns the call to the plan's prefill engine, or nil if there is none.
+// plannedPrefill returns the call to the plan's prefill engine, or nil if there is none
+// or it has left meanwhile.
 func (s *stream) plannedPrefill(p reserver.Plan) *prefillCall {
 	if p.Prefill == nil {
 		return nil
 	}
-	return &prefillCall{at: p.Prefill, report: func(o placer.Outcome) {
+	c := &prefillCall{at: p.Prefill, report: func(o placer.Outcome) {
 		s.forwarder.deps.Reservations.RecordPrefillOutcome(p, o)
 	}}
+	if !s.usable(c.at) {
+		s.skip(c)
+		return nil
+	}
+	return c
 }
 
 // skip reports that a call, if there is one, is not made.
--- a/forwarder/preparation.go
+++ b/forwarder/preparation.go
@@ -23,24 +23,59 @@
 	prefilledAt time.Time
 }
 
-// prepare places the request and runs its prefill.
+// prepare places the request and runs its prefill. If the decode engine has begun to
+// leave, was restarted or was ordered to another stage meanwhile, the request is placed
+// again, with the same result as long as it lasts.
 func (s *stream) prepare(ctx context.Context, w reserver.PlacementRequest) (*preparation, error) {
 	reservations := s.forwarder.deps.Reservations
-	plan, err := reservations.Place(ctx, w)
-	if err != nil {
-		return nil, &hostRefusal{cause: err}
-	}
-	if s.observation.PlacementTime == 0 {
-		s.observation.PlacementTime = time.Since(s.observation.Started)
-	}
-	p := &preparation{plan: plan}
-	if err := s.obtainPrefill(ctx, p); err != nil {
+	p := &preparation{}
+	for {
+		plan, err := reservations.Place(ctx, w)
+		if err != nil {
+			s.discard(p)
+			return nil, &hostRefusal{cause: err}
+		}
+		p.plan = plan
+		if s.observation.PlacementTime == 0 {
+			s.observation.PlacementTime = time.Since(s.observation.Started)
+		}
+		if err := s.ensurePrefill(ctx, p); err != nil {
+			reservations.Release(plan)
+			return nil, err
+		}
+		if s.usable(plan.Decode) {
+			return p, nil
+		}
+		s.logDecision("placement-outdated", plan.Decode, nil, zap.Bool("prefilled", p.result != nil))
 		reservations.Release(plan)
-		return nil, err
+		w.Exclude = append(slices.Clip(w.Exclude), plan.Decode.Name)
+		w.ExcludePrefill = s.excludedPrefills
+		w.Priority = -1 // a prefill's result lasts for a short time only
+		w.FirstEventBy = w.Deadline
 	}
-	return p, nil
 }
 
+// ensurePrefill runs the prefill unless its result is still held.
+func (s *stream) ensurePrefill(ctx context.Context, p *preparation) error {
+	if p.result != nil && time.Since(p.prefilledAt) < s.resultLifetime() {
+		s.forwarder.deps.Reservations.RecordPrefillOutcome(p.plan, unusedOutcome)
+		return nil
+	}
+	s.discard(p)
+	p.result = nil
+	return s.obtainPrefill(ctx, p)
+}
+
+// resultLifetime returns how long after a prefill its result can be fetched for
+// certain.
+func (s *stream) resultLifetime() time.Duration {
+	return time.Duration(certainLifetimeShare * float64(s.service.Engine.ResultTTL))
+}
+
+// certainLifetimeShare is the share of the lifetime of a prefill's result in which a
+// decode call that is sent reaches its engine and fetches the result in time.
+const certainLifetimeShare = 0.6
+
 // release frees what was prepared for a decode that won't be sent.
 func (s *stream) release(p *preparation) {
 	s.forwarder.deps.Reservations.Release(p.plan)
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -13,6 +13,7 @@
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/exchanger"
 	"github.com/jackdawthread/jackdawthread/placer"
+	"github.com/jackdawthread/jackdawthread/registrar"
 	"github.com/jackdawthread/jackdawthread/reserver"
 )
 
@@ -197,3 +198,10 @@
 		return placer.Outcome{Verdict: failureVerdict(c)}
 	}
 }
+
+// usable reports whether the registry still lists the engine as it was when it was
+// chosen.
+func (s *stream) usable(e *registrar.Endpoint) bool {
+	now := s.forwarder.deps.Registry.Snapshot().Endpoint(e.Name)
+	return now != nil && !now.Leaving && now.StartID == e.StartID && now.Stage == e.Stage && now.Address == e.Address
+}
