--- a/forwarder/prefill.go
+++ b/forwarder/prefill.go
@@ -45,6 +45,30 @@
 	return true
 }
 
+// payAhead charges the retry budget for a prefill that the engine will probably refuse.
+// It reports whether the prefill may be sent.
+func (s *stream) payAhead(e *registrar.Endpoint) bool {
+	f := s.forwarder
+	if !f.deps.Placer.LikelyRefuses(e, time.Now()) {
+		return true
+	}
+	if !f.deps.Budget.Take(s.service.Name) {
+		s.logDecision("prefill-skipped", e, nil)
+		return false
+	}
+	s.prefills.charged++
+	return true
+}
+
+// refund returns what was charged for the one prefill that was accepted.
+func (s *stream) refund() {
+	a := &s.prefills
+	for a.charged >= a.arrived && a.charged > 0 {
+		s.forwarder.deps.Budget.Return(s.service.Name)
+		a.charged--
+	}
+}
+
 // prefillCall is a prefill at one engine.
 type prefillCall struct {
 	at    *registrar.Endpoint
@@ -61,7 +85,7 @@
 
 // obtainPrefill runs the prefill on the plan's prefill engine, or on another one if
 // that fails. Without a result, the decode engine has to perform the prefill, since no
-// prefill engine is left or the prefill is overdue.
+// prefill engine is left or likely to accept it, or since the prefill is overdue.
 func (s *stream) obtainPrefill(ctx context.Context, p *preparation) error {
 	c := s.plannedPrefill(p.plan)
 	for {
@@ -76,6 +100,10 @@
 		if c == nil {
 			return nil
 		}
+		if !s.payAhead(c.at) {
+			s.skip(c)
+			return nil
+		}
 		end, ended := s.runPrefill(ctx, c, p.plan.Expected)
 		switch {
 		case !ended:
@@ -174,6 +202,9 @@
 func (s *stream) recordPrefill(ctx context.Context, c *prefillCall, err error) {
 	took := time.Since(c.began)
 	c.report(engineOutcome(ctx, err, took))
+	if err == nil {
+		s.refund()
+	}
 	if err == nil || ctx.Err() != nil {
 		return
 	}
--- a/placer/outcome.go
+++ b/placer/outcome.go
@@ -96,6 +96,7 @@
 	case VerdictAtCapacity:
 		s.clearFailures()
 		s.fullUntil = now.Add(fullBackoff)
+		s.refusedAt = now
 	case VerdictReservationRefused:
 		s.consecutiveUnfit++
 		s.fullUntil = now.Add(unfitBackoff << min(s.consecutiveUnfit-1, maxDoublings))
@@ -109,6 +110,18 @@
 	return failuresBefore == 0 && s.consecutiveFailures > 0
 }
 
+// recentRefusal is how long after a refusal an endpoint that has accepted nothing since
+// is likely to refuse another call.
+const recentRefusal = time.Second
+
+// LikelyRefuses reports whether e refused its last call for lack of capacity a short
+// time ago.
+func (p *Placer) LikelyRefuses(e *registrar.Endpoint, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.state(e).refusedAt) < recentRefusal
+}
+
 // RecordLoad stores the load that an endpoint reported.
 func (p *Placer) RecordLoad(e *registrar.Endpoint, l Load, now time.Time) {
 	p.mu.Lock()
@@ -126,6 +139,7 @@
 func (s *endpointState) recordSuccess(latency time.Duration) {
 	s.clearFailures()
 	s.consecutiveUnfit = 0
+	s.refusedAt = time.Time{}
 	s.failureRate -= failureSmoothing * s.failureRate
 	if latency <= 0 {
 		return
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -129,7 +129,8 @@
 	avoidUntil       time.Time
 	probing          bool // a probe is in flight
 	fullUntil        time.Time
-	consecutiveUnfit int // refusals of reserved requests
+	refusedAt        time.Time // last refusal for lack of capacity since a success
+	consecutiveUnfit int       // refusals of reserved requests
 }
 
 // New creates a Placer without observations. Its random choices are determined
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -289,3 +289,16 @@
 
 // allRegistered reports every endpoint as registered.
 func allRegistered(identifier.Endpoint) bool { return true }
+
+func TestLikelyRefuses(t *testing.T) {
+	i := is.New(t)
+	p := newPlacer()
+	e := threeEndpoints(registrar.StagePrefill)[0]
+	i.True(!p.LikelyRefuses(e, at(0)))
+	call(p, e, placer.VerdictAtCapacity, 0, 0)
+	i.True(p.LikelyRefuses(e, at(900*time.Millisecond)))
+	i.True(!p.LikelyRefuses(e, at(1100*time.Millisecond))) // it is tried again
+	call(p, e, placer.VerdictAtCapacity, 0, 2*time.Second)
+	call(p, e, placer.VerdictSuccess, time.Millisecond, 2*time.Second)
+	i.True(!p.LikelyRefuses(e, at(2*time.Second)))
+}
