Give a host without a share of the retry budget no default budget

A host whose ratio and rounded share of the slack are both zero got the defaults of package retrier (ratio 0.1, capacity 10), as zero values select them there. Found by TestBudgetsProperty with ratio 0, slack 10 and 5 hosts; no deployment on record declares a ratio of zero. TestZeroShare failed before. TestBudgetsProperty passes 3,000 cases with the race detector.

--- a/hoster/budgets.go
+++ b/hoster/budgets.go
@@ -122,6 +122,7 @@
 	s := b.services[name]
 	if s == nil {
 		s = retrier.NewBudget(compiler.RetryBudget{Ratio: b.ratio(), Capacity: b.capacity()})
+		s.Resize(b.ratio(), b.capacity()) // a zero share would select the defaults
 		s.Drain()
 		if b.settled() {
 			s.AddTokens(b.initialGrant())
--- a/hoster/budgets_test.go
+++ b/hoster/budgets_test.go
@@ -82,3 +82,12 @@
 		is.New(t).True(float64(most) >= 0.4*(small.Slack+small.Ratio*float64(requests)))
 	})
 }
+
+// A host whose share of the budget is zero got the defaults of package retrier.
+func TestZeroShare(t *testing.T) {
+	b := newBudgets(Retries{Window: 10 * time.Second}, 0.5)
+	for range 100 {
+		b.RecordFirstAttempt("desk")
+	}
+	is.New(t).True(!b.Take("desk"))
+}
