--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -36,6 +36,7 @@
 	requests expvar.Map
 	failures expvar.Map
 	closings expvar.Map // callers' connections that the host closed, by reason
+	moves    expvar.Map
 
 	mu        sync.Mutex
 	latencies map[string]*hdrhistogram.Histogram
@@ -47,6 +48,7 @@
 	m.root.Set("requests", m.requests.Init())
 	m.root.Set("failures", m.failures.Init())
 	m.root.Set("caller-connections-closed", m.closings.Init())
+	m.root.Set("stream-moves", m.moves.Init())
 	m.root.Set("latency-ms", expvar.Func(m.latencySummary))
 	return m
 }
@@ -80,6 +82,10 @@
 	if f := classifier.Of(o.Err); f != nil {
 		m.failures.Add(route+"."+string(f.Reason)+"."+f.Verdict.String(), 1)
 	}
+	m.moves.Add("stalled", int64(o.Moves.Stalled))
+	m.moves.Add("moved", int64(o.Moves.Moved))
+	m.moves.Add("continued", int64(o.Moves.Continued))
+	m.moves.Add("refused", int64(o.Moves.Refused))
 	m.record(route+".whole", o.Duration)
 	if o.Err == nil {
 		m.record(route+answeredSuffix, o.Duration)
