Return the budget's token of a hedge that finds no endpoint

Callers saw fewer retries than the budget allows: a hedge takes a token before it looks for a second endpoint, and kept it if there was none, as on a service with one endpoint left. Nothing had been sent. Ruled out: more calls than the budget, since the token goes back only if no call was started. TestHedgeWithoutEndpoint failed before (0 tokens returned). It counts the returned token in place of the taken one, so it still sees that the hedge was due.

--- a/forwarder/hedge_test.go
+++ b/forwarder/hedge_test.go
@@ -53,7 +53,8 @@
 func (ignoredObservations) Observe(*Observation) {}
 
 // TestHedgeWithoutEndpoint checks that a hedge that found no endpoint doesn't turn
-// the refusal of a request that has not run into a failure that promises nothing.
+// the refusal of a request that has not run into a failure that promises nothing, and
+// costs no token of the retry budget.
 func TestHedgeWithoutEndpoint(t *testing.T) {
 	i := is.New(t)
 	registry := registrar.New()
@@ -73,7 +74,8 @@
 	r.Host = "test.example"
 	w := httptest.NewRecorder()
 	f.ServeHTTP(w, r)
-	i.Equal(budget.taken, 1) // the hedge was due
+	i.Equal(budget.returned, 1) // the hedge was due, and its token was returned
+	i.Equal(budget.left, 10)
 	i.Equal(w.Code, http.StatusServiceUnavailable)
 	group.Stop()
 	i.NoErr(group.Wait())
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -110,6 +110,7 @@
 		return
 	}
 	if err := start(); err != nil {
+		e.forwarder.deps.Budget.Return(e.service.Name)
 		if ctx.Err() == nil {
 			e.logDecision("hedge-not-sent", nil, err)
 		}
--- a/forwarder/property_test.go
+++ b/forwarder/property_test.go
@@ -18,7 +18,7 @@
 )
 
 // fixedBudget is a retry budget with a fixed number of tokens.
-type fixedBudget struct{ left, taken int }
+type fixedBudget struct{ left, taken, returned int }
 
 func (p *fixedBudget) RecordFirstAttempt(identifier.Service) {}
 
@@ -34,6 +34,7 @@
 func (p *fixedBudget) Return(identifier.Service) {
 	p.left++
 	p.taken--
+	p.returned++
 }
 
 // drawFailure generates the failure of an attempt.
