Let no gap appear in a connection of the soak

Cause: the soak's proxy dropped what arrived during a silence of 829 ms and passed on what came later on the same connection, so whole chunks were missing in the middle. TCP delivers no data with a gap; such a connection stays silent for good. Ruled out: the host. Its relay hands over one event after another, and the missing ones lie in the time of the silence of that runner's link (6.540 s for 829 ms). A fault of the soak, found because streams now outlast such a silence.

--- a/emulator/soaker/proxy.go
+++ b/emulator/soaker/proxy.go
@@ -130,16 +130,19 @@
 	_ = server.Close()
 }
 
-// copy forwards data in one direction until either side closes.
+// copy forwards data in one direction until either side closes. After data was
+// dropped, all that follows is dropped too, since TCP delivers no data with a gap.
 func (p *proxy) copy(to, from net.Conn, toServer bool) {
 	b := make([]byte, 16<<10)
+	gap := false
 	for {
 		n, err := from.Read(b)
 		f := p.currentFault()
 		if f == faultDelay {
 			time.Sleep(proxyDelay)
 		}
-		dropped := f == faultDropBoth || f == faultDropToServer && toServer
+		dropped := gap || f == faultDropBoth || f == faultDropToServer && toServer
+		gap = gap || dropped && n > 0
 		if n > 0 && !dropped {
 			if _, writeErr := to.Write(b[:n]); writeErr != nil {
 				err = writeErr
