Name the request in the log line of a stopped call

An engineer who looked for a request's id found no reason why its planned call wasn't sent: call-stopped had the endpoint only. The users ask for the id in each line about a request. The test of notices failed before, as it checks the field.

--- a/interceptor/interceptor.go
+++ b/interceptor/interceptor.go
@@ -89,8 +89,9 @@
 }
 
 // Check returns an error, with the verdict not-run, if no call may be sent to e at
-// this time.
-func (i *Interceptor) Check(e *registrar.Endpoint) error {
+// this time. The request is the one that the call is for; it is empty for calls that
+// control an endpoint.
+func (i *Interceptor) Check(e *registrar.Endpoint, request identifier.Request) error {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	r := i.excluder.Check(e, time.Now())
@@ -98,7 +99,7 @@
 		return nil
 	}
 	i.stats.StoppedCalls++
-	i.deps.Log.Info("call-stopped", zap.String("endpoint", string(e.Name)), zap.Stringer("endpoint-state", r))
+	i.deps.Log.Info("call-stopped", zap.String("request", string(request)), zap.String("endpoint", string(e.Name)), zap.Stringer("endpoint-state", r))
 	return classifier.NotRun(classifier.ReasonEndpointExcluded, classifier.Jitter(stoppedRetryAfter), "endpoint %q is %v and gets no calls", e.Name, r)
 }
 
--- a/interceptor/interceptor_test.go
+++ b/interceptor/interceptor_test.go
@@ -90,16 +90,17 @@
 	t.Run("of pauses stop calls, and end", func(t *testing.T) {
 		b := newBench(t)
 		b.Observe(b.a, excluder.Notice{Pause: 300 * time.Millisecond})
-		err := b.Check(b.a)
+		err := b.Check(b.a, "q1")
 		b.is.Equal(classifier.VerdictOf(err), classifier.VerdictNotRun)
 		b.is.Equal(classifier.Of(err).Reason, classifier.ReasonEndpointExcluded)
 		b.is.True(classifier.Of(err).RetryAfter > 0) // for a request without further attempts
 		b.is.True(!b.Allows(b.a))
-		b.is.NoErr(b.Check(b.b))
+		b.is.NoErr(b.Check(b.b, "q1"))
 		b.requireLogged("endpoint-paused", "call-stopped")
+		b.is.Equal(b.logs.FilterField(zap.String("request", "q1")).Len(), 1)
 		b.is.Equal(b.Stats().StoppedCalls, uint64(1))
 		time.Sleep(600 * time.Millisecond)
-		b.is.NoErr(b.Check(b.a))
+		b.is.NoErr(b.Check(b.a, "q1"))
 		b.requireLogged("endpoint-resumed")
 	})
 	t.Run("of malformed pauses are logged and counted", func(t *testing.T) {
