Let a silenced connection of the soak end after a while

Cause: since no gap is let through any more, the end of a connection that lost data never reaches the runner either. A real one finds out by its keep-alive probes; the proxy now ends the connection after 3 s. TestNoGapInConnections failed before (the runner's side stayed open).

--- a/emulator/soaker/proxy.go
+++ b/emulator/soaker/proxy.go
@@ -10,6 +10,7 @@
 
 	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/common/sleeper"
 )
 
 // proxyFault is a fault that a proxy applies to its connections.
@@ -27,7 +28,12 @@
 	faultReset
 )
 
-const proxyDelay = 50 * time.Millisecond
+const (
+	proxyDelay = 50 * time.Millisecond
+	// keepAliveTime is how long the end of a connection stays unknown to the side
+	// that nothing reaches any more.
+	keepAliveTime = 3 * time.Second
+)
 
 // proxy forwards TCP connections from hosts to a listener of the emulated
 // platform.
@@ -157,9 +163,11 @@
 				return
 			}
 		}
-		if !dropped {
-			reset(to)
+		if dropped {
+			// The receiver finds out by its keep-alive probes.
+			_ = sleeper.Sleep(p.group.Context(), keepAliveTime)
 		}
+		reset(to)
 		return
 	}
 }
--- a/emulator/soaker/proxy_test.go
+++ b/emulator/soaker/proxy_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -39,6 +41,10 @@
 	p.setFault(faultNone)
 	i.Equal(passed(t, client, server, "after"), "")
 	i.Equal(passed(t, server, client, "other direction"), "other direction") // nothing was lost there
+	i.NoErr(client.Close())
+	i.NoErr(server.SetReadDeadline(time.Now().Add(2 * keepAliveTime)))
+	_, err = server.Read(make([]byte, 1))
+	i.True(err != nil && !errors.Is(err, os.ErrDeadlineExceeded)) // the end is noticed late
 }
 
 // passed sends text and returns what arrives at the other end within a short time.
