Keep a silent stream's engine until its replacement has accepted it

Callers could still lose a stream to an engine's silence: the first engine was let go when capacity elsewhere was reserved, and the replacement then refused or failed, with no attempt left.

What an engine has sent goes before a move; stop returns the call's end; and an accepted part is always waited for before the response is closed.

Ruled out: sending the decode later, as a refused reservation says nothing about a decode's failure.

--- a/forwarder/engine_call.go
+++ b/forwarder/engine_call.go
@@ -20,7 +20,7 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	// parts has the response's parts. Each is valid until a value is sent to
-	// handled.
+	// handled, which has to follow.
 	parts   chan responsePart
 	handled chan struct{}
 	// ended has the end of the call.
@@ -33,8 +33,8 @@
 // responsePart is the head of a response, or one of its events.
 type responsePart struct {
 	head *exchanger.Response
-	// event is a complete event with its ID. It is to be flushed if no further data
-	// has arrived.
+	// event is a complete event with its ID. It is to be flushed if no further complete
+	// event has arrived.
 	event []byte
 	id    string
 	flush bool
@@ -92,27 +92,59 @@
 	return c.handOver(responsePart{event: rest})
 }
 
-// handOver waits until the part has been handled or the call is canceled.
+// handOver waits until the part has been handled, or until the call is canceled before
+// the part is accepted. An accepted part is always waited for, since its receiver may
+// still read the response.
 func (c *engineCall) handOver(p responsePart) error {
 	select {
 	case c.parts <- p:
 	case <-c.ctx.Done():
 		return c.canceled()
 	}
-	select {
-	case <-c.handled:
-		return nil
-	case <-c.ctx.Done():
+	<-c.handled
+	if c.ctx.Err() != nil {
 		return c.canceled()
 	}
+	return nil
 }
 
 func (c *engineCall) canceled() error {
 	return classifier.MayHaveRun(classifier.ReasonCanceled, 0, "call to engine %q was canceled: %w", c.at.Name, context.Cause(c.ctx))
 }
 
-// stop cancels the call and waits for its end.
-func (c *engineCall) stop() {
+// stop cancels the call and returns its end. A nil error means that the response was
+// complete before.
+func (c *engineCall) stop() callEnd {
 	c.cancel()
-	<-c.ended
+	return <-c.ended
+}
+
+// arrival is what a stream waits for. One field is set, or none if the engine is
+// overdue.
+type arrival struct {
+	part     *responsePart
+	end      *callEnd
+	prepared *replacementEnd
+}
+
+// await waits for the next arrival. What the engine has sent goes first, so that a
+// stream isn't moved away from it.
+func (c *engineCall) await(prepared <-chan replacementEnd, overdue <-chan time.Time) arrival {
+	select {
+	case p := <-c.parts:
+		return arrival{part: &p}
+	case e := <-c.ended:
+		return arrival{end: &e}
+	default:
+	}
+	select {
+	case p := <-c.parts:
+		return arrival{part: &p}
+	case e := <-c.ended:
+		return arrival{end: &e}
+	case e := <-prepared:
+		return arrival{prepared: &e}
+	case <-overdue:
+		return arrival{}
+	}
 }
--- a/forwarder/plain_stream.go
+++ b/forwarder/plain_stream.go
@@ -32,7 +32,7 @@
 	c := s.callEndpoint(ctx, at, func(ctx context.Context) (*exchanger.Response, error) {
 		return f.deps.Endpoints.Forward(ctx, at, &s.call)
 	})
-	_, err := s.follow(ctx, c, newMover(false, c.started, noTimeout))
+	_, err := s.follow(ctx, &decoding{call: c}, newMover(false, c.started, noTimeout))
 	o := placer.Outcome{Verdict: placer.VerdictSuccess}
 	if err != nil {
 		o = engineOutcome(ctx, err, 0)
--- a/forwarder/preparation.go
+++ b/forwarder/preparation.go
@@ -113,6 +113,15 @@
 	err      error
 }
 
+// endings returns the channel of the replacement's end; nil, which never delivers, for a
+// nil replacement.
+func (r *replacement) endings() <-chan replacementEnd {
+	if r == nil {
+		return nil
+	}
+	return r.ended
+}
+
 // replace starts to prepare another engine than the current one. It returns an
 // error, without a goroutine, if the attempts or the retry budget don't allow it.
 func (s *stream) replace(ctx context.Context, current *registrar.Endpoint) (*replacement, error) {
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -17,65 +17,71 @@
 const (
 	minStallTimeout = 1200 * time.Millisecond
 	stallGapFactor  = 4
+	// moveOverlap is how long a silent engine keeps a stream whose decode was sent to a
+	// replacement, which refuses within that time if it does. Both run the request
+	// meanwhile.
+	moveOverlap = 250 * time.Millisecond
 )
 
 func (s *stream) stallTimeout() time.Duration {
 	return max(minStallTimeout, stallGapFactor*s.route.GapObjective)
 }
 
-// follow forwards the call's events as they arrive. While the endpoint is silent, it
-// prepares a replacement, and returns it once it is ready and the call has been
-// canceled, or if the call has failed meanwhile.
-func (s *stream) follow(ctx context.Context, c *engineCall, m *mover) (next *preparation, err error) {
+// follow forwards the events of a decode as they arrive. While its engine is silent, it
+// prepares a replacement, and returns that once it has taken over, or if the decode
+// has failed meanwhile.
+func (s *stream) follow(ctx context.Context, d *decoding, m *mover) (next *decoding, err error) {
+	c := d.call
 	watchdog := time.NewTimer(m.wait(time.Now()))
 	defer watchdog.Stop()
 	var r *replacement
-	var response *exchanger.Response
 	for {
-		var prepared chan replacementEnd
-		if r != nil {
-			prepared = r.ended
-		}
-		select {
-		case p := <-c.parts:
-			if p.head != nil {
-				response = p.head
+		a := c.await(r.endings(), watchdog.C)
+		switch {
+		case a.part != nil:
+			err := s.handle(d, *a.part)
+			if err == nil && a.part.head == nil {
+				s.recordActivity(c, m, r)
 			}
-			if err := s.handle(c, response, p); err != nil {
+			c.handled <- struct{}{}
+			if err != nil {
 				c.stop()
 				s.abandon(r)
 				return nil, err
 			}
-			if p.head == nil {
-				s.recordActivity(c, m, r)
-				watchdog.Reset(m.wait(time.Now()))
-			}
-			c.handled <- struct{}{}
-		case end := <-c.ended:
+		case a.end != nil:
 			c.cancel()
-			if end.err == nil {
+			if a.end.err == nil {
 				s.abandon(r)
-				s.finish(response, c.at)
+				s.finish(d)
 				return nil, nil
 			}
-			return s.takeOver(ctx, r, end.err)
-		case <-watchdog.C:
-			r = s.askForReplacement(ctx, c, m, r)
-			watchdog.Reset(m.wait(time.Now()))
-		case end := <-prepared:
+			return s.takeOver(ctx, r, a.end.err)
+		case a.prepared != nil:
 			r.cancel()
 			r = nil
-			if s.moves(c, m, end) {
-				c.stop()
-				s.placements++
-				s.mayHaveRun = true
-				return end.prepared, nil
+			if next := s.move(ctx, d, m, *a.prepared); next != nil {
+				return s.leave(d, next)
 			}
-			watchdog.Reset(m.wait(time.Now()))
+		default:
+			r = s.askForReplacement(ctx, c, m, r)
 		}
+		watchdog.Reset(m.wait(time.Now()))
 	}
 }
 
+// leave ends a decode whose replacement has taken over, unless its stream was complete
+// before.
+func (s *stream) leave(d, next *decoding) (*decoding, error) {
+	if d.call.stop().err != nil {
+		return next, nil
+	}
+	next.call.stop()
+	s.forwarder.deps.Reservations.RecordOutcome(next.plan, unusedOutcome)
+	s.finish(d)
+	return nil, nil
+}
+
 // recordActivity records that the engine has sent an event, and cancels a
 // replacement in preparation.
 func (s *stream) recordActivity(c *engineCall, m *mover, r *replacement) {
@@ -115,29 +121,64 @@
 	s.logDecision("move-refused", c.at, err, zap.Duration("silence", m.silence(now)), zap.Int("refusals", m.refusals))
 }
 
-// moves reports whether the stream is moved to a replacement whose preparation has
-// ended. If not, the replacement is released.
-func (s *stream) moves(c *engineCall, m *mover, end replacementEnd) bool {
+// move starts the decode at a replacement whose preparation has ended, and returns it
+// once its engine has accepted it. Otherwise the stream stays at its silent engine.
+func (s *stream) move(ctx context.Context, d *decoding, m *mover, end replacementEnd) *decoding {
 	if end.err != nil && !m.canceling() {
 		s.settle(end)
-		s.refuseMove(c, m, end.err)
-		return false
+		s.refuseMove(d.call, m, end.err)
+		return nil
 	}
 	if !m.onReady() {
 		s.settle(end)
-		return false
+		return nil
 	}
+	s.mayHaveRun = true
+	next := s.start(ctx, end.prepared)
+	if err := s.confirm(next); err != nil {
+		s.recordFailedDecode(ctx, next, err)
+		s.refuseMove(d.call, m, err)
+		return nil
+	}
+	s.placements++
 	s.observation.Moves.Moved++
-	s.logDecision("stream-moved", c.at, nil,
-		zap.String("to", string(end.prepared.plan.Decode.Name)),
+	s.logDecision("stream-moved", d.call.at, nil,
+		zap.String("to", string(next.call.at.Name)),
 		zap.Duration("silence", m.silence(time.Now())),
 		zap.String("last-event", s.lastEventID))
-	return true
+	return next
+}
+
+// confirm waits until the engine has accepted the decode, or has not refused it for
+// moveOverlap. In case of an error the call has ended.
+func (s *stream) confirm(d *decoding) error {
+	overlap := time.NewTimer(moveOverlap)
+	defer overlap.Stop()
+	a := d.call.await(nil, overlap.C)
+	switch {
+	case a.end != nil:
+		d.call.cancel()
+		if a.end.err == nil {
+			return errNoResponse
+		}
+		return a.end.err
+	case a.part != nil:
+		err := s.handle(d, *a.part)
+		d.call.handled <- struct{}{}
+		if err != nil {
+			d.call.stop()
+		}
+		return err
+	default:
+		return nil
+	}
 }
 
-// takeOver returns the replacement of an engine whose call has failed, or the
-// failure if there is none.
-func (s *stream) takeOver(ctx context.Context, r *replacement, failure error) (*preparation, error) {
+var errNoResponse = classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "call ended without a response")
+
+// takeOver starts the decode at the replacement of an engine whose call has failed. It
+// returns the failure if there is none.
+func (s *stream) takeOver(ctx context.Context, r *replacement, failure error) (*decoding, error) {
 	if r == nil {
 		return nil, failure
 	}
@@ -154,22 +195,23 @@
 	s.placements++
 	s.mayHaveRun = true
 	s.logDecision("stream-retried", end.prepared.plan.Decode, failure, zap.String("last-event", s.lastEventID), zap.Int("round", s.placements))
-	return end.prepared, nil
+	return s.start(ctx, end.prepared), nil
 }
 
 // handle checks the head of a response, or forwards an event.
-func (s *stream) handle(c *engineCall, r *exchanger.Response, p responsePart) error {
+func (s *stream) handle(d *decoding, p responsePart) error {
 	if p.head != nil {
-		return s.checkHead(r, c.at)
+		d.response = p.head
+		return s.checkHead(p.head, d.call.at)
 	}
-	if s.firstEventAt.IsZero() {
-		s.firstEventAt = time.Now()
+	if d.firstEventAt.IsZero() {
+		d.firstEventAt = time.Now()
 	}
 	if alreadyDelivered(p.id, s.lastEventID) {
 		return nil
 	}
-	if err := s.write(r, p.event, p.flush); err != nil {
-		return writeError(c.ctx, err)
+	if err := s.write(d.response, p.event, p.flush); err != nil {
+		return writeError(d.call.ctx, err)
 	}
 	if p.id != "" {
 		s.lastEventID = p.id
@@ -236,9 +278,9 @@
 }
 
 // finish completes a stream.
-func (s *stream) finish(r *exchanger.Response, at *registrar.Endpoint) {
-	s.observation.RespondedBy = at.Name
+func (s *stream) finish(d *decoding) {
+	s.observation.RespondedBy = d.call.at.Name
 	if !s.headWritten {
-		s.writeHead(r.Status, r.Header)
+		s.writeHead(d.response.Status, d.response.Header)
 	}
 }
--- /dev/null
+++ b/forwarder/silent_engine_test.go
@@ -0,0 +1,202 @@
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/jackdawthread/jackdawthread/common/classifier"
+	"github.com/jackdawthread/jackdawthread/common/grouper"
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/exchanger"
+	"github.com/jackdawthread/jackdawthread/placer"
+	"github.com/jackdawthread/jackdawthread/registrar"
+	"github.com/jackdawthread/jackdawthread/reserver"
+)
+
+// httpEngines calls engines that are plain HTTP servers.
+type httpEngines struct{ *exchanger.Exchanger }
+
+func (h httpEngines) Forward(ctx context.Context, e *registrar.Endpoint, c *Call) (*exchanger.Response, error) {
+	return h.Send(ctx, e.Address, &exchanger.Request{Method: c.Method, Target: c.Target, Host: c.Host, Header: http.Header{}})
+}
+
+func (h httpEngines) Decode(ctx context.Context, e *registrar.Endpoint, c *Call, _ DecodeOptions) (*exchanger.Response, error) {
+	return h.Forward(ctx, e, c)
+}
+
+func (httpEngines) Prefill(context.Context, *registrar.Endpoint, *Call) (PrefillResult, error) {
+	return PrefillResult{}, nil
+}
+func (httpEngines) Discard(context.Context, *registrar.Endpoint, PrefillResult) error { return nil }
+func (httpEngines) Refused(*exchanger.Response) bool                                  { return false }
+
+func (httpEngines) Load(*exchanger.Response) (placer.Load, bool) { return placer.Load{}, false }
+
+// firstFree places requests at the first engine that they don't exclude.
+type firstFree []*registrar.Endpoint
+
+func (f firstFree) Place(_ context.Context, w reserver.PlacementRequest) (reserver.Plan, error) {
+	for _, e := range f {
+		if !slices.Contains(w.Exclude, e.Name) {
+			return reserver.Plan{Decode: e}, nil
+		}
+	}
+	return reserver.Plan{}, classifier.NotRun(classifier.ReasonQueueFull, 0, "no engine is left")
+}
+func (firstFree) RecordPrefillOutcome(reserver.Plan, placer.Outcome) {}
+func (firstFree) RecordOutcome(reserver.Plan, placer.Outcome)        {}
+func (firstFree) Release(reserver.Plan)                              {}
+func (firstFree) Cancel(reserver.Plan)                               {}
+
+// unlimitedBudget is a retry budget that allows every call.
+type unlimitedBudget struct{}
+
+func (unlimitedBudget) RecordFirstAttempt(identifier.Service) {}
+func (unlimitedBudget) Take(identifier.Service) bool          { return true }
+func (unlimitedBudget) Return(identifier.Service)             {}
+
+// newEngineForwarder returns a Forwarder whose requests run at the first engine, with
+// the other engines as replacements.
+func newEngineForwarder(t *testing.T, log *zap.Logger, engines ...http.HandlerFunc) *Forwarder {
+	t.Helper()
+	var all []*registrar.Endpoint
+	for n, h := range engines {
+		s := httptest.NewServer(h)
+		t.Cleanup(s.Close)
+		address := identifier.Address(strings.TrimPrefix(s.URL, "http://"))
+		all = append(all, &registrar.Endpoint{Name: identifier.Endpoint(string(rune('a' + n))), Service: "notes", Address: address})
+	}
+	registry := registrar.New()
+	registry.SetDeclarations(registrar.NewDeclarations(1, []*registrar.Route{{
+		Name: "notes", Host: "test.example", Prefix: "/", Kind: registrar.KindStream, Resumable: true,
+		Attempts: 2, Splits: []registrar.Split{{Service: "notes"}},
+	}}, []*registrar.Service{{Name: "notes", Engine: &registrar.EngineConfig{}}}, registrar.Limits{}))
+	registry.SetEndpoints(all)
+	group := grouper.New(context.Background())
+	client := httpEngines{exchanger.New(exchanger.Options{})}
+	f := New(Deps{
+		Registry: registry, Endpoints: client, Engines: client, Reservations: firstFree(all), Dialect: plainDialect{},
+		Budget: unlimitedBudget{}, Placer: placer.New(placer.Options{}, 1), Observer: ignoredObservations{},
+		AwaitConfirmation: func(context.Context) {}, Group: group, Log: log,
+	}, Options{})
+	t.Cleanup(func() {
+		group.Stop()
+		_ = group.Wait() // its functions return no error
+	})
+	return f
+}
+
+// startEngines starts a host in front of the engines, and returns its address.
+func startEngines(t *testing.T, log *zap.Logger, engines ...http.HandlerFunc) string {
+	t.Helper()
+	host := httptest.NewServer(newEngineForwarder(t, log, engines...))
+	t.Cleanup(host.Close)
+	return host.URL
+}
+
+// get returns the body of the host's response.
+func get(ctx context.Context, t *testing.T, url string) io.ReadCloser {
+	t.Helper()
+	i := is.New(t)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url+"/1", nil)
+	i.NoErr(err)
+	r.Host = "test.example"
+	response, err := http.DefaultClient.Do(r)
+	i.NoErr(err)
+	t.Cleanup(func() { _ = response.Body.Close() })
+	return response.Body
+}
+
+// sends returns an engine that sends the parts of a stream with a pause between them.
+func sends(pause time.Duration, parts ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		for n, p := range parts {
+			if n > 0 {
+				time.Sleep(pause)
+			}
+			_, _ = io.WriteString(w, p) // the host may have disconnected
+			_ = http.NewResponseController(w).Flush()
+		}
+	}
+}
+
+func fails(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusInternalServerError)
+}
+
+const (
+	firstEvent = "id: 1\ndata: first\n\n"
+	lastEvent  = "id: 2\ndata: last\n\n"
+	// silence is longer than the time after which a replacement is prepared.
+	silence = minStallTimeout + 300*time.Millisecond
+)
+
+// A stream was interrupted if it was moved from a silent engine, which would have gone
+// on, to one that failed.
+func TestReplacementThatFails(t *testing.T) {
+	i := is.New(t)
+	url := startEngines(t, zap.NewNop(), sends(silence, firstEvent, lastEvent), fails)
+	body, err := io.ReadAll(get(context.Background(), t, url))
+	i.NoErr(err)
+	i.Equal(string(body), firstEvent+lastEvent)
+}
+
+// A stream that was complete was thrown away if its replacement got ready before its
+// end was looked at.
+func TestEndBesideReplacement(t *testing.T) {
+	for n := range 8 {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+			i := is.New(t)
+			core, _ := observer.New(zap.InfoLevel)
+			// Holds the request's goroutine, as a host that gets no processor time does.
+			hold := zap.Hooks(func(e zapcore.Entry) error {
+				if e.Message == "stream-stalled" {
+					time.Sleep(silence - minStallTimeout + 50*time.Millisecond)
+				}
+				return nil
+			})
+			url := startEngines(t, zap.New(core, hold), sends(silence, firstEvent+lastEvent, ""), fails)
+			body, err := io.ReadAll(get(context.Background(), t, url))
+			i.NoErr(err)
+			i.Equal(string(body), firstEvent+lastEvent)
+		})
+	}
+}
+
+// The response of an engine was closed while an error response was still being read
+// for a caller who had left. The race detector reports it.
+func TestErrorResponseWithoutCaller(t *testing.T) {
+	f := newEngineForwarder(t, zap.NewNop(), func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "10")
+		w.WriteHeader(http.StatusInternalServerError)
+		sends(5*time.Millisecond, "12345", "12345")(w, nil)
+	})
+	const callers, requests = 8, 200
+	group := grouper.New(context.Background())
+	for c := range callers {
+		group.Run(func(ctx context.Context) {
+			for n := range requests {
+				patience := 5*time.Millisecond + time.Duration((7*n+c)%40)*50*time.Microsecond
+				ctx, cancel := context.WithTimeout(ctx, patience)
+				r := httptest.NewRequestWithContext(ctx, http.MethodGet, "/1", nil)
+				r.Host = "test.example"
+				f.ServeHTTP(httptest.NewRecorder(), r)
+				cancel()
+			}
+		})
+	}
+	is.New(t).NoErr(group.Wait())
+}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -42,8 +42,6 @@
 	lastEventID string
 	lastWrite   time.Time
 	placements  int
-	// firstEventAt is when the current attempt's first event arrived.
-	firstEventAt time.Time
 	// prefills are the calls for the request's prompt.
 	prefills prefillAccount
 	// excludedPrefills are endpoints not to use again for a prefill.
@@ -76,20 +74,19 @@
 // run executes the request at one engine after another until its stream is
 // complete.
 func (s *stream) run(ctx context.Context) error {
-	var next *preparation
+	var d *decoding
 	for {
 		err := error(nil)
-		if next == nil {
-			s.placements++
-			next, err = s.prepare(ctx, s.placementRequest())
+		if d == nil {
+			d, err = s.place(ctx)
 		}
 		if err == nil {
-			next, err = s.decode(ctx, next)
+			d, err = s.decode(ctx, d)
 		}
-		if err == nil && next == nil {
+		if err == nil && d == nil {
 			return nil
 		}
-		if err == nil { // the replacement of an engine is ready
+		if err == nil { // a replacement has taken over
 			continue
 		}
 		if s.placements >= maxPlacements || !s.mayRetry(ctx, err) {
@@ -99,6 +96,16 @@
 	}
 }
 
+// place prepares an engine and starts the decode there.
+func (s *stream) place(ctx context.Context) (*decoding, error) {
+	s.placements++
+	p, err := s.prepare(ctx, s.placementRequest())
+	if err != nil {
+		return nil, err
+	}
+	return s.start(ctx, p), nil
+}
+
 // mayRetry reports whether the request may be placed again after a failure. A
 // refusal by this host is final.
 func (s *stream) mayRetry(ctx context.Context, err error) bool {
@@ -132,32 +139,50 @@
 	s.fail(err)
 }
 
-// decode calls the decode engine and forwards its stream. If the engine is silent or
-// its stream breaks and a replacement is ready, it returns that.
-func (s *stream) decode(ctx context.Context, p *preparation) (*preparation, error) {
+// decoding is a decode that was sent to its engine.
+type decoding struct {
+	*preparation
+	call *engineCall
+	// response is nil until its head has arrived.
+	response *exchanger.Response
+	// resumed is set if the stream had begun at another engine.
+	resumed      bool
+	firstEventAt time.Time
+}
+
+// start sends the decode to the engine that was prepared.
+func (s *stream) start(ctx context.Context, p *preparation) *decoding {
 	f := s.forwarder
 	at := p.plan.Decode
 	s.sent++
 	s.observation.addAttempt(at)
-	s.firstEventAt = time.Time{}
-	resumed := s.lastEventID != ""
 	options := DecodeOptions{Prefill: p.result, Reservation: p.plan.Reservation, LastEvent: s.lastEventID}
 	c := s.callEndpoint(ctx, at, func(ctx context.Context) (*exchanger.Response, error) {
 		return f.deps.Engines.Decode(ctx, at, &s.call, options)
 	})
-	next, err := s.follow(ctx, c, newMover(s.route.Resumable, c.started, s.firstEventTimeout(p.plan.Expected)))
-	if err == nil && next == nil {
-		s.observation.RespondedBy = at.Name
-		o := engineOutcome(ctx, nil, time.Since(c.started))
-		if !resumed && !s.firstEventAt.IsZero() {
-			o.FirstEvent = s.firstEventAt.Sub(c.started)
-		}
-		f.deps.Reservations.RecordOutcome(p.plan, o)
-		return nil, nil
+	return &decoding{preparation: p, call: c, resumed: s.lastEventID != ""}
+}
+
+// decode forwards the stream of a decode. If its engine is silent or its stream breaks
+// and a replacement is ready, it returns that.
+func (s *stream) decode(ctx context.Context, d *decoding) (*decoding, error) {
+	next, err := s.follow(ctx, d, newMover(s.route.Resumable, d.call.started, s.firstEventTimeout(d.plan.Expected)))
+	if err != nil || next != nil {
+		s.recordFailedDecode(ctx, d, err)
+		return next, err
 	}
-	s.exclude = append(s.exclude, at.Name)
-	f.deps.Reservations.RecordOutcome(p.plan, s.failedDecode(ctx, p, err))
-	return next, err
+	o := engineOutcome(ctx, nil, time.Since(d.call.started))
+	if !d.resumed && !d.firstEventAt.IsZero() {
+		o.FirstEvent = d.firstEventAt.Sub(d.call.started)
+	}
+	s.forwarder.deps.Reservations.RecordOutcome(d.plan, o)
+	return nil, nil
+}
+
+// recordFailedDecode records a decode that did not complete the stream.
+func (s *stream) recordFailedDecode(ctx context.Context, d *decoding, err error) {
+	s.exclude = append(s.exclude, d.call.at.Name)
+	s.forwarder.deps.Reservations.RecordOutcome(d.plan, s.failedDecode(ctx, d.preparation, err))
 }
 
 // failedDecode returns the outcome of a decode that did not complete the stream; a nil
