Forward an event although part of the next one has arrived

Callers got a complete event late, by the whole silence of an engine that stopped in the middle of the next one: an event was flushed only if no further byte was buffered. It is now flushed unless another complete event is.

--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -65,9 +65,10 @@
 	return r.event
 }
 
-// buffered reports whether more data is available without blocking.
+// buffered reports whether another complete event is available without blocking.
 func (r *eventReader) buffered() bool {
-	return r.reader.Buffered() > 0
+	b, _ := r.reader.Peek(r.reader.Buffered()) // can't fail for buffered data
+	return bytes.Contains(b, []byte("\n\n")) || bytes.Contains(b, []byte("\n\r\n"))
 }
 
 // alreadyDelivered reports whether the event with the given ID was already
--- a/forwarder/silent_engine_test.go
+++ b/forwarder/silent_engine_test.go
@@ -200,3 +200,15 @@
 	}
 	is.New(t).NoErr(group.Wait())
 }
+
+// A complete event was held back until the rest of the next one arrived.
+func TestEventBeforePartOfTheNext(t *testing.T) {
+	i := is.New(t)
+	url := startEngines(t, zap.NewNop(), sends(time.Second, firstEvent+lastEvent[:8], lastEvent[8:]))
+	began := time.Now()
+	event := make([]byte, len(firstEvent))
+	_, err := io.ReadFull(get(context.Background(), t, url), event)
+	i.NoErr(err)
+	i.Equal(string(event), firstEvent)
+	i.True(time.Since(began) < 500*time.Millisecond)
+}
