Deliver a response that is ready when the deadline passes

If a plain call's response and the end of its deadline were there at the same time, the response was dropped half of the time, and the caller got 504.

--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -79,6 +79,10 @@
 		case <-hedge.C:
 			e.hedge(ctx, start)
 		case <-ctx.Done():
+			if a := readyResponse(responses); a != nil {
+				e.writeResponse(a)
+				return
+			}
 			e.abandon(ctx)
 			return
 		}
@@ -86,6 +90,20 @@
 	e.writeFailure(last)
 }
 
+// readyResponse returns a success that has arrived, or nil.
+func readyResponse(responses <-chan *endpointResponse) *endpointResponse {
+	for {
+		select {
+		case a := <-responses:
+			if a.succeeded() {
+				return a
+			}
+		default:
+			return nil
+		}
+	}
+}
+
 // moreInformative chooses between two failures. An endpoint's response is preferred
 // to an error without a response.
 func moreInformative(old, next *endpointResponse) *endpointResponse {
--- a/forwarder/silent_engine_test.go
+++ b/forwarder/silent_engine_test.go
@@ -212,3 +212,14 @@
 	i.Equal(string(event), firstEvent)
 	i.True(time.Since(began) < 500*time.Millisecond)
 }
+
+func TestReadyResponse(t *testing.T) {
+	i := is.New(t)
+	failed := &endpointResponse{err: classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "failed")}
+	answered := &endpointResponse{status: http.StatusOK}
+	responses := make(chan *endpointResponse, 2)
+	i.Equal(readyResponse(responses), nil)
+	responses <- failed
+	responses <- answered
+	i.Equal(readyResponse(responses), answered)
+}
