--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -54,12 +54,16 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/jackdawthread/jackdawthread/common/sleeper"
 )
 
 const (
 	// drainIdleLimit is the idle limit in a planned stop. A caller that got an answer
 	// without `Connection: close` just before may send its next request in this time.
 	drainIdleLimit = 500 * time.Millisecond
+	// drainPollPeriod is how often AwaitDrained checks the connections.
+	drainPollPeriod = 20 * time.Millisecond
 	// A planned stop accepts connections until none has come for acceptLinger, so that
 	// those in the queue of the listener aren't reset, and no longer than acceptLimit.
 	acceptLinger = 50 * time.Millisecond
@@ -252,6 +256,18 @@
 	}
 }
 
+// AwaitDrained waits until a planned stop is complete, and returns ctx.Err() if ctx ends
+// before. It asks connections to end by the limits of the last sweep.
+func (a *Acceptor) AwaitDrained(ctx context.Context) error {
+	for !a.Drained() {
+		a.Sweep(time.Now(), a.currentLimits())
+		if err := sleeper.Sleep(ctx, drainPollPeriod); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // CloseAll closes all connections at once, whether or not they have requests.
 func (a *Acceptor) CloseAll(r Reason) {
 	now := time.Now()
--- a/emulator/soaker/connection.go
+++ b/emulator/soaker/connection.go
@@ -106,7 +106,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	o.status = response.StatusCode
-	o.runner, _, _ = strings.Cut(response.Header.Get("X-Server-Stamp"), ".")
+	o.runner = standin.Responder(response.Header)
 	read, err := io.ReadAll(response.Body)
 	o.body = string(read)
 	o.complete = err == nil
--- a/forwarder/engine_call.go
+++ b/forwarder/engine_call.go
@@ -72,7 +72,7 @@
 	for {
 		event, err := events.next()
 		if err != nil {
-			return c.finish(events, err)
+			return c.handOverRest(events, err)
 		}
 		if err := c.handOver(responsePart{event: event, id: events.id, flush: !events.buffered()}); err != nil {
 			return err
@@ -80,8 +80,8 @@
 	}
 }
 
-// finish hands over the bytes after the last event of a complete stream.
-func (c *engineCall) finish(events *eventReader, err error) error {
+// handOverRest hands over the bytes after the last event of a complete stream.
+func (c *engineCall) handOverRest(events *eventReader, err error) error {
 	if !errors.Is(err, io.EOF) {
 		return classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "stream from engine %q was interrupted: %w", c.at.Name, err)
 	}
--- a/forwarder/preparation.go
+++ b/forwarder/preparation.go
@@ -23,10 +23,10 @@
 	prefilledAt time.Time
 }
 
-// prepare places the request and runs its prefill. If the decode engine has begun to
+// prepareEngine places the request and runs its prefill. If the decode engine has begun to
 // leave, was restarted or was ordered to another stage meanwhile, the request is placed
 // again, with the same result as long as it lasts.
-func (s *stream) prepare(ctx context.Context, w reserver.PlacementRequest) (*preparation, error) {
+func (s *stream) prepareEngine(ctx context.Context, w reserver.PlacementRequest) (*preparation, error) {
 	reservations := s.forwarder.deps.Reservations
 	p := &preparation{}
 	for {
@@ -139,7 +139,7 @@
 	w := s.placementRequest()
 	w.Exclude = append(slices.Clip(w.Exclude), current.Name)
 	s.group.Run(func(context.Context) {
-		p, err := s.prepare(ctx, w)
+		p, err := s.prepareEngine(ctx, w)
 		r.ended <- replacementEnd{prepared: p, err: err}
 	})
 	return r, nil
@@ -150,8 +150,8 @@
 	errBudgetUsed   = classifier.NotRun(classifier.ReasonEndpointFailed, 0, "retry budget is used up")
 )
 
-// abandon cancels a replacement, waits for its end and frees what it prepared.
-func (s *stream) abandon(r *replacement) {
+// cancelReplacement cancels a replacement, waits for its end and frees what it prepared.
+func (s *stream) cancelReplacement(r *replacement) {
 	if r == nil {
 		return
 	}
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -46,14 +46,14 @@
 			c.handled <- struct{}{}
 			if err != nil {
 				c.stop()
-				s.abandon(r)
+				s.cancelReplacement(r)
 				return nil, err
 			}
 		case a.end != nil:
 			c.cancel()
 			if a.end.err == nil {
-				s.abandon(r)
-				s.finish(d)
+				s.cancelReplacement(r)
+				s.complete(d)
 				return nil, nil
 			}
 			return s.takeOver(ctx, r, a.end.err)
@@ -78,7 +78,7 @@
 	}
 	next.call.stop()
 	s.forwarder.deps.Reservations.RecordOutcome(next.plan, unusedOutcome)
-	s.finish(d)
+	s.complete(d)
 	return nil, nil
 }
 
@@ -183,7 +183,7 @@
 		return nil, failure
 	}
 	if ctx.Err() != nil {
-		s.abandon(r)
+		s.cancelReplacement(r)
 		return nil, failure
 	}
 	end := <-r.ended
@@ -277,8 +277,8 @@
 	s.writer.WriteHeader(status)
 }
 
-// finish completes a stream.
-func (s *stream) finish(d *decoding) {
+// complete ends a stream that was forwarded as a whole.
+func (s *stream) complete(d *decoding) {
 	s.observation.RespondedBy = d.call.at.Name
 	if !s.headWritten {
 		s.writeHead(d.response.Status, d.response.Header)
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -99,7 +99,7 @@
 // place prepares an engine and starts the decode there.
 func (s *stream) place(ctx context.Context) (*decoding, error) {
 	s.placements++
-	p, err := s.prepare(ctx, s.placementRequest())
+	p, err := s.prepareEngine(ctx, s.placementRequest())
 	if err != nil {
 		return nil, err
 	}
--- a/hoster/stop.go
+++ b/hoster/stop.go
@@ -21,8 +21,6 @@
 	// process may notice late that it should stop, so requests that come at the end of
 	// this time may have been sent after it.
 	announcedShare = 0.9
-	// drainPollPeriod is how often a stopping host checks callers' connections.
-	drainPollPeriod = 20 * time.Millisecond
 )
 
 // Stop performs a planned stop. It returns when all callers' connections have ended
@@ -38,7 +36,9 @@
 	h.forwarder.BeginStop(plan)
 	_ = sleeper.Sleep(ctx, h.settings.Stop.Announce) // only the limit can end the wait early
 	h.acceptor.Drain(time.Now())
-	if err := h.waitForConnections(ctx); err != nil {
+	// The forwarder's count of requests is no substitute: net/http sends the end of an
+	// answer after the forwarder has returned.
+	if err := h.acceptor.AwaitDrained(ctx); err != nil {
 		h.log.Warn("stop-timed-out",
 			zap.Int64("running", h.forwarder.Running()),
 			zap.Int("connections", h.acceptor.Open()),
@@ -58,25 +58,13 @@
 	}
 }
 
-// waitForConnections waits until no caller's connection is open. Running is no
-// substitute: net/http sends the end of an answer after the forwarder has returned.
-func (h *Host) waitForConnections(ctx context.Context) error {
-	for !h.acceptor.Drained() {
-		h.sweepConnections(time.Now())
-		if err := sleeper.Sleep(ctx, drainPollPeriod); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // cancelRequests ends the requests that still run at the end of a planned stop. Those
 // whose answer hasn't begun are answered before their connections are closed.
 func (h *Host) cancelRequests() {
 	h.acceptor.CancelRequests(acceptor.ReasonStopLimit)
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
-	_ = h.waitForConnections(ctx) // Kill closes those that remain
+	_ = h.acceptor.AwaitDrained(ctx) // Kill closes those that remain
 }
 
 // Kill ends the host at once, as a crash would.
--- a/server/listener.go
+++ b/server/listener.go
@@ -49,12 +49,8 @@
 	log      *zap.Logger
 }
 
-const (
-	// sweepPeriod is the time between two checks of connections for their limits, and
-	// drainPollPeriod the one in a planned stop.
-	sweepPeriod     = time.Second
-	drainPollPeriod = 20 * time.Millisecond
-)
+// sweepPeriod is the time between two checks of connections for their limits.
+const sweepPeriod = time.Second
 
 // Listen starts serving h on ln in a goroutine of g.
 func Listen(g *grouper.Group, ln net.Listener, h http.Handler, o ListenerOptions, log *zap.Logger) *Listener {
@@ -138,12 +134,7 @@
 		return
 	}
 	l.acceptor.Drain(time.Now())
-	for !l.acceptor.Drained() {
-		l.acceptor.Sweep(time.Now(), l.limits)
-		if sleeper.Sleep(ctx, drainPollPeriod) != nil {
-			return // Shutdown reports it
-		}
-	}
+	_ = l.acceptor.AwaitDrained(ctx) // Shutdown reports the end of ctx
 }
 
 // Close closes the listener and all connections immediately.
