--- a/forwarder/mover_test.go
+++ b/forwarder/mover_test.go
@@ -18,7 +18,9 @@
 		limit := time.Duration(rapid.Int64Range(1, 3000).Draw(t, "limit-ms")) * time.Millisecond
 		movable := rapid.Bool().Draw(t, "movable")
 		m := newMover(movable, now, limit)
-		preparing, silent := false, now
+		// Whether a replacement is being prepared, whether the engine has sent an event
+		// since that began, and when it last sent one.
+		preparing, wentOn, silent := false, false, now
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.Int64Range(0, 1500).Draw(t, "pause-ms")) * time.Millisecond)
 			i.Equal(m.silence(now), now.Sub(silent))
@@ -28,8 +30,7 @@
 				i.Equal(m.wait(now), time.Duration(0)) // the shell was woken for it
 				if rapid.Bool().Draw(t, "allowed") {
 					m.onStart()
-					preparing = true
-					silent = m.silentSince
+					preparing, wentOn = true, false
 				} else {
 					m.onRefusal(now)
 				}
@@ -38,20 +39,20 @@
 			i.True(m.wait(now) > 0 || preparing)
 			switch rapid.IntRange(0, 3).Draw(t, "event") {
 			case 0:
-				wasPreparing := m.state == moverPreparing
-				i.Equal(m.onEvent(now, limit), wasPreparing)
+				i.Equal(m.onEvent(now, limit), preparing && !wentOn) // cancels a preparation once
+				wentOn = true
 				silent = now
 			case 1:
 				if preparing {
-					went := m.canceling()
-					i.Equal(m.onReady(), !went) // only a silent engine is left
+					i.Equal(m.canceling(), wentOn)
+					i.Equal(m.onReady(), !wentOn) // only a silent engine is left
 					preparing = false
-					if !went {
+					if !wentOn {
 						return // the next engine has a mover of its own
 					}
 				}
 			case 2:
-				if preparing && !m.canceling() {
+				if preparing && !wentOn {
 					m.onRefusal(now)
 					preparing = false
 				}
