Log how a stream's response was framed and what arrived of it

Two hypotheses (the end of the connection is taken for the end of the stream; a framed response that ends early is read as complete) could not be told apart: request-ended had neither the framing nor what followed the last event. Now request-ended and stream-interrupted have framing, events, bytes and partial-bytes. No decision changes.

--- a/exchanger/response.go
+++ b/exchanger/response.go
@@ -22,17 +22,53 @@
 // ErrTooLarge indicates that a response body exceeds the limit.
 var ErrTooLarge = errors.New("response body is too large")
 
+// Framing is how the end of a response's body is known.
+type Framing uint8
+
+const (
+	// FramingConnection means that the body ends with its connection. An end without
+	// an error doesn't show that the body is whole.
+	FramingConnection Framing = iota
+	// FramingLength means that the length was stated, or that there is no body.
+	FramingLength
+	// FramingChunks means that the body has chunks, the last of which is marked.
+	FramingChunks
+)
+
+// String returns the framing's name in logs.
+func (f Framing) String() string {
+	switch f {
+	case FramingLength:
+		return "length"
+	case FramingChunks:
+		return "chunks"
+	default:
+		return "connection"
+	}
+}
+
+func framingOf(r *http.Response) Framing {
+	switch {
+	case len(r.TransferEncoding) > 0:
+		return FramingChunks
+	case r.ContentLength >= 0 || r.Body == http.NoBody:
+		return FramingLength
+	default:
+		return FramingConnection
+	}
+}
+
 // Response is an endpoint's response. The caller must call Close.
 type Response struct {
-	Status int
-	Header http.Header
+	Status  int
+	Header  http.Header
+	Framing Framing
 
 	exchanger  *Exchanger
 	connection *connection
 	ctx        context.Context
 	stopWatch  func() bool // stops watching ctx
 	body       io.ReadCloser
-	framed     bool // has a Content-Length or is chunked
 	reusable   bool
 	readToEnd  bool
 	closed     bool
@@ -70,7 +106,7 @@
 // discardBody reads the body to its end. It fails if the body is delimited
 // only by the end of the connection, since no further response can follow.
 func discardBody(response *http.Response) error {
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+	if framingOf(response) == FramingConnection {
 		return errors.New("response to another request has neither a length nor chunks")
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxMismatchedBytes))
@@ -87,8 +123,8 @@
 	r.Status = response.StatusCode
 	r.Header = response.Header
 	r.body = response.Body
-	r.framed = response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	r.reusable = r.framed && !response.Close
+	r.Framing = framingOf(response)
+	r.reusable = r.Framing != FramingConnection && !response.Close
 }
 
 // Read implements io.Reader for the body. Only io.EOF indicates that the body
--- a/forwarder/engine_call.go
+++ b/forwarder/engine_call.go
@@ -38,6 +38,8 @@
 	event []byte
 	id    string
 	flush bool
+	// partial is set if the event is what followed the last complete one.
+	partial bool
 }
 
 // send calls the endpoint.
@@ -89,7 +91,7 @@
 	if len(rest) == 0 {
 		return nil
 	}
-	return c.handOver(responsePart{event: rest})
+	return c.handOver(responsePart{event: rest, partial: true})
 }
 
 // handOver waits until the part has been handled, or until the call is canceled before
--- a/forwarder/observation.go
+++ b/forwarder/observation.go
@@ -30,10 +30,35 @@
 	PlacementTime, Prefill, FirstEvent time.Duration
 	LongestGap                         time.Duration
 	Duration                           time.Duration
+	// Stream is what the last engine of a stream has sent.
+	Stream StreamObservation
 	// Err is nil if an endpoint's complete response was returned.
 	Err error
 }
 
+// StreamObservation describes an engine's response to a streaming request.
+type StreamObservation struct {
+	// Framing is how the end of the response is known; empty if no response arrived.
+	Framing string
+	// Events and Bytes count what arrived of complete events, and PartialBytes what
+	// followed the last one.
+	Events              int
+	Bytes, PartialBytes int64
+}
+
+// LogFields returns the observation's fields of a log line; none if no response arrived.
+func (o StreamObservation) LogFields() []zap.Field {
+	if o.Framing == "" {
+		return nil
+	}
+	return []zap.Field{
+		zap.String("framing", o.Framing),
+		zap.Int("events", o.Events),
+		zap.Int64("bytes", o.Bytes),
+		zap.Int64("partial-bytes", o.PartialBytes),
+	}
+}
+
 // Moves counts the decisions about a stream whose engine was silent.
 type Moves struct {
 	// Stalled counts the replacements that were prepared, Moved those that were used,
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -202,8 +202,10 @@
 func (s *stream) handle(d *decoding, p responsePart) error {
 	if p.head != nil {
 		d.response = p.head
+		s.observation.Stream = StreamObservation{Framing: p.head.Framing.String()}
 		return s.checkHead(p.head, d.call.at)
 	}
+	s.observeEvent(p)
 	if d.firstEventAt.IsZero() {
 		d.firstEventAt = time.Now()
 	}
@@ -219,6 +221,17 @@
 	return nil
 }
 
+// observeEvent counts an event that has arrived.
+func (s *stream) observeEvent(p responsePart) {
+	o := &s.observation.Stream
+	if p.partial {
+		o.PartialBytes = int64(len(p.event))
+		return
+	}
+	o.Events++
+	o.Bytes += int64(len(p.event))
+}
+
 // checkHead checks the status and headers of a response. An engine's error
 // response is kept, to be returned to the caller if all further attempts fail.
 func (s *stream) checkHead(r *exchanger.Response, at *registrar.Endpoint) error {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -129,7 +129,7 @@
 	}
 	if s.headWritten {
 		s.observation.Err = err
-		s.logDecision("stream-interrupted", nil, err, zap.String("last-event", s.lastEventID))
+		s.logDecision("stream-interrupted", nil, err, append(s.observation.Stream.LogFields(), zap.String("last-event", s.lastEventID))...)
 		panic(http.ErrAbortHandler)
 	}
 	if s.engineFailure != nil && ctx.Err() == nil {
--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -173,6 +173,7 @@
 			zap.Duration("first-event", o.FirstEvent),
 			zap.Duration("longest-gap", o.LongestGap))
 	}
+	fields = append(fields, o.Stream.LogFields()...)
 	if o.Err != nil {
 		fields = append(fields, zap.Error(o.Err))
 	}
