--- a/forwarder/silent_engine_test.go
+++ b/forwarder/silent_engine_test.go
@@ -29,11 +29,15 @@
 type httpEngines struct{ *exchanger.Exchanger }
 
 func (h httpEngines) Forward(ctx context.Context, e *registrar.Endpoint, c *Call) (*exchanger.Response, error) {
-	return h.Send(ctx, e.Address, &exchanger.Request{Method: c.Method, Target: c.Target, Host: c.Host, Header: http.Header{}})
+	return h.Decode(ctx, e, c, DecodeOptions{})
 }
 
-func (h httpEngines) Decode(ctx context.Context, e *registrar.Endpoint, c *Call, _ DecodeOptions) (*exchanger.Response, error) {
-	return h.Forward(ctx, e, c)
+func (h httpEngines) Decode(ctx context.Context, e *registrar.Endpoint, c *Call, o DecodeOptions) (*exchanger.Response, error) {
+	header := http.Header{}
+	if o.LastEvent != "" {
+		header.Set("Last-Event-Id", o.LastEvent)
+	}
+	return h.Send(ctx, e.Address, &exchanger.Request{Method: c.Method, Target: c.Target, Host: c.Host, Header: header})
 }
 
 func (httpEngines) Prefill(context.Context, *registrar.Endpoint, *Call) (PrefillResult, error) {
