Take a stream that ends inside an event for broken off

Cause: handOverRest took the end of the connection, which HTTP makes the end of a body without length and chunks, for the end of the stream: the bytes after the last whole event were forwarded as one more event, and the chunked response to the caller was ended properly. Class: the end of a transport taken for the end of a message.

Now the events themselves tell: whatever the framing, a stream that ends inside an event was broken off. Nothing of that event is forwarded; a resumable stream goes on at another engine after the last whole event, else the caller's connection is aborted so that its framing shows it. The engine's outcome is a failure. A stream without any event whose only end is that of its connection counts as broken off too. A response that is no event stream is forwarded as before, by its own framing.

--- a/forwarder/broken_stream_test.go
+++ b/forwarder/broken_stream_test.go
@@ -47,9 +47,12 @@
 	case exchanger.FramingLength:
 		return fmt.Sprintf("%sContent-Length: %d\r\n\r\n", header, len(body)), body
 	case exchanger.FramingChunks:
-		for _, event := range strings.SplitAfter(body, "\n\n") { // the last one is empty
-			encoded += fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+		for _, event := range strings.SplitAfter(body, "\n\n") {
+			if event != "" {
+				encoded += fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+			}
 		}
+		encoded += "0\r\n\r\n"
 		return header + "Transfer-Encoding: chunked\r\n\r\n", encoded
 	default:
 		return header + "\r\n", body
@@ -172,6 +175,24 @@
 	return string(body)
 }
 
+// A response that is no event stream has no events that could be incomplete.
+func TestResponsesWithoutEvents(t *testing.T) {
+	for _, f := range framings {
+		t.Run(f.String(), func(t *testing.T) {
+			const body = "no events: 3 left"
+			header, encoded := frame(f, body)
+			header = strings.Replace(header, "text/event-stream", "text/plain; charset=utf-8", 1)
+			got := receive(t, startEngines(t, zap.NewNop(), sendsRaw(header+encoded, endsWithClose)))
+			is.New(t).Equal(got, received{status: http.StatusOK, body: body, complete: true})
+		})
+	}
+	t.Run("a complete stream of no events", func(t *testing.T) {
+		header, encoded := frame(exchanger.FramingLength, "")
+		got := receive(t, startEngines(t, zap.NewNop(), sendsRaw(header+encoded, endsWithClose)))
+		is.New(t).Equal(got, received{status: http.StatusOK, complete: true})
+	})
+}
+
 // Streams that are whole reach their callers as complete, however they are framed.
 func TestWholeStreams(t *testing.T) {
 	for _, f := range framings {
--- a/forwarder/engine_call.go
+++ b/forwarder/engine_call.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
+	"net/http"
 	"time"
 
 	"github.com/jackdawthread/jackdawthread/common/classifier"
@@ -27,19 +29,22 @@
 	ended chan callEnd
 }
 
-// callEnd is the error that ended a call; nil means that the response is complete.
-type callEnd struct{ err error }
+// callEnd is the end of a call.
+type callEnd struct {
+	// err is nil if the response is complete.
+	err error
+	// partialBytes is what followed the response's last complete event.
+	partialBytes int64
+}
 
-// responsePart is the head of a response, or one of its events.
+// responsePart is the head of a response, or a part of its body.
 type responsePart struct {
 	head *exchanger.Response
-	// event is a complete event with its ID. It is to be flushed if no further complete
-	// event has arrived.
+	// event is a complete event with its ID, or a part of a body that is no event
+	// stream. It is to be flushed if no further complete event has arrived.
 	event []byte
 	id    string
 	flush bool
-	// partial is set if the event is what followed the last complete one.
-	partial bool
 }
 
 // send calls the endpoint.
@@ -55,43 +60,80 @@
 		ended:   make(chan callEnd, 1),
 	}
 	c.ctx, c.cancel = context.WithCancel(ctx)
-	s.group.Run(func(context.Context) { c.ended <- callEnd{err: c.read(f)} })
+	s.group.Run(func(context.Context) { c.ended <- c.read(f) })
 	return c
 }
 
-// read hands over the response's parts. The trailing bytes of a complete stream are
-// handed over as an event without an ID.
-func (c *engineCall) read(f send) error {
+// read hands over the response's parts.
+func (c *engineCall) read(f send) callEnd {
 	response, err := f(c.ctx)
 	if err != nil {
-		return err
+		return callEnd{err: err}
 	}
 	defer response.Close()
 	if err := c.handOver(responsePart{head: response}); err != nil {
-		return err
+		return callEnd{err: err}
 	}
-	events := newEventReader(response)
-	for {
+	if !isEventStream(response.Header) {
+		return callEnd{err: c.readBytes(response)}
+	}
+	return c.readEvents(response)
+}
+
+// readEvents hands over the events of a stream. A stream whose end is only the end of
+// its connection isn't complete without an event, since it may have been broken off.
+func (c *engineCall) readEvents(r *exchanger.Response) callEnd {
+	events := newEventReader(r)
+	for count := 0; ; count++ {
 		event, err := events.next()
-		if err != nil {
-			return c.handOverRest(events, err)
+		switch {
+		case errors.Is(err, io.EOF) && count == 0 && r.Framing == exchanger.FramingConnection:
+			return callEnd{err: c.interrupted(errNoEvent)}
+		case errors.Is(err, io.EOF):
+			return callEnd{}
+		case err != nil:
+			return callEnd{err: c.interrupted(err), partialBytes: events.partialBytes()}
 		}
 		if err := c.handOver(responsePart{event: event, id: events.id, flush: !events.buffered()}); err != nil {
-			return err
+			return callEnd{err: err}
 		}
 	}
 }
 
-// handOverRest hands over the bytes after the last event of a complete stream.
-func (c *engineCall) handOverRest(events *eventReader, err error) error {
-	if !errors.Is(err, io.EOF) {
-		return classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "stream from engine %q was interrupted: %w", c.at.Name, err)
+var errNoEvent = errors.New("connection ended before the first event")
+
+// readBytes hands over a body that is no event stream, as it arrives.
+func (c *engineCall) readBytes(r *exchanger.Response) error {
+	b := make([]byte, eventBufferBytes)
+	for {
+		n, err := r.Read(b)
+		if n > 0 {
+			if err := c.handOver(responsePart{event: b[:n], flush: true}); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return c.interrupted(err)
+		}
 	}
-	rest := events.trailing()
-	if len(rest) == 0 {
-		return nil
+}
+
+// isEventStream reports whether a response to a streaming request consists of events,
+// which is assumed of one that doesn't state its type.
+func isEventStream(h http.Header) bool {
+	text := h.Get("Content-Type")
+	if text == "" {
+		return true
 	}
-	return c.handOver(responsePart{event: rest, partial: true})
+	mediaType, _, err := mime.ParseMediaType(text)
+	return err != nil || mediaType == "text/event-stream"
+}
+
+func (c *engineCall) interrupted(err error) error {
+	return classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "stream from engine %q was interrupted: %w", c.at.Name, err)
 }
 
 // handOver waits until the part has been handled, or until the call is canceled before
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -11,7 +11,12 @@
 // maxEventBytes is the maximum size of an event.
 const maxEventBytes = 1 << 20
 
-var errEventTooLarge = errors.New("event is too large")
+var (
+	errEventTooLarge = errors.New("event is too large")
+	// errInsideEvent indicates that a stream has ended inside an event, so that it is
+	// not complete, however it was framed.
+	errInsideEvent = errors.New("stream ended inside an event")
+)
 
 // eventReader splits a stream of server-sent events. The bytes of each event are
 // preserved exactly.
@@ -28,8 +33,7 @@
 }
 
 // next returns the next complete event, which is valid until the next call.
-// io.EOF means that the stream is complete; trailing then returns what follows
-// the last event.
+// io.EOF means that the stream has ended after an event, or without one.
 func (r *eventReader) next() (event []byte, err error) {
 	r.event = r.event[:0]
 	r.id = ""
@@ -43,6 +47,9 @@
 			}
 			continue
 		}
+		if errors.Is(err, io.EOF) && len(r.event) > 0 {
+			return nil, errInsideEvent
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -60,9 +67,10 @@
 	}
 }
 
-// trailing returns the bytes after the last complete event.
-func (r *eventReader) trailing() []byte {
-	return r.event
+// partialBytes returns the number of bytes after the last complete event once next
+// has returned an error.
+func (r *eventReader) partialBytes() int64 {
+	return int64(len(r.event))
 }
 
 // buffered reports whether another complete event is available without blocking.
--- a/forwarder/events_test.go
+++ b/forwarder/events_test.go
@@ -16,7 +16,7 @@
 	for {
 		event, err := r.next()
 		if err != nil {
-			return events, id, string(r.trailing()), err
+			return events, id, string(r.event), err
 		}
 		events = append(events, string(event))
 		if r.id != "" {
@@ -45,7 +45,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			i := is.New(t)
 			events, id, rest, err := readEvents(c.text)
-			i.True(errors.Is(err, io.EOF))
+			i.True(errors.Is(err, endOf(c.rest)))
 			i.Equal(len(events), c.events)
 			i.Equal(id, c.id)
 			i.Equal(rest, c.rest)
@@ -67,14 +67,26 @@
 	i.True(!alreadyDelivered("1", ""))
 }
 
+// endOf returns the error with which a stream ends that has these bytes after its last
+// complete event.
+func endOf(rest string) error {
+	if rest == "" {
+		return io.EOF
+	}
+	return errInsideEvent
+}
+
 // FuzzEvents checks that splitting a stream preserves its bytes.
 func FuzzEvents(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2\n")
 	f.Add("\n\n\r\n")
 	f.Fuzz(func(t *testing.T, text string) {
 		events, _, rest, err := readEvents(text)
-		if errors.Is(err, io.EOF) {
-			is.New(t).Equal(strings.Join(events, "")+rest, text)
+		if errors.Is(err, errEventTooLarge) {
+			return
 		}
+		i := is.New(t)
+		i.True(errors.Is(err, endOf(rest)))
+		i.Equal(strings.Join(events, "")+rest, text)
 	})
 }
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -51,6 +51,7 @@
 			}
 		case a.end != nil:
 			c.cancel()
+			s.observation.Stream.PartialBytes = a.end.partialBytes
 			if a.end.err == nil {
 				s.cancelReplacement(r)
 				s.complete(d)
@@ -194,7 +195,7 @@
 	}
 	s.placements++
 	s.mayHaveRun = true
-	s.logDecision("stream-retried", end.prepared.plan.Decode, failure, zap.String("last-event", s.lastEventID), zap.Int("round", s.placements))
+	s.logRetry(end.prepared.plan.Decode, failure)
 	return s.start(ctx, end.prepared), nil
 }
 
@@ -224,10 +225,6 @@
 // observeEvent counts an event that has arrived.
 func (s *stream) observeEvent(p responsePart) {
 	o := &s.observation.Stream
-	if p.partial {
-		o.PartialBytes = int64(len(p.event))
-		return
-	}
 	o.Events++
 	o.Bytes += int64(len(p.event))
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -92,10 +92,16 @@
 		if s.placements >= maxPlacements || !s.mayRetry(ctx, err) {
 			return err
 		}
-		s.logDecision("stream-retried", nil, err, zap.String("last-event", s.lastEventID), zap.Int("round", s.placements))
+		s.logRetry(nil, err)
 	}
 }
 
+// logRetry logs that the request is sent to another engine after a failure.
+func (s *stream) logRetry(to *registrar.Endpoint, failure error) {
+	s.logDecision("stream-retried", to, failure,
+		append(s.observation.Stream.LogFields(), zap.String("last-event", s.lastEventID), zap.Int("round", s.placements))...)
+}
+
 // place prepares an engine and starts the decode there.
 func (s *stream) place(ctx context.Context) (*decoding, error) {
 	s.placements++
