Reset the connection of a caller without chunks whose stream is interrupted

A caller of HTTP/1.0 took an interrupted stream for a complete one: its response has neither a length nor chunks, and http.ErrAbortHandler closes the connection without a reset, which ends such a body properly.

Such a connection is now reset. Callers with chunks miss the last one, as before, and keep what was sent.

--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -296,6 +296,16 @@
 	return c.Conn.Close()
 }
 
+// SetLinger sets what Close does with data that has not been sent, as of
+// net.TCPConn.
+func (c *Connection) SetLinger(seconds int) error {
+	l, ok := c.Conn.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return l.SetLinger(seconds)
+}
+
 // CloseWrite ends the sending direction. net/http uses it before it closes a
 // connection with unread data, so that the last answer isn't lost.
 func (c *Connection) CloseWrite() error {
--- a/common/socket/socket.go
+++ b/common/socket/socket.go
@@ -67,6 +67,15 @@
 	return optionErr
 }
 
+// Reset closes a connection with a reset, if it supports that, so that its peer can't
+// take its end for that of a message. Bytes that the peer has not received are dropped.
+func Reset(c net.Conn) {
+	if t, ok := c.(interface{ SetLinger(seconds int) error }); ok {
+		_ = t.SetLinger(0) // fails only if the connection is already closed
+	}
+	_ = c.Close() // a connection that is reset has no data to lose
+}
+
 // NothingToRead reports whether an idle connection has nothing to read: no
 // data, no EOF and no error. It doesn't block and consumes no data.
 func NothingToRead(c net.Conn) bool {
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -317,10 +317,7 @@
 // bytes buffered during a network outage would still be delivered to the
 // endpoint after the request was abandoned.
 func (c *connection) abort() {
-	if t, ok := c.conn.(interface{ SetLinger(int) error }); ok {
-		_ = t.SetLinger(0) // fails only if the connection is already closed
-	}
-	c.close()
+	socket.Reset(c.conn)
 }
 
 // write sends the request headers and body in one write.
--- a/forwarder/broken_stream_test.go
+++ b/forwarder/broken_stream_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -175,6 +176,44 @@
 	return string(body)
 }
 
+// receiveWithoutChunks is receive for a caller of HTTP/1.0, which knows no chunks.
+func receiveWithoutChunks(t *testing.T, url string) received {
+	t.Helper()
+	i := is.New(t)
+	c, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	i.NoErr(err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, "GET /1 HTTP/1.0\r\nHost: test.example\r\n\r\n")
+	i.NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return received{}
+	}
+	body, err := io.ReadAll(response.Body)
+	return received{status: response.StatusCode, body: string(body), complete: err == nil && response.StatusCode == http.StatusOK}
+}
+
+// The end of its connection is all that shows a caller of HTTP/1.0 the end of a stream.
+// It was closed without a reset after an interrupted one.
+func TestBrokenOffStreamsOfCallersWithoutChunks(t *testing.T) {
+	for _, f := range framings {
+		header, encoded := frame(f, wholeStream)
+		t.Run("whole, "+f.String(), func(t *testing.T) {
+			got := receiveWithoutChunks(t, startEngines(t, zap.NewNop(), sendsRaw(header+encoded, endsWithClose)))
+			is.New(t).Equal(got, received{status: http.StatusOK, body: wholeStream, complete: true})
+		})
+		for cut := 1; cut < len(firstEvent+middleEvent); cut++ {
+			if wholeEvents(encoded[:cut]) == encoded[:cut] {
+				continue // looks like a complete stream without chunks and a length
+			}
+			t.Run(fmt.Sprintf("%v, after %d bytes", f, cut), func(t *testing.T) {
+				got := receiveWithoutChunks(t, startEngines(t, zap.NewNop(), sendsRaw(header+encoded[:cut], endsWithClose)))
+				is.New(t).True(!got.complete)
+			})
+		}
+	}
+}
+
 // A response that is no event stream has no events that could be incomplete.
 func TestResponsesWithoutEvents(t *testing.T) {
 	for _, f := range framings {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -11,6 +11,7 @@
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/common/socket"
 	"github.com/jackdawthread/jackdawthread/exchanger"
 	"github.com/jackdawthread/jackdawthread/placer"
 	"github.com/jackdawthread/jackdawthread/registrar"
@@ -136,7 +137,7 @@
 	if s.headWritten {
 		s.observation.Err = err
 		s.logDecision("stream-interrupted", nil, err, append(s.observation.Stream.LogFields(), zap.String("last-event", s.lastEventID))...)
-		panic(http.ErrAbortHandler)
+		s.abortResponse()
 	}
 	if s.engineFailure != nil && ctx.Err() == nil {
 		s.writeResponse(s.engineFailure)
@@ -145,6 +146,19 @@
 	s.fail(err)
 }
 
+// abortResponse ends the caller's connection so that the response doesn't look
+// complete. It doesn't return.
+func (s *stream) abortResponse() {
+	if s.request.ProtoAtLeast(1, 1) {
+		panic(http.ErrAbortHandler) // the last chunk is missing
+	}
+	// The end of the connection would end a response without chunks.
+	if raw, _, err := http.NewResponseController(s.writer).Hijack(); err == nil {
+		socket.Reset(raw)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // decoding is a decode that was sent to its engine.
 type decoding struct {
 	*preparation
