--- a/forwarder/broken_stream_test.go
+++ b/forwarder/broken_stream_test.go
@@ -149,6 +149,25 @@
 	}
 }
 
+// The same cuts for streams whose lines end in CRLF or CR.
+func TestLineEndsOfBrokenOffStreams(t *testing.T) {
+	for name, end := range map[string]string{"CRLF": "\r\n", "CR": "\r"} {
+		header, _ := frame(exchanger.FramingConnection, "")
+		stream := strings.ReplaceAll(firstEvent+middleEvent, "\n", end)
+		first := strings.ReplaceAll(firstEvent, "\n", end)
+		for cut := len(first) + 1; cut <= len(stream); cut++ {
+			t.Run(fmt.Sprintf("%s, after %d bytes", name, cut), func(t *testing.T) {
+				got := receive(t, startEngines(t, zap.NewNop(), sendsRaw(header+stream[:cut], endsWithClose)))
+				if cut == len(stream) {
+					is.New(t).Equal(got, received{status: http.StatusOK, body: stream, complete: true})
+					return
+				}
+				is.New(t).Equal(got, received{status: http.StatusOK, body: first})
+			})
+		}
+	}
+}
+
 // Streams whose end their framing or a reset shows to be missing must not look complete.
 func TestBrokenOffStreams(t *testing.T) {
 	for _, f := range framings {
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -19,11 +19,15 @@
 )
 
 // eventReader splits a stream of server-sent events. The bytes of each event are
-// preserved exactly.
+// preserved exactly. Lines end in LF, CRLF or CR.
 type eventReader struct {
 	reader *bufio.Reader
 	event  []byte
-	id     string
+	// id is the ID of the event that next has returned; empty if it has none.
+	id string
+	// hasData reports whether that event has data. Others, such as comments, are not
+	// dispatched by callers.
+	hasData bool
 }
 
 const eventBufferBytes = 4 << 10
@@ -32,38 +36,85 @@
 	return &eventReader{reader: bufio.NewReaderSize(r, eventBufferBytes)}
 }
 
+// lineEnd is how a line ends.
+type lineEnd uint8
+
+const (
+	lineEndLF lineEnd = iota
+	lineEndCRLF
+	lineEndCR
+)
+
 // next returns the next complete event, which is valid until the next call.
 // io.EOF means that the stream has ended after an event, or without one.
 func (r *eventReader) next() (event []byte, err error) {
 	r.event = r.event[:0]
 	r.id = ""
-	start := 0 // of the current line
+	r.hasData = false
+	end := lineEndLF // of the line before
 	for {
-		line, err := r.reader.ReadSlice('\n')
-		r.event = append(r.event, line...)
-		if errors.Is(err, bufio.ErrBufferFull) {
-			if len(r.event) > maxEventBytes {
-				return nil, errEventTooLarge
-			}
-			continue
-		}
+		start := len(r.event)
+		last, err := r.readLine(end)
 		if errors.Is(err, io.EOF) && len(r.event) > 0 {
 			return nil, errInsideEvent
 		}
 		if err != nil {
 			return nil, err
 		}
-		if len(r.event) > maxEventBytes {
-			return nil, errEventTooLarge
-		}
-		trimmed := bytes.TrimRight(r.event[start:], "\r\n")
-		if len(trimmed) == 0 {
+		line := bytes.TrimRight(r.event[start:], "\r\n")
+		if len(line) == 0 {
 			return r.event, nil
 		}
-		if value, ok := bytes.CutPrefix(trimmed, []byte("id:")); ok {
-			r.id = string(bytes.TrimSpace(value))
+		r.parseLine(line)
+		end = last
+	}
+}
+
+// readLine appends a line with its end to the event. If the line before ended in CR, an
+// empty line that ends in CR is returned without waiting for an LF.
+func (r *eventReader) readLine(before lineEnd) (lineEnd, error) {
+	for empty := true; ; empty = false {
+		b, err := r.reader.ReadByte()
+		if err != nil {
+			return 0, err
+		}
+		if len(r.event) >= maxEventBytes {
+			return 0, errEventTooLarge
+		}
+		r.event = append(r.event, b)
+		switch {
+		case b == '\n':
+			return lineEndLF, nil
+		case b == '\r' && empty && before == lineEndCR:
+			return lineEndCR, nil
+		case b == '\r':
+			return r.readLineFeed()
 		}
-		start = len(r.event)
+	}
+}
+
+// readLineFeed appends the LF of a CRLF, if there is one.
+func (r *eventReader) readLineFeed() (lineEnd, error) {
+	next, err := r.reader.Peek(1)
+	if err != nil {
+		return 0, err
+	}
+	if next[0] != '\n' {
+		return lineEndCR, nil
+	}
+	_, _ = r.reader.Discard(1) // can't fail for peeked data
+	r.event = append(r.event, '\n')
+	return lineEndCRLF, nil
+}
+
+// parseLine takes from a line of an event what decides about forwarding.
+func (r *eventReader) parseLine(line []byte) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "id":
+		r.id = string(bytes.TrimSpace(value))
+	case "data":
+		r.hasData = true
 	}
 }
 
@@ -76,9 +127,17 @@
 // buffered reports whether another complete event is available without blocking.
 func (r *eventReader) buffered() bool {
 	b, _ := r.reader.Peek(r.reader.Buffered()) // can't fail for buffered data
-	return bytes.Contains(b, []byte("\n\n")) || bytes.Contains(b, []byte("\n\r\n"))
+	for _, end := range emptyLines {
+		if bytes.Contains(b, end) {
+			return true
+		}
+	}
+	return false
 }
 
+// emptyLines are the ends of an event: the end of its last line, and an empty line.
+var emptyLines = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
+
 // alreadyDelivered reports whether the event with the given ID was already
 // forwarded. Only decimal IDs are compared.
 func alreadyDelivered(id, last string) bool {
--- a/forwarder/events_test.go
+++ b/forwarder/events_test.go
@@ -34,6 +34,10 @@
 	}{
 		{"complete events", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", 2, "2", ""},
 		{"lines that end in CRLF", "id: 1\r\ndata: a\r\n\r\n", 1, "1", ""},
+		{"lines that end in CR", "id: 1\rdata: a\r\rid: 2\rdata: b\r\r", 2, "2", ""},
+		{"an empty line that lacks its LF", "id: 1\r\ndata: a\r\n\r", 0, "", "id: 1\r\ndata: a\r\n\r"},
+		{"a line that lacks its LF", "id: 1\r\ndata: a\r", 0, "", "id: 1\r\ndata: a\r"},
+		{"an empty line after a line that ends in CR", "data: a\r\r\n", 2, "", ""},
 		{"several lines of data", "id:7\ndata: a\ndata: b\n\n", 1, "7", ""},
 		{"an event without an id", "data: a\n\n", 1, "", ""},
 		{"an incomplete event", "id: 1\ndata: a\n\nid: 2\nda", 1, "1", "id: 2\nda"},
