Don't resume a stream after an event without an ID

A stream whose events have no IDs, or whose last one has none, was resumed at another engine after the last ID, so that its caller got events twice, or the whole stream from its beginning.

The test engines now state the type text/event-stream, as Go's server would otherwise guess text/plain for them.

--- a/forwarder/broken_stream_test.go
+++ b/forwarder/broken_stream_test.go
@@ -83,6 +83,7 @@
 		_, rest, _ = strings.Cut(wholeStream, "id: "+last+"\n")
 		_, rest, _ = strings.Cut(rest, "\n\n")
 	}
+	w.Header().Set("Content-Type", "text/event-stream")
 	_, _ = io.WriteString(w, rest) // the host may have disconnected
 }
 
@@ -168,6 +169,32 @@
 	}
 }
 
+// A stream whose last event had no ID was resumed after the last event that had one, so
+// that its caller got events twice.
+func TestBrokenOffStreamsWithoutIDs(t *testing.T) {
+	header, _ := frame(exchanger.FramingConnection, "")
+	const event = "data: unnumbered\n\n"
+	for name, sent := range map[string]string{
+		"no event has an id":       event,
+		"the last event has no id": firstEvent + event,
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := receive(t, startEngines(t, zap.NewNop(), sendsRaw(header+sent+"da", endsWithClose), resumes))
+			is.New(t).Equal(got, received{status: http.StatusOK, body: sent})
+		})
+		t.Run(name+", and the engine is silent before its end", func(t *testing.T) {
+			t.Parallel()
+			url := startEngines(t, zap.NewNop(), sends(silence, sent, "da"), resumes)
+			got := receive(t, url)
+			is.New(t).Equal(got, received{status: http.StatusOK, body: sent})
+		})
+	}
+	t.Run("a comment needs no id", func(t *testing.T) {
+		got := receive(t, startEngines(t, zap.NewNop(), sendsRaw(header+firstEvent+": ping\n\nda", endsWithClose), resumes))
+		is.New(t).Equal(got, received{status: http.StatusOK, body: firstEvent + ": ping\n\n" + middleEvent + finalEvent, complete: true})
+	})
+}
+
 // Streams whose end their framing or a reset shows to be missing must not look complete.
 func TestBrokenOffStreams(t *testing.T) {
 	for _, f := range framings {
--- a/forwarder/engine_call.go
+++ b/forwarder/engine_call.go
@@ -42,9 +42,10 @@
 	head *exchanger.Response
 	// event is a complete event with its ID, or a part of a body that is no event
 	// stream. It is to be flushed if no further complete event has arrived.
-	event []byte
-	id    string
-	flush bool
+	event   []byte
+	id      string
+	hasData bool
+	flush   bool
 }
 
 // send calls the endpoint.
@@ -94,7 +95,7 @@
 		case err != nil:
 			return callEnd{err: c.interrupted(err), partialBytes: events.partialBytes()}
 		}
-		if err := c.handOver(responsePart{event: event, id: events.id, flush: !events.buffered()}); err != nil {
+		if err := c.handOver(responsePart{event: event, id: events.id, hasData: events.hasData, flush: !events.buffered()}); err != nil {
 			return callEnd{err: err}
 		}
 	}
@@ -108,7 +109,7 @@
 	for {
 		n, err := r.Read(b)
 		if n > 0 {
-			if err := c.handOver(responsePart{event: b[:n], flush: true}); err != nil {
+			if err := c.handOver(responsePart{event: b[:n], hasData: true, flush: true}); err != nil {
 				return err
 			}
 		}
--- a/forwarder/preparation.go
+++ b/forwarder/preparation.go
@@ -125,6 +125,9 @@
 // replace starts to prepare another engine than the current one. It returns an
 // error, without a goroutine, if the attempts or the retry budget don't allow it.
 func (s *stream) replace(ctx context.Context, current *registrar.Endpoint) (*replacement, error) {
+	if s.withoutID {
+		return nil, errWithoutID
+	}
 	if s.sent >= max(1, s.route.Attempts) {
 		return nil, errAttemptsUsed
 	}
@@ -147,6 +150,7 @@
 
 var (
 	errAttemptsUsed = classifier.NotRun(classifier.ReasonEndpointFailed, 0, "attempts of the request are used up")
+	errWithoutID    = classifier.NotRun(classifier.ReasonEndpointFailed, 0, "an event without an id was forwarded, after which no engine can go on")
 	errBudgetUsed   = classifier.NotRun(classifier.ReasonEndpointFailed, 0, "retry budget is used up")
 )
 
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -183,7 +183,7 @@
 	if r == nil {
 		return nil, failure
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || s.withoutID {
 		s.cancelReplacement(r)
 		return nil, failure
 	}
@@ -219,6 +219,7 @@
 	if p.id != "" {
 		s.lastEventID = p.id
 	}
+	s.withoutID = s.withoutID || p.hasData && p.id == ""
 	return nil
 }
 
--- a/forwarder/silent_engine_test.go
+++ b/forwarder/silent_engine_test.go
@@ -126,6 +126,7 @@
 // sends returns an engine that sends the parts of a stream with a pause between them.
 func sends(pause time.Duration, parts ...string) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
 		for n, p := range parts {
 			if n > 0 {
 				time.Sleep(pause)
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -41,8 +41,11 @@
 	headWritten bool
 	// lastEventID is the ID of the last event that was forwarded.
 	lastEventID string
-	lastWrite   time.Time
-	placements  int
+	// withoutID is set once data without an ID was forwarded. Another engine can't go
+	// on after it.
+	withoutID  bool
+	lastWrite  time.Time
+	placements int
 	// prefills are the calls for the request's prompt.
 	prefills prefillAccount
 	// excludedPrefills are endpoints not to use again for a prefill.
@@ -114,9 +117,9 @@
 }
 
 // mayRetry reports whether the request may be placed again after a failure. A
-// refusal by this host is final.
+// refusal by this host is final, and so is a stream with data that has no ID.
 func (s *stream) mayRetry(ctx context.Context, err error) bool {
-	if _, own := errors.AsType[*hostRefusal](err); own {
+	if _, own := errors.AsType[*hostRefusal](err); own || s.withoutID {
 		return false
 	}
 	return s.mayResend(ctx, err)
