Assume no more of an unmeasured endpoint than the fastest one takes

An endpoint of a plain service without measurements was assumed to take 20 ms. While the others answered faster, and calls came one at a time, it never got one: a runner that was restarted, was paused, or had only refused calls stayed idle for good.

Now the least latency measured at the service's endpoints is assumed, and 20 ms at the most. TestPlain has the case without a network; it failed before.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -41,8 +41,9 @@
 	// successRateExponent is the exponent of the success rate by which the
 	// cost of an endpoint is divided.
 	successRateExponent = 4
-	// assumedLatency is the latency of an endpoint without measurements.
-	assumedLatency = 20 * time.Millisecond
+	// maxAssumedLatency is the highest latency that is assumed of an endpoint without
+	// measurements.
+	maxAssumedLatency = 20 * time.Millisecond
 	// remoteFactor multiplies the cost of endpoints in other data centers.
 	remoteFactor = 1.15
 	// remoteDecodeFactor multiplies the cost of decode engines outside the
@@ -170,25 +171,39 @@
 // available. Suspect and avoided endpoints are chosen only if there are no
 // others.
 func (p *Placer) ChoosePlain(all []*registrar.Endpoint, exclude []identifier.Endpoint, now time.Time) *registrar.Endpoint {
+	unmeasured := sync.OnceValue(func() float64 { return p.unmeasuredLatency(all) })
 	return p.cheapest(all, exclude, now, func(e *registrar.Endpoint, s *endpointState) float64 {
-		return p.plainCost(e, s, now)
+		latency := s.latency
+		if latency == 0 {
+			latency = unmeasured()
+		}
+		return latency * p.plainFactor(e, s, now)
 	})
 }
 
-// plainCost returns the expected duration of a call, weighted by the failure
-// rate and the locality of the endpoint.
-func (p *Placer) plainCost(e *registrar.Endpoint, s *endpointState, now time.Time) float64 {
-	latency := s.latency
-	if latency == 0 {
-		latency = assumedLatency.Seconds()
+// unmeasuredLatency returns the latency in seconds that is assumed of an endpoint
+// without measurements: no more than the least that was measured at the others, so that
+// it gets calls and can be measured. The caller must hold p.mu.
+func (p *Placer) unmeasuredLatency(all []*registrar.Endpoint) float64 {
+	least := maxAssumedLatency.Seconds()
+	for _, e := range all {
+		if l := p.state(e).latency; l > 0 {
+			least = min(least, l)
+		}
 	}
+	return least
+}
+
+// plainFactor returns the factor by which the load, the failure rate and the locality
+// of the endpoint increase the cost of a call.
+func (p *Placer) plainFactor(e *registrar.Endpoint, s *endpointState, now time.Time) float64 {
 	slots := float64(max(1, e.Slots))
 	inFlight := float64(s.running)
 	if now.Sub(s.loadReportedAt) < loadReportTTL {
 		inFlight = max(inFlight, float64(s.load.Running+s.load.Waiting))
 	}
 	successRate := math.Pow(max(0.05, 1-s.failureRate), successRateExponent)
-	return latency * (1 + inFlight/slots) / successRate * p.localityFactor(e)
+	return (1 + inFlight/slots) / successRate * p.localityFactor(e)
 }
 
 func decodeLocalityFactor(e *registrar.Endpoint, near identifier.DataCenter) float64 {
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -65,6 +65,17 @@
 		})
 		is.New(t).True(got["a"] < 0.1)
 	})
+	// An endpoint without measurements got no call while the calls of others, one at a
+	// time, took less than was assumed of it.
+	t.Run("measures an endpoint beside faster ones than is assumed of it", func(t *testing.T) {
+		p, all := newPlacer(), threeEndpoints(registrar.StageAny)
+		for _, e := range all {
+			e.DataCenter = "a"
+		}
+		fast := func(identifier.Endpoint) time.Duration { return 5 * time.Millisecond }
+		callShares(p, all[:2], 50, fast)
+		is.New(t).True(callShares(p, all, 50, fast)["c"] > 0)
+	})
 	t.Run("spreads concurrent calls", func(t *testing.T) {
 		i := is.New(t)
 		p, all := newPlacer(), threeEndpoints(registrar.StageAny)
