Limit the size of response heads and of what is discarded

One sick endpoint could end every host that called it: a response head without end was read until the deadline, into one header line or many short ones. Cause: exchanger calls http.ReadResponse, which has no limit of its own, without one.

Now a head, with the informational responses before it, may have 16 KiB, a discarded response to another request 64 KiB (1 MiB before); the connection is closed at the limit, the error names it, the call counts as may-have-run and the endpoint as failing. Metric: connections.oversized. Informational responses no longer count as responses to other requests, of which two are discarded (TestInformationalResponses).

Chunk headers and trailers were limited before by net/http; tests keep that.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -23,6 +23,13 @@
 // has arrived since. A response with another request's ID is discarded, and
 // the matching one is read after it.
 //
+// # Limits
+//
+// An endpoint may send bytes without end. Heads, informational responses, and bodies
+// that are discarded or buffered have limits of size, which are far below what the
+// calls' deadlines would allow; net/http limits chunk headers and trailers. A connection
+// on which a limit is exceeded is closed.
+//
 // Errors of Send are of type [*classifier.Error], or those of Request.MayWrite. The
 // verdict is not-run if no byte of the request was written.
 package exchanger
@@ -117,7 +124,9 @@
 	FailedDials         uint64 `json:"failed-dials"`
 	ReusedConnections   uint64 `json:"reused"`
 	MismatchedResponses uint64 `json:"foreign-answers"`
-	Idle                int    `json:"idle"`
+	// OversizedResponses counts the responses of which a part exceeded its limit.
+	OversizedResponses uint64 `json:"oversized"`
+	Idle               int    `json:"idle"`
 }
 
 // New creates an Exchanger with an empty connection pool.
@@ -206,6 +215,7 @@
 	}
 	if err := response.readHead(r); err != nil {
 		response.Close()
+		x.countOversized(err)
 		return nil, sendError(ctx, a, c, errors.Join(writeErr, err))
 	}
 	if writeErr != nil { // the endpoint responded without reading the whole body
@@ -248,7 +258,8 @@
 		x.updateStats(func(s *Stats) { s.FailedDials++ })
 		return nil, classifier.NotRun(classifier.ReasonHostUnreachable, 0, "failed to connect to %s: %w", a, err)
 	}
-	return &connection{address: a, conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	limit := &limitedReader{source: raw, left: unlimited}
+	return &connection{address: a, conn: raw, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}, nil
 }
 
 // Probe checks that address a is reachable by opening a connection, which is
@@ -262,6 +273,13 @@
 	return nil
 }
 
+// countOversized counts a response that failed with err if that is a limit.
+func (x *Exchanger) countOversized(err error) {
+	if errors.Is(err, ErrHeadTooLarge) || errors.Is(err, ErrTooLarge) {
+		x.updateStats(func(s *Stats) { s.OversizedResponses++ })
+	}
+}
+
 func (x *Exchanger) updateStats(f func(*Stats)) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -303,6 +321,7 @@
 type connection struct {
 	address      identifier.Address
 	conn         net.Conn
+	limit        *limitedReader // of reader
 	reader       *bufio.Reader
 	bytesWritten int // bytes of the current request
 	idleSince    time.Time
--- a/exchanger/response.go
+++ b/exchanger/response.go
@@ -16,7 +16,7 @@
 	// that are discarded before the request fails.
 	maxMismatchedResponses = 2
 	// maxMismatchedBytes limits the body size of a discarded response.
-	maxMismatchedBytes = 1 << 20
+	maxMismatchedBytes = 64 << 10
 )
 
 // ErrTooLarge indicates that a response body exceeds the limit.
@@ -75,16 +75,13 @@
 }
 
 // readHead reads the status line and headers of the response to q. It skips
-// informational responses and responses to other requests.
+// responses to other requests.
 func (r *Response) readHead(q *Request) error {
 	for range maxMismatchedResponses + 1 {
-		response, err := http.ReadResponse(r.connection.reader, &http.Request{Method: q.Method})
+		response, err := r.readFinalHead(q)
 		if err != nil {
 			return fmt.Errorf("failed to read response: %w", err)
 		}
-		if response.StatusCode < http.StatusOK {
-			continue // informational; the final response follows
-		}
 		if !r.mismatched(q, response) {
 			r.accept(response)
 			return nil
@@ -97,6 +94,20 @@
 	return fmt.Errorf("no matching response among the first %d", maxMismatchedResponses+1)
 }
 
+// readFinalHead reads a status line and headers, after informational responses.
+func (r *Response) readFinalHead(q *Request) (*http.Response, error) {
+	c := r.connection
+	c.limit.left = maxHeadBytes
+	defer func() { c.limit.left = unlimited }()
+	for range maxInformational + 1 {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: q.Method})
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
+	}
+	return nil, fmt.Errorf("%w: more than %d informational responses", ErrHeadTooLarge, maxInformational)
+}
+
 // mismatched reports whether the response carries the ID of another request.
 func (r *Response) mismatched(q *Request, response *http.Response) bool {
 	echoed := response.Header.Get(r.exchanger.options.IDHeader)
@@ -114,7 +125,7 @@
 		return err
 	}
 	if n == maxMismatchedBytes {
-		return ErrTooLarge
+		return fmt.Errorf("response to another request: %w", ErrTooLarge)
 	}
 	return nil
 }
@@ -148,6 +159,7 @@
 		return nil, classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "response from endpoint at %s was interrupted: %w", r.connection.address, err)
 	}
 	if int64(len(body)) > limit {
+		r.exchanger.countOversized(ErrTooLarge)
 		return nil, classifier.Ran(classifier.ReasonTooLarge, "response from endpoint at %s: %w", r.connection.address, ErrTooLarge)
 	}
 	return body, nil
