Limit the memory for buffered responses of all calls together

A host buffered up to 16 MiB for each call to an endpoint whose body had no end, times the calls under way. Now all buffered bodies of a host share 32 MiB, of which one endpoint's bodies get half; the first 64 KiB of each don't count, so that small responses are received meanwhile. The memory counts until the request has ended, not only until the body has been read. Over the endpoint's share the endpoint counts as failing; if other endpoints have taken the memory it doesn't.

--- /dev/null
+++ b/exchanger/buffers.go
@@ -0,0 +1,105 @@
+package exchanger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+)
+
+const (
+	// defaultMaxBuffered is the memory for the buffered bodies of all calls, in bytes.
+	defaultMaxBuffered = 32 << 20
+	// freeBufferBytes of each body don't count, so that small responses are received
+	// while large ones take all the memory.
+	freeBufferBytes = 64 << 10
+	// initialBufferBytes is the first size of a buffer whose body has no stated length.
+	initialBufferBytes = 4 << 10
+	// maxEndpointShare is the divisor of the memory that one endpoint's bodies may take.
+	maxEndpointShare = 2
+)
+
+// ErrBuffersFull indicates that the memory for buffered bodies is taken by other calls.
+var ErrBuffersFull = errors.New("memory for buffered responses is full")
+
+// buffers is an account of the memory for buffered bodies. It is safe for concurrent
+// use.
+type buffers struct {
+	limit int64
+
+	mu         sync.Mutex
+	taken      int64
+	byEndpoint map[identifier.Address]int64
+}
+
+func newBuffers(limit int64) *buffers {
+	return &buffers{limit: limit, byEndpoint: map[identifier.Address]int64{}}
+}
+
+// take takes n bytes for a body from an endpoint. Its errors are ErrTooLarge, if the
+// endpoint has taken its share, and ErrBuffersFull.
+func (b *buffers) take(a identifier.Address, n int64) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if share := b.limit / maxEndpointShare; b.byEndpoint[a]+n > share {
+		return fmt.Errorf("responses of the endpoint would take over %d bytes at a time: %w", share, ErrTooLarge)
+	}
+	if b.taken+n > b.limit {
+		return ErrBuffersFull
+	}
+	b.taken += n
+	b.byEndpoint[a] += n
+	return nil
+}
+
+// release returns n bytes.
+func (b *buffers) release(a identifier.Address, n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.taken -= n
+	b.byEndpoint[a] -= n
+	if b.byEndpoint[a] == 0 {
+		delete(b.byEndpoint, a)
+	}
+}
+
+// buffer is the memory of one body.
+type buffer struct {
+	account *buffers
+	address identifier.Address
+	bytes   []byte
+	taken   int64
+}
+
+// grow makes room for more bytes, of at most limit in all.
+func (b *buffer) grow(limit int64) error {
+	size := min(limit, max(initialBufferBytes, 2*int64(cap(b.bytes))))
+	if more := size - freeBufferBytes - b.taken; more > 0 {
+		if err := b.account.take(b.address, more); err != nil {
+			return err
+		}
+		b.taken += more
+	}
+	b.bytes = append(make([]byte, 0, size), b.bytes...)
+	return nil
+}
+
+// release returns the buffer's memory to the account.
+func (b *buffer) release() {
+	if b.taken > 0 {
+		b.account.release(b.address, b.taken)
+		b.taken = 0
+	}
+}
+
+// KeepBody lets the memory of the body that ReadAll has returned count as used until
+// ctx ends, instead of until Close.
+func (r *Response) KeepBody(ctx context.Context) {
+	kept := r.buffer
+	r.buffer = nil
+	if kept != nil {
+		context.AfterFunc(ctx, kept.release)
+	}
+}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -75,6 +75,9 @@
 	MaxIdle int
 	// IdleTimeout is the maximum time that a connection stays idle.
 	IdleTimeout time.Duration
+	// MaxBuffered is the memory in bytes for the bodies that ReadAll returns, for all
+	// calls together. The first freeBufferBytes of each body don't count.
+	MaxBuffered int64
 	// Dial replaces the default TCP dialer.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -112,6 +115,7 @@
 type Exchanger struct {
 	options Options
 	dial    func(ctx context.Context, address string) (net.Conn, error)
+	buffers *buffers
 
 	mu    sync.Mutex
 	idle  map[identifier.Address][]*connection
@@ -140,7 +144,10 @@
 	if o.IdleTimeout <= 0 {
 		o.IdleTimeout = defaultIdleTimeout
 	}
-	x := &Exchanger{options: o, dial: o.Dial, idle: map[identifier.Address][]*connection{}}
+	if o.MaxBuffered <= 0 {
+		o.MaxBuffered = defaultMaxBuffered
+	}
+	x := &Exchanger{options: o, dial: o.Dial, buffers: newBuffers(o.MaxBuffered), idle: map[identifier.Address][]*connection{}}
 	if x.dial == nil {
 		d := socket.Dialer(o.DialTimeout)
 		x.dial = func(ctx context.Context, address string) (net.Conn, error) {
--- a/exchanger/response.go
+++ b/exchanger/response.go
@@ -70,6 +70,7 @@
 	stopWatch  func() bool // stops watching ctx
 	body       io.ReadCloser
 	reusable   bool
+	buffer     *buffer // of the body, if ReadAll has read it
 	readToEnd  bool
 	closed     bool
 }
@@ -151,18 +152,44 @@
 	return n, err
 }
 
-// ReadAll reads the whole body, up to limit bytes. The verdict of its errors is
-// never not-run.
+// ReadAll reads the whole body, up to limit bytes. Its memory counts as used until
+// Close. The verdict of its errors is never not-run.
 func (r *Response) ReadAll(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if err != nil {
-		return nil, classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "response from endpoint at %s was interrupted: %w", r.connection.address, err)
+	a := r.connection.address
+	r.buffer = &buffer{account: r.exchanger.buffers, address: a}
+	body, err := r.fill(r.buffer, limit)
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.Is(err, ErrBuffersFull):
+		return nil, classifier.MayHaveRun(classifier.ReasonQueueFull, 0, "response from endpoint at %s: %w", a, err)
+	case errors.Is(err, ErrTooLarge):
+		r.exchanger.countOversized(err)
+		return nil, classifier.Ran(classifier.ReasonTooLarge, "response from endpoint at %s: %w", a, err)
+	default:
+		return nil, classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "response from endpoint at %s was interrupted: %w", a, err)
 	}
-	if int64(len(body)) > limit {
-		r.exchanger.countOversized(ErrTooLarge)
-		return nil, classifier.Ran(classifier.ReasonTooLarge, "response from endpoint at %s: %w", r.connection.address, ErrTooLarge)
+}
+
+// fill reads the body into a buffer and returns it.
+func (r *Response) fill(b *buffer, limit int64) ([]byte, error) {
+	for {
+		if len(b.bytes) == cap(b.bytes) {
+			if err := b.grow(limit + 1); err != nil {
+				return nil, err
+			}
+		}
+		n, err := r.Read(b.bytes[len(b.bytes):cap(b.bytes)])
+		b.bytes = b.bytes[:len(b.bytes)+n]
+		switch {
+		case int64(len(b.bytes)) > limit:
+			return nil, fmt.Errorf("over %d bytes: %w", limit, ErrTooLarge)
+		case errors.Is(err, io.EOF):
+			return b.bytes, nil
+		case err != nil:
+			return nil, err
+		}
 	}
-	return body, nil
 }
 
 // Close returns the connection to the pool if it can be reused, and closes it
@@ -172,6 +199,9 @@
 		return
 	}
 	r.closed = true
+	if r.buffer != nil {
+		r.buffer.release()
+	}
 	alive := r.stopWatch()
 	if alive && r.readToEnd && r.reusable && r.connection.reader.Buffered() == 0 {
 		if timeout := idleTimeout(r.Header, r.exchanger.options.IdleTimeout); timeout > 0 {
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -197,6 +197,7 @@
 	if a.err != nil {
 		return a
 	}
+	response.KeepBody(ctx) // until the request ends
 	a.err = f.checkResponse(response, e)
 	return a
 }
@@ -237,11 +238,11 @@
 	}
 }
 
-// failureVerdict distinguishes endpoints that got no call, and unreachable ones,
-// from failed ones.
+// failureVerdict distinguishes endpoints that got no call or whose response this host
+// had no memory for, and unreachable ones, from failed ones.
 func failureVerdict(c *classifier.Error) placer.Verdict {
 	switch c.Reason {
-	case classifier.ReasonEndpointExcluded:
+	case classifier.ReasonEndpointExcluded, classifier.ReasonQueueFull:
 		return placer.VerdictNone
 	case classifier.ReasonHostUnreachable:
 		return placer.VerdictUnreachable
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -246,6 +246,7 @@
 	if err != nil {
 		return err
 	}
+	r.KeepBody(s.request.Context())
 	s.engineFailure = &endpointResponse{endpoint: at, status: r.Status, header: r.Header, body: body}
 	return classifier.Ran(classifier.ReasonEndpointFailed, "engine %q responded with status %d", at.Name, r.Status)
 }
