Limit an event of a stream to 256 KiB

An event without end was read up to 1 MiB, for each stream at the same time. An event holds a few tokens; 256 KiB are far more than any, and hundreds of streams of a sick engine fit into a host's memory.

--- a/forwarder/broken_stream_test.go
+++ b/forwarder/broken_stream_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httputil"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -53,13 +54,16 @@
 				encoded += fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
 			}
 		}
-		encoded += "0\r\n\r\n"
+		encoded += lastChunk
 		return header + "Transfer-Encoding: chunked\r\n\r\n", encoded
 	default:
 		return header + "\r\n", body
 	}
 }
 
+// lastChunk ends a response that has chunks.
+const lastChunk = "0\r\n\r\n"
+
 // sendsRaw returns an engine that sends bytes as they are and ends the connection.
 func sendsRaw(raw string, end connectionEnd) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
@@ -278,7 +282,51 @@
 	})
 }
 
-// Streams that are whole reach their callers as complete, however they are framed.
+// An engine's event without end is given up at its size, and the caller doesn't wait for
+// its deadline.
+func TestEventsWithoutEnd(t *testing.T) {
+	for name, piece := range map[string]string{"one line": "x", "many lines": "data: x\n", "a line that ends in CR": "data: x\r"} {
+		for _, f := range []exchanger.Framing{exchanger.FramingConnection, exchanger.FramingChunks} {
+			t.Run(fmt.Sprintf("%s, %v", name, f), func(t *testing.T) {
+				i := is.New(t)
+				var sent atomic.Int64
+				got := receive(t, startEngines(t, zap.NewNop(), sendsWithoutEnd(f, firstEvent+"data: ", piece, &sent)))
+				i.Equal(got, received{status: http.StatusOK, body: firstEvent})
+				resumed := receive(t, startEngines(t, zap.NewNop(), sendsWithoutEnd(f, firstEvent+"data: ", piece, &sent), resumes))
+				i.Equal(resumed, received{status: http.StatusOK, body: wholeStream, complete: true})
+				i.True(sent.Load() < endlessBytes)
+			})
+		}
+	}
+}
+
+// endlessBytes is what an engine of sendsWithoutEnd would send until a deadline.
+const endlessBytes = 256 << 20
+
+// sendsWithoutEnd returns an engine that repeats a piece of text until the host closes the
+// connection, at most for endlessBytes.
+func sendsWithoutEnd(f exchanger.Framing, beginning, piece string, sent *atomic.Int64) http.HandlerFunc {
+	block := strings.Repeat(piece, (32<<10)/len(piece))
+	return func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer func() { _ = c.Close() }()
+		header, encoded := frame(f, beginning)
+		_, err = io.WriteString(c, header+strings.TrimSuffix(encoded, lastChunk))
+		for n := 0; err == nil && n < endlessBytes; n += len(block) {
+			sent.Add(int64(len(block)))
+			if f == exchanger.FramingChunks {
+				_, err = fmt.Fprintf(c, "%x\r\n%s\r\n", len(block), block)
+				continue
+			}
+			_, err = io.WriteString(c, block)
+		}
+	}
+}
+
+// A response that is no event stream has as complete, however they are framed.
 func TestWholeStreams(t *testing.T) {
 	for _, f := range framings {
 		t.Run(f.String(), func(t *testing.T) {
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -8,8 +8,9 @@
 	"strconv"
 )
 
-// maxEventBytes is the maximum size of an event.
-const maxEventBytes = 1 << 20
+// maxEventBytes is the maximum size of an event, which holds a few tokens. Each stream
+// may need as much memory.
+const maxEventBytes = 256 << 10
 
 var (
 	errEventTooLarge = errors.New("event is too large")
