--- a/forwarder/observation.go
+++ b/forwarder/observation.go
@@ -32,6 +32,8 @@
 	Duration                           time.Duration
 	// Stream is what the last engine of a stream has sent.
 	Stream StreamObservation
+	// BrokenOff has the framing of each engine's response that was broken off.
+	BrokenOff []string
 	// Err is nil if an endpoint's complete response was returned.
 	Err error
 }
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -51,7 +51,7 @@
 			}
 		case a.end != nil:
 			c.cancel()
-			s.observation.Stream.PartialBytes = a.end.partialBytes
+			s.observeEnd(ctx, *a.end)
 			if a.end.err == nil {
 				s.cancelReplacement(r)
 				s.complete(d)
@@ -230,6 +230,16 @@
 	o.Bytes += int64(len(p.event))
 }
 
+// observeEnd records what followed the last whole event, and a response that was broken
+// off.
+func (s *stream) observeEnd(ctx context.Context, e callEnd) {
+	o := &s.observation.Stream
+	o.PartialBytes = e.partialBytes
+	if e.err != nil && ctx.Err() == nil && o.Framing != "" {
+		s.observation.BrokenOff = append(s.observation.BrokenOff, o.Framing)
+	}
+}
+
 // checkHead checks the status and headers of a response. An engine's error
 // response is kept, to be returned to the caller if all further attempts fail.
 func (s *stream) checkHead(r *exchanger.Response, at *registrar.Endpoint) error {
--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -37,6 +37,8 @@
 	failures expvar.Map
 	closings expvar.Map // callers' connections that the host closed, by reason
 	moves    expvar.Map
+	// brokenOff counts the streams that engines broke off, by framing.
+	brokenOff expvar.Map
 
 	mu        sync.Mutex
 	latencies map[string]*hdrhistogram.Histogram
@@ -49,6 +51,7 @@
 	m.root.Set("failures", m.failures.Init())
 	m.root.Set("caller-connections-closed", m.closings.Init())
 	m.root.Set("stream-moves", m.moves.Init())
+	m.root.Set("streams-broken-off", m.brokenOff.Init())
 	m.root.Set("latency-ms", expvar.Func(m.latencySummary))
 	return m
 }
@@ -86,6 +89,9 @@
 	m.moves.Add("moved", int64(o.Moves.Moved))
 	m.moves.Add("continued", int64(o.Moves.Continued))
 	m.moves.Add("refused", int64(o.Moves.Refused))
+	for _, framing := range o.BrokenOff {
+		m.brokenOff.Add(framing, 1)
+	}
 	m.record(route+".whole", o.Duration)
 	if o.Err == nil {
 		m.record(route+answeredSuffix, o.Duration)
