Break off bare streams and send headers without end in the soak

Every second fault 'breaks off streams' sends them without length and chunks and closes the connection; every second 'hangs' sends headers without end. They alternate instead of being drawn at random, so that regression seeds keep the order of their faults.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -54,6 +54,7 @@
 			&cli.DurationFlag{Name: "duration", Value: 20 * time.Second, Usage: "time during which faults are injected, per seed"},
 			&cli.IntFlag{Name: "hosts", Value: 3, Usage: fmt.Sprintf("number of entry hosts, at most %d", maxHosts)},
 			&cli.Int64Flag{Name: "max-memory-mb", Value: 8192, Usage: "resident memory of all hosts above which they are ended"},
+			&cli.Int64Flag{Name: "max-host-memory-mb", Value: 134, Usage: "resident memory that a host may take; builds with the race detector need several times as much"},
 			&cli.BoolFlag{Name: "faults", Usage: "print all faults with their times"},
 		},
 		Action: soak,
@@ -82,13 +83,14 @@
 			return err
 		}
 		report, err := soaker.Run(ctx, soaker.Options{
-			Binary:      c.String("binary"),
-			OtherBinary: c.String("other-binary"),
-			Directory:   directory,
-			Seed:        seed,
-			Duration:    c.Duration("duration"),
-			Hosts:       c.Int("hosts"),
-			MaxMemory:   c.Int64("max-memory-mb") * megabyte,
+			Binary:        c.String("binary"),
+			OtherBinary:   c.String("other-binary"),
+			Directory:     directory,
+			Seed:          seed,
+			Duration:      c.Duration("duration"),
+			Hosts:         c.Int("hosts"),
+			MaxMemory:     c.Int64("max-memory-mb") * megabyte,
+			MaxHostMemory: c.Int64("max-host-memory-mb") * megabyte,
 		})
 		if err != nil {
 			return fmt.Errorf("seed %d: %w", seed, err)
@@ -121,8 +123,8 @@
 }
 
 func printReport(seed uint64, r *soaker.Report, faults bool) {
-	fmt.Printf("seed %d: %d sent, %d served, %d refused, %d failed, %d faults, %d starts, peak memory %d MB, %d broken\n",
-		seed, r.Sent, r.Served, r.Refused, r.Failed, len(r.Faults), r.Starts, r.PeakMemory/megabyte, len(r.Violations))
+	fmt.Printf("seed %d: %d sent, %d served, %d refused, %d failed, %d faults, %d starts, peak memory %d MB, of a host %d MB, %d broken\n",
+		seed, r.Sent, r.Served, r.Refused, r.Failed, len(r.Faults), r.Starts, r.PeakMemory/megabyte, r.PeakHostMemory/megabyte, len(r.Violations))
 	fmt.Printf("  by status (0: the connection ended): %v\n", r.Statuses)
 	if faults {
 		printFaults(r.Began, r.Faults)
--- a/emulator/soaker/checks.go
+++ b/emulator/soaker/checks.go
@@ -27,6 +27,7 @@
 	budgetKept     guarantee = "retries stay within the budget"
 	released       guarantee = "nothing is left behind"
 	recovered      guarantee = "hosts recover with the newest content of the store"
+	bounded        guarantee = "a host stays within its memory"
 	readable       guarantee = "hosts can read each other's messages"
 )
 
@@ -234,7 +235,7 @@
 
 // brokenOff reports whether a runner may have broken off the response.
 func (c *checker) brokenOff(o *outcome) bool {
-	if c.runnersHad(o, runnerDrops, runnerTruncates, runnerBreaks) {
+	if c.runnersHad(o, runnerDrops, runnerTruncates, runnerBreaks, runnerBreaksBare, runnerEndless) {
 		return true
 	}
 	return slices.ContainsFunc(c.reached[o.id], func(a reached) bool {
--- a/emulator/soaker/faults.go
+++ b/emulator/soaker/faults.go
@@ -135,26 +135,24 @@
 	return s.proxyFault(s.storeProxies[n], "link to the store of "+hostName(n))
 }
 
+// runnerSetting turns a fault of a runner on or off.
+type runnerSetting struct {
+	kind faultKind
+	set  func(o *standin.RunnerOptions, on bool)
+}
+
 // runnerFault makes a runner misbehave.
 func (s *system) runnerFault() injection {
 	r := s.runners[s.random.IntN(len(s.runners))]
 	work := s.work[r]
-	faults := []struct {
-		kind faultKind
-		set  func(o *standin.RunnerOptions, on bool)
-	}{
+	faults := []runnerSetting{
 		{runnerRejects, func(o *standin.RunnerOptions, on bool) { o.RejectAll = on }},
 		{runnerDrops, func(o *standin.RunnerOptions, on bool) { o.DropResponse = on }},
 		{runnerHangs, func(o *standin.RunnerOptions, on bool) { o.Hang = on }},
 		{runnerTruncates, func(o *standin.RunnerOptions, on bool) { o.Truncate = on }},
 		{runnerSendsExtra, func(o *standin.RunnerOptions, on bool) { o.ExtraResponse = on }},
 		{runnerExpires, func(o *standin.RunnerOptions, on bool) { o.ExpireHandles = on }},
-		{runnerBreaks, func(o *standin.RunnerOptions, on bool) {
-			o.BreakAfter, o.HalfEvent = 0, on
-			if on {
-				o.BreakAfter = streamEvents / 2
-			}
-		}},
+		{runnerBreaks, breakStreams},
 		{runnerSlow, func(o *standin.RunnerOptions, on bool) {
 			o.Work = work
 			if on {
@@ -168,13 +166,45 @@
 			}
 		}},
 	}
-	f := faults[s.random.IntN(len(faults))]
+	f := s.alternate(faults[s.random.IntN(len(faults))])
 	set := func(on bool) func() {
 		return func() { r.UpdateOptions(func(o *standin.RunnerOptions) { f.set(o, on) }) }
 	}
 	return lasting(f.kind, runnerName(r.Options().ID), set(true), set(false))
 }
 
+// breakStreams makes a runner break off streams in the middle of an event.
+func breakStreams(o *standin.RunnerOptions, on bool) {
+	o.BreakAfter, o.HalfEvent = 0, on
+	if on {
+		o.BreakAfter = streamEvents / 2
+	}
+}
+
+// alternatives are faults that replace every second one of a kind. They are not drawn at
+// random, so that the faults of the regression seeds stay in their order.
+var alternatives = map[faultKind]runnerSetting{
+	runnerBreaks: {runnerBreaksBare, func(o *standin.RunnerOptions, on bool) {
+		breakStreams(o, on)
+		o.Unframed = on
+	}},
+	runnerHangs: {runnerEndless, func(o *standin.RunnerOptions, on bool) { o.Endless = on }},
+}
+
+// alternate returns f, or its alternative if f was chosen the last time. Every second
+// seed begins with the alternative.
+func (s *system) alternate(f runnerSetting) runnerSetting {
+	other, ok := alternatives[f.kind]
+	if !ok {
+		return f
+	}
+	s.chosen[f.kind]++
+	if (s.chosen[f.kind]+s.options.Seed)%2 == 0 {
+		return f
+	}
+	return other
+}
+
 // silence makes a runner send nothing for a while; its connections stay open.
 func (s *system) silence() injection {
 	r := s.runners[s.random.IntN(len(s.runners))]
--- a/emulator/soaker/history.go
+++ b/emulator/soaker/history.go
@@ -31,6 +31,8 @@
 	runnerSendsExtra   faultKind = "sends extra responses"
 	runnerExpires      faultKind = "expires handles"
 	runnerBreaks       faultKind = "breaks off streams"
+	runnerBreaksBare   faultKind = "breaks off streams without length and chunks"
+	runnerEndless      faultKind = "sends headers without end"
 	runnerSilent       faultKind = "is silent"
 	runnerSlow         faultKind = "is slow"
 	runnerLeaves       faultKind = "announces that it leaves"
--- a/emulator/soaker/soaker.go
+++ b/emulator/soaker/soaker.go
@@ -69,6 +69,9 @@
 	// MaxMemory is the number of bytes of resident memory of all hosts above
 	// which the soak is ended; 0 means no limit.
 	MaxMemory int64
+	// MaxHostMemory is the number of bytes of resident memory that each host has; 0
+	// means no limit.
+	MaxHostMemory int64
 }
 
 // Report is the result of a soak.
@@ -82,8 +85,10 @@
 	Starts int
 	// PeakMemory is the highest resident memory of all hosts together, in bytes.
 	PeakMemory int64
-	Began      time.Time
-	Faults     []Fault
+	// PeakHostMemory is the highest resident memory of a host, in bytes.
+	PeakHostMemory int64
+	Began          time.Time
+	Faults         []Fault
 	// Violations are the broken guarantees.
 	Violations []Violation
 }
@@ -131,8 +136,10 @@
 	storeProxies  []*proxy // one per host
 	hosts         []*process
 	// work is each runner's usual duration of work.
-	work       map[*standin.Runner]time.Duration
-	history    *history
+	work    map[*standin.Runner]time.Duration
+	history *history
+	// chosen counts the faults that have an alternative, by kind.
+	chosen     map[faultKind]uint64
 	outcomeLog *outcomeLog
 	report     Report
 
@@ -152,6 +159,7 @@
 		store:      standin.NewStore(),
 		work:       map[*standin.Runner]time.Duration{},
 		history:    &history{},
+		chosen:     map[faultKind]uint64{},
 		outcomeLog: &outcomeLog{},
 	}
 	defer s.stop()
@@ -186,7 +194,9 @@
 	for sleeper.Sleep(ctx, memoryPeriod) == nil {
 		total := int64(0)
 		for _, p := range s.hosts {
-			total += p.memory()
+			m := p.memory()
+			s.report.PeakHostMemory = max(s.report.PeakHostMemory, m)
+			total += m
 		}
 		s.report.PeakMemory = max(s.report.PeakMemory, total)
 		if s.options.MaxMemory > 0 && total > s.options.MaxMemory {
@@ -209,6 +219,9 @@
 	s.count()
 	s.checkHosts()
 	s.checkLogs()
+	if limit := s.options.MaxHostMemory; limit > 0 && s.report.PeakHostMemory > limit {
+		s.reportViolation(bounded, "a host took %d bytes, %d allowed", s.report.PeakHostMemory, limit)
+	}
 	s.report.Faults = s.history.all()
 	for _, p := range s.hosts {
 		s.report.Starts += p.starts
--- a/emulator/soaker/soaker_test.go
+++ b/emulator/soaker/soaker_test.go
@@ -20,6 +20,10 @@
 // shortDuration is how long faults are injected in CI.
 const shortDuration = 8 * time.Second
 
+// maxRaceMemory is the memory of a host of 134 MB, times what the race detector needs
+// for each byte in use.
+const maxRaceMemory = 5 * 134 << 20
+
 func TestSoak(t *testing.T) {
 	if testing.Short() {
 		t.Skip("soaks run for many seconds")
@@ -34,6 +38,7 @@
 			i := is.New(t)
 			report, err := soaker.Run(context.Background(), soaker.Options{
 				Binary: binary, Directory: t.TempDir(), Seed: seed, Duration: shortDuration,
+				MaxHostMemory: maxRaceMemory,
 			})
 			i.NoErr(err)
 			for _, v := range report.Violations {
