Limit headers and messages that clients of the own protocol receive

Bytes without end, on the own protocol: the headers of an endpoint's response were limited by net/http's default of 10 MB only, messages of the configuration service and those that the Go client receives not at all.

--- a/client/client.go
+++ b/client/client.go
@@ -64,6 +64,10 @@
 	Connect []connect.ClientOption
 }
 
+// maxMessageBytes limits the size of a message from a host, unless Options.Connect sets
+// another limit.
+const maxMessageBytes = 16 << 20
+
 // Client calls entry hosts. It is safe for concurrent use.
 type Client struct {
 	customer identifier.Customer
@@ -97,7 +101,8 @@
 	}
 	c.nextHost.Store(o.Seed % uint64(len(o.Addresses)))
 	for _, address := range o.Addresses {
-		caller := callerwireconnect.NewCallerServiceClient(o.HTTPClient, address, o.Connect...)
+		options := append([]connect.ClientOption{connect.WithReadMaxBytes(maxMessageBytes)}, o.Connect...)
+		caller := callerwireconnect.NewCallerServiceClient(o.HTTPClient, address, options...)
 		c.hosts = append(c.hosts, &host{CallerServiceClient: caller})
 	}
 	return c, nil
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -38,6 +38,8 @@
 const (
 	defaultDialTimeout     = time.Second
 	defaultMaxMessageBytes = 4 << 20
+	// maxHeadBytes limits the headers of a response.
+	maxHeadBytes = 64 << 10
 	// pingInterval is how long a connection may receive nothing before it is
 	// checked with a ping; pingTimeout is how long the reply may take.
 	pingInterval = 2 * time.Second
@@ -71,6 +73,8 @@
 		DialContext: o.Dial,
 		Protocols:   protocols,
 		HTTP2:       &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return &Connector{
 		transport: transport,
@@ -84,7 +88,7 @@
 	if e, ok := c.engineClients.Load(address); ok {
 		return e.(enginewireconnect.EngineServiceClient)
 	}
-	newClient := enginewireconnect.NewEngineServiceClient(c.client, "http://"+string(address), connect.WithReadMaxBytes(c.maxBytes))
+	newClient := enginewireconnect.NewEngineServiceClient(c.client, "http://"+string(address), c.MessageLimit())
 	e, _ := c.engineClients.LoadOrStore(address, newClient)
 	return e.(enginewireconnect.EngineServiceClient)
 }
@@ -94,12 +98,18 @@
 	if p, ok := c.plainClients.Load(address); ok {
 		return p.(enginewireconnect.PlainServiceClient)
 	}
-	newClient := enginewireconnect.NewPlainServiceClient(c.client, "http://"+string(address), connect.WithReadMaxBytes(c.maxBytes))
+	newClient := enginewireconnect.NewPlainServiceClient(c.client, "http://"+string(address), c.MessageLimit())
 	p, _ := c.plainClients.LoadOrStore(address, newClient)
 	return p.(enginewireconnect.PlainServiceClient)
 }
 
-// HTTP returns the HTTP client shared by all others, for calls to other services.
+// MessageLimit returns the option that limits the size of received messages.
+func (c *Connector) MessageLimit() connect.ClientOption {
+	return connect.WithReadMaxBytes(c.maxBytes)
+}
+
+// HTTP returns the HTTP client shared by all others, for calls to other services, whose
+// clients need MessageLimit.
 func (c *Connector) HTTP() *http.Client {
 	return c.client
 }
--- a/launcher/config.go
+++ b/launcher/config.go
@@ -48,7 +48,7 @@
 		c.markServing(previous, next)
 	})
 	h := c.host
-	platform := platformwireconnect.NewPlatformServiceClient(h.connector.HTTP(), "http://"+string(h.settings.Platform.Address))
+	platform := platformwireconnect.NewPlatformServiceClient(h.connector.HTTP(), "http://"+string(h.settings.Platform.Address), h.connector.MessageLimit())
 	options := watcher.DefaultOptions()
 	options.Key = h.settings.Platform.Key
 	options.Wait = h.settings.Platform.Wait
