Derive the memory for buffered responses from the host's memory

Now they share a fifth of limits.memory-bytes, and 32 MiB only if that is unknown; half of it for one endpoint, as before.

--- a/cmd/entry-host/main.go
+++ b/cmd/entry-host/main.go
@@ -17,7 +17,7 @@
 
 func main() {
 	connect := func(s *hoster.Settings) hoster.Platform {
-		return platform.New(platform.Options{Store: s.Store.Address})
+		return platform.New(platform.Options{Store: s.Store.Address, MaxBuffered: s.Limits.MaxBuffered()})
 	}
 	if err := hoster.Run(os.Getenv(platform.SettingsVariable), connect, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/hoster/settings.go
+++ b/hoster/settings.go
@@ -87,6 +87,16 @@
 	MemoryBytes int64 `toml:"memory-bytes" validate:"gte=0"`
 }
 
+// bufferedShare is the part of the process's memory for buffered responses. Their buffers
+// leave garbage of about the same size.
+const bufferedShare = 0.2
+
+// MaxBuffered returns the memory in bytes for buffered responses; 0 if the memory of the
+// process is unknown.
+func (l Limits) MaxBuffered() int64 {
+	return int64(bufferedShare * float64(l.MemoryBytes))
+}
+
 // LogSettings bound the volume of the log.
 type LogSettings struct {
 	// LinesPerSecond bounds the lines of each event.
