Pace the reads of the store

Each change of the store ended a watch, and the next one was asked for at once: a series of n changes cost n calls of each host that reads.

A read now starts 250 ms after the one before at the earliest, and 1 s if the host reads only since its reader failed; its watch is shorter by that time, so that the store confirms the copy as often as before. Failed reads keep their backoff, and a host that was suspended reads at once.

--- a/replicator/reading.go
+++ b/replicator/reading.go
@@ -16,6 +16,11 @@
 // meanwhile.
 const maxListings = 3
 
+// minWatchWait is how long the store holds a watch open at least. What a read has
+// waited before is taken off, so that the store confirms the replica as often as
+// without a wait.
+const minWatchWait = 100 * time.Millisecond
+
 var (
 	// errEarlierEra reports an answer from an era before the replica's.
 	errEarlierEra = errors.New("store's answer is from an earlier era")
@@ -87,11 +92,16 @@
 // read lists or watches the store once. A replica that was already filled by a
 // peer needs no listing.
 func (r *Replicator) read(ctx context.Context) error {
+	waited, err := r.pace(ctx)
+	if err != nil {
+		return err
+	}
 	after := r.replica.Position()
 	ctx, cancel := context.WithTimeout(ctx, r.options.WatchWait+r.options.ReplyMargin)
 	defer cancel()
-	changes, err := r.listOrWatch(ctx, after)
+	changes, err := r.listOrWatch(ctx, after, max(minWatchWait, r.options.WatchWait-waited))
 	if err != nil {
+		r.readAt = time.Time{} // the next read waits for the backoff only
 		return err
 	}
 	if !r.replica.Accepts(changes) {
@@ -102,11 +112,27 @@
 	return nil
 }
 
-func (r *Replicator) listOrWatch(ctx context.Context, after identifier.Position) (ChangeSet, error) {
+// pace waits until the next read of the store may start, and returns how long.
+func (r *Replicator) pace(ctx context.Context) (waited time.Duration, err error) {
+	interval := r.options.ReadInterval
+	if !r.deps.ReadsStore() {
+		interval = r.options.DirectReadInterval
+	}
+	waited = max(0, interval-time.Since(r.readAt))
+	if err := sleeper.Sleep(ctx, waited); err != nil {
+		r.readAt = time.Time{}
+		return 0, err
+	}
+	r.readAt = time.Now()
+	return waited, nil
+}
+
+// listOrWatch watches the store for up to wait, or lists it.
+func (r *Replicator) listOrWatch(ctx context.Context, after identifier.Position, wait time.Duration) (ChangeSet, error) {
 	if after.IsZero() {
 		return r.list(ctx)
 	}
-	changes, err := r.deps.Store.Watch(ctx, after, r.options.WatchWait)
+	changes, err := r.deps.Store.Watch(ctx, after, wait)
 	if errors.Is(err, ErrHistoryLost) {
 		r.deps.Log.Info("store-history-unavailable", append(positionFields(after), zap.Error(err))...)
 		return r.list(ctx)
--- a/replicator/reading_test.go
+++ b/replicator/reading_test.go
@@ -21,6 +21,7 @@
 	listings []answer
 	watches  []answer
 	listed   int
+	watched  int
 }
 
 type answer struct {
@@ -38,6 +39,7 @@
 func (s *scriptedStore) Watch(ctx context.Context, _ identifier.Position, _ time.Duration) (ChangeSet, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.watched++
 	if len(s.watches) == 0 {
 		s.mu.Unlock()
 		<-ctx.Done()
@@ -85,6 +87,12 @@
 
 // startReading starts a replicator that reads a store.
 func startReading(t *testing.T, s Store, p Peers) *Replicator {
+	t.Helper()
+	return startReadingAs(t, s, p, true)
+}
+
+// startReadingAs starts a replicator of a host that is a reader of the store, or not.
+func startReadingAs(t *testing.T, s Store, p Peers, reader bool) *Replicator {
 	t.Helper()
 	g := grouper.New(context.Background())
 	t.Cleanup(func() {
@@ -92,7 +100,7 @@
 		_ = g.Wait() // its members return no errors
 	})
 	return Start(Deps{
-		Store: s, Peers: p, ReadsStore: func() bool { return true },
+		Store: s, Peers: p, ReadsStore: func() bool { return reader },
 		OnChange: func([]Item, identifier.Position) {},
 		Timer:    timer.New(g), Group: g, Log: zap.NewNop(),
 	}, DefaultOptions())
@@ -155,3 +163,53 @@
 		i.Equal(r.Replica().Position(), second)
 	})
 }
+
+// endlessChanges implements Store: each watch returns a change at once.
+type endlessChanges struct {
+	scriptedStore
+	revision identifier.Revision
+}
+
+func (e *endlessChanges) Watch(context.Context, identifier.Position, time.Duration) (ChangeSet, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.watched++
+	e.revision++
+	return update(1, e.revision), nil
+}
+
+// Each change of a series was read by a call of its own, by all hosts of a data center if
+// their reader had failed.
+func TestReadsOfASeriesOfChanges(t *testing.T) {
+	const duration = 1100 * time.Millisecond
+	cases := []struct {
+		name   string
+		reader bool
+		most   int // watches within duration
+	}{
+		{"by the reader", true, 5},
+		{"by a host whose reader failed", false, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			i := is.New(t)
+			s := &endlessChanges{scriptedStore: scriptedStore{listings: []answer{{changes: listing(1, 5)}}}, revision: 5}
+			startReadingAs(t, s, noPeers{}, c.reader)
+			time.Sleep(duration)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			i.True(s.watched > 0)
+			i.True(s.watched <= c.most)
+		})
+	}
+	t.Run("a host that was suspended reads at once", func(t *testing.T) {
+		t.Parallel()
+		s := &endlessChanges{scriptedStore: scriptedStore{listings: []answer{{changes: listing(1, 5)}}}, revision: 5}
+		r := startReadingAs(t, s, noPeers{}, false)
+		assertPosition(t, r, identifier.Position{Era: 1, Revision: 6})
+		r.Invalidate(0)
+		time.Sleep(DefaultOptions().MinBackoff * 2)
+		is.New(t).True(r.Replica().Position().Revision > 6)
+	})
+}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -106,6 +106,11 @@
 	WatchWait time.Duration
 	// ReplyMargin is how much longer than WatchWait an answer may take.
 	ReplyMargin time.Duration
+	// ReadInterval is the least time from the start of a read of the store to the next
+	// one's, so that a series of changes takes few reads. DirectReadInterval is that of
+	// hosts that read the store only since their reader failed; all hosts of a data
+	// center may do that at the same time.
+	ReadInterval, DirectReadInterval time.Duration
 	// MinBackoff and MaxBackoff bound the wait between failed reads.
 	MinBackoff, MaxBackoff time.Duration
 	// FollowWait is how long a reader may hold a follow request open without a
@@ -138,19 +143,21 @@
 // milliseconds.
 func DefaultOptions() Options {
 	return Options{
-		WatchWait:         time.Second,
-		ReplyMargin:       time.Second,
-		MinBackoff:        100 * time.Millisecond,
-		MaxBackoff:        1500 * time.Millisecond,
-		FollowWait:        700 * time.Millisecond,
-		StaleAfter:        1300 * time.Millisecond,
-		DirectReadPeriod:  4 * time.Second,
-		PeerQueryPeriod:   time.Second,
-		OutageQueryPeriod: 200 * time.Millisecond,
-		PeerQueryTimeout:  300 * time.Millisecond,
-		OutageAfter:       1500 * time.Millisecond,
-		DeletionGrace:     2 * time.Second,
-		OutdatedHold:      10 * time.Second,
+		WatchWait:          time.Second,
+		ReplyMargin:        time.Second,
+		ReadInterval:       250 * time.Millisecond,
+		DirectReadInterval: time.Second,
+		MinBackoff:         100 * time.Millisecond,
+		MaxBackoff:         1500 * time.Millisecond,
+		FollowWait:         700 * time.Millisecond,
+		StaleAfter:         1300 * time.Millisecond,
+		DirectReadPeriod:   4 * time.Second,
+		PeerQueryPeriod:    time.Second,
+		OutageQueryPeriod:  200 * time.Millisecond,
+		PeerQueryTimeout:   300 * time.Millisecond,
+		OutageAfter:        1500 * time.Millisecond,
+		DeletionGrace:      2 * time.Second,
+		OutdatedHold:       10 * time.Second,
 	}
 }
 
@@ -165,6 +172,7 @@
 	confirmedAt atomic.Int64
 	started     time.Time
 	readUntil   time.Time // used by follow only
+	readAt      time.Time // start of the last read; used by follow only
 
 	// unconfirmed is set from a suspension of the host until the next
 	// confirmation.
