Let the soak's proxies survive a lack of descriptors

Cause, by the hosts' logs: all late calls had tried desk-1, and the soak had run out of its 20,000 descriptors seconds before; a proxy whose Accept failed once never accepted again. TestProxyWithoutDescriptors failed before. A fault of the soak; no host's code changes.

--- a/emulator/soaker/callers.go
+++ b/emulator/soaker/callers.go
@@ -15,6 +15,8 @@
 	meanCallPause = 40 * time.Millisecond
 	// keptConnections is how many open connections to a host a caller keeps.
 	keptConnections = 3
+	// maxKept is how many open connections a caller keeps in all.
+	maxKept = 60
 	// One request in splitShare is sent in two parts, up to maxSplit apart.
 	splitShare = 8
 	maxSplit   = 4 * time.Millisecond
@@ -45,6 +47,8 @@
 	number int
 	random *rand.Rand
 	kept   map[int][]*connection // by host
+	// keptCount is the number of connections in kept.
+	keptCount int
 }
 
 // runCaller sends requests until ctx is canceled.
@@ -87,6 +91,7 @@
 	if at := c.random.IntN(keptConnections); at < len(kept) {
 		k := kept[at]
 		c.kept[host] = append(kept[:at:at], kept[at+1:]...)
+		c.keptCount--
 		if k.open() {
 			return k, nil
 		}
@@ -96,9 +101,10 @@
 }
 
 func (c *caller) put(host int, k *connection, usable bool) {
-	if !usable || len(c.kept[host]) >= keptConnections {
+	if !usable || len(c.kept[host]) >= keptConnections || c.keptCount >= maxKept {
 		k.close()
 		return
 	}
 	c.kept[host] = append(c.kept[host], k)
+	c.keptCount++
 }
--- a/emulator/soaker/proxy.go
+++ b/emulator/soaker/proxy.go
@@ -59,17 +59,29 @@
 			p.resetAll()
 		})
 		defer stop()
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			g.Run(func(context.Context) { p.serve(c) })
-		}
+		p.accept(g, ln)
 	})
 	return p, nil
 }
 
+// accept serves the connections of a listener until that is closed.
+func (p *proxy) accept(g *grouper.Group, ln net.Listener) {
+	for {
+		c, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // such as too many open files
+			time.Sleep(acceptRetry)
+			continue
+		}
+		g.Run(func(context.Context) { p.serve(c) })
+	}
+}
+
+// acceptRetry is how long a proxy that can't accept a connection waits.
+const acceptRetry = 5 * time.Millisecond
+
 // setFault sets the current fault; faultNone ends it.
 func (p *proxy) setFault(f proxyFault) {
 	p.mu.Lock()
--- a/emulator/soaker/proxy_test.go
+++ b/emulator/soaker/proxy_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -47,6 +48,46 @@
 	i.True(err != nil && !errors.Is(err, os.ErrDeadlineExceeded)) // the end is noticed late
 }
 
+// failingListener fails once before each connection that it accepts.
+type failingListener struct {
+	net.Listener
+	failed bool
+}
+
+func (f *failingListener) Accept() (net.Conn, error) {
+	f.failed = !f.failed
+	if f.failed {
+		return nil, syscall.EMFILE
+	}
+	return f.Listener.Accept()
+}
+
+// A proxy that once had no descriptor for a connection accepted none any more, so that
+// its runner was unreachable until the end of the soak.
+func TestProxyWithoutDescriptors(t *testing.T) {
+	i := is.New(t)
+	g := grouper.New(context.Background())
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	i.NoErr(err)
+	server, err := net.Listen("tcp", "127.0.0.1:0")
+	i.NoErr(err)
+	p, err := startProxy(g, identifier.Address(server.Addr().String()))
+	i.NoErr(err)
+	g.Run(func(context.Context) { p.accept(g, &failingListener{Listener: ln}) })
+	t.Cleanup(func() {
+		_ = ln.Close()
+		_ = server.Close()
+		g.Stop()
+		i.NoErr(g.Wait())
+	})
+	client, err := net.Dial("tcp", ln.Addr().String())
+	i.NoErr(err)
+	defer func() { _ = client.Close() }()
+	i.NoErr(server.(*net.TCPListener).SetDeadline(time.Now().Add(5 * time.Second)))
+	_, err = server.Accept()
+	i.NoErr(err)
+}
+
 // passed sends text and returns what arrives at the other end within a short time.
 func passed(t *testing.T, from, to net.Conn, text string) string {
 	t.Helper()
