Name an endpoint's share of the buffers as a part, and a fault by its framing

From reading the diff as a newcomer: maxEndpointShare was a divisor called a share; the soak's fault of streams without framing was called bare. No behaviour changes.

--- a/emulator/soaker/checks.go
+++ b/emulator/soaker/checks.go
@@ -235,7 +235,7 @@
 
 // brokenOff reports whether a runner may have broken off the response.
 func (c *checker) brokenOff(o *outcome) bool {
-	if c.runnersHad(o, runnerDrops, runnerTruncates, runnerBreaks, runnerBreaksBare, runnerEndless) {
+	if c.runnersHad(o, runnerDrops, runnerTruncates, runnerBreaks, runnerBreaksUnframed, runnerEndless) {
 		return true
 	}
 	return slices.ContainsFunc(c.reached[o.id], func(a reached) bool {
--- a/emulator/soaker/faults.go
+++ b/emulator/soaker/faults.go
@@ -184,7 +184,7 @@
 // alternatives are faults that replace every second one of a kind. They are not drawn at
 // random, so that the faults of the regression seeds stay in their order.
 var alternatives = map[faultKind]runnerSetting{
-	runnerBreaks: {runnerBreaksBare, func(o *standin.RunnerOptions, on bool) {
+	runnerBreaks: {runnerBreaksUnframed, func(o *standin.RunnerOptions, on bool) {
 		breakStreams(o, on)
 		o.Unframed = on
 	}},
--- a/exchanger/buffers.go
+++ b/exchanger/buffers.go
@@ -15,10 +15,10 @@
 	// freeBufferBytes of each body don't count, so that small responses are received
 	// while large ones take all the memory.
 	freeBufferBytes = 64 << 10
-	// initialBufferBytes is the first size of a buffer whose body has no stated length.
+	// initialBufferBytes is the first size of a buffer, which doubles as it fills.
 	initialBufferBytes = 4 << 10
-	// maxEndpointShare is the divisor of the memory that one endpoint's bodies may take.
-	maxEndpointShare = 2
+	// endpointShare is the part of the memory that the bodies of one endpoint may take.
+	endpointShare = 0.5
 )
 
 // ErrBuffersFull indicates that the memory for buffered bodies is taken by other calls.
@@ -43,7 +43,7 @@
 func (b *buffers) take(a identifier.Address, n int64) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if share := b.limit / maxEndpointShare; b.byEndpoint[a]+n > share {
+	if share := int64(endpointShare * float64(b.limit)); b.byEndpoint[a]+n > share {
 		return fmt.Errorf("responses of the endpoint would take over %d bytes at a time: %w", share, ErrTooLarge)
 	}
 	if b.taken+n > b.limit {
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -328,7 +328,7 @@
 type connection struct {
 	address      identifier.Address
 	conn         net.Conn
-	limit        *limitedReader // of reader
+	limit        *limitedReader // from which reader reads
 	reader       *bufio.Reader
 	bytesWritten int // bytes of the current request
 	idleSince    time.Time
