Synchronize a counter in the test of membership in virtual time

Its subscriber adds to a counter in the gossiper's goroutine; the test reads it after synctest.Wait, and a later change of the view (a host that restarts) adds to it again, which nothing orders after the read. The check is the same.

--- a/gossiper/virtual_test.go
+++ b/gossiper/virtual_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -126,8 +127,8 @@
 			is.True(h.View().Leaving("engine-1"))
 		}
 
-		calls := 0
-		all[0].Subscribe(func(v *gossiper.View) { calls += len(v.Members()) })
+		var calls atomic.Int64
+		all[0].Subscribe(func(v *gossiper.View) { calls.Add(int64(len(v.Members()))) })
 		all[4].stop()
 		time.Sleep(detectBound)
 		for _, h := range all[:4] {
@@ -135,7 +136,7 @@
 			is.Equal(h.Stats().Died, uint64(1))
 		}
 		synctest.Wait()
-		is.True(calls > 0)
+		is.True(calls.Load() > 0)
 
 		restarted := p.start(4, "10.0.0.1:7400")
 		time.Sleep(joinBound)
