Ask peers as soon as the copy of a silent store is stale

Cause: a host asked its peers every 200 ms only once a read had failed, and a read that gets no answer fails after 2 s; until then it asked one random peer a second. Since reads are paced, a host that reads in place of its reader reads once a second, so a host without an answer also found fewer peers that had the change already.

In a trace of a slow one a host reads at 47.578 s, its next read gets no answer from 48.578 s on, another host has the change at 48.683 s, and the host asked that one at 49.980 s only.

Now a stale copy counts like a failed read: peers are asked every 200 ms. And a watch that begins late, and is held open shorter for that, fails earlier by the same time. TestSilentStore failed before in all of its three cases.

--- a/replicator/connectivity.go
+++ b/replicator/connectivity.go
@@ -62,10 +62,10 @@
 }
 
 // peerQueryDue reports whether to query a peer now. Queries are more frequent
-// while reads fail or the replica is empty.
-func (c *connectivity) peerQueryDue(now time.Time, unknown bool) bool {
+// while reads fail or the replica is empty or stale.
+func (c *connectivity) peerQueryDue(now time.Time, stale bool) bool {
 	period := c.options.PeerQueryPeriod
-	if unknown || !c.failingSince.IsZero() {
+	if stale || !c.failingSince.IsZero() {
 		period = c.options.OutageQueryPeriod
 	}
 	if now.Sub(c.peerQueriedAt) < period {
--- a/replicator/reading.go
+++ b/replicator/reading.go
@@ -132,7 +132,7 @@
 	if after.IsZero() {
 		return r.list(ctx)
 	}
-	changes, err := r.deps.Store.Watch(ctx, after, wait)
+	changes, err := r.watch(ctx, after, wait)
 	if errors.Is(err, ErrHistoryLost) {
 		r.deps.Log.Info("store-history-unavailable", append(positionFields(after), zap.Error(err))...)
 		return r.list(ctx)
@@ -143,6 +143,13 @@
 	return changes, err
 }
 
+// watch watches the store for up to wait.
+func (r *Replicator) watch(ctx context.Context, after identifier.Position, wait time.Duration) (ChangeSet, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+r.options.ReplyMargin)
+	defer cancel()
+	return r.deps.Store.Watch(ctx, after, wait)
+}
+
 // list lists the store, again if it is restored meanwhile.
 func (r *Replicator) list(ctx context.Context) (ChangeSet, error) {
 	for range maxListings - 1 {
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -104,7 +104,7 @@
 type Options struct {
 	// WatchWait is how long the store may hold a watch open without a change.
 	WatchWait time.Duration
-	// ReplyMargin is how much longer than WatchWait an answer may take.
+	// ReplyMargin is how much longer than the store may hold it open a watch may take.
 	ReplyMargin time.Duration
 	// ReadInterval is the least time from the start of a read of the store to the next
 	// one's, so that a series of changes takes few reads. DirectReadInterval is that of
@@ -116,14 +116,14 @@
 	// FollowWait is how long a reader may hold a follow request open without a
 	// change.
 	FollowWait time.Duration
-	// StaleAfter is the age of the store's confirmation from which a reader's
-	// answer counts as stale. It has to be longer than WatchWait.
+	// StaleAfter is the age of the store's confirmation from which a replica and a
+	// reader's answer count as stale. It has to be longer than WatchWait.
 	StaleAfter time.Duration
 	// DirectReadPeriod is how long a host reads the store itself after its reader
 	// failed or was stale.
 	DirectReadPeriod time.Duration
 	// PeerQueryPeriod is the time between two queries to a peer, and
-	// OutageQueryPeriod that while reads fail or the replica is empty.
+	// OutageQueryPeriod that while reads fail or the replica is empty or stale.
 	PeerQueryPeriod, OutageQueryPeriod time.Duration
 	// PeerQueryTimeout bounds a query to a peer.
 	PeerQueryTimeout time.Duration
@@ -229,6 +229,12 @@
 	return time.Since(r.started) - time.Duration(r.confirmedAt.Load())
 }
 
+// stale reports whether the replica is empty or the store hasn't confirmed it
+// recently.
+func (r *Replicator) stale() bool {
+	return !r.Synced() || r.Age() >= r.options.StaleAfter
+}
+
 // WaitForChanges returns the changes after a position, for a peer. If there are
 // none, it waits for at most wait.
 func (r *Replicator) WaitForChanges(ctx context.Context, after identifier.Position, wait time.Duration) ChangeSet {
@@ -386,7 +392,7 @@
 	if deletions+outdated > 0 {
 		r.publish(now)
 	}
-	due := r.connectivity.peerQueryDue(now, r.replica.Position().IsZero())
+	due := r.connectivity.peerQueryDue(now, r.stale())
 	r.mu.Unlock()
 	if due {
 		r.queryPeer()
