Log the spread of outputs that a placement decision used

The suspected cause, a far too large spread of outputs while the new model has few samples, was in no log line.

request-placed and placement-rejected now have `output-spread` while it is known.

--- a/reserver/model.go
+++ b/reserver/model.go
@@ -190,5 +190,8 @@
 	if response, ok := q.model.Response(req.Prompt, req.output()); ok {
 		fields = append(fields, zap.Duration("expected-response", response))
 	}
+	if spread, ok := q.model.OutputSpread(); ok {
+		fields = append(fields, zap.Float64("output-spread", spread))
+	}
 	return fields
 }
