Measure the spread of outputs by a ratio of means

Cause: the spread was a mean of ratios, of an output's time to the expected one, and expected times came from the first sample on. Placement leaves one standard deviation of the outputs free at each engine that has a request; with that spread none had room for a second one.

Ruled out: too few samples as such (a simulation of even outputs: 1.2 at the median with ten samples, 3.1 at most).

Now deviations are summed and divided by the sum of the output times, and none is recorded before the speed is known. TestOutputSpread failed before in two of four cases (298 and 69 in place of 0.5 and 0.38).

--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -96,9 +96,10 @@
 	// seconds that they took after the first event. Their ratio is steadier than the
 	// mean of ratios, as expected numbers are often far off.
 	OutputTokens, OutputTimes Average
-	// OutputErrors is the deviation of output times from the expected ones, as a share
-	// of the latter.
-	OutputErrors Average
+	// OutputDeviations is the absolute difference in seconds between output times and
+	// the expected ones, MeasuredOutputTimes those output times. The ratio of their
+	// means is steadier than the mean of ratios: some outputs take next to no time.
+	OutputDeviations, MeasuredOutputTimes Average
 	// MemoryUse is the product of the tokens that a request occupied at its decode
 	// engine and the seconds for which it did.
 	MemoryUse Average
@@ -140,11 +141,14 @@
 		return
 	}
 	m.FirstEvents.add(r.FirstEvent.Seconds(), shortWindow)
-	if expected := m.TimePerToken() * float64(r.Output); expected > 0 {
-		m.OutputErrors.add(math.Abs((r.Took-r.FirstEvent).Seconds()/expected-1), longWindow)
+	outputTime := (r.Took - r.FirstEvent).Seconds()
+	if m.OutputTimes.Known() {
+		expected := m.TimePerToken() * float64(r.Output)
+		m.OutputDeviations.add(math.Abs(outputTime-expected), longWindow)
+		m.MeasuredOutputTimes.add(outputTime, longWindow)
 	}
 	m.OutputTokens.add(float64(r.Output), shortWindow)
-	m.OutputTimes.add((r.Took - r.FirstEvent).Seconds(), shortWindow)
+	m.OutputTimes.add(outputTime, shortWindow)
 }
 
 // exclusivePrefill returns the expected time in seconds of a prefill that has its
@@ -206,7 +210,10 @@
 // OutputSpread returns the standard deviation of the length of outputs, as a share of
 // the expected length. It is false without enough samples.
 func (m *Model) OutputSpread() (float64, bool) {
-	return deviationRatio * m.OutputErrors.Mean, m.OutputErrors.Known()
+	if !m.OutputDeviations.Known() || m.MeasuredOutputTimes.Mean <= 0 {
+		return 0, false
+	}
+	return deviationRatio * m.OutputDeviations.Mean / m.MeasuredOutputTimes.Mean, true
 }
 
 // deviationRatio is the ratio of the standard deviation to the mean absolute
--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -203,3 +203,65 @@
 		}
 	})
 }
+
+// assertSpread checks that a model's spread of outputs is known and at most twice and
+// at least half of the true one.
+func assertSpread(t *testing.T, m *estimator.Model, want float64) {
+	t.Helper()
+	if got, ok := m.OutputSpread(); !ok || got < want/2 || got > 2*want {
+		t.Fatalf("got %v, %v, want %v within a factor of 2", got, ok, want)
+	}
+}
+
+// Among the first responses, one with a single event, whose output took no time, made
+// the spread a hundred times too large: no engine seemed to have room for a second request.
+func TestOutputSpread(t *testing.T) {
+	// serve records a response whose output is a share of the expected one.
+	serve := func(m *estimator.Model, share float64) {
+		output := time.Duration(share * 500 * float64(typical.perOutput))
+		m.RecordResponse(estimator.Response{
+			Prompt: 5000, Output: 500, Occupied: time.Second,
+			FirstEvent: typical.firstEvent, Took: typical.firstEvent + output,
+		})
+	}
+	t.Run("is right if the first output took next to no time", func(t *testing.T) {
+		m := estimator.New()
+		serve(m, 0.0001)
+		for n := range 40 {
+			serve(m, 0.5+float64(n%2)) // 0.5 off
+			if n >= 2*estimator.MinSamples {
+				assertSpread(t, m, 0.5)
+			}
+		}
+	})
+	t.Run("is right if one output in eight takes next to no time", func(t *testing.T) {
+		m := estimator.New()
+		for n := range 200 {
+			share := 8.0 / 7
+			if n%8 == 0 {
+				share = 0.0001
+			}
+			serve(m, share)
+		}
+		assertSpread(t, m, 0.38) // of 1/8 at 0 and 7/8 at 8/7
+	})
+	t.Run("is unknown while the speed of outputs isn't known", func(t *testing.T) {
+		i := is.New(t)
+		m := estimator.New()
+		for n := range estimator.MinSamples {
+			serve(m, 0.5+float64(n%2))
+		}
+		_, ok := m.OutputSpread()
+		i.True(!ok)
+	})
+	t.Run("is near zero for outputs as expected", func(t *testing.T) {
+		i := is.New(t)
+		m := estimator.New()
+		for range 3 * estimator.MinSamples {
+			serve(m, 1)
+		}
+		spread, ok := m.OutputSpread()
+		i.True(ok)
+		i.True(spread < 0.01)
+	})
+}
--- a/peerwire/reservation.go
+++ b/peerwire/reservation.go
@@ -74,15 +74,16 @@
 // EngineModel is an estimator.Model: what a host has measured of a service's
 // engines.
 type EngineModel struct {
-	Prefills     SampleRegression `msg:"prefills"`
-	BusyPrefills SampleRegression `msg:"busy-prefills"`
-	Queueing     SampleAverage    `msg:"queueing"`
-	PromptTokens SampleAverage    `msg:"prompt-tokens"`
-	FirstEvents  SampleAverage    `msg:"first-events"`
-	OutputTokens SampleAverage    `msg:"output-tokens"`
-	OutputTimes  SampleAverage    `msg:"output-times"`
-	OutputErrors SampleAverage    `msg:"output-errors"`
-	MemoryUse    SampleAverage    `msg:"memory-use"`
+	Prefills            SampleRegression `msg:"prefills"`
+	BusyPrefills        SampleRegression `msg:"busy-prefills"`
+	Queueing            SampleAverage    `msg:"queueing"`
+	PromptTokens        SampleAverage    `msg:"prompt-tokens"`
+	FirstEvents         SampleAverage    `msg:"first-events"`
+	OutputTokens        SampleAverage    `msg:"output-tokens"`
+	OutputTimes         SampleAverage    `msg:"output-times"`
+	OutputDeviations    SampleAverage    `msg:"output-deviations"`
+	MeasuredOutputTimes SampleAverage    `msg:"measured-output-times"`
+	MemoryUse           SampleAverage    `msg:"memory-use"`
 }
 
 // SampleAverage is an estimator.Average.
--- a/peerwire/reservation_gen.go
+++ b/peerwire/reservation_gen.go
@@ -241,57 +241,98 @@
 					}
 				}
 			}
-		case "output-errors":
+		case "output-deviations":
 			var zb0007 uint32
 			zb0007, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "OutputErrors")
+				err = msgp.WrapError(err, "OutputDeviations")
 				return
 			}
 			for zb0007 > 0 {
 				zb0007--
 				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
-					err = msgp.WrapError(err, "OutputErrors")
+					err = msgp.WrapError(err, "OutputDeviations")
 					return
 				}
 				switch msgp.UnsafeString(field) {
 				case "count":
-					z.OutputErrors.Count, err = dc.ReadInt()
+					z.OutputDeviations.Count, err = dc.ReadInt()
 					if err != nil {
-						err = msgp.WrapError(err, "OutputErrors", "Count")
+						err = msgp.WrapError(err, "OutputDeviations", "Count")
 						return
 					}
 				case "mean":
-					z.OutputErrors.Mean, err = dc.ReadFloat64()
+					z.OutputDeviations.Mean, err = dc.ReadFloat64()
 					if err != nil {
-						err = msgp.WrapError(err, "OutputErrors", "Mean")
+						err = msgp.WrapError(err, "OutputDeviations", "Mean")
 						return
 					}
 				case "deviation":
-					z.OutputErrors.Deviation, err = dc.ReadFloat64()
+					z.OutputDeviations.Deviation, err = dc.ReadFloat64()
 					if err != nil {
-						err = msgp.WrapError(err, "OutputErrors", "Deviation")
+						err = msgp.WrapError(err, "OutputDeviations", "Deviation")
 						return
 					}
 				default:
 					err = dc.Skip()
 					if err != nil {
-						err = msgp.WrapError(err, "OutputErrors")
+						err = msgp.WrapError(err, "OutputDeviations")
 						return
 					}
 				}
 			}
-		case "memory-use":
+		case "measured-output-times":
 			var zb0008 uint32
 			zb0008, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "MemoryUse")
+				err = msgp.WrapError(err, "MeasuredOutputTimes")
 				return
 			}
 			for zb0008 > 0 {
 				zb0008--
 				field, err = dc.ReadMapKeyPtr()
+				if err != nil {
+					err = msgp.WrapError(err, "MeasuredOutputTimes")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "count":
+					z.MeasuredOutputTimes.Count, err = dc.ReadInt()
+					if err != nil {
+						err = msgp.WrapError(err, "MeasuredOutputTimes", "Count")
+						return
+					}
+				case "mean":
+					z.MeasuredOutputTimes.Mean, err = dc.ReadFloat64()
+					if err != nil {
+						err = msgp.WrapError(err, "MeasuredOutputTimes", "Mean")
+						return
+					}
+				case "deviation":
+					z.MeasuredOutputTimes.Deviation, err = dc.ReadFloat64()
+					if err != nil {
+						err = msgp.WrapError(err, "MeasuredOutputTimes", "Deviation")
+						return
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "MeasuredOutputTimes")
+						return
+					}
+				}
+			}
+		case "memory-use":
+			var zb0009 uint32
+			zb0009, err = dc.ReadMapHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "MemoryUse")
+				return
+			}
+			for zb0009 > 0 {
+				zb0009--
+				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
 					err = msgp.WrapError(err, "MemoryUse")
 					return
@@ -336,9 +377,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *EngineModel) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 9
+	// map header, size 10
 	// write "prefills"
-	err = en.Append(0x89, 0xa8, 0x70, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c, 0x73)
+	err = en.Append(0x8a, 0xa8, 0x70, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c, 0x73)
 	if err != nil {
 		return
 	}
@@ -537,8 +578,8 @@
 		err = msgp.WrapError(err, "OutputTimes", "Deviation")
 		return
 	}
-	// write "output-errors"
-	err = en.Append(0xad, 0x6f, 0x75, 0x74, 0x70, 0x75, 0x74, 0x2d, 0x65, 0x72, 0x72, 0x6f, 0x72, 0x73)
+	// write "output-deviations"
+	err = en.Append(0xb1, 0x6f, 0x75, 0x74, 0x70, 0x75, 0x74, 0x2d, 0x64, 0x65, 0x76, 0x69, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73)
 	if err != nil {
 		return
 	}
@@ -548,9 +589,9 @@
 	if err != nil {
 		return
 	}
-	err = en.WriteInt(z.OutputErrors.Count)
+	err = en.WriteInt(z.OutputDeviations.Count)
 	if err != nil {
-		err = msgp.WrapError(err, "OutputErrors", "Count")
+		err = msgp.WrapError(err, "OutputDeviations", "Count")
 		return
 	}
 	// write "mean"
@@ -558,9 +599,9 @@
 	if err != nil {
 		return
 	}
-	err = en.WriteFloat64(z.OutputErrors.Mean)
+	err = en.WriteFloat64(z.OutputDeviations.Mean)
 	if err != nil {
-		err = msgp.WrapError(err, "OutputErrors", "Mean")
+		err = msgp.WrapError(err, "OutputDeviations", "Mean")
 		return
 	}
 	// write "deviation"
@@ -568,9 +609,45 @@
 	if err != nil {
 		return
 	}
-	err = en.WriteFloat64(z.OutputErrors.Deviation)
+	err = en.WriteFloat64(z.OutputDeviations.Deviation)
+	if err != nil {
+		err = msgp.WrapError(err, "OutputDeviations", "Deviation")
+		return
+	}
+	// write "measured-output-times"
+	err = en.Append(0xb5, 0x6d, 0x65, 0x61, 0x73, 0x75, 0x72, 0x65, 0x64, 0x2d, 0x6f, 0x75, 0x74, 0x70, 0x75, 0x74, 0x2d, 0x74, 0x69, 0x6d, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	// map header, size 3
+	// write "count"
+	err = en.Append(0x83, 0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.MeasuredOutputTimes.Count)
 	if err != nil {
-		err = msgp.WrapError(err, "OutputErrors", "Deviation")
+		err = msgp.WrapError(err, "MeasuredOutputTimes", "Count")
+		return
+	}
+	// write "mean"
+	err = en.Append(0xa4, 0x6d, 0x65, 0x61, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteFloat64(z.MeasuredOutputTimes.Mean)
+	if err != nil {
+		err = msgp.WrapError(err, "MeasuredOutputTimes", "Mean")
+		return
+	}
+	// write "deviation"
+	err = en.Append(0xa9, 0x64, 0x65, 0x76, 0x69, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteFloat64(z.MeasuredOutputTimes.Deviation)
+	if err != nil {
+		err = msgp.WrapError(err, "MeasuredOutputTimes", "Deviation")
 		return
 	}
 	// write "memory-use"
@@ -615,9 +692,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *EngineModel) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
+	// map header, size 10
 	// string "prefills"
-	o = append(o, 0x89, 0xa8, 0x70, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c, 0x73)
+	o = append(o, 0x8a, 0xa8, 0x70, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c, 0x73)
 	o, err = z.Prefills.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Prefills")
@@ -690,18 +767,30 @@
 	// string "deviation"
 	o = append(o, 0xa9, 0x64, 0x65, 0x76, 0x69, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendFloat64(o, z.OutputTimes.Deviation)
-	// string "output-errors"
-	o = append(o, 0xad, 0x6f, 0x75, 0x74, 0x70, 0x75, 0x74, 0x2d, 0x65, 0x72, 0x72, 0x6f, 0x72, 0x73)
+	// string "output-deviations"
+	o = append(o, 0xb1, 0x6f, 0x75, 0x74, 0x70, 0x75, 0x74, 0x2d, 0x64, 0x65, 0x76, 0x69, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+	// map header, size 3
+	// string "count"
+	o = append(o, 0x83, 0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+	o = msgp.AppendInt(o, z.OutputDeviations.Count)
+	// string "mean"
+	o = append(o, 0xa4, 0x6d, 0x65, 0x61, 0x6e)
+	o = msgp.AppendFloat64(o, z.OutputDeviations.Mean)
+	// string "deviation"
+	o = append(o, 0xa9, 0x64, 0x65, 0x76, 0x69, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendFloat64(o, z.OutputDeviations.Deviation)
+	// string "measured-output-times"
+	o = append(o, 0xb5, 0x6d, 0x65, 0x61, 0x73, 0x75, 0x72, 0x65, 0x64, 0x2d, 0x6f, 0x75, 0x74, 0x70, 0x75, 0x74, 0x2d, 0x74, 0x69, 0x6d, 0x65, 0x73)
 	// map header, size 3
 	// string "count"
 	o = append(o, 0x83, 0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
-	o = msgp.AppendInt(o, z.OutputErrors.Count)
+	o = msgp.AppendInt(o, z.MeasuredOutputTimes.Count)
 	// string "mean"
 	o = append(o, 0xa4, 0x6d, 0x65, 0x61, 0x6e)
-	o = msgp.AppendFloat64(o, z.OutputErrors.Mean)
+	o = msgp.AppendFloat64(o, z.MeasuredOutputTimes.Mean)
 	// string "deviation"
 	o = append(o, 0xa9, 0x64, 0x65, 0x76, 0x69, 0x61, 0x74, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendFloat64(o, z.OutputErrors.Deviation)
+	o = msgp.AppendFloat64(o, z.MeasuredOutputTimes.Deviation)
 	// string "memory-use"
 	o = append(o, 0xaa, 0x6d, 0x65, 0x6d, 0x6f, 0x72, 0x79, 0x2d, 0x75, 0x73, 0x65)
 	// map header, size 3
@@ -952,57 +1041,98 @@
 					}
 				}
 			}
-		case "output-errors":
+		case "output-deviations":
 			var zb0007 uint32
 			zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "OutputErrors")
+				err = msgp.WrapError(err, "OutputDeviations")
 				return
 			}
 			for zb0007 > 0 {
 				zb0007--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "OutputErrors")
+					err = msgp.WrapError(err, "OutputDeviations")
 					return
 				}
 				switch msgp.UnsafeString(field) {
 				case "count":
-					z.OutputErrors.Count, bts, err = msgp.ReadIntBytes(bts)
+					z.OutputDeviations.Count, bts, err = msgp.ReadIntBytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "OutputErrors", "Count")
+						err = msgp.WrapError(err, "OutputDeviations", "Count")
 						return
 					}
 				case "mean":
-					z.OutputErrors.Mean, bts, err = msgp.ReadFloat64Bytes(bts)
+					z.OutputDeviations.Mean, bts, err = msgp.ReadFloat64Bytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "OutputErrors", "Mean")
+						err = msgp.WrapError(err, "OutputDeviations", "Mean")
 						return
 					}
 				case "deviation":
-					z.OutputErrors.Deviation, bts, err = msgp.ReadFloat64Bytes(bts)
+					z.OutputDeviations.Deviation, bts, err = msgp.ReadFloat64Bytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "OutputErrors", "Deviation")
+						err = msgp.WrapError(err, "OutputDeviations", "Deviation")
 						return
 					}
 				default:
 					bts, err = msgp.Skip(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "OutputErrors")
+						err = msgp.WrapError(err, "OutputDeviations")
 						return
 					}
 				}
 			}
-		case "memory-use":
+		case "measured-output-times":
 			var zb0008 uint32
 			zb0008, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "MemoryUse")
+				err = msgp.WrapError(err, "MeasuredOutputTimes")
 				return
 			}
 			for zb0008 > 0 {
 				zb0008--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "MeasuredOutputTimes")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "count":
+					z.MeasuredOutputTimes.Count, bts, err = msgp.ReadIntBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "MeasuredOutputTimes", "Count")
+						return
+					}
+				case "mean":
+					z.MeasuredOutputTimes.Mean, bts, err = msgp.ReadFloat64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "MeasuredOutputTimes", "Mean")
+						return
+					}
+				case "deviation":
+					z.MeasuredOutputTimes.Deviation, bts, err = msgp.ReadFloat64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "MeasuredOutputTimes", "Deviation")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "MeasuredOutputTimes")
+						return
+					}
+				}
+			}
+		case "memory-use":
+			var zb0009 uint32
+			zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MemoryUse")
+				return
+			}
+			for zb0009 > 0 {
+				zb0009--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "MemoryUse")
 					return
@@ -1048,7 +1178,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *EngineModel) Msgsize() (s int) {
-	s = 1 + 9 + z.Prefills.Msgsize() + 14 + z.BusyPrefills.Msgsize() + 9 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 14 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 13 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 14 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 13 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 14 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 11 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size
+	s = 1 + 9 + z.Prefills.Msgsize() + 14 + z.BusyPrefills.Msgsize() + 9 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 14 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 13 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 14 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 13 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 18 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 22 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 11 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size
 	return
 }
 
--- a/reserver/codec.go
+++ b/reserver/codec.go
@@ -64,28 +64,30 @@
 
 func encodeModel(m *estimator.Model) *peerwire.EngineModel {
 	return &peerwire.EngineModel{
-		Prefills:     peerwire.SampleRegression(m.Prefills),
-		BusyPrefills: peerwire.SampleRegression(m.BusyPrefills),
-		Queueing:     peerwire.SampleAverage(m.Queueing),
-		PromptTokens: peerwire.SampleAverage(m.PromptTokens),
-		FirstEvents:  peerwire.SampleAverage(m.FirstEvents),
-		OutputTokens: peerwire.SampleAverage(m.OutputTokens),
-		OutputTimes:  peerwire.SampleAverage(m.OutputTimes),
-		OutputErrors: peerwire.SampleAverage(m.OutputErrors),
-		MemoryUse:    peerwire.SampleAverage(m.MemoryUse),
+		Prefills:            peerwire.SampleRegression(m.Prefills),
+		BusyPrefills:        peerwire.SampleRegression(m.BusyPrefills),
+		Queueing:            peerwire.SampleAverage(m.Queueing),
+		PromptTokens:        peerwire.SampleAverage(m.PromptTokens),
+		FirstEvents:         peerwire.SampleAverage(m.FirstEvents),
+		OutputTokens:        peerwire.SampleAverage(m.OutputTokens),
+		OutputTimes:         peerwire.SampleAverage(m.OutputTimes),
+		OutputDeviations:    peerwire.SampleAverage(m.OutputDeviations),
+		MeasuredOutputTimes: peerwire.SampleAverage(m.MeasuredOutputTimes),
+		MemoryUse:           peerwire.SampleAverage(m.MemoryUse),
 	}
 }
 
 func decodeModel(m *peerwire.EngineModel) *estimator.Model {
 	return &estimator.Model{
-		Prefills:     estimator.Regression(m.Prefills),
-		BusyPrefills: estimator.Regression(m.BusyPrefills),
-		Queueing:     estimator.Average(m.Queueing),
-		PromptTokens: estimator.Average(m.PromptTokens),
-		FirstEvents:  estimator.Average(m.FirstEvents),
-		OutputTokens: estimator.Average(m.OutputTokens),
-		OutputTimes:  estimator.Average(m.OutputTimes),
-		OutputErrors: estimator.Average(m.OutputErrors),
-		MemoryUse:    estimator.Average(m.MemoryUse),
+		Prefills:            estimator.Regression(m.Prefills),
+		BusyPrefills:        estimator.Regression(m.BusyPrefills),
+		Queueing:            estimator.Average(m.Queueing),
+		PromptTokens:        estimator.Average(m.PromptTokens),
+		FirstEvents:         estimator.Average(m.FirstEvents),
+		OutputTokens:        estimator.Average(m.OutputTokens),
+		OutputTimes:         estimator.Average(m.OutputTimes),
+		OutputDeviations:    estimator.Average(m.OutputDeviations),
+		MeasuredOutputTimes: estimator.Average(m.MeasuredOutputTimes),
+		MemoryUse:           estimator.Average(m.MemoryUse),
 	}
 }
