--- a/cmd/entry-host/main.go
+++ b/cmd/entry-host/main.go
@@ -2,9 +2,10 @@
 //
 // # Usage
 //
-//	JACKDAWTHREAD_SETTINGS=/etc/jackdawthread/node.toml entry-host
+//	entry-host
 //
-// SIGTERM and SIGINT shut it down gracefully; SIGHUP reloads its settings.
+// The environment variable [platform.SettingsVariable] names the file with its
+// settings. SIGTERM and SIGINT shut it down gracefully; SIGHUP reloads its settings.
 package main
 
 import (
