Measure how slow single engines are, and give slow ones fewer requests

Prompts waited at slow prefill engines beside fast ones, and responses that were sent to slow decode engines occupied memory until their deadline and were not served.

Cause: the model knows a service's engines only as one. Completed responses alone were measured, and those of slow engines don't complete.

Now the placing host keeps the slowness of each engine, the ratio of its calls' times to the model's: of prefills with as much queued work, and of the time between two events, also of responses that were given up. From 3 on it multiplies the engine's cost, and responses that would be late for their deadline go there only if the engine is idle. It halves every 10 s without calls. engine-slowness-changed tells it in the log.

The new fields of messages between hosts are ignored by other builds, and read as unknown if missing.

--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -65,6 +65,8 @@
 	// FirstEvent is the time from the call of the decode engine to the first event,
 	// Took that to the end of the response; 0 means unknown.
 	FirstEvent, Took time.Duration
+	// EventInterval is the mean time between two events; 0 means unknown.
+	EventInterval time.Duration
 }
 
 // Estimate is an expected duration.
@@ -100,6 +102,8 @@
 	// the expected ones, MeasuredOutputTimes those output times. The ratio of their
 	// means is steadier than the mean of ratios: some outputs take next to no time.
 	OutputDeviations, MeasuredOutputTimes Average
+	// EventIntervals is the mean time in seconds between two events of a response.
+	EventIntervals Average
 	// MemoryUse is the product of the tokens that a request occupied at its decode
 	// engine and the seconds for which it did.
 	MemoryUse Average
@@ -137,6 +141,9 @@
 // RecordResponse records a complete response.
 func (m *Model) RecordResponse(r Response) {
 	m.MemoryUse.add(float64(r.Prompt+r.Output)*r.Occupied.Seconds(), longWindow)
+	if r.EventInterval > 0 {
+		m.EventIntervals.add(r.EventInterval.Seconds(), longWindow)
+	}
 	if r.FirstEvent <= 0 || r.Took < r.FirstEvent {
 		return
 	}
@@ -183,6 +190,46 @@
 	return 1 / slope, true
 }
 
+// PrefillRatio returns how many times as long as an average engine one took, or has
+// taken so far, for the prompts that it had to process. It is false without enough
+// samples.
+func (m *Model) PrefillRatio(p Prefill) (float64, bool) {
+	b := &m.BusyPrefills
+	if b.Count < MinSamples || b.Y <= 0 {
+		return 0, false
+	}
+	expected := b.Y
+	if slope, ok := b.slope(); ok {
+		expected = max(expected*minPrefillShare, b.Y+slope*(float64(p.Work)-b.X))
+	}
+	return p.Delay.Seconds() / expected, true
+}
+
+// minPrefillShare is the least time that is expected of a prefill, as a share of the
+// mean.
+const minPrefillShare = 0.1
+
+// EventRatio returns how many times as long as on average an engine took from one event
+// to the next. It is false without enough samples.
+func (m *Model) EventRatio(interval time.Duration) (float64, bool) {
+	if !m.EventIntervals.Known() || interval <= 0 {
+		return 0, false
+	}
+	return interval.Seconds() / m.EventIntervals.Mean, true
+}
+
+// MaxSlowness returns the slowness of an engine at which a response takes the given
+// time, of which a first event of average engines takes its part. It is false without
+// enough samples.
+func (m *Model) MaxSlowness(prompt, output identifier.Tokens, left time.Duration) (float64, bool) {
+	first, ok := m.FirstEvent(prompt)
+	outputTime := m.TimePerToken() * float64(output)
+	if !ok || !m.OutputTimes.Known() || outputTime <= 0 {
+		return 0, false
+	}
+	return (left - first.Mean).Seconds() / outputTime, true
+}
+
 // Prefill returns the expected time from the decision to run a prefill to its end,
 // with queueing as in the last samples. It is false without enough samples.
 func (m *Model) Prefill(prompt identifier.Tokens) (Estimate, bool) {
--- a/forwarder/prefill.go
+++ b/forwarder/prefill.go
@@ -147,7 +147,8 @@
 // none is left.
 func (s *stream) unplannedPrefill(p reserver.Plan) *prefillCall {
 	f := s.forwarder
-	e := f.deps.Placer.ChoosePrefill(s.usableEndpoints(), p.Decode.DataCenter, s.excludedPrefills, time.Now())
+	d := placer.PrefillDemand{Prompt: s.call.Prompt, PreferredDataCenter: p.Decode.DataCenter}
+	e := f.deps.Placer.ChoosePrefill(s.usableEndpoints(), d, s.excludedPrefills, time.Now())
 	if e == nil || e.Stage != registrar.StagePrefill {
 		return nil
 	}
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -207,9 +207,7 @@
 		return s.checkHead(p.head, d.call.at)
 	}
 	s.observeEvent(p)
-	if d.firstEventAt.IsZero() {
-		d.firstEventAt = time.Now()
-	}
+	d.observeEvent(time.Now())
 	if alreadyDelivered(p.id, s.lastEventID) {
 		return nil
 	}
@@ -223,6 +221,15 @@
 	return nil
 }
 
+// observeEvent records the arrival of an event.
+func (d *decoding) observeEvent(now time.Time) {
+	if d.events == 0 {
+		d.firstEventAt = now
+	}
+	d.events++
+	d.lastEventAt = now
+}
+
 // observeEvent counts an event that has arrived.
 func (s *stream) observeEvent(p responsePart) {
 	o := &s.observation.Stream
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -169,8 +169,21 @@
 	// response is nil until its head has arrived.
 	response *exchanger.Response
 	// resumed is set if the stream had begun at another engine.
-	resumed      bool
-	firstEventAt time.Time
+	resumed                   bool
+	events                    int
+	firstEventAt, lastEventAt time.Time
+}
+
+// minEventsForInterval is the number of events from which the mean time between them
+// says how fast the engine is.
+const minEventsForInterval = 5
+
+// eventInterval returns the mean time between two events, or 0 if there are too few.
+func (d *decoding) eventInterval() time.Duration {
+	if d.events < minEventsForInterval {
+		return 0
+	}
+	return d.lastEventAt.Sub(d.firstEventAt) / time.Duration(d.events-1)
 }
 
 // start sends the decode to the engine that was prepared.
@@ -198,6 +211,7 @@
 	if !d.resumed && !d.firstEventAt.IsZero() {
 		o.FirstEvent = d.firstEventAt.Sub(d.call.started)
 	}
+	o.EventInterval = d.eventInterval()
 	s.forwarder.deps.Reservations.RecordOutcome(d.plan, o)
 	return nil, nil
 }
@@ -205,7 +219,9 @@
 // recordFailedDecode records a decode that did not complete the stream.
 func (s *stream) recordFailedDecode(ctx context.Context, d *decoding, err error) {
 	s.exclude = append(s.exclude, d.call.at.Name)
-	s.forwarder.deps.Reservations.RecordOutcome(d.plan, s.failedDecode(ctx, d.preparation, err))
+	o := s.failedDecode(ctx, d.preparation, err)
+	o.EventInterval = d.eventInterval()
+	s.forwarder.deps.Reservations.RecordOutcome(d.plan, o)
 }
 
 // failedDecode returns the outcome of a decode that did not complete the stream; a nil
--- a/peerwire/reservation.go
+++ b/peerwire/reservation.go
@@ -57,6 +57,9 @@
 	// its first event, in microseconds; 0 means unknown.
 	TookUs       int64 `msg:"took-us"`
 	FirstEventUs int64 `msg:"first-event-us"`
+	// EventIntervalUs is the mean time between two events of a response, complete or
+	// not, in microseconds; 0 means unknown.
+	EventIntervalUs int64 `msg:"event-interval-us"`
 }
 
 // ReservationCancel cancels a ReservationRequest whose reply is no longer
@@ -83,6 +86,7 @@
 	OutputTimes         SampleAverage    `msg:"output-times"`
 	OutputDeviations    SampleAverage    `msg:"output-deviations"`
 	MeasuredOutputTimes SampleAverage    `msg:"measured-output-times"`
+	EventIntervals      SampleAverage    `msg:"event-intervals"`
 	MemoryUse           SampleAverage    `msg:"memory-use"`
 }
 
--- a/peerwire/reservation_gen.go
+++ b/peerwire/reservation_gen.go
@@ -323,16 +323,57 @@
 					}
 				}
 			}
-		case "memory-use":
+		case "event-intervals":
 			var zb0009 uint32
 			zb0009, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "MemoryUse")
+				err = msgp.WrapError(err, "EventIntervals")
 				return
 			}
 			for zb0009 > 0 {
 				zb0009--
 				field, err = dc.ReadMapKeyPtr()
+				if err != nil {
+					err = msgp.WrapError(err, "EventIntervals")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "count":
+					z.EventIntervals.Count, err = dc.ReadInt()
+					if err != nil {
+						err = msgp.WrapError(err, "EventIntervals", "Count")
+						return
+					}
+				case "mean":
+					z.EventIntervals.Mean, err = dc.ReadFloat64()
+					if err != nil {
+						err = msgp.WrapError(err, "EventIntervals", "Mean")
+						return
+					}
+				case "deviation":
+					z.EventIntervals.Deviation, err = dc.ReadFloat64()
+					if err != nil {
+						err = msgp.WrapError(err, "EventIntervals", "Deviation")
+						return
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "EventIntervals")
+						return
+					}
+				}
+			}
+		case "memory-use":
+			var zb0010 uint32
+			zb0010, err = dc.ReadMapHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "MemoryUse")
+				return
+			}
+			for zb0010 > 0 {
+				zb0010--
+				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
 					err = msgp.WrapError(err, "MemoryUse")
 					return
@@ -377,9 +418,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *EngineModel) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 10
+	// map header, size 11
 	// write "prefills"
-	err = en.Append(0x8a, 0xa8, 0x70, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c, 0x73)
+	err = en.Append(0x8b, 0xa8, 0x70, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c, 0x73)
 	if err != nil {
 		return
 	}
@@ -650,6 +691,42 @@
 		err = msgp.WrapError(err, "MeasuredOutputTimes", "Deviation")
 		return
 	}
+	// write "event-intervals"
+	err = en.Append(0xaf, 0x65, 0x76, 0x65, 0x6e, 0x74, 0x2d, 0x69, 0x6e, 0x74, 0x65, 0x72, 0x76, 0x61, 0x6c, 0x73)
+	if err != nil {
+		return
+	}
+	// map header, size 3
+	// write "count"
+	err = en.Append(0x83, 0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.EventIntervals.Count)
+	if err != nil {
+		err = msgp.WrapError(err, "EventIntervals", "Count")
+		return
+	}
+	// write "mean"
+	err = en.Append(0xa4, 0x6d, 0x65, 0x61, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteFloat64(z.EventIntervals.Mean)
+	if err != nil {
+		err = msgp.WrapError(err, "EventIntervals", "Mean")
+		return
+	}
+	// write "deviation"
+	err = en.Append(0xa9, 0x64, 0x65, 0x76, 0x69, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteFloat64(z.EventIntervals.Deviation)
+	if err != nil {
+		err = msgp.WrapError(err, "EventIntervals", "Deviation")
+		return
+	}
 	// write "memory-use"
 	err = en.Append(0xaa, 0x6d, 0x65, 0x6d, 0x6f, 0x72, 0x79, 0x2d, 0x75, 0x73, 0x65)
 	if err != nil {
@@ -692,9 +769,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *EngineModel) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
+	// map header, size 11
 	// string "prefills"
-	o = append(o, 0x8a, 0xa8, 0x70, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c, 0x73)
+	o = append(o, 0x8b, 0xa8, 0x70, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c, 0x73)
 	o, err = z.Prefills.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Prefills")
@@ -791,6 +868,18 @@
 	// string "deviation"
 	o = append(o, 0xa9, 0x64, 0x65, 0x76, 0x69, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendFloat64(o, z.MeasuredOutputTimes.Deviation)
+	// string "event-intervals"
+	o = append(o, 0xaf, 0x65, 0x76, 0x65, 0x6e, 0x74, 0x2d, 0x69, 0x6e, 0x74, 0x65, 0x72, 0x76, 0x61, 0x6c, 0x73)
+	// map header, size 3
+	// string "count"
+	o = append(o, 0x83, 0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+	o = msgp.AppendInt(o, z.EventIntervals.Count)
+	// string "mean"
+	o = append(o, 0xa4, 0x6d, 0x65, 0x61, 0x6e)
+	o = msgp.AppendFloat64(o, z.EventIntervals.Mean)
+	// string "deviation"
+	o = append(o, 0xa9, 0x64, 0x65, 0x76, 0x69, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendFloat64(o, z.EventIntervals.Deviation)
 	// string "memory-use"
 	o = append(o, 0xaa, 0x6d, 0x65, 0x6d, 0x6f, 0x72, 0x79, 0x2d, 0x75, 0x73, 0x65)
 	// map header, size 3
@@ -1123,16 +1212,57 @@
 					}
 				}
 			}
-		case "memory-use":
+		case "event-intervals":
 			var zb0009 uint32
 			zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "MemoryUse")
+				err = msgp.WrapError(err, "EventIntervals")
 				return
 			}
 			for zb0009 > 0 {
 				zb0009--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "EventIntervals")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "count":
+					z.EventIntervals.Count, bts, err = msgp.ReadIntBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "EventIntervals", "Count")
+						return
+					}
+				case "mean":
+					z.EventIntervals.Mean, bts, err = msgp.ReadFloat64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "EventIntervals", "Mean")
+						return
+					}
+				case "deviation":
+					z.EventIntervals.Deviation, bts, err = msgp.ReadFloat64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "EventIntervals", "Deviation")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "EventIntervals")
+						return
+					}
+				}
+			}
+		case "memory-use":
+			var zb0010 uint32
+			zb0010, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MemoryUse")
+				return
+			}
+			for zb0010 > 0 {
+				zb0010--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "MemoryUse")
 					return
@@ -1178,7 +1308,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *EngineModel) Msgsize() (s int) {
-	s = 1 + 9 + z.Prefills.Msgsize() + 14 + z.BusyPrefills.Msgsize() + 9 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 14 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 13 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 14 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 13 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 18 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 22 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 11 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size
+	s = 1 + 9 + z.Prefills.Msgsize() + 14 + z.BusyPrefills.Msgsize() + 9 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 14 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 13 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 14 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 13 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 18 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 22 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 16 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size + 11 + 1 + 6 + msgp.IntSize + 5 + msgp.Float64Size + 10 + msgp.Float64Size
 	return
 }
 
@@ -1333,6 +1463,12 @@
 				err = msgp.WrapError(err, "FirstEventUs")
 				return
 			}
+		case "event-interval-us":
+			z.EventIntervalUs, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "EventIntervalUs")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1346,9 +1482,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *ReservationOutcome) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
+	// map header, size 6
 	// write "grant"
-	err = en.Append(0x85, 0xa5, 0x67, 0x72, 0x61, 0x6e, 0x74)
+	err = en.Append(0x86, 0xa5, 0x67, 0x72, 0x61, 0x6e, 0x74)
 	if err != nil {
 		return
 	}
@@ -1397,15 +1533,25 @@
 		err = msgp.WrapError(err, "FirstEventUs")
 		return
 	}
+	// write "event-interval-us"
+	err = en.Append(0xb1, 0x65, 0x76, 0x65, 0x6e, 0x74, 0x2d, 0x69, 0x6e, 0x74, 0x65, 0x72, 0x76, 0x61, 0x6c, 0x2d, 0x75, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.EventIntervalUs)
+	if err != nil {
+		err = msgp.WrapError(err, "EventIntervalUs")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *ReservationOutcome) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "grant"
-	o = append(o, 0x85, 0xa5, 0x67, 0x72, 0x61, 0x6e, 0x74)
+	o = append(o, 0x86, 0xa5, 0x67, 0x72, 0x61, 0x6e, 0x74)
 	o = msgp.AppendUint64(o, z.Grant)
 	// string "prefill"
 	o = append(o, 0xa7, 0x70, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c)
@@ -1419,6 +1565,9 @@
 	// string "first-event-us"
 	o = append(o, 0xae, 0x66, 0x69, 0x72, 0x73, 0x74, 0x2d, 0x65, 0x76, 0x65, 0x6e, 0x74, 0x2d, 0x75, 0x73)
 	o = msgp.AppendInt64(o, z.FirstEventUs)
+	// string "event-interval-us"
+	o = append(o, 0xb1, 0x65, 0x76, 0x65, 0x6e, 0x74, 0x2d, 0x69, 0x6e, 0x74, 0x65, 0x72, 0x76, 0x61, 0x6c, 0x2d, 0x75, 0x73)
+	o = msgp.AppendInt64(o, z.EventIntervalUs)
 	return
 }
 
@@ -1470,6 +1619,12 @@
 				err = msgp.WrapError(err, "FirstEventUs")
 				return
 			}
+		case "event-interval-us":
+			z.EventIntervalUs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "EventIntervalUs")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1484,7 +1639,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ReservationOutcome) Msgsize() (s int) {
-	s = 1 + 6 + msgp.Uint64Size + 8 + msgp.BoolSize + 8 + msgp.Uint8Size + 8 + msgp.Int64Size + 15 + msgp.Int64Size
+	s = 1 + 6 + msgp.Uint64Size + 8 + msgp.BoolSize + 8 + msgp.Uint8Size + 8 + msgp.Int64Size + 15 + msgp.Int64Size + 18 + msgp.Int64Size
 	return
 }
 
--- a/placer/data_center_test.go
+++ b/placer/data_center_test.go
@@ -78,8 +78,8 @@
 		p, all := newPlacer(), twoDataCenters(each, registrar.StagePrefill)
 		loseCalls(p, all, 3)
 		now := at(100 * time.Millisecond)
-		i.Equal(p.ChoosePrefill(all, "b", nil, now).DataCenter, identifier.DataCenter("a"))
-		i.Equal(p.ChoosePrefill(all[each:], "b", nil, now).DataCenter, identifier.DataCenter("b"))
+		i.Equal(p.ChoosePrefill(all, placer.PrefillDemand{PreferredDataCenter: "b"}, nil, now).DataCenter, identifier.DataCenter("a"))
+		i.Equal(p.ChoosePrefill(all[each:], placer.PrefillDemand{PreferredDataCenter: "b"}, nil, now).DataCenter, identifier.DataCenter("b"))
 	})
 	t.Run("plain calls go to other data centers", func(t *testing.T) {
 		p, all := placer.New(placer.Options{DataCenter: "b"}, 1), twoDataCenters(each, registrar.StageAny)
--- a/placer/outcome.go
+++ b/placer/outcome.go
@@ -110,6 +110,28 @@
 	return failuresBefore == 0 && s.consecutiveFailures > 0
 }
 
+// RecordSlowness records that an engine took ratio times as long as expected for a call.
+func (p *Placer) RecordSlowness(e *registrar.Endpoint, ratio float64, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state(e).slowness.Record(ratio, now)
+}
+
+// RecordMinSlowness records that a call to an engine was given up after ratio times as
+// long as expected.
+func (p *Placer) RecordMinSlowness(e *registrar.Endpoint, ratio float64, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state(e).slowness.RecordAtLeast(ratio, now)
+}
+
+// Slowness returns how many times as long as expected an engine takes.
+func (p *Placer) Slowness(e *registrar.Endpoint, now time.Time) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state(e).slowness.At(now)
+}
+
 // recentRefusal is how long after a refusal an endpoint that has accepted nothing since
 // is likely to refuse another call.
 const recentRefusal = time.Second
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -34,6 +34,7 @@
 	"time"
 
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/estimator"
 	"github.com/jackdawthread/jackdawthread/registrar"
 )
 
@@ -94,6 +95,9 @@
 	// FirstEvent is the time until the first event of a model engine's response;
 	// 0 means unknown.
 	FirstEvent time.Duration
+	// EventInterval is the mean time between two events of a model engine's response,
+	// complete or not; 0 means unknown.
+	EventInterval time.Duration
 }
 
 // Load is the load that an endpoint reports.
@@ -120,6 +124,7 @@
 	outputs        float64 // sum of the squares of expected outputs, in tokens
 	latency        float64 // seconds; 0: unknown
 	failureRate    float64 // moving average, between 0 and 1
+	slowness       estimator.Slowness
 	load           Load
 	loadReportedAt time.Time
 
@@ -220,9 +225,16 @@
 	return remoteFactor
 }
 
-// ChoosePrefill chooses the engine that is expected to complete a prefill first,
-// preferring data center near. It returns nil if all engines are avoided.
-func (p *Placer) ChoosePrefill(all []*registrar.Endpoint, near identifier.DataCenter, exclude []identifier.Endpoint, now time.Time) *registrar.Endpoint {
+// PrefillDemand describes a prefill.
+type PrefillDemand struct {
+	Prompt identifier.Tokens
+	// PreferredDataCenter is where the prefill's result is needed.
+	PreferredDataCenter identifier.DataCenter
+}
+
+// ChoosePrefill chooses the engine that is expected to complete a prefill first. It
+// returns nil if all engines are avoided.
+func (p *Placer) ChoosePrefill(all []*registrar.Endpoint, d PrefillDemand, exclude []identifier.Endpoint, now time.Time) *registrar.Endpoint {
 	chosen, rank := p.choose(all, exclude, now, func(e *registrar.Endpoint, s *endpointState) float64 {
 		if e.Stage == registrar.StageDecode {
 			return math.Inf(1)
@@ -232,7 +244,9 @@
 			others := max(0, s.load.Running+s.load.Waiting-s.running)
 			cost += float64(others) * assumedPromptTokens
 		}
-		if e.DataCenter != near {
+		slowness := s.slowness.At(now)
+		cost = slowness*cost + (slowness-1)*float64(d.Prompt)
+		if e.DataCenter != d.PreferredDataCenter {
 			cost += remotePrefillTokens
 		}
 		return cost / math.Pow(max(0.05, 1-s.failureRate), successRateExponent)
@@ -282,6 +296,9 @@
 	// OutputSpread is the standard deviation of outputs as a share of the expected
 	// ones; 0 means unknown.
 	OutputSpread float64
+	// MaxSlowness is the slowness of an engine from which the response would not be
+	// complete in time; 0 means unknown.
+	MaxSlowness float64
 	// PreferredDataCenter is the preferred data center, that of the request's home
 	// host: engines there stay reachable when the links to other data centers
 	// fail. It defaults to this host's.
@@ -299,10 +316,11 @@
 	anyHealthy := len(p.HealthyDecodeEngines(all, exclude, now)) > 0
 	for len(list) < r.MaxEngines {
 		e, rank := p.choose(all, append(exclude, names(list)...), now, func(e *registrar.Endpoint, s *endpointState) float64 {
-			if e.Stage == registrar.StagePrefill || now.Before(s.fullUntil) || r.exceedsMemory(s) {
+			if e.Stage == registrar.StagePrefill || !r.fits(s, now) {
 				return math.Inf(1)
 			}
-			return (float64(s.tokens) + baseCostTokens) * decodeLocalityFactor(e, preferred) / math.Pow(max(0.05, 1-s.failureRate), successRateExponent)
+			cost := (float64(s.tokens) + baseCostTokens) * s.slowness.At(now)
+			return cost * decodeLocalityFactor(e, preferred) / math.Pow(max(0.05, 1-s.failureRate), successRateExponent)
 		})
 		if e == nil || rank != rankHealthy && anyHealthy {
 			return list
@@ -317,7 +335,19 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.states[name]
-	return s == nil || !now.Before(s.fullUntil) && !r.exceedsMemory(s)
+	return s == nil || r.fits(s, now)
+}
+
+// fits reports whether an engine is expected to have capacity for the request and to
+// be fast enough.
+func (r *CapacityDemand) fits(s *endpointState, now time.Time) bool {
+	return !now.Before(s.fullUntil) && !r.exceedsMemory(s) && !r.tooSlow(s, now)
+}
+
+// tooSlow reports whether the response would not be complete in time. An engine without
+// calls never is, so that it is measured again.
+func (r *CapacityDemand) tooSlow(s *endpointState, now time.Time) bool {
+	return r.MaxSlowness > 0 && s.running > 0 && s.slowness.At(now) > max(1, r.MaxSlowness)
 }
 
 // HealthyDecodeEngines returns the decode engines that are neither avoided nor
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -209,14 +209,14 @@
 		p, all := newPlacer(), threeEndpoints(registrar.StagePrefill)
 		got := map[identifier.Endpoint]int{}
 		for range 9 {
-			e := p.ChoosePrefill(all, "a", nil, at(0))
+			e := p.ChoosePrefill(all, placer.PrefillDemand{PreferredDataCenter: "a"}, nil, at(0))
 			p.Begin(e, placer.Size{Tokens: 5000})
 			got[e.Name]++
 		}
 		i.Equal(got, map[identifier.Endpoint]int{"a": 3, "b": 3, "c": 3})
 	})
 	t.Run("prefills stay in the decode engine's data center among equal engines", func(t *testing.T) {
-		is.New(t).Equal(newPlacer().ChoosePrefill(threeEndpoints(registrar.StagePrefill), "b", nil, at(0)).Name, identifier.Endpoint("b"))
+		is.New(t).Equal(newPlacer().ChoosePrefill(threeEndpoints(registrar.StagePrefill), placer.PrefillDemand{PreferredDataCenter: "b"}, nil, at(0)).Name, identifier.Endpoint("b"))
 	})
 	t.Run("no prefill goes to an avoided engine", func(t *testing.T) {
 		i := is.New(t)
@@ -224,11 +224,11 @@
 		for _, e := range all {
 			p.RecordOutcome(e, placer.Outcome{Verdict: placer.VerdictResponseFailed}, at(0))
 		}
-		i.Equal(p.ChoosePrefill(all, "a", nil, at(0)), nil) // the decode engine performs the prefill
+		i.Equal(p.ChoosePrefill(all, placer.PrefillDemand{PreferredDataCenter: "a"}, nil, at(0)), nil) // the decode engine performs the prefill
 	})
 	t.Run("engines get no requests of another stage", func(t *testing.T) {
 		i := is.New(t)
-		i.Equal(newPlacer().ChoosePrefill(threeEndpoints(registrar.StageDecode), "a", nil, at(0)), nil)
+		i.Equal(newPlacer().ChoosePrefill(threeEndpoints(registrar.StageDecode), placer.PrefillDemand{PreferredDataCenter: "a"}, nil, at(0)), nil)
 		i.Equal(len(newPlacer().DecodeCandidates(threeEndpoints(registrar.StagePrefill), nil, demand, at(0))), 0)
 	})
 	t.Run("decode engines are ordered by ascending load", func(t *testing.T) {
@@ -290,7 +290,7 @@
 		i := is.New(t)
 		p, all := newPlacer(), threeEndpoints(registrar.StagePrefill)
 		for range 30 {
-			e := p.ChoosePrefill(all, "a", nil, at(0))
+			e := p.ChoosePrefill(all, placer.PrefillDemand{PreferredDataCenter: "a"}, nil, at(0))
 			p.Begin(e, placer.Size{Tokens: 5000})
 			p.End(e, placer.Size{Tokens: 5000})
 			i.Equal(e.Name, identifier.Endpoint("a"))
--- a/reserver/codec.go
+++ b/reserver/codec.go
@@ -73,6 +73,7 @@
 		OutputTimes:         peerwire.SampleAverage(m.OutputTimes),
 		OutputDeviations:    peerwire.SampleAverage(m.OutputDeviations),
 		MeasuredOutputTimes: peerwire.SampleAverage(m.MeasuredOutputTimes),
+		EventIntervals:      peerwire.SampleAverage(m.EventIntervals),
 		MemoryUse:           peerwire.SampleAverage(m.MemoryUse),
 	}
 }
@@ -88,6 +89,7 @@
 		OutputTimes:         estimator.Average(m.OutputTimes),
 		OutputDeviations:    estimator.Average(m.OutputDeviations),
 		MeasuredOutputTimes: estimator.Average(m.MeasuredOutputTimes),
+		EventIntervals:      estimator.Average(m.EventIntervals),
 		MemoryUse:           estimator.Average(m.MemoryUse),
 	}
 }
--- a/reserver/grants.go
+++ b/reserver/grants.go
@@ -109,8 +109,11 @@
 	if g == nil {
 		return // expired or revoked
 	}
+	q := r.serviceQueue(g.service)
+	now := time.Now()
+	q.recordSlowness(g, prefill, o, now)
 	if o.Verdict == placer.VerdictSuccess {
-		r.serviceQueue(g.service).recordMeasured(g, prefill, o, time.Now())
+		q.recordMeasured(g, prefill, o, now)
 	}
 	if origin == r.deps.Self {
 		return // the outcome was recorded by RecordPrefillOutcome or RecordOutcome
--- a/reserver/links.go
+++ b/reserver/links.go
@@ -177,9 +177,10 @@
 		return nil, classifier.NotRun(classifier.ReasonBadRequest, 0, "malformed ReservationOutcome message: %w", err)
 	}
 	o := placer.Outcome{
-		Verdict:    placer.Verdict(m.Verdict),
-		Latency:    time.Duration(m.TookUs) * time.Microsecond,
-		FirstEvent: time.Duration(m.FirstEventUs) * time.Microsecond,
+		Verdict:       placer.Verdict(m.Verdict),
+		Latency:       time.Duration(m.TookUs) * time.Microsecond,
+		FirstEvent:    time.Duration(m.FirstEventUs) * time.Microsecond,
+		EventInterval: time.Duration(m.EventIntervalUs) * time.Microsecond,
 	}
 	r.endGrant(grantID(m.Grant), m.Prefill, o, from.Incarnation)
 	return nil, nil
@@ -192,11 +193,12 @@
 		return
 	}
 	m := &peerwire.ReservationOutcome{
-		Grant:        uint64(p.grant),
-		Prefill:      prefill,
-		Verdict:      uint8(o.Verdict),
-		TookUs:       o.Latency.Microseconds(),
-		FirstEventUs: o.FirstEvent.Microseconds(),
+		Grant:           uint64(p.grant),
+		Prefill:         prefill,
+		Verdict:         uint8(o.Verdict),
+		TookUs:          o.Latency.Microseconds(),
+		FirstEventUs:    o.FirstEvent.Microseconds(),
+		EventIntervalUs: o.EventInterval.Microseconds(),
 	}
 	r.deps.Group.Run(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, sendTimeout)
--- a/reserver/model.go
+++ b/reserver/model.go
@@ -148,10 +148,12 @@
 	if !ok {
 		spread = 0
 	}
+	maxSlowness, _ := q.model.MaxSlowness(req.Prompt, req.output(), time.Until(req.Deadline)) // 0 if unknown
 	return placer.CapacityDemand{
 		Size:                placer.Size{Tokens: req.Tokens, Output: req.output()},
 		Memory:              memory,
 		OutputSpread:        spread,
+		MaxSlowness:         maxSlowness,
 		PreferredDataCenter: req.PreferredDataCenter,
 	}
 }
@@ -176,10 +178,49 @@
 	}
 	q.model.RecordResponse(estimator.Response{
 		Prompt: g.prompt, Output: outputTokens(g.prompt, g.tokens),
-		Occupied: took, FirstEvent: o.FirstEvent, Took: o.Latency,
+		Occupied: took, FirstEvent: o.FirstEvent, Took: o.Latency, EventInterval: o.EventInterval,
 	})
 }
 
+// recordSlowness compares the time that a part of a grant took with the model. A part
+// that failed tells how fast the engine is as far as it got.
+func (q *serviceQueue) recordSlowness(g *grant, prefill bool, o placer.Outcome, now time.Time) {
+	e := g.decode
+	if prefill {
+		e = g.prefill
+	}
+	if e == nil {
+		return
+	}
+	p := q.reserver.deps.Placer
+	ratio, known := q.slownessRatio(g, prefill, o, now)
+	before := p.Slowness(e, now)
+	switch {
+	case !known:
+		return
+	case prefill && o.Verdict == placer.VerdictResponseFailed:
+		p.RecordMinSlowness(e, ratio, now)
+	case !prefill || o.Verdict == placer.VerdictSuccess:
+		p.RecordSlowness(e, ratio, now)
+	}
+	if after := p.Slowness(e, now); (before > 1) != (after > 1) {
+		q.reserver.deps.Log.Info("engine-slowness-changed",
+			zap.String("endpoint", string(e.Name)), zap.String("service", string(q.service)),
+			zap.Stringer("stage", e.Stage), zap.Float64("from", before), zap.Float64("to", after))
+	}
+}
+
+// slownessRatio returns how many times as long as expected a part of a grant took. It is
+// false if that is unknown.
+func (q *serviceQueue) slownessRatio(g *grant, prefill bool, o placer.Outcome, now time.Time) (float64, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !prefill {
+		return q.model.EventRatio(o.EventInterval)
+	}
+	return q.model.PrefillRatio(estimator.Prefill{Prompt: g.prompt, Work: g.prefillWork, Delay: now.Sub(g.grantedAt)})
+}
+
 // modelFields returns the estimates for a request, for its log line. q.mu must be
 // held.
 func (q *serviceQueue) modelFields(req *PlacementRequest) []zap.Field {
--- a/reserver/search.go
+++ b/reserver/search.go
@@ -69,11 +69,12 @@
 	p := q.reserver.deps.Placer
 	now := time.Now()
 	exclude := append(q.enginesInTransition(all, now), a.ExcludePrefill...)
-	e := p.ChoosePrefill(all, q.reserver.deps.DataCenter, exclude, now)
+	e := p.ChoosePrefill(all, placer.PrefillDemand{Prompt: a.Prompt, PreferredDataCenter: q.reserver.deps.DataCenter}, exclude, now)
 	if e == nil || e.Stage != registrar.StagePrefill {
 		return false // the decode engine runs the prefill
 	}
-	return p.AssignedTokens(e) > q.maxPrefillWork()
+	work := float64(p.AssignedTokens(e)) * p.Slowness(e, now)
+	return work > float64(q.maxPrefillWork())
 }
 
 // maxPrefillWork returns the number of prompt tokens that a prefill engine may have
@@ -157,7 +158,7 @@
 	r := q.reserver
 	now := time.Now()
 	exclude := append(q.enginesInTransition(all, now), a.ExcludePrefill...)
-	prefill := r.deps.Placer.ChoosePrefill(all, e.DataCenter, exclude, now)
+	prefill := r.deps.Placer.ChoosePrefill(all, placer.PrefillDemand{Prompt: a.Prompt, PreferredDataCenter: e.DataCenter}, exclude, now)
 	if prefill != nil && prefill.Stage != registrar.StagePrefill {
 		prefill = nil
 	}
