Start the test endpoints of connector in one place

The test of broken-off streams had a second copy of the server's start. The method that records an event's time is recordEvent now, as the stream's observeEvent counts it.

--- a/connector/broken_off_test.go
+++ b/connector/broken_off_test.go
@@ -5,15 +5,11 @@
 	"context"
 	"fmt"
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"testing"
 
 	"connectrpc.com/connect"
 	"github.com/matryer/is"
 
-	"github.com/jackdawthread/jackdawthread/common/identifier"
-	"github.com/jackdawthread/jackdawthread/connector"
 	"github.com/jackdawthread/jackdawthread/wire/enginewire"
 	"github.com/jackdawthread/jackdawthread/wire/enginewire/enginewireconnect"
 )
@@ -67,16 +63,9 @@
 func decodeCutAfter(t *testing.T, wrap func(http.ResponseWriter) http.ResponseWriter) (messages int, done bool, err error) {
 	t.Helper()
 	path, handler := enginewireconnect.NewEngineServiceHandler(decodingEngine{})
-	mux := http.NewServeMux()
-	mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) { handler.ServeHTTP(wrap(w), r) })
-	server := httptest.NewUnstartedServer(mux)
-	server.Config.Protocols = new(http.Protocols)
-	server.Config.Protocols.SetUnencryptedHTTP2(true)
-	server.Start()
-	defer server.Close()
-	c := connector.New(connector.Options{MaxMessageBytes: maxMessageBytes})
-	defer c.Close()
-	address := identifier.Address(strings.TrimPrefix(server.URL, "http://"))
+	c, address := startEndpoint(t, path, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		handler.ServeHTTP(wrap(w), r)
+	}))
 	stream, err := c.Engine(address).Decode(t.Context(), connect.NewRequest(&enginewire.DecodeRequest{}))
 	if err != nil {
 		return 0, false, err
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -30,11 +30,11 @@
 	return r, nil
 }
 
-// invoke calls an endpoint.
-func invoke(t *testing.T, p *plainEndpoint) error {
+// startEndpoint serves an endpoint's handler, and returns a connector and the address.
+func startEndpoint(t *testing.T, path string, h http.Handler) (*connector.Connector, identifier.Address) {
 	t.Helper()
 	mux := http.NewServeMux()
-	mux.Handle(enginewireconnect.NewPlainServiceHandler(p))
+	mux.Handle(path, h)
 	server := httptest.NewUnstartedServer(mux)
 	server.Config.Protocols = new(http.Protocols)
 	server.Config.Protocols.SetUnencryptedHTTP2(true)
@@ -42,7 +42,14 @@
 	t.Cleanup(server.Close)
 	c := connector.New(connector.Options{MaxMessageBytes: maxMessageBytes})
 	t.Cleanup(c.Close)
-	address := identifier.Address(strings.TrimPrefix(server.URL, "http://"))
+	return c, identifier.Address(strings.TrimPrefix(server.URL, "http://"))
+}
+
+// invoke calls an endpoint.
+func invoke(t *testing.T, p *plainEndpoint) error {
+	t.Helper()
+	path, handler := enginewireconnect.NewPlainServiceHandler(p)
+	c, address := startEndpoint(t, path, handler)
 	_, err := c.Plain(address).Invoke(t.Context(), connect.NewRequest(&enginewire.InvokeRequest{}))
 	return err
 }
--- a/forwarder/event_interval_test.go
+++ b/forwarder/event_interval_test.go
@@ -11,7 +11,7 @@
 	receive := func(count int) *decoding {
 		d := &decoding{}
 		for n := range count {
-			d.observeEvent(time.Unix(1_000_000, 0).Add(time.Duration(n) * 40 * time.Millisecond))
+			d.recordEvent(time.Unix(1_000_000, 0).Add(time.Duration(n) * 40 * time.Millisecond))
 		}
 		return d
 	}
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -207,7 +207,7 @@
 		return s.checkHead(p.head, d.call.at)
 	}
 	s.observeEvent(p)
-	d.observeEvent(time.Now())
+	d.recordEvent(time.Now())
 	if alreadyDelivered(p.id, s.lastEventID) {
 		return nil
 	}
@@ -221,8 +221,8 @@
 	return nil
 }
 
-// observeEvent records the arrival of an event.
-func (d *decoding) observeEvent(now time.Time) {
+// recordEvent records the arrival of an event.
+func (d *decoding) recordEvent(now time.Time) {
 	if d.events == 0 {
 		d.firstEventAt = now
 	}
