--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -218,9 +218,9 @@
 	return interval.Seconds() / m.EventIntervals.Mean, true
 }
 
-// MaxSlowness returns the slowness of an engine at which a response takes the given
-// time, of which a first event of average engines takes its part. It is false without
-// enough samples.
+// MaxSlowness returns the slowness of a decode engine from which a response is not
+// complete within the time left. Its first event is expected as usual. It is false
+// without enough samples.
 func (m *Model) MaxSlowness(prompt, output identifier.Tokens, left time.Duration) (float64, bool) {
 	first, ok := m.FirstEvent(prompt)
 	outputTime := m.TimePerToken() * float64(output)
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -104,7 +104,7 @@
 type Options struct {
 	// WatchWait is how long the store may hold a watch open without a change.
 	WatchWait time.Duration
-	// ReplyMargin is how much longer than the store may hold it open a watch may take.
+	// ReplyMargin is how much longer a watch may take than the store may hold it open.
 	ReplyMargin time.Duration
 	// ReadInterval is the least time from the start of a read of the store to the next
 	// one's, so that a series of changes takes few reads. DirectReadInterval is that of
