Log a peer that leaves before its hello as that, not as refused

Nothing was sent that could not be read; the log called the end of the connection a refusal.

Ruled out: a dial that is given up before the hello (clientHandshake writes it at once, under its own deadline); a hello that was cut (that is io.ErrUnexpectedEOF, and stays peer-refused).

A connection that ends before its first byte is peer-left-before-hello now, level info. TestLogOfRefusedPeers: the case "nothing" failed before; a hello cut in its length or body, and another first message, are refused as before.

--- a/messenger/link_test.go
+++ b/messenger/link_test.go
@@ -17,6 +17,9 @@
 	"github.com/matryer/is"
 	"github.com/tinylib/msgp/msgp"
 	"go.uber.org/goleak"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/jackdawthread/jackdawthread/certifier"
 	"github.com/jackdawthread/jackdawthread/common/classifier"
@@ -96,6 +99,37 @@
 	})
 }
 
+// A connection that a killed host closed before it sent anything was logged as refused, like
+// one whose hello can't be read.
+func TestLogOfRefusedPeers(t *testing.T) {
+	hello := encodeFrame(t, peerwire.Envelope{Type: peerwire.FrameHello}, &peerwire.Hello{Version: peerwire.ProtocolVersion, Host: "a", Incarnation: 5})
+	cases := []struct {
+		name, event string
+		sent        []byte
+	}{
+		{"nothing", "peer-left-before-hello", nil},
+		{"part of the length of a hello", "peer-refused", hello[:2]},
+		{"part of a hello", "peer-refused", hello[:len(hello)-1]},
+		{"another message", "peer-refused", encodeFrame(t, peerwire.Envelope{Type: peerwire.FrameCall, ID: 1}, nil)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			i := is.New(t)
+			core, logs := observer.New(zapcore.InfoLevel)
+			b := startHost(t, "b", messenger.Options{Logger: zap.New(core)}, echo)
+			raw, err := net.Dial("tcp", string(b.address))
+			i.NoErr(err)
+			_, err = raw.Write(c.sent)
+			i.NoErr(err)
+			i.NoErr(raw.(*net.TCPConn).CloseWrite())
+			_, _ = io.Copy(io.Discard, raw) // until the host has closed it too
+			i.NoErr(raw.Close())
+			i.Equal(logs.Len(), 1)
+			i.Equal(logs.All()[0].Message, c.event)
+		})
+	}
+}
+
 func TestUnreadableFrames(t *testing.T) {
 	t.Cleanup(func() { goleak.VerifyNone(t) })
 	hello := encodeFrame(t, peerwire.Envelope{Type: peerwire.FrameHello}, &peerwire.Hello{Version: peerwire.ProtocolVersion, Host: "a", Incarnation: 5})
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -38,6 +38,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -265,13 +266,23 @@
 	}
 	c, err := m.serverHandshake(conn)
 	if err != nil {
-		m.options.Logger.Warn("peer-refused", zap.Stringer("address", raw.RemoteAddr()), zap.Error(err))
+		m.logRefusal(raw.RemoteAddr(), err)
 		_ = conn.Close()
 		return
 	}
 	c.start()
 }
 
+// logRefusal logs that a connection was refused, or that its peer closed it before the
+// first byte of a hello, as a host does that is killed at that time.
+func (m *Messenger) logRefusal(from net.Addr, err error) {
+	if errors.Is(err, io.EOF) {
+		m.options.Logger.Info("peer-left-before-hello", zap.Stringer("address", from))
+		return
+	}
+	m.options.Logger.Warn("peer-refused", zap.Stringer("address", from), zap.Error(err))
+}
+
 // start runs f in the group. It returns false if the messenger is closed.
 func (m *Messenger) start(f func(context.Context)) bool {
 	m.mu.Lock()
