Let a changed pool reverse the last order to its engines

Cause: one prefill engine was left. At 24.8 s a prefill engine was ordered to decode; from 27.3 s on it and two other prefill engines left with the scale-in. An order in the opposite direction had to wait for 30 s after the last one, which keeps stages from flapping; all hosts restarted before that.

The 30 s now hold for the same pool only: once engines have joined or left since the last order, and the pool has been unchanged for 6 s as before, it may be reversed. Own orders don't count as such a change.

"the last prefill engine gets help soon after the others have left" failed before; "stages do not flap" is unchanged.

--- a/stager/stager.go
+++ b/stager/stager.go
@@ -40,7 +40,7 @@
 	minPrefillEngines    = 2
 	minPoolForMinPrefill = 5
 	// orderInterval is the minimum time between orders, and reversalInterval that
-	// between orders in opposite directions. transitionTimeout is how long an
+	// between orders in opposite directions in the same pool. transitionTimeout is how long an
 	// ordered engine counts as in transition while it still reports its old stage:
 	// it first completes its running requests. Large pools change several engines
 	// at once, one for every enginesPerOrder.
@@ -135,7 +135,7 @@
 		from, stage = prefill, registrar.StageDecode
 		delta = -delta
 	}
-	if stage != s.lastStage && now.Sub(s.lastOrder) < reversalInterval && !s.lastOrder.IsZero() {
+	if stage != s.lastStage && s.mayNotReverse(now) {
 		return nil
 	}
 	orders := s.recordOrders(pickAcrossDataCenters(from, min(delta, maxConcurrentOrders(size))), stage, now)
@@ -144,6 +144,12 @@
 	return orders
 }
 
+// mayNotReverse reports whether the last order is too recent for one in the opposite
+// direction. A pool that other engines have joined or left since is another one.
+func (s *Stager) mayNotReverse(now time.Time) bool {
+	return !s.lastOrder.IsZero() && now.Sub(s.lastOrder) < reversalInterval && !s.stableSince.After(s.lastOrder)
+}
+
 // maxConcurrentOrders returns how many engines of a pool may change at once.
 func maxConcurrentOrders(size int) int {
 	return max(1, size/enginesPerOrder)
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -212,6 +212,26 @@
 		}
 		i.True(turns <= 3)
 	})
+	t.Run("the last prefill engine gets help soon after the others have left", func(t *testing.T) {
+		// After an order to decode, a pool had a single prefill engine for 30 s.
+		i := is.New(t)
+		s, m := stager.New(), trainedModel(3500*time.Millisecond)
+		all := enginePool(4, 5)
+		orders := func(from, to time.Duration) map[registrar.Stage]int {
+			count := map[registrar.Stage]int{}
+			for now := from; now < to; now += 100 * time.Millisecond {
+				for _, o := range s.NextOrders(all, stager.Workload{Model: m, Memory: memory}, start.Add(now)) {
+					o.Engine.Stage = o.Stage
+					count[o.Stage]++
+				}
+			}
+			return count
+		}
+		i.True(orders(0, 8*time.Second)[registrar.StageDecode] > 0)
+		all = append(all[:1], all[4:]...) // one prefill engine, and those that decode from the start
+		all[0].Stage = registrar.StagePrefill
+		i.True(orders(8*time.Second, 15*time.Second)[registrar.StagePrefill] > 0)
+	})
 	t.Run("an ordered engine is in transition until the timeout", func(t *testing.T) {
 		i := is.New(t)
 		s, m := stager.New(), trainedModel(3500*time.Millisecond)
