Close the connections that a soak's proxy opens while its group ends

Cause: the proxy had dialed its target when the group ended. All tracked connections were reset then, but this one was tracked only after that, so nothing ever closed it, and the group's end was awaited forever. A soak could hang in the same way. Not the test's listener: the stack has the read from the target's connection.

track now resets a connection if the group has ended; both hold the lock that the reset of all connections holds.

--- a/emulator/soaker/proxy.go
+++ b/emulator/soaker/proxy.go
@@ -113,13 +113,20 @@
 	_ = c.Close()
 }
 
-func (p *proxy) track(c net.Conn, open bool) {
+// track adds a connection to those that resetAll resets. One that opens after the
+// group's end is reset at once.
+func (p *proxy) track(c net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if open {
-		p.connections[c] = struct{}{}
-		return
+	p.connections[c] = struct{}{}
+	if p.group.Context().Err() != nil {
+		reset(c)
 	}
+}
+
+func (p *proxy) forget(c net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	delete(p.connections, c)
 }
 
@@ -133,10 +140,10 @@
 		reset(client)
 		return
 	}
-	p.track(client, true)
-	p.track(server, true)
-	defer p.track(client, false)
-	defer p.track(server, false)
+	p.track(client)
+	p.track(server)
+	defer p.forget(client)
+	defer p.forget(server)
 	done := make(chan struct{})
 	p.group.Run(func(context.Context) {
 		p.copy(server, client, true)
--- a/emulator/soaker/proxy_test.go
+++ b/emulator/soaker/proxy_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"syscall"
@@ -88,6 +89,39 @@
 	i.NoErr(err)
 }
 
+// A connection that a proxy opened while its group ended was never closed, so that the end of
+// the group was awaited forever.
+func TestProxyThatEnds(t *testing.T) {
+	i := is.New(t)
+	g := grouper.New(context.Background())
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	i.NoErr(err)
+	defer func() { _ = target.Close() }()
+	p, err := startProxy(g, identifier.Address(target.Addr().String()))
+	i.NoErr(err)
+	earlier, tracked := net.Pipe()
+	p.track(tracked)
+	g.Stop()
+	_, err = earlier.Read(make([]byte, 1))
+	i.Equal(err, io.EOF) // all connections of that time have been reset
+	client, atProxy := net.Pipe()
+	defer func() { _ = client.Close() }()
+	served := make(chan struct{})
+	go func() {
+		p.serve(atProxy)
+		close(served)
+	}()
+	server, err := target.Accept()
+	i.NoErr(err)
+	defer func() { _ = server.Close() }()
+	select {
+	case <-served:
+	case <-time.After(5 * time.Second):
+		t.Fatal("proxy still serves the connection")
+	}
+	i.NoErr(g.Wait())
+}
+
 // passed sends text and returns what arrives at the other end within a short time.
 func passed(t *testing.T, from, to net.Conn, text string) string {
 	t.Helper()
