--- a/common/identifier/identifier.go
+++ b/common/identifier/identifier.go
@@ -67,6 +67,9 @@
 // Pieces is a number of an engine's memory allocation units.
 type Pieces uint32
 
+// Segment is the ID of a part of a prompt, which requests with that part share.
+type Segment string
+
 // BlockHash is the chained hash of a prompt prefix that consists of whole
 // blocks.
 type BlockHash uint64
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -135,6 +135,9 @@
 	// Prompt, MaxOutput and ExpectedOutput are the number of prompt tokens, and the
 	// maximum and the estimated number of output tokens; 0 means unknown.
 	Prompt, MaxOutput, ExpectedOutput identifier.Tokens
+	// Segments are the parts of the prompt that other requests may share, in their
+	// order; empty if unknown.
+	Segments []identifier.Segment
 }
 
 // Dialect defines the headers that callers, hosts and endpoints exchange.
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -218,12 +218,24 @@
 
 // recordFailedDecode records a decode that did not complete the stream.
 func (s *stream) recordFailedDecode(ctx context.Context, d *decoding, err error) {
+	if err != nil && ctx.Err() == nil {
+		s.logDecision("decode-failed", d.call.at, err, zap.Int64("started", d.call.at.StartID),
+			zap.Int("events", d.events), zap.Strings("segments", segmentStrings(s.call.Segments)))
+	}
 	s.exclude = append(s.exclude, d.call.at.Name)
 	o := s.failedDecode(ctx, d.preparation, err)
 	o.EventInterval = d.eventInterval()
 	s.forwarder.deps.Reservations.RecordOutcome(d.plan, o)
 }
 
+func segmentStrings(all []identifier.Segment) []string {
+	names := make([]string, len(all))
+	for i, g := range all {
+		names[i] = string(g)
+	}
+	return names
+}
+
 // failedDecode returns the outcome of a decode that did not complete the stream; a nil
 // error means that the stream was moved. If the engine refused the decode although
 // capacity was reserved, it could not fetch the prefill's result.
