Keep requests with a crashing prompt segment away from engines

Cause: nothing related an engine's end to what it was about to do. The breaker and the placer see endpoints only, each host sees a few of the ends, and a retry goes to the next engine.

Fix: quarantiner decides, from the ends of engines and the answers that began, which segment the requests have in common; isolator confirms the ends, tells all hosts, and checks each request at its arrival and each call right before it is written. Until a verdict a host has one call of a suspect segment under way at a time. Ruled out: one deciding host, whose restart would lose the evidence.

Engines that end by themselves, one by one, half or all at once, and runs that fail alone, lead to no verdict.

--- a/common/classifier/classifier.go
+++ b/common/classifier/classifier.go
@@ -78,6 +78,7 @@
 	ReasonTakenOver        Reason = "taken-over"
 	ReasonInternal         Reason = "internal"
 	ReasonAllocatorUnknown Reason = "allocator-unknown"
+	ReasonQuarantined      Reason = "quarantined"
 )
 
 // Error is a failure with its verdict.
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -91,6 +91,7 @@
 		Deadline:          e.requestDeadline(parameters),
 		AtMostOnce:        !route.Repeatable(),
 	}
+	e.call.MayWrite = e.checkQuarantine
 	f.deps.Dialect.Strip(e.call.Header)
 	if err := e.checkStop(time.Now()); err != nil {
 		return err
@@ -173,8 +174,23 @@
 	return target
 }
 
+// checkQuarantine refuses a request that may end the engines that it is sent to.
+func (e *exchange) checkQuarantine() error {
+	return e.forwarder.deps.Isolator.Check(e.call.ID, e.call.Segments)
+}
+
+// quarantined reports whether an error is a refusal of checkQuarantine, or of a call
+// whose segments are on trial.
+func quarantined(err error) bool {
+	return err != nil && classifier.Of(err).Reason == classifier.ReasonQuarantined
+}
+
 // serve forwards a prepared request within its deadline.
 func (e *exchange) serve() {
+	if err := e.checkQuarantine(); err != nil {
+		e.fail(err)
+		return
+	}
 	ctx, cancel := context.WithDeadlineCause(e.request.Context(), e.call.Deadline, errDeadline)
 	defer cancel()
 	e.forwarder.deps.Budget.RecordFirstAttempt(e.service.Name)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -37,6 +37,7 @@
 	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/exchanger"
+	"github.com/jackdawthread/jackdawthread/isolator"
 	"github.com/jackdawthread/jackdawthread/placer"
 	"github.com/jackdawthread/jackdawthread/registrar"
 	"github.com/jackdawthread/jackdawthread/reserver"
@@ -120,6 +121,9 @@
 	// AtMostOnce is set for calls that can't be retried, and therefore must not be
 	// sent over a connection that may be stale.
 	AtMostOnce bool
+	// MayWrite is called right before the call is sent. If it returns an error, the call
+	// must not be sent.
+	MayWrite func() error
 }
 
 // TimeLeft returns the time until the deadline, at least 0.
@@ -179,7 +183,9 @@
 	Placer       *placer.Placer
 	// Exclusions is optional; without it, no endpoints are excluded.
 	Exclusions Exclusions
-	Observer   Observer
+	// Isolator keeps requests that end engines away from them; nil for none.
+	Isolator *isolator.Isolator
+	Observer Observer
 	// AwaitConfirmation waits, for a bounded time, until the replicated state is
 	// confirmed to be current, for example after the process was suspended.
 	AwaitConfirmation func(ctx context.Context)
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -242,7 +242,7 @@
 // had no memory for, and unreachable ones, from failed ones.
 func failureVerdict(c *classifier.Error) placer.Verdict {
 	switch c.Reason {
-	case classifier.ReasonEndpointExcluded, classifier.ReasonQueueFull:
+	case classifier.ReasonEndpointExcluded, classifier.ReasonQueueFull, classifier.ReasonQuarantined:
 		return placer.VerdictNone
 	case classifier.ReasonHostUnreachable:
 		return placer.VerdictUnreachable
--- a/forwarder/prefill.go
+++ b/forwarder/prefill.go
@@ -8,6 +8,7 @@
 
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/placer"
+	"github.com/jackdawthread/jackdawthread/quarantiner"
 	"github.com/jackdawthread/jackdawthread/registrar"
 	"github.com/jackdawthread/jackdawthread/reserver"
 )
@@ -81,6 +82,8 @@
 type prefillEnd struct {
 	result PrefillResult
 	err    error
+	// engineLost is set if the engine may have ended.
+	engineLost bool
 }
 
 // obtainPrefill runs the prefill on the plan's prefill engine, or on another one if
@@ -114,6 +117,8 @@
 			return nil
 		case ctx.Err() != nil:
 			return contextError(ctx, classifier.VerdictNotRun)
+		case quarantined(end.err), s.enginesLost >= maxEnginesLost:
+			return &hostRefusal{cause: end.err}
 		}
 		s.excludedPrefills = append(s.excludedPrefills, c.at.Name)
 		c = nil
@@ -171,8 +176,7 @@
 	s.prefills.arrived++
 	ends := make(chan prefillEnd, 1)
 	s.group.Run(func(context.Context) {
-		result, err := s.forwarder.deps.Engines.Prefill(call, c.at, &s.call)
-		ends <- prefillEnd{result: result, err: err}
+		ends <- s.callPrefill(call, c.at)
 	})
 	patience := time.NewTimer(s.prefillPatience(expected))
 	defer patience.Stop()
@@ -180,6 +184,7 @@
 		select {
 		case end := <-ends:
 			s.recordPrefill(ctx, c, end.err)
+			s.countLost(end.engineLost)
 			return end, true
 		case <-patience.C:
 			if !s.pay() {
@@ -199,6 +204,25 @@
 	}
 }
 
+// callPrefill sends a prefill unless the request is quarantined.
+func (s *stream) callPrefill(ctx context.Context, at *registrar.Endpoint) prefillEnd {
+	c, err := s.forwarder.deps.Isolator.Enter(ctx, s.call.ID, quarantiner.PhasePrefill, s.call.Segments)
+	if err != nil {
+		return prefillEnd{err: err}
+	}
+	defer c.Close()
+	result, err := s.forwarder.deps.Engines.Prefill(ctx, at, &s.call)
+	end := prefillEnd{result: result, err: err}
+	switch {
+	case err == nil:
+		c.Begun()
+	case ctx.Err() == nil && brokenOff(err):
+		end.engineLost = true
+		c.Lost(engineOf(at))
+	}
+	return end
+}
+
 // recordPrefill records the end of a prefill call.
 func (s *stream) recordPrefill(ctx context.Context, c *prefillCall, err error) {
 	took := time.Since(c.began)
@@ -218,7 +242,7 @@
 // reachedEngine reports whether a prefill call that failed may have reached its engine.
 func reachedEngine(err error) bool {
 	switch classifier.Of(err).Reason {
-	case classifier.ReasonHostUnreachable, classifier.ReasonEndpointExcluded:
+	case classifier.ReasonHostUnreachable, classifier.ReasonEndpointExcluded, classifier.ReasonQuarantined:
 		return false
 	default:
 		return true
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -78,6 +78,7 @@
 		return next, nil
 	}
 	next.call.stop()
+	next.isolation.Close()
 	s.forwarder.deps.Reservations.RecordOutcome(next.plan, unusedOutcome)
 	s.complete(d)
 	return nil, nil
@@ -228,6 +229,9 @@
 	}
 	d.events++
 	d.lastEventAt = now
+	if d.events == begunEvents {
+		d.isolation.Begun()
+	}
 }
 
 // observeEvent counts an event that has arrived.
@@ -308,6 +312,7 @@
 
 // complete ends a stream that was forwarded as a whole.
 func (s *stream) complete(d *decoding) {
+	d.isolation.Begun()
 	s.observation.RespondedBy = d.call.at.Name
 	if !s.headWritten {
 		s.writeHead(d.response.Status, d.response.Header)
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -13,7 +13,9 @@
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/common/socket"
 	"github.com/jackdawthread/jackdawthread/exchanger"
+	"github.com/jackdawthread/jackdawthread/isolator"
 	"github.com/jackdawthread/jackdawthread/placer"
+	"github.com/jackdawthread/jackdawthread/quarantiner"
 	"github.com/jackdawthread/jackdawthread/registrar"
 	"github.com/jackdawthread/jackdawthread/reserver"
 )
@@ -26,6 +28,9 @@
 	firstEventFactor   = 3
 	// maxPlacements is the maximum number of times that a request is placed.
 	maxPlacements = 6
+	// maxEnginesLost is the number of engines that may end under a request before they
+	// begin to answer it. It isn't sent to another one then.
+	maxEnginesLost = 2
 )
 
 // stream is an exchange whose response is an event stream.
@@ -53,6 +58,9 @@
 	// engineFailure is an engine's error response, returned to the caller if
 	// all further attempts fail.
 	engineFailure *endpointResponse
+	// enginesLost counts the engines that broke the request off before they began to
+	// answer it.
+	enginesLost int
 }
 
 // generate handles a streaming request to a model service.
@@ -122,6 +130,9 @@
 	if _, own := errors.AsType[*hostRefusal](err); own || s.withoutID {
 		return false
 	}
+	if quarantined(err) || s.enginesLost >= maxEnginesLost {
+		return false
+	}
 	return s.mayResend(ctx, err)
 }
 
@@ -166,6 +177,9 @@
 type decoding struct {
 	*preparation
 	call *engineCall
+	// isolation is the call at the isolator. It may be read once a part or the end of the
+	// call has arrived.
+	isolation *isolator.Call
 	// response is nil until its head has arrived.
 	response *exchanger.Response
 	// resumed is set if the stream had begun at another engine.
@@ -193,10 +207,16 @@
 	s.sent++
 	s.observation.addAttempt(at)
 	options := DecodeOptions{Prefill: p.result, Reservation: p.plan.Reservation, LastEvent: s.lastEventID}
-	c := s.callEndpoint(ctx, at, func(ctx context.Context) (*exchanger.Response, error) {
+	d := &decoding{preparation: p, resumed: s.lastEventID != ""}
+	d.call = s.callEndpoint(ctx, at, func(ctx context.Context) (*exchanger.Response, error) {
+		c, err := f.deps.Isolator.Enter(ctx, s.call.ID, quarantiner.PhaseDecode, s.call.Segments)
+		if err != nil {
+			return nil, err
+		}
+		d.isolation = c
 		return f.deps.Engines.Decode(ctx, at, &s.call, options)
 	})
-	return &decoding{preparation: p, call: c, resumed: s.lastEventID != ""}
+	return d
 }
 
 // decode forwards the stream of a decode. If its engine is silent or its stream breaks
@@ -222,12 +242,51 @@
 		s.logDecision("decode-failed", d.call.at, err, zap.Int64("started", d.call.at.StartID),
 			zap.Int("events", d.events), zap.Strings("segments", segmentStrings(s.call.Segments)))
 	}
+	if quarantined(err) { // nothing was sent
+		d.isolation.Close()
+		s.sent--
+		s.release(d.preparation)
+		return
+	}
+	s.recordLoss(ctx, d, err)
 	s.exclude = append(s.exclude, d.call.at.Name)
 	o := s.failedDecode(ctx, d.preparation, err)
 	o.EventInterval = d.eventInterval()
 	s.forwarder.deps.Reservations.RecordOutcome(d.plan, o)
 }
 
+// recordLoss records whether the engine ended the call before it began to answer.
+func (s *stream) recordLoss(ctx context.Context, d *decoding, err error) {
+	lost := ctx.Err() == nil && d.events < begunEvents && brokenOff(err)
+	s.countLost(lost)
+	if lost {
+		d.isolation.Lost(engineOf(d.call.at))
+		return
+	}
+	d.isolation.Close()
+}
+
+// begunEvents is the number of events from which on an engine has begun to answer. One
+// that the request ends may still have sent the first.
+const begunEvents = 2
+
+func (s *stream) countLost(lost bool) {
+	if lost {
+		s.enginesLost++
+	}
+}
+
+// brokenOff reports whether a call failed since its connection ended, which may be the
+// end of its engine.
+func brokenOff(err error) bool {
+	c := classifier.Of(err)
+	return c != nil && c.Reason == classifier.ReasonEndpointFailed && c.Verdict != classifier.VerdictRan && c.Cause != nil
+}
+
+func engineOf(e *registrar.Endpoint) isolator.Engine {
+	return isolator.Engine{Name: e.Name, Address: e.Address, StartID: e.StartID}
+}
+
 func segmentStrings(all []identifier.Segment) []string {
 	names := make([]string, len(all))
 	for i, g := range all {
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -36,6 +36,7 @@
 	"github.com/jackdawthread/jackdawthread/forwarder"
 	"github.com/jackdawthread/jackdawthread/gossiper"
 	"github.com/jackdawthread/jackdawthread/interceptor"
+	"github.com/jackdawthread/jackdawthread/isolator"
 	"github.com/jackdawthread/jackdawthread/messenger"
 	"github.com/jackdawthread/jackdawthread/peerwire"
 	"github.com/jackdawthread/jackdawthread/placer"
@@ -90,11 +91,13 @@
 	placer     *placer.Placer
 	// interceptor excludes endpoints that asked for no calls.
 	interceptor *interceptor.Interceptor
-	reserver    *reserver.Reserver
-	forwarder   *forwarder.Forwarder
-	budgets     *budgets
-	metrics     *metrics
-	acceptor    *acceptor.Acceptor
+	// isolator keeps requests that end engines away from them.
+	isolator  *isolator.Isolator
+	reserver  *reserver.Reserver
+	forwarder *forwarder.Forwarder
+	budgets   *budgets
+	metrics   *metrics
+	acceptor  *acceptor.Acceptor
 
 	callers   *http.Server
 	addresses Addresses
@@ -232,6 +235,18 @@
 	h.gossiper.Seed(s.Seeds)
 	h.interceptor = interceptor.New(interceptor.Deps{Registry: h.registry, Gossip: h.gossiper, Timer: h.timer, Log: h.log})
 	h.deps.Platform.Intercept(h.interceptor)
+	h.isolator = isolator.New(isolator.Deps{
+		Self:       h.incarnation,
+		Members:    h.gossiper,
+		Links:      h.messenger,
+		Connect:    h.deps.Platform.Exchanger().Probe,
+		Registered: h.registered,
+		Timer:      h.timer,
+		Group:      h.group,
+		Log:        h.log,
+	})
+	h.isolator.Override(s.Quarantine.Released, s.Quarantine.Pinned)
+	h.isolator.Register(h.messenger)
 	h.placer = placer.New(placer.Options{DataCenter: s.DataCenter}, uint64(h.incarnation))
 	h.budgets = newBudgets(s.Retries, rand.Float64())
 	h.gossiper.Subscribe(func(v *gossiper.View) { h.budgets.observeHosts(len(v.Members())) })
@@ -267,6 +282,7 @@
 		Budget:            h.budgets,
 		Placer:            h.placer,
 		Exclusions:        h.interceptor,
+		Isolator:          h.isolator,
 		Observer:          h,
 		AwaitConfirmation: h.awaitConfirmation,
 		ExpectedDuration:  h.metrics.expectedDuration,
@@ -376,6 +392,12 @@
 	}
 }
 
+// registered reports whether the engine's incarnation is the one registered under its name.
+func (h *Host) registered(e isolator.Engine) bool {
+	r := h.registry.Snapshot().Endpoint(e.Name)
+	return r != nil && r.StartID == e.StartID && r.Address == e.Address
+}
+
 // knowledge returns how current this host's copy of the store is.
 func (h *Host) knowledge() reserver.Knowledge {
 	r := h.replicator.Load()
--- a/hoster/run.go
+++ b/hoster/run.go
@@ -77,5 +77,7 @@
 		return
 	}
 	h.gossiper.Seed(s.Seeds)
-	h.log.Info("settings-reloaded", zap.Int("seeds", len(s.Seeds)))
+	h.isolator.Override(s.Quarantine.Released, s.Quarantine.Pinned)
+	h.log.Info("settings-reloaded", zap.Int("seeds", len(s.Seeds)),
+		zap.Int("released-segments", len(s.Quarantine.Released)), zap.Int("pinned-segments", len(s.Quarantine.Pinned)))
 }
--- a/hoster/settings.go
+++ b/hoster/settings.go
@@ -26,6 +26,17 @@
 	Limits    Limits      `toml:"limits"`
 	Orders    Orders      `toml:"orders"`
 	Log       LogSettings `toml:"log"`
+	// Quarantine takes effect at once when the settings are reloaded.
+	Quarantine Quarantine `toml:"quarantine"`
+}
+
+// Quarantine overrides the decisions which segments of prompts are kept away from
+// engines.
+type Quarantine struct {
+	// Released are the segments that are never quarantined at this host, and Pinned
+	// those that always are. Released goes first.
+	Released []identifier.Segment `toml:"released" validate:"max=1000,dive,min=1,max=64"`
+	Pinned   []identifier.Segment `toml:"pinned" validate:"max=1000,dive,min=1,max=64"`
 }
 
 // Listeners are the addresses that the process listens on.
--- a/peerwire/compatibility_test.go
+++ b/peerwire/compatibility_test.go
@@ -31,6 +31,7 @@
 		&peerwire.ChangesRequest{}, &peerwire.ChangesReply{}, &peerwire.StoreItem{},
 		&peerwire.ReservationRequest{}, &peerwire.ReservationReply{}, &peerwire.ReservationCancel{},
 		&peerwire.ReservationOutcome{}, &peerwire.ReservationPing{}, &peerwire.ReservationPong{}, &peerwire.EngineModel{},
+		&peerwire.CrashNews{},
 	}
 }
 
--- a/peerwire/kinds.go
+++ b/peerwire/kinds.go
@@ -67,4 +67,6 @@
 	KindReservationPing
 	// KindReservationCancel cancels a reservation request.
 	KindReservationCancel
+	// KindCrashNews tells which engines ended under which requests.
+	KindCrashNews
 )
--- /dev/null
+++ b/peerwire/quarantine.go
@@ -0,0 +1,48 @@
+package peerwire
+
+//go:generate go tool msgp -file quarantine.go -tests=false
+
+// CrashNews tells a host which engines have ended under which requests, and which
+// segments of prompts are quarantined for that. Hosts of earlier versions don't know it.
+type CrashNews struct {
+	Ends     []EngineEnd      `msg:"ends"`
+	Begun    []BegunCount     `msg:"begun"`
+	Verdicts []SegmentVerdict `msg:"verdicts"`
+	// Forward asks the receiver to pass on to all hosts what is news to it.
+	Forward bool `msg:"forward"`
+	// Want asks for what the receiver knows, as a CrashNews.
+	Want bool `msg:"want"`
+}
+
+// EngineEnd is a quarantiner.End.
+type EngineEnd struct {
+	Engine  string       `msg:"engine"`
+	StartID int64        `msg:"started"`
+	Phase   uint8        `msg:"phase"`
+	AgeMs   int64        `msg:"age-ms"`
+	Calls   []BrokenCall `msg:"calls"`
+}
+
+// BrokenCall is a quarantiner.Call.
+type BrokenCall struct {
+	Request  string   `msg:"request"`
+	Segments []string `msg:"segments"`
+}
+
+// BegunCount is a quarantiner.BegunCount.
+type BegunCount struct {
+	Segment string `msg:"segment"`
+	Phase   uint8  `msg:"phase"`
+	Count   int    `msg:"count"`
+}
+
+// SegmentVerdict is a quarantiner.Verdict, with ages in place of times.
+type SegmentVerdict struct {
+	Segment    string `msg:"segment"`
+	Phase      uint8  `msg:"phase"`
+	AgeMs      int64  `msg:"age-ms"`
+	LastSeenMs int64  `msg:"last-seen-ms"`
+	Ends       int    `msg:"ends"`
+	Requests   int    `msg:"requests"`
+	Begun      int    `msg:"begun"`
+}
--- /dev/null
+++ b/quarantiner/quarantiner.go
@@ -0,0 +1,679 @@
+// Package quarantiner decides which segments of prompts are kept away from model
+// engines, because every engine that begins to answer a request with such a segment
+// ends. The package holds policy only: it does no I/O, reads no clock and starts no
+// goroutines.
+//
+// # Usage
+//
+//	q := quarantiner.New()
+//	q.Begun(quarantiner.PhaseDecode, segments, now)  // an engine has begun to answer
+//	q.AddEnd(quarantiner.End{Engine: "e1", Calls: calls}, now)
+//	verdicts := q.Decide(now)                        // from time to time
+//	if v, ok := q.Check(segments, now); ok { ... }   // before each call
+//
+// # Evidence
+//
+// The end of an engine breaks off all its calls. Only those that it had not begun to
+// answer are suspect, with all segments that other requests may share. Whether
+// requests with a segment end engines is judged by distinct engines, and by at least
+// minRequests requests: a segment is quarantined once minEnds more engines have ended
+// under it than have begun to answer requests with it. Answers that began shortly before the
+// first end count as well.
+//
+// Engines that end at the same time, without a call that has the segment, have a cause
+// in common that the segment isn't. For each othersPerEnd of them another end is required.
+//
+// Of several segments that meet the condition, the one with the most evidence is
+// quarantined first, and of those that always occur together the last one in
+// the prompt: the others are more widely shared. It explains the ends that
+// its requests were part of, which are no evidence against other segments any more.
+// A segment that was spared by mistake is quarantined after further ends.
+//
+// # All hosts
+//
+// Each host feeds the ends and the begun answers of all hosts to its Quarantiner, and
+// merges the verdicts of others. No host decides for the others. News can arrive in any
+// order: a verdict waits for settleTime after the first end, so that what speaks against
+// it can arrive. All state is bounded, whatever arrives.
+//
+// # Before a verdict
+//
+// A segment against which there is more evidence than for it is on trial: few requests
+// with it should be sent at a time, so that few engines end until the verdict.
+//
+// # The end of a quarantine
+//
+// A quarantine lasts until no host has seen a request with its segment for quietTime.
+// The next request is sent as any other, which is its trial. During relapseTime
+// one end is enough to quarantine the segment again.
+package quarantiner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+)
+
+const (
+	// minEnds is by how many engine ends the evidence against a segment must exceed the
+	// begun answers, and minRequests the number of requests that were part of the ends.
+	minEnds     = 3
+	minRequests = 2
+	// othersPerEnd ends without the segment, each within togetherTime of one with it,
+	// require one more end.
+	othersPerEnd = 4
+	togetherTime = time.Second
+	// settleTime is the time from the first end under a segment until it can be
+	// quarantined.
+	settleTime = 200 * time.Millisecond
+	// evidenceTime is how long an end is evidence.
+	evidenceTime = 10 * time.Minute
+	// recentTime is how long an answer that began speaks for the segments of its prompt
+	// if an engine ends later. It may be up to twice as long.
+	recentTime = 5 * time.Second
+	quietTime  = 10 * time.Minute
+	// relapseTime is the time after a quarantine in which one end renews it.
+	relapseTime = time.Hour
+
+	// Bounds of the state.
+	maxEnds         = 128
+	maxCallsPerEnd  = 32
+	maxSuspects     = 2048
+	maxRecent       = 4096
+	maxVerdicts     = 256
+	maxBegunPerNews = 1 << 20
+	maxBegunNews    = 256
+	// enoughBegun is by how many the begun answers that all hosts know of must exceed
+	// the ends until further ones are no news.
+	enoughBegun = 8
+)
+
+const (
+	// MaxSegments is the largest number of segments of a call.
+	MaxSegments = 32
+	// MaxSegmentBytes is the largest length of a segment's ID.
+	MaxSegmentBytes = 64
+)
+
+// Phase is what an engine does with a request.
+type Phase uint8
+
+// Phases.
+const (
+	// PhaseDecode is the generation of the response, PhasePrefill the processing of
+	// the prompt on another engine.
+	PhaseDecode Phase = iota
+	PhasePrefill
+)
+
+// String returns the phase in kebab case.
+func (p Phase) String() string {
+	if p == PhasePrefill {
+		return "prefill"
+	}
+	return "decode"
+}
+
+// Call is a call that an engine had not begun to answer.
+type Call struct {
+	Request identifier.Request
+	// Segments are those that other requests may share, in the order of the prompt.
+	Segments []identifier.Segment
+}
+
+// End is the end of one incarnation of an engine.
+type End struct {
+	Engine identifier.Endpoint
+	// StartID identifies the incarnation.
+	StartID int64
+	Phase   Phase
+	At      time.Time
+	// Calls are those that the engine had not begun to answer, as far as known.
+	Calls []Call
+}
+
+// sameEngine reports whether two ends are of one incarnation.
+func (e *End) sameEngine(o *End) bool {
+	return e.Engine == o.Engine && e.StartID == o.StartID && e.Phase == o.Phase
+}
+
+// merge adds the calls of another report of the same end, and reports whether there
+// were new ones.
+func (e *End) merge(o *End) bool {
+	changed := false
+	for _, c := range o.Calls {
+		known := slices.ContainsFunc(e.Calls, func(k Call) bool { return k.Request == c.Request })
+		if known || len(e.Calls) >= maxCallsPerEnd {
+			continue
+		}
+		e.Calls = append(e.Calls, c)
+		changed = true
+	}
+	return changed
+}
+
+// Verdict is the quarantine of a segment.
+type Verdict struct {
+	Segment identifier.Segment
+	Phase   Phase
+	// Since is when the segment was quarantined, and LastSeen when a host last saw a
+	// request with it.
+	Since, LastSeen time.Time
+	// Ends, Requests and Begun are the evidence: engines that ended, requests that were
+	// part of that, and answers that had begun nevertheless.
+	Ends, Requests, Begun int
+}
+
+// record is a verdict and whether it has lapsed.
+type record struct {
+	Verdict
+	lapsed bool
+}
+
+// active reports whether the quarantine is in force.
+func (r *record) active(now time.Time) bool {
+	return !r.lapsed && now.Sub(r.LastSeen) < quietTime
+}
+
+// suspect is a segment in a phase.
+type suspect struct {
+	segment identifier.Segment
+	phase   Phase
+}
+
+// suspicion is what is known of a suspect besides the ends.
+type suspicion struct {
+	// since is when the first end under it became known here.
+	since time.Time
+	// begun counts the answers that began, at this host and, as far as told, at others.
+	// untold of them are this host's and not told to others.
+	begun, untold int
+}
+
+// Quarantiner holds the evidence and the verdicts. It is not safe for concurrent use.
+type Quarantiner struct {
+	ends       []*End
+	suspicions map[suspect]*suspicion
+	verdicts   map[identifier.Segment]*record
+	// recent counts the answers that began within recentTime, previous those of the
+	// period of the same length before.
+	recent, previous map[suspect]int
+	recentSince      time.Time
+	// undecided is set if something has changed since the last decision.
+	undecided bool
+	// onTrial are the segments against which there is more evidence than for them.
+	onTrial map[identifier.Segment]bool
+
+	released, pinned map[identifier.Segment]bool
+}
+
+// New returns a Quarantiner without evidence.
+func New() *Quarantiner {
+	return &Quarantiner{
+		suspicions: map[suspect]*suspicion{},
+		verdicts:   map[identifier.Segment]*record{},
+		recent:     map[suspect]int{},
+		previous:   map[suspect]int{},
+	}
+}
+
+// Override sets the segments that an operator has released from quarantine at this host
+// or pinned in it, whatever the evidence.
+func (q *Quarantiner) Override(released, pinned []identifier.Segment) {
+	q.released = setOf(released)
+	q.pinned = setOf(pinned)
+}
+
+func setOf(all []identifier.Segment) map[identifier.Segment]bool {
+	set := make(map[identifier.Segment]bool, len(all))
+	for _, g := range all {
+		set[g] = true
+	}
+	return set
+}
+
+// Check returns the first segment that is quarantined, and records that a request with
+// it was seen.
+func (q *Quarantiner) Check(segments []identifier.Segment, now time.Time) (quarantined identifier.Segment, ok bool) {
+	if len(q.verdicts) == 0 && len(q.pinned) == 0 {
+		return "", false
+	}
+	for _, g := range segments {
+		if q.released[g] {
+			continue
+		}
+		if q.pinned[g] {
+			return g, true
+		}
+		if v := q.verdicts[g]; v != nil && v.active(now) {
+			v.LastSeen = now
+			return g, true
+		}
+	}
+	return "", false
+}
+
+// Begun records that an engine has begun to answer a request.
+func (q *Quarantiner) Begun(p Phase, segments []identifier.Segment, now time.Time) {
+	q.rotate(now)
+	for _, g := range segments {
+		k := suspect{segment: g, phase: p}
+		if s := q.suspicions[k]; s != nil {
+			s.begun++
+			s.untold++
+			q.undecided = q.undecided || q.onTrial[g]
+		}
+		if _, known := q.recent[k]; known || len(q.recent) < maxRecent {
+			q.recent[k]++
+		}
+	}
+}
+
+// rotate starts a new period of recentTime if the last one has ended.
+func (q *Quarantiner) rotate(now time.Time) {
+	age := now.Sub(q.recentSince)
+	if age < recentTime {
+		return
+	}
+	q.previous, q.recent = q.recent, map[suspect]int{}
+	if age >= 2*recentTime {
+		q.previous = map[suspect]int{}
+	}
+	q.recentSince = now
+}
+
+// AddEnd records the end of an engine, and reports whether that is news.
+func (q *Quarantiner) AddEnd(e End, now time.Time) bool {
+	if len(e.Calls) == 0 || now.Sub(e.At) > evidenceTime {
+		return false
+	}
+	if len(e.Calls) > maxCallsPerEnd {
+		e.Calls = e.Calls[:maxCallsPerEnd]
+	}
+	e.Calls = slices.Clone(e.Calls)
+	i := slices.IndexFunc(q.ends, func(k *End) bool { return k.sameEngine(&e) })
+	switch {
+	case i >= 0 && !q.ends[i].merge(&e):
+		return false
+	case i < 0:
+		q.insertEnd(&e)
+	}
+	q.suspectAll(&e, now)
+	q.undecided = true
+	q.updateTrials(now)
+	return true
+}
+
+// updateTrials updates onTrial.
+func (q *Quarantiner) updateTrials(now time.Time) {
+	q.onTrial = map[identifier.Segment]bool{}
+	for k, e := range collect(q.unexplained(now)) {
+		if s := q.suspicions[k]; s != nil && e.ends > s.begun {
+			q.onTrial[k.segment] = true
+		}
+	}
+}
+
+// OnTrial returns the segments that may turn out to end engines: until that is decided,
+// only few requests with one of them should be sent at a time.
+func (q *Quarantiner) OnTrial(segments []identifier.Segment) []identifier.Segment {
+	if len(q.onTrial) == 0 {
+		return nil
+	}
+	var found []identifier.Segment
+	for _, g := range segments {
+		if q.onTrial[g] && !q.released[g] {
+			found = append(found, g)
+		}
+	}
+	return found
+}
+
+// insertEnd adds an end in the order of time. The oldest one makes room.
+func (q *Quarantiner) insertEnd(e *End) {
+	i, _ := slices.BinarySearchFunc(q.ends, e.At, func(k *End, at time.Time) int { return k.At.Compare(at) })
+	q.ends = slices.Insert(q.ends, i, e)
+	if len(q.ends) > maxEnds {
+		q.ends = slices.Delete(q.ends, 0, 1)
+	}
+}
+
+// suspectAll makes the segments of an end's calls suspects.
+func (q *Quarantiner) suspectAll(e *End, now time.Time) {
+	q.rotate(now)
+	for _, c := range e.Calls {
+		for _, g := range c.Segments {
+			k := suspect{segment: g, phase: e.Phase}
+			if q.suspicions[k] != nil || len(q.suspicions) >= maxSuspects {
+				continue
+			}
+			n := q.recent[k] + q.previous[k]
+			q.suspicions[k] = &suspicion{since: now, begun: n, untold: n}
+		}
+	}
+}
+
+// BegunCount tells how many answers to requests with a segment have begun.
+type BegunCount struct {
+	Segment identifier.Segment
+	Phase   Phase
+	Count   int
+}
+
+// TakeBegun returns the begun answers at this host that other hosts should know of,
+// which are those that may decide whether a segment is quarantined.
+func (q *Quarantiner) TakeBegun(now time.Time) []BegunCount {
+	var news []BegunCount
+	var ends map[suspect]*evidence
+	for k, s := range q.suspicions {
+		if len(news) == maxBegunNews {
+			break
+		}
+		if s.untold == 0 {
+			continue
+		}
+		if ends == nil {
+			ends = collect(q.unexplained(now))
+		}
+		e := ends[k]
+		if e == nil || s.begun-s.untold >= e.ends+enoughBegun {
+			continue
+		}
+		news = append(news, BegunCount{Segment: k.segment, Phase: k.phase, Count: s.untold})
+		s.untold = 0
+	}
+	return news
+}
+
+// AddBegun records begun answers that another host has told of.
+func (q *Quarantiner) AddBegun(c BegunCount) {
+	s := q.suspicions[suspect{segment: c.Segment, phase: c.Phase}]
+	if s == nil || c.Count <= 0 {
+		return
+	}
+	s.begun += min(c.Count, maxBegunPerNews)
+	q.undecided = true
+}
+
+// evidence is what speaks against a suspect.
+type evidence struct {
+	ends     int
+	requests map[identifier.Request]bool
+	// position is the sum of the suspect's positions in the prompts of its calls,
+	// and calls their number.
+	position, calls int
+}
+
+// depth returns the suspect's mean position in prompts.
+func (e *evidence) depth() float64 {
+	return float64(e.position) / float64(max(1, e.calls))
+}
+
+// unexplained returns the ends that no quarantined segment explains.
+func (q *Quarantiner) unexplained(now time.Time) []*End {
+	open := make([]*End, 0, len(q.ends))
+	for _, e := range q.ends {
+		if !q.explained(e, now) {
+			open = append(open, e)
+		}
+	}
+	return open
+}
+
+// collect returns the evidence of the ends against each suspect.
+func collect(ends []*End) map[suspect]*evidence {
+	all := map[suspect]*evidence{}
+	for _, e := range ends {
+		addEvidence(all, e)
+	}
+	return all
+}
+
+// explained reports whether a call that was part of the end has a segment that is
+// quarantined, or was.
+func (q *Quarantiner) explained(e *End, now time.Time) bool {
+	for _, c := range e.Calls {
+		for _, g := range c.Segments {
+			v := q.verdicts[g]
+			if v == nil || v.Phase != e.Phase {
+				continue
+			}
+			if v.active(now) || e.At.Before(v.LastSeen) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// addEvidence adds an end to the evidence against the segments of its calls.
+func addEvidence(all map[suspect]*evidence, e *End) {
+	counted := map[identifier.Segment]bool{}
+	for _, c := range e.Calls {
+		for n, g := range c.Segments {
+			k := suspect{segment: g, phase: e.Phase}
+			v := all[k]
+			if v == nil {
+				v = &evidence{requests: map[identifier.Request]bool{}}
+				all[k] = v
+			}
+			if !counted[g] {
+				counted[g] = true
+				v.ends++
+			}
+			v.requests[c.Request] = true
+			v.position += n
+			v.calls++
+		}
+	}
+}
+
+// countOthers counts the ends without the suspect that happened together with one that
+// has it.
+func countOthers(ends []*End, k suspect) int {
+	var with, without []time.Time
+	for _, e := range ends {
+		if e.Phase == k.phase && hasSegment(e, k.segment) {
+			with = append(with, e.At)
+		} else {
+			without = append(without, e.At)
+		}
+	}
+	n := 0
+	for _, at := range without {
+		if slices.ContainsFunc(with, func(w time.Time) bool { return at.Sub(w).Abs() <= togetherTime }) {
+			n++
+		}
+	}
+	return n
+}
+
+func hasSegment(e *End, g identifier.Segment) bool {
+	return slices.ContainsFunc(e.Calls, func(c Call) bool { return slices.Contains(c.Segments, g) })
+}
+
+// Decide returns the verdicts that the evidence supports now and that are new.
+func (q *Quarantiner) Decide(now time.Time) []Verdict {
+	if !q.undecided {
+		return nil
+	}
+	q.undecided = false
+	var decided []Verdict
+	for {
+		v, ok := q.strongest(now)
+		if !ok {
+			q.updateTrials(now)
+			return decided
+		}
+		q.verdicts[v.Segment] = &record{Verdict: v}
+		decided = append(decided, v)
+		q.boundVerdicts()
+	}
+}
+
+// candidate is a verdict that could be made.
+type candidate struct {
+	suspect
+	evidence *evidence
+	begun    int
+}
+
+// excess is by how many the ends exceed the begun answers.
+func (c *candidate) excess() int {
+	return c.evidence.ends - c.begun
+}
+
+// stronger reports whether c goes before o. The order doesn't depend on anything but the
+// evidence, so that all hosts decide the same.
+func (c *candidate) stronger(o *candidate) bool {
+	order := cmp.Or(
+		cmp.Compare(c.excess(), o.excess()),
+		cmp.Compare(c.evidence.depth(), o.evidence.depth()),
+		cmp.Compare(o.segment, c.segment),
+		cmp.Compare(o.phase, c.phase),
+	)
+	return order > 0
+}
+
+// strongest returns the verdict with the most evidence of those that are due. If one is
+// not due yet, the decision remains open.
+func (q *Quarantiner) strongest(now time.Time) (v Verdict, ok bool) {
+	ends := q.unexplained(now)
+	var best *candidate
+	for k, e := range collect(ends) {
+		s := q.suspicions[k]
+		if s == nil {
+			continue
+		}
+		c := &candidate{suspect: k, evidence: e, begun: s.begun}
+		if !q.sufficient(c, ends, now) {
+			continue
+		}
+		if now.Sub(s.since) < settleTime {
+			q.undecided = true
+			continue
+		}
+		if best == nil || c.stronger(best) {
+			best = c
+		}
+	}
+	if best == nil {
+		return Verdict{}, false
+	}
+	return Verdict{
+		Segment: best.segment, Phase: best.phase, Since: now, LastSeen: now,
+		Ends: best.evidence.ends, Requests: len(best.evidence.requests), Begun: best.begun,
+	}, true
+}
+
+// sufficient reports whether the evidence suffices for a verdict that is not in force.
+func (q *Quarantiner) sufficient(c *candidate, ends []*End, now time.Time) bool {
+	old := q.verdicts[c.segment]
+	if old != nil {
+		return !old.active(now) && c.excess() > 0
+	}
+	if c.excess() < minEnds || len(c.evidence.requests) < minRequests {
+		return false
+	}
+	return c.excess() >= minEnds+countOthers(ends, c.suspect)/othersPerEnd
+}
+
+// Merge takes over another host's verdict, and reports whether the segment was not
+// quarantined here.
+func (q *Quarantiner) Merge(v Verdict, now time.Time) bool {
+	if now.Sub(v.LastSeen) >= quietTime {
+		return false
+	}
+	old := q.verdicts[v.Segment]
+	if old == nil || !old.active(now) {
+		q.verdicts[v.Segment] = &record{Verdict: v}
+		q.undecided = true
+		q.boundVerdicts()
+		return true
+	}
+	if v.LastSeen.After(old.LastSeen) {
+		old.LastSeen = v.LastSeen
+	}
+	if v.Since.Before(old.Since) {
+		old.Since = v.Since
+	}
+	old.Ends = max(old.Ends, v.Ends)
+	old.Requests = max(old.Requests, v.Requests)
+	return false
+}
+
+// boundVerdicts removes the verdict whose segment was seen least recently if there are
+// too many.
+func (q *Quarantiner) boundVerdicts() {
+	if len(q.verdicts) <= maxVerdicts {
+		return
+	}
+	var oldest *record
+	for _, v := range q.verdicts {
+		if oldest == nil || v.LastSeen.Before(oldest.LastSeen) {
+			oldest = v
+		}
+	}
+	delete(q.verdicts, oldest.Segment)
+}
+
+// Verdicts returns the quarantines in force, in the order of their segments.
+func (q *Quarantiner) Verdicts(now time.Time) []Verdict {
+	var all []Verdict
+	for _, v := range q.verdicts {
+		if v.active(now) {
+			all = append(all, v.Verdict)
+		}
+	}
+	slices.SortFunc(all, func(a, b Verdict) int { return cmp.Compare(a.Segment, b.Segment) })
+	return all
+}
+
+// RecentEnds returns the newest ends that no verdict explains, at most limit.
+func (q *Quarantiner) RecentEnds(limit int, now time.Time) []End {
+	var open []End
+	for _, e := range slices.Backward(q.ends) {
+		if len(open) == limit {
+			break
+		}
+		if !q.explained(e, now) {
+			open = append(open, *e)
+		}
+	}
+	return open
+}
+
+// Update drops what is out of date. It returns the segments whose quarantine has
+// lapsed.
+func (q *Quarantiner) Update(now time.Time) []identifier.Segment {
+	var lapsed []identifier.Segment
+	for g, v := range q.verdicts {
+		quiet := now.Sub(v.LastSeen)
+		if quiet >= quietTime && !v.lapsed {
+			v.lapsed = true
+			lapsed = append(lapsed, g)
+		}
+		if quiet >= quietTime+relapseTime {
+			delete(q.verdicts, g)
+		}
+	}
+	old := func(e *End) bool { return now.Sub(e.At) > evidenceTime }
+	if slices.ContainsFunc(q.ends, old) {
+		q.ends = slices.DeleteFunc(q.ends, old)
+		q.dropSuspicions()
+		q.updateTrials(now)
+	}
+	return lapsed
+}
+
+// dropSuspicions removes the suspicions that no end supports.
+func (q *Quarantiner) dropSuspicions() {
+	supported := collect(q.ends)
+	for k := range q.suspicions {
+		if supported[k] == nil {
+			delete(q.suspicions, k)
+		}
+	}
+}
