--- a/peerwire/allocation.go
+++ b/peerwire/allocation.go
@@ -1,6 +1,7 @@
 package peerwire
 
 //go:generate go tool msgp -file allocation.go -tests=false
+//msgp:limit arrays:65536 maps:65536
 
 // Attempt identifies one attempt to serve a request by the incarnation of the
 // host that started it and a sequence number.
--- a/peerwire/allocation_gen.go
+++ b/peerwire/allocation_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	zd414b455limitArrays = 65536
+	zd414b455limitMaps   = 65536
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *AllocationReply) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -16,6 +22,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd414b455limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -153,6 +163,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd414b455limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -219,6 +233,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd414b455limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -234,6 +252,10 @@
 				err = msgp.WrapError(err, "Pool")
 				return
 			}
+			if zb0002 > zd414b455limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
@@ -269,6 +291,10 @@
 				err = msgp.WrapError(err, "Attempt")
 				return
 			}
+			if zb0003 > zd414b455limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0003 > 0 {
 				zb0003--
 				field, err = dc.ReadMapKeyPtr()
@@ -328,6 +354,10 @@
 				err = msgp.WrapError(err, "Blocks")
 				return
 			}
+			if zb0004 > zd414b455limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Blocks) >= int(zb0004) {
 				z.Blocks = (z.Blocks)[:zb0004]
 			} else {
@@ -353,6 +383,10 @@
 				err = msgp.WrapError(err, "Exclude")
 				return
 			}
+			if zb0005 > zd414b455limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Exclude) >= int(zb0005) {
 				z.Exclude = (z.Exclude)[:zb0005]
 			} else {
@@ -599,6 +633,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd414b455limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -614,6 +652,10 @@
 				err = msgp.WrapError(err, "Pool")
 				return
 			}
+			if zb0002 > zd414b455limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -649,6 +691,10 @@
 				err = msgp.WrapError(err, "Attempt")
 				return
 			}
+			if zb0003 > zd414b455limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0003 > 0 {
 				zb0003--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -708,6 +754,10 @@
 				err = msgp.WrapError(err, "Blocks")
 				return
 			}
+			if zb0004 > zd414b455limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Blocks) >= int(zb0004) {
 				z.Blocks = (z.Blocks)[:zb0004]
 			} else {
@@ -733,6 +783,10 @@
 				err = msgp.WrapError(err, "Exclude")
 				return
 			}
+			if zb0005 > zd414b455limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Exclude) >= int(zb0005) {
 				z.Exclude = (z.Exclude)[:zb0005]
 			} else {
@@ -783,6 +837,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd414b455limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -863,6 +921,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd414b455limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -911,6 +973,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd414b455limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -991,6 +1057,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd414b455limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1039,6 +1109,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd414b455limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1054,6 +1128,10 @@
 				err = msgp.WrapError(err, "Pool")
 				return
 			}
+			if zb0002 > zd414b455limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
@@ -1089,6 +1167,10 @@
 				err = msgp.WrapError(err, "Attempt")
 				return
 			}
+			if zb0003 > zd414b455limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0003 > 0 {
 				zb0003--
 				field, err = dc.ReadMapKeyPtr()
@@ -1221,6 +1303,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd414b455limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1236,6 +1322,10 @@
 				err = msgp.WrapError(err, "Pool")
 				return
 			}
+			if zb0002 > zd414b455limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1271,6 +1361,10 @@
 				err = msgp.WrapError(err, "Attempt")
 				return
 			}
+			if zb0003 > zd414b455limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0003 > 0 {
 				zb0003--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1327,6 +1421,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd414b455limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1376,6 +1474,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd414b455limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1412,6 +1514,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd414b455limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1427,6 +1533,10 @@
 				err = msgp.WrapError(err, "Pool")
 				return
 			}
+			if zb0002 > zd414b455limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
@@ -1462,6 +1572,10 @@
 				err = msgp.WrapError(err, "Held")
 				return
 			}
+			if zb0003 > zd414b455limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Held) >= int(zb0003) {
 				z.Held = (z.Held)[:zb0003]
 			} else {
@@ -1570,6 +1684,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd414b455limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1585,6 +1703,10 @@
 				err = msgp.WrapError(err, "Pool")
 				return
 			}
+			if zb0002 > zd414b455limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1620,6 +1742,10 @@
 				err = msgp.WrapError(err, "Held")
 				return
 			}
+			if zb0003 > zd414b455limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Held) >= int(zb0003) {
 				z.Held = (z.Held)[:zb0003]
 			} else {
@@ -1663,6 +1789,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd414b455limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1678,6 +1808,10 @@
 				err = msgp.WrapError(err, "Attempt")
 				return
 			}
+			if zb0002 > zd414b455limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
@@ -1927,6 +2061,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd414b455limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1942,6 +2080,10 @@
 				err = msgp.WrapError(err, "Attempt")
 				return
 			}
+			if zb0002 > zd414b455limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2046,6 +2188,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd414b455limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2107,6 +2253,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd414b455limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2149,6 +2299,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd414b455limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2164,6 +2318,10 @@
 				err = msgp.WrapError(err, "Attempt")
 				return
 			}
+			if zb0002 > zd414b455limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
@@ -2261,6 +2419,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd414b455limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2276,6 +2438,10 @@
 				err = msgp.WrapError(err, "Attempt")
 				return
 			}
+			if zb0002 > zd414b455limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2332,6 +2498,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd414b455limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2412,6 +2582,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd414b455limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2460,6 +2634,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd414b455limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2475,6 +2653,10 @@
 				err = msgp.WrapError(err, "Pool")
 				return
 			}
+			if zb0002 > zd414b455limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
@@ -2510,6 +2692,10 @@
 				err = msgp.WrapError(err, "Attempt")
 				return
 			}
+			if zb0003 > zd414b455limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0003 > 0 {
 				zb0003--
 				field, err = dc.ReadMapKeyPtr()
@@ -2661,6 +2847,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd414b455limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2676,6 +2866,10 @@
 				err = msgp.WrapError(err, "Pool")
 				return
 			}
+			if zb0002 > zd414b455limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2711,6 +2905,10 @@
 				err = msgp.WrapError(err, "Attempt")
 				return
 			}
+			if zb0003 > zd414b455limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0003 > 0 {
 				zb0003--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2773,6 +2971,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd414b455limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2788,6 +2990,10 @@
 				err = msgp.WrapError(err, "Pool")
 				return
 			}
+			if zb0002 > zd414b455limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
@@ -2823,6 +3029,10 @@
 				err = msgp.WrapError(err, "Attempt")
 				return
 			}
+			if zb0003 > zd414b455limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0003 > 0 {
 				zb0003--
 				field, err = dc.ReadMapKeyPtr()
@@ -3012,6 +3222,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd414b455limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3027,6 +3241,10 @@
 				err = msgp.WrapError(err, "Pool")
 				return
 			}
+			if zb0002 > zd414b455limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3062,6 +3280,10 @@
 				err = msgp.WrapError(err, "Attempt")
 				return
 			}
+			if zb0003 > zd414b455limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0003 > 0 {
 				zb0003--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3136,6 +3358,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd414b455limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -3151,6 +3377,10 @@
 				err = msgp.WrapError(err, "Pool")
 				return
 			}
+			if zb0002 > zd414b455limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
@@ -3267,6 +3497,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd414b455limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3282,6 +3516,10 @@
 				err = msgp.WrapError(err, "Pool")
 				return
 			}
+			if zb0002 > zd414b455limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3344,6 +3582,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd414b455limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -3405,6 +3647,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd414b455limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
--- a/peerwire/changes.go
+++ b/peerwire/changes.go
@@ -6,6 +6,7 @@
 //msgp:replace identifier.Era with:uint64
 
 //go:generate go tool msgp -file changes.go -tests=false
+//msgp:limit arrays:65536 maps:65536
 
 // ChangesRequest requests the changes of the configuration store after a position
 // from a peer.
--- a/peerwire/changes_gen.go
+++ b/peerwire/changes_gen.go
@@ -7,6 +7,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	z4c973e3climitArrays = 65536
+	z4c973e3climitMaps   = 65536
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *ChangesReply) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -17,6 +23,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z4c973e3climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -64,6 +74,10 @@
 				err = msgp.WrapError(err, "Changes")
 				return
 			}
+			if zb0004 > z4c973e3climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Changes) >= int(zb0004) {
 				z.Changes = (z.Changes)[:zb0004]
 			} else {
@@ -83,6 +97,10 @@
 				err = msgp.WrapError(err, "Kept")
 				return
 			}
+			if zb0005 > z4c973e3climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Kept) >= int(zb0005) {
 				z.Kept = (z.Kept)[:zb0005]
 			} else {
@@ -95,6 +113,10 @@
 					err = msgp.WrapError(err, "Kept", za0002)
 					return
 				}
+				if zb0006 > z4c973e3climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0006 > 0 {
 					zb0006--
 					field, err = dc.ReadMapKeyPtr()
@@ -309,6 +331,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z4c973e3climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -356,6 +382,10 @@
 				err = msgp.WrapError(err, "Changes")
 				return
 			}
+			if zb0004 > z4c973e3climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Changes) >= int(zb0004) {
 				z.Changes = (z.Changes)[:zb0004]
 			} else {
@@ -375,6 +405,10 @@
 				err = msgp.WrapError(err, "Kept")
 				return
 			}
+			if zb0005 > z4c973e3climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Kept) >= int(zb0005) {
 				z.Kept = (z.Kept)[:zb0005]
 			} else {
@@ -387,6 +421,10 @@
 					err = msgp.WrapError(err, "Kept", za0002)
 					return
 				}
+				if zb0006 > z4c973e3climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0006 > 0 {
 					zb0006--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -461,6 +499,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z4c973e3climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -568,6 +610,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z4c973e3climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -630,6 +676,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z4c973e3climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -737,6 +787,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z4c973e3climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -795,6 +849,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z4c973e3climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -810,7 +868,10 @@
 				return
 			}
 		case "value":
-			z.Value, err = dc.ReadBytes(z.Value)
+			z.Value, err = dc.ReadBytesLimit(z.Value, z4c973e3climitArrays)
+			if err == nil && z.Value == nil {
+				z.Value = []byte{}
+			}
 			if err != nil {
 				err = msgp.WrapError(err, "Value")
 				return
@@ -940,6 +1001,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z4c973e3climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -955,20 +1020,36 @@
 				return
 			}
 		case "value":
-			z.Value, bts, err = msgp.ReadBytesBytes(bts, z.Value)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Value")
 				return
 			}
+			if zb0002 > z4c973e3climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Value == nil || uint32(cap(z.Value)) < zb0002 {
+				z.Value = make([]byte, zb0002)
+			} else {
+				z.Value = z.Value[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Value, bts[:zb0002])
+			bts = bts[zb0002:]
 		case "revision":
 			{
-				var zb0002 uint64
-				zb0002, bts, err = msgp.ReadUint64Bytes(bts)
+				var zb0003 uint64
+				zb0003, bts, err = msgp.ReadUint64Bytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Revision")
 					return
 				}
-				z.Revision = identifier.Revision(zb0002)
+				z.Revision = identifier.Revision(zb0003)
 			}
 		case "deleted":
 			z.Deleted, bts, err = msgp.ReadBoolBytes(bts)
@@ -978,13 +1059,13 @@
 			}
 		case "era":
 			{
-				var zb0003 uint64
-				zb0003, bts, err = msgp.ReadUint64Bytes(bts)
+				var zb0004 uint64
+				zb0004, bts, err = msgp.ReadUint64Bytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Era")
 					return
 				}
-				z.Era = identifier.Era(zb0003)
+				z.Era = identifier.Era(zb0004)
 			}
 		default:
 			bts, err = msgp.Skip(bts)
--- a/peerwire/declarations.go
+++ b/peerwire/declarations.go
@@ -5,6 +5,7 @@
 //msgp:replace identifier.Revision with:uint64
 
 //go:generate go tool msgp -file declarations.go -tests=false
+//msgp:limit arrays:65536 maps:65536
 
 // DeclarationsRequest requests declarations newer than Revision from a peer.
 type DeclarationsRequest struct {
--- a/peerwire/declarations_gen.go
+++ b/peerwire/declarations_gen.go
@@ -7,6 +7,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	zd302fa87limitArrays = 65536
+	zd302fa87limitMaps   = 65536
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *Declarations) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -17,6 +23,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd302fa87limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -48,6 +58,10 @@
 				err = msgp.WrapError(err, "Steps")
 				return
 			}
+			if zb0003 > zd302fa87limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Steps) >= int(zb0003) {
 				z.Steps = (z.Steps)[:zb0003]
 			} else {
@@ -60,6 +74,10 @@
 					err = msgp.WrapError(err, "Steps", za0001)
 					return
 				}
+				if zb0004 > zd302fa87limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, err = dc.ReadMapKeyPtr()
@@ -81,7 +99,10 @@
 							return
 						}
 					case "patch":
-						z.Steps[za0001].Patch, err = dc.ReadBytes(z.Steps[za0001].Patch)
+						z.Steps[za0001].Patch, err = dc.ReadBytesLimit(z.Steps[za0001].Patch, zd302fa87limitArrays)
+						if err == nil && z.Steps[za0001].Patch == nil {
+							z.Steps[za0001].Patch = []byte{}
+						}
 						if err != nil {
 							err = msgp.WrapError(err, "Steps", za0001, "Patch")
 							return
@@ -96,7 +117,10 @@
 				}
 			}
 		case "whole":
-			z.Whole, err = dc.ReadBytes(z.Whole)
+			z.Whole, err = dc.ReadBytesLimit(z.Whole, zd302fa87limitArrays)
+			if err == nil && z.Whole == nil {
+				z.Whole = []byte{}
+			}
 			if err != nil {
 				err = msgp.WrapError(err, "Whole")
 				return
@@ -232,6 +256,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd302fa87limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -263,6 +291,10 @@
 				err = msgp.WrapError(err, "Steps")
 				return
 			}
+			if zb0003 > zd302fa87limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Steps) >= int(zb0003) {
 				z.Steps = (z.Steps)[:zb0003]
 			} else {
@@ -275,6 +307,10 @@
 					err = msgp.WrapError(err, "Steps", za0001)
 					return
 				}
+				if zb0004 > zd302fa87limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -296,11 +332,27 @@
 							return
 						}
 					case "patch":
-						z.Steps[za0001].Patch, bts, err = msgp.ReadBytesBytes(bts, z.Steps[za0001].Patch)
+						var zb0005 uint32
+						zb0005, bts, err = msgp.ReadBytesHeader(bts)
 						if err != nil {
 							err = msgp.WrapError(err, "Steps", za0001, "Patch")
 							return
 						}
+						if zb0005 > zd302fa87limitArrays {
+							err = msgp.ErrLimitExceeded
+							return
+						}
+						if z.Steps[za0001].Patch == nil || uint32(cap(z.Steps[za0001].Patch)) < zb0005 {
+							z.Steps[za0001].Patch = make([]byte, zb0005)
+						} else {
+							z.Steps[za0001].Patch = z.Steps[za0001].Patch[:zb0005]
+						}
+						if uint32(len(bts)) < zb0005 {
+							err = msgp.ErrShortBytes
+							return
+						}
+						copy(z.Steps[za0001].Patch, bts[:zb0005])
+						bts = bts[zb0005:]
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
@@ -311,11 +363,27 @@
 				}
 			}
 		case "whole":
-			z.Whole, bts, err = msgp.ReadBytesBytes(bts, z.Whole)
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Whole")
 				return
 			}
+			if zb0006 > zd302fa87limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Whole == nil || uint32(cap(z.Whole)) < zb0006 {
+				z.Whole = make([]byte, zb0006)
+			} else {
+				z.Whole = z.Whole[:zb0006]
+			}
+			if uint32(len(bts)) < zb0006 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Whole, bts[:zb0006])
+			bts = bts[zb0006:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -348,6 +416,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd302fa87limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -432,6 +504,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd302fa87limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -484,6 +560,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd302fa87limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -505,7 +585,10 @@
 				return
 			}
 		case "patch":
-			z.Patch, err = dc.ReadBytes(z.Patch)
+			z.Patch, err = dc.ReadBytesLimit(z.Patch, zd302fa87limitArrays)
+			if err == nil && z.Patch == nil {
+				z.Patch = []byte{}
+			}
 			if err != nil {
 				err = msgp.WrapError(err, "Patch")
 				return
@@ -583,6 +666,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zd302fa87limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -604,11 +691,27 @@
 				return
 			}
 		case "patch":
-			z.Patch, bts, err = msgp.ReadBytesBytes(bts, z.Patch)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Patch")
 				return
 			}
+			if zb0002 > zd302fa87limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Patch == nil || uint32(cap(z.Patch)) < zb0002 {
+				z.Patch = make([]byte, zb0002)
+			} else {
+				z.Patch = z.Patch[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Patch, bts[:zb0002])
+			bts = bts[zb0002:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
--- a/peerwire/digest.go
+++ b/peerwire/digest.go
@@ -1,6 +1,7 @@
 package peerwire
 
 //go:generate go tool msgp -file digest.go -tests=false
+//msgp:limit arrays:65536 maps:65536
 
 // PoolLoad reports the expected waits at a pool in the sender's data center.
 type PoolLoad struct {
--- a/peerwire/digest_gen.go
+++ b/peerwire/digest_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	z54f5b8d4limitArrays = 65536
+	z54f5b8d4limitMaps   = 65536
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *LoadDigest) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -16,6 +22,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z54f5b8d4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -31,6 +41,10 @@
 				err = msgp.WrapError(err, "Pools")
 				return
 			}
+			if zb0002 > z54f5b8d4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Pools) >= int(zb0002) {
 				z.Pools = (z.Pools)[:zb0002]
 			} else {
@@ -43,6 +57,10 @@
 					err = msgp.WrapError(err, "Pools", za0001)
 					return
 				}
+				if zb0003 > z54f5b8d4limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, err = dc.ReadMapKeyPtr()
@@ -170,6 +188,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z54f5b8d4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -185,6 +207,10 @@
 				err = msgp.WrapError(err, "Pools")
 				return
 			}
+			if zb0002 > z54f5b8d4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Pools) >= int(zb0002) {
 				z.Pools = (z.Pools)[:zb0002]
 			} else {
@@ -197,6 +223,10 @@
 					err = msgp.WrapError(err, "Pools", za0001)
 					return
 				}
+				if zb0003 > z54f5b8d4limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -263,6 +293,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z54f5b8d4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -362,6 +396,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z54f5b8d4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
--- a/peerwire/frame_gen.go
+++ b/peerwire/frame_gen.go
@@ -7,6 +7,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	z9ed37725limitArrays = 65536
+	z9ed37725limitMaps   = 65536
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *Envelope) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -17,6 +23,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z9ed37725limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -188,6 +198,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z9ed37725limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -252,6 +266,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z9ed37725limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -438,6 +456,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z9ed37725limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -560,6 +582,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z9ed37725limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -746,6 +772,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z9ed37725limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
--- a/peerwire/homes_gen.go
+++ b/peerwire/homes_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	z09b057cdlimitArrays = 65536
+	z09b057cdlimitMaps   = 65536
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *Drop) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -16,6 +22,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z09b057cdlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -77,6 +87,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z09b057cdlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -119,6 +133,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z09b057cdlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -199,6 +217,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z09b057cdlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -247,6 +269,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z09b057cdlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -346,6 +372,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z09b057cdlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
--- a/peerwire/membership.go
+++ b/peerwire/membership.go
@@ -5,6 +5,7 @@
 )
 
 //go:generate go tool msgp -file membership.go -tests=false
+//msgp:limit arrays:65536 maps:65536
 
 //msgp:replace identifier.Host with:string
 //msgp:replace identifier.DataCenter with:string
--- a/peerwire/membership_gen.go
+++ b/peerwire/membership_gen.go
@@ -7,6 +7,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	z95c7bd96limitArrays = 65536
+	z95c7bd96limitMaps   = 65536
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *Gossip) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -17,6 +23,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z95c7bd96limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -32,6 +42,10 @@
 				err = msgp.WrapError(err, "Updates")
 				return
 			}
+			if zb0002 > z95c7bd96limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Updates) >= int(zb0002) {
 				z.Updates = (z.Updates)[:zb0002]
 			} else {
@@ -51,6 +65,10 @@
 				err = msgp.WrapError(err, "Marks")
 				return
 			}
+			if zb0003 > z95c7bd96limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Marks) >= int(zb0003) {
 				z.Marks = (z.Marks)[:zb0003]
 			} else {
@@ -262,6 +280,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z95c7bd96limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -277,6 +299,10 @@
 				err = msgp.WrapError(err, "Updates")
 				return
 			}
+			if zb0002 > z95c7bd96limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Updates) >= int(zb0002) {
 				z.Updates = (z.Updates)[:zb0002]
 			} else {
@@ -296,6 +322,10 @@
 				err = msgp.WrapError(err, "Marks")
 				return
 			}
+			if zb0003 > z95c7bd96limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Marks) >= int(zb0003) {
 				z.Marks = (z.Marks)[:zb0003]
 			} else {
@@ -360,6 +390,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z95c7bd96limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -471,6 +505,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z95c7bd96limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -533,6 +571,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z95c7bd96limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -598,6 +640,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z95c7bd96limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -640,6 +686,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z95c7bd96limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -846,6 +896,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z95c7bd96limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -924,6 +978,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z95c7bd96limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -945,6 +1003,10 @@
 				err = msgp.WrapError(err, "Differing")
 				return
 			}
+			if zb0002 > z95c7bd96limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Differing) >= int(zb0002) {
 				z.Differing = (z.Differing)[:zb0002]
 			} else {
@@ -1083,6 +1145,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z95c7bd96limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1104,6 +1170,10 @@
 				err = msgp.WrapError(err, "Differing")
 				return
 			}
+			if zb0002 > z95c7bd96limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Differing) >= int(zb0002) {
 				z.Differing = (z.Differing)[:zb0002]
 			} else {
@@ -1150,6 +1220,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z95c7bd96limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1165,6 +1239,10 @@
 				err = msgp.WrapError(err, "Buckets")
 				return
 			}
+			if zb0002 > z95c7bd96limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Buckets) >= int(zb0002) {
 				z.Buckets = (z.Buckets)[:zb0002]
 			} else {
@@ -1257,6 +1335,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z95c7bd96limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1272,6 +1354,10 @@
 				err = msgp.WrapError(err, "Buckets")
 				return
 			}
+			if zb0002 > z95c7bd96limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Buckets) >= int(zb0002) {
 				z.Buckets = (z.Buckets)[:zb0002]
 			} else {
@@ -1318,6 +1404,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z95c7bd96limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1413,7 +1503,10 @@
 				return
 			}
 		case "g":
-			z.Digest, err = dc.ReadBytes(z.Digest)
+			z.Digest, err = dc.ReadBytesLimit(z.Digest, z95c7bd96limitArrays)
+			if err == nil && z.Digest == nil {
+				z.Digest = []byte{}
+			}
 			if err != nil {
 				err = msgp.WrapError(err, "Digest")
 				return
@@ -1737,6 +1830,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z95c7bd96limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1832,11 +1929,27 @@
 				return
 			}
 		case "g":
-			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Digest")
 				return
 			}
+			if zb0007 > z95c7bd96limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Digest == nil || uint32(cap(z.Digest)) < zb0007 {
+				z.Digest = make([]byte, zb0007)
+			} else {
+				z.Digest = z.Digest[:zb0007]
+			}
+			if uint32(len(bts)) < zb0007 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Digest, bts[:zb0007])
+			bts = bts[zb0007:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
--- a/peerwire/quarantine.go
+++ b/peerwire/quarantine.go
@@ -1,6 +1,7 @@
 package peerwire
 
 //go:generate go tool msgp -file quarantine.go -tests=false
+//msgp:limit arrays:65536 maps:65536
 
 // CrashNews tells a host which engines have ended under which requests, and which
 // segments of prompts are quarantined for that. Hosts of earlier versions don't know it.
--- a/peerwire/quarantine_gen.go
+++ b/peerwire/quarantine_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	z8d86017climitArrays = 65536
+	z8d86017climitMaps   = 65536
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *BegunCount) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -16,6 +22,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z8d86017climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -115,6 +125,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z8d86017climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -169,6 +183,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z8d86017climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -190,6 +208,10 @@
 				err = msgp.WrapError(err, "Segments")
 				return
 			}
+			if zb0002 > z8d86017climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Segments) >= int(zb0002) {
 				z.Segments = (z.Segments)[:zb0002]
 			} else {
@@ -272,6 +294,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z8d86017climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -293,6 +319,10 @@
 				err = msgp.WrapError(err, "Segments")
 				return
 			}
+			if zb0002 > z8d86017climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Segments) >= int(zb0002) {
 				z.Segments = (z.Segments)[:zb0002]
 			} else {
@@ -336,6 +366,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z8d86017climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -351,6 +385,10 @@
 				err = msgp.WrapError(err, "Ends")
 				return
 			}
+			if zb0002 > z8d86017climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Ends) >= int(zb0002) {
 				z.Ends = (z.Ends)[:zb0002]
 			} else {
@@ -370,6 +408,10 @@
 				err = msgp.WrapError(err, "Begun")
 				return
 			}
+			if zb0003 > z8d86017climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Begun) >= int(zb0003) {
 				z.Begun = (z.Begun)[:zb0003]
 			} else {
@@ -382,6 +424,10 @@
 					err = msgp.WrapError(err, "Begun", za0002)
 					return
 				}
+				if zb0004 > z8d86017climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, err = dc.ReadMapKeyPtr()
@@ -424,6 +470,10 @@
 				err = msgp.WrapError(err, "Verdicts")
 				return
 			}
+			if zb0005 > z8d86017climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Verdicts) >= int(zb0005) {
 				z.Verdicts = (z.Verdicts)[:zb0005]
 			} else {
@@ -620,6 +670,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z8d86017climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -635,6 +689,10 @@
 				err = msgp.WrapError(err, "Ends")
 				return
 			}
+			if zb0002 > z8d86017climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Ends) >= int(zb0002) {
 				z.Ends = (z.Ends)[:zb0002]
 			} else {
@@ -654,6 +712,10 @@
 				err = msgp.WrapError(err, "Begun")
 				return
 			}
+			if zb0003 > z8d86017climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Begun) >= int(zb0003) {
 				z.Begun = (z.Begun)[:zb0003]
 			} else {
@@ -666,6 +728,10 @@
 					err = msgp.WrapError(err, "Begun", za0002)
 					return
 				}
+				if zb0004 > z8d86017climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -708,6 +774,10 @@
 				err = msgp.WrapError(err, "Verdicts")
 				return
 			}
+			if zb0005 > z8d86017climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Verdicts) >= int(zb0005) {
 				z.Verdicts = (z.Verdicts)[:zb0005]
 			} else {
@@ -772,6 +842,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z8d86017climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -811,6 +885,10 @@
 				err = msgp.WrapError(err, "Calls")
 				return
 			}
+			if zb0002 > z8d86017climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Calls) >= int(zb0002) {
 				z.Calls = (z.Calls)[:zb0002]
 			} else {
@@ -823,6 +901,10 @@
 					err = msgp.WrapError(err, "Calls", za0001)
 					return
 				}
+				if zb0003 > z8d86017climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, err = dc.ReadMapKeyPtr()
@@ -844,6 +926,10 @@
 							err = msgp.WrapError(err, "Calls", za0001, "Segments")
 							return
 						}
+						if zb0004 > z8d86017climitArrays {
+							err = msgp.ErrLimitExceeded
+							return
+						}
 						if cap(z.Calls[za0001].Segments) >= int(zb0004) {
 							z.Calls[za0001].Segments = (z.Calls[za0001].Segments)[:zb0004]
 						} else {
@@ -1006,6 +1092,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z8d86017climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1045,6 +1135,10 @@
 				err = msgp.WrapError(err, "Calls")
 				return
 			}
+			if zb0002 > z8d86017climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Calls) >= int(zb0002) {
 				z.Calls = (z.Calls)[:zb0002]
 			} else {
@@ -1057,6 +1151,10 @@
 					err = msgp.WrapError(err, "Calls", za0001)
 					return
 				}
+				if zb0003 > z8d86017climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1078,6 +1176,10 @@
 							err = msgp.WrapError(err, "Calls", za0001, "Segments")
 							return
 						}
+						if zb0004 > z8d86017climitArrays {
+							err = msgp.ErrLimitExceeded
+							return
+						}
 						if cap(z.Calls[za0001].Segments) >= int(zb0004) {
 							z.Calls[za0001].Segments = (z.Calls[za0001].Segments)[:zb0004]
 						} else {
@@ -1133,6 +1235,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z8d86017climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1308,6 +1414,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z8d86017climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
--- a/peerwire/reservation.go
+++ b/peerwire/reservation.go
@@ -1,6 +1,7 @@
 package peerwire
 
 //go:generate go tool msgp -file reservation.go -tests=false
+//msgp:limit arrays:65536 maps:65536
 
 // ReservationRequest requests a reservation from the host that places a service's
 // requests on its engines. The reply may take as long as the request may wait.
--- a/peerwire/reservation_gen.go
+++ b/peerwire/reservation_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	za38b4594limitArrays = 65536
+	za38b4594limitMaps   = 65536
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *EngineModel) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -16,6 +22,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > za38b4594limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -43,6 +53,10 @@
 				err = msgp.WrapError(err, "Queueing")
 				return
 			}
+			if zb0002 > za38b4594limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
@@ -84,6 +98,10 @@
 				err = msgp.WrapError(err, "PromptTokens")
 				return
 			}
+			if zb0003 > za38b4594limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0003 > 0 {
 				zb0003--
 				field, err = dc.ReadMapKeyPtr()
@@ -125,6 +143,10 @@
 				err = msgp.WrapError(err, "FirstEvents")
 				return
 			}
+			if zb0004 > za38b4594limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0004 > 0 {
 				zb0004--
 				field, err = dc.ReadMapKeyPtr()
@@ -166,6 +188,10 @@
 				err = msgp.WrapError(err, "OutputTokens")
 				return
 			}
+			if zb0005 > za38b4594limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0005 > 0 {
 				zb0005--
 				field, err = dc.ReadMapKeyPtr()
@@ -207,6 +233,10 @@
 				err = msgp.WrapError(err, "OutputTimes")
 				return
 			}
+			if zb0006 > za38b4594limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0006 > 0 {
 				zb0006--
 				field, err = dc.ReadMapKeyPtr()
@@ -248,6 +278,10 @@
 				err = msgp.WrapError(err, "OutputDeviations")
 				return
 			}
+			if zb0007 > za38b4594limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0007 > 0 {
 				zb0007--
 				field, err = dc.ReadMapKeyPtr()
@@ -289,6 +323,10 @@
 				err = msgp.WrapError(err, "MeasuredOutputTimes")
 				return
 			}
+			if zb0008 > za38b4594limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0008 > 0 {
 				zb0008--
 				field, err = dc.ReadMapKeyPtr()
@@ -330,6 +368,10 @@
 				err = msgp.WrapError(err, "EventIntervals")
 				return
 			}
+			if zb0009 > za38b4594limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0009 > 0 {
 				zb0009--
 				field, err = dc.ReadMapKeyPtr()
@@ -371,6 +413,10 @@
 				err = msgp.WrapError(err, "MemoryUse")
 				return
 			}
+			if zb0010 > za38b4594limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0010 > 0 {
 				zb0010--
 				field, err = dc.ReadMapKeyPtr()
@@ -905,6 +951,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > za38b4594limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -932,6 +982,10 @@
 				err = msgp.WrapError(err, "Queueing")
 				return
 			}
+			if zb0002 > za38b4594limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -973,6 +1027,10 @@
 				err = msgp.WrapError(err, "PromptTokens")
 				return
 			}
+			if zb0003 > za38b4594limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0003 > 0 {
 				zb0003--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1014,6 +1072,10 @@
 				err = msgp.WrapError(err, "FirstEvents")
 				return
 			}
+			if zb0004 > za38b4594limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0004 > 0 {
 				zb0004--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1055,6 +1117,10 @@
 				err = msgp.WrapError(err, "OutputTokens")
 				return
 			}
+			if zb0005 > za38b4594limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0005 > 0 {
 				zb0005--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1096,6 +1162,10 @@
 				err = msgp.WrapError(err, "OutputTimes")
 				return
 			}
+			if zb0006 > za38b4594limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0006 > 0 {
 				zb0006--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1137,6 +1207,10 @@
 				err = msgp.WrapError(err, "OutputDeviations")
 				return
 			}
+			if zb0007 > za38b4594limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0007 > 0 {
 				zb0007--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1178,6 +1252,10 @@
 				err = msgp.WrapError(err, "MeasuredOutputTimes")
 				return
 			}
+			if zb0008 > za38b4594limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0008 > 0 {
 				zb0008--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1219,6 +1297,10 @@
 				err = msgp.WrapError(err, "EventIntervals")
 				return
 			}
+			if zb0009 > za38b4594limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0009 > 0 {
 				zb0009--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1260,6 +1342,10 @@
 				err = msgp.WrapError(err, "MemoryUse")
 				return
 			}
+			if zb0010 > za38b4594limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0010 > 0 {
 				zb0010--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1322,6 +1408,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > za38b4594limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1383,6 +1473,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > za38b4594limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1425,6 +1519,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > za38b4594limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1581,6 +1679,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > za38b4594limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1653,6 +1755,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > za38b4594limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1702,6 +1808,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > za38b4594limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1738,6 +1848,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > za38b4594limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1787,6 +1901,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > za38b4594limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1823,6 +1941,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > za38b4594limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1987,6 +2109,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > za38b4594limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2069,6 +2195,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > za38b4594limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2144,6 +2274,10 @@
 				err = msgp.WrapError(err, "Exclude")
 				return
 			}
+			if zb0002 > za38b4594limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Exclude) >= int(zb0002) {
 				z.Exclude = (z.Exclude)[:zb0002]
 			} else {
@@ -2163,6 +2297,10 @@
 				err = msgp.WrapError(err, "ExcludePrefill")
 				return
 			}
+			if zb0003 > za38b4594limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.ExcludePrefill) >= int(zb0003) {
 				z.ExcludePrefill = (z.ExcludePrefill)[:zb0003]
 			} else {
@@ -2450,6 +2588,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > za38b4594limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2525,6 +2667,10 @@
 				err = msgp.WrapError(err, "Exclude")
 				return
 			}
+			if zb0002 > za38b4594limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Exclude) >= int(zb0002) {
 				z.Exclude = (z.Exclude)[:zb0002]
 			} else {
@@ -2544,6 +2690,10 @@
 				err = msgp.WrapError(err, "ExcludePrefill")
 				return
 			}
+			if zb0003 > za38b4594limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.ExcludePrefill) >= int(zb0003) {
 				z.ExcludePrefill = (z.ExcludePrefill)[:zb0003]
 			} else {
@@ -2620,6 +2770,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > za38b4594limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2719,6 +2873,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > za38b4594limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2773,6 +2931,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > za38b4594limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2929,6 +3091,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > za38b4594limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
--- a/peerwire/tickets_gen.go
+++ b/peerwire/tickets_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	zb05cc5c7limitArrays = 65536
+	zb05cc5c7limitMaps   = 65536
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *TicketCall) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -16,6 +22,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb05cc5c7limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -55,7 +65,10 @@
 				return
 			}
 		case "payload":
-			z.Payload, err = dc.ReadBytes(z.Payload)
+			z.Payload, err = dc.ReadBytesLimit(z.Payload, zb05cc5c7limitArrays)
+			if err == nil && z.Payload == nil {
+				z.Payload = []byte{}
+			}
 			if err != nil {
 				err = msgp.WrapError(err, "Payload")
 				return
@@ -286,6 +299,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb05cc5c7limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -325,11 +342,27 @@
 				return
 			}
 		case "payload":
-			z.Payload, bts, err = msgp.ReadBytesBytes(bts, z.Payload)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Payload")
 				return
 			}
+			if zb0002 > zb05cc5c7limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Payload == nil || uint32(cap(z.Payload)) < zb0002 {
+				z.Payload = make([]byte, zb0002)
+			} else {
+				z.Payload = z.Payload[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Payload, bts[:zb0002])
+			bts = bts[zb0002:]
 		case "urgency":
 			z.Urgency, bts, err = msgp.ReadUint8Bytes(bts)
 			if err != nil {
@@ -394,6 +427,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb05cc5c7limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -531,6 +568,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb05cc5c7limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -597,6 +638,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb05cc5c7limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -612,7 +657,10 @@
 				return
 			}
 		case "payload":
-			z.Payload, err = dc.ReadBytes(z.Payload)
+			z.Payload, err = dc.ReadBytesLimit(z.Payload, zb05cc5c7limitArrays)
+			if err == nil && z.Payload == nil {
+				z.Payload = []byte{}
+			}
 			if err != nil {
 				err = msgp.WrapError(err, "Payload")
 				return
@@ -753,6 +801,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb05cc5c7limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -768,11 +820,27 @@
 				return
 			}
 		case "payload":
-			z.Payload, bts, err = msgp.ReadBytesBytes(bts, z.Payload)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Payload")
 				return
 			}
+			if zb0002 > zb05cc5c7limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Payload == nil || uint32(cap(z.Payload)) < zb0002 {
+				z.Payload = make([]byte, zb0002)
+			} else {
+				z.Payload = z.Payload[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Payload, bts[:zb0002])
+			bts = bts[zb0002:]
 		case "reason":
 			z.Reason, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
--- a/peerwire/usage.go
+++ b/peerwire/usage.go
@@ -1,6 +1,7 @@
 package peerwire
 
 //go:generate go tool msgp -file usage.go -tests=false
+//msgp:limit arrays:65536 maps:65536
 
 // CustomerUsage is one customer's usage at the sending host.
 type CustomerUsage struct {
--- a/peerwire/usage_gen.go
+++ b/peerwire/usage_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	zb1f51d77limitArrays = 65536
+	zb1f51d77limitMaps   = 65536
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *CustomerShare) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -16,6 +22,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb1f51d77limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -115,6 +125,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb1f51d77limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -169,6 +183,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb1f51d77limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -306,6 +324,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb1f51d77limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -372,6 +394,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb1f51d77limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -387,6 +413,10 @@
 				err = msgp.WrapError(err, "Shares")
 				return
 			}
+			if zb0002 > zb1f51d77limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Shares) >= int(zb0002) {
 				z.Shares = (z.Shares)[:zb0002]
 			} else {
@@ -399,6 +429,10 @@
 					err = msgp.WrapError(err, "Shares", za0001)
 					return
 				}
+				if zb0003 > zb1f51d77limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, err = dc.ReadMapKeyPtr()
@@ -526,6 +560,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb1f51d77limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -541,6 +579,10 @@
 				err = msgp.WrapError(err, "Shares")
 				return
 			}
+			if zb0002 > zb1f51d77limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Shares) >= int(zb0002) {
 				z.Shares = (z.Shares)[:zb0002]
 			} else {
@@ -553,6 +595,10 @@
 					err = msgp.WrapError(err, "Shares", za0001)
 					return
 				}
+				if zb0003 > zb1f51d77limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -619,6 +665,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb1f51d77limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -634,6 +684,10 @@
 				err = msgp.WrapError(err, "Usages")
 				return
 			}
+			if zb0002 > zb1f51d77limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Usages) >= int(zb0002) {
 				z.Usages = (z.Usages)[:zb0002]
 			} else {
@@ -707,6 +761,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb1f51d77limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -722,6 +780,10 @@
 				err = msgp.WrapError(err, "Usages")
 				return
 			}
+			if zb0002 > zb1f51d77limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Usages) >= int(zb0002) {
 				z.Usages = (z.Usages)[:zb0002]
 			} else {
