Survive a panic in the handling of a peer's message

What could happen: a handler of a message from another host that panics ended the process with all its requests; net/http recovers for callers, nothing did for peers. TestPanickingHandler ended the test process before. The sender gets a may-have-run error, the log a line with the stack.

--- a/messenger/handlers.go
+++ b/messenger/handlers.go
@@ -111,7 +111,7 @@
 }
 
 func (c *connection) runHandler(ctx context.Context, e peerwire.Envelope, h Handler, payload []byte) {
-	reply, err := h(ctx, c.peer, payload)
+	reply, err := c.callHandler(ctx, e.Kind, h, payload)
 	if e.Type == peerwire.FrameSend {
 		if err != nil {
 			c.logRejected(e.Kind, err)
@@ -129,6 +129,20 @@
 	}
 }
 
+// callHandler calls a handler. If it panics, that is the message's failure and not the
+// end of the process.
+func (c *connection) callHandler(ctx context.Context, k peerwire.Kind, h Handler, payload []byte) (reply msgp.Marshaler, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			c.options.Logger.Error("handler-panicked",
+				zap.Uint8("kind", uint8(k)), zap.String("peer", string(c.peer.Host)),
+				zap.Any("cause", cause), zap.Stack("stack"))
+			reply, err = nil, classifier.MayHaveRun(classifier.ReasonInternal, 0, "handler of kind %d failed: %v", k, cause)
+		}
+	}()
+	return h(ctx, c.peer, payload)
+}
+
 // reply queues a reply. For a reply over the size limit it returns the error to
 // send to the caller instead.
 func (c *connection) reply(id uint64, reply msgp.Marshaler) error {
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -168,6 +168,30 @@
 	})
 }
 
+// TestPanickingHandler guards against one message whose handler panics ending the process.
+func TestPanickingHandler(t *testing.T) {
+	for _, oneWay := range []bool{false, true} {
+		t.Run(fmt.Sprintf("one-way %t", oneWay), func(t *testing.T) {
+			i := is.New(t)
+			b := startHost(t, "b", messenger.Options{}, func(m *messenger.Messenger) {
+				echo(m)
+				m.Handle(peerwire.KindRelease, func(context.Context, messenger.Peer, []byte) (msgp.Marshaler, error) {
+					panic("unexpected")
+				})
+			})
+			a := startHost(t, "a", messenger.Options{}, nil)
+			if oneWay {
+				i.NoErr(a.Send(t.Context(), b.address, peerwire.KindRelease, text("x")))
+			} else {
+				err := a.Call(t.Context(), b.address, peerwire.KindRelease, text("x"), nil)
+				checkError(t, err, classifier.VerdictMayHaveRun, classifier.ReasonInternal)
+			}
+			var reply msgp.Raw
+			i.NoErr(a.Call(t.Context(), b.address, peerwire.KindAllocate, text("y"), &reply))
+		})
+	}
+}
+
 func BenchmarkCall(b *testing.B) {
 	for _, callers := range []int{1, 16, 256} {
 		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) { benchmarkCall(b, callers) })
