Wait for a verdict after an engine ended under a trial

A request's own retry and the next requests came before the evidence had settled.

A segment's trial at a host now goes on for 300 ms after an engine ended under it.

--- a/dispatcher/crashing_prompts_test.go
+++ b/dispatcher/crashing_prompts_test.go
@@ -128,6 +128,7 @@
 		last = generate(n)
 		time.Sleep(100 * time.Millisecond)
 	}
+	t.Logf("%d of %d engines ended", engines.crashes(), crashEngines)
 	i.Equal(last.Reason, classifier.ReasonQuarantined)
 	i.Equal(last.Verdict, classifier.VerdictNotRun)
 	i.True(engines.crashes() <= maxCrashes)
--- a/isolator/call.go
+++ b/isolator/call.go
@@ -118,17 +118,15 @@
 	})
 }
 
-// examine finds out whether the engine of a lost call has ended. The trial ends once its
-// address refuses connections, or does not.
+// examine finds out whether the engine of a lost call has ended. If its address refuses
+// connections, the trial goes on until the evidence has settled; else it ends.
 func (c *Call) examine(ctx context.Context, e Engine, at time.Time) {
-	refused := c.isolator.refuses(ctx, e)
-	if refused {
+	if c.isolator.refuses(ctx, e) {
 		c.reportEnd(e, at, "connection-refused")
-	}
-	c.endTrial()
-	if refused {
+		c.isolator.deps.Timer.After(lostTrialTime, func(time.Time) { c.endTrial() })
 		return
 	}
+	c.endTrial()
 	if !c.isolator.awaitRemoval(ctx, e) {
 		c.isolator.deps.Log.Info("engine-end-not-confirmed", c.logFields(e, at)...)
 		return
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -60,6 +60,9 @@
 	removalCheckPeriod = 100 * time.Millisecond
 	// trialWait is how long a request on trial waits for its turn.
 	trialWait = 150 * time.Millisecond
+	// lostTrialTime is how long a trial goes on after the end of its engine, so that a
+	// verdict can be made before the next trial.
+	lostTrialTime = 300 * time.Millisecond
 	// trialRetryAfter is the Retry-After hint of a request whose turn didn't come.
 	trialRetryAfter = time.Second
 	// quarantineRetryAfter is the Retry-After hint of a quarantined request. The
