--- a/peerwire/allocation.go
+++ b/peerwire/allocation.go
@@ -1,7 +1,6 @@
 package peerwire
 
 //go:generate go tool msgp -file allocation.go -tests=false
-//msgp:limit arrays:65536 maps:65536
 
 // Attempt identifies one attempt to serve a request by the incarnation of the
 // host that started it and a sequence number.
@@ -26,11 +25,11 @@
 	Firm         string   `msg:"f"`
 	PromptTokens uint32   `msg:"pt"`
 	MaxTokens    uint32   `msg:"mt"`
-	Blocks       []uint64 `msg:"b"`
+	Blocks       []uint64 `msg:"b,limit=65536"`
 	// TimeLeftMs is the time until the caller's deadline in milliseconds.
 	TimeLeftMs uint32 `msg:"l"`
 	// Exclude lists endpoints that must not be allocated.
-	Exclude []string `msg:"x"`
+	Exclude []string `msg:"x,limit=65536"`
 	// Resumes is set if the caller has already received the first tokens of the
 	// response.
 	Resumes bool `msg:"r"`
@@ -110,7 +109,7 @@
 // the digest of a Renew differs from the allocator's.
 type Grants struct {
 	Pool PoolKey     `msg:"p"`
-	Held []HeldGrant `msg:"h"`
+	Held []HeldGrant `msg:"h,limit=65536"`
 }
 
 // Empty is the empty reply.
--- a/peerwire/allocation_gen.go
+++ b/peerwire/allocation_gen.go
@@ -6,12 +6,6 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
-// Size limits for msgp deserialization
-const (
-	zd414b455limitArrays = 65536
-	zd414b455limitMaps   = 65536
-)
-
 // DecodeMsg implements msgp.Decodable
 func (z *AllocationReply) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -22,10 +16,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd414b455limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -163,10 +153,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd414b455limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -233,10 +219,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd414b455limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -252,10 +234,6 @@
 				err = msgp.WrapError(err, "Pool")
 				return
 			}
-			if zb0002 > zd414b455limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
@@ -291,10 +269,6 @@
 				err = msgp.WrapError(err, "Attempt")
 				return
 			}
-			if zb0003 > zd414b455limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0003 > 0 {
 				zb0003--
 				field, err = dc.ReadMapKeyPtr()
@@ -354,7 +328,7 @@
 				err = msgp.WrapError(err, "Blocks")
 				return
 			}
-			if zb0004 > zd414b455limitArrays {
+			if zb0004 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -383,7 +357,7 @@
 				err = msgp.WrapError(err, "Exclude")
 				return
 			}
-			if zb0005 > zd414b455limitArrays {
+			if zb0005 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -633,10 +607,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd414b455limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -652,10 +622,6 @@
 				err = msgp.WrapError(err, "Pool")
 				return
 			}
-			if zb0002 > zd414b455limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -691,10 +657,6 @@
 				err = msgp.WrapError(err, "Attempt")
 				return
 			}
-			if zb0003 > zd414b455limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0003 > 0 {
 				zb0003--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -754,7 +716,7 @@
 				err = msgp.WrapError(err, "Blocks")
 				return
 			}
-			if zb0004 > zd414b455limitArrays {
+			if zb0004 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -783,7 +745,7 @@
 				err = msgp.WrapError(err, "Exclude")
 				return
 			}
-			if zb0005 > zd414b455limitArrays {
+			if zb0005 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -837,10 +799,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd414b455limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -921,10 +879,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd414b455limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -973,10 +927,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd414b455limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1057,10 +1007,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd414b455limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1109,10 +1055,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd414b455limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1128,10 +1070,6 @@
 				err = msgp.WrapError(err, "Pool")
 				return
 			}
-			if zb0002 > zd414b455limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
@@ -1167,10 +1105,6 @@
 				err = msgp.WrapError(err, "Attempt")
 				return
 			}
-			if zb0003 > zd414b455limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0003 > 0 {
 				zb0003--
 				field, err = dc.ReadMapKeyPtr()
@@ -1303,10 +1237,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd414b455limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1322,10 +1252,6 @@
 				err = msgp.WrapError(err, "Pool")
 				return
 			}
-			if zb0002 > zd414b455limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1361,10 +1287,6 @@
 				err = msgp.WrapError(err, "Attempt")
 				return
 			}
-			if zb0003 > zd414b455limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0003 > 0 {
 				zb0003--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1421,10 +1343,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd414b455limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1474,10 +1392,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd414b455limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1514,10 +1428,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd414b455limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1533,10 +1443,6 @@
 				err = msgp.WrapError(err, "Pool")
 				return
 			}
-			if zb0002 > zd414b455limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
@@ -1572,7 +1478,7 @@
 				err = msgp.WrapError(err, "Held")
 				return
 			}
-			if zb0003 > zd414b455limitArrays {
+			if zb0003 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -1684,10 +1590,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd414b455limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1703,10 +1605,6 @@
 				err = msgp.WrapError(err, "Pool")
 				return
 			}
-			if zb0002 > zd414b455limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1742,7 +1640,7 @@
 				err = msgp.WrapError(err, "Held")
 				return
 			}
-			if zb0003 > zd414b455limitArrays {
+			if zb0003 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -1789,10 +1687,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd414b455limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1808,10 +1702,6 @@
 				err = msgp.WrapError(err, "Attempt")
 				return
 			}
-			if zb0002 > zd414b455limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
@@ -2061,10 +1951,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd414b455limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2080,10 +1966,6 @@
 				err = msgp.WrapError(err, "Attempt")
 				return
 			}
-			if zb0002 > zd414b455limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2188,10 +2070,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd414b455limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2253,10 +2131,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd414b455limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2299,10 +2173,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd414b455limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2318,10 +2188,6 @@
 				err = msgp.WrapError(err, "Attempt")
 				return
 			}
-			if zb0002 > zd414b455limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
@@ -2419,10 +2285,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd414b455limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2438,10 +2300,6 @@
 				err = msgp.WrapError(err, "Attempt")
 				return
 			}
-			if zb0002 > zd414b455limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2498,10 +2356,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd414b455limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2582,10 +2436,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd414b455limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2634,10 +2484,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd414b455limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2653,10 +2499,6 @@
 				err = msgp.WrapError(err, "Pool")
 				return
 			}
-			if zb0002 > zd414b455limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
@@ -2692,10 +2534,6 @@
 				err = msgp.WrapError(err, "Attempt")
 				return
 			}
-			if zb0003 > zd414b455limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0003 > 0 {
 				zb0003--
 				field, err = dc.ReadMapKeyPtr()
@@ -2847,10 +2685,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd414b455limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2866,10 +2700,6 @@
 				err = msgp.WrapError(err, "Pool")
 				return
 			}
-			if zb0002 > zd414b455limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2905,10 +2735,6 @@
 				err = msgp.WrapError(err, "Attempt")
 				return
 			}
-			if zb0003 > zd414b455limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0003 > 0 {
 				zb0003--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2971,10 +2797,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd414b455limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2990,10 +2812,6 @@
 				err = msgp.WrapError(err, "Pool")
 				return
 			}
-			if zb0002 > zd414b455limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
@@ -3029,10 +2847,6 @@
 				err = msgp.WrapError(err, "Attempt")
 				return
 			}
-			if zb0003 > zd414b455limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0003 > 0 {
 				zb0003--
 				field, err = dc.ReadMapKeyPtr()
@@ -3222,10 +3036,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd414b455limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3241,10 +3051,6 @@
 				err = msgp.WrapError(err, "Pool")
 				return
 			}
-			if zb0002 > zd414b455limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3280,10 +3086,6 @@
 				err = msgp.WrapError(err, "Attempt")
 				return
 			}
-			if zb0003 > zd414b455limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0003 > 0 {
 				zb0003--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3358,10 +3160,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd414b455limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -3377,10 +3175,6 @@
 				err = msgp.WrapError(err, "Pool")
 				return
 			}
-			if zb0002 > zd414b455limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
@@ -3497,10 +3291,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd414b455limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3516,10 +3306,6 @@
 				err = msgp.WrapError(err, "Pool")
 				return
 			}
-			if zb0002 > zd414b455limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3582,10 +3368,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd414b455limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -3647,10 +3429,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd414b455limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
--- a/peerwire/changes.go
+++ b/peerwire/changes.go
@@ -6,7 +6,6 @@
 //msgp:replace identifier.Era with:uint64
 
 //go:generate go tool msgp -file changes.go -tests=false
-//msgp:limit arrays:65536 maps:65536
 
 // ChangesRequest requests the changes of the configuration store after a position
 // from a peer.
@@ -30,10 +29,10 @@
 	Snapshot bool `msg:"whole"`
 	// AgeMs is the time since the store confirmed Revision in milliseconds.
 	AgeMs   uint32      `msg:"age-ms"`
-	Changes []StoreItem `msg:"changes"`
+	Changes []StoreItem `msg:"changes,limit=65536"`
 	// Kept lists what the peer uses in place of items that a restored store has set
 	// back. It doesn't depend on the requester's position.
-	Kept []KeptItem `msg:"kept"`
+	Kept []KeptItem `msg:"kept,limit=65536"`
 }
 
 // KeptItem is the latest known state of an item that a restored store has set back.
--- a/peerwire/changes_gen.go
+++ b/peerwire/changes_gen.go
@@ -7,12 +7,6 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
-// Size limits for msgp deserialization
-const (
-	z4c973e3climitArrays = 65536
-	z4c973e3climitMaps   = 65536
-)
-
 // DecodeMsg implements msgp.Decodable
 func (z *ChangesReply) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -23,10 +17,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z4c973e3climitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -74,7 +64,7 @@
 				err = msgp.WrapError(err, "Changes")
 				return
 			}
-			if zb0004 > z4c973e3climitArrays {
+			if zb0004 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -97,7 +87,7 @@
 				err = msgp.WrapError(err, "Kept")
 				return
 			}
-			if zb0005 > z4c973e3climitArrays {
+			if zb0005 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -113,7 +103,7 @@
 					err = msgp.WrapError(err, "Kept", za0002)
 					return
 				}
-				if zb0006 > z4c973e3climitMaps {
+				if zb0006 > 65536 {
 					err = msgp.ErrLimitExceeded
 					return
 				}
@@ -331,10 +321,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z4c973e3climitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -382,7 +368,7 @@
 				err = msgp.WrapError(err, "Changes")
 				return
 			}
-			if zb0004 > z4c973e3climitArrays {
+			if zb0004 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -405,7 +391,7 @@
 				err = msgp.WrapError(err, "Kept")
 				return
 			}
-			if zb0005 > z4c973e3climitArrays {
+			if zb0005 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -421,7 +407,7 @@
 					err = msgp.WrapError(err, "Kept", za0002)
 					return
 				}
-				if zb0006 > z4c973e3climitMaps {
+				if zb0006 > 65536 {
 					err = msgp.ErrLimitExceeded
 					return
 				}
@@ -499,10 +485,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z4c973e3climitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -610,10 +592,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z4c973e3climitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -676,10 +654,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z4c973e3climitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -787,10 +761,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z4c973e3climitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -849,10 +819,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z4c973e3climitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -868,10 +834,7 @@
 				return
 			}
 		case "value":
-			z.Value, err = dc.ReadBytesLimit(z.Value, z4c973e3climitArrays)
-			if err == nil && z.Value == nil {
-				z.Value = []byte{}
-			}
+			z.Value, err = dc.ReadBytes(z.Value)
 			if err != nil {
 				err = msgp.WrapError(err, "Value")
 				return
@@ -1001,10 +964,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z4c973e3climitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1020,36 +979,20 @@
 				return
 			}
 		case "value":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+			z.Value, bts, err = msgp.ReadBytesBytes(bts, z.Value)
 			if err != nil {
 				err = msgp.WrapError(err, "Value")
 				return
 			}
-			if zb0002 > z4c973e3climitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if z.Value == nil || uint32(cap(z.Value)) < zb0002 {
-				z.Value = make([]byte, zb0002)
-			} else {
-				z.Value = z.Value[:zb0002]
-			}
-			if uint32(len(bts)) < zb0002 {
-				err = msgp.ErrShortBytes
-				return
-			}
-			copy(z.Value, bts[:zb0002])
-			bts = bts[zb0002:]
 		case "revision":
 			{
-				var zb0003 uint64
-				zb0003, bts, err = msgp.ReadUint64Bytes(bts)
+				var zb0002 uint64
+				zb0002, bts, err = msgp.ReadUint64Bytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Revision")
 					return
 				}
-				z.Revision = identifier.Revision(zb0003)
+				z.Revision = identifier.Revision(zb0002)
 			}
 		case "deleted":
 			z.Deleted, bts, err = msgp.ReadBoolBytes(bts)
@@ -1059,13 +1002,13 @@
 			}
 		case "era":
 			{
-				var zb0004 uint64
-				zb0004, bts, err = msgp.ReadUint64Bytes(bts)
+				var zb0003 uint64
+				zb0003, bts, err = msgp.ReadUint64Bytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Era")
 					return
 				}
-				z.Era = identifier.Era(zb0004)
+				z.Era = identifier.Era(zb0003)
 			}
 		default:
 			bts, err = msgp.Skip(bts)
--- a/peerwire/declarations.go
+++ b/peerwire/declarations.go
@@ -5,7 +5,6 @@
 //msgp:replace identifier.Revision with:uint64
 
 //go:generate go tool msgp -file declarations.go -tests=false
-//msgp:limit arrays:65536 maps:65536
 
 // DeclarationsRequest requests declarations newer than Revision from a peer.
 type DeclarationsRequest struct {
@@ -23,7 +22,7 @@
 	Revision identifier.Revision `msg:"revision"`
 	// Digest is the xxhash of the file.
 	Digest uint64             `msg:"digest"`
-	Steps  []DeclarationsStep `msg:"steps"`
+	Steps  []DeclarationsStep `msg:"steps,limit=65536"`
 	// Whole is the complete file, compressed with DEFLATE.
 	Whole []byte `msg:"whole"`
 }
--- a/peerwire/declarations_gen.go
+++ b/peerwire/declarations_gen.go
@@ -7,12 +7,6 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
-// Size limits for msgp deserialization
-const (
-	zd302fa87limitArrays = 65536
-	zd302fa87limitMaps   = 65536
-)
-
 // DecodeMsg implements msgp.Decodable
 func (z *Declarations) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -23,10 +17,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd302fa87limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -58,7 +48,7 @@
 				err = msgp.WrapError(err, "Steps")
 				return
 			}
-			if zb0003 > zd302fa87limitArrays {
+			if zb0003 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -74,7 +64,7 @@
 					err = msgp.WrapError(err, "Steps", za0001)
 					return
 				}
-				if zb0004 > zd302fa87limitMaps {
+				if zb0004 > 65536 {
 					err = msgp.ErrLimitExceeded
 					return
 				}
@@ -99,10 +89,7 @@
 							return
 						}
 					case "patch":
-						z.Steps[za0001].Patch, err = dc.ReadBytesLimit(z.Steps[za0001].Patch, zd302fa87limitArrays)
-						if err == nil && z.Steps[za0001].Patch == nil {
-							z.Steps[za0001].Patch = []byte{}
-						}
+						z.Steps[za0001].Patch, err = dc.ReadBytes(z.Steps[za0001].Patch)
 						if err != nil {
 							err = msgp.WrapError(err, "Steps", za0001, "Patch")
 							return
@@ -117,10 +104,7 @@
 				}
 			}
 		case "whole":
-			z.Whole, err = dc.ReadBytesLimit(z.Whole, zd302fa87limitArrays)
-			if err == nil && z.Whole == nil {
-				z.Whole = []byte{}
-			}
+			z.Whole, err = dc.ReadBytes(z.Whole)
 			if err != nil {
 				err = msgp.WrapError(err, "Whole")
 				return
@@ -256,10 +240,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd302fa87limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -291,7 +271,7 @@
 				err = msgp.WrapError(err, "Steps")
 				return
 			}
-			if zb0003 > zd302fa87limitArrays {
+			if zb0003 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -307,7 +287,7 @@
 					err = msgp.WrapError(err, "Steps", za0001)
 					return
 				}
-				if zb0004 > zd302fa87limitMaps {
+				if zb0004 > 65536 {
 					err = msgp.ErrLimitExceeded
 					return
 				}
@@ -332,27 +312,11 @@
 							return
 						}
 					case "patch":
-						var zb0005 uint32
-						zb0005, bts, err = msgp.ReadBytesHeader(bts)
+						z.Steps[za0001].Patch, bts, err = msgp.ReadBytesBytes(bts, z.Steps[za0001].Patch)
 						if err != nil {
 							err = msgp.WrapError(err, "Steps", za0001, "Patch")
 							return
 						}
-						if zb0005 > zd302fa87limitArrays {
-							err = msgp.ErrLimitExceeded
-							return
-						}
-						if z.Steps[za0001].Patch == nil || uint32(cap(z.Steps[za0001].Patch)) < zb0005 {
-							z.Steps[za0001].Patch = make([]byte, zb0005)
-						} else {
-							z.Steps[za0001].Patch = z.Steps[za0001].Patch[:zb0005]
-						}
-						if uint32(len(bts)) < zb0005 {
-							err = msgp.ErrShortBytes
-							return
-						}
-						copy(z.Steps[za0001].Patch, bts[:zb0005])
-						bts = bts[zb0005:]
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
@@ -363,27 +327,11 @@
 				}
 			}
 		case "whole":
-			var zb0006 uint32
-			zb0006, bts, err = msgp.ReadBytesHeader(bts)
+			z.Whole, bts, err = msgp.ReadBytesBytes(bts, z.Whole)
 			if err != nil {
 				err = msgp.WrapError(err, "Whole")
 				return
 			}
-			if zb0006 > zd302fa87limitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if z.Whole == nil || uint32(cap(z.Whole)) < zb0006 {
-				z.Whole = make([]byte, zb0006)
-			} else {
-				z.Whole = z.Whole[:zb0006]
-			}
-			if uint32(len(bts)) < zb0006 {
-				err = msgp.ErrShortBytes
-				return
-			}
-			copy(z.Whole, bts[:zb0006])
-			bts = bts[zb0006:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -416,10 +364,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd302fa87limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -504,10 +448,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd302fa87limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -560,10 +500,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd302fa87limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -585,10 +521,7 @@
 				return
 			}
 		case "patch":
-			z.Patch, err = dc.ReadBytesLimit(z.Patch, zd302fa87limitArrays)
-			if err == nil && z.Patch == nil {
-				z.Patch = []byte{}
-			}
+			z.Patch, err = dc.ReadBytes(z.Patch)
 			if err != nil {
 				err = msgp.WrapError(err, "Patch")
 				return
@@ -666,10 +599,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zd302fa87limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -691,27 +620,11 @@
 				return
 			}
 		case "patch":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+			z.Patch, bts, err = msgp.ReadBytesBytes(bts, z.Patch)
 			if err != nil {
 				err = msgp.WrapError(err, "Patch")
 				return
 			}
-			if zb0002 > zd302fa87limitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if z.Patch == nil || uint32(cap(z.Patch)) < zb0002 {
-				z.Patch = make([]byte, zb0002)
-			} else {
-				z.Patch = z.Patch[:zb0002]
-			}
-			if uint32(len(bts)) < zb0002 {
-				err = msgp.ErrShortBytes
-				return
-			}
-			copy(z.Patch, bts[:zb0002])
-			bts = bts[zb0002:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
--- a/peerwire/digest.go
+++ b/peerwire/digest.go
@@ -1,7 +1,6 @@
 package peerwire
 
 //go:generate go tool msgp -file digest.go -tests=false
-//msgp:limit arrays:65536 maps:65536
 
 // PoolLoad reports the expected waits at a pool in the sender's data center.
 type PoolLoad struct {
@@ -15,5 +14,5 @@
 // LoadDigest reports the load of the pools that a host allocates. It is
 // distributed with the membership updates.
 type LoadDigest struct {
-	Pools []PoolLoad `msg:"p"`
+	Pools []PoolLoad `msg:"p,limit=65536"`
 }
--- a/peerwire/digest_gen.go
+++ b/peerwire/digest_gen.go
@@ -6,12 +6,6 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
-// Size limits for msgp deserialization
-const (
-	z54f5b8d4limitArrays = 65536
-	z54f5b8d4limitMaps   = 65536
-)
-
 // DecodeMsg implements msgp.Decodable
 func (z *LoadDigest) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -22,10 +16,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z54f5b8d4limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -41,7 +31,7 @@
 				err = msgp.WrapError(err, "Pools")
 				return
 			}
-			if zb0002 > z54f5b8d4limitArrays {
+			if zb0002 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -57,7 +47,7 @@
 					err = msgp.WrapError(err, "Pools", za0001)
 					return
 				}
-				if zb0003 > z54f5b8d4limitMaps {
+				if zb0003 > 65536 {
 					err = msgp.ErrLimitExceeded
 					return
 				}
@@ -188,10 +178,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z54f5b8d4limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -207,7 +193,7 @@
 				err = msgp.WrapError(err, "Pools")
 				return
 			}
-			if zb0002 > z54f5b8d4limitArrays {
+			if zb0002 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -223,7 +209,7 @@
 					err = msgp.WrapError(err, "Pools", za0001)
 					return
 				}
-				if zb0003 > z54f5b8d4limitMaps {
+				if zb0003 > 65536 {
 					err = msgp.ErrLimitExceeded
 					return
 				}
@@ -293,10 +279,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z54f5b8d4limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -396,10 +378,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z54f5b8d4limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
--- a/peerwire/frame.go
+++ b/peerwire/frame.go
@@ -5,7 +5,6 @@
 )
 
 //go:generate go tool msgp -file frame.go -tests=false
-//msgp:limit arrays:65536 maps:65536
 
 //msgp:replace identifier.Host with:string
 //msgp:replace identifier.DataCenter with:string
--- a/peerwire/frame_gen.go
+++ b/peerwire/frame_gen.go
@@ -7,12 +7,6 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
-// Size limits for msgp deserialization
-const (
-	z9ed37725limitArrays = 65536
-	z9ed37725limitMaps   = 65536
-)
-
 // DecodeMsg implements msgp.Decodable
 func (z *Envelope) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -23,10 +17,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z9ed37725limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -198,10 +188,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z9ed37725limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -266,10 +252,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z9ed37725limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -456,10 +438,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z9ed37725limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -582,10 +560,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z9ed37725limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -772,10 +746,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z9ed37725limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
--- a/peerwire/homes.go
+++ b/peerwire/homes.go
@@ -1,7 +1,6 @@
 package peerwire
 
 //go:generate go tool msgp -file homes.go -tests=false
-//msgp:limit arrays:65536 maps:65536
 
 // LocateRequest registers the sending host as the home of a request in the
 // directory.
--- a/peerwire/homes_gen.go
+++ b/peerwire/homes_gen.go
@@ -6,12 +6,6 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
-// Size limits for msgp deserialization
-const (
-	z09b057cdlimitArrays = 65536
-	z09b057cdlimitMaps   = 65536
-)
-
 // DecodeMsg implements msgp.Decodable
 func (z *Drop) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -22,10 +16,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z09b057cdlimitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -87,10 +77,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z09b057cdlimitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -133,10 +119,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z09b057cdlimitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -217,10 +199,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z09b057cdlimitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -269,10 +247,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z09b057cdlimitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -372,10 +346,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z09b057cdlimitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
--- a/peerwire/kinds.go
+++ b/peerwire/kinds.go
@@ -14,7 +14,6 @@
 package peerwire
 
 //go:generate go tool msgp -file kinds.go -tests=false
-//msgp:limit arrays:65536 maps:65536
 
 // Kind identifies the message type of a frame's payload.
 type Kind uint8
--- a/peerwire/kinds_gen.go
+++ b/peerwire/kinds_gen.go
@@ -6,12 +6,6 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
-// Size limits for msgp deserialization
-const (
-	z6ad7e03elimitArrays = 65536
-	z6ad7e03elimitMaps   = 65536
-)
-
 // DecodeMsg implements msgp.Decodable
 func (z *Kind) DecodeMsg(dc *msgp.Reader) (err error) {
 	{
--- a/peerwire/membership.go
+++ b/peerwire/membership.go
@@ -5,7 +5,6 @@
 )
 
 //go:generate go tool msgp -file membership.go -tests=false
-//msgp:limit arrays:65536 maps:65536
 
 //msgp:replace identifier.Host with:string
 //msgp:replace identifier.DataCenter with:string
@@ -58,8 +57,8 @@
 // Gossip carries membership updates. It is the payload of KindProbe, its reply
 // and KindGossip.
 type Gossip struct {
-	Updates []Update `msg:"u,omitempty"`
-	Marks   []Mark   `msg:"m,omitempty"`
+	Updates []Update `msg:"u,omitempty,limit=65536"`
+	Marks   []Mark   `msg:"m,omitempty,limit=65536"`
 	// From is the incarnation of the responding host. It is set in replies only.
 	From identifier.Incarnation `msg:"f,omitempty"`
 	// Unknown tells the caller that the responding host does not know it. It is
@@ -83,7 +82,7 @@
 // SyncRequest is the payload of KindSync. It carries a hash per bucket of the
 // caller's membership state.
 type SyncRequest struct {
-	Buckets []uint64 `msg:"b"`
+	Buckets []uint64 `msg:"b,limit=65536"`
 	// Gossip contains the caller's own update.
 	Gossip Gossip `msg:"n"`
 }
@@ -93,6 +92,6 @@
 type SyncReply struct {
 	// Buckets is the number of compared buckets.
 	Buckets   uint32   `msg:"b"`
-	Differing []uint32 `msg:"d,omitempty"`
+	Differing []uint32 `msg:"d,omitempty,limit=65536"`
 	Gossip    Gossip   `msg:"n"`
 }
--- a/peerwire/membership_gen.go
+++ b/peerwire/membership_gen.go
@@ -7,12 +7,6 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
-// Size limits for msgp deserialization
-const (
-	z95c7bd96limitArrays = 65536
-	z95c7bd96limitMaps   = 65536
-)
-
 // DecodeMsg implements msgp.Decodable
 func (z *Gossip) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -23,10 +17,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z95c7bd96limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -42,7 +32,7 @@
 				err = msgp.WrapError(err, "Updates")
 				return
 			}
-			if zb0002 > z95c7bd96limitArrays {
+			if zb0002 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -65,7 +55,7 @@
 				err = msgp.WrapError(err, "Marks")
 				return
 			}
-			if zb0003 > z95c7bd96limitArrays {
+			if zb0003 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -280,10 +270,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z95c7bd96limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -299,7 +285,7 @@
 				err = msgp.WrapError(err, "Updates")
 				return
 			}
-			if zb0002 > z95c7bd96limitArrays {
+			if zb0002 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -322,7 +308,7 @@
 				err = msgp.WrapError(err, "Marks")
 				return
 			}
-			if zb0003 > z95c7bd96limitArrays {
+			if zb0003 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -390,10 +376,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z95c7bd96limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -505,10 +487,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z95c7bd96limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -571,10 +549,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z95c7bd96limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -640,10 +614,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z95c7bd96limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -686,10 +656,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z95c7bd96limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -896,10 +862,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z95c7bd96limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -978,10 +940,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z95c7bd96limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1003,7 +961,7 @@
 				err = msgp.WrapError(err, "Differing")
 				return
 			}
-			if zb0002 > z95c7bd96limitArrays {
+			if zb0002 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -1145,10 +1103,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z95c7bd96limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1170,7 +1124,7 @@
 				err = msgp.WrapError(err, "Differing")
 				return
 			}
-			if zb0002 > z95c7bd96limitArrays {
+			if zb0002 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -1220,10 +1174,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z95c7bd96limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1239,7 +1189,7 @@
 				err = msgp.WrapError(err, "Buckets")
 				return
 			}
-			if zb0002 > z95c7bd96limitArrays {
+			if zb0002 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -1335,10 +1285,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z95c7bd96limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1354,7 +1300,7 @@
 				err = msgp.WrapError(err, "Buckets")
 				return
 			}
-			if zb0002 > z95c7bd96limitArrays {
+			if zb0002 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -1404,10 +1350,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z95c7bd96limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1503,10 +1445,7 @@
 				return
 			}
 		case "g":
-			z.Digest, err = dc.ReadBytesLimit(z.Digest, z95c7bd96limitArrays)
-			if err == nil && z.Digest == nil {
-				z.Digest = []byte{}
-			}
+			z.Digest, err = dc.ReadBytes(z.Digest)
 			if err != nil {
 				err = msgp.WrapError(err, "Digest")
 				return
@@ -1830,10 +1769,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z95c7bd96limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1929,27 +1864,11 @@
 				return
 			}
 		case "g":
-			var zb0007 uint32
-			zb0007, bts, err = msgp.ReadBytesHeader(bts)
+			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
 			if err != nil {
 				err = msgp.WrapError(err, "Digest")
 				return
 			}
-			if zb0007 > z95c7bd96limitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if z.Digest == nil || uint32(cap(z.Digest)) < zb0007 {
-				z.Digest = make([]byte, zb0007)
-			} else {
-				z.Digest = z.Digest[:zb0007]
-			}
-			if uint32(len(bts)) < zb0007 {
-				err = msgp.ErrShortBytes
-				return
-			}
-			copy(z.Digest, bts[:zb0007])
-			bts = bts[zb0007:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
--- a/peerwire/quarantine.go
+++ b/peerwire/quarantine.go
@@ -1,14 +1,13 @@
 package peerwire
 
 //go:generate go tool msgp -file quarantine.go -tests=false
-//msgp:limit arrays:65536 maps:65536
 
 // CrashNews tells a host which engines have ended under which requests, and which
 // segments of prompts are quarantined for that. Hosts of earlier versions don't know it.
 type CrashNews struct {
-	Ends     []EngineEnd      `msg:"ends"`
-	Begun    []BegunCount     `msg:"begun"`
-	Verdicts []SegmentVerdict `msg:"verdicts"`
+	Ends     []EngineEnd      `msg:"ends,limit=65536"`
+	Begun    []BegunCount     `msg:"begun,limit=65536"`
+	Verdicts []SegmentVerdict `msg:"verdicts,limit=65536"`
 	// Forward asks the receiver to pass on to all hosts what is news to it.
 	Forward bool `msg:"forward"`
 	// Want asks for what the receiver knows, as a CrashNews.
@@ -21,13 +20,13 @@
 	StartID int64        `msg:"started"`
 	Phase   uint8        `msg:"phase"`
 	AgeMs   int64        `msg:"age-ms"`
-	Calls   []BrokenCall `msg:"calls"`
+	Calls   []BrokenCall `msg:"calls,limit=65536"`
 }
 
 // BrokenCall is a quarantiner.Call.
 type BrokenCall struct {
 	Request  string   `msg:"request"`
-	Segments []string `msg:"segments"`
+	Segments []string `msg:"segments,limit=65536"`
 }
 
 // BegunCount is a quarantiner.BegunCount.
--- a/peerwire/quarantine_gen.go
+++ b/peerwire/quarantine_gen.go
@@ -6,12 +6,6 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
-// Size limits for msgp deserialization
-const (
-	z8d86017climitArrays = 65536
-	z8d86017climitMaps   = 65536
-)
-
 // DecodeMsg implements msgp.Decodable
 func (z *BegunCount) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -22,10 +16,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z8d86017climitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -125,10 +115,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z8d86017climitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -183,10 +169,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z8d86017climitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -208,7 +190,7 @@
 				err = msgp.WrapError(err, "Segments")
 				return
 			}
-			if zb0002 > z8d86017climitArrays {
+			if zb0002 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -294,10 +276,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z8d86017climitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -319,7 +297,7 @@
 				err = msgp.WrapError(err, "Segments")
 				return
 			}
-			if zb0002 > z8d86017climitArrays {
+			if zb0002 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -366,10 +344,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z8d86017climitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -385,7 +359,7 @@
 				err = msgp.WrapError(err, "Ends")
 				return
 			}
-			if zb0002 > z8d86017climitArrays {
+			if zb0002 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -408,7 +382,7 @@
 				err = msgp.WrapError(err, "Begun")
 				return
 			}
-			if zb0003 > z8d86017climitArrays {
+			if zb0003 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -424,7 +398,7 @@
 					err = msgp.WrapError(err, "Begun", za0002)
 					return
 				}
-				if zb0004 > z8d86017climitMaps {
+				if zb0004 > 65536 {
 					err = msgp.ErrLimitExceeded
 					return
 				}
@@ -470,7 +444,7 @@
 				err = msgp.WrapError(err, "Verdicts")
 				return
 			}
-			if zb0005 > z8d86017climitArrays {
+			if zb0005 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -670,10 +644,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z8d86017climitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -689,7 +659,7 @@
 				err = msgp.WrapError(err, "Ends")
 				return
 			}
-			if zb0002 > z8d86017climitArrays {
+			if zb0002 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -712,7 +682,7 @@
 				err = msgp.WrapError(err, "Begun")
 				return
 			}
-			if zb0003 > z8d86017climitArrays {
+			if zb0003 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -728,7 +698,7 @@
 					err = msgp.WrapError(err, "Begun", za0002)
 					return
 				}
-				if zb0004 > z8d86017climitMaps {
+				if zb0004 > 65536 {
 					err = msgp.ErrLimitExceeded
 					return
 				}
@@ -774,7 +744,7 @@
 				err = msgp.WrapError(err, "Verdicts")
 				return
 			}
-			if zb0005 > z8d86017climitArrays {
+			if zb0005 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -842,10 +812,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z8d86017climitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -885,7 +851,7 @@
 				err = msgp.WrapError(err, "Calls")
 				return
 			}
-			if zb0002 > z8d86017climitArrays {
+			if zb0002 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -901,7 +867,7 @@
 					err = msgp.WrapError(err, "Calls", za0001)
 					return
 				}
-				if zb0003 > z8d86017climitMaps {
+				if zb0003 > 65536 {
 					err = msgp.ErrLimitExceeded
 					return
 				}
@@ -926,7 +892,7 @@
 							err = msgp.WrapError(err, "Calls", za0001, "Segments")
 							return
 						}
-						if zb0004 > z8d86017climitArrays {
+						if zb0004 > 65536 {
 							err = msgp.ErrLimitExceeded
 							return
 						}
@@ -1092,10 +1058,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z8d86017climitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1135,7 +1097,7 @@
 				err = msgp.WrapError(err, "Calls")
 				return
 			}
-			if zb0002 > z8d86017climitArrays {
+			if zb0002 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -1151,7 +1113,7 @@
 					err = msgp.WrapError(err, "Calls", za0001)
 					return
 				}
-				if zb0003 > z8d86017climitMaps {
+				if zb0003 > 65536 {
 					err = msgp.ErrLimitExceeded
 					return
 				}
@@ -1176,7 +1138,7 @@
 							err = msgp.WrapError(err, "Calls", za0001, "Segments")
 							return
 						}
-						if zb0004 > z8d86017climitArrays {
+						if zb0004 > 65536 {
 							err = msgp.ErrLimitExceeded
 							return
 						}
@@ -1235,10 +1197,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z8d86017climitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1414,10 +1372,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z8d86017climitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
--- a/peerwire/reservation.go
+++ b/peerwire/reservation.go
@@ -1,7 +1,6 @@
 package peerwire
 
 //go:generate go tool msgp -file reservation.go -tests=false
-//msgp:limit arrays:65536 maps:65536
 
 // ReservationRequest requests a reservation from the host that places a service's
 // requests on its engines. The reply may take as long as the request may wait.
@@ -25,8 +24,8 @@
 	DeadlineMs   int64 `msg:"deadline-ms"`
 	Priority     int   `msg:"priority"`
 	// Exclude and ExcludePrefill list engines to avoid.
-	Exclude        []string `msg:"exclude"`
-	ExcludePrefill []string `msg:"exclude-prefill"`
+	Exclude        []string `msg:"exclude,limit=65536"`
+	ExcludePrefill []string `msg:"exclude-prefill,limit=65536"`
 	// WantModel asks for the model in the reply. Model is the sender's copy, for a
 	// host that may have no measurements; nil if the sender has none either or has
 	// already sent it.
--- a/peerwire/reservation_gen.go
+++ b/peerwire/reservation_gen.go
@@ -6,12 +6,6 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
-// Size limits for msgp deserialization
-const (
-	za38b4594limitArrays = 65536
-	za38b4594limitMaps   = 65536
-)
-
 // DecodeMsg implements msgp.Decodable
 func (z *EngineModel) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -22,10 +16,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > za38b4594limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -53,10 +43,6 @@
 				err = msgp.WrapError(err, "Queueing")
 				return
 			}
-			if zb0002 > za38b4594limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
@@ -98,10 +84,6 @@
 				err = msgp.WrapError(err, "PromptTokens")
 				return
 			}
-			if zb0003 > za38b4594limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0003 > 0 {
 				zb0003--
 				field, err = dc.ReadMapKeyPtr()
@@ -143,10 +125,6 @@
 				err = msgp.WrapError(err, "FirstEvents")
 				return
 			}
-			if zb0004 > za38b4594limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0004 > 0 {
 				zb0004--
 				field, err = dc.ReadMapKeyPtr()
@@ -188,10 +166,6 @@
 				err = msgp.WrapError(err, "OutputTokens")
 				return
 			}
-			if zb0005 > za38b4594limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0005 > 0 {
 				zb0005--
 				field, err = dc.ReadMapKeyPtr()
@@ -233,10 +207,6 @@
 				err = msgp.WrapError(err, "OutputTimes")
 				return
 			}
-			if zb0006 > za38b4594limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0006 > 0 {
 				zb0006--
 				field, err = dc.ReadMapKeyPtr()
@@ -278,10 +248,6 @@
 				err = msgp.WrapError(err, "OutputDeviations")
 				return
 			}
-			if zb0007 > za38b4594limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0007 > 0 {
 				zb0007--
 				field, err = dc.ReadMapKeyPtr()
@@ -323,10 +289,6 @@
 				err = msgp.WrapError(err, "MeasuredOutputTimes")
 				return
 			}
-			if zb0008 > za38b4594limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0008 > 0 {
 				zb0008--
 				field, err = dc.ReadMapKeyPtr()
@@ -368,10 +330,6 @@
 				err = msgp.WrapError(err, "EventIntervals")
 				return
 			}
-			if zb0009 > za38b4594limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0009 > 0 {
 				zb0009--
 				field, err = dc.ReadMapKeyPtr()
@@ -413,10 +371,6 @@
 				err = msgp.WrapError(err, "MemoryUse")
 				return
 			}
-			if zb0010 > za38b4594limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0010 > 0 {
 				zb0010--
 				field, err = dc.ReadMapKeyPtr()
@@ -951,10 +905,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > za38b4594limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -982,10 +932,6 @@
 				err = msgp.WrapError(err, "Queueing")
 				return
 			}
-			if zb0002 > za38b4594limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1027,10 +973,6 @@
 				err = msgp.WrapError(err, "PromptTokens")
 				return
 			}
-			if zb0003 > za38b4594limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0003 > 0 {
 				zb0003--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1072,10 +1014,6 @@
 				err = msgp.WrapError(err, "FirstEvents")
 				return
 			}
-			if zb0004 > za38b4594limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0004 > 0 {
 				zb0004--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1117,10 +1055,6 @@
 				err = msgp.WrapError(err, "OutputTokens")
 				return
 			}
-			if zb0005 > za38b4594limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0005 > 0 {
 				zb0005--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1162,10 +1096,6 @@
 				err = msgp.WrapError(err, "OutputTimes")
 				return
 			}
-			if zb0006 > za38b4594limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0006 > 0 {
 				zb0006--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1207,10 +1137,6 @@
 				err = msgp.WrapError(err, "OutputDeviations")
 				return
 			}
-			if zb0007 > za38b4594limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0007 > 0 {
 				zb0007--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1252,10 +1178,6 @@
 				err = msgp.WrapError(err, "MeasuredOutputTimes")
 				return
 			}
-			if zb0008 > za38b4594limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0008 > 0 {
 				zb0008--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1297,10 +1219,6 @@
 				err = msgp.WrapError(err, "EventIntervals")
 				return
 			}
-			if zb0009 > za38b4594limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0009 > 0 {
 				zb0009--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1342,10 +1260,6 @@
 				err = msgp.WrapError(err, "MemoryUse")
 				return
 			}
-			if zb0010 > za38b4594limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
 			for zb0010 > 0 {
 				zb0010--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1408,10 +1322,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > za38b4594limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1473,10 +1383,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > za38b4594limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1519,10 +1425,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > za38b4594limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1679,10 +1581,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > za38b4594limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1755,10 +1653,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > za38b4594limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1808,10 +1702,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > za38b4594limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1848,10 +1738,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > za38b4594limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1901,10 +1787,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > za38b4594limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1941,10 +1823,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > za38b4594limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2109,10 +1987,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > za38b4594limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2195,10 +2069,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > za38b4594limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2274,7 +2144,7 @@
 				err = msgp.WrapError(err, "Exclude")
 				return
 			}
-			if zb0002 > za38b4594limitArrays {
+			if zb0002 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -2297,7 +2167,7 @@
 				err = msgp.WrapError(err, "ExcludePrefill")
 				return
 			}
-			if zb0003 > za38b4594limitArrays {
+			if zb0003 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -2588,10 +2458,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > za38b4594limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2667,7 +2533,7 @@
 				err = msgp.WrapError(err, "Exclude")
 				return
 			}
-			if zb0002 > za38b4594limitArrays {
+			if zb0002 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -2690,7 +2556,7 @@
 				err = msgp.WrapError(err, "ExcludePrefill")
 				return
 			}
-			if zb0003 > za38b4594limitArrays {
+			if zb0003 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -2770,10 +2636,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > za38b4594limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2873,10 +2735,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > za38b4594limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2931,10 +2789,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > za38b4594limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -3091,10 +2945,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > za38b4594limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
--- a/peerwire/size_test.go
+++ b/peerwire/size_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/matryer/is"
 	"github.com/tinylib/msgp/msgp"
+
+	"github.com/jackdawthread/jackdawthread/peerwire"
 )
 
 // maxDecodedBytes bounds the memory that a message may take that announces more entries
@@ -54,3 +56,19 @@
 	i.True(err != nil)
 	i.True(after.TotalAlloc-before.TotalAlloc < maxDecodedBytes)
 }
+
+// TestLargeValues guards against limits for lists that reject large values.
+func TestLargeValues(t *testing.T) {
+	large := make([]byte, 1<<20)
+	for _, m := range []message{
+		&peerwire.StoreItem{Value: large}, &peerwire.TicketCall{Payload: large}, &peerwire.TicketReply{Payload: large},
+		&peerwire.Declarations{Whole: large},
+	} {
+		t.Run(fmt.Sprintf("%T", m), func(t *testing.T) {
+			i := is.New(t)
+			encoded, err := m.MarshalMsg(nil)
+			i.NoErr(err)
+			i.Equal(decode(i, m, encoded), m)
+		})
+	}
+}
--- a/peerwire/tickets.go
+++ b/peerwire/tickets.go
@@ -1,7 +1,6 @@
 package peerwire
 
 //go:generate go tool msgp -file tickets.go -tests=false
-//msgp:limit arrays:65536 maps:65536
 
 // TicketCall forwards a caller's call to the host that issued its ticket.
 type TicketCall struct {
--- a/peerwire/tickets_gen.go
+++ b/peerwire/tickets_gen.go
@@ -6,12 +6,6 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
-// Size limits for msgp deserialization
-const (
-	zb05cc5c7limitArrays = 65536
-	zb05cc5c7limitMaps   = 65536
-)
-
 // DecodeMsg implements msgp.Decodable
 func (z *TicketCall) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -22,10 +16,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zb05cc5c7limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -65,10 +55,7 @@
 				return
 			}
 		case "payload":
-			z.Payload, err = dc.ReadBytesLimit(z.Payload, zb05cc5c7limitArrays)
-			if err == nil && z.Payload == nil {
-				z.Payload = []byte{}
-			}
+			z.Payload, err = dc.ReadBytes(z.Payload)
 			if err != nil {
 				err = msgp.WrapError(err, "Payload")
 				return
@@ -299,10 +286,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zb05cc5c7limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -342,27 +325,11 @@
 				return
 			}
 		case "payload":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+			z.Payload, bts, err = msgp.ReadBytesBytes(bts, z.Payload)
 			if err != nil {
 				err = msgp.WrapError(err, "Payload")
 				return
 			}
-			if zb0002 > zb05cc5c7limitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if z.Payload == nil || uint32(cap(z.Payload)) < zb0002 {
-				z.Payload = make([]byte, zb0002)
-			} else {
-				z.Payload = z.Payload[:zb0002]
-			}
-			if uint32(len(bts)) < zb0002 {
-				err = msgp.ErrShortBytes
-				return
-			}
-			copy(z.Payload, bts[:zb0002])
-			bts = bts[zb0002:]
 		case "urgency":
 			z.Urgency, bts, err = msgp.ReadUint8Bytes(bts)
 			if err != nil {
@@ -427,10 +394,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zb05cc5c7limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -568,10 +531,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zb05cc5c7limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -638,10 +597,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zb05cc5c7limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -657,10 +612,7 @@
 				return
 			}
 		case "payload":
-			z.Payload, err = dc.ReadBytesLimit(z.Payload, zb05cc5c7limitArrays)
-			if err == nil && z.Payload == nil {
-				z.Payload = []byte{}
-			}
+			z.Payload, err = dc.ReadBytes(z.Payload)
 			if err != nil {
 				err = msgp.WrapError(err, "Payload")
 				return
@@ -801,10 +753,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zb05cc5c7limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -820,27 +768,11 @@
 				return
 			}
 		case "payload":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+			z.Payload, bts, err = msgp.ReadBytesBytes(bts, z.Payload)
 			if err != nil {
 				err = msgp.WrapError(err, "Payload")
 				return
 			}
-			if zb0002 > zb05cc5c7limitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if z.Payload == nil || uint32(cap(z.Payload)) < zb0002 {
-				z.Payload = make([]byte, zb0002)
-			} else {
-				z.Payload = z.Payload[:zb0002]
-			}
-			if uint32(len(bts)) < zb0002 {
-				err = msgp.ErrShortBytes
-				return
-			}
-			copy(z.Payload, bts[:zb0002])
-			bts = bts[zb0002:]
 		case "reason":
 			z.Reason, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
--- a/peerwire/usage.go
+++ b/peerwire/usage.go
@@ -1,7 +1,6 @@
 package peerwire
 
 //go:generate go tool msgp -file usage.go -tests=false
-//msgp:limit arrays:65536 maps:65536
 
 // CustomerUsage is one customer's usage at the sending host.
 type CustomerUsage struct {
@@ -15,7 +14,7 @@
 // Usage reports customers' usage to the host that coordinates their limits. The
 // reply is Shares.
 type Usage struct {
-	Usages []CustomerUsage `msg:"u"`
+	Usages []CustomerUsage `msg:"u,limit=65536"`
 }
 
 // CustomerShare is the share of a customer's limit that a host may use.
@@ -27,5 +26,5 @@
 
 // Shares replies to a Usage.
 type Shares struct {
-	Shares []CustomerShare `msg:"s"`
+	Shares []CustomerShare `msg:"s,limit=65536"`
 }
--- a/peerwire/usage_gen.go
+++ b/peerwire/usage_gen.go
@@ -6,12 +6,6 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
-// Size limits for msgp deserialization
-const (
-	zb1f51d77limitArrays = 65536
-	zb1f51d77limitMaps   = 65536
-)
-
 // DecodeMsg implements msgp.Decodable
 func (z *CustomerShare) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -22,10 +16,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zb1f51d77limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -125,10 +115,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zb1f51d77limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -183,10 +169,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zb1f51d77limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -324,10 +306,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zb1f51d77limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -394,10 +372,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zb1f51d77limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -413,7 +387,7 @@
 				err = msgp.WrapError(err, "Shares")
 				return
 			}
-			if zb0002 > zb1f51d77limitArrays {
+			if zb0002 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -429,7 +403,7 @@
 					err = msgp.WrapError(err, "Shares", za0001)
 					return
 				}
-				if zb0003 > zb1f51d77limitMaps {
+				if zb0003 > 65536 {
 					err = msgp.ErrLimitExceeded
 					return
 				}
@@ -560,10 +534,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zb1f51d77limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -579,7 +549,7 @@
 				err = msgp.WrapError(err, "Shares")
 				return
 			}
-			if zb0002 > zb1f51d77limitArrays {
+			if zb0002 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -595,7 +565,7 @@
 					err = msgp.WrapError(err, "Shares", za0001)
 					return
 				}
-				if zb0003 > zb1f51d77limitMaps {
+				if zb0003 > 65536 {
 					err = msgp.ErrLimitExceeded
 					return
 				}
@@ -665,10 +635,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zb1f51d77limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -684,7 +650,7 @@
 				err = msgp.WrapError(err, "Usages")
 				return
 			}
-			if zb0002 > zb1f51d77limitArrays {
+			if zb0002 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -761,10 +727,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zb1f51d77limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -780,7 +742,7 @@
 				err = msgp.WrapError(err, "Usages")
 				return
 			}
-			if zb0002 > zb1f51d77limitArrays {
+			if zb0002 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
