--- a/common/identifier/identifier.go
+++ b/common/identifier/identifier.go
@@ -70,6 +70,15 @@
 // Segment is the ID of a part of a prompt, which requests with that part share.
 type Segment string
 
+// SegmentStrings returns the segments as strings, for messages and logs.
+func SegmentStrings(all []Segment) []string {
+	names := make([]string, len(all))
+	for i, g := range all {
+		names[i] = string(g)
+	}
+	return names
+}
+
 // BlockHash is the chained hash of a prompt prefix that consists of whole
 // blocks.
 type BlockHash uint64
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -240,7 +240,7 @@
 func (s *stream) recordFailedDecode(ctx context.Context, d *decoding, err error) {
 	if err != nil && ctx.Err() == nil {
 		s.logDecision("decode-failed", d.call.at, err, zap.Int64("started", d.call.at.StartID),
-			zap.Int("events", d.events), zap.Strings("segments", segmentStrings(s.call.Segments)))
+			zap.Int("events", d.events), zap.Strings("segments", identifier.SegmentStrings(s.call.Segments)))
 	}
 	if quarantined(err) { // nothing was sent
 		d.isolation.Close()
@@ -287,14 +287,6 @@
 	return isolator.Engine{Name: e.Name, Address: e.Address, StartID: e.StartID}
 }
 
-func segmentStrings(all []identifier.Segment) []string {
-	names := make([]string, len(all))
-	for i, g := range all {
-		names[i] = string(g)
-	}
-	return names
-}
-
 // failedDecode returns the outcome of a decode that did not complete the stream; a nil
 // error means that the stream was moved. If the engine refused the decode although
 // capacity was reserved, it could not fetch the prefill's result.
--- a/gossiper/view.go
+++ b/gossiper/view.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -90,6 +91,22 @@
 	return v.members[i], true
 }
 
+// RandomPeer returns a random member that is not dead, other than self.
+func (v *View) RandomPeer(self identifier.Incarnation) (Member, bool) {
+	var chosen Member
+	count := 0
+	for _, m := range v.members {
+		if m.Incarnation == self || m.State == StateDead {
+			continue
+		}
+		count++
+		if rand.N(count) == 0 {
+			chosen = m
+		}
+	}
+	return chosen, count > 0
+}
+
 // Owner returns the live member of dc with the highest rendezvous score for key.
 // It returns false if dc has no live members.
 func (v *View) Owner(dc identifier.DataCenter, key uint64) (Member, bool) {
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -37,7 +36,7 @@
 
 // Query implements replicator.Peers: it queries a random live host.
 func (p *peers) Query(ctx context.Context, after identifier.Position) (replicator.ChangeSet, error) {
-	at, ok := p.randomPeer()
+	at, ok := p.gossiper.View().RandomPeer(p.self)
 	if !ok {
 		return replicator.ChangeSet{}, errNoPeer
 	}
@@ -68,22 +67,6 @@
 	return decodeChanges(&reply), nil
 }
 
-// randomPeer returns a random live host other than this one.
-func (p *peers) randomPeer() (gossiper.Member, bool) {
-	var chosen gossiper.Member
-	count := 0
-	for _, m := range p.gossiper.View().Members() {
-		if m.Incarnation == p.self || m.State == gossiper.StateDead {
-			continue
-		}
-		count++
-		if rand.N(count) == 0 {
-			chosen = m
-		}
-	}
-	return chosen, count > 0
-}
-
 // handleChanges answers a peer's query.
 func (p *peers) handleChanges(ctx context.Context, _ messenger.Peer, payload []byte) (msgp.Marshaler, error) {
 	var request peerwire.ChangesRequest
--- a/isolator/call.go
+++ b/isolator/call.go
@@ -147,7 +147,7 @@
 		zap.Int64("started", e.StartID),
 		zap.Stringer("phase", c.phase),
 		zap.Duration("age", time.Since(at)),
-		zap.Strings("segments", segmentStrings(c.call.Segments)),
+		zap.Strings("segments", identifier.SegmentStrings(c.call.Segments)),
 	}
 }
 
@@ -158,11 +158,3 @@
 	}
 	c.settled.Do(c.endTrial)
 }
-
-func segmentStrings(all []identifier.Segment) []string {
-	names := make([]string, len(all))
-	for n, g := range all {
-		names[n] = string(g)
-	}
-	return names
-}
--- a/isolator/codec.go
+++ b/isolator/codec.go
@@ -40,7 +40,7 @@
 func encodeEnd(e quarantiner.End, now time.Time) peerwire.EngineEnd {
 	m := peerwire.EngineEnd{Engine: string(e.Engine), StartID: e.StartID, Phase: uint8(e.Phase), AgeMs: now.Sub(e.At).Milliseconds()}
 	for _, c := range e.Calls {
-		m.Calls = append(m.Calls, peerwire.BrokenCall{Request: string(c.Request), Segments: segmentStrings(c.Segments)})
+		m.Calls = append(m.Calls, peerwire.BrokenCall{Request: string(c.Request), Segments: identifier.SegmentStrings(c.Segments)})
 	}
 	return m
 }
--- a/isolator/news.go
+++ b/isolator/news.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -146,7 +145,7 @@
 // share sends what this host knows, if anything, to a random host.
 func (i *Isolator) share(now time.Time) {
 	n := i.known(now)
-	peer, ok := i.randomPeer()
+	peer, ok := i.deps.Members.View().RandomPeer(i.deps.Self)
 	if n.empty() || !ok {
 		return
 	}
@@ -162,7 +161,7 @@
 	i.mu.Lock()
 	joined := i.joined
 	i.mu.Unlock()
-	peer, ok := i.randomPeer()
+	peer, ok := i.deps.Members.View().RandomPeer(i.deps.Self)
 	if joined || !ok {
 		return
 	}
@@ -184,17 +183,3 @@
 		i.mu.Unlock()
 	})
 }
-
-// randomPeer returns a random live host other than this one.
-func (i *Isolator) randomPeer() (gossiper.Member, bool) {
-	var live []gossiper.Member
-	for _, m := range i.deps.Members.View().Members() {
-		if m.Incarnation != i.deps.Self && m.State != gossiper.StateDead {
-			live = append(live, m)
-		}
-	}
-	if len(live) == 0 {
-		return gossiper.Member{}, false
-	}
-	return live[rand.N(len(live))], true
-}
--- /dev/null
+++ b/quarantiner/evidence.go
@@ -0,0 +1,105 @@
+package quarantiner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+)
+
+// evidence is what speaks against a suspect.
+type evidence struct {
+	ends     int
+	requests map[identifier.Request]bool
+	// position is the sum of the suspect's positions in the prompts of its calls,
+	// and calls their number.
+	position, calls int
+}
+
+// depth returns the suspect's mean position in prompts.
+func (e *evidence) depth() float64 {
+	return float64(e.position) / float64(max(1, e.calls))
+}
+
+// unexplained returns the ends that no quarantined segment explains.
+func (q *Quarantiner) unexplained(now time.Time) []*End {
+	open := make([]*End, 0, len(q.ends))
+	for _, e := range q.ends {
+		if !q.explained(e, now) {
+			open = append(open, e)
+		}
+	}
+	return open
+}
+
+// collect returns the evidence of the ends against each suspect.
+func collect(ends []*End) map[suspect]*evidence {
+	all := map[suspect]*evidence{}
+	for _, e := range ends {
+		addEvidence(all, e)
+	}
+	return all
+}
+
+// explained reports whether a call that was part of the end has a segment that is
+// quarantined, or was.
+func (q *Quarantiner) explained(e *End, now time.Time) bool {
+	for _, c := range e.Calls {
+		for _, g := range c.Segments {
+			v := q.verdicts[g]
+			if v == nil || v.Phase != e.Phase {
+				continue
+			}
+			if v.active(now) || e.At.Before(v.LastSeen) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// addEvidence adds an end to the evidence against the segments of its calls.
+func addEvidence(all map[suspect]*evidence, e *End) {
+	counted := map[identifier.Segment]bool{}
+	for _, c := range e.Calls {
+		for n, g := range c.Segments {
+			k := suspect{segment: g, phase: e.Phase}
+			v := all[k]
+			if v == nil {
+				v = &evidence{requests: map[identifier.Request]bool{}}
+				all[k] = v
+			}
+			if !counted[g] {
+				counted[g] = true
+				v.ends++
+			}
+			v.requests[c.Request] = true
+			v.position += n
+			v.calls++
+		}
+	}
+}
+
+// countOthers counts the ends without the suspect that happened together with one that
+// has it.
+func countOthers(ends []*End, k suspect) int {
+	var with, without []time.Time
+	for _, e := range ends {
+		if e.Phase == k.phase && hasSegment(e, k.segment) {
+			with = append(with, e.At)
+		} else {
+			without = append(without, e.At)
+		}
+	}
+	n := 0
+	for _, at := range without {
+		if slices.ContainsFunc(with, func(w time.Time) bool { return at.Sub(w).Abs() <= togetherTime }) {
+			n++
+		}
+	}
+	return n
+}
+
+func hasSegment(e *End, g identifier.Segment) bool {
+	return slices.ContainsFunc(e.Calls, func(c Call) bool { return slices.Contains(c.Segments, g) })
+}
--- /dev/null
+++ b/quarantiner/verdict.go
@@ -0,0 +1,169 @@
+package quarantiner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+)
+
+// Verdict is the quarantine of a segment.
+type Verdict struct {
+	Segment identifier.Segment
+	Phase   Phase
+	// Since is when the segment was quarantined, and LastSeen when a host last saw a
+	// request with it.
+	Since, LastSeen time.Time
+	// Ends, Requests and Begun are the evidence: engines that ended, requests that were
+	// part of that, and answers that had begun nevertheless.
+	Ends, Requests, Begun int
+}
+
+// record is a verdict and whether it has lapsed.
+type record struct {
+	Verdict
+	lapsed bool
+}
+
+// active reports whether the quarantine is in force.
+func (r *record) active(now time.Time) bool {
+	return !r.lapsed && now.Sub(r.LastSeen) < quietTime
+}
+
+// Decide returns the verdicts that the evidence supports now and that are new.
+func (q *Quarantiner) Decide(now time.Time) []Verdict {
+	if !q.undecided {
+		return nil
+	}
+	q.undecided = false
+	var decided []Verdict
+	for {
+		v, ok := q.strongest(now)
+		if !ok {
+			q.updateTrials(now)
+			return decided
+		}
+		q.verdicts[v.Segment] = &record{Verdict: v}
+		decided = append(decided, v)
+		q.boundVerdicts()
+	}
+}
+
+// candidate is a verdict that could be made.
+type candidate struct {
+	suspect
+	evidence *evidence
+	begun    int
+}
+
+// excess is by how many the ends exceed the begun answers.
+func (c *candidate) excess() int {
+	return c.evidence.ends - c.begun
+}
+
+// stronger reports whether c goes before o. The order doesn't depend on anything but the
+// evidence, so that all hosts decide the same.
+func (c *candidate) stronger(o *candidate) bool {
+	order := cmp.Or(
+		cmp.Compare(c.excess(), o.excess()),
+		cmp.Compare(c.evidence.depth(), o.evidence.depth()),
+		cmp.Compare(o.segment, c.segment),
+		cmp.Compare(o.phase, c.phase),
+	)
+	return order > 0
+}
+
+// strongest returns the verdict with the most evidence of those that are due. If one is
+// not due yet, the decision remains open.
+func (q *Quarantiner) strongest(now time.Time) (v Verdict, ok bool) {
+	ends := q.unexplained(now)
+	var best *candidate
+	for k, e := range collect(ends) {
+		s := q.suspicions[k]
+		if s == nil {
+			continue
+		}
+		c := &candidate{suspect: k, evidence: e, begun: s.begun}
+		if !q.sufficient(c, ends, now) {
+			continue
+		}
+		if now.Sub(s.since) < settleTime {
+			q.undecided = true
+			continue
+		}
+		if best == nil || c.stronger(best) {
+			best = c
+		}
+	}
+	if best == nil {
+		return Verdict{}, false
+	}
+	return Verdict{
+		Segment: best.segment, Phase: best.phase, Since: now, LastSeen: now,
+		Ends: best.evidence.ends, Requests: len(best.evidence.requests), Begun: best.begun,
+	}, true
+}
+
+// sufficient reports whether the evidence suffices for a verdict that is not in force.
+func (q *Quarantiner) sufficient(c *candidate, ends []*End, now time.Time) bool {
+	old := q.verdicts[c.segment]
+	if old != nil {
+		return !old.active(now) && c.excess() > 0
+	}
+	if c.excess() < minEnds || len(c.evidence.requests) < minRequests {
+		return false
+	}
+	return c.excess() >= minEnds+countOthers(ends, c.suspect)/othersPerEnd
+}
+
+// Merge takes over another host's verdict, and reports whether the segment was not
+// quarantined here.
+func (q *Quarantiner) Merge(v Verdict, now time.Time) bool {
+	if now.Sub(v.LastSeen) >= quietTime {
+		return false
+	}
+	old := q.verdicts[v.Segment]
+	if old == nil || !old.active(now) {
+		q.verdicts[v.Segment] = &record{Verdict: v}
+		q.undecided = true
+		q.boundVerdicts()
+		return true
+	}
+	if v.LastSeen.After(old.LastSeen) {
+		old.LastSeen = v.LastSeen
+	}
+	if v.Since.Before(old.Since) {
+		old.Since = v.Since
+	}
+	old.Ends = max(old.Ends, v.Ends)
+	old.Requests = max(old.Requests, v.Requests)
+	return false
+}
+
+// boundVerdicts removes the verdict whose segment was seen least recently if there are
+// too many.
+func (q *Quarantiner) boundVerdicts() {
+	if len(q.verdicts) <= maxVerdicts {
+		return
+	}
+	var oldest *record
+	for _, v := range q.verdicts {
+		if oldest == nil || v.LastSeen.Before(oldest.LastSeen) {
+			oldest = v
+		}
+	}
+	delete(q.verdicts, oldest.Segment)
+}
+
+// Verdicts returns the quarantines in force, in the order of their segments.
+func (q *Quarantiner) Verdicts(now time.Time) []Verdict {
+	var all []Verdict
+	for _, v := range q.verdicts {
+		if v.active(now) {
+			all = append(all, v.Verdict)
+		}
+	}
+	slices.SortFunc(all, func(a, b Verdict) int { return cmp.Compare(a.Segment, b.Segment) })
+	return all
+}
