Refuse a request that broke off two prefills with a time to come back

A request that two prefill engines broke off is given up, as the engines may have ended under it. Also names enginesLost in the ownership comment of stream.

--- a/forwarder/prefill.go
+++ b/forwarder/prefill.go
@@ -117,8 +117,11 @@
 			return nil
 		case ctx.Err() != nil:
 			return contextError(ctx, classifier.VerdictNotRun)
-		case quarantined(end.err), s.enginesLost >= maxEnginesLost:
+		case quarantined(end.err):
 			return &hostRefusal{cause: end.err}
+		case s.enginesLost >= maxEnginesLost:
+			return &hostRefusal{cause: classifier.NotRun(classifier.ReasonEndpointFailed,
+				classifier.Jitter(overloadedRetryAfter), "%d engines broke the request off: %w", s.enginesLost, end.err)}
 		}
 		s.excludedPrefills = append(s.excludedPrefills, c.at.Name)
 		c = nil
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -35,8 +35,8 @@
 
 // stream is an exchange whose response is an event stream.
 //
-// Its fields belong to the request's goroutine, except that prefills, excludedPrefills
-// and the observation's fields of placement, prefill and attempts belong to a
+// Its fields belong to the request's goroutine, except that prefills, excludedPrefills,
+// enginesLost and the observation's fields of placement, prefill and attempts belong to a
 // preparation while one is under way.
 type stream struct {
 	*exchange
