Derive the isolator's times from the quarantiner's, and join one at a time

Three relations stood as numbers twice: a lost trial lasts until a verdict can be made (300 ms: the settle time and two decisions), the Retry-After of a refusal is the time after which a quarantine lapses, and the bound of begun answers in a message. They are derived now, with the same values. Check had a parameter that it didn't use.

Cause of the one change of behaviour: a host that starts asked another host every 50 ms for what it knows, without waiting for the answer, so up to 20 calls were under way while a peer was slow.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -26,7 +26,7 @@
 // hold resources for it.
 func (g *generation) attempt(ctx context.Context) error {
 	d := g.dispatcher
-	if err := d.deps.Isolator.Check(g.request.ID, g.segments); err != nil {
+	if err := d.deps.Isolator.Check(g.segments); err != nil {
 		return err
 	}
 	slots := g.slotRequest()
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -176,7 +176,7 @@
 
 // checkQuarantine refuses a request that may end the engines that it is sent to.
 func (e *exchange) checkQuarantine() error {
-	return e.forwarder.deps.Isolator.Check(e.call.ID, e.call.Segments)
+	return e.forwarder.deps.Isolator.Check(e.call.Segments)
 }
 
 // quarantined reports whether an error is a refusal of checkQuarantine, or of a call
--- a/isolator/call.go
+++ b/isolator/call.go
@@ -34,7 +34,7 @@
 	timeout := time.NewTimer(trialWait)
 	defer timeout.Stop()
 	for {
-		if err := i.Check(request, segments); err != nil {
+		if err := i.Check(segments); err != nil {
 			return nil, err
 		}
 		ended, entered := i.tryEnter(c)
--- a/isolator/codec.go
+++ b/isolator/codec.go
@@ -11,10 +11,9 @@
 
 const (
 	// Bounds of what is accepted from another host.
-	maxEntries      = 512
-	maxNameBytes    = 256
-	maxAge          = 24 * time.Hour
-	maxEvidenceSize = 1 << 20
+	maxEntries   = 512
+	maxNameBytes = 256
+	maxAge       = 24 * time.Hour
 )
 
 // encodeNews converts news to a message. Times become ages, since the hosts' clocks
@@ -60,7 +59,7 @@
 		n.ends = append(n.ends, end)
 	}
 	for _, b := range m.Begun {
-		if !validSegment(b.Segment) || !validPhase(b.Phase) || b.Count < 0 || b.Count > maxEvidenceSize {
+		if !validSegment(b.Segment) || !validPhase(b.Phase) || b.Count < 0 || b.Count > quarantiner.MaxBegun {
 			return news{}, malformed("count of begun answers")
 		}
 		n.begun = append(n.begun, quarantiner.BegunCount{Segment: identifier.Segment(b.Segment), Phase: quarantiner.Phase(b.Phase), Count: b.Count})
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -5,7 +5,7 @@
 //
 //	i := isolator.New(isolator.Deps{...})
 //	i.Register(messenger)
-//	if err := i.Check(request, segments); err != nil { ... } // at arrival and before each send
+//	if err := i.Check(segments); err != nil { ... } // at arrival and before each send
 //	c, err := i.Enter(ctx, request, quarantiner.PhaseDecode, segments) // before a call
 //	defer c.Close()
 //	c.Begun()       // the engine has begun to answer
@@ -30,6 +30,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -62,12 +63,12 @@
 	trialWait = 150 * time.Millisecond
 	// lostTrialTime is how long a trial goes on after the end of its engine, so that a
 	// verdict can be made before the next trial.
-	lostTrialTime = 300 * time.Millisecond
+	lostTrialTime = quarantiner.SettleTime + 2*decidePeriod
 	// trialRetryAfter is the Retry-After hint of a request whose turn didn't come.
 	trialRetryAfter = time.Second
 	// quarantineRetryAfter is the Retry-After hint of a quarantined request. The
 	// quarantine lasts longer while such requests come.
-	quarantineRetryAfter = 10 * time.Minute
+	quarantineRetryAfter = quarantiner.QuietTime
 )
 
 // Members provides the current view of the fleet's hosts.
@@ -117,7 +118,9 @@
 	trialEnded chan struct{}
 	stats      Stats
 	refused    map[identifier.Segment]uint64
-	joined     bool
+
+	// joining is set while another host is asked for what it knows, and from its answer on.
+	joining atomic.Bool
 }
 
 // New returns an Isolator and registers its timers.
@@ -146,7 +149,7 @@
 
 // Check returns an error, with the verdict not-run, if the request must not be sent to an
 // engine.
-func (i *Isolator) Check(_ identifier.Request, segments []identifier.Segment) error {
+func (i *Isolator) Check(segments []identifier.Segment) error {
 	if i == nil || len(segments) == 0 {
 		return nil
 	}
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -81,7 +81,7 @@
 }
 
 func (h *host) quarantined(g identifier.Segment) bool {
-	return h.Check("q", []identifier.Segment{g}) != nil
+	return h.Check([]identifier.Segment{g}) != nil
 }
 
 func (h *host) assertQuarantined(g identifier.Segment) {
@@ -107,7 +107,7 @@
 			h.lose(n, "a")
 		}
 		h.assertQuarantined("a")
-		err := classifier.Of(h.Check("q", []identifier.Segment{"b", "a"}))
+		err := classifier.Of(h.Check([]identifier.Segment{"b", "a"}))
 		h.is.Equal(err.Verdict, classifier.VerdictNotRun)
 		h.is.Equal(err.Reason, classifier.ReasonQuarantined)
 		h.is.True(err.RetryAfter > 0)
--- a/isolator/news.go
+++ b/isolator/news.go
@@ -156,30 +156,32 @@
 	})
 }
 
-// join asks a random host for what it knows, until one has answered.
+// join asks a random host for what it knows, one at a time, until one has answered.
 func (i *Isolator) join(time.Time) {
-	i.mu.Lock()
-	joined := i.joined
-	i.mu.Unlock()
 	peer, ok := i.deps.Members.View().RandomPeer(i.deps.Self)
-	if joined || !ok {
+	if !ok || !i.joining.CompareAndSwap(false, true) {
 		return
 	}
 	i.deps.Group.Run(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, joinTimeout)
-		defer cancel()
-		var reply peerwire.CrashNews
-		if i.deps.Links.Call(ctx, peer.Address, peerwire.KindCrashNews, &peerwire.CrashNews{Want: true}, &reply) != nil {
-			return // the next attempt asks another host
+		if !i.learnFrom(ctx, peer) {
+			i.joining.Store(false) // the next attempt asks another host
 		}
-		now := time.Now()
-		n, err := decodeNews(&reply, now)
-		if err != nil {
-			return
-		}
-		i.record(n, string(peer.Host), now)
-		i.mu.Lock()
-		i.joined = true
-		i.mu.Unlock()
 	})
 }
+
+// learnFrom asks a host for what it knows, and reports whether it has answered.
+func (i *Isolator) learnFrom(ctx context.Context, peer gossiper.Member) bool {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	var reply peerwire.CrashNews
+	if i.deps.Links.Call(ctx, peer.Address, peerwire.KindCrashNews, &peerwire.CrashNews{Want: true}, &reply) != nil {
+		return false
+	}
+	now := time.Now()
+	n, err := decodeNews(&reply, now)
+	if err != nil {
+		return false
+	}
+	i.record(n, string(peer.Host), now)
+	return true
+}
--- a/quarantiner/begun.go
+++ b/quarantiner/begun.go
@@ -44,7 +44,7 @@
 		return false
 	}
 	matters := q.mayMatter(k, s)
-	s.begun += min(c.Count, maxBegunPerNews)
+	s.begun += min(c.Count, MaxBegun)
 	q.undecided = true
 	return matters
 }
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -33,7 +33,7 @@
 //
 // Each host feeds the ends and the begun answers of all hosts to its Quarantiner, and
 // merges the verdicts of others. No host decides for the others. News can arrive in any
-// order: a verdict waits for settleTime after the first end, so that what speaks against
+// order: a verdict waits for SettleTime after the first end, so that what speaks against
 // it can arrive. All state is bounded, whatever arrives.
 //
 // # Before a verdict
@@ -43,7 +43,7 @@
 //
 // # The end of a quarantine
 //
-// A quarantine lasts until no host has seen a request with its segment for quietTime.
+// A quarantine lasts until no host has seen a request with its segment for QuietTime.
 // The next request is sent as any other, which is its trial. During relapseTime
 // one end is enough to quarantine the segment again.
 package quarantiner
@@ -64,32 +64,35 @@
 	// require one more end.
 	othersPerEnd = 4
 	togetherTime = time.Second
-	// settleTime is the time from the first end under a segment until it can be
-	// quarantined.
-	settleTime = 200 * time.Millisecond
 	// evidenceTime is how long an end is evidence.
 	evidenceTime = 10 * time.Minute
 	// recentTime is how long an answer that began speaks for the segments of its prompt
 	// if an engine ends later. It may be up to twice as long.
 	recentTime = 5 * time.Second
-	quietTime  = 10 * time.Minute
 	// relapseTime is the time after a quarantine in which one end renews it.
 	relapseTime = time.Hour
 
 	// Bounds of the state.
-	maxEnds         = 128
-	maxCallsPerEnd  = 32
-	maxSuspects     = 2048
-	maxRecent       = 4096
-	maxVerdicts     = 256
-	maxBegunPerNews = 1 << 20
-	maxBegunNews    = 256
+	maxEnds        = 128
+	maxCallsPerEnd = 32
+	maxSuspects    = 2048
+	maxRecent      = 4096
+	maxVerdicts    = 256
+	maxBegunNews   = 256
 	// enoughBegun is by how many the begun answers that all hosts know of must exceed
 	// the ends until further ones are no news.
 	enoughBegun = 8
 )
 
 const (
+	// SettleTime is the time from the first end under a segment until it can be
+	// quarantined.
+	SettleTime = 200 * time.Millisecond
+	// QuietTime is how long no host may see a request with a segment until its quarantine
+	// lapses.
+	QuietTime = 10 * time.Minute
+	// MaxBegun is the largest number of begun answers that one BegunCount may tell of.
+	MaxBegun = 1 << 20
 	// MaxSegments is the largest number of segments of a call.
 	MaxSegments = 32
 	// MaxSegmentBytes is the largest length of a segment's ID.
@@ -298,11 +301,11 @@
 	var lapsed []identifier.Segment
 	for g, v := range q.verdicts {
 		quiet := now.Sub(v.LastSeen)
-		if quiet >= quietTime && !v.lapsed {
+		if quiet >= QuietTime && !v.lapsed {
 			v.lapsed = true
 			lapsed = append(lapsed, g)
 		}
-		if quiet >= quietTime+relapseTime {
+		if quiet >= QuietTime+relapseTime {
 			delete(q.verdicts, g)
 		}
 	}
--- a/quarantiner/verdict.go
+++ b/quarantiner/verdict.go
@@ -28,7 +28,7 @@
 
 // active reports whether the quarantine is in force.
 func (r *record) active(now time.Time) bool {
-	return !r.lapsed && now.Sub(r.LastSeen) < quietTime
+	return !r.lapsed && now.Sub(r.LastSeen) < QuietTime
 }
 
 // Decide returns the verdicts that the evidence supports now and that are new.
@@ -88,7 +88,7 @@
 		if !q.sufficient(c, ends, now) {
 			continue
 		}
-		if now.Sub(s.since) < settleTime {
+		if now.Sub(s.since) < SettleTime {
 			q.undecided = true
 			continue
 		}
@@ -120,7 +120,7 @@
 // Merge takes over another host's verdict, and reports whether the segment was not
 // quarantined here.
 func (q *Quarantiner) Merge(v Verdict, now time.Time) bool {
-	if now.Sub(v.LastSeen) >= quietTime {
+	if now.Sub(v.LastSeen) >= QuietTime {
 		return false
 	}
 	old := q.verdicts[v.Segment]
