Log what repeats of a failed request have in common

A failed request's lines now have a digest of its method, host, target, prompt and body, and one that depends on the caller too. Neither holds anything of the request.

--- a/common/identifier/identifier.go
+++ b/common/identifier/identifier.go
@@ -79,6 +79,9 @@
 	return names
 }
 
+// Fingerprint is what repeats of a request have in common.
+type Fingerprint string
+
 // BlockHash is the chained hash of a prompt prefix that consists of whole
 // blocks.
 type BlockHash uint64
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/fingerprinter"
 	"github.com/jackdawthread/jackdawthread/registrar"
 )
 
@@ -91,6 +93,7 @@
 		Deadline:          e.requestDeadline(parameters),
 		AtMostOnce:        !route.Repeatable(),
 	}
+	e.observation.Fingerprints = e.fingerprints()
 	e.call.MayWrite = e.checkQuarantine
 	f.deps.Dialect.Strip(e.call.Header)
 	if err := e.checkStop(time.Now()); err != nil {
@@ -99,6 +102,29 @@
 	return e.chooseService(d)
 }
 
+// callerHeaders are the fields that name a caller, besides its address.
+var callerHeaders = []string{"Authorization", "Cookie"}
+
+// fingerprints returns what repeats of the request have in common.
+func (e *exchange) fingerprints() fingerprinter.Fingerprints {
+	address, _, err := net.SplitHostPort(e.request.RemoteAddr)
+	if err != nil {
+		address = e.request.RemoteAddr
+	}
+	caller := []string{address}
+	for _, name := range callerHeaders {
+		caller = append(caller, strings.Join(e.request.Header.Values(name), "\n"))
+	}
+	return fingerprinter.Of(fingerprinter.Request{
+		Method: e.call.Method,
+		Host:   e.call.Host,
+		Target: e.call.Target,
+		Prompt: e.call.PromptParts,
+		Body:   e.call.Body,
+		Caller: caller,
+	})
+}
+
 // checkStop refuses a request that a planned stop would interrupt.
 func (e *exchange) checkStop(now time.Time) error {
 	p := e.forwarder.stop.Load()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -143,6 +143,9 @@
 	// Segments are the parts of the prompt that other requests may share, in their
 	// order; empty if unknown.
 	Segments []identifier.Segment
+	// PromptParts names all parts of the prompt as the caller did, those that no other
+	// request shares included; empty if unknown.
+	PromptParts string
 }
 
 // Dialect defines the headers that callers, hosts and endpoints exchange.
--- a/forwarder/observation.go
+++ b/forwarder/observation.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/fingerprinter"
 	"github.com/jackdawthread/jackdawthread/registrar"
 )
 
@@ -14,6 +15,9 @@
 	ID      identifier.Request
 	Route   *registrar.Route // nil if no route matched
 	Service identifier.Service
+	// Fingerprints relate repeats of a request to each other; empty if it was rejected
+	// before its body was read.
+	Fingerprints fingerprinter.Fingerprints
 	// Version of the declarations that were in force for the request.
 	Version identifier.Revision
 	Started time.Time
@@ -86,7 +90,7 @@
 		fields = append(fields, zap.String("endpoint", string(at.Name)))
 	}
 	if err != nil {
-		fields = append(fields, zap.Error(err))
+		fields = append(fields, zap.String("fingerprint", string(e.observation.Fingerprints.Request)), zap.Error(err))
 	}
 	e.forwarder.deps.Log.Info(event, append(fields, more...)...)
 }
--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -183,7 +183,10 @@
 	}
 	fields = append(fields, o.Stream.LogFields()...)
 	if o.Err != nil {
-		fields = append(fields, zap.Error(o.Err))
+		fields = append(fields,
+			zap.String("fingerprint", string(o.Fingerprints.Request)),
+			zap.String("caller-fingerprint", string(o.Fingerprints.Caller)),
+			zap.Error(o.Err))
 	}
 	h.log.Info("request-ended", fields...)
 }
