--- a/dispatcher/crashing_prompts_test.go
+++ b/dispatcher/crashing_prompts_test.go
@@ -64,8 +64,9 @@
 	return n
 }
 
-// startCrashingEngines starts engines that end as soon as they have to decode.
-func startCrashingEngines(t *testing.T, g *grouper.Group) *crashingEngines {
+// startCrashingEngines starts engines that end as soon as they get a call of the procedure,
+// such as Decode.
+func startCrashingEngines(t *testing.T, g *grouper.Group, procedure string) *crashingEngines {
 	t.Helper()
 	c := &crashingEngines{ended: make([]atomic.Bool, crashEngines)}
 	for n := range crashEngines {
@@ -75,7 +76,7 @@
 		t.Cleanup(engine.Close)
 		handler := engine.Handler()
 		address, err := emulator.Serve(ctx, g, "127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if strings.HasSuffix(r.URL.Path, "/Decode") {
+			if strings.HasSuffix(r.URL.Path, "/"+procedure) {
 				c.ended[n].Store(true)
 				end()
 				<-r.Context().Done()
@@ -94,6 +95,20 @@
 
 func (aloneInFleet) View() *gossiper.View { return &gossiper.View{} }
 
+// newIsolatedDispatcher returns a dispatcher of a host that is alone.
+func newIsolatedDispatcher(g *grouper.Group, engines *crashingEngines, endpoints *connector.Connector) *Dispatcher {
+	return New(Deps{
+		Incarnation: 1, Group: g, Allocator: engines, Endpoints: endpoints,
+		Limits: fixedLimits{ok: true}, Observer: noObserver{}, Log: zap.NewNop(),
+		Leaving: func(identifier.Endpoint) bool { return false },
+		Isolator: isolator.New(isolator.Deps{
+			Self: 1, Members: aloneInFleet{}, Connect: endpoints.Reach,
+			Registered: func(isolator.Engine) bool { return true },
+			Timer:      timer.New(g), Group: g, Log: zap.NewNop(),
+		}),
+	})
+}
+
 // TestCrashingPrompts guards against generations that share a prefix of their prompts
 // and end every engine that begins to answer them, one after the other.
 func TestCrashingPrompts(t *testing.T) {
@@ -105,16 +120,8 @@
 		g.Stop()
 		i.NoErr(g.Wait())
 	})
-	engines := startCrashingEngines(t, g)
-	d := New(Deps{
-		Incarnation: 1, Group: g, Allocator: engines, Endpoints: endpoints,
-		Limits: fixedLimits{ok: true}, Observer: noObserver{}, Log: zap.NewNop(),
-		Isolator: isolator.New(isolator.Deps{
-			Self: 1, Members: aloneInFleet{}, Connect: endpoints.Reach,
-			Registered: func(isolator.Engine) bool { return true },
-			Timer:      timer.New(g), Group: g, Log: zap.NewNop(),
-		}),
-	})
+	engines := startCrashingEngines(t, g, "Decode")
+	d := newIsolatedDispatcher(g, engines, endpoints)
 	shared := strings.Repeat("a common introduction ", hasher.BlockBytes/10)
 	generate := func(n int) *classifier.Error {
 		_, err := d.Generate(t.Context(), GenerateRequest{
