--- a/common/identifier/identifier.go
+++ b/common/identifier/identifier.go
@@ -67,11 +67,12 @@
 // Pieces is a number of an engine's memory allocation units.
 type Pieces uint32
 
-// Segment is the ID of a part of a prompt, which requests with that part share.
-type Segment string
+// Trait is what requests have in common: the ID of a part of their prompts, or the request as a
+// whole if it is repeated.
+type Trait string
 
-// SegmentStrings returns the segments as strings, for messages and logs.
-func SegmentStrings(all []Segment) []string {
+// TraitStrings returns traits as strings, for messages and logs.
+func TraitStrings(all []Trait) []string {
 	names := make([]string, len(all))
 	for i, g := range all {
 		names[i] = string(g)
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -26,7 +26,7 @@
 // hold resources for it.
 func (g *generation) attempt(ctx context.Context) error {
 	d := g.dispatcher
-	if err := d.deps.Isolator.Check(g.segments); err != nil {
+	if err := d.deps.Isolator.Check(g.traits); err != nil {
 		return err
 	}
 	slots := g.slotRequest()
@@ -197,7 +197,7 @@
 // enter checks whether a call to the current endpoint may be sent.
 func (a *attempt) enter(ctx context.Context, p quarantiner.Phase) (*isolator.Call, error) {
 	g := a.generation
-	return g.dispatcher.deps.Isolator.Enter(ctx, g.request.ID, p, g.segments)
+	return g.dispatcher.deps.Isolator.Enter(ctx, g.request.ID, p, g.traits)
 }
 
 // recordLoss records that the current endpoint may have ended before it began to answer.
@@ -209,15 +209,15 @@
 	c.Lost(isolator.Engine{Name: a.endpoint.Name, Address: a.endpoint.Address})
 }
 
-// promptSegments returns a segment for each prefix of whole blocks of the prompt, up to
-// quarantiner.MaxSegments.
-func promptSegments(prompt string) []identifier.Segment {
-	hashes := hasher.Append(nil, prompt, quarantiner.MaxSegments)
-	segments := make([]identifier.Segment, len(hashes))
+// promptTraits returns a trait for each prefix of whole blocks of the prompt, up to
+// quarantiner.MaxTraits.
+func promptTraits(prompt string) []identifier.Trait {
+	hashes := hasher.Append(nil, prompt, quarantiner.MaxTraits)
+	traits := make([]identifier.Trait, len(hashes))
 	for n, h := range hashes {
-		segments[n] = identifier.Segment(strconv.FormatUint(uint64(h), 16))
+		traits[n] = identifier.Trait(strconv.FormatUint(uint64(h), 16))
 	}
-	return segments
+	return traits
 }
 
 // receive processes one message of the decode stream.
--- a/dispatcher/generate.go
+++ b/dispatcher/generate.go
@@ -53,7 +53,7 @@
 		started:    started,
 		response:   newResponseBuffer(r.ReceivedText, r.ReceivedTokens),
 		retries:    d.budgets.newRetryState(r.Service),
-		segments:   promptSegments(r.Prompt),
+		traits:     promptTraits(r.Prompt),
 	}
 	err := d.serveAsHome(ctx, r.ID, r.Resendable, func(ctx context.Context, wait waitFunc) error {
 		return g.serve(ctx, delayFirstChunk(ctx, wait, sink))
@@ -83,8 +83,8 @@
 	started    time.Time
 	response   *responseBuffer
 	retries    retryState
-	// segments identify the leading parts of the prompt, which other prompts may share.
-	segments []identifier.Segment
+	// traits identify the leading parts of the prompt, which other prompts may share.
+	traits []identifier.Trait
 	// excluded are the endpoints at which an attempt of this request failed.
 	excluded []identifier.Endpoint
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -142,7 +142,7 @@
 	Prompt, MaxOutput, ExpectedOutput identifier.Tokens
 	// Segments are the parts of the prompt that other requests may share, in their
 	// order; empty if unknown.
-	Segments []identifier.Segment
+	Segments []identifier.Trait
 	// PromptParts names all parts of the prompt as the caller did, those that no other
 	// request shares included; empty if unknown.
 	PromptParts string
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -240,7 +240,7 @@
 func (s *stream) recordFailedDecode(ctx context.Context, d *decoding, err error) {
 	if err != nil && ctx.Err() == nil {
 		s.logDecision("decode-failed", d.call.at, err, zap.Int64("started", d.call.at.StartID),
-			zap.Int("events", d.events), zap.Strings("segments", identifier.SegmentStrings(s.call.Segments)))
+			zap.Int("events", d.events), zap.Strings("traits", identifier.TraitStrings(s.call.Segments)))
 	}
 	if quarantined(err) { // nothing was sent
 		d.isolation.Close()
--- a/hoster/run.go
+++ b/hoster/run.go
@@ -79,5 +79,5 @@
 	h.gossiper.Seed(s.Seeds)
 	h.isolator.Override(s.Quarantine.Released, s.Quarantine.Pinned)
 	h.log.Info("settings-reloaded", zap.Int("seeds", len(s.Seeds)),
-		zap.Int("released-segments", len(s.Quarantine.Released)), zap.Int("pinned-segments", len(s.Quarantine.Pinned)))
+		zap.Int("released", len(s.Quarantine.Released)), zap.Int("pinned", len(s.Quarantine.Pinned)))
 }
--- a/hoster/settings.go
+++ b/hoster/settings.go
@@ -35,8 +35,8 @@
 type Quarantine struct {
 	// Released are the segments that are never quarantined at this host, and Pinned
 	// those that always are. Released goes first.
-	Released []identifier.Segment `toml:"released" validate:"max=1000,dive,min=1,max=64"`
-	Pinned   []identifier.Segment `toml:"pinned" validate:"max=1000,dive,min=1,max=64"`
+	Released []identifier.Trait `toml:"released" validate:"max=1000,dive,min=1,max=64"`
+	Pinned   []identifier.Trait `toml:"pinned" validate:"max=1000,dive,min=1,max=64"`
 }
 
 // Listeners are the addresses that the process listens on.
--- a/isolator/call.go
+++ b/isolator/call.go
@@ -20,22 +20,22 @@
 	isolator *Isolator
 	phase    quarantiner.Phase
 	call     quarantiner.Call
-	// onTrial are the segments whose trial the call is.
-	onTrial []identifier.Segment
+	// onTrial are the traits whose trial the call is.
+	onTrial []identifier.Trait
 	settled sync.Once
 }
 
-// Enter returns a call that may be sent now. If a segment of the prompt is on trial, it
+// Enter returns a call that may be sent now. If a trait of the prompt is on trial, it
 // waits until no other call of this host is. Its error has the verdict not-run.
-func (i *Isolator) Enter(ctx context.Context, request identifier.Request, p quarantiner.Phase, segments []identifier.Segment) (*Call, error) {
-	if i == nil || len(segments) == 0 {
+func (i *Isolator) Enter(ctx context.Context, request identifier.Request, p quarantiner.Phase, traits []identifier.Trait) (*Call, error) {
+	if i == nil || len(traits) == 0 {
 		return nil, nil
 	}
-	c := &Call{isolator: i, phase: p, call: quarantiner.Call{Request: request, Segments: segments}}
+	c := &Call{isolator: i, phase: p, call: quarantiner.Call{Request: request, Traits: traits}}
 	timeout := time.NewTimer(trialWait)
 	defer timeout.Stop()
 	for {
-		if err := i.Check(segments); err != nil {
+		if err := i.Check(traits); err != nil {
 			return nil, err
 		}
 		ended, entered := i.tryEnter(c)
@@ -52,12 +52,12 @@
 	}
 }
 
-// tryEnter begins the trial of a call's segments, if there are any. If it can't, it
+// tryEnter begins the trial of a call's traits, if there are any. If it can't, it
 // returns a channel that is closed when another trial has ended.
 func (i *Isolator) tryEnter(c *Call) (ended <-chan struct{}, entered bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	onTrial := i.quarantiner.OnTrial(c.call.Segments)
+	onTrial := i.quarantiner.OnTrial(c.call.Traits)
 	for _, g := range onTrial {
 		if i.trials[g] {
 			return i.trialEnded, false
@@ -75,10 +75,10 @@
 	i.stats.HeldBack++
 	i.mu.Unlock()
 	i.deps.Log.Info("trial-refused", zap.String("request", string(request)))
-	return classifier.NotRun(classifier.ReasonQuarantined, classifier.Jitter(trialRetryAfter), "a segment of the prompt may end engines, and another request with it is under way")
+	return classifier.NotRun(classifier.ReasonQuarantined, classifier.Jitter(trialRetryAfter), "a trait of the prompt may end engines, and another request with it is under way")
 }
 
-// endTrial ends the trial of the call's segments.
+// endTrial ends the trial of the call's traits.
 func (c *Call) endTrial() {
 	i := c.isolator
 	if len(c.onTrial) == 0 {
@@ -101,7 +101,7 @@
 	c.settled.Do(func() {
 		i := c.isolator
 		i.mu.Lock()
-		i.quarantiner.Begun(c.phase, c.call.Segments, time.Now())
+		i.quarantiner.Begun(c.phase, c.call.Traits, time.Now())
 		i.mu.Unlock()
 		c.endTrial()
 	})
@@ -171,7 +171,7 @@
 		zap.Int64("started", e.StartID),
 		zap.Stringer("phase", c.phase),
 		zap.Duration("age", time.Since(at)),
-		zap.Strings("segments", identifier.SegmentStrings(c.call.Segments)),
+		zap.Strings("traits", identifier.TraitStrings(c.call.Traits)),
 	}
 }
 
--- a/isolator/codec.go
+++ b/isolator/codec.go
@@ -24,11 +24,11 @@
 		m.Ends = append(m.Ends, encodeEnd(e, now))
 	}
 	for _, b := range n.begun {
-		m.Begun = append(m.Begun, peerwire.BegunCount{Segment: string(b.Segment), Phase: uint8(b.Phase), Count: b.Count})
+		m.Begun = append(m.Begun, peerwire.BegunCount{Trait: string(b.Trait), Phase: uint8(b.Phase), Count: b.Count})
 	}
 	for _, v := range n.verdicts {
-		m.Verdicts = append(m.Verdicts, peerwire.SegmentVerdict{
-			Segment: string(v.Segment), Phase: uint8(v.Phase),
+		m.Verdicts = append(m.Verdicts, peerwire.TraitVerdict{
+			Trait: string(v.Trait), Phase: uint8(v.Phase),
 			AgeMs: now.Sub(v.Since).Milliseconds(), LastSeenMs: now.Sub(v.LastSeen).Milliseconds(),
 			Ends: v.Ends, Requests: v.Requests, Begun: v.Begun,
 		})
@@ -39,7 +39,7 @@
 func encodeEnd(e quarantiner.End, now time.Time) peerwire.EngineEnd {
 	m := peerwire.EngineEnd{Engine: string(e.Engine), StartID: e.StartID, Phase: uint8(e.Phase), AgeMs: now.Sub(e.At).Milliseconds()}
 	for _, c := range e.Calls {
-		m.Calls = append(m.Calls, peerwire.BrokenCall{Request: string(c.Request), Segments: identifier.SegmentStrings(c.Segments)})
+		m.Calls = append(m.Calls, peerwire.BrokenCall{Request: string(c.Request), Traits: identifier.TraitStrings(c.Traits)})
 	}
 	return m
 }
@@ -59,17 +59,17 @@
 		n.ends = append(n.ends, end)
 	}
 	for _, b := range m.Begun {
-		if !validSegment(b.Segment) || !validPhase(b.Phase) || b.Count < 0 || b.Count > quarantiner.MaxBegun {
+		if !validTrait(b.Trait) || !validPhase(b.Phase) || b.Count < 0 || b.Count > quarantiner.MaxBegun {
 			return news{}, malformed("count of begun answers")
 		}
-		n.begun = append(n.begun, quarantiner.BegunCount{Segment: identifier.Segment(b.Segment), Phase: quarantiner.Phase(b.Phase), Count: b.Count})
+		n.begun = append(n.begun, quarantiner.BegunCount{Trait: identifier.Trait(b.Trait), Phase: quarantiner.Phase(b.Phase), Count: b.Count})
 	}
 	for _, v := range m.Verdicts {
-		if !validSegment(v.Segment) || !validPhase(v.Phase) {
+		if !validTrait(v.Trait) || !validPhase(v.Phase) {
 			return news{}, malformed("verdict")
 		}
 		n.verdicts = append(n.verdicts, quarantiner.Verdict{
-			Segment: identifier.Segment(v.Segment), Phase: quarantiner.Phase(v.Phase),
+			Trait: identifier.Trait(v.Trait), Phase: quarantiner.Phase(v.Phase),
 			Since: before(now, v.AgeMs), LastSeen: before(now, v.LastSeenMs),
 			Ends: v.Ends, Requests: v.Requests, Begun: v.Begun,
 		})
@@ -85,23 +85,23 @@
 		Engine: identifier.Endpoint(m.Engine), StartID: m.StartID, Phase: quarantiner.Phase(m.Phase), At: before(now, m.AgeMs),
 	}
 	for _, c := range m.Calls {
-		if len(c.Request) > maxNameBytes || len(c.Segments) > quarantiner.MaxSegments {
+		if len(c.Request) > maxNameBytes || len(c.Traits) > quarantiner.MaxTraits {
 			return quarantiner.End{}, malformed("call of an engine end")
 		}
 		call := quarantiner.Call{Request: identifier.Request(c.Request)}
-		for _, g := range c.Segments {
-			if !validSegment(g) {
-				return quarantiner.End{}, malformed("segment")
+		for _, g := range c.Traits {
+			if !validTrait(g) {
+				return quarantiner.End{}, malformed("trait")
 			}
-			call.Segments = append(call.Segments, identifier.Segment(g))
+			call.Traits = append(call.Traits, identifier.Trait(g))
 		}
 		e.Calls = append(e.Calls, call)
 	}
 	return e, nil
 }
 
-func validSegment(g string) bool {
-	return g != "" && len(g) <= quarantiner.MaxSegmentBytes
+func validTrait(g string) bool {
+	return g != "" && len(g) <= quarantiner.MaxTraitBytes
 }
 
 func validPhase(p uint8) bool {
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -5,8 +5,8 @@
 //
 //	i := isolator.New(isolator.Deps{...})
 //	i.Register(messenger)
-//	if err := i.Check(segments); err != nil { ... } // at arrival and before each send
-//	c, err := i.Enter(ctx, request, quarantiner.PhaseDecode, segments) // before a call
+//	if err := i.Check(traits); err != nil { ... } // at arrival and before each send
+//	c, err := i.Enter(ctx, request, quarantiner.PhaseDecode, traits) // before a call
 //	defer c.Close()
 //	c.Begun()       // the engine has begun to answer
 //	c.Lost(engine)  // or it broke the call off before
@@ -102,12 +102,12 @@
 
 	mu          sync.Mutex
 	quarantiner *quarantiner.Quarantiner
-	// trials are the calls with a segment on trial that are under way, and trialEnded is
+	// trials are the calls with a trait on trial that are under way, and trialEnded is
 	// closed and replaced whenever one of them ends.
-	trials     map[identifier.Segment]bool
+	trials     map[identifier.Trait]bool
 	trialEnded chan struct{}
 	stats      Stats
-	refused    map[identifier.Segment]uint64
+	refused    map[identifier.Trait]uint64
 
 	announcer *announcer.Announcer
 }
@@ -117,9 +117,9 @@
 	i := &Isolator{
 		deps:        d,
 		quarantiner: quarantiner.New(),
-		trials:      map[identifier.Segment]bool{},
+		trials:      map[identifier.Trait]bool{},
 		trialEnded:  make(chan struct{}),
-		refused:     map[identifier.Segment]uint64{},
+		refused:     map[identifier.Trait]uint64{},
 		announcer: announcer.New(announcer.Deps{
 			Self: d.Self, Members: d.Members, Links: d.Links, Group: d.Group,
 			Kind: peerwire.KindCrashNews, RelayKey: relayKey,
@@ -132,9 +132,9 @@
 	return i
 }
 
-// Override sets the segments that an operator has released from quarantine at this host
+// Override sets the traits that an operator has released from quarantine at this host
 // or pinned in it.
-func (i *Isolator) Override(released, pinned []identifier.Segment) {
+func (i *Isolator) Override(released, pinned []identifier.Trait) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.quarantiner.Override(released, pinned)
@@ -142,19 +142,19 @@
 
 // Check returns an error, with the verdict not-run, if the request must not be sent to an
 // engine.
-func (i *Isolator) Check(segments []identifier.Segment) error {
-	if i == nil || len(segments) == 0 {
+func (i *Isolator) Check(traits []identifier.Trait) error {
+	if i == nil || len(traits) == 0 {
 		return nil
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	g, quarantined := i.quarantiner.Check(segments, time.Now())
+	g, quarantined := i.quarantiner.Check(traits, time.Now())
 	if !quarantined {
 		return nil
 	}
 	i.stats.Refused++
 	i.refused[g]++
-	return classifier.NotRun(classifier.ReasonQuarantined, quarantineRetryAfter, "segment %q of the prompt is quarantined, as engines ended when they began to answer requests with it", g)
+	return classifier.NotRun(classifier.ReasonQuarantined, quarantineRetryAfter, "trait %q of the prompt is quarantined, as engines ended when they began to answer requests with it", g)
 }
 
 // decide makes the verdicts that are due, and tells other hosts.
@@ -174,8 +174,8 @@
 
 // logVerdict logs a new verdict. The source is "own" or the host that told of it.
 func (i *Isolator) logVerdict(v quarantiner.Verdict, source string, now time.Time) {
-	i.deps.Log.Warn("segment-quarantined",
-		zap.String("segment", string(v.Segment)),
+	i.deps.Log.Warn("trait-quarantined",
+		zap.String("trait", string(v.Trait)),
 		zap.Stringer("phase", v.Phase),
 		zap.String("source", source),
 		zap.Duration("age", now.Sub(v.Since)),
@@ -193,7 +193,7 @@
 	}
 	i.mu.Unlock()
 	for _, g := range lapsed {
-		i.deps.Log.Info("segment-quarantine-lapsed", zap.String("segment", string(g)))
+		i.deps.Log.Info("trait-quarantine-lapsed", zap.String("trait", string(g)))
 	}
 }
 
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -78,27 +78,27 @@
 	return h
 }
 
-// lose sends a request with the segment to an engine, which breaks it off.
-func (h *host) lose(n int, g identifier.Segment) {
+// lose sends a request with the trait to an engine, which breaks it off.
+func (h *host) lose(n int, g identifier.Trait) {
 	h.is.Helper()
-	c, err := h.Enter(context.Background(), identifier.Request(fmt.Sprint("q", n)), quarantiner.PhaseDecode, []identifier.Segment{g})
+	c, err := h.Enter(context.Background(), identifier.Request(fmt.Sprint("q", n)), quarantiner.PhaseDecode, []identifier.Trait{g})
 	h.is.NoErr(err)
 	c.Lost(isolator.Engine{Name: identifier.Endpoint(fmt.Sprint("e", n)), StartID: 1})
 }
 
-// answerWrongly sends a request with the segment to an engine, whose answer is wrong.
-func (h *host) answerWrongly(n int, g identifier.Segment) {
+// answerWrongly sends a request with the trait to an engine, whose answer is wrong.
+func (h *host) answerWrongly(n int, g identifier.Trait) {
 	h.is.Helper()
-	c, err := h.Enter(context.Background(), identifier.Request(fmt.Sprint("q", n)), quarantiner.PhaseDecode, []identifier.Segment{g})
+	c, err := h.Enter(context.Background(), identifier.Request(fmt.Sprint("q", n)), quarantiner.PhaseDecode, []identifier.Trait{g})
 	h.is.NoErr(err)
 	c.Wrong(isolator.Engine{Name: identifier.Endpoint(fmt.Sprint("e", n)), StartID: 1})
 }
 
-func (h *host) quarantined(g identifier.Segment) bool {
-	return h.Check([]identifier.Segment{g}) != nil
+func (h *host) quarantined(g identifier.Trait) bool {
+	return h.Check([]identifier.Trait{g}) != nil
 }
 
-func (h *host) assertQuarantined(g identifier.Segment) {
+func (h *host) assertQuarantined(g identifier.Trait) {
 	h.is.Helper()
 	end := time.Now().Add(waitTimeout)
 	for !h.quarantined(g) {
@@ -107,8 +107,8 @@
 	}
 }
 
-// assertFree checks that the segment isn't quarantined once the evidence has settled.
-func (h *host) assertFree(g identifier.Segment) {
+// assertFree checks that the trait isn't quarantined once the evidence has settled.
+func (h *host) assertFree(g identifier.Trait) {
 	h.is.Helper()
 	time.Sleep(600 * time.Millisecond)
 	h.is.True(!h.quarantined(g))
@@ -121,11 +121,11 @@
 			h.lose(n, "a")
 		}
 		h.assertQuarantined("a")
-		err := classifier.Of(h.Check([]identifier.Segment{"b", "a"}))
+		err := classifier.Of(h.Check([]identifier.Trait{"b", "a"}))
 		h.is.Equal(err.Verdict, classifier.VerdictNotRun)
 		h.is.Equal(err.Reason, classifier.ReasonQuarantined)
 		h.is.True(err.RetryAfter > 0)
-		h.is.Equal(len(h.Stats().Segments), 1)
+		h.is.Equal(len(h.Stats().Traits), 1)
 	})
 	t.Run("quarantine what three engines ended under after wrong answers", func(t *testing.T) {
 		h := newHost(t)
@@ -166,7 +166,7 @@
 
 func TestTrials(t *testing.T) {
 	enter := func(h *host) (*isolator.Call, error) {
-		return h.Enter(context.Background(), "q", quarantiner.PhaseDecode, []identifier.Segment{"a"})
+		return h.Enter(context.Background(), "q", quarantiner.PhaseDecode, []identifier.Trait{"a"})
 	}
 	onTrial := func(t *testing.T) (*host, *isolator.Call) {
 		h := newHost(t)
@@ -213,7 +213,7 @@
 	})
 	t.Run("aren't waited for by other requests", func(t *testing.T) {
 		h, _ := onTrial(t)
-		_, err := h.Enter(context.Background(), "q", quarantiner.PhaseDecode, []identifier.Segment{"b"})
+		_, err := h.Enter(context.Background(), "q", quarantiner.PhaseDecode, []identifier.Trait{"b"})
 		h.is.NoErr(err)
 	})
 }
@@ -234,7 +234,7 @@
 		h.lose(0, "a")
 		for n := 1; n < 3; n++ {
 			_, err := h.receive(&peerwire.CrashNews{Ends: []peerwire.EngineEnd{{
-				Engine: fmt.Sprint("e", n), StartID: 1, Calls: []peerwire.BrokenCall{{Request: fmt.Sprint("r", n), Segments: []string{"a"}}},
+				Engine: fmt.Sprint("e", n), StartID: 1, Calls: []peerwire.BrokenCall{{Request: fmt.Sprint("r", n), Traits: []string{"a"}}},
 			}}})
 			h.is.NoErr(err)
 		}
@@ -242,23 +242,23 @@
 	})
 	t.Run("verdicts are taken over and passed on to a host that asks", func(t *testing.T) {
 		h := newHost(t)
-		_, err := h.receive(&peerwire.CrashNews{Verdicts: []peerwire.SegmentVerdict{{Segment: "a", Ends: 3, Requests: 3}}})
+		_, err := h.receive(&peerwire.CrashNews{Verdicts: []peerwire.TraitVerdict{{Trait: "a", Ends: 3, Requests: 3}}})
 		h.is.NoErr(err)
 		h.is.True(h.quarantined("a"))
 		reply, err := h.receive(&peerwire.CrashNews{Want: true})
 		h.is.NoErr(err)
 		h.is.Equal(len(reply.Verdicts), 1)
-		h.is.Equal(reply.Verdicts[0].Segment, "a")
+		h.is.Equal(reply.Verdicts[0].Trait, "a")
 	})
 	long := string(make([]byte, 1000))
 	nonsense := map[string]*peerwire.CrashNews{
-		"segment without a name": {Verdicts: []peerwire.SegmentVerdict{{}}},
-		"endless segment":        {Verdicts: []peerwire.SegmentVerdict{{Segment: long}}},
-		"unknown phase":          {Begun: []peerwire.BegunCount{{Segment: "a", Phase: 9}}},
-		"negative count":         {Begun: []peerwire.BegunCount{{Segment: "a", Count: -1}}},
+		"trait without a name": {Verdicts: []peerwire.TraitVerdict{{}}},
+		"endless trait":        {Verdicts: []peerwire.TraitVerdict{{Trait: long}}},
+		"unknown phase":          {Begun: []peerwire.BegunCount{{Trait: "a", Phase: 9}}},
+		"negative count":         {Begun: []peerwire.BegunCount{{Trait: "a", Count: -1}}},
 		"endless engine":         {Ends: []peerwire.EngineEnd{{Engine: long}}},
 		"endless request":        {Ends: []peerwire.EngineEnd{{Calls: []peerwire.BrokenCall{{Request: long}}}}},
-		"too many verdicts":      {Verdicts: make([]peerwire.SegmentVerdict, 10_000)},
+		"too many verdicts":      {Verdicts: make([]peerwire.TraitVerdict, 10_000)},
 	}
 	for name, m := range nonsense {
 		t.Run("are rejected with a "+name, func(t *testing.T) {
@@ -274,7 +274,7 @@
 	})
 	t.Run("with times out of range do no harm", func(t *testing.T) {
 		h := newHost(t)
-		_, err := h.receive(&peerwire.CrashNews{Verdicts: []peerwire.SegmentVerdict{{Segment: "a", AgeMs: -1 << 62, LastSeenMs: 1 << 62}}})
+		_, err := h.receive(&peerwire.CrashNews{Verdicts: []peerwire.TraitVerdict{{Trait: "a", AgeMs: -1 << 62, LastSeenMs: 1 << 62}}})
 		h.is.NoErr(err)
 		h.is.True(!h.quarantined("a"))
 	})
--- a/isolator/stats.go
+++ b/isolator/stats.go
@@ -8,8 +8,8 @@
 
 // Stats counts what an Isolator has seen and decided.
 type Stats struct {
-	// Segments are the quarantines in force.
-	Segments []SegmentStats `json:"segments"`
+	// Traits are the quarantines in force.
+	Traits []TraitStats `json:"traits"`
 	// Ends counts the engines that ended under requests of this host, EndsTold those of
 	// which it was told.
 	Ends     uint64 `json:"ends"`
@@ -18,15 +18,15 @@
 	// that of others.
 	Verdicts     uint64 `json:"verdicts"`
 	VerdictsTold uint64 `json:"verdicts-told"`
-	// Refused counts the calls that were not sent as a segment is quarantined, HeldBack
-	// those whose segment was on trial.
+	// Refused counts the calls that were not sent as a trait is quarantined, HeldBack
+	// those whose trait was on trial.
 	Refused  uint64 `json:"refused"`
 	HeldBack uint64 `json:"held-back"`
 }
 
-// SegmentStats describes a quarantine.
-type SegmentStats struct {
-	Segment    identifier.Segment `json:"segment"`
+// TraitStats describes a quarantine.
+type TraitStats struct {
+	Trait    identifier.Trait `json:"trait"`
 	Phase      string             `json:"phase"`
 	AgeMs      int64              `json:"age-ms"`
 	LastSeenMs int64              `json:"last-seen-ms"`
@@ -44,12 +44,12 @@
 	defer i.mu.Unlock()
 	now := time.Now()
 	s := i.stats
-	s.Segments = []SegmentStats{}
+	s.Traits = []TraitStats{}
 	for _, v := range i.quarantiner.Verdicts(now) {
-		s.Segments = append(s.Segments, SegmentStats{
-			Segment: v.Segment, Phase: v.Phase.String(),
+		s.Traits = append(s.Traits, TraitStats{
+			Trait: v.Trait, Phase: v.Phase.String(),
 			AgeMs: now.Sub(v.Since).Milliseconds(), LastSeenMs: now.Sub(v.LastSeen).Milliseconds(),
-			Ends: v.Ends, Requests: v.Requests, Begun: v.Begun, Refused: i.refused[v.Segment],
+			Ends: v.Ends, Requests: v.Requests, Begun: v.Begun, Refused: i.refused[v.Trait],
 		})
 	}
 	return s
--- a/peerwire/quarantine.go
+++ b/peerwire/quarantine.go
@@ -3,11 +3,11 @@
 //go:generate go tool msgp -file quarantine.go -tests=false
 
 // CrashNews tells a host which engines have ended under which requests, and which
-// segments of prompts are quarantined for that. Hosts of earlier versions don't know it.
+// traits are quarantined for that. Hosts of earlier versions don't know it.
 type CrashNews struct {
-	Ends     []EngineEnd      `msg:"ends,limit=65536"`
-	Begun    []BegunCount     `msg:"begun,limit=65536"`
-	Verdicts []SegmentVerdict `msg:"verdicts,limit=65536"`
+	Ends     []EngineEnd    `msg:"ends,limit=65536"`
+	Begun    []BegunCount   `msg:"begun,limit=65536"`
+	Verdicts []TraitVerdict `msg:"verdicts,limit=65536"`
 	// Forward asks the receiver to pass on to all hosts what is news to it.
 	Forward bool `msg:"forward"`
 	// Want asks for what the receiver knows, as a CrashNews.
@@ -25,20 +25,20 @@
 
 // BrokenCall is a quarantiner.Call.
 type BrokenCall struct {
-	Request  string   `msg:"request"`
-	Segments []string `msg:"segments,limit=65536"`
+	Request string   `msg:"request"`
+	Traits  []string `msg:"segments,limit=65536"`
 }
 
 // BegunCount is a quarantiner.BegunCount.
 type BegunCount struct {
-	Segment string `msg:"segment"`
-	Phase   uint8  `msg:"phase"`
-	Count   int    `msg:"count"`
+	Trait string `msg:"segment"`
+	Phase uint8  `msg:"phase"`
+	Count int    `msg:"count"`
 }
 
-// SegmentVerdict is a quarantiner.Verdict, with ages in place of times.
-type SegmentVerdict struct {
-	Segment    string `msg:"segment"`
+// TraitVerdict is a quarantiner.Verdict, with ages in place of times.
+type TraitVerdict struct {
+	Trait      string `msg:"segment"`
 	Phase      uint8  `msg:"phase"`
 	AgeMs      int64  `msg:"age-ms"`
 	LastSeenMs int64  `msg:"last-seen-ms"`
--- a/peerwire/quarantine_gen.go
+++ b/peerwire/quarantine_gen.go
@@ -25,9 +25,9 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "segment":
-			z.Segment, err = dc.ReadString()
+			z.Trait, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Segment")
+				err = msgp.WrapError(err, "Trait")
 				return
 			}
 		case "phase":
@@ -61,9 +61,9 @@
 	if err != nil {
 		return
 	}
-	err = en.WriteString(z.Segment)
+	err = en.WriteString(z.Trait)
 	if err != nil {
-		err = msgp.WrapError(err, "Segment")
+		err = msgp.WrapError(err, "Trait")
 		return
 	}
 	// write "phase"
@@ -95,7 +95,7 @@
 	// map header, size 3
 	// string "segment"
 	o = append(o, 0x83, 0xa7, 0x73, 0x65, 0x67, 0x6d, 0x65, 0x6e, 0x74)
-	o = msgp.AppendString(o, z.Segment)
+	o = msgp.AppendString(o, z.Trait)
 	// string "phase"
 	o = append(o, 0xa5, 0x70, 0x68, 0x61, 0x73, 0x65)
 	o = msgp.AppendUint8(o, z.Phase)
@@ -124,9 +124,9 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "segment":
-			z.Segment, bts, err = msgp.ReadStringBytes(bts)
+			z.Trait, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Segment")
+				err = msgp.WrapError(err, "Trait")
 				return
 			}
 		case "phase":
@@ -155,7 +155,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z BegunCount) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Segment) + 6 + msgp.Uint8Size + 6 + msgp.IntSize
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Trait) + 6 + msgp.Uint8Size + 6 + msgp.IntSize
 	return
 }
 
@@ -187,22 +187,22 @@
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Segments")
+				err = msgp.WrapError(err, "Traits")
 				return
 			}
 			if zb0002 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Segments) >= int(zb0002) {
-				z.Segments = (z.Segments)[:zb0002]
+			if cap(z.Traits) >= int(zb0002) {
+				z.Traits = (z.Traits)[:zb0002]
 			} else {
-				z.Segments = make([]string, zb0002)
+				z.Traits = make([]string, zb0002)
 			}
-			for za0001 := range z.Segments {
-				z.Segments[za0001], err = dc.ReadString()
+			for za0001 := range z.Traits {
+				z.Traits[za0001], err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Segments", za0001)
+					err = msgp.WrapError(err, "Traits", za0001)
 					return
 				}
 			}
@@ -235,15 +235,15 @@
 	if err != nil {
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Segments)))
+	err = en.WriteArrayHeader(uint32(len(z.Traits)))
 	if err != nil {
-		err = msgp.WrapError(err, "Segments")
+		err = msgp.WrapError(err, "Traits")
 		return
 	}
-	for za0001 := range z.Segments {
-		err = en.WriteString(z.Segments[za0001])
+	for za0001 := range z.Traits {
+		err = en.WriteString(z.Traits[za0001])
 		if err != nil {
-			err = msgp.WrapError(err, "Segments", za0001)
+			err = msgp.WrapError(err, "Traits", za0001)
 			return
 		}
 	}
@@ -259,9 +259,9 @@
 	o = msgp.AppendString(o, z.Request)
 	// string "segments"
 	o = append(o, 0xa8, 0x73, 0x65, 0x67, 0x6d, 0x65, 0x6e, 0x74, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Segments)))
-	for za0001 := range z.Segments {
-		o = msgp.AppendString(o, z.Segments[za0001])
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Traits)))
+	for za0001 := range z.Traits {
+		o = msgp.AppendString(o, z.Traits[za0001])
 	}
 	return
 }
@@ -294,22 +294,22 @@
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Segments")
+				err = msgp.WrapError(err, "Traits")
 				return
 			}
 			if zb0002 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Segments) >= int(zb0002) {
-				z.Segments = (z.Segments)[:zb0002]
+			if cap(z.Traits) >= int(zb0002) {
+				z.Traits = (z.Traits)[:zb0002]
 			} else {
-				z.Segments = make([]string, zb0002)
+				z.Traits = make([]string, zb0002)
 			}
-			for za0001 := range z.Segments {
-				z.Segments[za0001], bts, err = msgp.ReadStringBytes(bts)
+			for za0001 := range z.Traits {
+				z.Traits[za0001], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Segments", za0001)
+					err = msgp.WrapError(err, "Traits", za0001)
 					return
 				}
 			}
@@ -328,8 +328,8 @@
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *BrokenCall) Msgsize() (s int) {
 	s = 1 + 8 + msgp.StringPrefixSize + len(z.Request) + 9 + msgp.ArrayHeaderSize
-	for za0001 := range z.Segments {
-		s += msgp.StringPrefixSize + len(z.Segments[za0001])
+	for za0001 := range z.Traits {
+		s += msgp.StringPrefixSize + len(z.Traits[za0001])
 	}
 	return
 }
@@ -411,9 +411,9 @@
 					}
 					switch msgp.UnsafeString(field) {
 					case "segment":
-						z.Begun[za0002].Segment, err = dc.ReadString()
+						z.Begun[za0002].Trait, err = dc.ReadString()
 						if err != nil {
-							err = msgp.WrapError(err, "Begun", za0002, "Segment")
+							err = msgp.WrapError(err, "Begun", za0002, "Trait")
 							return
 						}
 					case "phase":
@@ -451,7 +451,7 @@
 			if cap(z.Verdicts) >= int(zb0005) {
 				z.Verdicts = (z.Verdicts)[:zb0005]
 			} else {
-				z.Verdicts = make([]SegmentVerdict, zb0005)
+				z.Verdicts = make([]TraitVerdict, zb0005)
 			}
 			for za0003 := range z.Verdicts {
 				err = z.Verdicts[za0003].DecodeMsg(dc)
@@ -520,9 +520,9 @@
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Begun[za0002].Segment)
+		err = en.WriteString(z.Begun[za0002].Trait)
 		if err != nil {
-			err = msgp.WrapError(err, "Begun", za0002, "Segment")
+			err = msgp.WrapError(err, "Begun", za0002, "Trait")
 			return
 		}
 		// write "phase"
@@ -607,7 +607,7 @@
 		// map header, size 3
 		// string "segment"
 		o = append(o, 0x83, 0xa7, 0x73, 0x65, 0x67, 0x6d, 0x65, 0x6e, 0x74)
-		o = msgp.AppendString(o, z.Begun[za0002].Segment)
+		o = msgp.AppendString(o, z.Begun[za0002].Trait)
 		// string "phase"
 		o = append(o, 0xa5, 0x70, 0x68, 0x61, 0x73, 0x65)
 		o = msgp.AppendUint8(o, z.Begun[za0002].Phase)
@@ -711,9 +711,9 @@
 					}
 					switch msgp.UnsafeString(field) {
 					case "segment":
-						z.Begun[za0002].Segment, bts, err = msgp.ReadStringBytes(bts)
+						z.Begun[za0002].Trait, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Begun", za0002, "Segment")
+							err = msgp.WrapError(err, "Begun", za0002, "Trait")
 							return
 						}
 					case "phase":
@@ -751,7 +751,7 @@
 			if cap(z.Verdicts) >= int(zb0005) {
 				z.Verdicts = (z.Verdicts)[:zb0005]
 			} else {
-				z.Verdicts = make([]SegmentVerdict, zb0005)
+				z.Verdicts = make([]TraitVerdict, zb0005)
 			}
 			for za0003 := range z.Verdicts {
 				bts, err = z.Verdicts[za0003].UnmarshalMsg(bts)
@@ -792,7 +792,7 @@
 	}
 	s += 6 + msgp.ArrayHeaderSize
 	for za0002 := range z.Begun {
-		s += 1 + 8 + msgp.StringPrefixSize + len(z.Begun[za0002].Segment) + 6 + msgp.Uint8Size + 6 + msgp.IntSize
+		s += 1 + 8 + msgp.StringPrefixSize + len(z.Begun[za0002].Trait) + 6 + msgp.Uint8Size + 6 + msgp.IntSize
 	}
 	s += 9 + msgp.ArrayHeaderSize
 	for za0003 := range z.Verdicts {
@@ -889,22 +889,22 @@
 						var zb0004 uint32
 						zb0004, err = dc.ReadArrayHeader()
 						if err != nil {
-							err = msgp.WrapError(err, "Calls", za0001, "Segments")
+							err = msgp.WrapError(err, "Calls", za0001, "Traits")
 							return
 						}
 						if zb0004 > 65536 {
 							err = msgp.ErrLimitExceeded
 							return
 						}
-						if cap(z.Calls[za0001].Segments) >= int(zb0004) {
-							z.Calls[za0001].Segments = (z.Calls[za0001].Segments)[:zb0004]
+						if cap(z.Calls[za0001].Traits) >= int(zb0004) {
+							z.Calls[za0001].Traits = (z.Calls[za0001].Traits)[:zb0004]
 						} else {
-							z.Calls[za0001].Segments = make([]string, zb0004)
+							z.Calls[za0001].Traits = make([]string, zb0004)
 						}
-						for za0002 := range z.Calls[za0001].Segments {
-							z.Calls[za0001].Segments[za0002], err = dc.ReadString()
+						for za0002 := range z.Calls[za0001].Traits {
+							z.Calls[za0001].Traits[za0002], err = dc.ReadString()
 							if err != nil {
-								err = msgp.WrapError(err, "Calls", za0001, "Segments", za0002)
+								err = msgp.WrapError(err, "Calls", za0001, "Traits", za0002)
 								return
 							}
 						}
@@ -998,15 +998,15 @@
 		if err != nil {
 			return
 		}
-		err = en.WriteArrayHeader(uint32(len(z.Calls[za0001].Segments)))
+		err = en.WriteArrayHeader(uint32(len(z.Calls[za0001].Traits)))
 		if err != nil {
-			err = msgp.WrapError(err, "Calls", za0001, "Segments")
+			err = msgp.WrapError(err, "Calls", za0001, "Traits")
 			return
 		}
-		for za0002 := range z.Calls[za0001].Segments {
-			err = en.WriteString(z.Calls[za0001].Segments[za0002])
+		for za0002 := range z.Calls[za0001].Traits {
+			err = en.WriteString(z.Calls[za0001].Traits[za0002])
 			if err != nil {
-				err = msgp.WrapError(err, "Calls", za0001, "Segments", za0002)
+				err = msgp.WrapError(err, "Calls", za0001, "Traits", za0002)
 				return
 			}
 		}
@@ -1040,9 +1040,9 @@
 		o = msgp.AppendString(o, z.Calls[za0001].Request)
 		// string "segments"
 		o = append(o, 0xa8, 0x73, 0x65, 0x67, 0x6d, 0x65, 0x6e, 0x74, 0x73)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Calls[za0001].Segments)))
-		for za0002 := range z.Calls[za0001].Segments {
-			o = msgp.AppendString(o, z.Calls[za0001].Segments[za0002])
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Calls[za0001].Traits)))
+		for za0002 := range z.Calls[za0001].Traits {
+			o = msgp.AppendString(o, z.Calls[za0001].Traits[za0002])
 		}
 	}
 	return
@@ -1135,22 +1135,22 @@
 						var zb0004 uint32
 						zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Calls", za0001, "Segments")
+							err = msgp.WrapError(err, "Calls", za0001, "Traits")
 							return
 						}
 						if zb0004 > 65536 {
 							err = msgp.ErrLimitExceeded
 							return
 						}
-						if cap(z.Calls[za0001].Segments) >= int(zb0004) {
-							z.Calls[za0001].Segments = (z.Calls[za0001].Segments)[:zb0004]
+						if cap(z.Calls[za0001].Traits) >= int(zb0004) {
+							z.Calls[za0001].Traits = (z.Calls[za0001].Traits)[:zb0004]
 						} else {
-							z.Calls[za0001].Segments = make([]string, zb0004)
+							z.Calls[za0001].Traits = make([]string, zb0004)
 						}
-						for za0002 := range z.Calls[za0001].Segments {
-							z.Calls[za0001].Segments[za0002], bts, err = msgp.ReadStringBytes(bts)
+						for za0002 := range z.Calls[za0001].Traits {
+							z.Calls[za0001].Traits[za0002], bts, err = msgp.ReadStringBytes(bts)
 							if err != nil {
-								err = msgp.WrapError(err, "Calls", za0001, "Segments", za0002)
+								err = msgp.WrapError(err, "Calls", za0001, "Traits", za0002)
 								return
 							}
 						}
@@ -1180,15 +1180,15 @@
 	s = 1 + 7 + msgp.StringPrefixSize + len(z.Engine) + 8 + msgp.Int64Size + 6 + msgp.Uint8Size + 7 + msgp.Int64Size + 6 + msgp.ArrayHeaderSize
 	for za0001 := range z.Calls {
 		s += 1 + 8 + msgp.StringPrefixSize + len(z.Calls[za0001].Request) + 9 + msgp.ArrayHeaderSize
-		for za0002 := range z.Calls[za0001].Segments {
-			s += msgp.StringPrefixSize + len(z.Calls[za0001].Segments[za0002])
+		for za0002 := range z.Calls[za0001].Traits {
+			s += msgp.StringPrefixSize + len(z.Calls[za0001].Traits[za0002])
 		}
 	}
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *SegmentVerdict) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *TraitVerdict) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1206,9 +1206,9 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "segment":
-			z.Segment, err = dc.ReadString()
+			z.Trait, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Segment")
+				err = msgp.WrapError(err, "Trait")
 				return
 			}
 		case "phase":
@@ -1259,16 +1259,16 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *SegmentVerdict) EncodeMsg(en *msgp.Writer) (err error) {
+func (z *TraitVerdict) EncodeMsg(en *msgp.Writer) (err error) {
 	// map header, size 7
 	// write "segment"
 	err = en.Append(0x87, 0xa7, 0x73, 0x65, 0x67, 0x6d, 0x65, 0x6e, 0x74)
 	if err != nil {
 		return
 	}
-	err = en.WriteString(z.Segment)
+	err = en.WriteString(z.Trait)
 	if err != nil {
-		err = msgp.WrapError(err, "Segment")
+		err = msgp.WrapError(err, "Trait")
 		return
 	}
 	// write "phase"
@@ -1335,12 +1335,12 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *SegmentVerdict) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *TraitVerdict) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// map header, size 7
 	// string "segment"
 	o = append(o, 0x87, 0xa7, 0x73, 0x65, 0x67, 0x6d, 0x65, 0x6e, 0x74)
-	o = msgp.AppendString(o, z.Segment)
+	o = msgp.AppendString(o, z.Trait)
 	// string "phase"
 	o = append(o, 0xa5, 0x70, 0x68, 0x61, 0x73, 0x65)
 	o = msgp.AppendUint8(o, z.Phase)
@@ -1363,7 +1363,7 @@
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *SegmentVerdict) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *TraitVerdict) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1381,9 +1381,9 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "segment":
-			z.Segment, bts, err = msgp.ReadStringBytes(bts)
+			z.Trait, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Segment")
+				err = msgp.WrapError(err, "Trait")
 				return
 			}
 		case "phase":
@@ -1435,7 +1435,7 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *SegmentVerdict) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Segment) + 6 + msgp.Uint8Size + 7 + msgp.Int64Size + 13 + msgp.Int64Size + 5 + msgp.IntSize + 9 + msgp.IntSize + 6 + msgp.IntSize
+func (z *TraitVerdict) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Trait) + 6 + msgp.Uint8Size + 7 + msgp.Int64Size + 13 + msgp.Int64Size + 5 + msgp.IntSize + 9 + msgp.IntSize + 6 + msgp.IntSize
 	return
 }
--- a/quarantiner/begun.go
+++ b/quarantiner/begun.go
@@ -4,15 +4,15 @@
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 )
 
-// BegunCount tells how many answers to requests with a segment have begun.
+// BegunCount tells how many answers to requests with a trait have begun.
 type BegunCount struct {
-	Segment identifier.Segment
+	Trait identifier.Trait
 	Phase   Phase
 	Count   int
 }
 
 // TakeBegun returns the begun answers at this host that other hosts should know of,
-// which are those that may decide whether a segment is quarantined.
+// which are those that may decide whether a trait is quarantined.
 func (q *Quarantiner) TakeBegun() []BegunCount {
 	var news []BegunCount
 	for k, s := range q.suspicions {
@@ -22,7 +22,7 @@
 		if s.untold == 0 || !q.mayMatter(k, s) {
 			continue
 		}
-		news = append(news, BegunCount{Segment: k.segment, Phase: k.phase, Count: s.untold})
+		news = append(news, BegunCount{Trait: k.trait, Phase: k.phase, Count: s.untold})
 		s.untold = 0
 	}
 	return news
@@ -38,7 +38,7 @@
 // AddBegun records begun answers that another host has told of, and reports whether
 // they may matter.
 func (q *Quarantiner) AddBegun(c BegunCount) bool {
-	k := suspect{segment: c.Segment, phase: c.Phase}
+	k := suspect{trait: c.Trait, phase: c.Phase}
 	s := q.suspicions[k]
 	if s == nil || c.Count <= 0 {
 		return false
--- a/quarantiner/end.go
+++ b/quarantiner/end.go
@@ -29,8 +29,8 @@
 // Call is a call that an engine had not begun to answer.
 type Call struct {
 	Request identifier.Request
-	// Segments are those that other requests may share, in the order of the prompt.
-	Segments []identifier.Segment
+	// Traits are those that other requests may share, in the order of the prompt.
+	Traits []identifier.Trait
 }
 
 // End is the end of one incarnation of an engine.
--- a/quarantiner/evidence.go
+++ b/quarantiner/evidence.go
@@ -21,7 +21,7 @@
 	return float64(e.position) / float64(max(1, e.calls))
 }
 
-// unexplained returns the ends that no quarantined segment explains.
+// unexplained returns the ends that no quarantined trait explains.
 func (q *Quarantiner) unexplained(now time.Time) []*End {
 	open := make([]*End, 0, len(q.ends))
 	for _, e := range q.ends {
@@ -41,11 +41,11 @@
 	return all
 }
 
-// explained reports whether a call that was part of the end has a segment that is
+// explained reports whether a call that was part of the end has a trait that is
 // quarantined, or was.
 func (q *Quarantiner) explained(e *End, now time.Time) bool {
 	for _, c := range e.Calls {
-		for _, g := range c.Segments {
+		for _, g := range c.Traits {
 			v := q.verdicts[g]
 			if v == nil || v.Phase != e.Phase {
 				continue
@@ -58,12 +58,12 @@
 	return false
 }
 
-// addEvidence adds an end to the evidence against the segments of its calls.
+// addEvidence adds an end to the evidence against the traits of its calls.
 func addEvidence(all map[suspect]*evidence, e *End) {
-	counted := map[identifier.Segment]bool{}
+	counted := map[identifier.Trait]bool{}
 	for _, c := range e.Calls {
-		for n, g := range c.Segments {
-			k := suspect{segment: g, phase: e.Phase}
+		for n, g := range c.Traits {
+			k := suspect{trait: g, phase: e.Phase}
 			v := all[k]
 			if v == nil {
 				v = &evidence{requests: map[identifier.Request]bool{}}
@@ -85,7 +85,7 @@
 func countOthers(ends []*End, k suspect) int {
 	var with, without []time.Time
 	for _, e := range ends {
-		if e.Phase == k.phase && hasSegment(e, k.segment) {
+		if e.Phase == k.phase && hasTrait(e, k.trait) {
 			with = append(with, e.At)
 		} else {
 			without = append(without, e.At)
@@ -100,6 +100,6 @@
 	return n
 }
 
-func hasSegment(e *End, g identifier.Segment) bool {
-	return slices.ContainsFunc(e.Calls, func(c Call) bool { return slices.Contains(c.Segments, g) })
+func hasTrait(e *End, g identifier.Trait) bool {
+	return slices.ContainsFunc(e.Calls, func(c Call) bool { return slices.Contains(c.Traits, g) })
 }
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -1,33 +1,33 @@
-// Package quarantiner decides which segments of prompts are kept away from model
-// engines, because every engine that begins to answer a request with such a segment
+// Package quarantiner decides which traits of prompts are kept away from model
+// engines, because every engine that begins to answer a request with such a trait
 // ends. The package holds policy only: it does no I/O, reads no clock and starts no
 // goroutines.
 //
 // # Usage
 //
 //	q := quarantiner.New()
-//	q.Begun(quarantiner.PhaseDecode, segments, now)  // an engine has begun to answer
+//	q.Begun(quarantiner.PhaseDecode, traits, now)  // an engine has begun to answer
 //	q.AddEnd(quarantiner.End{Engine: "e1", Calls: calls}, now)
 //	verdicts := q.Decide(now)                        // from time to time
-//	if v, ok := q.Check(segments, now); ok { ... }   // before each call
+//	if v, ok := q.Check(traits, now); ok { ... }   // before each call
 //
 // # Evidence
 //
 // The end of an engine breaks off all its calls. Only those that it had not begun to
-// answer are suspect, with all segments that other requests may share. Whether
-// requests with a segment end engines is judged by distinct engines, and by at least
-// minRequests requests: a segment is quarantined once minEnds more engines have ended
+// answer are suspect, with all traits that other requests may share. Whether
+// requests with a trait end engines is judged by distinct engines, and by at least
+// minRequests requests: a trait is quarantined once minEnds more engines have ended
 // under it than have begun to answer requests with it. Answers that began shortly before the
 // first end count as well.
 //
-// Engines that end at the same time, without a call that has the segment, have a cause
-// in common that the segment isn't. For each othersPerEnd of them another end is required.
+// Engines that end at the same time, without a call that has the trait, have a cause
+// in common that the trait isn't. For each othersPerEnd of them another end is required.
 //
-// Of several segments that meet the condition, the one with the most evidence is
+// Of several traits that meet the condition, the one with the most evidence is
 // quarantined first, and of those that always occur together the last one in
 // the prompt: the others are more widely shared. It explains the ends that
-// its requests were part of, which are no evidence against other segments any more.
-// A segment that was spared by mistake is quarantined after further ends.
+// its requests were part of, which are no evidence against other traits any more.
+// A trait that was spared by mistake is quarantined after further ends.
 //
 // # All hosts
 //
@@ -38,14 +38,14 @@
 //
 // # Before a verdict
 //
-// A segment against which there is more evidence than for it is on trial: few requests
+// A trait against which there is more evidence than for it is on trial: few requests
 // with it should be sent at a time, so that few engines end until the verdict.
 //
 // # The end of a quarantine
 //
-// A quarantine lasts until no host has seen a request with its segment for QuietTime.
+// A quarantine lasts until no host has seen a request with its trait for QuietTime.
 // The next request is sent as any other, which is its trial. During relapseTime
-// one end is enough to quarantine the segment again.
+// one end is enough to quarantine the trait again.
 package quarantiner
 
 import (
@@ -56,17 +56,17 @@
 )
 
 const (
-	// minEnds is by how many engine ends the evidence against a segment must exceed the
+	// minEnds is by how many engine ends the evidence against a trait must exceed the
 	// begun answers, and minRequests the number of requests that were part of the ends.
 	minEnds     = 3
 	minRequests = 2
-	// othersPerEnd ends without the segment, each within togetherTime of one with it,
+	// othersPerEnd ends without the trait, each within togetherTime of one with it,
 	// require one more end.
 	othersPerEnd = 4
 	togetherTime = time.Second
 	// evidenceTime is how long an end is evidence.
 	evidenceTime = 10 * time.Minute
-	// recentTime is how long an answer that began speaks for the segments of its prompt
+	// recentTime is how long an answer that began speaks for the traits of its prompt
 	// if an engine ends later. It may be up to twice as long.
 	recentTime = 5 * time.Second
 	// relapseTime is the time after a quarantine in which one end renews it.
@@ -85,23 +85,23 @@
 )
 
 const (
-	// SettleTime is the time from the first end under a segment until it can be
+	// SettleTime is the time from the first end under a trait until it can be
 	// quarantined.
 	SettleTime = 200 * time.Millisecond
-	// QuietTime is how long no host may see a request with a segment until its quarantine
+	// QuietTime is how long no host may see a request with a trait until its quarantine
 	// lapses.
 	QuietTime = 10 * time.Minute
 	// MaxBegun is the largest number of begun answers that one BegunCount may tell of.
 	MaxBegun = 1 << 20
-	// MaxSegments is the largest number of segments of a call.
-	MaxSegments = 32
-	// MaxSegmentBytes is the largest length of a segment's ID.
-	MaxSegmentBytes = 64
+	// MaxTraits is the largest number of traits of a call.
+	MaxTraits = 32
+	// MaxTraitBytes is the largest length of a trait's ID.
+	MaxTraitBytes = 64
 )
 
-// suspect is a segment in a phase.
+// suspect is a trait in a phase.
 type suspect struct {
-	segment identifier.Segment
+	trait identifier.Trait
 	phase   Phase
 }
 
@@ -118,7 +118,7 @@
 type Quarantiner struct {
 	ends       []*End
 	suspicions map[suspect]*suspicion
-	verdicts   map[identifier.Segment]*record
+	verdicts   map[identifier.Trait]*record
 	// recent counts the answers that began within recentTime, previous those of the
 	// period of the same length before.
 	recent, previous map[suspect]int
@@ -126,45 +126,45 @@
 	// undecided is set if something has changed since the last decision.
 	undecided bool
 	// endsUnder are the numbers of ends under each suspect that no verdict explains, and
-	// onTrial the segments with more ends than begun answers.
+	// onTrial the traits with more ends than begun answers.
 	endsUnder map[suspect]int
-	onTrial   map[identifier.Segment]bool
+	onTrial   map[identifier.Trait]bool
 
-	released, pinned map[identifier.Segment]bool
+	released, pinned map[identifier.Trait]bool
 }
 
 // New returns a Quarantiner without evidence.
 func New() *Quarantiner {
 	return &Quarantiner{
 		suspicions: map[suspect]*suspicion{},
-		verdicts:   map[identifier.Segment]*record{},
+		verdicts:   map[identifier.Trait]*record{},
 		recent:     map[suspect]int{},
 		previous:   map[suspect]int{},
 	}
 }
 
-// Override sets the segments that an operator has released from quarantine at this host
+// Override sets the traits that an operator has released from quarantine at this host
 // or pinned in it, whatever the evidence.
-func (q *Quarantiner) Override(released, pinned []identifier.Segment) {
+func (q *Quarantiner) Override(released, pinned []identifier.Trait) {
 	q.released = setOf(released)
 	q.pinned = setOf(pinned)
 }
 
-func setOf(all []identifier.Segment) map[identifier.Segment]bool {
-	set := make(map[identifier.Segment]bool, len(all))
+func setOf(all []identifier.Trait) map[identifier.Trait]bool {
+	set := make(map[identifier.Trait]bool, len(all))
 	for _, g := range all {
 		set[g] = true
 	}
 	return set
 }
 
-// Check returns the first segment that is quarantined, and records that a request with
+// Check returns the first trait that is quarantined, and records that a request with
 // it was seen.
-func (q *Quarantiner) Check(segments []identifier.Segment, now time.Time) (quarantined identifier.Segment, ok bool) {
+func (q *Quarantiner) Check(traits []identifier.Trait, now time.Time) (quarantined identifier.Trait, ok bool) {
 	if len(q.verdicts) == 0 && len(q.pinned) == 0 {
 		return "", false
 	}
-	for _, g := range segments {
+	for _, g := range traits {
 		if q.released[g] {
 			continue
 		}
@@ -180,10 +180,10 @@
 }
 
 // Begun records that an engine has begun to answer a request.
-func (q *Quarantiner) Begun(p Phase, segments []identifier.Segment, now time.Time) {
+func (q *Quarantiner) Begun(p Phase, traits []identifier.Trait, now time.Time) {
 	q.rotate(now)
-	for _, g := range segments {
-		k := suspect{segment: g, phase: p}
+	for _, g := range traits {
+		k := suspect{trait: g, phase: p}
 		if s := q.suspicions[k]; s != nil {
 			s.begun++
 			s.untold++
@@ -233,23 +233,23 @@
 // updateTrials updates endsUnder and onTrial.
 func (q *Quarantiner) updateTrials(now time.Time) {
 	q.endsUnder = map[suspect]int{}
-	q.onTrial = map[identifier.Segment]bool{}
+	q.onTrial = map[identifier.Trait]bool{}
 	for k, e := range collect(q.unexplained(now)) {
 		q.endsUnder[k] = e.ends
 		if s := q.suspicions[k]; s != nil && e.ends > s.begun {
-			q.onTrial[k.segment] = true
+			q.onTrial[k.trait] = true
 		}
 	}
 }
 
-// OnTrial returns the segments that may turn out to end engines: until that is decided,
+// OnTrial returns the traits that may turn out to end engines: until that is decided,
 // only few requests with one of them should be sent at a time.
-func (q *Quarantiner) OnTrial(segments []identifier.Segment) []identifier.Segment {
+func (q *Quarantiner) OnTrial(traits []identifier.Trait) []identifier.Trait {
 	if len(q.onTrial) == 0 {
 		return nil
 	}
-	var found []identifier.Segment
-	for _, g := range segments {
+	var found []identifier.Trait
+	for _, g := range traits {
 		if q.onTrial[g] && !q.released[g] {
 			found = append(found, g)
 		}
@@ -266,12 +266,12 @@
 	}
 }
 
-// suspectAll makes the segments of an end's calls suspects.
+// suspectAll makes the traits of an end's calls suspects.
 func (q *Quarantiner) suspectAll(e *End, now time.Time) {
 	q.rotate(now)
 	for _, c := range e.Calls {
-		for _, g := range c.Segments {
-			k := suspect{segment: g, phase: e.Phase}
+		for _, g := range c.Traits {
+			k := suspect{trait: g, phase: e.Phase}
 			if q.suspicions[k] != nil || len(q.suspicions) >= maxSuspects {
 				continue
 			}
@@ -295,10 +295,10 @@
 	return open
 }
 
-// Update drops what is out of date. It returns the segments whose quarantine has
+// Update drops what is out of date. It returns the traits whose quarantine has
 // lapsed.
-func (q *Quarantiner) Update(now time.Time) []identifier.Segment {
-	var lapsed []identifier.Segment
+func (q *Quarantiner) Update(now time.Time) []identifier.Trait {
+	var lapsed []identifier.Trait
 	for g, v := range q.verdicts {
 		quiet := now.Sub(v.LastSeen)
 		if quiet >= QuietTime && !v.lapsed {
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -32,19 +32,19 @@
 	return &scene{is: is.New(t), q: quarantiner.New(), now: start}
 }
 
-// end records the end of another engine under requests with these segments each.
-func (s *scene) end(calls ...[]identifier.Segment) {
+// end records the end of another engine under requests with these traits each.
+func (s *scene) end(calls ...[]identifier.Trait) {
 	s.ends++
 	e := quarantiner.End{Engine: identifier.Endpoint(fmt.Sprintf("e%d", s.ends)), StartID: 1, At: s.now}
 	for n, c := range calls {
-		e.Calls = append(e.Calls, quarantiner.Call{Request: identifier.Request(fmt.Sprintf("q%d-%d", s.ends, n)), Segments: c})
+		e.Calls = append(e.Calls, quarantiner.Call{Request: identifier.Request(fmt.Sprintf("q%d-%d", s.ends, n)), Traits: c})
 	}
 	s.q.AddEnd(e, s.now)
 }
 
-func (s *scene) begun(count int, segments ...identifier.Segment) {
+func (s *scene) begun(count int, traits ...identifier.Trait) {
 	for range count {
-		s.q.Begun(quarantiner.PhaseDecode, segments, s.now)
+		s.q.Begun(quarantiner.PhaseDecode, traits, s.now)
 	}
 }
 
@@ -53,23 +53,23 @@
 }
 
 // decide lets the evidence settle and returns what is decided.
-func (s *scene) decide() []identifier.Segment {
+func (s *scene) decide() []identifier.Trait {
 	s.advance(settled)
-	var all []identifier.Segment
+	var all []identifier.Trait
 	for _, v := range s.q.Decide(s.now) {
-		all = append(all, v.Segment)
+		all = append(all, v.Trait)
 	}
 	return all
 }
 
-func parts(all ...identifier.Segment) []identifier.Segment { return all }
+func parts(all ...identifier.Trait) []identifier.Trait { return all }
 
-func (s *scene) assertDecides(want ...identifier.Segment) {
+func (s *scene) assertDecides(want ...identifier.Trait) {
 	s.is.Helper()
 	s.is.Equal(s.decide(), want)
 }
 
-func (s *scene) assertQuarantined(g identifier.Segment, want bool) {
+func (s *scene) assertQuarantined(g identifier.Trait, want bool) {
 	s.is.Helper()
 	_, got := s.q.Check(parts(g), s.now)
 	s.is.Equal(got, want)
@@ -80,7 +80,7 @@
 		s := newScene(t)
 		for n := range 3 {
 			s.assertDecides()
-			s.end(parts("common", "crash", identifier.Segment(fmt.Sprintf("topic%d", n))))
+			s.end(parts("common", "crash", identifier.Trait(fmt.Sprintf("topic%d", n))))
 			s.begun(2, "common")
 		}
 		s.assertDecides("crash")
@@ -95,10 +95,10 @@
 		s.is.Equal(len(s.q.Decide(s.now)), 0)
 		s.assertDecides("crash") // without further news
 	})
-	t.Run("on the first segment if it is what the requests share", func(t *testing.T) {
+	t.Run("on the first trait if it is what the requests share", func(t *testing.T) {
 		s := newScene(t)
 		for n := range 3 {
-			s.end(parts("crash", identifier.Segment(fmt.Sprintf("topic%d", n))))
+			s.end(parts("crash", identifier.Trait(fmt.Sprintf("topic%d", n))))
 		}
 		s.assertDecides("crash")
 	})
@@ -117,7 +117,7 @@
 		}
 		s.assertDecides("topic")
 		for n := range 3 {
-			s.end(parts("crash", identifier.Segment(fmt.Sprintf("other%d", n))))
+			s.end(parts("crash", identifier.Trait(fmt.Sprintf("other%d", n))))
 		}
 		s.assertDecides("crash")
 	})
@@ -135,7 +135,7 @@
 		s.assertQuarantined("two", true)
 		s.assertQuarantined("common", false)
 	})
-	t.Run("on a segment that ends most engines", func(t *testing.T) {
+	t.Run("on a trait that ends most engines", func(t *testing.T) {
 		s := newScene(t)
 		for n := range 10 {
 			if n%4 == 3 {
@@ -150,7 +150,7 @@
 	t.Run("separately for prefill and decode", func(t *testing.T) {
 		s := newScene(t)
 		for n := range 3 {
-			call := quarantiner.Call{Request: identifier.Request(fmt.Sprintf("q%d", n)), Segments: parts("crash")}
+			call := quarantiner.Call{Request: identifier.Request(fmt.Sprintf("q%d", n)), Traits: parts("crash")}
 			s.q.Begun(quarantiner.PhasePrefill, parts("crash"), s.now)
 			s.q.AddEnd(quarantiner.End{Engine: identifier.Endpoint(fmt.Sprint(n)), At: s.now, Calls: []quarantiner.Call{call}}, s.now)
 		}
@@ -169,7 +169,7 @@
 		for n := range 5 {
 			s.q.AddEnd(quarantiner.End{
 				Engine: identifier.Endpoint(fmt.Sprint(n)), At: s.now,
-				Calls: []quarantiner.Call{{Request: "q1", Segments: parts("a")}},
+				Calls: []quarantiner.Call{{Request: "q1", Traits: parts("a")}},
 			}, s.now)
 		}
 		s.assertDecides()
@@ -197,16 +197,16 @@
 		for range 4 {
 			s.end(parts("a"))
 		}
-		s.q.AddBegun(quarantiner.BegunCount{Segment: "a", Count: 2})
+		s.q.AddBegun(quarantiner.BegunCount{Trait: "a", Count: 2})
 		s.assertDecides()
 	})
 	t.Run("if all engines end at once", func(t *testing.T) {
 		s := newScene(t)
 		for n := range 12 {
 			if n < 4 {
-				s.end(parts("rare"), parts(identifier.Segment(fmt.Sprint(n))))
+				s.end(parts("rare"), parts(identifier.Trait(fmt.Sprint(n))))
 			} else {
-				s.end(parts(identifier.Segment(fmt.Sprint(n))))
+				s.end(parts(identifier.Trait(fmt.Sprint(n))))
 			}
 		}
 		s.assertDecides()
@@ -297,10 +297,10 @@
 		s.assertDecides()
 		s.is.Equal(len(s.q.OnTrial(parts("a"))), 0)
 	})
-	t.Run("end with the verdict on another segment", func(t *testing.T) {
+	t.Run("end with the verdict on another trait", func(t *testing.T) {
 		s := newScene(t)
 		for n := range 3 {
-			s.end(parts("crash", identifier.Segment(fmt.Sprint(n))))
+			s.end(parts("crash", identifier.Trait(fmt.Sprint(n))))
 		}
 		s.assertDecides("crash")
 		s.is.Equal(len(s.q.OnTrial(parts("crash", "0", "1", "2"))), 0)
@@ -308,7 +308,7 @@
 }
 
 func TestOverrides(t *testing.T) {
-	t.Run("release a quarantined segment", func(t *testing.T) {
+	t.Run("release a quarantined trait", func(t *testing.T) {
 		s := newScene(t)
 		for range 3 {
 			s.end(parts("crash"))
@@ -319,7 +319,7 @@
 		s.q.Override(nil, nil)
 		s.assertQuarantined("crash", true)
 	})
-	t.Run("pin a segment without evidence", func(t *testing.T) {
+	t.Run("pin a trait without evidence", func(t *testing.T) {
 		s := newScene(t)
 		s.q.Override(nil, parts("a"))
 		s.assertQuarantined("a", true)
@@ -343,26 +343,26 @@
 		s.begun(2, "a")
 		s.end(parts("a", "b"))
 		s.begun(1, "a")
-		s.is.Equal(s.q.TakeBegun(), []quarantiner.BegunCount{{Segment: "a", Count: 3}})
+		s.is.Equal(s.q.TakeBegun(), []quarantiner.BegunCount{{Trait: "a", Count: 3}})
 		s.is.Equal(len(s.q.TakeBegun()), 0)
 	})
 	t.Run("no more than may matter", func(t *testing.T) {
 		s := newScene(t)
 		s.end(parts("a"))
-		s.is.True(s.q.AddBegun(quarantiner.BegunCount{Segment: "a", Count: 100}))
-		s.is.True(!s.q.AddBegun(quarantiner.BegunCount{Segment: "a", Count: 1}))
+		s.is.True(s.q.AddBegun(quarantiner.BegunCount{Trait: "a", Count: 100}))
+		s.is.True(!s.q.AddBegun(quarantiner.BegunCount{Trait: "a", Count: 1}))
 		s.begun(1, "a")
 		s.is.Equal(len(s.q.TakeBegun()), 0)
 	})
 }
 
 // TestOrderOfNews checks that hosts to which the same news comes in different orders
-// quarantine the same segments.
+// quarantine the same traits.
 func TestOrderOfNews(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		i := is.New(t)
 		ends := drawEnds(t)
-		var first map[identifier.Segment]bool
+		var first map[identifier.Trait]bool
 		for seed := range uint64(3) {
 			q := quarantiner.New()
 			shuffled := rand.New(rand.NewPCG(seed, seed)).Perm(len(ends))
@@ -370,9 +370,9 @@
 				q.AddEnd(ends[n], start.Add(time.Minute))
 				q.AddEnd(ends[n], start.Add(time.Minute)) // told twice
 			}
-			got := map[identifier.Segment]bool{}
+			got := map[identifier.Trait]bool{}
 			for _, v := range q.Decide(start.Add(time.Minute + settled)) {
-				got[v.Segment] = true
+				got[v.Trait] = true
 			}
 			if first == nil {
 				first = got
@@ -382,18 +382,18 @@
 	})
 }
 
-// drawEnds draws ends of engines at different times, whose calls have a crashing segment
+// drawEnds draws ends of engines at different times, whose calls have a crashing trait
 // and sound ones.
 func drawEnds(t *rapid.T) []quarantiner.End {
 	var ends []quarantiner.End
 	for n := range rapid.IntRange(0, 12).Draw(t, "ends") {
 		e := quarantiner.End{Engine: identifier.Endpoint(fmt.Sprint(n)), At: start.Add(time.Duration(n) * time.Second)}
 		for c := range rapid.IntRange(1, 3).Draw(t, "calls") {
-			segments := parts(identifier.Segment(fmt.Sprint("topic", rapid.IntRange(0, 9).Draw(t, "topic"))))
+			traits := parts(identifier.Trait(fmt.Sprint("topic", rapid.IntRange(0, 9).Draw(t, "topic"))))
 			if c == 0 && rapid.Bool().Draw(t, "crashing") {
-				segments = append(segments, "crash")
+				traits = append(traits, "crash")
 			}
-			e.Calls = append(e.Calls, quarantiner.Call{Request: identifier.Request(fmt.Sprintf("%d-%d", n, c)), Segments: segments})
+			e.Calls = append(e.Calls, quarantiner.Call{Request: identifier.Request(fmt.Sprintf("%d-%d", n, c)), Traits: traits})
 		}
 		ends = append(ends, e)
 	}
@@ -404,10 +404,10 @@
 	s := newScene(t)
 	for n := range 3_000 {
 		s.advance(time.Millisecond)
-		g := identifier.Segment(fmt.Sprint(n))
+		g := identifier.Trait(fmt.Sprint(n))
 		s.begun(1, g)
 		s.end(parts(g), parts(g+"x"))
-		s.q.Merge(quarantiner.Verdict{Segment: "v" + g, Since: s.now, LastSeen: s.now}, s.now)
+		s.q.Merge(quarantiner.Verdict{Trait: "v" + g, Since: s.now, LastSeen: s.now}, s.now)
 	}
 	s.q.Decide(s.now)
 	s.is.True(len(s.q.Verdicts(s.now)) <= 256)
--- a/quarantiner/verdict.go
+++ b/quarantiner/verdict.go
@@ -8,11 +8,11 @@
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 )
 
-// Verdict is the quarantine of a segment.
+// Verdict is the quarantine of a trait.
 type Verdict struct {
-	Segment identifier.Segment
+	Trait identifier.Trait
 	Phase   Phase
-	// Since is when the segment was quarantined, and LastSeen when a host last saw a
+	// Since is when the trait was quarantined, and LastSeen when a host last saw a
 	// request with it.
 	Since, LastSeen time.Time
 	// Ends, Requests and Begun are the evidence: engines that ended, requests that were
@@ -44,7 +44,7 @@
 			q.updateTrials(now)
 			return decided
 		}
-		q.verdicts[v.Segment] = &record{Verdict: v}
+		q.verdicts[v.Trait] = &record{Verdict: v}
 		decided = append(decided, v)
 		q.boundVerdicts()
 	}
@@ -68,7 +68,7 @@
 	order := cmp.Or(
 		cmp.Compare(c.excess(), o.excess()),
 		cmp.Compare(c.evidence.depth(), o.evidence.depth()),
-		cmp.Compare(o.segment, c.segment),
+		cmp.Compare(o.trait, c.trait),
 		cmp.Compare(o.phase, c.phase),
 	)
 	return order > 0
@@ -100,14 +100,14 @@
 		return Verdict{}, false
 	}
 	return Verdict{
-		Segment: best.segment, Phase: best.phase, Since: now, LastSeen: now,
+		Trait: best.trait, Phase: best.phase, Since: now, LastSeen: now,
 		Ends: best.evidence.ends, Requests: len(best.evidence.requests), Begun: best.begun,
 	}, true
 }
 
 // sufficient reports whether the evidence suffices for a verdict that is not in force.
 func (q *Quarantiner) sufficient(c *candidate, ends []*End, now time.Time) bool {
-	old := q.verdicts[c.segment]
+	old := q.verdicts[c.trait]
 	if old != nil {
 		return !old.active(now) && c.excess() > 0
 	}
@@ -117,15 +117,15 @@
 	return c.excess() >= minEnds+countOthers(ends, c.suspect)/othersPerEnd
 }
 
-// Merge takes over another host's verdict, and reports whether the segment was not
+// Merge takes over another host's verdict, and reports whether the trait was not
 // quarantined here.
 func (q *Quarantiner) Merge(v Verdict, now time.Time) bool {
 	if now.Sub(v.LastSeen) >= QuietTime {
 		return false
 	}
-	old := q.verdicts[v.Segment]
+	old := q.verdicts[v.Trait]
 	if old == nil || !old.active(now) {
-		q.verdicts[v.Segment] = &record{Verdict: v}
+		q.verdicts[v.Trait] = &record{Verdict: v}
 		q.undecided = true
 		q.boundVerdicts()
 		return true
@@ -141,7 +141,7 @@
 	return false
 }
 
-// boundVerdicts removes the verdict whose segment was seen least recently if there are
+// boundVerdicts removes the verdict whose trait was seen least recently if there are
 // too many.
 func (q *Quarantiner) boundVerdicts() {
 	if len(q.verdicts) <= maxVerdicts {
@@ -153,10 +153,10 @@
 			oldest = v
 		}
 	}
-	delete(q.verdicts, oldest.Segment)
+	delete(q.verdicts, oldest.Trait)
 }
 
-// Verdicts returns the quarantines in force, in the order of their segments.
+// Verdicts returns the quarantines in force, in the order of their traits.
 func (q *Quarantiner) Verdicts(now time.Time) []Verdict {
 	var all []Verdict
 	for _, v := range q.verdicts {
@@ -164,6 +164,6 @@
 			all = append(all, v.Verdict)
 		}
 	}
-	slices.SortFunc(all, func(a, b Verdict) int { return cmp.Compare(a.Segment, b.Segment) })
+	slices.SortFunc(all, func(a, b Verdict) int { return cmp.Compare(a.Trait, b.Trait) })
 	return all
 }
