--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -39,7 +39,7 @@
 	sendTimeout = time.Second
 	// joinTimeout is the timeout of a question for what another host knows.
 	joinTimeout = time.Second
-	// rejoinDelay is the time until the next question after ErrNotJoined.
+	// rejoinDelay is the time until the next question after an answer, ErrNotJoined included.
 	rejoinDelay = 500 * time.Millisecond
 	// JoinPeriod is the time between two calls of Join.
 	JoinPeriod = 50 * time.Millisecond
@@ -68,13 +68,19 @@
 	Kind peerwire.Kind
 	// RelayKey selects the relay.
 	RelayKey uint64
+	// RejoinFor is how long Join goes on asking hosts after the first answer: until all other
+	// hosts know of this one, their news doesn't reach it.
+	RejoinFor time.Duration
 }
 
 // Announcer sends one kind of news. It is safe for concurrent use.
 type Announcer struct {
 	deps Deps
-	// joining is set while another host is asked for what it knows, and from its answer on.
+	// joining is set while another host is asked for what it knows, and once none is to be asked
+	// any more.
 	joining atomic.Bool
+	// joinedAt is when the first one answered, in Unix nanoseconds; 0 before.
+	joinedAt atomic.Int64
 }
 
 // New returns an Announcer.
@@ -132,7 +138,7 @@
 }
 
 // Join lets learn ask a random host for what it knows, one at a time, until that has succeeded
-// once.
+// once, and for Deps.RejoinFor from then on.
 func (a *Announcer) Join(learn func(ctx context.Context, peer gossiper.Member) error) {
 	if a.joining.Load() {
 		return
@@ -145,16 +151,22 @@
 		ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 		defer cancel()
 		err := learn(ctx, peer)
-		if err == nil {
+		if err == nil && a.joined(time.Now()) {
 			return
 		}
-		if errors.Is(err, ErrNotJoined) {
+		if err == nil || errors.Is(err, ErrNotJoined) {
 			_ = sleeper.Sleep(ctx, rejoinDelay) // the group may end meanwhile
 		}
 		a.joining.Store(false) // the next attempt asks another host
 	})
 }
 
+// joined records an answer, and reports whether no other host is to be asked any more.
+func (a *Announcer) joined(now time.Time) bool {
+	a.joinedAt.CompareAndSwap(0, now.UnixNano())
+	return now.Sub(time.Unix(0, a.joinedAt.Load())) >= a.deps.RejoinFor
+}
+
 // ErrNotJoined is returned by functions that are passed to Join if the host that was asked
 // hasn't learned itself what others know. Hosts that start together ask each other less often
 // then.
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -59,10 +59,15 @@
 }
 
 func newAnnouncer(t *testing.T, n *network) (*announcer.Announcer, *grouper.Group) {
+	t.Helper()
+	return newAnnouncerThatRejoins(t, n, 0)
+}
+
+func newAnnouncerThatRejoins(t *testing.T, n *network, d time.Duration) (*announcer.Announcer, *grouper.Group) {
 	t.Helper()
 	g := grouper.New(t.Context())
 	t.Cleanup(g.Stop)
-	return announcer.New(announcer.Deps{Self: 1, Members: n, Links: n, Group: g, Kind: peerwire.KindLimitNews, RelayKey: 3}), g
+	return announcer.New(announcer.Deps{Self: 1, Members: n, Links: n, Group: g, Kind: peerwire.KindLimitNews, RelayKey: 3, RejoinFor: d}), g
 }
 
 func TestTell(t *testing.T) {
@@ -98,16 +103,18 @@
 	cases := []struct {
 		name        string
 		err         error
+		rejoinFor   time.Duration
 		least, most int64
 	}{
-		{"until a host has answered", nil, 1, 1},
-		{"again at once if a host can't be reached", errors.New("unreachable"), 18, 20},
-		{"less often if the others have started just now", announcer.ErrNotJoined, 2, 2},
+		{"until a host has answered", nil, 0, 1, 1},
+		{"again for a time if the others may not know of this host", nil, 400 * time.Millisecond, 2, 2},
+		{"again at once if a host can't be reached", errors.New("unreachable"), 0, 18, 20},
+		{"less often if the others have started just now", announcer.ErrNotJoined, 0, 2, 2},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				a, g := newAnnouncer(t, &network{})
+				a, g := newAnnouncerThatRejoins(t, &network{}, c.rejoinFor)
 				var asked atomic.Int64
 				for range time.Second / announcer.JoinPeriod {
 					a.Join(func(context.Context, gossiper.Member) error {
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -111,7 +111,6 @@
 	if err != nil {
 		return nil, err
 	}
-	defer c.Close()
 	a.prefillMayHold = true
 	response, err := a.engine().Prefill(ctx, connect.NewRequest(&enginewire.PrefillRequest{
 		Attempt:         wireAttempt(a.grant.Attempt),
@@ -124,10 +123,10 @@
 	}))
 	if err != nil {
 		err := a.endpointError(err, &a.prefillMayHold)
-		a.recordLoss(ctx, c, err)
+		settle(ctx, c, err)
 		return nil, err
 	}
-	c.Begun()
+	c.Prefilled()
 	a.generation.dispatcher.deps.Allocator.Progress(a.grant, allocator.PhasePrefilled)
 	return response.Msg, nil
 }
@@ -159,11 +158,8 @@
 		return err
 	}
 	a.decoding = c
-	defer c.Close()
 	err = a.receiveAll(ctx, offset)
-	if a.chunks < begunChunks {
-		a.recordLoss(ctx, c, err)
-	}
+	settle(ctx, c, err)
 	return err
 }
 
@@ -197,22 +193,13 @@
 // enter checks whether a call to the current endpoint may be sent.
 func (a *attempt) enter(ctx context.Context, p quarantiner.Phase) (*isolator.Call, error) {
 	g := a.generation
-	return g.dispatcher.deps.Isolator.Enter(ctx, g.request.ID, p, g.traits)
-}
-
-// recordLoss records that the current endpoint may have ended before it began to answer.
-func (a *attempt) recordLoss(ctx context.Context, c *isolator.Call, err error) {
-	failure := classifier.Of(err)
-	if failure == nil || ctx.Err() != nil || failure.Reason != classifier.ReasonEndpointFailed {
-		return
-	}
-	c.Lost(isolator.Engine{Name: a.endpoint.Name, Address: a.endpoint.Address})
+	return g.dispatcher.enter(ctx, g.request.Service, a.endpoint, p, g.request.ID, g.traits)
 }
 
 // promptTraits returns a trait for each prefix of whole blocks of the prompt, up to
-// quarantiner.MaxTraits.
+// quarantiner.MaxParts.
 func promptTraits(prompt string) []identifier.Trait {
-	hashes := hasher.Append(nil, prompt, quarantiner.MaxTraits)
+	hashes := hasher.Append(nil, prompt, quarantiner.MaxParts)
 	traits := make([]identifier.Trait, len(hashes))
 	for n, h := range hashes {
 		traits[n] = identifier.Trait(strconv.FormatUint(uint64(h), 16))
@@ -237,7 +224,7 @@
 	if m.GetDone() {
 		a.decodeMayHold = false
 	}
-	if m.GetDone() || a.chunks == begunChunks {
+	if a.chunks == begunChunks {
 		a.decoding.Begun()
 	}
 	return m.GetDone(), nil
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -10,6 +10,7 @@
 	"github.com/jackdawthread/jackdawthread/common/converter"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/compiler"
+	"github.com/jackdawthread/jackdawthread/quarantiner"
 	"github.com/jackdawthread/jackdawthread/wire/enginewire"
 )
 
@@ -47,7 +48,12 @@
 	if err := d.admit(r.Customer, callCost); err != nil {
 		return nil, err
 	}
-	c := &call{dispatcher: d, request: r, retries: d.budgets.newRetryState(r.Service)}
+	c := &call{
+		dispatcher: d,
+		request:    r,
+		retries:    d.budgets.newRetryState(r.Service),
+		traits:     requestTraits("call", r.Service, r.Customer, r.Payload),
+	}
 	var payload []byte
 	err := d.serveAsHome(ctx, r.ID, r.Resendable && r.Service.Repeatable, func(ctx context.Context, wait waitFunc) error {
 		var err error
@@ -67,7 +73,9 @@
 	dispatcher *Dispatcher
 	request    CallRequest
 	retries    retryState
-	excluded   []identifier.Endpoint
+	// traits are those of the request as a whole.
+	traits   []identifier.Trait
+	excluded []identifier.Endpoint
 }
 
 func (c *call) run(ctx context.Context) ([]byte, error) {
@@ -89,11 +97,18 @@
 		return nil, contextError(ctx, classifier.VerdictNotRun)
 	}
 	d := c.dispatcher
+	if err := d.deps.Isolator.Check(c.traits); err != nil {
+		return nil, err
+	}
 	e, release := d.plainPicker.pick(c.request.Service, d.deps.Leaving, c.excluded)
 	if e == nil {
 		return nil, classifier.NotRun(classifier.ReasonNoEndpoint, classifier.Jitter(noEndpointRetryAfter), "service %q has no endpoint that accepts calls", c.request.Service.Name)
 	}
 	defer release()
+	isolation, err := d.enter(ctx, c.request.Service, e, quarantiner.PhaseDecode, c.request.ID, c.traits)
+	if err != nil {
+		return nil, err
+	}
 	response, err := d.deps.Endpoints.Plain(e.Address).Invoke(ctx, connect.NewRequest(&enginewire.InvokeRequest{
 		Attempt: wireAttempt(d.newAttempt()),
 		Service: string(c.request.Service.Name),
@@ -104,7 +119,9 @@
 		c.excluded = append(c.excluded, e.Name)
 		failure := converter.FromEndpoint(err)
 		failure.Message = "endpoint " + string(e.Name) + ": " + failure.Message
+		settle(ctx, isolation, failure)
 		return nil, failure
 	}
+	isolation.Completed()
 	return response.Msg.GetPayload(), nil
 }
--- a/dispatcher/generate.go
+++ b/dispatcher/generate.go
@@ -53,7 +53,7 @@
 		started:    started,
 		response:   newResponseBuffer(r.ReceivedText, r.ReceivedTokens),
 		retries:    d.budgets.newRetryState(r.Service),
-		traits:     promptTraits(r.Prompt),
+		traits:     append(promptTraits(r.Prompt), requestTraits("generate", r.Service, r.Customer, []byte(r.Prompt))...),
 	}
 	err := d.serveAsHome(ctx, r.ID, r.Resendable, func(ctx context.Context, wait waitFunc) error {
 		return g.serve(ctx, delayFirstChunk(ctx, wait, sink))
@@ -83,7 +83,8 @@
 	started    time.Time
 	response   *responseBuffer
 	retries    retryState
-	// traits identify the leading parts of the prompt, which other prompts may share.
+	// traits are the leading parts of the prompt, which other prompts may share, and the
+	// request as a whole.
 	traits []identifier.Trait
 	// excluded are the endpoints at which an attempt of this request failed.
 	excluded []identifier.Endpoint
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -40,7 +40,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -307,12 +306,18 @@
 	f(&x.stats)
 }
 
-// Connected reports whether an idle connection to address a is open, so that the process there
-// hasn't ended.
-func (x *Exchanger) Connected(a identifier.Address) bool {
+// Idle returns the number of idle connections to address a that are open, which shows that the
+// process there hasn't ended.
+func (x *Exchanger) Idle(a identifier.Address) int {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return slices.ContainsFunc(x.idle[a], func(c *connection) bool { return socket.NothingToRead(c.conn) })
+	open := 0
+	for _, c := range x.idle[a] {
+		if socket.NothingToRead(c.conn) {
+			open++
+		}
+	}
+	return open
 }
 
 // popIdle removes and returns the most recently used idle connection to a.
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -6,12 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/fingerprinter"
+	"github.com/jackdawthread/jackdawthread/quarantiner"
 	"github.com/jackdawthread/jackdawthread/registrar"
 )
 
@@ -50,6 +52,9 @@
 	sent int
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
+	// enginesLost counts the endpoints that broke the request off before they began to
+	// answer it.
+	enginesLost int
 }
 
 func overloaded(limit int64) *classifier.Error {
@@ -94,6 +99,7 @@
 		AtMostOnce:        !route.Repeatable(),
 	}
 	e.observation.Fingerprints = e.fingerprints()
+	e.call.Traits = append(slices.Clip(parameters.Segments), quarantiner.RequestTraits(e.observation.Fingerprints)...)
 	e.call.MayWrite = e.checkQuarantine
 	f.deps.Dialect.Strip(e.call.Header)
 	if err := e.checkStop(time.Now()); err != nil {
@@ -202,13 +208,7 @@
 
 // checkQuarantine refuses a request that may end the engines that it is sent to.
 func (e *exchange) checkQuarantine() error {
-	return e.forwarder.deps.Isolator.Check(e.call.Segments)
-}
-
-// quarantined reports whether an error is a refusal of checkQuarantine, or of a call
-// whose segments are on trial.
-func quarantined(err error) bool {
-	return err != nil && classifier.Of(err).Reason == classifier.ReasonQuarantined
+	return e.forwarder.deps.Isolator.Check(e.call.Traits)
 }
 
 // serve forwards a prepared request within its deadline.
@@ -232,13 +232,13 @@
 // mayResend reports whether the request may be sent to another endpoint after a
 // failure. A nil failure stands for an endpoint's error response.
 func (e *exchange) mayResend(ctx context.Context, failure error) bool {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || quarantined(failure) {
 		return false
 	}
 	c := classifier.Of(failure)
 	if c == nil || c.Verdict != classifier.VerdictNotRun {
 		e.mayHaveRun = true
-		if !e.route.Repeatable() || e.sent >= max(1, e.route.Attempts) {
+		if !e.route.Repeatable() || e.sent >= max(1, e.route.Attempts) || e.enginesLost >= maxEnginesLost {
 			return false
 		}
 		return e.forwarder.deps.Budget.Take(e.service.Name)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -110,6 +110,9 @@
 // Call is a validated request to be sent to endpoints.
 type Call struct {
 	RequestParameters
+	// Traits are what the request has in common with others that may end endpoints: the
+	// shared parts of its prompt, and all of it.
+	Traits []identifier.Trait
 	Method string
 	// Target is the request target in origin form, as the caller sent it.
 	Target string
--- a/forwarder/observation.go
+++ b/forwarder/observation.go
@@ -90,7 +90,7 @@
 		fields = append(fields, zap.String("endpoint", string(at.Name)))
 	}
 	if err != nil {
-		fields = append(fields, zap.String("fingerprint", string(e.observation.Fingerprints.Request)), zap.Error(err))
+		fields = append(fields, zap.Error(err), zap.String("fingerprint", string(e.observation.Fingerprints.Request)))
 	}
 	e.forwarder.deps.Log.Info(event, append(fields, more...)...)
 }
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -13,6 +13,7 @@
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/exchanger"
 	"github.com/jackdawthread/jackdawthread/placer"
+	"github.com/jackdawthread/jackdawthread/quarantiner"
 	"github.com/jackdawthread/jackdawthread/registrar"
 )
 
@@ -70,6 +71,7 @@
 				return
 			}
 			last = moreInformative(last, a)
+			e.countLost(brokenOff(a.err))
 			if ctx.Err() == nil && e.mayResend(ctx, a.err) {
 				e.logDecision("request-retried", a.endpoint, a.err, zap.Int("status", a.status))
 				if err := start(e.choosePlain); err != nil && outstanding == 0 && last.err != nil {
@@ -124,7 +126,7 @@
 // hedge sends the call to a second endpoint if the attempts and the retry budget
 // allow it.
 func (e *exchange) hedge(ctx context.Context, start func() *classifier.Error) {
-	if e.sent >= e.route.Attempts || !e.forwarder.deps.Budget.Take(e.service.Name) {
+	if e.sent >= e.route.Attempts || e.forwarder.deps.Isolator.OnTrial(e.call.Traits) || !e.forwarder.deps.Budget.Take(e.service.Name) {
 		return
 	}
 	if err := start(); err != nil {
@@ -152,7 +154,7 @@
 	e.exclude = append(e.exclude, endpoint.Name)
 	f.deps.Placer.Begin(endpoint, placer.Size{})
 	f.deps.Group.Run(func(context.Context) {
-		a := f.call(ctx, endpoint, &e.call)
+		a := e.callIsolated(ctx, endpoint)
 		f.deps.Limits.Drop(endpoint, e.call.ID)
 		f.deps.Placer.End(endpoint, placer.Size{})
 		f.recordOutcome(endpoint, plainOutcome(ctx, a, time.Since(now)))
@@ -161,6 +163,21 @@
 	return nil
 }
 
+// callIsolated sends the call to an endpoint unless the request is quarantined.
+func (e *exchange) callIsolated(ctx context.Context, at *registrar.Endpoint) *endpointResponse {
+	c, err := e.enter(ctx, at, quarantiner.PhaseDecode)
+	if err != nil {
+		return &endpointResponse{endpoint: at, err: err}
+	}
+	a := e.forwarder.call(ctx, at, &e.call)
+	if a.err == nil {
+		c.Completed()
+		return a
+	}
+	settle(ctx, c, a.err)
+	return a
+}
+
 // usableEndpoints returns the currently registered endpoints of the service that
 // may get new calls.
 func (e *exchange) usableEndpoints() []*registrar.Endpoint {
--- a/forwarder/plain_stream.go
+++ b/forwarder/plain_stream.go
@@ -5,6 +5,7 @@
 
 	"github.com/jackdawthread/jackdawthread/exchanger"
 	"github.com/jackdawthread/jackdawthread/placer"
+	"github.com/jackdawthread/jackdawthread/quarantiner"
 )
 
 // relayPlainStream handles a streaming request to a plain service. It makes a
@@ -28,10 +29,17 @@
 	s.sent++
 	s.observation.addAttempt(at)
 	f.deps.Placer.Begin(at, placer.Size{})
-	c := s.callEndpoint(ctx, at, func(ctx context.Context) (*exchanger.Response, error) {
+	d := &decoding{}
+	d.call = s.callEndpoint(ctx, at, func(ctx context.Context) (*exchanger.Response, error) {
+		c, err := s.enter(ctx, at, quarantiner.PhaseDecode)
+		if err != nil {
+			return nil, err
+		}
+		d.isolation = c
 		return f.deps.Endpoints.Forward(ctx, at, &s.call)
 	})
-	_, err := s.follow(ctx, &decoding{call: c}, newMover(false, c.started, noTimeout))
+	_, err := s.follow(ctx, d, newMover(false, d.call.started, noTimeout))
+	settle(ctx, d.isolation, err)
 	o := placer.Outcome{Verdict: placer.VerdictSuccess}
 	if err != nil {
 		o = engineOutcome(ctx, err, 0)
--- a/forwarder/prefill.go
+++ b/forwarder/prefill.go
@@ -222,21 +222,17 @@
 
 // callPrefill sends a prefill unless the request is quarantined.
 func (s *stream) callPrefill(ctx context.Context, at *registrar.Endpoint) prefillEnd {
-	c, err := s.forwarder.deps.Isolator.Enter(ctx, s.call.ID, quarantiner.PhasePrefill, s.call.Segments)
+	c, err := s.enter(ctx, at, quarantiner.PhasePrefill)
 	if err != nil {
 		return prefillEnd{err: err}
 	}
-	defer c.Close()
 	result, err := s.forwarder.deps.Engines.Prefill(ctx, at, &s.call)
-	end := prefillEnd{result: result, err: err}
-	switch {
-	case err == nil:
-		c.Begun()
-	case ctx.Err() == nil:
-		end.engineLost = brokenOff(err)
-		recordEnd(c, at, err)
+	if err == nil {
+		c.Prefilled()
+		return prefillEnd{result: result}
 	}
-	return end
+	settle(ctx, c, err)
+	return prefillEnd{err: err, engineLost: ctx.Err() == nil && brokenOff(err)}
 }
 
 // recordPrefill records the end of a prefill call.
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -312,7 +312,7 @@
 
 // complete ends a stream that was forwarded as a whole.
 func (s *stream) complete(d *decoding) {
-	d.isolation.Begun()
+	d.isolation.Completed()
 	s.observation.RespondedBy = d.call.at.Name
 	if !s.headWritten {
 		s.writeHead(d.response.Status, d.response.Header)
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -28,9 +28,6 @@
 	firstEventFactor   = 3
 	// maxPlacements is the maximum number of times that a request is placed.
 	maxPlacements = 6
-	// maxEnginesLost is the number of engines that may end under a request before they
-	// begin to answer it. It isn't sent to another one then.
-	maxEnginesLost = 2
 )
 
 // stream is an exchange whose response is an event stream.
@@ -58,9 +55,6 @@
 	// engineFailure is an engine's error response, returned to the caller if
 	// all further attempts fail.
 	engineFailure *endpointResponse
-	// enginesLost counts the engines that broke the request off before they began to
-	// answer it.
-	enginesLost int
 }
 
 // generate handles a streaming request to a model service.
@@ -209,7 +203,7 @@
 	options := DecodeOptions{Prefill: p.result, Reservation: p.plan.Reservation, LastEvent: s.lastEventID}
 	d := &decoding{preparation: p, resumed: s.lastEventID != ""}
 	d.call = s.callEndpoint(ctx, at, func(ctx context.Context) (*exchanger.Response, error) {
-		c, err := f.deps.Isolator.Enter(ctx, s.call.ID, quarantiner.PhaseDecode, s.call.Segments)
+		c, err := s.enter(ctx, at, quarantiner.PhaseDecode)
 		if err != nil {
 			return nil, err
 		}
@@ -240,7 +234,7 @@
 func (s *stream) recordFailedDecode(ctx context.Context, d *decoding, err error) {
 	if err != nil && ctx.Err() == nil {
 		s.logDecision("decode-failed", d.call.at, err, zap.Int64("started", d.call.at.StartID),
-			zap.Int("events", d.events), zap.Strings("traits", identifier.TraitStrings(s.call.Segments)))
+			zap.Int("events", d.events), zap.Strings("traits", identifier.TraitStrings(s.call.Traits)))
 	}
 	if quarantined(err) { // nothing was sent
 		d.isolation.Close()
@@ -248,61 +242,18 @@
 		s.release(d.preparation)
 		return
 	}
-	s.recordLoss(ctx, d, err)
+	s.countLost(ctx.Err() == nil && d.events < begunEvents && brokenOff(err))
+	settle(ctx, d.isolation, err)
 	s.exclude = append(s.exclude, d.call.at.Name)
 	o := s.failedDecode(ctx, d.preparation, err)
 	o.EventInterval = d.eventInterval()
 	s.forwarder.deps.Reservations.RecordOutcome(d.plan, o)
 }
 
-// recordLoss records whether the engine may have ended before it began to answer.
-func (s *stream) recordLoss(ctx context.Context, d *decoding, err error) {
-	unanswered := ctx.Err() == nil && d.events < begunEvents
-	s.countLost(unanswered && brokenOff(err))
-	if unanswered {
-		recordEnd(d.isolation, d.call.at, err)
-	}
-	d.isolation.Close()
-}
-
-// recordEnd records at the isolator that a call failed before the engine began to answer, which
-// may be the engine's end.
-func recordEnd(c *isolator.Call, at *registrar.Endpoint, err error) {
-	switch {
-	case brokenOff(err):
-		c.Lost(engineOf(at))
-	case answeredWrongly(err):
-		c.Wrong(engineOf(at))
-	}
-}
-
 // begunEvents is the number of events from which on an engine has begun to answer. One
 // that the request ends may still have sent the first.
 const begunEvents = 2
 
-func (s *stream) countLost(lost bool) {
-	if lost {
-		s.enginesLost++
-	}
-}
-
-// brokenOff reports whether a call failed since its connection ended, which may be the
-// end of its engine.
-func brokenOff(err error) bool {
-	c := classifier.Of(err)
-	return c != nil && c.Reason == classifier.ReasonEndpointFailed && c.Verdict != classifier.VerdictRan && c.Cause != nil
-}
-
-// answeredWrongly reports whether an engine's answer was an error, or failed a check.
-func answeredWrongly(err error) bool {
-	c := classifier.Of(err)
-	return c != nil && c.Reason == classifier.ReasonEndpointFailed
-}
-
-func engineOf(e *registrar.Endpoint) isolator.Engine {
-	return isolator.Engine{Name: e.Name, Address: e.Address, StartID: e.StartID}
-}
-
 // failedDecode returns the outcome of a decode that did not complete the stream; a nil
 // error means that the stream was moved. If the engine refused the decode although
 // capacity was reserved, it could not fetch the prefill's result.
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -40,6 +40,7 @@
 	"github.com/jackdawthread/jackdawthread/messenger"
 	"github.com/jackdawthread/jackdawthread/peerwire"
 	"github.com/jackdawthread/jackdawthread/placer"
+	"github.com/jackdawthread/jackdawthread/quarantiner"
 	"github.com/jackdawthread/jackdawthread/rationer"
 	"github.com/jackdawthread/jackdawthread/registrar"
 	"github.com/jackdawthread/jackdawthread/replicator"
@@ -250,15 +251,16 @@
 	h.rationer.Register(h.messenger)
 	h.deps.Platform.Intercept(h.interceptor, h.rationer)
 	h.isolator = isolator.New(isolator.Deps{
-		Self:       h.incarnation,
-		Members:    h.gossiper,
-		Links:      h.messenger,
-		Connect:    h.deps.Platform.Exchanger().Probe,
-		Connected:  h.deps.Platform.Exchanger().Connected,
-		Registered: h.registered,
-		Timer:      h.timer,
-		Group:      h.group,
-		Log:        h.log,
+		Self:         h.incarnation,
+		Members:      h.gossiper,
+		Links:        h.messenger,
+		Connect:      h.deps.Platform.Exchanger().Probe,
+		Idle:         h.deps.Platform.Exchanger().Idle,
+		Registered:   h.registered,
+		Alternatives: h.alternatives,
+		Timer:        h.timer,
+		Group:        h.group,
+		Log:          h.log,
 	})
 	h.isolator.Override(s.Quarantine.Released, s.Quarantine.Pinned)
 	h.isolator.Register(h.messenger)
@@ -415,6 +417,19 @@
 	return r != nil && r.StartID == e.StartID && r.Address == e.Address
 }
 
+// alternatives returns the registered endpoints that may get the same calls as e. A plain endpoint
+// has no stage.
+func (h *Host) alternatives(e isolator.Engine, p quarantiner.Phase) []isolator.Engine {
+	var all []isolator.Engine
+	for _, r := range h.registry.Snapshot().Endpoints(e.Service) {
+		prefills := r.Stage == registrar.StagePrefill
+		if prefills == (p == quarantiner.PhasePrefill) {
+			all = append(all, forwarder.EngineOf(r))
+		}
+	}
+	return all
+}
+
 // knowledge returns how current this host's copy of the store is.
 func (h *Host) knowledge() reserver.Knowledge {
 	r := h.replicator.Load()
--- a/isolator/call.go
+++ b/isolator/call.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"sync"
+	"errors"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,172 +14,234 @@
 	"github.com/jackdawthread/jackdawthread/quarantiner"
 )
 
-// Call is a call to an engine that hasn't begun to answer it. Its methods may be called
-// in any order and more than once; what comes after the first Begun, Lost, Wrong or Close has no
-// effect. A nil *Call has no effect either.
+// Call is a call to an endpoint. Settle, or another method that records its end, must follow;
+// what comes after the first of them has no effect. A nil *Call has no effect either.
 type Call struct {
 	isolator *Isolator
+	at       Engine
 	phase    quarantiner.Phase
-	call     quarantiner.Call
-	// onTrial are the traits whose trial the call is.
-	onTrial []identifier.Trait
-	settled sync.Once
+	request  identifier.Request
+	// parts are the parts of the prompt that other requests may share, and wholes the traits
+	// of the request as a whole.
+	parts, wholes []identifier.Trait
+	// trial is the call's trial; nil if none of its traits is on trial.
+	trial *trial
+	// examined is closed once it is known whether the endpoint has ended.
+	examined chan struct{}
+
+	// begun is set once the engine has begun to answer, and settled at the call's end. The
+	// isolator's mutex guards them.
+	begun, settled bool
 }
 
-// Enter returns a call that may be sent now. If a trait of the prompt is on trial, it
-// waits until no other call of this host is. Its error has the verdict not-run.
-func (i *Isolator) Enter(ctx context.Context, request identifier.Request, p quarantiner.Phase, traits []identifier.Trait) (*Call, error) {
+// Enter returns a call that may be sent now. If a trait of the request is on trial, it waits until
+// no other call with it is under way. Its error has the verdict not-run.
+func (i *Isolator) Enter(ctx context.Context, at Engine, p quarantiner.Phase, request identifier.Request, traits []identifier.Trait) (*Call, error) {
 	if i == nil || len(traits) == 0 {
 		return nil, nil
 	}
-	c := &Call{isolator: i, phase: p, call: quarantiner.Call{Request: request, Traits: traits}}
-	timeout := time.NewTimer(trialWait)
-	defer timeout.Stop()
-	for {
-		if err := i.Check(traits); err != nil {
-			return nil, err
-		}
-		ended, entered := i.tryEnter(c)
-		if entered {
-			return c, nil
-		}
-		select {
-		case <-ended:
-		case <-timeout.C:
-			return nil, i.refuseTrial(request)
-		case <-ctx.Done():
-			return nil, classifier.NotRun(classifier.ReasonCanceled, 0, "canceled before the call was sent: %w", context.Cause(ctx))
+	c := &Call{isolator: i, at: at, phase: p, request: request, examined: make(chan struct{})}
+	for _, t := range traits {
+		if quarantiner.IsRequest(t) {
+			c.wholes = append(c.wholes, t)
+		} else {
+			c.parts = append(c.parts, t)
 		}
 	}
+	if err := i.beginTrial(ctx, c, traits); err != nil {
+		return nil, err
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.underWay[at.Name]++
+	return c, nil
 }
 
-// tryEnter begins the trial of a call's traits, if there are any. If it can't, it
-// returns a channel that is closed when another trial has ended.
-func (i *Isolator) tryEnter(c *Call) (ended <-chan struct{}, entered bool) {
+// Begun records that the engine has begun to answer, which spares the parts of the prompt.
+func (c *Call) Begun() {
+	if c == nil {
+		return
+	}
+	i := c.isolator
 	i.mu.Lock()
-	defer i.mu.Unlock()
-	onTrial := i.quarantiner.OnTrial(c.call.Traits)
-	for _, g := range onTrial {
-		if i.trials[g] {
-			return i.trialEnded, false
-		}
+	first := !c.begun && !c.settled
+	if first {
+		c.begun = true
+		i.quarantiner.Begun(c.phase, c.parts, time.Now())
 	}
-	for _, g := range onTrial {
-		i.trials[g] = true
+	i.mu.Unlock()
+	if first {
+		c.trial.endParts()
 	}
-	c.onTrial = onTrial
-	return nil, true
 }
 
-func (i *Isolator) refuseTrial(request identifier.Request) error {
-	i.mu.Lock()
-	i.stats.HeldBack++
-	i.mu.Unlock()
-	i.deps.Log.Info("trial-refused", zap.String("request", string(request)))
-	return classifier.NotRun(classifier.ReasonQuarantined, classifier.Jitter(trialRetryAfter), "a trait of the prompt may end engines, and another request with it is under way")
+// Settle records the end of the call. The context is the caller's: if it has ended, this host
+// has broken the call off.
+func (c *Call) Settle(ctx context.Context, err error) {
+	failure := classifier.Of(err)
+	switch {
+	case err == nil:
+		c.Completed()
+	case ctx.Err() != nil:
+		c.Close()
+	case errors.Is(err, syscall.ECONNREFUSED):
+		c.Unreachable()
+	case failure.Reason != classifier.ReasonEndpointFailed:
+		c.Close()
+	case failure.Verdict != classifier.VerdictRan && failure.Cause != nil:
+		c.Lost()
+	default:
+		c.Wrong()
+	}
 }
 
-// endTrial ends the trial of the call's traits.
-func (c *Call) endTrial() {
-	i := c.isolator
-	if len(c.onTrial) == 0 {
-		return
+// settle reports whether this is the call's end. It was under way at its endpoint until now.
+func (c *Call) settle() bool {
+	if c == nil {
+		return false
 	}
+	i := c.isolator
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	for _, g := range c.onTrial {
-		delete(i.trials, g)
+	if c.settled {
+		return false
 	}
-	close(i.trialEnded)
-	i.trialEnded = make(chan struct{})
+	c.settled = true
+	i.underWay[c.at.Name]--
+	if i.underWay[c.at.Name] <= 0 {
+		delete(i.underWay, c.at.Name)
+	}
+	return true
 }
 
-// Begun records that the engine has begun to answer.
-func (c *Call) Begun() {
-	if c == nil {
+// Completed records that the answer was complete. If the endpoint goes on, it has spared the
+// request.
+func (c *Call) Completed() {
+	c.Begun()
+	if c.settle() {
+		c.isolator.await(c, true)
+	}
+}
+
+// Prefilled records that the engine has processed the prompt, which spares its parts.
+func (c *Call) Prefilled() {
+	c.Begun()
+	if c.settle() {
+		c.isolator.await(c, false)
+	}
+}
+
+// Close records that the call has ended in another way, such as canceled or refused. If its endpoint
+// ends within a short time, the call is part of that.
+func (c *Call) Close() {
+	if c.settle() {
+		c.isolator.await(c, false)
+	}
+}
+
+// Unreachable records that the endpoint refused the connection, so that it has ended before.
+func (c *Call) Unreachable() {
+	if !c.settle() {
 		return
 	}
-	c.settled.Do(func() {
-		i := c.isolator
-		i.mu.Lock()
-		i.quarantiner.Begun(c.phase, c.call.Traits, time.Now())
-		i.mu.Unlock()
-		c.endTrial()
-	})
+	c.trial.end()
+	c.isolator.reportEnd(quarantiner.End{Service: c.at.Service, Engine: c.at.Name, StartID: c.at.StartID, Phase: c.phase, At: time.Now()})
 }
 
-// Lost records that the engine broke the call off before it began to answer. If the
-// engine turns out to have ended, the call is part of that end.
-func (c *Call) Lost(e Engine) {
-	if c == nil {
+// Lost records that the endpoint broke the call off. If it turns out to have ended, the call
+// is part of that end.
+func (c *Call) Lost() {
+	if !c.settle() {
 		return
 	}
-	c.settled.Do(func() {
-		at := time.Now()
-		c.isolator.deps.Group.Run(func(ctx context.Context) { c.examine(ctx, e, at) })
-	})
+	at := time.Now()
+	c.isolator.deps.Group.Run(func(ctx context.Context) { c.examine(ctx, at) })
 }
 
-// Wrong records that the engine's answer was wrong, as from the head on, or an error. If the
-// engine has ended after it, the call is part of that end.
-func (c *Call) Wrong(e Engine) {
+// Wrong records that the endpoint's answer was wrong, as from the head on, or an error. If
+// the endpoint has ended after it, the call is part of that end.
+func (c *Call) Wrong() {
+	if !c.settle() {
+		return
+	}
+	at := time.Now()
+	c.isolator.deps.Group.Run(func(ctx context.Context) { c.examineAnswered(ctx, at) })
+}
+
+// AwaitExamined waits, for a short time, until it is known whether the endpoint of a lost call has
+// ended. A retry then knows what is on trial.
+func (c *Call) AwaitExamined(ctx context.Context) {
 	if c == nil {
 		return
 	}
-	c.settled.Do(func() {
-		at := time.Now()
-		c.isolator.deps.Group.Run(func(ctx context.Context) { c.examineAnswered(ctx, e, at) })
-	})
+	timeout := time.NewTimer(examinedTimeout)
+	defer timeout.Stop()
+	select {
+	case <-c.examined:
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
 }
 
-// examineAnswered finds out whether the engine of a wrong answer has ended. Most haven't, so
+// examineAnswered finds out whether the endpoint of a wrong answer has ended. Most haven't, so
 // that no connection is opened if one is still open.
-func (c *Call) examineAnswered(ctx context.Context, e Engine, at time.Time) {
-	connected := c.isolator.deps.Connected
-	if sleeper.Sleep(ctx, wrongAnswerDelay) != nil || connected != nil && connected(e.Address) {
-		c.endTrial()
+func (c *Call) examineAnswered(ctx context.Context, at time.Time) {
+	if sleeper.Sleep(ctx, wrongAnswerDelay) != nil || c.isolator.connected(c.at) {
+		close(c.examined)
+		c.trial.end()
 		return
 	}
-	c.examine(ctx, e, at)
+	c.examine(ctx, at)
 }
 
-// examine finds out whether the engine of a lost call has ended. If its address refuses
+// examine finds out whether the endpoint of a lost call has ended. If its address refuses
 // connections, the trial goes on until the evidence has settled; else it ends.
-func (c *Call) examine(ctx context.Context, e Engine, at time.Time) {
-	if c.isolator.refuses(ctx, e) {
-		c.reportEnd(e, at, "connection-refused")
-		c.isolator.deps.Timer.After(lostTrialTime, func(time.Time) { c.endTrial() })
+func (c *Call) examine(ctx context.Context, at time.Time) {
+	refuses := c.isolator.refuses(ctx, c.at)
+	if refuses {
+		c.reportEnd(at, "connection-refused")
+	}
+	close(c.examined)
+	if refuses {
 		return
 	}
-	c.endTrial()
-	if !c.isolator.awaitRemoval(ctx, e) {
-		c.isolator.deps.Log.Info("engine-end-not-confirmed", c.logFields(e, at)...)
+	c.trial.end()
+	if !c.isolator.awaitRemoval(ctx, c.at) {
+		c.isolator.deps.Log.Info("engine-end-not-confirmed", c.logFields(at)...)
 		return
 	}
-	c.reportEnd(e, at, "not-registered")
+	c.reportEnd(at, "not-registered")
 }
 
-// reportEnd reports that the engine has ended at a time, as the evidence shows.
-func (c *Call) reportEnd(e Engine, at time.Time, evidence string) {
-	c.isolator.deps.Log.Warn("engine-ended-under-request", append(c.logFields(e, at), zap.String("evidence", evidence))...)
-	c.isolator.reportEnd(quarantiner.End{Engine: e.Name, StartID: e.StartID, Phase: c.phase, At: at, Calls: []quarantiner.Call{c.call}})
+// suspects returns the traits that may be why the endpoint has ended.
+func (c *Call) suspects() []identifier.Trait {
+	c.isolator.mu.Lock()
+	defer c.isolator.mu.Unlock()
+	if c.begun {
+		return c.wholes
+	}
+	return append(c.parts[:len(c.parts):len(c.parts)], c.wholes...)
+}
+
+// reportEnd reports that the endpoint has ended at a time, as the evidence shows. The trial goes on
+// until a verdict can have been made.
+func (c *Call) reportEnd(at time.Time, evidence string) {
+	i := c.isolator
+	i.deps.Log.Warn("engine-ended-under-request", append(c.logFields(at), zap.String("evidence", evidence))...)
+	i.reportEnd(quarantiner.End{
+		Service: c.at.Service, Engine: c.at.Name, StartID: c.at.StartID, Phase: c.phase, At: at,
+		Calls: []quarantiner.Call{{Request: c.request, Traits: c.suspects()}},
+	})
+	i.deps.Timer.After(lostTrialTime, func(time.Time) { c.trial.end() })
 }
 
-func (c *Call) logFields(e Engine, at time.Time) []zap.Field {
+func (c *Call) logFields(at time.Time) []zap.Field {
 	return []zap.Field{
-		zap.String("request", string(c.call.Request)),
-		zap.String("endpoint", string(e.Name)),
-		zap.Int64("started", e.StartID),
+		zap.String("request", string(c.request)),
+		zap.String("endpoint", string(c.at.Name)),
+		zap.Int64("started", c.at.StartID),
 		zap.Stringer("phase", c.phase),
 		zap.Duration("age", time.Since(at)),
-		zap.Strings("traits", identifier.TraitStrings(c.call.Traits)),
-	}
-}
-
-// Close records that the call has ended in another way.
-func (c *Call) Close() {
-	if c == nil {
-		return
+		zap.Strings("traits", identifier.TraitStrings(c.suspects())),
 	}
-	c.settled.Do(c.endTrial)
 }
--- a/isolator/codec.go
+++ b/isolator/codec.go
@@ -37,7 +37,7 @@
 }
 
 func encodeEnd(e quarantiner.End, now time.Time) peerwire.EngineEnd {
-	m := peerwire.EngineEnd{Engine: string(e.Engine), StartID: e.StartID, Phase: uint8(e.Phase), AgeMs: now.Sub(e.At).Milliseconds()}
+	m := peerwire.EngineEnd{Service: string(e.Service), Engine: string(e.Engine), StartID: e.StartID, Phase: uint8(e.Phase), AgeMs: now.Sub(e.At).Milliseconds()}
 	for _, c := range e.Calls {
 		m.Calls = append(m.Calls, peerwire.BrokenCall{Request: string(c.Request), Traits: identifier.TraitStrings(c.Traits)})
 	}
@@ -78,11 +78,11 @@
 }
 
 func decodeEnd(m peerwire.EngineEnd, now time.Time) (quarantiner.End, error) {
-	if len(m.Engine) > maxNameBytes || !validPhase(m.Phase) || len(m.Calls) > maxEntries {
+	if len(m.Service) > maxNameBytes || len(m.Engine) > maxNameBytes || !validPhase(m.Phase) || len(m.Calls) > maxEntries {
 		return quarantiner.End{}, malformed("engine end")
 	}
 	e := quarantiner.End{
-		Engine: identifier.Endpoint(m.Engine), StartID: m.StartID, Phase: quarantiner.Phase(m.Phase), At: before(now, m.AgeMs),
+		Service: identifier.Service(m.Service), Engine: identifier.Endpoint(m.Engine), StartID: m.StartID, Phase: quarantiner.Phase(m.Phase), At: before(now, m.AgeMs),
 	}
 	for _, c := range m.Calls {
 		if len(c.Request) > maxNameBytes || len(c.Traits) > quarantiner.MaxTraits {
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -1,23 +1,28 @@
-// Package isolator keeps requests that end model engines away from them. It connects
-// package quarantiner, which decides, to the calls of this host and to other hosts.
+// Package isolator keeps requests that end endpoints away from them. It connects package
+// quarantiner, which decides, to the calls of this host and to other hosts.
 //
 // # Usage
 //
 //	i := isolator.New(isolator.Deps{...})
 //	i.Register(messenger)
 //	if err := i.Check(traits); err != nil { ... } // at arrival and before each send
-//	c, err := i.Enter(ctx, request, quarantiner.PhaseDecode, traits) // before a call
-//	defer c.Close()
-//	c.Begun()       // the engine has begun to answer
-//	c.Lost(engine)  // or it broke the call off before
-//	c.Wrong(engine) // or its answer was wrong
+//	c, err := i.Enter(ctx, endpoint, quarantiner.PhaseDecode, request, traits) // before a call
+//	c.Begun()          // an engine has begun to answer
+//	c.Settle(ctx, err) // the call has ended
 //
-// # What counts as the end of an engine
+// # What counts as the end of an endpoint
 //
-// A broken call alone is none: a connection may have been reset, or the run may have
-// failed. Neither is a wrong answer, after which an engine may end as well. The engine must refuse connections, or its incarnation must no longer be
-// registered a short time later. An engine that can't be reached isn't known to have
-// ended.
+// A broken call alone is none: a connection may have been reset, or the run may have failed.
+// Neither is a wrong answer, or a complete one, after which an endpoint may end as well. The endpoint
+// must refuse connections, or its incarnation must no longer be registered a short time later.
+// An endpoint that can't be reached isn't known to have ended. A call whose answer was complete is
+// part of an end that follows within a short time, whichever call or host finds out.
+//
+// # Trials
+//
+// Until a verdict, a request under which endpoints have ended is sent to one endpoint at a time by
+// all hosts together: the host that the trait's hash selects coordinates that. It isn't sent
+// to the last endpoint of its service that is left.
 //
 // # Other hosts
 //
@@ -57,20 +62,18 @@
 	removalCheckPeriod = 100 * time.Millisecond
 	// wrongAnswerDelay is the time in which an engine ends after a wrong answer, if it does.
 	wrongAnswerDelay = 50 * time.Millisecond
-	// trialWait is how long a request on trial waits for its turn.
-	trialWait = 150 * time.Millisecond
-	// lostTrialTime is how long a trial goes on after the end of its engine, so that a
-	// verdict can be made before the next trial.
-	lostTrialTime = quarantiner.SettleTime + 2*decidePeriod
-	// trialRetryAfter is the Retry-After hint of a request whose turn didn't come.
-	trialRetryAfter = time.Second
+	// rejoinTime is how long a host that starts asks others for what they know.
+	rejoinTime = 4 * time.Second
+	// examinedTimeout is how long a retry waits for what is known of the end before it.
+	examinedTimeout = 50 * time.Millisecond
 	// quarantineRetryAfter is the Retry-After hint of a quarantined request. The
 	// quarantine lasts longer while such requests come.
 	quarantineRetryAfter = quarantiner.QuietTime
 )
 
-// Engine is an incarnation of an engine.
+// Engine is an incarnation of an endpoint.
 type Engine struct {
+	Service identifier.Service
 	Name    identifier.Endpoint
 	Address identifier.Address
 	// StartID identifies the incarnation; 0 if unknown.
@@ -84,9 +87,12 @@
 	Links   announcer.Links
 	// Connect opens a connection to an address, and closes or keeps it.
 	Connect func(ctx context.Context, a identifier.Address) error
-	// Connected reports whether an open connection shows that the process at an address
-	// hasn't ended. It is optional.
-	Connected func(a identifier.Address) bool
+	// Idle returns the number of idle connections to an address that are open. It is optional:
+	// without it, only news and calls on trial tell of an end after a complete answer.
+	Idle func(a identifier.Address) int
+	// Alternatives returns the registered endpoints that may get the same calls as e, itself
+	// included. It is optional.
+	Alternatives func(e Engine, p quarantiner.Phase) []Engine
 	// Registered reports whether the incarnation is still the one registered under its
 	// name.
 	Registered func(e Engine) bool
@@ -102,12 +108,18 @@
 
 	mu          sync.Mutex
 	quarantiner *quarantiner.Quarantiner
-	// trials are the calls with a trait on trial that are under way, and trialEnded is
-	// closed and replaced whenever one of them ends.
+	// trials are the traits on trial that a call of this host has, and trialEnded is closed
+	// and replaced whenever one of the trials ends.
 	trials     map[identifier.Trait]bool
 	trialEnded chan struct{}
-	stats      Stats
-	refused    map[identifier.Trait]uint64
+	// leases are the trials that this host coordinates.
+	leases map[identifier.Trait]lease
+	// underWay counts the calls under way, and answered has those that have ended a short time
+	// ago.
+	underWay map[identifier.Endpoint]int
+	answered []answered
+	stats    Stats
+	refused  map[identifier.Trait]uint64
 
 	announcer *announcer.Announcer
 }
@@ -119,13 +131,18 @@
 		quarantiner: quarantiner.New(),
 		trials:      map[identifier.Trait]bool{},
 		trialEnded:  make(chan struct{}),
+		leases:      map[identifier.Trait]lease{},
+		underWay:    map[identifier.Endpoint]int{},
 		refused:     map[identifier.Trait]uint64{},
 		announcer: announcer.New(announcer.Deps{
 			Self: d.Self, Members: d.Members, Links: d.Links, Group: d.Group,
-			Kind: peerwire.KindCrashNews, RelayKey: relayKey,
+			Kind: peerwire.KindCrashNews, RelayKey: relayKey, RejoinFor: rejoinTime,
 		}),
 	}
-	d.Timer.Every(decidePeriod, i.decide)
+	d.Timer.Every(decidePeriod, func(now time.Time) {
+		i.settleAnswered(now)
+		i.decide(now)
+	})
 	d.Timer.Every(updatePeriod, i.update)
 	d.Timer.Every(announcer.JoinPeriod, func(time.Time) { i.announcer.Join(i.learnFrom) })
 	d.Timer.Every(announcer.SharePeriod, i.share)
@@ -154,7 +171,17 @@
 	}
 	i.stats.Refused++
 	i.refused[g]++
-	return classifier.NotRun(classifier.ReasonQuarantined, quarantineRetryAfter, "trait %q of the prompt is quarantined, as engines ended when they began to answer requests with it", g)
+	return classifier.NotRun(classifier.ReasonQuarantined, quarantineRetryAfter, "trait %q of the request is quarantined, as endpoints ended under requests with it", g)
+}
+
+// OnTrial reports whether a trait of a request may turn out to end endpoints.
+func (i *Isolator) OnTrial(traits []identifier.Trait) bool {
+	if i == nil {
+		return false
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return len(i.quarantiner.OnTrial(traits)) > 0
 }
 
 // decide makes the verdicts that are due, and tells other hosts.
@@ -188,6 +215,7 @@
 func (i *Isolator) update(now time.Time) {
 	i.mu.Lock()
 	lapsed := i.quarantiner.Update(now)
+	i.dropLeases(now)
 	for _, g := range lapsed {
 		delete(i.refused, g)
 	}
@@ -197,7 +225,7 @@
 	}
 }
 
-// reportEnd records and tells that an engine has ended before it began to answer a call.
+// reportEnd records and tells that an endpoint has ended.
 func (i *Isolator) reportEnd(e quarantiner.End) {
 	i.mu.Lock()
 	isNews := i.quarantiner.AddEnd(e, time.Now())
@@ -210,6 +238,11 @@
 	}
 }
 
+// connected reports whether an open connection shows that the endpoint hasn't ended.
+func (i *Isolator) connected(e Engine) bool {
+	return i.deps.Idle != nil && i.deps.Idle(e.Address) > 0
+}
+
 // refuses reports whether the engine's address refuses connections.
 func (i *Isolator) refuses(ctx context.Context, e Engine) bool {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -31,26 +31,32 @@
 type host struct {
 	*isolator.Isolator
 	is *is.I
-	// handle is the handler of messages from other hosts.
-	handle messenger.Handler
+	// handlers are those of messages from other hosts.
+	handlers map[peerwire.Kind]messenger.Handler
 
 	mu sync.Mutex
-	// connect is the result of connections to engines, and connected whether one is open.
-	connect   error
-	connected bool
-	gone      []identifier.Endpoint
+	// connect is the result of connections to engines, and open the number of idle ones that
+	// are open.
+	connect error
+	open    int
+	gone    []identifier.Endpoint
 }
 
 // View implements isolator.Members.
 func (h *host) View() *gossiper.View { return &gossiper.View{} }
 
 // Handle implements isolator.Registry.
-func (h *host) Handle(_ peerwire.Kind, f messenger.Handler) { h.handle = f }
+func (h *host) Handle(k peerwire.Kind, f messenger.Handler) { h.handlers[k] = f }
+
+// handle handles news of another host.
+func (h *host) handle(ctx context.Context, from messenger.Peer, payload []byte) (msgp.Marshaler, error) {
+	return h.handlers[peerwire.KindCrashNews](ctx, from, payload)
+}
 
 func newHost(t *testing.T) *host {
 	t.Helper()
 	g := grouper.New(t.Context())
-	h := &host{is: is.New(t), connect: syscall.ECONNREFUSED}
+	h := &host{is: is.New(t), handlers: map[peerwire.Kind]messenger.Handler{}, connect: syscall.ECONNREFUSED}
 	h.Isolator = isolator.New(isolator.Deps{
 		Self: 1, Members: h,
 		Connect: func(context.Context, identifier.Address) error {
@@ -58,10 +64,10 @@
 			defer h.mu.Unlock()
 			return h.connect
 		},
-		Connected: func(identifier.Address) bool {
+		Idle: func(identifier.Address) int {
 			h.mu.Lock()
 			defer h.mu.Unlock()
-			return h.connected
+			return h.open
 		},
 		Registered: func(e isolator.Engine) bool {
 			h.mu.Lock()
@@ -78,20 +84,29 @@
 	return h
 }
 
+// engine returns the n-th engine.
+func engine(n int) isolator.Engine {
+	return isolator.Engine{Service: "s", Name: identifier.Endpoint(fmt.Sprint("e", n)), StartID: 1}
+}
+
+// enter begins a call with the trait to an engine.
+func (h *host) enter(n int, g identifier.Trait) *isolator.Call {
+	h.is.Helper()
+	c, err := h.Enter(context.Background(), engine(n), quarantiner.PhaseDecode, identifier.Request(fmt.Sprint("q", n)), []identifier.Trait{g})
+	h.is.NoErr(err)
+	return c
+}
+
 // lose sends a request with the trait to an engine, which breaks it off.
 func (h *host) lose(n int, g identifier.Trait) {
 	h.is.Helper()
-	c, err := h.Enter(context.Background(), identifier.Request(fmt.Sprint("q", n)), quarantiner.PhaseDecode, []identifier.Trait{g})
-	h.is.NoErr(err)
-	c.Lost(isolator.Engine{Name: identifier.Endpoint(fmt.Sprint("e", n)), StartID: 1})
+	h.enter(n, g).Lost()
 }
 
 // answerWrongly sends a request with the trait to an engine, whose answer is wrong.
 func (h *host) answerWrongly(n int, g identifier.Trait) {
 	h.is.Helper()
-	c, err := h.Enter(context.Background(), identifier.Request(fmt.Sprint("q", n)), quarantiner.PhaseDecode, []identifier.Trait{g})
-	h.is.NoErr(err)
-	c.Wrong(isolator.Engine{Name: identifier.Endpoint(fmt.Sprint("e", n)), StartID: 1})
+	h.enter(n, g).Wrong()
 }
 
 func (h *host) quarantined(g identifier.Trait) bool {
@@ -136,7 +151,7 @@
 	})
 	t.Run("are not shown by wrong answers of engines with open connections", func(t *testing.T) {
 		h := newHost(t)
-		h.connected = true
+		h.open = 1
 		for n := range 3 {
 			h.answerWrongly(n, "a")
 		}
@@ -166,7 +181,7 @@
 
 func TestTrials(t *testing.T) {
 	enter := func(h *host) (*isolator.Call, error) {
-		return h.Enter(context.Background(), "q", quarantiner.PhaseDecode, []identifier.Trait{"a"})
+		return h.Enter(context.Background(), engine(1), quarantiner.PhaseDecode, "q", []identifier.Trait{"a"})
 	}
 	onTrial := func(t *testing.T) (*host, *isolator.Call) {
 		h := newHost(t)
@@ -198,13 +213,13 @@
 		h.mu.Lock()
 		h.connect = nil
 		h.mu.Unlock()
-		c.Lost(isolator.Engine{Name: "e1"})
+		c.Lost()
 		_, err := enter(h)
 		h.is.NoErr(err)
 	})
 	t.Run("go on after the end of an engine until the evidence has settled", func(t *testing.T) {
 		h, c := onTrial(t)
-		c.Lost(isolator.Engine{Name: "e1"})
+		c.Lost()
 		_, err := enter(h)
 		h.is.Equal(classifier.Of(err).Reason, classifier.ReasonQuarantined)
 		time.Sleep(400 * time.Millisecond)
@@ -213,7 +228,7 @@
 	})
 	t.Run("aren't waited for by other requests", func(t *testing.T) {
 		h, _ := onTrial(t)
-		_, err := h.Enter(context.Background(), "q", quarantiner.PhaseDecode, []identifier.Trait{"b"})
+		_, err := h.Enter(context.Background(), engine(1), quarantiner.PhaseDecode, "q", []identifier.Trait{"b"})
 		h.is.NoErr(err)
 	})
 }
@@ -254,11 +269,11 @@
 	nonsense := map[string]*peerwire.CrashNews{
 		"trait without a name": {Verdicts: []peerwire.TraitVerdict{{}}},
 		"endless trait":        {Verdicts: []peerwire.TraitVerdict{{Trait: long}}},
-		"unknown phase":          {Begun: []peerwire.BegunCount{{Trait: "a", Phase: 9}}},
-		"negative count":         {Begun: []peerwire.BegunCount{{Trait: "a", Count: -1}}},
-		"endless engine":         {Ends: []peerwire.EngineEnd{{Engine: long}}},
-		"endless request":        {Ends: []peerwire.EngineEnd{{Calls: []peerwire.BrokenCall{{Request: long}}}}},
-		"too many verdicts":      {Verdicts: make([]peerwire.TraitVerdict, 10_000)},
+		"unknown phase":        {Begun: []peerwire.BegunCount{{Trait: "a", Phase: 9}}},
+		"negative count":       {Begun: []peerwire.BegunCount{{Trait: "a", Count: -1}}},
+		"endless engine":       {Ends: []peerwire.EngineEnd{{Engine: long}}},
+		"endless request":      {Ends: []peerwire.EngineEnd{{Calls: []peerwire.BrokenCall{{Request: long}}}}},
+		"too many verdicts":    {Verdicts: make([]peerwire.TraitVerdict, 10_000)},
 	}
 	for name, m := range nonsense {
 		t.Run("are rejected with a "+name, func(t *testing.T) {
--- a/isolator/news.go
+++ b/isolator/news.go
@@ -39,6 +39,7 @@
 // Register registers the message handler.
 func (i *Isolator) Register(to Registry) {
 	to.Handle(peerwire.KindCrashNews, i.handleNews)
+	to.Handle(peerwire.KindTrial, i.handleTrial)
 }
 
 // tell tells all other hosts.
--- a/isolator/stats.go
+++ b/isolator/stats.go
@@ -26,10 +26,10 @@
 
 // TraitStats describes a quarantine.
 type TraitStats struct {
-	Trait    identifier.Trait `json:"trait"`
-	Phase      string             `json:"phase"`
-	AgeMs      int64              `json:"age-ms"`
-	LastSeenMs int64              `json:"last-seen-ms"`
+	Trait      identifier.Trait `json:"trait"`
+	Phase      string           `json:"phase"`
+	AgeMs      int64            `json:"age-ms"`
+	LastSeenMs int64            `json:"last-seen-ms"`
 	// Ends, Requests and Begun are the evidence at the time of the decision.
 	Ends     int `json:"ends"`
 	Requests int `json:"requests"`
--- a/launcher/start.go
+++ b/launcher/start.go
@@ -18,6 +18,7 @@
 	"github.com/jackdawthread/jackdawthread/isolator"
 	"github.com/jackdawthread/jackdawthread/locator"
 	"github.com/jackdawthread/jackdawthread/meter"
+	"github.com/jackdawthread/jackdawthread/quarantiner"
 	"github.com/jackdawthread/jackdawthread/redeemer"
 	"github.com/jackdawthread/jackdawthread/reporter"
 	"github.com/jackdawthread/jackdawthread/server"
@@ -95,8 +96,9 @@
 		Connect: h.connector.Reach,
 		// Engines keep their name and address when they restart, so only a refused
 		// connection shows that one has ended.
-		Registered: func(isolator.Engine) bool { return true },
-		Timer:      h.timer, Group: h.group, Log: h.log,
+		Registered:   func(isolator.Engine) bool { return true },
+		Alternatives: h.alternatives,
+		Timer:        h.timer, Group: h.group, Log: h.log,
 	})
 	h.isolator.Register(h.messenger)
 	h.meter.Gauge("quarantine", func() any { return h.isolator.Stats() })
@@ -223,3 +225,22 @@
 	p.Digest = h.coordinator.Digest()
 	h.gossiper.Publish(p)
 }
+
+// alternatives returns the declared endpoints that may get the same calls as e.
+func (h *Host) alternatives(e isolator.Engine, p quarantiner.Phase) []isolator.Engine {
+	fleet := h.config.fleet()
+	if fleet == nil || fleet.Services[e.Service] == nil {
+		return nil
+	}
+	other := compiler.RoleDecode
+	if p == quarantiner.PhaseDecode {
+		other = compiler.RolePrefill
+	}
+	var all []isolator.Engine
+	for _, c := range fleet.Services[e.Service].Endpoints {
+		if c.Role != other {
+			all = append(all, isolator.Engine{Service: e.Service, Name: c.Name, Address: c.Address})
+		}
+	}
+	return all
+}
--- a/peerwire/compatibility_test.go
+++ b/peerwire/compatibility_test.go
@@ -32,6 +32,7 @@
 		&peerwire.ReservationRequest{}, &peerwire.ReservationReply{}, &peerwire.ReservationCancel{},
 		&peerwire.ReservationOutcome{}, &peerwire.ReservationPing{}, &peerwire.ReservationPong{}, &peerwire.EngineModel{},
 		&peerwire.CrashNews{}, &peerwire.LimitNews{}, &peerwire.PermitRequest{}, &peerwire.PermitReply{}, &peerwire.PermitReturn{},
+		&peerwire.TrialRequest{}, &peerwire.TrialReply{},
 	}
 }
 
--- a/peerwire/kinds.go
+++ b/peerwire/kinds.go
@@ -75,4 +75,6 @@
 	KindPermit
 	// KindPermitReturn returns a permit that was not used. It has no reply.
 	KindPermitReturn
+	// KindTrial asks for the trial of a trait, or ends it. Only the former has a reply.
+	KindTrial
 )
--- a/peerwire/quarantine.go
+++ b/peerwire/quarantine.go
@@ -16,6 +16,8 @@
 
 // EngineEnd is a quarantiner.End.
 type EngineEnd struct {
+	// Service is empty from hosts of earlier versions.
+	Service string       `msg:"service"`
 	Engine  string       `msg:"engine"`
 	StartID int64        `msg:"started"`
 	Phase   uint8        `msg:"phase"`
--- a/peerwire/quarantine_gen.go
+++ b/peerwire/quarantine_gen.go
@@ -820,6 +820,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "service":
+			z.Service, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
 		case "engine":
 			z.Engine, err = dc.ReadString()
 			if err != nil {
@@ -930,9 +936,19 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *EngineEnd) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
+	// map header, size 6
+	// write "service"
+	err = en.Append(0x86, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
 	// write "engine"
-	err = en.Append(0x85, 0xa6, 0x65, 0x6e, 0x67, 0x69, 0x6e, 0x65)
+	err = en.Append(0xa6, 0x65, 0x6e, 0x67, 0x69, 0x6e, 0x65)
 	if err != nil {
 		return
 	}
@@ -1017,9 +1033,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *EngineEnd) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
+	// string "service"
+	o = append(o, 0x86, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Service)
 	// string "engine"
-	o = append(o, 0x85, 0xa6, 0x65, 0x6e, 0x67, 0x69, 0x6e, 0x65)
+	o = append(o, 0xa6, 0x65, 0x6e, 0x67, 0x69, 0x6e, 0x65)
 	o = msgp.AppendString(o, z.Engine)
 	// string "started"
 	o = append(o, 0xa7, 0x73, 0x74, 0x61, 0x72, 0x74, 0x65, 0x64)
@@ -1066,6 +1085,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "service":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
 		case "engine":
 			z.Engine, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -1177,7 +1202,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *EngineEnd) Msgsize() (s int) {
-	s = 1 + 7 + msgp.StringPrefixSize + len(z.Engine) + 8 + msgp.Int64Size + 6 + msgp.Uint8Size + 7 + msgp.Int64Size + 6 + msgp.ArrayHeaderSize
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 7 + msgp.StringPrefixSize + len(z.Engine) + 8 + msgp.Int64Size + 6 + msgp.Uint8Size + 7 + msgp.Int64Size + 6 + msgp.ArrayHeaderSize
 	for za0001 := range z.Calls {
 		s += 1 + 8 + msgp.StringPrefixSize + len(z.Calls[za0001].Request) + 9 + msgp.ArrayHeaderSize
 		for za0002 := range z.Calls[za0001].Traits {
--- a/quarantiner/begun.go
+++ b/quarantiner/begun.go
@@ -7,8 +7,8 @@
 // BegunCount tells how many answers to requests with a trait have begun.
 type BegunCount struct {
 	Trait identifier.Trait
-	Phase   Phase
-	Count   int
+	Phase Phase
+	Count int
 }
 
 // TakeBegun returns the begun answers at this host that other hosts should know of,
@@ -38,7 +38,7 @@
 // AddBegun records begun answers that another host has told of, and reports whether
 // they may matter.
 func (q *Quarantiner) AddBegun(c BegunCount) bool {
-	k := suspect{trait: c.Trait, phase: c.Phase}
+	k := suspectOf(c.Trait, c.Phase)
 	s := q.suspicions[k]
 	if s == nil || c.Count <= 0 {
 		return false
--- a/quarantiner/evidence.go
+++ b/quarantiner/evidence.go
@@ -9,7 +9,8 @@
 
 // evidence is what speaks against a suspect.
 type evidence struct {
-	ends     int
+	// ends has one report for each end: an engine may have run a request in both phases.
+	ends     []*End
 	requests map[identifier.Request]bool
 	// position is the sum of the suspect's positions in the prompts of its calls,
 	// and calls their number.
@@ -47,7 +48,7 @@
 	for _, c := range e.Calls {
 		for _, g := range c.Traits {
 			v := q.verdicts[g]
-			if v == nil || v.Phase != e.Phase {
+			if v == nil || v.Phase != suspectOf(g, e.Phase).phase {
 				continue
 			}
 			if v.active(now) || e.At.Before(v.LastSeen) {
@@ -58,12 +59,19 @@
 	return false
 }
 
+// addEnd adds a report of an end unless there is another one of it.
+func (e *evidence) addEnd(n *End) {
+	if !slices.ContainsFunc(e.ends, n.sameIncarnation) {
+		e.ends = append(e.ends, n)
+	}
+}
+
 // addEvidence adds an end to the evidence against the traits of its calls.
 func addEvidence(all map[suspect]*evidence, e *End) {
 	counted := map[identifier.Trait]bool{}
 	for _, c := range e.Calls {
 		for n, g := range c.Traits {
-			k := suspect{trait: g, phase: e.Phase}
+			k := suspectOf(g, e.Phase)
 			v := all[k]
 			if v == nil {
 				v = &evidence{requests: map[identifier.Request]bool{}}
@@ -71,7 +79,7 @@
 			}
 			if !counted[g] {
 				counted[g] = true
-				v.ends++
+				v.addEnd(e)
 			}
 			v.requests[c.Request] = true
 			v.position += n
@@ -85,7 +93,7 @@
 func countOthers(ends []*End, k suspect) int {
 	var with, without []time.Time
 	for _, e := range ends {
-		if e.Phase == k.phase && hasTrait(e, k.trait) {
+		if suspectOf(k.trait, e.Phase) == k && hasTrait(e, k.trait) {
 			with = append(with, e.At)
 		} else {
 			without = append(without, e.At)
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -1,31 +1,33 @@
-// Package quarantiner decides which traits of prompts are kept away from model
-// engines, because every engine that begins to answer a request with such a trait
-// ends. The package holds policy only: it does no I/O, reads no clock and starts no
-// goroutines.
+// Package quarantiner decides which requests are kept away from endpoints, because every endpoint
+// that runs such a request ends. What such requests have in common is a trait: a part of their
+// prompts, or all of it, as one request is repeated. The package holds policy only: it does no
+// I/O, reads no clock and starts no goroutines.
 //
 // # Usage
 //
 //	q := quarantiner.New()
-//	q.Begun(quarantiner.PhaseDecode, traits, now)  // an engine has begun to answer
+//	q.Begun(quarantiner.PhaseDecode, parts, now)     // an engine has begun to answer
+//	q.Begun(quarantiner.PhaseDecode, wholes, now)    // an endpoint has answered, and goes on
 //	q.AddEnd(quarantiner.End{Engine: "e1", Calls: calls}, now)
 //	verdicts := q.Decide(now)                        // from time to time
-//	if v, ok := q.Check(traits, now); ok { ... }   // before each call
+//	if v, ok := q.Check(traits, now); ok { ... }     // before each call
 //
 // # Evidence
 //
-// The end of an engine breaks off all its calls. Only those that it had not begun to
-// answer are suspect, with all traits that other requests may share. Whether
-// requests with a trait end engines is judged by distinct engines, and by at least
-// minRequests requests: a trait is quarantined once minEnds more engines have ended
-// under it than have begun to answer requests with it. Answers that began shortly before the
-// first end count as well.
+// The end of an endpoint breaks off all its calls. All of them are suspect as whole requests, whatever
+// came back; a part of a prompt is suspect only if the engine had not begun to answer.
+// Whether requests with a trait end endpoints is judged by distinct endpoints, and for parts of
+// prompts by at least minRequests requests: a trait is quarantined once minEnds more endpoints
+// have ended under it than have spared it. An endpoint spares the parts of a prompt that it
+// begins to answer, and a request that it has answered to its end. Answers shortly before
+// the first end count as well.
 //
-// Engines that end at the same time, without a call that has the trait, have a cause
+// Endpoints that end at the same time, without a call that has the trait, have a cause
 // in common that the trait isn't. For each othersPerEnd of them another end is required.
 //
 // Of several traits that meet the condition, the one with the most evidence is
-// quarantined first, and of those that always occur together the last one in
-// the prompt: the others are more widely shared. It explains the ends that
+// quarantined first, and of those that always occur together the last one in the list of
+// traits: the others are more widely shared. It explains the ends that
 // its requests were part of, which are no evidence against other traits any more.
 // A trait that was spared by mistake is quarantined after further ends.
 //
@@ -39,7 +41,8 @@
 // # Before a verdict
 //
 // A trait against which there is more evidence than for it is on trial: few requests
-// with it should be sent at a time, so that few engines end until the verdict.
+// with it should be sent at a time, so that few endpoints end until the verdict. Of the requests
+// that one end broke off, only those with the most evidence are on trial.
 //
 // # The end of a quarantine
 //
@@ -95,6 +98,8 @@
 	MaxBegun = 1 << 20
 	// MaxTraits is the largest number of traits of a call.
 	MaxTraits = 32
+	// MaxParts is the largest number of parts of a prompt among them.
+	MaxParts = MaxTraits - 2
 	// MaxTraitBytes is the largest length of a trait's ID.
 	MaxTraitBytes = 64
 )
@@ -102,7 +107,7 @@
 // suspect is a trait in a phase.
 type suspect struct {
 	trait identifier.Trait
-	phase   Phase
+	phase Phase
 }
 
 // suspicion is what is known of a suspect besides the ends.
@@ -183,7 +188,7 @@
 func (q *Quarantiner) Begun(p Phase, traits []identifier.Trait, now time.Time) {
 	q.rotate(now)
 	for _, g := range traits {
-		k := suspect{trait: g, phase: p}
+		k := suspectOf(g, p)
 		if s := q.suspicions[k]; s != nil {
 			s.begun++
 			s.untold++
@@ -210,14 +215,14 @@
 
 // AddEnd records the end of an engine, and reports whether that is news.
 func (q *Quarantiner) AddEnd(e End, now time.Time) bool {
-	if len(e.Calls) == 0 || now.Sub(e.At) > evidenceTime {
+	if now.Sub(e.At) > evidenceTime {
 		return false
 	}
 	if len(e.Calls) > maxCallsPerEnd {
 		e.Calls = e.Calls[:maxCallsPerEnd]
 	}
 	e.Calls = slices.Clone(e.Calls)
-	i := slices.IndexFunc(q.ends, func(k *End) bool { return k.sameEngine(&e) })
+	i := slices.IndexFunc(q.ends, func(k *End) bool { return k.includes(&e) })
 	switch {
 	case i >= 0 && !q.ends[i].merge(&e):
 		return false
@@ -234,9 +239,33 @@
 func (q *Quarantiner) updateTrials(now time.Time) {
 	q.endsUnder = map[suspect]int{}
 	q.onTrial = map[identifier.Trait]bool{}
-	for k, e := range collect(q.unexplained(now)) {
-		q.endsUnder[k] = e.ends
-		if s := q.suspicions[k]; s != nil && e.ends > s.begun {
+	open := q.unexplained(now)
+	excess := map[suspect]int{}
+	for k, e := range collect(open) {
+		q.endsUnder[k] = len(e.ends)
+		if s := q.suspicions[k]; s != nil {
+			excess[k] = len(e.ends) - s.begun
+		}
+	}
+	for k, n := range excess {
+		if n > 0 && !IsRequest(k.trait) {
+			q.onTrial[k.trait] = true
+		}
+	}
+	for _, e := range open {
+		q.tryRequests(e, excess)
+	}
+}
+
+// tryRequests puts those of the requests that an end broke off on trial against which there is
+// the most evidence. The others ran beside one of them.
+func (q *Quarantiner) tryRequests(e *End, excess map[suspect]int) {
+	most := 0
+	for k := range e.requests() {
+		most = max(most, excess[k])
+	}
+	for k := range e.requests() {
+		if most > 0 && excess[k] == most {
 			q.onTrial[k.trait] = true
 		}
 	}
@@ -271,7 +300,7 @@
 	q.rotate(now)
 	for _, c := range e.Calls {
 		for _, g := range c.Traits {
-			k := suspect{trait: g, phase: e.Phase}
+			k := suspectOf(g, e.Phase)
 			if q.suspicions[k] != nil || len(q.suspicions) >= maxSuspects {
 				continue
 			}
@@ -281,6 +310,35 @@
 	}
 }
 
+// EndsUnder returns the number of ends under requests with a trait that no verdict explains, the
+// most of any of the traits.
+func (q *Quarantiner) EndsUnder(traits []identifier.Trait) int {
+	most := 0
+	for k, n := range q.endsUnder {
+		if slices.Contains(traits, k.trait) {
+			most = max(most, n)
+		}
+	}
+	return most
+}
+
+// LastEnd returns when an endpoint of a service last ended in a phase, if one has.
+func (q *Quarantiner) LastEnd(s identifier.Service, p Phase) (at time.Time, ok bool) {
+	for _, e := range slices.Backward(q.ends) {
+		if e.Service == s && e.Phase == p {
+			return e.At, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// Ended reports whether an incarnation of an endpoint has ended after a time.
+func (q *Quarantiner) Ended(e identifier.Endpoint, startID int64, after time.Time) bool {
+	return slices.ContainsFunc(q.ends, func(k *End) bool {
+		return k.Engine == e && k.StartID == startID && k.At.After(after)
+	})
+}
+
 // RecentEnds returns the newest ends that no verdict explains, at most limit.
 func (q *Quarantiner) RecentEnds(limit int, now time.Time) []End {
 	var open []End
--- a/quarantiner/verdict.go
+++ b/quarantiner/verdict.go
@@ -11,7 +11,7 @@
 // Verdict is the quarantine of a trait.
 type Verdict struct {
 	Trait identifier.Trait
-	Phase   Phase
+	Phase Phase
 	// Since is when the trait was quarantined, and LastSeen when a host last saw a
 	// request with it.
 	Since, LastSeen time.Time
@@ -59,7 +59,7 @@
 
 // excess is by how many the ends exceed the begun answers.
 func (c *candidate) excess() int {
-	return c.evidence.ends - c.begun
+	return len(c.evidence.ends) - c.begun
 }
 
 // stronger reports whether c goes before o. The order doesn't depend on anything but the
@@ -78,14 +78,15 @@
 // not due yet, the decision remains open.
 func (q *Quarantiner) strongest(now time.Time) (v Verdict, ok bool) {
 	ends := q.unexplained(now)
+	all := collect(ends)
 	var best *candidate
-	for k, e := range collect(ends) {
+	for k, e := range all {
 		s := q.suspicions[k]
 		if s == nil {
 			continue
 		}
 		c := &candidate{suspect: k, evidence: e, begun: s.begun}
-		if !q.sufficient(c, ends, now) {
+		if !q.sufficient(c, ends, all, now) {
 			continue
 		}
 		if now.Sub(s.since) < SettleTime {
@@ -101,22 +102,45 @@
 	}
 	return Verdict{
 		Trait: best.trait, Phase: best.phase, Since: now, LastSeen: now,
-		Ends: best.evidence.ends, Requests: len(best.evidence.requests), Begun: best.begun,
+		Ends: len(best.evidence.ends), Requests: len(best.evidence.requests), Begun: best.begun,
 	}, true
 }
 
 // sufficient reports whether the evidence suffices for a verdict that is not in force.
-func (q *Quarantiner) sufficient(c *candidate, ends []*End, now time.Time) bool {
+func (q *Quarantiner) sufficient(c *candidate, ends []*End, all map[suspect]*evidence, now time.Time) bool {
 	old := q.verdicts[c.trait]
 	if old != nil {
 		return !old.active(now) && c.excess() > 0
 	}
-	if c.excess() < minEnds || len(c.evidence.requests) < minRequests {
+	if c.excess() < minEnds || !IsRequest(c.trait) && len(c.evidence.requests) < minRequests {
 		return false
 	}
-	return c.excess() >= minEnds+countOthers(ends, c.suspect)/othersPerEnd
+	others := ends
+	if IsRequest(c.trait) {
+		others = q.withoutRepeats(ends, all, c.trait)
+	}
+	return c.excess() >= minEnds+countOthers(others, c.suspect)/othersPerEnd
+}
+
+// withoutRepeats returns the ends under a request, and those others that no request explains under
+// which several endpoints have ended.
+func (q *Quarantiner) withoutRepeats(ends []*End, all map[suspect]*evidence, t identifier.Trait) []*End {
+	repeated := func(k suspect) bool {
+		s := q.suspicions[k]
+		return s != nil && len(all[k].ends)-s.begun >= minRepeatedEnds
+	}
+	var left []*End
+	for _, e := range ends {
+		if hasTrait(e, t) || !slices.ContainsFunc(slices.Collect(e.requests()), repeated) {
+			left = append(left, e)
+		}
+	}
+	return left
 }
 
+// minRepeatedEnds is the excess of ends from which on a request explains them.
+const minRepeatedEnds = 2
+
 // Merge takes over another host's verdict, and reports whether the trait was not
 // quarantined here.
 func (q *Quarantiner) Merge(v Verdict, now time.Time) bool {
