Let a request on trial go on with its next phase

Cause: a trial was held for 0.1 to 0.3 s after a prefill, a refusal or a cancellation too, until its engine was known to go on; the same request's decode waits 0.15 s for its turn. Such calls end their trial at once now; only a complete answer holds it until it speaks for the request. They still count if their engine ends.

--- a/isolator/answered.go
+++ b/isolator/answered.go
@@ -42,6 +42,9 @@
 // await waits until it is known whether the call's endpoint has ended.
 func (i *Isolator) await(c *Call, spares bool) {
 	c.trial.endParts()
+	if !spares { // the same request may go on elsewhere
+		c.trial.end()
+	}
 	a := answered{call: c, at: time.Now(), spares: spares}
 	i.mu.Lock()
 	full := len(i.answered) >= maxAnswered
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -17,6 +17,7 @@
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/fingerprinter"
 	"github.com/jackdawthread/jackdawthread/gossiper"
 	"github.com/jackdawthread/jackdawthread/isolator"
 	"github.com/jackdawthread/jackdawthread/messenger"
@@ -40,6 +41,8 @@
 	connect error
 	open    int
 	gone    []identifier.Endpoint
+	// alternatives are the engines that are registered; none for no limit.
+	alternatives []isolator.Engine
 }
 
 // View implements isolator.Members.
@@ -69,6 +72,14 @@
 			defer h.mu.Unlock()
 			return h.open
 		},
+		Alternatives: func(e isolator.Engine, _ quarantiner.Phase) []isolator.Engine {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			if len(h.alternatives) == 0 {
+				return []isolator.Engine{e, engine(100), engine(101)}
+			}
+			return h.alternatives
+		},
 		Registered: func(e isolator.Engine) bool {
 			h.mu.Lock()
 			defer h.mu.Unlock()
@@ -115,11 +126,7 @@
 
 func (h *host) assertQuarantined(g identifier.Trait) {
 	h.is.Helper()
-	end := time.Now().Add(waitTimeout)
-	for !h.quarantined(g) {
-		h.is.True(time.Now().Before(end))
-		time.Sleep(10 * time.Millisecond)
-	}
+	h.eventually(func() bool { return h.quarantined(g) })
 }
 
 // assertFree checks that the trait isn't quarantined once the evidence has settled.
@@ -233,6 +240,153 @@
 	})
 }
 
+// TestRequestTrials guards against requests as a whole that are sent again while another one like
+// them is under way, and against trials that a request's own calls wait for.
+func TestRequestTrials(t *testing.T) {
+	traits := quarantiner.RequestTraits(fingerprinter.Fingerprints{Request: "a", Caller: "b"})
+	enter := func(h *host, n int, p quarantiner.Phase) (*isolator.Call, error) {
+		return h.Enter(context.Background(), engine(n), p, "q", traits)
+	}
+	onTrial := func(t *testing.T) *host {
+		h := newHost(t)
+		c, err := enter(h, 0, quarantiner.PhaseDecode)
+		h.is.NoErr(err)
+		c.Lost()
+		c.AwaitExamined(context.Background())
+		h.is.True(h.OnTrial(traits))
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.connect = nil
+		return h
+	}
+	ends := map[string]func(*isolator.Call){
+		"its prefill":             (*isolator.Call).Prefilled,
+		"a closed call":           (*isolator.Call).Close,
+		"an unreachable endpoint": (*isolator.Call).Unreachable,
+	}
+	for name, end := range ends {
+		t.Run("go on at once after "+name, func(t *testing.T) {
+			h := onTrial(t)
+			c, err := enter(h, 1, quarantiner.PhasePrefill)
+			h.is.NoErr(err)
+			end(c)
+			started := time.Now()
+			_, err = enter(h, 2, quarantiner.PhaseDecode)
+			h.is.NoErr(err)
+			h.is.True(time.Since(started) < 50*time.Millisecond)
+		})
+	}
+	t.Run("are one at a time", func(t *testing.T) {
+		h := onTrial(t)
+		_, err := enter(h, 1, quarantiner.PhaseDecode)
+		h.is.NoErr(err)
+		_, err = enter(h, 2, quarantiner.PhaseDecode)
+		h.is.Equal(classifier.Of(err).Reason, classifier.ReasonQuarantined)
+		h.is.Equal(classifier.Of(err).Verdict, classifier.VerdictNotRun)
+		h.is.True(classifier.Of(err).RetryAfter > 0)
+	})
+	t.Run("spare a request that is answered", func(t *testing.T) {
+		h := onTrial(t)
+		h.mu.Lock()
+		h.open = 1
+		h.mu.Unlock()
+		c, err := enter(h, 1, quarantiner.PhaseDecode)
+		h.is.NoErr(err)
+		c.Completed()
+		h.eventually(func() bool { return !h.OnTrial(traits) })
+	})
+	t.Run("accuse a request whose endpoint ends after its answer", func(t *testing.T) {
+		h := onTrial(t)
+		for n := 1; n < 3; n++ {
+			c, err := enter(h, n, quarantiner.PhaseDecode)
+			h.is.NoErr(err)
+			h.mu.Lock()
+			h.connect = syscall.ECONNREFUSED
+			h.mu.Unlock()
+			c.Completed()
+			time.Sleep(time.Second)
+		}
+		h.is.True(h.Check(traits) != nil)
+	})
+	t.Run("don't risk the last endpoint", func(t *testing.T) {
+		h := onTrial(t)
+		h.mu.Lock()
+		h.alternatives = []isolator.Engine{engine(0), engine(1)}
+		h.mu.Unlock()
+		_, err := enter(h, 1, quarantiner.PhaseDecode)
+		h.is.Equal(classifier.Of(err).Reason, classifier.ReasonQuarantined)
+		h.mu.Lock()
+		h.alternatives = append(h.alternatives, engine(2))
+		h.mu.Unlock()
+		_, err = enter(h, 1, quarantiner.PhaseDecode)
+		h.is.NoErr(err)
+	})
+}
+
+// TestTrialsOfOtherHosts guards against two hosts that have the same trial.
+func TestTrialsOfOtherHosts(t *testing.T) {
+	trait := string(quarantiner.RequestTraits(fingerprinter.Fingerprints{Request: "a"})[0])
+	ask := func(h *host, from identifier.Incarnation, m peerwire.TrialRequest) (bool, error) {
+		payload, err := m.MarshalMsg(nil)
+		h.is.NoErr(err)
+		reply, err := h.handlers[peerwire.KindTrial](context.Background(), messenger.Peer{Host: "other", Incarnation: from}, payload)
+		if err != nil {
+			return false, err
+		}
+		return reply.(*peerwire.TrialReply).Granted, nil
+	}
+	assert := func(h *host, from identifier.Incarnation, m peerwire.TrialRequest, want bool) {
+		h.is.Helper()
+		granted, err := ask(h, from, m)
+		h.is.NoErr(err)
+		h.is.Equal(granted, want)
+	}
+	first := peerwire.TrialRequest{Trait: trait, Trial: 1, LeaseMs: 5000}
+	second := peerwire.TrialRequest{Trait: trait, Trial: 2, LeaseMs: 5000}
+	t.Run("are granted to one until it has ended", func(t *testing.T) {
+		h := newHost(t)
+		assert(h, 2, first, true)
+		assert(h, 3, second, false)
+		assert(h, 2, first, true) // an extension
+		ended := first
+		ended.Ended = true
+		assert(h, 3, ended, false) // not the holder
+		assert(h, 3, second, false)
+		assert(h, 2, ended, false)
+		assert(h, 3, second, true)
+	})
+	t.Run("run out", func(t *testing.T) {
+		h := newHost(t)
+		short := first
+		short.LeaseMs = 20
+		assert(h, 2, short, true)
+		time.Sleep(30 * time.Millisecond)
+		assert(h, 3, second, true)
+	})
+	for name, m := range map[string]peerwire.TrialRequest{
+		"no trait":         {Trial: 1},
+		"a prompt's part":  {Trait: "a", Trial: 1},
+		"a negative lease": {Trait: trait, LeaseMs: -1},
+		"an endless trait": {Trait: trait + string(make([]byte, 1000))},
+	} {
+		t.Run("are rejected with "+name, func(t *testing.T) {
+			h := newHost(t)
+			_, err := ask(h, 2, m)
+			h.is.Equal(classifier.Of(err).Reason, classifier.ReasonBadRequest)
+		})
+	}
+}
+
+// eventually waits until the condition holds.
+func (h *host) eventually(condition func() bool) {
+	h.is.Helper()
+	end := time.Now().Add(waitTimeout)
+	for !condition() {
+		h.is.True(time.Now().Before(end))
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 func (h *host) receive(m *peerwire.CrashNews) (*peerwire.CrashNews, error) {
 	payload, err := m.MarshalMsg(nil)
 	h.is.NoErr(err)
