Let a stream that broke off go on with events of the same stream only

Cause: only a status from 400 on was refused. A 200 of another media type was passed on as bytes, text that is no event like an event, a 204 ended the stream, and an earlier event was dropped. Now a resumption is a 200 with a stream of events, in which each part is a comment or has a higher id than the one before (any id where the stream's ids are no numbers). An empty stream that is complete by its framing means that the caller has all events; decided so, as an engine whose last chunk was lost has nothing else to send.

--- a/forwarder/engine_call.go
+++ b/forwarder/engine_call.go
@@ -42,10 +42,11 @@
 	head *exchanger.Response
 	// event is a complete event with its ID, or a part of a body that is no event
 	// stream. It is to be flushed if no further complete event has arrived.
-	event   []byte
-	id      string
-	hasData bool
-	flush   bool
+	event     []byte
+	id        string
+	hasData   bool
+	isComment bool
+	flush     bool
 }
 
 // send calls the endpoint.
@@ -95,7 +96,7 @@
 		case err != nil:
 			return callEnd{err: c.interrupted(err), partialBytes: events.partialBytes()}
 		}
-		if err := c.handOver(responsePart{event: event, id: events.id, hasData: events.hasData, flush: !events.buffered()}); err != nil {
+		if err := c.handOver(responsePart{event: event, id: events.id, hasData: events.hasData, isComment: events.isComment, flush: !events.buffered()}); err != nil {
 			return callEnd{err: err}
 		}
 	}
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -29,6 +29,8 @@
 	// hasData reports whether that event has data. Others, such as comments, are not
 	// dispatched by callers.
 	hasData bool
+	// isComment reports whether it has comments only.
+	isComment bool
 }
 
 const eventBufferBytes = 4 << 10
@@ -52,6 +54,7 @@
 	r.event = r.event[:0]
 	r.id = ""
 	r.hasData = false
+	r.isComment = true
 	end := lineEndLF // of the line before
 	for {
 		start := len(r.event)
@@ -111,6 +114,7 @@
 // parseLine takes from a line of an event what decides about forwarding.
 func (r *eventReader) parseLine(line []byte) {
 	name, value, _ := bytes.Cut(line, []byte(":"))
+	r.isComment = r.isComment && line[0] == ':'
 	switch string(name) {
 	case "id":
 		r.id = string(bytes.TrimSpace(value))
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -205,9 +205,17 @@
 	if p.head != nil {
 		d.response = p.head
 		s.observation.Stream = StreamObservation{Framing: p.head.Framing.String()}
-		return s.checkHead(p.head, d.call.at)
+		if err := s.checkHead(p.head, d.call.at); err != nil || !d.resumed {
+			return err
+		}
+		return d.checkResumedHead()
 	}
 	s.observeEvent(p)
+	if d.resumed {
+		if err := d.checkResumedEvent(p); err != nil {
+			return err
+		}
+	}
 	d.recordEvent(time.Now())
 	if alreadyDelivered(p.id, s.lastEventID) {
 		return nil
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -176,8 +176,10 @@
 	isolation *isolator.Call
 	// response is nil until its head has arrived.
 	response *exchanger.Response
-	// resumed is set if the stream had begun at another engine.
-	resumed                   bool
+	// resumed is set if the stream had begun at another engine, and numbered if the IDs of its
+	// events were numbers there. lastNumber is that of the last event since then.
+	resumed, numbered         bool
+	lastNumber                uint64
 	events                    int
 	firstEventAt, lastEventAt time.Time
 }
@@ -201,7 +203,7 @@
 	s.sent++
 	s.observation.addAttempt(at)
 	options := DecodeOptions{Prefill: p.result, Reservation: p.plan.Reservation, LastEvent: s.lastEventID}
-	d := &decoding{preparation: p, resumed: s.lastEventID != ""}
+	d := &decoding{preparation: p, resumed: s.lastEventID != "", numbered: isNumber(s.lastEventID)}
 	d.call = s.callEndpoint(ctx, at, func(ctx context.Context) (*exchanger.Response, error) {
 		c, err := s.enter(ctx, at, quarantiner.PhaseDecode)
 		if err != nil {
