Believe a refusal on a kept connection only if it names its request

What callers saw (a report of other operators, tried here): a faulty endpoint wrote an earlier refusal once more on a kept connection; callers were told 'not run, try again' for requests that it ran, and unrepeatable ones ran at a second endpoint. Cause: a response with another request's id was skipped, but one without any id was taken for the current request's, the promise of a refusal included. On a new connection a refusal without an id still counts.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -21,7 +21,8 @@
 // response was length-delimited or chunked, was read to its end, did not carry
 // another request's ID and was not followed by further bytes, and if no data
 // has arrived since. A response with another request's ID is discarded, and
-// the matching one is read after it.
+// the matching one is read after it. A response without an ID is marked as
+// unattributed if the connection has carried other requests.
 //
 // # Limits
 //
@@ -357,6 +358,7 @@
 	conn         net.Conn
 	limit        *limitedReader // from which reader reads
 	reader       *bufio.Reader
+	requests     int // requests that it has carried, the current one included
 	bytesWritten int // bytes of the current request
 	idleSince    time.Time
 	usableUntil  time.Time
@@ -376,6 +378,7 @@
 // write sends the request headers and body in one write.
 func (c *connection) write(r *Request) error {
 	head := appendHead(make([]byte, 0, typicalHeadBytes+len(r.Body)), r)
+	c.requests++
 	n, err := c.conn.Write(append(head, r.Body...))
 	c.bytesWritten = n
 	return err
--- a/exchanger/response.go
+++ b/exchanger/response.go
@@ -63,6 +63,9 @@
 	Status  int
 	Header  http.Header
 	Framing Framing
+	// Unattributed is set if the response doesn't name its request, on a connection that has
+	// carried others: it may be a repetition of an earlier response.
+	Unattributed bool
 
 	exchanger  *Exchanger
 	connection *connection
@@ -84,7 +87,7 @@
 			return fmt.Errorf("failed to read response: %w", err)
 		}
 		if !r.mismatched(q, response) {
-			r.accept(response)
+			r.accept(q, response)
 			return nil
 		}
 		r.exchanger.updateStats(func(s *Stats) { s.MismatchedResponses++ })
@@ -131,7 +134,9 @@
 	return nil
 }
 
-func (r *Response) accept(response *http.Response) {
+func (r *Response) accept(q *Request, response *http.Response) {
+	unnamed := q.ID != "" && response.Header.Get(r.exchanger.options.IDHeader) == ""
+	r.Unattributed = unnamed && r.connection.requests > 1
 	r.Status = response.StatusCode
 	r.Header = response.Header
 	r.body = response.Body
@@ -216,6 +221,12 @@
 	r.connection.abort()
 }
 
+// Discard closes the connection, on which the actual response may still follow.
+func (r *Response) Discard() {
+	r.reusable = false
+	r.Close()
+}
+
 // SetReadDeadline sets the deadline for reading the body.
 func (r *Response) SetReadDeadline(t time.Time) error {
 	return r.connection.conn.SetReadDeadline(t)
