--- a/isolator/call.go
+++ b/isolator/call.go
@@ -48,6 +48,7 @@
 			c.parts = append(c.parts, t)
 		}
 	}
+	i.awaitJoined(ctx)
 	if err := i.beginTrial(ctx, c, traits); err != nil {
 		return nil, err
 	}
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -33,6 +33,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -118,8 +119,15 @@
 	// ago.
 	underWay map[identifier.Endpoint]int
 	answered []answered
-	stats    Stats
-	refused  map[identifier.Trait]uint64
+	// started is when this process started, and joined is closed once another host has told
+	// what it knows.
+	started  time.Time
+	joined   chan struct{}
+	joinOnce sync.Once
+	// notJoined counts the answers of hosts that had not joined themselves.
+	notJoined atomic.Int64
+	stats     Stats
+	refused   map[identifier.Trait]uint64
 
 	announcer *announcer.Announcer
 }
@@ -133,6 +141,8 @@
 		trialEnded:  make(chan struct{}),
 		leases:      map[identifier.Trait]lease{},
 		underWay:    map[identifier.Endpoint]int{},
+		started:     time.Now(),
+		joined:      make(chan struct{}),
 		refused:     map[identifier.Trait]uint64{},
 		announcer: announcer.New(announcer.Deps{
 			Self: d.Self, Members: d.Members, Links: d.Links, Group: d.Group,
--- a/isolator/news.go
+++ b/isolator/news.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/tinylib/msgp/msgp"
 
+	"github.com/jackdawthread/jackdawthread/announcer"
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/gossiper"
 	"github.com/jackdawthread/jackdawthread/messenger"
@@ -66,7 +67,9 @@
 		i.announcer.PassOn(encodeNews(fresh, now), from.Incarnation)
 	}
 	if m.Want {
-		return encodeNews(i.known(now), now), nil
+		reply := encodeNews(i.known(now), now)
+		reply.Joined = i.hasJoined()
+		return reply, nil
 	}
 	return &peerwire.CrashNews{}, nil
 }
@@ -125,5 +128,53 @@
 		return err
 	}
 	i.record(n, string(peer.Host), now)
+	if !reply.Joined && i.notJoined.Add(1) < maxNotJoined {
+		return errNotJoined
+	}
+	i.joinOnce.Do(func() { close(i.joined) })
 	return nil
 }
+
+// errNotJoined is returned after the answer of a host that has started just now too.
+var errNotJoined = classifier.NotRun(classifier.ReasonNotReady, 0, "host has not learned yet what others know")
+
+// hasJoined reports whether this process has learned what others know, or has run for some time.
+func (i *Isolator) hasJoined() bool {
+	select {
+	case <-i.joined:
+		return true
+	default:
+		return time.Since(i.started) >= joinTime
+	}
+}
+
+const (
+	// joinTime is how long a process that starts waits for what other hosts know before its
+	// first call, and aloneTime how long if it knows no other host.
+	joinTime  = time.Second
+	aloneTime = 100 * time.Millisecond
+	// maxNotJoined is the number of answers by hosts that have started just now too after which
+	// no host is expected to know anything.
+	maxNotJoined = 3
+)
+
+// awaitJoined waits, for a bounded time from the process's start, until another host has told what
+// it knows.
+func (i *Isolator) awaitJoined(ctx context.Context) {
+	for age := time.Since(i.started); age < joinTime; age = time.Since(i.started) {
+		wait := aloneTime - age
+		if _, ok := i.deps.Members.View().RandomPeer(i.deps.Self); ok {
+			wait = joinTime - age
+		}
+		if wait <= 0 {
+			return
+		}
+		select {
+		case <-i.joined:
+			return
+		case <-time.After(min(wait, announcer.JoinPeriod)):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/peerwire/quarantine.go
+++ b/peerwire/quarantine.go
@@ -12,6 +12,9 @@
 	Forward bool `msg:"forward"`
 	// Want asks for what the receiver knows, as a CrashNews.
 	Want bool `msg:"want"`
+	// Joined is set in a reply if the sender has learned what others know, or has run for
+	// some time.
+	Joined bool `msg:"joined"`
 }
 
 // EngineEnd is a quarantiner.End.
--- a/peerwire/quarantine_gen.go
+++ b/peerwire/quarantine_gen.go
@@ -472,6 +472,12 @@
 				err = msgp.WrapError(err, "Want")
 				return
 			}
+		case "joined":
+			z.Joined, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Joined")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -485,9 +491,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *CrashNews) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
+	// map header, size 6
 	// write "ends"
-	err = en.Append(0x85, 0xa4, 0x65, 0x6e, 0x64, 0x73)
+	err = en.Append(0x86, 0xa4, 0x65, 0x6e, 0x64, 0x73)
 	if err != nil {
 		return
 	}
@@ -583,15 +589,25 @@
 		err = msgp.WrapError(err, "Want")
 		return
 	}
+	// write "joined"
+	err = en.Append(0xa6, 0x6a, 0x6f, 0x69, 0x6e, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Joined)
+	if err != nil {
+		err = msgp.WrapError(err, "Joined")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *CrashNews) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "ends"
-	o = append(o, 0x85, 0xa4, 0x65, 0x6e, 0x64, 0x73)
+	o = append(o, 0x86, 0xa4, 0x65, 0x6e, 0x64, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Ends)))
 	for za0001 := range z.Ends {
 		o, err = z.Ends[za0001].MarshalMsg(o)
@@ -631,6 +647,9 @@
 	// string "want"
 	o = append(o, 0xa4, 0x77, 0x61, 0x6e, 0x74)
 	o = msgp.AppendBool(o, z.Want)
+	// string "joined"
+	o = append(o, 0xa6, 0x6a, 0x6f, 0x69, 0x6e, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Joined)
 	return
 }
 
@@ -772,6 +791,12 @@
 				err = msgp.WrapError(err, "Want")
 				return
 			}
+		case "joined":
+			z.Joined, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Joined")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -798,7 +823,7 @@
 	for za0003 := range z.Verdicts {
 		s += z.Verdicts[za0003].Msgsize()
 	}
-	s += 8 + msgp.BoolSize + 5 + msgp.BoolSize
+	s += 8 + msgp.BoolSize + 5 + msgp.BoolSize + 7 + msgp.BoolSize
 	return
 }
 
