--- a/hoster/settings.go
+++ b/hoster/settings.go
@@ -30,10 +30,10 @@
 	Quarantine Quarantine `toml:"quarantine"`
 }
 
-// Quarantine overrides the decisions which segments of prompts are kept away from
+// Quarantine overrides the decisions which traits of requests are kept away from
 // engines.
 type Quarantine struct {
-	// Released are the segments that are never quarantined at this host, and Pinned
+	// Released are the traits that are never quarantined at this host, and Pinned
 	// those that always are. Released goes first.
 	Released []identifier.Trait `toml:"released" validate:"max=1000,dive,min=1,max=64"`
 	Pinned   []identifier.Trait `toml:"pinned" validate:"max=1000,dive,min=1,max=64"`
