--- a/isolator/fleet_test.go
+++ b/isolator/fleet_test.go
@@ -11,12 +11,11 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/tinylib/msgp/msgp"
 	"go.uber.org/zap"
 
-	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/emulator/linker"
 	"github.com/jackdawthread/jackdawthread/fingerprinter"
 	"github.com/jackdawthread/jackdawthread/gossiper"
 	"github.com/jackdawthread/jackdawthread/isolator"
@@ -46,8 +45,9 @@
 // fleet is a set of hosts that send requests to the endpoints of one service. Time is virtual, and
 // messages between hosts are function calls.
 type fleet struct {
-	group *grouper.Group
-	hosts []*fleetHost
+	group   *grouper.Group
+	network *linker.Network
+	hosts   []*fleetHost
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -71,7 +71,6 @@
 	mu       sync.Mutex
 	isolator *isolator.Isolator
 	group    *grouper.Group
-	handlers map[peerwire.Kind]messenger.Handler
 	view     *gossiper.View
 }
 
@@ -86,9 +85,14 @@
 	for n := range endpoints {
 		f.starts[n] = 1
 	}
+	index := map[identifier.Address]int{}
 	for n := range hosts {
+		index[fleetAddress(n)] = n
 		f.hosts = append(f.hosts, &fleetHost{fleet: f, index: n})
 	}
+	f.network = linker.New(f.group, linkDelay, func(from, to identifier.Address) bool {
+		return f.linked(f.hosts[index[from]], f.hosts[index[to]])
+	})
 	for _, h := range f.hosts {
 		h.start()
 	}
@@ -122,18 +126,19 @@
 func (h *fleetHost) start() {
 	h.mu.Lock()
 	h.group = grouper.New(context.Background())
-	h.handlers = map[peerwire.Kind]messenger.Handler{}
 	h.mu.Unlock()
 	h.updateView()
+	node := h.fleet.network.Node(fleetAddress(h.index))
+	node.Start(h.peer())
 	i := isolator.New(isolator.Deps{
-		Self: h.peer().Incarnation, Members: h, Links: h,
+		Self: h.peer().Incarnation, Members: h, Links: node,
 		Connect:      h.fleet.connect,
 		Idle:         func(identifier.Address) int { return 0 },
 		Registered:   func(isolator.Engine) bool { return true },
 		Alternatives: func(isolator.Engine, quarantiner.Phase) []isolator.Engine { return h.fleet.registered() },
 		Timer:        timer.New(h.group), Group: h.group, Log: zap.NewNop(),
 	})
-	i.Register(h)
+	i.Register(node)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.isolator = i
@@ -144,13 +149,6 @@
 	_ = h.group.Wait() // its goroutines return no error
 }
 
-// Handle implements isolator.Registry.
-func (h *fleetHost) Handle(k peerwire.Kind, f messenger.Handler) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.handlers[k] = f
-}
-
 // View implements announcer.Members.
 func (h *fleetHost) View() *gossiper.View {
 	h.mu.Lock()
@@ -191,60 +189,6 @@
 	return f.side[a.index] == f.side[b.index]
 }
 
-// Call implements announcer.Links.
-func (h *fleetHost) Call(ctx context.Context, to identifier.Address, k peerwire.Kind, request msgp.Marshaler, reply msgp.Unmarshaler) error {
-	answers := make(chan error, 1)
-	payload, err := request.MarshalMsg(nil)
-	if err != nil {
-		return err
-	}
-	h.fleet.group.Run(func(context.Context) { answers <- h.deliver(to, k, payload, reply) })
-	select {
-	case err := <-answers:
-		return err
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	}
-}
-
-// Send implements announcer.Links.
-func (h *fleetHost) Send(_ context.Context, to identifier.Address, k peerwire.Kind, message msgp.Marshaler) error {
-	payload, err := message.MarshalMsg(nil)
-	if err != nil {
-		return err
-	}
-	h.fleet.group.Run(func(context.Context) { _ = h.deliver(to, k, payload, nil) })
-	return nil
-}
-
-// deliver carries a message to a host, and its reply back. Over a cut link it is lost.
-func (h *fleetHost) deliver(to identifier.Address, k peerwire.Kind, payload []byte, reply msgp.Unmarshaler) error {
-	time.Sleep(linkDelay)
-	for _, o := range h.fleet.hosts {
-		if fleetAddress(o.index) != to || !h.fleet.linked(h, o) {
-			continue
-		}
-		o.mu.Lock()
-		f := o.handlers[k]
-		o.mu.Unlock()
-		if f == nil {
-			break
-		}
-		m, err := f(context.Background(), h.peer(), payload)
-		if err != nil || m == nil || reply == nil {
-			return err
-		}
-		answer, err := m.MarshalMsg(nil)
-		if err != nil {
-			return err
-		}
-		time.Sleep(linkDelay)
-		_, err = reply.UnmarshalMsg(answer)
-		return err
-	}
-	return classifier.NotRun(classifier.ReasonHostUnreachable, 0, "no path to %s", to)
-}
-
 // endpoint returns the current process of an endpoint.
 func (f *fleet) endpoint(n int) isolator.Engine {
 	return isolator.Engine{
--- a/rationer/fleet_test.go
+++ b/rationer/fleet_test.go
@@ -9,13 +9,12 @@
 	"sync"
 	"time"
 
-	"github.com/tinylib/msgp/msgp"
 	"go.uber.org/zap"
 
-	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/common/windower"
+	"github.com/jackdawthread/jackdawthread/emulator/linker"
 	"github.com/jackdawthread/jackdawthread/gossiper"
 	"github.com/jackdawthread/jackdawthread/messenger"
 	"github.com/jackdawthread/jackdawthread/pacer"
@@ -48,6 +47,7 @@
 // virtual, and messages between hosts are function calls.
 type fleet struct {
 	group    *grouper.Group
+	network  *linker.Network
 	registry *registrar.Registrar
 	endpoint *registrar.Endpoint
 	limit    pacer.Rate
@@ -70,7 +70,6 @@
 	incarnation identifier.Incarnation
 	rationer    *rationer.Rationer
 	group       *grouper.Group
-	handlers    map[peerwire.Kind]messenger.Handler
 	view        *gossiper.View
 	// dead are the hosts that this one takes for dead, and unknown those that were when its
 	// process started, of which it doesn't know.
@@ -89,9 +88,19 @@
 		side:     make([]int, hosts),
 	}
 	f.registry.SetEndpoints([]*registrar.Endpoint{f.endpoint})
+	index := map[identifier.Address]int{}
 	for n := range hosts {
+		index[addressOf(n)] = n
 		f.hosts = append(f.hosts, &host{fleet: f, index: n, dead: map[int]bool{}})
 	}
+	f.network = linker.New(f.group, linkDelay, func(from, to identifier.Address) bool {
+		a, b := f.hosts[index[from]], f.hosts[index[to]]
+		if !f.connected(a, b) {
+			return false
+		}
+		b.awaitResume()
+		return true
+	})
 	for _, h := range f.hosts {
 		h.start()
 	}
@@ -119,15 +128,16 @@
 	h.mu.Lock()
 	h.incarnation = identifier.Incarnation(h.fleet.random.Uint64())
 	h.group = grouper.New(context.Background())
-	h.handlers = map[peerwire.Kind]messenger.Handler{}
 	h.unknown = maps.Clone(h.dead)
 	h.mu.Unlock()
 	h.updateView()
+	node := h.fleet.network.Node(addressOf(h.index))
+	node.Start(messenger.Peer{Host: h.name(), Incarnation: h.incarnation})
 	r := rationer.New(rationer.Deps{
-		Self: h.incarnation, Host: h.name(), Registry: h.fleet.registry, Members: h, Links: h,
+		Self: h.incarnation, Host: h.name(), Registry: h.fleet.registry, Members: h, Links: node,
 		Timer: timer.New(h.group), Group: h.group, Log: zap.NewNop(),
 	})
-	r.Register(h)
+	r.Register(node)
 	h.mu.Lock()
 	h.rationer = r
 	h.mu.Unlock()
@@ -138,13 +148,6 @@
 	_ = h.group.Wait() // its goroutines return no error
 }
 
-// Handle implements rationer.Registry.
-func (h *host) Handle(k peerwire.Kind, f messenger.Handler) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.handlers[k] = f
-}
-
 // View implements announcer.Members.
 func (h *host) View() *gossiper.View {
 	h.mu.Lock()
@@ -186,71 +189,6 @@
 	return identifier.DataCenter(fmt.Sprintf("dc-%d", index%dataCenters))
 }
 
-// Call implements announcer.Links.
-func (h *host) Call(ctx context.Context, to identifier.Address, k peerwire.Kind, request msgp.Marshaler, reply msgp.Unmarshaler) error {
-	answers := make(chan error, 1)
-	payload, err := request.MarshalMsg(nil)
-	if err != nil {
-		return err
-	}
-	h.fleet.group.Run(func(context.Context) { answers <- h.deliver(to, k, payload, reply) })
-	select {
-	case err := <-answers:
-		return err
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	}
-}
-
-// Send implements announcer.Links.
-func (h *host) Send(_ context.Context, to identifier.Address, k peerwire.Kind, message msgp.Marshaler) error {
-	payload, err := message.MarshalMsg(nil)
-	if err != nil {
-		return err
-	}
-	h.fleet.group.Run(func(context.Context) { _ = h.deliver(to, k, payload, nil) })
-	return nil
-}
-
-// deliver carries a message to a host, and its reply back.
-func (h *host) deliver(to identifier.Address, k peerwire.Kind, payload []byte, reply msgp.Unmarshaler) error {
-	time.Sleep(linkDelay)
-	for _, o := range h.fleet.hosts {
-		if addressOf(o.index) != to {
-			continue
-		}
-		if !h.fleet.connected(h, o) {
-			break
-		}
-		o.awaitResume()
-		o.mu.Lock()
-		f := o.handlers[k]
-		o.mu.Unlock()
-		if f == nil {
-			break
-		}
-		m, err := f(context.Background(), h.peer(), payload)
-		if err != nil || m == nil || reply == nil {
-			return err
-		}
-		answer, err := m.MarshalMsg(nil)
-		if err != nil {
-			return err
-		}
-		time.Sleep(linkDelay)
-		_, err = reply.UnmarshalMsg(answer)
-		return err
-	}
-	return classifier.NotRun(classifier.ReasonHostUnreachable, 0, "no path to %s", to)
-}
-
-// peer returns what other hosts learn of the sender of a message.
-func (h *host) peer() messenger.Peer {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return messenger.Peer{Host: h.name(), Incarnation: h.incarnation}
-}
-
 func (f *fleet) connected(a, b *host) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
