Settle calls at the isolator in one way for both planes

forwarder and dispatcher each decided what the end of a call says about its endpoint, and waited for it; isolator.Call.Settle does both now. The shared parts of a prompt are called so, as the request has other traits too. No change of behaviour but one: the own protocol doesn't wait after an error response, as the forwarder never did.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -123,7 +123,7 @@
 	}))
 	if err != nil {
 		err := a.endpointError(err, &a.prefillMayHold)
-		settle(ctx, c, err)
+		c.Settle(ctx, err)
 		return nil, err
 	}
 	c.Prefilled()
@@ -159,7 +159,7 @@
 	}
 	a.decoding = c
 	err = a.receiveAll(ctx, offset)
-	settle(ctx, c, err)
+	c.Settle(ctx, err)
 	return err
 }
 
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -119,7 +119,7 @@
 		c.excluded = append(c.excluded, e.Name)
 		failure := converter.FromEndpoint(err)
 		failure.Message = "endpoint " + string(e.Name) + ": " + failure.Message
-		settle(ctx, isolation, failure)
+		isolation.Settle(ctx, failure)
 		return nil, failure
 	}
 	isolation.Completed()
--- a/dispatcher/isolation.go
+++ b/dispatcher/isolation.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/compiler"
 	"github.com/jackdawthread/jackdawthread/fingerprinter"
@@ -25,12 +24,3 @@
 func (d *Dispatcher) enter(ctx context.Context, s *compiler.Service, at *compiler.Endpoint, p quarantiner.Phase, id identifier.Request, traits []identifier.Trait) (*isolator.Call, error) {
 	return d.deps.Isolator.Enter(ctx, isolator.Engine{Service: s.Name, Name: at.Name, Address: at.Address}, p, id, traits)
 }
-
-// settle records the end of a call at the isolator. If the endpoint may have ended, it waits
-// for a short time until that is known.
-func settle(ctx context.Context, c *isolator.Call, err error) {
-	c.Settle(ctx, err)
-	if err != nil && ctx.Err() == nil && classifier.Of(err).Reason == classifier.ReasonEndpointFailed {
-		c.AwaitExamined(ctx)
-	}
-}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -99,7 +99,7 @@
 		AtMostOnce:        !route.Repeatable(),
 	}
 	e.observation.Fingerprints = e.fingerprints()
-	e.call.Traits = append(slices.Clip(parameters.Segments), quarantiner.RequestTraits(e.observation.Fingerprints)...)
+	e.call.Traits = append(slices.Clip(parameters.SharedParts), quarantiner.RequestTraits(e.observation.Fingerprints)...)
 	e.call.MayWrite = e.checkQuarantine
 	f.deps.Dialect.Strip(e.call.Header)
 	if err := e.checkStop(time.Now()); err != nil {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -143,9 +143,9 @@
 	// Prompt, MaxOutput and ExpectedOutput are the number of prompt tokens, and the
 	// maximum and the estimated number of output tokens; 0 means unknown.
 	Prompt, MaxOutput, ExpectedOutput identifier.Tokens
-	// Segments are the parts of the prompt that other requests may share, in their
+	// SharedParts are the parts of the prompt that other requests may share, in their
 	// order; empty if unknown.
-	Segments []identifier.Trait
+	SharedParts []identifier.Trait
 	// PromptParts names all parts of the prompt as the caller did, those that no other
 	// request shares included; empty if unknown.
 	PromptParts string
--- a/forwarder/isolation.go
+++ b/forwarder/isolation.go
@@ -18,32 +18,12 @@
 	return e.forwarder.deps.Isolator.Enter(ctx, EngineOf(at), p, e.call.ID, e.call.Traits)
 }
 
-// settle records the end of a call at the isolator. If the endpoint may have ended, it waits
-// for a short time until that is known. A nil error means that the call was ended by this host.
-func settle(ctx context.Context, c *isolator.Call, err error) {
-	if err == nil {
-		c.Close()
-		return
-	}
-	c.Settle(ctx, err)
-	if ctx.Err() == nil && brokenOff(err) {
-		c.AwaitExamined(ctx)
-	}
-}
-
 // quarantined reports whether an error is a refusal of checkQuarantine, or of a call whose
 // traits are on trial.
 func quarantined(err error) bool {
 	return err != nil && classifier.Of(err).Reason == classifier.ReasonQuarantined
 }
 
-// brokenOff reports whether a call failed since its connection ended, which may be the
-// end of its endpoint.
-func brokenOff(err error) bool {
-	c := classifier.Of(err)
-	return c != nil && c.Reason == classifier.ReasonEndpointFailed && c.Verdict != classifier.VerdictRan && c.Cause != nil
-}
-
 func (e *exchange) countLost(lost bool) {
 	if lost {
 		e.enginesLost++
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -12,6 +12,7 @@
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/exchanger"
+	"github.com/jackdawthread/jackdawthread/isolator"
 	"github.com/jackdawthread/jackdawthread/placer"
 	"github.com/jackdawthread/jackdawthread/quarantiner"
 	"github.com/jackdawthread/jackdawthread/registrar"
@@ -71,7 +72,7 @@
 				return
 			}
 			last = moreInformative(last, a)
-			e.countLost(brokenOff(a.err))
+			e.countLost(isolator.BrokenOff(a.err))
 			if ctx.Err() == nil && e.mayResend(ctx, a.err) {
 				e.logDecision("request-retried", a.endpoint, a.err, zap.Int("status", a.status))
 				if err := start(e.choosePlain); err != nil && outstanding == 0 && last.err != nil {
@@ -170,11 +171,7 @@
 		return &endpointResponse{endpoint: at, err: err}
 	}
 	a := e.forwarder.call(ctx, at, &e.call)
-	if a.err == nil {
-		c.Completed()
-		return a
-	}
-	settle(ctx, c, a.err)
+	c.Settle(ctx, a.err)
 	return a
 }
 
--- a/forwarder/plain_stream.go
+++ b/forwarder/plain_stream.go
@@ -39,7 +39,7 @@
 		return f.deps.Endpoints.Forward(ctx, at, &s.call)
 	})
 	_, err := s.follow(ctx, d, newMover(false, d.call.started, noTimeout))
-	settle(ctx, d.isolation, err)
+	d.isolation.Settle(ctx, err)
 	o := placer.Outcome{Verdict: placer.VerdictSuccess}
 	if err != nil {
 		o = engineOutcome(ctx, err, 0)
--- a/forwarder/prefill.go
+++ b/forwarder/prefill.go
@@ -8,6 +8,7 @@
 
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/isolator"
 	"github.com/jackdawthread/jackdawthread/placer"
 	"github.com/jackdawthread/jackdawthread/quarantiner"
 	"github.com/jackdawthread/jackdawthread/registrar"
@@ -231,8 +232,8 @@
 		c.Prefilled()
 		return prefillEnd{result: result}
 	}
-	settle(ctx, c, err)
-	return prefillEnd{err: err, engineLost: ctx.Err() == nil && brokenOff(err)}
+	c.Settle(ctx, err)
+	return prefillEnd{err: err, engineLost: ctx.Err() == nil && isolator.BrokenOff(err)}
 }
 
 // recordPrefill records the end of a prefill call.
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -244,8 +244,12 @@
 		s.release(d.preparation)
 		return
 	}
-	s.countLost(ctx.Err() == nil && d.events < begunEvents && brokenOff(err))
-	settle(ctx, d.isolation, err)
+	s.countLost(ctx.Err() == nil && d.events < begunEvents && isolator.BrokenOff(err))
+	if err == nil { // the stream was moved
+		d.isolation.Close()
+	} else {
+		d.isolation.Settle(ctx, err)
+	}
 	s.exclude = append(s.exclude, d.call.at.Name)
 	o := s.failedDecode(ctx, d.preparation, err)
 	o.EventInterval = d.eventInterval()
--- a/isolator/call.go
+++ b/isolator/call.go
@@ -77,9 +77,9 @@
 }
 
 // Settle records the end of the call. The context is the caller's: if it has ended, this host
-// has broken the call off.
+// has broken the call off. If the endpoint broke it off, Settle waits for a short time until it is
+// known whether the endpoint has ended: a retry then knows what is on trial.
 func (c *Call) Settle(ctx context.Context, err error) {
-	failure := classifier.Of(err)
 	switch {
 	case err == nil:
 		c.Completed()
@@ -87,15 +87,23 @@
 		c.Close()
 	case errors.Is(err, syscall.ECONNREFUSED):
 		c.Unreachable()
-	case failure.Reason != classifier.ReasonEndpointFailed:
-		c.Close()
-	case failure.Verdict != classifier.VerdictRan && failure.Cause != nil:
+	case BrokenOff(err):
 		c.Lost()
-	default:
+		c.awaitExamined(ctx)
+	case classifier.Of(err).Reason == classifier.ReasonEndpointFailed:
 		c.Wrong()
+	default:
+		c.Close()
 	}
 }
 
+// BrokenOff reports whether a call failed since its connection ended, which may be the end of its
+// endpoint.
+func BrokenOff(err error) bool {
+	c := classifier.Of(err)
+	return c != nil && c.Reason == classifier.ReasonEndpointFailed && c.Verdict != classifier.VerdictRan && c.Cause != nil
+}
+
 // settle reports whether this is the call's end. It was under way at its endpoint until now.
 func (c *Call) settle() bool {
 	if c == nil {
@@ -169,9 +177,9 @@
 	c.isolator.deps.Group.Run(func(ctx context.Context) { c.examineAnswered(ctx, at) })
 }
 
-// AwaitExamined waits, for a short time, until it is known whether the endpoint of a lost call has
-// ended. A retry then knows what is on trial.
-func (c *Call) AwaitExamined(ctx context.Context) {
+// awaitExamined waits, for a short time, until it is known whether the endpoint of a lost call has
+// ended.
+func (c *Call) awaitExamined(ctx context.Context) {
 	if c == nil {
 		return
 	}
--- a/isolator/fleet_test.go
+++ b/isolator/fleet_test.go
@@ -279,11 +279,10 @@
 			h.fleet.end(n, e.StartID)
 		}
 		if h.fleet.alive(n, e.StartID) {
-			c.Completed()
+			c.Settle(process, nil)
 			return
 		}
-		c.Lost()
-		c.AwaitExamined(process)
+		c.Settle(process, errBrokenOff)
 	}
 }
 
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -65,7 +65,7 @@
 	wrongAnswerDelay = 50 * time.Millisecond
 	// rejoinTime is how long a host that starts asks others for what they know.
 	rejoinTime = 4 * time.Second
-	// examinedTimeout is how long a retry waits for what is known of the end before it.
+	// examinedTimeout is how long Settle waits for what is known of the endpoint.
 	examinedTimeout = 50 * time.Millisecond
 	// quarantineRetryAfter is the Retry-After hint of a quarantined request. The
 	// quarantine lasts longer while such requests come.
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"slices"
 	"sync"
 	"syscall"
@@ -28,6 +29,9 @@
 
 const waitTimeout = 5 * time.Second
 
+// errBrokenOff is the error of a call whose connection has ended.
+var errBrokenOff = classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "no response: %w", io.ErrUnexpectedEOF)
+
 // host is an Isolator without other hosts.
 type host struct {
 	*isolator.Isolator
@@ -251,8 +255,7 @@
 		h := newHost(t)
 		c, err := enter(h, 0, quarantiner.PhaseDecode)
 		h.is.NoErr(err)
-		c.Lost()
-		c.AwaitExamined(context.Background())
+		c.Settle(context.Background(), errBrokenOff)
 		h.is.True(h.OnTrial(traits))
 		h.mu.Lock()
 		defer h.mu.Unlock()
