Begin all calls of TestEnds before the first of them is lost

Traced: the test sent one request after the other, and the end of the first may be known before the second is sent, which then is on trial: as it has to be.

--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -118,6 +118,19 @@
 	h.enter(n, g).Lost()
 }
 
+// loseAll sends requests with the trait to engines, which break them off when all of them are under
+// way. A request that is sent after the first end is on trial.
+func (h *host) loseAll(count int, g identifier.Trait) {
+	h.is.Helper()
+	var calls []*isolator.Call
+	for n := range count {
+		calls = append(calls, h.enter(n, g))
+	}
+	for _, c := range calls {
+		c.Lost()
+	}
+}
+
 // answerWrongly sends a request with the trait to an engine, whose answer is wrong.
 func (h *host) answerWrongly(n int, g identifier.Trait) {
 	h.is.Helper()
@@ -143,9 +156,7 @@
 func TestEnds(t *testing.T) {
 	t.Run("quarantine what three engines ended under", func(t *testing.T) {
 		h := newHost(t)
-		for n := range 3 {
-			h.lose(n, "a")
-		}
+		h.loseAll(3, "a")
 		h.assertQuarantined("a")
 		err := classifier.Of(h.Check([]identifier.Trait{"b", "a"}))
 		h.is.Equal(err.Verdict, classifier.VerdictNotRun)
