--- a/review/common/rig/rig.go
+++ b/review/common/rig/rig.go
@@ -89,7 +89,7 @@
 func (r *Rig) Log(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.record, "%8.3f %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
+	_, _ = fmt.Fprintf(r.record, "%8.3f %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
 }
 
 // Close ends all hosts and removes their files.
