Agree on what the parts for hard load share: customers, quotas, and a request's record

They share the customers by their keys (authenticator), what a request's place in the queue depends on (admitter.Entry: customer, work, what was spent, fingerprint), which travels with the placement request, and the kinds of the messages that grant quotas and slots. Nothing uses them yet.

Checked: go vet and the tests of peerwire, reserver, admitter, registrar and the root.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -68,6 +68,13 @@
 	Arrived time.Time
 	// Priority orders requests; lower values go first.
 	Priority int
+	// Customer is who sent it; empty if customers aren't told apart.
+	Customer identifier.Customer
+	// Work is the endpoints' time that it is expected to take, and Spent what earlier
+	// attempts at it have taken; 0 means unknown.
+	Work, Spent time.Duration
+	// Fingerprint is the same for repeats of a request by its caller; 0 means unknown.
+	Fingerprint uint64
 	// LatestOnTimeStart is the latest start that still meets the objective.
 	LatestOnTimeStart time.Time
 	// Tokens is the engine memory that it needs.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -34,6 +34,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/jackdawthread/jackdawthread/authenticator"
 	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/exchanger"
@@ -110,6 +111,10 @@
 // Call is a validated request to be sent to endpoints.
 type Call struct {
 	RequestParameters
+	// Customer is whose key the request carries; nil if it needs none.
+	Customer *authenticator.Customer
+	// Priority ranks the request; 0 is the most urgent.
+	Priority int
 	// Traits are what the request has in common with others that may end endpoints: the
 	// shared parts of its prompt, and all of it.
 	Traits []identifier.Trait
@@ -138,6 +143,8 @@
 // RequestParameters holds the parameters that a caller declares in request headers.
 type RequestParameters struct {
 	ID identifier.Request
+	// Key shows which customer the caller is; empty if it sent none.
+	Key authenticator.Key
 	// Timeout is the caller's timeout; 0 means unspecified.
 	Timeout time.Duration
 	// Prompt, MaxOutput and ExpectedOutput are the number of prompt tokens, and the
--- a/peerwire/kinds.go
+++ b/peerwire/kinds.go
@@ -77,4 +77,12 @@
 	KindPermitReturn
 	// KindTrial asks for the trial of a trait, or ends it. Only the former has a reply.
 	KindTrial
+	// KindQuota requests a part of a customer's quota from the host that grants it.
+	KindQuota
+	// KindQuotaReturn returns what was not used of a quota. It has no reply.
+	KindQuotaReturn
+	// KindSlot requests a slot at a plain service's endpoints.
+	KindSlot
+	// KindSlotReturn ends the use of a slot. It has no reply.
+	KindSlotReturn
 )
--- a/peerwire/reservation.go
+++ b/peerwire/reservation.go
@@ -23,6 +23,12 @@
 	FirstEventMs int64 `msg:"start-ms"`
 	DeadlineMs   int64 `msg:"deadline-ms"`
 	Priority     int   `msg:"priority"`
+	// Customer is empty if the caller is none that is declared. Fingerprint is the same
+	// for repeats of a request by its caller; 0 means unknown. SpentUs is the engines'
+	// time that earlier attempts at the request have taken, in microseconds.
+	Customer    string `msg:"customer"`
+	Fingerprint uint64 `msg:"fingerprint"`
+	SpentUs     int64  `msg:"spent-us"`
 	// Exclude and ExcludePrefill list engines to avoid.
 	Exclude        []string `msg:"exclude,limit=65536"`
 	ExcludePrefill []string `msg:"exclude-prefill,limit=65536"`
--- a/peerwire/reservation_gen.go
+++ b/peerwire/reservation_gen.go
@@ -2187,6 +2187,24 @@
 				err = msgp.WrapError(err, "Priority")
 				return
 			}
+		case "customer":
+			z.Customer, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Customer")
+				return
+			}
+		case "fingerprint":
+			z.Fingerprint, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Fingerprint")
+				return
+			}
+		case "spent-us":
+			z.SpentUs, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "SpentUs")
+				return
+			}
 		case "exclude":
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
@@ -2270,9 +2288,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *ReservationRequest) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 14
+	// map header, size 17
 	// write "service"
-	err = en.Append(0x8e, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	err = en.Append(0xde, 0x0, 0x11, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	if err != nil {
 		return
 	}
@@ -2371,6 +2389,36 @@
 		err = msgp.WrapError(err, "Priority")
 		return
 	}
+	// write "customer"
+	err = en.Append(0xa8, 0x63, 0x75, 0x73, 0x74, 0x6f, 0x6d, 0x65, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Customer)
+	if err != nil {
+		err = msgp.WrapError(err, "Customer")
+		return
+	}
+	// write "fingerprint"
+	err = en.Append(0xab, 0x66, 0x69, 0x6e, 0x67, 0x65, 0x72, 0x70, 0x72, 0x69, 0x6e, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Fingerprint)
+	if err != nil {
+		err = msgp.WrapError(err, "Fingerprint")
+		return
+	}
+	// write "spent-us"
+	err = en.Append(0xa8, 0x73, 0x70, 0x65, 0x6e, 0x74, 0x2d, 0x75, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.SpentUs)
+	if err != nil {
+		err = msgp.WrapError(err, "SpentUs")
+		return
+	}
 	// write "exclude"
 	err = en.Append(0xa7, 0x65, 0x78, 0x63, 0x6c, 0x75, 0x64, 0x65)
 	if err != nil {
@@ -2438,9 +2486,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ReservationRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 14
+	// map header, size 17
 	// string "service"
-	o = append(o, 0x8e, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = append(o, 0xde, 0x0, 0x11, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	o = msgp.AppendString(o, z.Service)
 	// string "request"
 	o = append(o, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
@@ -2469,6 +2517,15 @@
 	// string "priority"
 	o = append(o, 0xa8, 0x70, 0x72, 0x69, 0x6f, 0x72, 0x69, 0x74, 0x79)
 	o = msgp.AppendInt(o, z.Priority)
+	// string "customer"
+	o = append(o, 0xa8, 0x63, 0x75, 0x73, 0x74, 0x6f, 0x6d, 0x65, 0x72)
+	o = msgp.AppendString(o, z.Customer)
+	// string "fingerprint"
+	o = append(o, 0xab, 0x66, 0x69, 0x6e, 0x67, 0x65, 0x72, 0x70, 0x72, 0x69, 0x6e, 0x74)
+	o = msgp.AppendUint64(o, z.Fingerprint)
+	// string "spent-us"
+	o = append(o, 0xa8, 0x73, 0x70, 0x65, 0x6e, 0x74, 0x2d, 0x75, 0x73)
+	o = msgp.AppendInt64(o, z.SpentUs)
 	// string "exclude"
 	o = append(o, 0xa7, 0x65, 0x78, 0x63, 0x6c, 0x75, 0x64, 0x65)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Exclude)))
@@ -2576,6 +2633,24 @@
 				err = msgp.WrapError(err, "Priority")
 				return
 			}
+		case "customer":
+			z.Customer, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Customer")
+				return
+			}
+		case "fingerprint":
+			z.Fingerprint, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Fingerprint")
+				return
+			}
+		case "spent-us":
+			z.SpentUs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SpentUs")
+				return
+			}
 		case "exclude":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -2659,7 +2734,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ReservationRequest) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Request) + 4 + msgp.Uint64Size + 7 + msgp.Uint32Size + 7 + msgp.Uint32Size + 7 + msgp.Int64Size + 11 + msgp.Int64Size + 9 + msgp.Int64Size + 12 + msgp.Int64Size + 9 + msgp.IntSize + 8 + msgp.ArrayHeaderSize
+	s = 3 + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Request) + 4 + msgp.Uint64Size + 7 + msgp.Uint32Size + 7 + msgp.Uint32Size + 7 + msgp.Int64Size + 11 + msgp.Int64Size + 9 + msgp.Int64Size + 12 + msgp.Int64Size + 9 + msgp.IntSize + 9 + msgp.StringPrefixSize + len(z.Customer) + 12 + msgp.Uint64Size + 9 + msgp.Int64Size + 8 + msgp.ArrayHeaderSize
 	for za0001 := range z.Exclude {
 		s += msgp.StringPrefixSize + len(z.Exclude[za0001])
 	}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -22,6 +22,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jackdawthread/jackdawthread/authenticator"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 )
 
@@ -79,7 +80,9 @@
 	Priority int
 	// Attempts is the maximum number of endpoints that a request is sent to.
 	Attempts int
-	Splits   []Split
+	// Public routes serve callers without a key.
+	Public bool
+	Splits []Split
 }
 
 // Repeatable reports whether a request may be resent after it may have run.
@@ -145,6 +148,8 @@
 	Version  identifier.Revision
 	Services map[identifier.Service]*Service
 	Limits   Limits
+	// Customers are the customers by their keys; nil if callers need none.
+	Customers *authenticator.Index
 	// routes is keyed by host name in lower case and sorted by descending
 	// prefix length.
 	routes map[string][]*Route
--- a/reserver/codec.go
+++ b/reserver/codec.go
@@ -21,6 +21,9 @@
 		FirstEventMs:   earliest(req.FirstEventBy, req.Deadline).Sub(now).Milliseconds(),
 		DeadlineMs:     req.Deadline.Sub(now).Milliseconds(),
 		Priority:       req.Priority,
+		Customer:       string(req.Customer),
+		Fingerprint:    req.Fingerprint,
+		SpentUs:        req.Spent.Microseconds(),
 		Exclude:        endpointStrings(req.Exclude),
 		ExcludePrefill: endpointStrings(req.ExcludePrefill),
 	}
@@ -43,6 +46,9 @@
 		req.Deadline = req.FirstEventBy
 	}
 	req.Priority = m.Priority
+	req.Customer = identifier.Customer(m.Customer)
+	req.Fingerprint = m.Fingerprint
+	req.Spent = time.Duration(m.SpentUs) * time.Microsecond
 	return req
 }
 
