Replace callers' keys by their customers' names, and refuse keys that nobody holds

Each request is checked, and once more after its body if the declarations changed meanwhile; the key is replaced by the customer's name on every call. A customer's priority goes before its routes'. Nothing acts where no customers are declared.

--- /dev/null
+++ b/forwarder/admission.go
@@ -0,0 +1,58 @@
+package forwarder
+
+import (
+	"errors"
+	"net/http"
+	"strings"
+
+	"go.uber.org/zap"
+
+	"github.com/jackdawthread/jackdawthread/authenticator"
+	"github.com/jackdawthread/jackdawthread/registrar"
+)
+
+var errUnknownKey = errors.New("the key belongs to no customer")
+
+// resolve finds the request's route and customer by the declarations. The key is checked
+// with each request, also with those on a connection whose earlier ones were allowed.
+func (e *exchange) resolve(d *registrar.Declarations, key authenticator.Key) error {
+	path, _, _ := strings.Cut(requestTarget(e.request), "?")
+	route, ok := d.Match(e.request.Host, path)
+	if !ok {
+		return &statusError{status: http.StatusNotFound, cause: errNoRoute}
+	}
+	e.route = route
+	e.observation.Route = route
+	e.observation.Version = d.Version
+	return e.authenticate(d, key)
+}
+
+// authenticate finds the customer that the caller is.
+func (e *exchange) authenticate(d *registrar.Declarations, key authenticator.Key) error {
+	e.customer = nil
+	if d.Customers == nil {
+		return nil
+	}
+	customer, ok := d.Customers.Authenticate(key)
+	if !ok && !e.route.Public {
+		e.forwarder.deps.Log.Info("key-refused",
+			zap.String("request", string(e.observation.ID)),
+			zap.String("route", e.route.Name),
+			zap.Uint64("version", uint64(d.Version)),
+			zap.Bool("with-key", key != ""))
+		return &statusError{status: http.StatusUnauthorized, cause: errUnknownKey}
+	}
+	if ok {
+		e.customer = customer
+		e.observation.Customer = customer.Name
+	}
+	return nil
+}
+
+// priority returns the request's rank: its customer's goes before its route's.
+func (e *exchange) priority() int {
+	if e.customer != nil && e.customer.HasPriority {
+		return e.customer.Priority
+	}
+	return e.route.Priority
+}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/jackdawthread/jackdawthread/authenticator"
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/fingerprinter"
@@ -45,6 +46,8 @@
 	call    Call
 	route   *registrar.Route
 	service *registrar.Service
+	// customer is nil for requests of public routes without a key, and if callers need none.
+	customer *authenticator.Customer
 	// exclude lists the endpoints that failed or refused the request.
 	exclude []identifier.Endpoint
 	// sent counts the calls to endpoints that may run the request, without
@@ -75,33 +78,38 @@
 		return &statusError{status: http.StatusBadRequest, cause: err}
 	}
 	e.observation.ID = parameters.ID
-	target := requestTarget(e.request)
-	path, _, _ := strings.Cut(target, "?")
-	route, ok := d.Match(e.request.Host, path)
-	if !ok {
-		return &statusError{status: http.StatusNotFound, cause: errNoRoute}
+	if err := e.resolve(d, parameters.Key); err != nil {
+		return err
 	}
-	e.route = route
-	e.observation.Route = route
-	e.observation.Version = d.Version
 	body, err := e.readBody(d.Limits.BodyBytes)
 	if err != nil {
 		return err
 	}
+	if now := f.deps.Registry.Snapshot().Declarations; now != d { // changed while the body arrived
+		d = now
+		if err := e.resolve(d, parameters.Key); err != nil {
+			return err
+		}
+	}
 	e.call = Call{
 		RequestParameters: parameters,
+		Customer:          e.customer,
+		Priority:          e.priority(),
 		Method:            e.request.Method,
-		Target:            target,
+		Target:            requestTarget(e.request),
 		Host:              e.request.Host,
 		Header:            endToEndHeader(e.request.Header),
 		Body:              body,
 		Deadline:          e.requestDeadline(parameters),
-		AtMostOnce:        !route.Repeatable(),
+		AtMostOnce:        !e.route.Repeatable(),
 	}
 	e.observation.Fingerprints = e.fingerprints()
 	e.call.Traits = append(slices.Clip(parameters.SharedParts), quarantiner.RequestTraits(e.observation.Fingerprints)...)
 	e.call.MayWrite = e.checkQuarantine
 	f.deps.Dialect.Strip(e.call.Header)
+	if d.Customers != nil {
+		f.deps.Dialect.StripCustomer(e.call.Header)
+	}
 	if err := e.checkStop(time.Now()); err != nil {
 		return err
 	}
@@ -118,6 +126,9 @@
 		address = e.request.RemoteAddr
 	}
 	caller := []string{address}
+	if e.customer != nil {
+		caller = append(caller, string(e.customer.Name))
+	}
 	for _, name := range callerHeaders {
 		caller = append(caller, strings.Join(e.request.Header.Values(name), "\n"))
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -164,6 +164,9 @@
 	ParseRequest(h http.Header) (RequestParameters, error)
 	// Strip removes the fields reserved for hosts.
 	Strip(h http.Header)
+	// StripCustomer removes the fields that name the caller's customer and its key. It is
+	// called if customers are declared.
+	StripCustomer(h http.Header)
 	// Signed reports whether a response carries its endpoint's signature.
 	Signed(h http.Header) bool
 	// Identify sets the request ID on a response that this host generates.
--- a/forwarder/hedge_test.go
+++ b/forwarder/hedge_test.go
@@ -44,6 +44,7 @@
 	return RequestParameters{ID: "q"}, nil
 }
 func (plainDialect) Strip(http.Header)                        {}
+func (plainDialect) StripCustomer(http.Header)                {}
 func (plainDialect) Signed(http.Header) bool                  { return true }
 func (plainDialect) Identify(http.Header, identifier.Request) {}
 
--- a/forwarder/observation.go
+++ b/forwarder/observation.go
@@ -15,6 +15,8 @@
 	ID      identifier.Request
 	Route   *registrar.Route // nil if no route matched
 	Service identifier.Service
+	// Customer is whose key the request carried; empty if it needed none.
+	Customer identifier.Customer
 	// Fingerprints relate repeats of a request to each other; empty if it was rejected
 	// before its body was read.
 	Fingerprints fingerprinter.Fingerprints
--- a/forwarder/placement.go
+++ b/forwarder/placement.go
@@ -22,7 +22,7 @@
 func (s *stream) placementRequest() reserver.PlacementRequest {
 	started := s.observation.Started
 	w := reserver.PlacementRequest{
-		Entry:          admitter.Entry{Arrived: started, Priority: s.route.Priority},
+		Entry:          admitter.Entry{Arrived: started, Priority: s.call.Priority},
 		Service:        s.service.Name,
 		Request:        s.call.ID,
 		Prompt:         s.call.Prompt,
--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -171,6 +171,9 @@
 	for _, e := range o.Attempted {
 		fields = append(fields, zap.String("tried", string(e)))
 	}
+	if o.Customer != "" {
+		fields = append(fields, zap.String("customer", string(o.Customer)))
+	}
 	if o.RespondedBy != "" {
 		fields = append(fields, zap.String("by", string(o.RespondedBy)))
 	}
