Rank requests of customers with equal priorities by their routes

Cause: the customer's priority replaced the route's.

Change: the customers' priorities go first, the routes' rank what is equal.

--- a/authenticator/authenticator.go
+++ b/authenticator/authenticator.go
@@ -52,8 +52,8 @@
 // Customer is a customer as operators declare it. It is immutable.
 type Customer struct {
 	Name identifier.Customer
-	// HasPriority is set if Priority ranks the customer's requests, in place of the
-	// priorities of their routes. 0 is the most urgent.
+	// HasPriority is set if Priority ranks the customer's requests before the priorities of
+	// their routes do. 0 is the most urgent.
 	HasPriority bool
 	Priority    int
 	Quota       Quota
--- a/forwarder/admission.go
+++ b/forwarder/admission.go
@@ -49,10 +49,19 @@
 	return nil
 }
 
-// priority returns the request's rank: its customer's goes before its route's.
-func (e *exchange) priority() int {
+// priority returns the request's rank among all requests. Where customers are declared, their
+// priorities go before those of the routes, which rank the requests of equal customers.
+func (e *exchange) priority(d *registrar.Declarations) int {
+	if d.Customers == nil {
+		return e.route.Priority
+	}
+	first := e.route.Priority
 	if e.customer != nil && e.customer.HasPriority {
-		return e.customer.Priority
+		first = e.customer.Priority
 	}
-	return e.route.Priority
+	return first*priorityLevels + min(max(0, e.route.Priority), priorityLevels-1)
 }
+
+// priorityLevels is the number of routes' priorities that are told apart among requests of
+// equal customers.
+const priorityLevels = 10
--- a/forwarder/choice.go
+++ b/forwarder/choice.go
@@ -83,7 +83,7 @@
 	if wait <= 0 {
 		wait = defaultPermitWait
 	}
-	if e.call.Priority > 0 && rand.Float64() >= patientFullShare {
+	if e.route.Priority > 0 && rand.Float64() >= patientFullShare {
 		wait = time.Duration(patientWaitShare * float64(wait))
 	}
 	return min(wait, e.call.TimeLeft(time.Now()))
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -94,7 +94,7 @@
 	e.call = Call{
 		RequestParameters: parameters,
 		Customer:          e.customer,
-		Priority:          e.priority(),
+		Priority:          e.priority(d),
 		Method:            e.request.Method,
 		Target:            requestTarget(e.request),
 		Host:              e.request.Host,
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -113,7 +113,7 @@
 	RequestParameters
 	// Customer is whose key the request carries; nil if it needs none.
 	Customer *authenticator.Customer
-	// Priority ranks the request; 0 is the most urgent.
+	// Priority ranks the request among all; lower is more urgent.
 	Priority int
 	// Traits are what the request has in common with others that may end endpoints: the
 	// shared parts of its prompt, and all of it.
