Let the soak send requests with keys, and check whom they run for

Its configurations declare customers; callers send their customer's key and one request in 40 a stranger's. A call that names another customer, has the key or is a stranger's is reported.

--- a/emulator/soaker/callers.go
+++ b/emulator/soaker/callers.go
@@ -24,6 +24,8 @@
 	// configurations don't allow.
 	largeShare   = 12
 	largePadding = 5000
+	// One request in strangerShare has a key that nobody holds.
+	strangerShare = 40
 )
 
 // outcomeLog collects the outcomes of all callers.
@@ -40,6 +42,9 @@
 
 var requestPaths = []string{"/quotes/", "/quotes/", "/locks/", "/locks/", "/notes/", "/digests/", "/digests/", "/extras/"}
 
+// declaredCustomers are the customers that all configurations declare.
+var declaredCustomers = []string{"yard", "harbour", "mill"}
+
 // caller sends requests in series, over connections that it keeps open until
 // they end.
 type caller struct {
@@ -71,6 +76,10 @@
 		path: requestPaths[c.random.IntN(len(requestPaths))],
 		host: c.random.IntN(len(c.system.hosts)),
 	}
+	o.customer = declaredCustomers[c.number%len(declaredCustomers)]
+	if c.random.IntN(strangerShare) == 0 {
+		o.customer, o.stranger = "nobody", true
+	}
 	if c.random.IntN(largeShare) == 0 {
 		o.padding = largePadding
 	}
--- a/emulator/soaker/checks.go
+++ b/emulator/soaker/checks.go
@@ -30,6 +30,7 @@
 	released       guarantee = "nothing is left behind"
 	recovered      guarantee = "hosts recover with the newest content of the store"
 	bounded        guarantee = "a host stays within its memory"
+	keyed          guarantee = "requests run for the customers whose keys they have"
 	readable       guarantee = "hosts can read each other's messages"
 )
 
@@ -87,6 +88,9 @@
 	runner  *runnerRecord
 	at      time.Time
 	prefill bool
+	// customer is the one that the call named; withKey is set if it had a key.
+	customer string
+	withKey  bool
 }
 
 // checker compares the outcomes of callers with what runners have seen.
@@ -116,6 +120,7 @@
 		c.checkRuns(o)
 		c.checkEnded(o)
 		c.checkContent(o)
+		c.checkCustomer(o)
 	}
 	for i := range c.runners {
 		c.checkRunner(&c.runners[i])
@@ -138,7 +143,9 @@
 		r := &c.runners[i]
 		for _, a := range r.received {
 			if a.ID != "" {
-				c.reached[a.ID] = append(c.reached[a.ID], reached{runner: r, at: a.At, prefill: a.Stage == "prefill"})
+				c.reached[a.ID] = append(c.reached[a.ID], reached{
+					runner: r, at: a.At, prefill: a.Stage == "prefill", customer: a.Customer, withKey: a.Key != "",
+				})
 			}
 		}
 		for _, n := range r.runs {
@@ -263,6 +270,7 @@
 		if !strings.HasPrefix(standin.StreamBody(o.id, streamEvents), o.body) {
 			c.reportOutcome(unchanged, o, "its stream has other bytes: %q", o.body)
 		}
+	case o.status == http.StatusUnauthorized && o.stranger:
 	case o.status == http.StatusRequestEntityTooLarge && o.padding > 0, o.status == http.StatusNotFound && o.path == "/extras/":
 	case o.status == http.StatusTooManyRequests, o.status == http.StatusRequestTimeout, o.status == http.StatusMisdirectedRequest:
 	case o.status >= http.StatusMultipleChoices && o.status < http.StatusInternalServerError:
@@ -270,6 +278,16 @@
 	}
 }
 
+// checkCustomer checks that the calls for a request named its customer and had no key, and
+// that one whose key nobody holds reached no runner.
+func (c *checker) checkCustomer(o *outcome) {
+	for _, a := range c.reached[o.id] {
+		if o.stranger || a.customer != o.customer || a.withKey {
+			c.reportOutcome(keyed, o, "it is of customer %q and reached %s for %q, with a key: %t", o.customer, a.runner.id, a.customer, a.withKey)
+		}
+	}
+}
+
 func (c *checker) checkResponse(o *outcome) {
 	if o.streams() {
 		if o.body != standin.StreamBody(o.id, streamEvents) {
--- a/emulator/soaker/checks_test.go
+++ b/emulator/soaker/checks_test.go
@@ -266,3 +266,26 @@
 	i.True(!h.has("host 0", time.Now(), time.Now(), hostPaused))
 	i.True(slices.ContainsFunc(h.all(), func(f Fault) bool { return !f.To.IsZero() }))
 }
+
+func TestCustomers(t *testing.T) {
+	arrival := func(customer, key string) []standin.Received {
+		a := received("a", time.Millisecond)
+		a.Customer, a.Key = customer, key
+		return []standin.Received{a}
+	}
+	of := func(customer string, stranger bool) []outcome {
+		o := served("a", 0)
+		o.customer, o.stranger = customer, stranger
+		return []outcome{o}
+	}
+	t.Run("must be named by the calls for their requests, without keys", func(t *testing.T) {
+		assertBroken(t, newChecker(of("yard", false), arrival("yard", "")))
+		assertBroken(t, newChecker(of("yard", false), arrival("mill", "")), keyed)
+		assertBroken(t, newChecker(of("yard", false), arrival("", "")), keyed)
+		assertBroken(t, newChecker(of("yard", false), arrival("yard", "key")), keyed)
+	})
+	t.Run("that nobody declared must reach no runner", func(t *testing.T) {
+		assertBroken(t, newChecker(of("nobody", true), arrival("nobody", "")), keyed)
+		assertBroken(t, newChecker(of("nobody", true), nil))
+	})
+}
--- a/emulator/soaker/connection.go
+++ b/emulator/soaker/connection.go
@@ -33,6 +33,9 @@
 	id   identifier.Request
 	path string
 	host int
+	// customer is whose key the request has; a stranger's belongs to no customer.
+	customer string
+	stranger bool
 	// padding is the number of bytes that enlarge the body.
 	padding int
 	// sentAt is when the last byte was sent; zero if the request was not sent
@@ -142,6 +145,6 @@
 
 func requestText(o *outcome) string {
 	body := o.requestBody()
-	return fmt.Sprintf("POST %s1 HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nX-Token-Counts: %d,%d\r\nContent-Length: %d\r\n\r\n%s",
-		o.path, standin.ConfigHost, o.id, callTimeout.Milliseconds(), promptTokens, outputTokens, len(body), body)
+	return fmt.Sprintf("POST %s1 HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nX-Credential: %s\r\nX-Token-Counts: %d,%d\r\nContent-Length: %d\r\n\r\n%s",
+		o.path, standin.ConfigHost, o.id, callTimeout.Milliseconds(), standin.CustomerKey(o.customer), promptTokens, outputTokens, len(body), body)
 }
--- a/emulator/soaker/soaker.go
+++ b/emulator/soaker/soaker.go
@@ -267,7 +267,7 @@
 // checkHost checks that a host knows the newest content of the store.
 func (s *system) checkHost(n int, a identifier.Address) {
 	ask := func(path string, accept func(runner string) bool) {
-		o := outcome{id: identifier.Request(fmt.Sprintf("last-%d", n)), path: path}
+		o := outcome{id: identifier.Request(fmt.Sprintf("last-%d", n)), path: path, customer: declaredCustomers[0]}
 		if k, err := connect(a); err == nil {
 			k.exchange(&o, 0)
 			k.close()
@@ -396,7 +396,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	o.Version, o.Memory = s.version, runnerMemory
+	o.Version, o.Memory, o.Customers = s.version, runnerMemory, declaredCustomers
 	s.store.PutConfig(standin.ConfigWith(o))
 }
 
