--- a/placer/placer.go
+++ b/placer/placer.go
@@ -103,6 +103,9 @@
 // Load is the load that an endpoint reports.
 type Load struct {
 	Running, Waiting, Slots int
+	// Slowdown is how many times as long as usual work takes on the endpoint's machine
+	// at this moment; 0 means unknown.
+	Slowdown float64
 }
 
 // Placer tracks the load and health of endpoints. It is safe for concurrent
