--- a/fingerprinter/fingerprinter.go
+++ b/fingerprinter/fingerprinter.go
@@ -56,10 +56,7 @@
 
 // Of returns the fingerprints of a request.
 func Of(r Request) Fingerprints {
-	request := digest(append(
-		fields(r.Method, strings.ToLower(r.Host), r.Target, r.Prompt),
-		r.Body...,
-	))
+	request := digest(fields(r.Method, strings.ToLower(r.Host), r.Target, r.Prompt), r.Body)
 	caller := digest(fields(append([]string{string(request)}, r.Caller...)...))
 	return Fingerprints{Request: request, Caller: caller}
 }
@@ -74,7 +71,11 @@
 	return b
 }
 
-func digest(b []byte) identifier.Fingerprint {
-	sum := sha256.Sum256(b)
-	return identifier.Fingerprint(hex.EncodeToString(sum[:digestBytes]))
+// digest returns the fingerprint of all parts, one after the other. A large one isn't copied.
+func digest(parts ...[]byte) identifier.Fingerprint {
+	h := sha256.New()
+	for _, p := range parts {
+		_, _ = h.Write(p) // never fails
+	}
+	return identifier.Fingerprint(hex.EncodeToString(h.Sum(nil)[:digestBytes]))
 }
