Keep the last decode engine decoding

Cause: a pool without prefill engines counted as having no capacity, although its decode engines prefill by themselves, and the split of one engine into one prefill engine had none either. As 0 >= gain*0, the last decode engine was ordered to prefill, and a last prefill engine wasn't ordered to decode.

Change: a pool without prefill engines has the capacity n/(2*tp+td); one engine alone decodes; engines are ordered to prefill only while one stays that decodes already; a pool without decode engines gets one before anything is measured.

--- a/stager/stager.go
+++ b/stager/stager.go
@@ -17,6 +17,12 @@
 // [estimator.Model]: td directly, and tp as the slope of prefill time over prompt
 // length. The intercept is left out because an engine processes several prompts
 // concurrently and the fixed part of the latency doesn't occupy it.
+//
+// Without prefill engines, decode engines prefill by themselves, slower than a prefill
+// engine and while their other requests wait: the capacity is then
+// n/(tp*soloPrefillFactor+td). Without decode engines nothing is served. So the last
+// decode engine is never ordered away, and a pool without one gets one even if
+// nothing has been measured yet.
 package stager
 
 import (
@@ -54,6 +60,9 @@
 	// every enginesPerIgnoredChange engines doesn't count as a change.
 	stablePeriod            = 6 * time.Second
 	enginesPerIgnoredChange = 16
+	// soloPrefillFactor is how much longer a decode engine takes for a prompt than a
+	// prefill engine.
+	soloPrefillFactor = 2
 )
 
 // Order tells an engine to switch to a stage.
@@ -115,22 +124,17 @@
 func (s *Stager) NextOrders(all []*registrar.Endpoint, w Workload, now time.Time) []Order {
 	prefill, decode := s.count(all, now)
 	stable := s.updateStable(stageCounts{len(prefill), len(decode)}, now)
-	tp, td, gain, ok := w.costs()
-	if !ok || !stable || now.Sub(s.lastOrder) < orderInterval {
+	if !stable || now.Sub(s.lastOrder) < orderInterval {
 		return nil
 	}
-	size := len(prefill) + len(decode)
-	if !s.target.appliesTo(size) {
-		s.target = target{}
-	}
-	if best := bestPrefill(size, tp, td); capacity(best, size, tp, td) >= gain*capacity(len(prefill), size, tp, td) {
-		s.target = target{size: size, prefill: best}
+	if !s.updateTarget(len(prefill), len(decode), w) {
+		return nil
 	}
 	delta := s.target.prefill - len(prefill)
 	if s.target.size == 0 || delta == 0 {
 		return nil
 	}
-	from, stage := decode, registrar.StagePrefill
+	from, stage := s.replaceable(decode, now), registrar.StagePrefill
 	if delta < 0 {
 		from, stage = prefill, registrar.StageDecode
 		delta = -delta
@@ -138,12 +142,52 @@
 	if stage != s.lastStage && s.mayNotReverse(now) {
 		return nil
 	}
-	orders := s.recordOrders(pickAcrossDataCenters(from, min(delta, maxConcurrentOrders(size))), stage, now)
+	count := min(delta, maxConcurrentOrders(len(prefill)+len(decode)), len(from))
+	if count == 0 {
+		return nil
+	}
+	orders := s.recordOrders(pickAcrossDataCenters(from, count), stage, now)
 	prefill, decode = s.count(all, now)
 	s.lastCounts = stageCounts{len(prefill), len(decode)} // changes by own orders don't reset stableSince
 	return orders
 }
 
+// updateTarget sets the split to reach if that gains enough, and drops one that was
+// set for another pool. It reports false if too little is known to give orders.
+func (s *Stager) updateTarget(prefill, decode int, w Workload) bool {
+	size := prefill + decode
+	if !s.target.appliesTo(size) {
+		s.target = target{}
+	}
+	tp, td, gain, ok := w.costs()
+	if !ok {
+		if decode > 0 || size == 0 {
+			return false
+		}
+		s.target = target{size: size, prefill: size - 1}
+		return true
+	}
+	if best := bestPrefill(size, tp, td); capacity(best, size, tp, td) >= gain*capacity(prefill, size, tp, td) {
+		s.target = target{size: size, prefill: best}
+	}
+	return true
+}
+
+// replaceable returns the decode engines that may be ordered to prefill. One that
+// decodes already always stays, and engines that are about to decode don't count.
+func (s *Stager) replaceable(decode []*registrar.Endpoint, now time.Time) []*registrar.Endpoint {
+	var settled []*registrar.Endpoint
+	for _, e := range decode {
+		if !s.InTransition(e, now) {
+			settled = append(settled, e)
+		}
+	}
+	if len(settled) < 2 {
+		return nil
+	}
+	return settled
+}
+
 // mayNotReverse reports whether the last order is too recent for one in the opposite
 // direction. A pool that other engines have joined or left since is another one.
 func (s *Stager) mayNotReverse(now time.Time) bool {
@@ -249,11 +293,18 @@
 // capacity returns the requests per second that n engines can serve, p of them
 // running prefill.
 func capacity(p, n int, tp, td float64) float64 {
+	if p == 0 {
+		return float64(n) / (soloPrefillFactor*tp + td)
+	}
 	return min(float64(p)/tp, float64(n-p)/td)
 }
 
-// bestPrefill returns the number of prefill engines with the highest capacity.
+// bestPrefill returns the number of prefill engines with the highest capacity; one
+// engine alone has to decode.
 func bestPrefill(n int, tp, td float64) int {
+	if n < 2 {
+		return 0
+	}
 	minimum := 1
 	if n >= minPoolForMinPrefill {
 		minimum = minPrefillEngines
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/estimator"
@@ -259,6 +261,78 @@
 	})
 }
 
+// A pool that loses engines keeps serving: at least one engine decodes, as nobody
+// else can stream.
+func TestSmallPools(t *testing.T) {
+	cases := []struct {
+		name                string
+		prefill, decode     int
+		occupied            time.Duration
+		measured            bool
+		wantPrefill, orders int
+	}{
+		{"the last engine goes on decoding", 0, 1, 500 * time.Millisecond, true, 0, 0},
+		{"the last engine is ordered to decode", 1, 0, 500 * time.Millisecond, true, 0, 1},
+		{"the last engine is ordered to decode before anything is measured", 1, 0, 0, false, 0, 1},
+		{"two engines stay as they are", 1, 1, 500 * time.Millisecond, true, 1, 0},
+		{"one of two prefill engines is ordered to decode", 2, 0, 500 * time.Millisecond, true, 1, 1},
+		{"one of three prefill engines is ordered to decode before anything is measured", 3, 0, 0, false, 2, 1},
+		{"one of two decode engines is ordered to prefill with short answers", 0, 2, time.Second, true, 1, 1},
+		{"two decode engines stay with long answers", 0, 2, 60 * time.Second, true, 0, 0},
+		{"one of three decode engines is ordered to prefill with short answers", 0, 3, 3 * time.Second, true, 1, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			i := is.New(t)
+			m := estimator.New()
+			if c.measured {
+				m = trainedModel(c.occupied)
+			}
+			prefill, _, orders := runToConvergence(m, enginePool(c.prefill, c.decode))
+			i.Equal(prefill, c.wantPrefill)
+			i.Equal(orders, c.orders)
+		})
+	}
+}
+
+// Whatever joins, leaves and lags behind its orders, the orders leave an engine that
+// decodes already if there was one.
+func TestOneEngineAlwaysDecodes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		i := is.New(t)
+		s := stager.New()
+		m := trainedModel(time.Duration(rapid.IntRange(1, 10_000).Draw(t, "response-ms")) * time.Millisecond)
+		all := enginePool(rapid.IntRange(0, 4).Draw(t, "prefill"), rapid.IntRange(0, 4).Draw(t, "decode"))
+		now := start
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(100, 10_000).Draw(t, "pause-ms")) * time.Millisecond)
+			before := decoding(s, all, now)
+			orders := s.NextOrders(all, stager.Workload{Model: m, Memory: memory}, now)
+			i.True(before == 0 || decoding(s, all, now) > 0)
+			for _, o := range orders {
+				if rapid.Bool().Draw(t, "switches-at-once") {
+					o.Engine.Stage = o.Stage
+				}
+			}
+			if len(all) > 0 && rapid.IntRange(0, 4).Draw(t, "loss") == 0 {
+				lost := rapid.IntRange(0, len(all)-1).Draw(t, "lost")
+				all = slices.Delete(slices.Clone(all), lost, lost+1)
+			}
+		}
+	})
+}
+
+// decoding returns how many engines decode and aren't about to switch.
+func decoding(s *stager.Stager, all []*registrar.Endpoint, now time.Time) int {
+	count := 0
+	for _, e := range all {
+		if e.Stage == registrar.StageDecode && !s.InTransition(e, now) {
+			count++
+		}
+	}
+	return count
+}
+
 // stagerAfterOrder returns a stager and the order that it gave at 7 s.
 func stagerAfterOrder() (*stager.Stager, stager.Order) {
 	s, m := stager.New(), trainedModel(3500*time.Millisecond)
