Bound in bytes what replicas keep for peers

Cause: a replica kept the last 512 changes with their values for peers at older revisions, whatever their size: 512 configurations of 743 kB exceed the memory of any host here.

Change: the log is a type of its own (changeLog) with a bound in bytes: 2 MiB, or a fiftieth of limits.memory-bytes if that is less. A peer further behind gets a whole copy. The states by which the items of a restored store are told from new ones are digests, and are remembered for as many changes as before, whatever the log has dropped. The log's start never goes back when it drops changes that a listing had early, which lost a change for a peer between them.

Only the newest value of a key would do for peers, but a replica that skips states can't tell a restored one from a new one any more, so the log has all changes or none.

Replicas in both property tests have random bounds, and TestReplicasProperty writes large values.

--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -323,6 +323,8 @@
 		return h.replicator.Load().WaitForChanges(ctx, after, wait)
 	}
 	h.messenger.Handle(peerwire.KindChanges, p.handleChanges)
+	o := replicator.DefaultOptions()
+	o.MaxLogBytes = h.settings.Limits.MaxStoreLog()
 	r := replicator.Start(replicator.Deps{
 		Store:      h.deps.Platform,
 		Peers:      p,
@@ -334,7 +336,7 @@
 		Timer: h.timer,
 		Group: h.group,
 		Log:   h.log,
-	}, replicator.DefaultOptions())
+	}, o)
 	h.replicator.Store(r)
 	h.messenger.Serve(l.peers)
 	h.timer.Every(budgetTick, h.budgets.tick)
--- a/hoster/limits_test.go
+++ b/hoster/limits_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/jackdawthread/jackdawthread/replicator"
 )
 
 func TestMaxBuffered(t *testing.T) {
@@ -11,3 +13,10 @@
 	i.Equal(Limits{MemoryBytes: 100 << 20}.MaxBuffered(), int64(20<<20))
 	i.Equal(Limits{}.MaxBuffered(), int64(0)) // unknown
 }
+
+func TestMaxStoreLog(t *testing.T) {
+	i := is.New(t)
+	i.Equal(Limits{MemoryBytes: 50_000_000}.MaxStoreLog(), int64(1_000_000))
+	i.Equal(Limits{MemoryBytes: 1 << 40}.MaxStoreLog(), int64(replicator.DefaultMaxLogBytes))
+	i.Equal(Limits{}.MaxStoreLog(), int64(replicator.DefaultMaxLogBytes)) // unknown
+}
--- a/hoster/settings.go
+++ b/hoster/settings.go
@@ -8,6 +8,7 @@
 
 	"github.com/jackdawthread/jackdawthread/common/decoder"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/replicator"
 )
 
 // Settings are the settings of a forwarding host's process.
@@ -108,6 +109,19 @@
 	return int64(bufferedShare * float64(l.MemoryBytes))
 }
 
+// storeLogShare is the part of the process's memory for the store's last changes, which
+// hosts keep for peers.
+const storeLogShare = 0.02
+
+// MaxStoreLog returns the memory in bytes for the store's last changes. A log larger
+// than a whole copy of most stores would save nothing.
+func (l Limits) MaxStoreLog() int64 {
+	if l.MemoryBytes == 0 {
+		return replicator.DefaultMaxLogBytes
+	}
+	return min(replicator.DefaultMaxLogBytes, int64(storeLogShare*float64(l.MemoryBytes)))
+}
+
 // LogSettings bound the volume of the log.
 type LogSettings struct {
 	// LinesPerSecond bounds the lines of each event.
--- a/replicator/history.go
+++ b/replicator/history.go
@@ -1,13 +1,14 @@
 package replicator
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 )
 
-// maxHistory is how many states of items a replica remembers. It is at least
-// maxLogEntries, so that all changes in the log are remembered.
+// maxHistory is how many states of items a replica remembers.
 const maxHistory = 2 * maxLogEntries
 
 // state identifies one state of an item.
@@ -30,6 +31,10 @@
 	states map[string][]state // oldest first
 	latest map[string]Change
 	order  []string // the key of each state, oldest first
+	// All states of the current era with revisions after start, up to the replica's
+	// position, are known. changes are the revisions of the last changes.
+	start   identifier.Revision
+	changes []identifier.Revision
 }
 
 func newHistory() history {
@@ -50,6 +55,21 @@
 	}
 }
 
+// restart notes that of the current era only states after start are known from now on.
+func (h *history) restart(start identifier.Revision) {
+	h.start, h.changes = start, nil
+}
+
+// extend notes a change of the current era. A change has two states at most, its own
+// and the one that it replaces, so the states of maxLogEntries changes are remembered.
+func (h *history) extend(r identifier.Revision) {
+	h.changes = append(h.changes, r)
+	if len(h.changes) > maxLogEntries {
+		h.start = max(h.start, h.changes[0])
+		h.changes = slices.Delete(h.changes, 0, 1)
+	}
+}
+
 func (h *history) dropOldest() {
 	key := h.order[0]
 	h.order = h.order[1:]
--- a/replicator/replica.go
+++ b/replicator/replica.go
@@ -10,9 +10,6 @@
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 )
 
-// maxLogEntries is how many changes a replica keeps for peers at older revisions.
-const maxLogEntries = 512
-
 // Item is one entry of the configuration store.
 type Item struct {
 	Key   string
@@ -85,16 +82,28 @@
 type Replica struct {
 	mu       sync.Mutex
 	items    map[string]Item
-	log      []Change            // ordered by revision, all in the era of position
-	logStart identifier.Revision // the log has all changes after it
+	log      changeLog // all in the era of position
 	position identifier.Position
 	history  history
 	changed  chan struct{} // closed and replaced when the position moves on
 }
 
-// NewReplica returns an empty replica at no position.
-func NewReplica() *Replica {
-	return &Replica{items: map[string]Item{}, history: newHistory(), changed: make(chan struct{})}
+// NewReplica returns an empty replica at no position. It keeps changes of at most
+// maxLogBytes for peers.
+func NewReplica(maxLogBytes int64) *Replica {
+	return &Replica{
+		items:   map[string]Item{},
+		log:     changeLog{maxBytes: maxLogBytes},
+		history: newHistory(),
+		changed: make(chan struct{}),
+	}
+}
+
+// LogBytes returns the memory of the changes that are kept for peers, in bytes.
+func (r *Replica) LogBytes() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.log.bytes
 }
 
 // Position returns the store's position that the replica holds; zero if it has
@@ -240,10 +249,10 @@
 // that led to them. Items that it contained early stay in the log, as they have no
 // effect when they arrive as changes. r.mu must be held.
 func (r *Replica) startLog(listing ChangeSet) {
-	r.log = nil
-	r.logStart = listing.Position.Revision
+	r.log.restart(listing.Position.Revision)
+	r.history.restart(listing.Position.Revision)
 	for _, c := range listing.Changes {
-		if c.Revision > r.logStart {
+		if c.Revision > listing.Position.Revision {
 			r.appendLog(c)
 		}
 	}
@@ -252,11 +261,8 @@
 // appendLog keeps a change for peers; r.mu must be held. Changes arrive in
 // order, except for those that a listing contained early.
 func (r *Replica) appendLog(c Change) {
-	r.log = append(r.log, c)
-	if len(r.log) > maxLogEntries {
-		r.logStart = r.log[0].Revision
-		r.log = slices.Delete(r.log, 0, 1)
-	}
+	r.log.add(c)
+	r.history.extend(c.Revision)
 }
 
 // Since returns the changes after a position, or all items if the log doesn't
@@ -268,17 +274,14 @@
 	if !after.Before(r.position) {
 		return c
 	}
-	if after.Era < r.position.Era || after.Revision < r.logStart || after.Revision == 0 {
-		c.Complete = true
-		for _, i := range r.sorted() {
-			c.Changes = append(c.Changes, Change{Item: i})
-		}
+	changes, ok := r.log.since(after.Revision)
+	if ok && after.Era == r.position.Era && after.Revision > 0 {
+		c.Changes = changes
 		return c
 	}
-	for _, change := range r.log {
-		if change.Revision > after.Revision {
-			c.Changes = append(c.Changes, change)
-		}
+	c.Complete = true
+	for _, i := range r.sorted() {
+		c.Changes = append(c.Changes, Change{Item: i})
 	}
 	return c
 }
--- a/replicator/replica_test.go
+++ b/replicator/replica_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -39,7 +40,7 @@
 func TestReplica(t *testing.T) {
 	t.Run("applies changes once, and returns those with an effect", func(t *testing.T) {
 		i := is.New(t)
-		r := replicator.NewReplica()
+		r := replicator.NewReplica(replicator.DefaultMaxLogBytes)
 		i.Equal(len(r.Apply(changes(2, put("a", "1", 1), put("b", "1", 2))).Changes), 2)
 		i.Equal(len(r.Apply(changes(2, put("a", "1", 1), put("b", "1", 2))).Changes), 0)
 		i.Equal(len(r.Apply(changes(3, put("b", "1", 2), put("a", "2", 3))).Changes), 1)
@@ -47,14 +48,14 @@
 	})
 	t.Run("ignores change sets with an older revision", func(t *testing.T) {
 		i := is.New(t)
-		r := replicator.NewReplica()
+		r := replicator.NewReplica(replicator.DefaultMaxLogBytes)
 		r.Apply(changes(9, put("a", "new", 9)))
 		i.Equal(len(r.Apply(replicator.ChangeSet{Position: at(5), Complete: true, Changes: []replicator.Change{put("a", "old", 5)}}).Changes), 0)
 		i.Equal(keys(r), "a=new ")
 	})
 	t.Run("returns deleted items with their last value", func(t *testing.T) {
 		i := is.New(t)
-		r := replicator.NewReplica()
+		r := replicator.NewReplica(replicator.DefaultMaxLogBytes)
 		r.Apply(changes(1, put("a", "1", 1)))
 		applied := r.Apply(changes(2, deletion("a", 2))).Changes
 		i.Equal(len(applied), 1)
@@ -63,7 +64,7 @@
 	})
 	t.Run("deletes all items that a listing leaves out", func(t *testing.T) {
 		i := is.New(t)
-		r := replicator.NewReplica()
+		r := replicator.NewReplica(replicator.DefaultMaxLogBytes)
 		r.Apply(changes(2, put("a", "1", 1), put("b", "1", 2)))
 		applied := r.Apply(replicator.ChangeSet{Position: at(7), Complete: true, Changes: []replicator.Change{put("b", "1", 2)}}).Changes
 		i.Equal(len(applied), 1)
@@ -72,7 +73,7 @@
 	})
 	t.Run("returns a complete listing for revisions older than its log", func(t *testing.T) {
 		i := is.New(t)
-		r := replicator.NewReplica()
+		r := replicator.NewReplica(replicator.DefaultMaxLogBytes)
 		r.Apply(replicator.ChangeSet{Position: at(5), Complete: true, Changes: []replicator.Change{put("a", "1", 3)}})
 		i.True(r.Since(at(4)).Complete)
 		i.True(!r.Since(at(5)).Complete)
@@ -80,7 +81,7 @@
 	})
 	t.Run("passes on changes that a listing contained early", func(t *testing.T) {
 		i := is.New(t)
-		r, follower := replicator.NewReplica(), replicator.NewReplica()
+		r, follower := replicator.NewReplica(replicator.DefaultMaxLogBytes), replicator.NewReplica(replicator.DefaultMaxLogBytes)
 		first := put("a", "1", 5)
 		r.Apply(replicator.ChangeSet{Position: at(5), Complete: true, Changes: []replicator.Change{first, put("b", "1", 6)}})
 		follower.Apply(replicator.ChangeSet{Position: at(5), Complete: true, Changes: []replicator.Change{first}})
@@ -104,7 +105,7 @@
 
 // at returns the store's content at a revision.
 func (w *modelStore) at(r identifier.Revision) string {
-	replica := replicator.NewReplica()
+	replica := replicator.NewReplica(replicator.DefaultMaxLogBytes)
 	for _, c := range w.history {
 		if c.Revision <= r {
 			replica.Apply(changes(c.Revision, c))
@@ -124,7 +125,7 @@
 }
 
 func (w *modelStore) listing() replicator.ChangeSet {
-	replica := replicator.NewReplica()
+	replica := replicator.NewReplica(replicator.DefaultMaxLogBytes)
 	replica.Apply(w.since(0))
 	c := replicator.ChangeSet{Position: at(w.revision), Complete: true}
 	for _, i := range replica.Items() {
@@ -139,7 +140,10 @@
 func TestReplicasProperty(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := &modelStore{}
-		replicas := []*replicator.Replica{replicator.NewReplica(), replicator.NewReplica(), replicator.NewReplica()}
+		replicas := make([]*replicator.Replica, 3)
+		for n := range replicas {
+			replicas[n] = replicator.NewReplica(rapid.SampledFrom([]int64{0, 400, 2000, replicator.DefaultMaxLogBytes}).Draw(t, "log-bytes"))
+		}
 		var delayed []replicator.ChangeSet
 		pickReplica := func(t *rapid.T) *replicator.Replica { return replicas[rapid.IntRange(0, 2).Draw(t, "replica")] }
 		apply := func(t *rapid.T, r *replicator.Replica, c replicator.ChangeSet) {
@@ -157,6 +161,10 @@
 			"put": func(t *rapid.T) {
 				w.change(put(fmt.Sprintf("k%d", rapid.IntRange(0, 4).Draw(t, "key")), fmt.Sprint(w.revision), 0))
 			},
+			"put large": func(t *rapid.T) {
+				value := strings.Repeat("x", rapid.IntRange(0, 1000).Draw(t, "size"))
+				w.change(put(fmt.Sprintf("k%d", rapid.IntRange(0, 4).Draw(t, "key")), value+fmt.Sprint(w.revision), 0))
+			},
 			"delete": func(t *rapid.T) {
 				w.change(deletion(fmt.Sprintf("k%d", rapid.IntRange(0, 4).Draw(t, "key")), 0))
 			},
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -100,7 +100,7 @@
 	Log       *zap.Logger
 }
 
-// Options are the timing parameters of a Replicator.
+// Options are the timing parameters and bounds of a Replicator.
 type Options struct {
 	// WatchWait is how long the store may hold a watch open without a change.
 	WatchWait time.Duration
@@ -137,6 +137,9 @@
 	// used in place of the older one that the store has. It is longer than the store
 	// keeps items that their writers have to keep alive.
 	OutdatedHold time.Duration
+	// MaxLogBytes bounds the memory of the changes that are kept for peers. A peer
+	// that is further behind gets a whole copy.
+	MaxLogBytes int64
 }
 
 // DefaultOptions returns options that suit stores that answer within
@@ -158,6 +161,7 @@
 		OutageAfter:        1500 * time.Millisecond,
 		DeletionGrace:      2 * time.Second,
 		OutdatedHold:       10 * time.Second,
+		MaxLogBytes:        DefaultMaxLogBytes,
 	}
 }
 
@@ -189,7 +193,7 @@
 	r := &Replicator{
 		deps:         d,
 		options:      o,
-		replica:      NewReplica(),
+		replica:      NewReplica(o.MaxLogBytes),
 		started:      time.Now(),
 		retention:    newRetention(o, d.Permanent),
 		connectivity: connectivity{options: o},
--- a/replicator/restore.go
+++ b/replicator/restore.go
@@ -33,7 +33,7 @@
 	if ok {
 		verdict = r.origin(i, known, era)
 	}
-	if verdict == originNew && ok && i.Revision > r.logStart && i.Revision <= r.position.Revision {
+	if verdict == originNew && ok && i.Revision > r.history.start && i.Revision <= r.position.Revision {
 		i.Era = era // no write of the earlier era
 	}
 	if verdict == originKnown {
@@ -89,7 +89,7 @@
 
 // origin returns where an item of the given, later, era comes from. Nothing in the
 // item tells whether it was restored or written since, and revisions are given out
-// again. But a replica knows all states between the start of its log and its
+// again. But a replica knows all states between the start of its history and its
 // position: another state with such a revision was written since. r.mu must be
 // held.
 func (r *Replica) origin(i Item, known Change, era identifier.Era) origin {
@@ -100,7 +100,7 @@
 		return originNew
 	case r.history.contains(i):
 		return originOutdated
-	case i.Revision > r.logStart || i.Revision >= known.Revision:
+	case i.Revision > r.history.start || i.Revision >= known.Revision:
 		return originNew
 	default:
 		return originDoubtful
--- a/replicator/restore_test.go
+++ b/replicator/restore_test.go
@@ -148,8 +148,8 @@
 	paged    bool      // its items may come from pages of different revisions
 }
 
-func newMirror(s *restorableStore) *mirror {
-	return &mirror{store: s, replica: NewReplica(), retention: newRetention(DefaultOptions(), nil), known: map[string]written{}}
+func newMirror(s *restorableStore, maxLogBytes int64) *mirror {
+	return &mirror{store: s, replica: NewReplica(maxLogBytes), retention: newRetention(DefaultOptions(), nil), known: map[string]written{}}
 }
 
 func (m *mirror) apply(c ChangeSet, now time.Time) {
@@ -278,9 +278,12 @@
 func TestRestoreProperty(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		store := newRestorableStore()
+		logBytes := func(t *rapid.T) int64 {
+			return rapid.SampledFrom([]int64{0, 3 * entryBytes, DefaultMaxLogBytes}).Draw(t, "log-bytes")
+		}
 		h := &restoreHistory{
 			store:   store,
-			mirrors: []*mirror{newMirror(store), newMirror(store), newMirror(store)},
+			mirrors: []*mirror{newMirror(store, logBytes(t)), newMirror(store, logBytes(t)), newMirror(store, logBytes(t))},
 			now:     time.Unix(1_000_000, 0),
 		}
 		anyKey := func(t *rapid.T) string { return string(rune('a' + rapid.IntRange(0, 5).Draw(t, "key"))) }
@@ -341,7 +344,7 @@
 					h.late = h.late[1:]
 				}
 			},
-			"start": func(t *rapid.T) { h.mirrors[rapid.IntRange(0, 2).Draw(t, "host")] = newMirror(h.store) },
+			"start": func(t *rapid.T) { h.mirrors[rapid.IntRange(0, 2).Draw(t, "host")] = newMirror(h.store, logBytes(t)) },
 			"wait": func(t *rapid.T) {
 				h.now = h.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
 			},
--- a/replicator/retention_test.go
+++ b/replicator/retention_test.go
@@ -32,7 +32,7 @@
 }
 
 func newRestoredHost(permanent func(known, restored Item) bool) *restoredHost {
-	return &restoredHost{replica: NewReplica(), retention: newRetention(DefaultOptions(), permanent)}
+	return &restoredHost{replica: NewReplica(DefaultMaxLogBytes), retention: newRetention(DefaultOptions(), permanent)}
 }
 
 // apply applies change sets at a time without an outage.
