List the store after an answer that was too large, and copy to peers in parts

Cause: the changes since a host's revision may exceed the memory for an answer of the store. The host then watched from the same revision again, which fails again and grows, until the store forgot its history. Peers' answers with the same changes exceeded a frame.

Change: an answer over the memory for it is a replicator.ErrTooLarge, after which the store is listed at once, in its pages. Only requesters that say so get parts, so earlier builds never take a part for the whole.

--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -54,17 +54,16 @@
 }
 
 func changesRequest(after identifier.Position, wait time.Duration) *peerwire.ChangesRequest {
-	return &peerwire.ChangesRequest{After: after.Revision, Era: after.Era, WaitMs: uint32(wait.Milliseconds())}
+	return &peerwire.ChangesRequest{After: after.Revision, Era: after.Era, WaitMs: uint32(wait.Milliseconds()), Parts: true}
 }
 
 var errNoPeer = classifier.NotRun(classifier.ReasonHostUnreachable, 0, "no other host is known")
 
 func (p *peers) call(ctx context.Context, at gossiper.Member, request *peerwire.ChangesRequest) (replicator.ChangeSet, error) {
-	var reply peerwire.ChangesReply
-	if err := p.messenger.Call(ctx, at.Address, peerwire.KindChanges, request, &reply); err != nil {
-		return replicator.ChangeSet{}, err
-	}
-	return decodeChanges(&reply), nil
+	return collectChanges(request, func(r *peerwire.ChangesRequest) (*peerwire.ChangesReply, error) {
+		reply := &peerwire.ChangesReply{}
+		return reply, p.messenger.Call(ctx, at.Address, peerwire.KindChanges, r, reply)
+	})
 }
 
 // handleChanges answers a peer's query.
@@ -75,7 +74,7 @@
 	}
 	wait := min(maxPeerWait, time.Duration(request.WaitMs)*time.Millisecond)
 	after := identifier.Position{Era: request.Era, Revision: request.After}
-	return encodeChanges(p.answer(ctx, after, wait)), nil
+	return answerInParts(&request, p.answer(ctx, after, wait)), nil
 }
 
 // maxPeerWait bounds how long this host holds a peer's query open.
--- a/peerwire/changes.go
+++ b/peerwire/changes.go
@@ -17,6 +17,10 @@
 	// WaitMs is how long the peer may wait for a newer revision in
 	// milliseconds. If 0, it replies immediately.
 	WaitMs uint32 `msg:"wait-ms"`
+	// Parts is set if the requester takes a snapshot in parts. It then requests the
+	// next one with AfterKey, the NextKey of the last one.
+	Parts    bool   `msg:"parts"`
+	AfterKey string `msg:"after-key"`
 }
 
 // ChangesReply replies to a ChangesRequest.
@@ -30,6 +34,9 @@
 	// AgeMs is the time since the store confirmed Revision in milliseconds.
 	AgeMs   uint32      `msg:"age-ms"`
 	Changes []StoreItem `msg:"changes,limit=65536"`
+	// NextKey is set if the snapshot has items with keys after it, which are missing in
+	// Changes.
+	NextKey string `msg:"next-key"`
 	// Kept lists what the peer uses in place of items that a restored store has set
 	// back. It doesn't depend on the requester's position.
 	Kept []KeptItem `msg:"kept,limit=65536"`
--- a/peerwire/changes_gen.go
+++ b/peerwire/changes_gen.go
@@ -80,6 +80,12 @@
 					return
 				}
 			}
+		case "next-key":
+			z.NextKey, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "NextKey")
+				return
+			}
 		case "kept":
 			var zb0005 uint32
 			zb0005, err = dc.ReadArrayHeader()
@@ -159,9 +165,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *ChangesReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
+	// map header, size 7
 	// write "revision"
-	err = en.Append(0x86, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	err = en.Append(0x87, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
 	if err != nil {
 		return
 	}
@@ -217,6 +223,16 @@
 			return
 		}
 	}
+	// write "next-key"
+	err = en.Append(0xa8, 0x6e, 0x65, 0x78, 0x74, 0x2d, 0x6b, 0x65, 0x79)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.NextKey)
+	if err != nil {
+		err = msgp.WrapError(err, "NextKey")
+		return
+	}
 	// write "kept"
 	err = en.Append(0xa4, 0x6b, 0x65, 0x70, 0x74)
 	if err != nil {
@@ -266,9 +282,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ChangesReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "revision"
-	o = append(o, 0x86, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	o = append(o, 0x87, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendUint64(o, uint64(z.Revision))
 	// string "era"
 	o = append(o, 0xa3, 0x65, 0x72, 0x61)
@@ -289,6 +305,9 @@
 			return
 		}
 	}
+	// string "next-key"
+	o = append(o, 0xa8, 0x6e, 0x65, 0x78, 0x74, 0x2d, 0x6b, 0x65, 0x79)
+	o = msgp.AppendString(o, z.NextKey)
 	// string "kept"
 	o = append(o, 0xa4, 0x6b, 0x65, 0x70, 0x74)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Kept)))
@@ -384,6 +403,12 @@
 					return
 				}
 			}
+		case "next-key":
+			z.NextKey, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NextKey")
+				return
+			}
 		case "kept":
 			var zb0005 uint32
 			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -468,7 +493,7 @@
 	for za0001 := range z.Changes {
 		s += z.Changes[za0001].Msgsize()
 	}
-	s += 5 + msgp.ArrayHeaderSize
+	s += 9 + msgp.StringPrefixSize + len(z.NextKey) + 5 + msgp.ArrayHeaderSize
 	for za0002 := range z.Kept {
 		s += 1 + 6 + z.Kept[za0002].Known.Msgsize() + 18 + msgp.Uint64Size + 8 + msgp.Uint32Size
 	}
@@ -519,6 +544,18 @@
 				err = msgp.WrapError(err, "WaitMs")
 				return
 			}
+		case "parts":
+			z.Parts, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Parts")
+				return
+			}
+		case "after-key":
+			z.AfterKey, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "AfterKey")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -531,10 +568,10 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z ChangesRequest) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+func (z *ChangesRequest) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 5
 	// write "after"
-	err = en.Append(0x83, 0xa5, 0x61, 0x66, 0x74, 0x65, 0x72)
+	err = en.Append(0x85, 0xa5, 0x61, 0x66, 0x74, 0x65, 0x72)
 	if err != nil {
 		return
 	}
@@ -563,15 +600,35 @@
 		err = msgp.WrapError(err, "WaitMs")
 		return
 	}
+	// write "parts"
+	err = en.Append(0xa5, 0x70, 0x61, 0x72, 0x74, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Parts)
+	if err != nil {
+		err = msgp.WrapError(err, "Parts")
+		return
+	}
+	// write "after-key"
+	err = en.Append(0xa9, 0x61, 0x66, 0x74, 0x65, 0x72, 0x2d, 0x6b, 0x65, 0x79)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.AfterKey)
+	if err != nil {
+		err = msgp.WrapError(err, "AfterKey")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z ChangesRequest) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *ChangesRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 5
 	// string "after"
-	o = append(o, 0x83, 0xa5, 0x61, 0x66, 0x74, 0x65, 0x72)
+	o = append(o, 0x85, 0xa5, 0x61, 0x66, 0x74, 0x65, 0x72)
 	o = msgp.AppendUint64(o, uint64(z.After))
 	// string "era"
 	o = append(o, 0xa3, 0x65, 0x72, 0x61)
@@ -579,6 +636,12 @@
 	// string "wait-ms"
 	o = append(o, 0xa7, 0x77, 0x61, 0x69, 0x74, 0x2d, 0x6d, 0x73)
 	o = msgp.AppendUint32(o, z.WaitMs)
+	// string "parts"
+	o = append(o, 0xa5, 0x70, 0x61, 0x72, 0x74, 0x73)
+	o = msgp.AppendBool(o, z.Parts)
+	// string "after-key"
+	o = append(o, 0xa9, 0x61, 0x66, 0x74, 0x65, 0x72, 0x2d, 0x6b, 0x65, 0x79)
+	o = msgp.AppendString(o, z.AfterKey)
 	return
 }
 
@@ -626,6 +689,18 @@
 				err = msgp.WrapError(err, "WaitMs")
 				return
 			}
+		case "parts":
+			z.Parts, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Parts")
+				return
+			}
+		case "after-key":
+			z.AfterKey, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AfterKey")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -639,8 +714,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z ChangesRequest) Msgsize() (s int) {
-	s = 1 + 6 + msgp.Uint64Size + 4 + msgp.Uint64Size + 8 + msgp.Uint32Size
+func (z *ChangesRequest) Msgsize() (s int) {
+	s = 1 + 6 + msgp.Uint64Size + 4 + msgp.Uint64Size + 8 + msgp.Uint32Size + 6 + msgp.BoolSize + 10 + msgp.StringPrefixSize + len(z.AfterKey)
 	return
 }
 
--- a/replicator/change_log.go
+++ b/replicator/change_log.go
@@ -33,12 +33,12 @@
 // if it is too large.
 func (l *changeLog) add(c Change) {
 	l.changes = append(l.changes, c)
-	l.bytes += sizeOf(c)
+	l.bytes += c.Bytes()
 	dropped := 0
 	for len(l.changes)-dropped > maxLogEntries || l.bytes > l.maxBytes {
 		oldest := l.changes[dropped]
 		l.start = max(l.start, oldest.Revision)
-		l.bytes -= sizeOf(oldest)
+		l.bytes -= oldest.Bytes()
 		dropped++
 	}
 	l.changes = slices.Delete(l.changes, 0, dropped)
@@ -59,7 +59,7 @@
 	return all, true
 }
 
-// sizeOf returns the memory of a change in bytes.
-func sizeOf(c Change) int64 {
+// Bytes returns the memory of a change in bytes.
+func (c Change) Bytes() int64 {
 	return entryBytes + int64(len(c.Key)) + int64(len(c.Value))
 }
--- a/replicator/reading.go
+++ b/replicator/reading.go
@@ -133,9 +133,13 @@
 		return r.list(ctx)
 	}
 	changes, err := r.watch(ctx, after, wait)
-	if errors.Is(err, ErrHistoryLost) {
+	switch {
+	case errors.Is(err, ErrHistoryLost):
 		r.deps.Log.Info("store-history-unavailable", append(positionFields(after), zap.Error(err))...)
 		return r.list(ctx)
+	case errors.Is(err, ErrTooLarge): // the same watch would only return more
+		r.deps.Log.Info("store-changes-too-large", append(positionFields(after), zap.Error(err))...)
+		return r.list(ctx)
 	}
 	if err == nil && changes.Position.Era > after.Era {
 		return r.list(ctx)
--- a/replicator/reading_test.go
+++ b/replicator/reading_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -164,6 +165,21 @@
 	})
 }
 
+// A host that was cut off for some seconds while large configurations came watched from
+// the same revision for 18 s, as the answer was too large each time.
+func TestReadingLargeChanges(t *testing.T) {
+	i := is.New(t)
+	s := &scriptedStore{
+		listings: []answer{{changes: listing(1, 9)}, {changes: listing(1, 40)}},
+		watches:  []answer{{err: fmt.Errorf("watch: %w", ErrTooLarge)}, {err: errNoPeers}},
+	}
+	r := startReading(t, s, noPeers{})
+	assertPosition(t, r, identifier.Position{Era: 1, Revision: 40})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i.Equal(s.listed, 2)
+}
+
 // endlessChanges implements Store: each watch returns a change at once.
 type endlessChanges struct {
 	scriptedStore
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -58,6 +58,9 @@
 	// ErrHistoryLost reports that the store doesn't have the changes after a
 	// revision, so that all items have to be listed again.
 	ErrHistoryLost = errors.New("store doesn't have the changes after this revision")
+	// ErrTooLarge reports that the changes after a revision take more memory than this
+	// host has for an answer, so that all items have to be listed again.
+	ErrTooLarge = errors.New("answer with the changes is too large")
 	// ErrEraChanged reports that the store was restored during a listing.
 	ErrEraChanged = errors.New("store was restored during the listing")
 )
@@ -68,7 +71,8 @@
 	// meanwhile.
 	List(ctx context.Context) (ChangeSet, error)
 	// Watch waits, for at most wait, for changes after a position. It returns
-	// ErrHistoryLost if the store doesn't have them. If the result has a later era,
+	// ErrHistoryLost if the store doesn't have them, and ErrTooLarge if they are too
+	// large for one answer. If the result has a later era,
 	// the store was restored, and its changes aren't those after the position.
 	Watch(ctx context.Context, after identifier.Position, wait time.Duration) (ChangeSet, error)
 }
