--- a/emulator/soaker/faults.go
+++ b/emulator/soaker/faults.go
@@ -36,6 +36,8 @@
 	// longest time between two.
 	maxSeries   = 5
 	seriesPause = 300 * time.Millisecond
+	// largeFillers is the number of further routes of a large configuration.
+	largeFillers = 1500
 )
 
 // injection is a fault that can be injected.
@@ -250,13 +252,18 @@
 	}}
 }
 
-// configurationFault publishes a series of configurations.
+// configurationFault publishes a series of configurations, large ones in quick succession.
 func (s *system) configurationFault() injection {
 	var versions []standin.ConfigOptions
 	for range 1 + s.random.IntN(maxSeries) {
 		versions = append(versions, s.randomConfiguration())
 	}
 	pause := s.randomDuration(0, seriesPause)
+	if pause < seriesPause/3 {
+		for n := range versions {
+			versions[n].Fillers = largeFillers
+		}
+	}
 	return injection{kind: configurationSent, subject: "configuration", inject: func(time.Duration) {
 		for _, o := range versions {
 			s.publish(o)
