Give a listing its own time after a watch that was too large

Cause: a watch and the listing after it shared one time limit, so a slow answer that was too large left none for the listing, and the same came again. The test fails before and holds after.

--- a/replicator/reading.go
+++ b/replicator/reading.go
@@ -97,8 +97,6 @@
 		return err
 	}
 	after := r.replica.Position()
-	ctx, cancel := context.WithTimeout(ctx, r.options.WatchWait+r.options.ReplyMargin)
-	defer cancel()
 	changes, err := r.listOrWatch(ctx, after, max(minWatchWait, r.options.WatchWait-waited))
 	if err != nil {
 		r.readAt = time.Time{} // the next read waits for the backoff only
@@ -154,8 +152,11 @@
 	return r.deps.Store.Watch(ctx, after, wait)
 }
 
-// list lists the store, again if it is restored meanwhile.
+// list lists the store, again if it is restored meanwhile. It has its own time, as a
+// watch before it may have spent that on an answer that was too large.
 func (r *Replicator) list(ctx context.Context) (ChangeSet, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.options.WatchWait+r.options.ReplyMargin)
+	defer cancel()
 	for range maxListings - 1 {
 		changes, err := r.deps.Store.List(ctx)
 		if !errors.Is(err, ErrEraChanged) {
--- a/replicator/reading_test.go
+++ b/replicator/reading_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/common/sleeper"
 	"github.com/jackdawthread/jackdawthread/timer"
 )
 
@@ -94,6 +95,12 @@
 
 // startReadingAs starts a replicator of a host that is a reader of the store, or not.
 func startReadingAs(t *testing.T, s Store, p Peers, reader bool) *Replicator {
+	t.Helper()
+	return startReadingWith(t, s, p, reader, DefaultOptions())
+}
+
+// startReadingWith starts a replicator with the given options.
+func startReadingWith(t *testing.T, s Store, p Peers, reader bool, o Options) *Replicator {
 	t.Helper()
 	g := grouper.New(context.Background())
 	t.Cleanup(func() {
@@ -104,7 +111,7 @@
 		Store: s, Peers: p, ReadsStore: func() bool { return reader },
 		OnChange: func([]Item, identifier.Position) {},
 		Timer:    timer.New(g), Group: g, Log: zap.NewNop(),
-	}, DefaultOptions())
+	}, o)
 }
 
 // assertPosition waits until a replicator is at a position.
@@ -165,19 +172,54 @@
 	})
 }
 
+// slowStore implements Store: it takes a while for each answer.
+type slowStore struct {
+	scriptedStore
+	duration time.Duration
+}
+
+func (s *slowStore) List(ctx context.Context) (ChangeSet, error) {
+	if err := sleeper.Sleep(ctx, s.duration); err != nil {
+		return ChangeSet{}, err
+	}
+	return s.scriptedStore.List(ctx)
+}
+
+func (s *slowStore) Watch(ctx context.Context, after identifier.Position, wait time.Duration) (ChangeSet, error) {
+	if err := sleeper.Sleep(ctx, s.duration); err != nil {
+		return ChangeSet{}, err
+	}
+	return s.scriptedStore.Watch(ctx, after, wait)
+}
+
 // A host that was cut off for some seconds while large configurations came watched from
 // the same revision for 18 s, as the answer was too large each time.
 func TestReadingLargeChanges(t *testing.T) {
-	i := is.New(t)
-	s := &scriptedStore{
-		listings: []answer{{changes: listing(1, 9)}, {changes: listing(1, 40)}},
-		watches:  []answer{{err: fmt.Errorf("watch: %w", ErrTooLarge)}, {err: errNoPeers}},
-	}
-	r := startReading(t, s, noPeers{})
-	assertPosition(t, r, identifier.Position{Era: 1, Revision: 40})
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	i.Equal(s.listed, 2)
+	t.Run("a listing has its own time after a slow answer that was too large", func(t *testing.T) {
+		t.Parallel()
+		o := DefaultOptions()
+		o.WatchWait, o.ReplyMargin = 200*time.Millisecond, 200*time.Millisecond
+		s := &slowStore{
+			scriptedStore: scriptedStore{
+				listings: []answer{{changes: listing(1, 9)}, {changes: listing(1, 40)}},
+				watches:  []answer{{err: ErrTooLarge}},
+			},
+			duration: (o.WatchWait + o.ReplyMargin) * 2 / 3,
+		}
+		assertPosition(t, startReadingWith(t, s, noPeers{}, true, o), identifier.Position{Era: 1, Revision: 40})
+	})
+	t.Run("the store is listed at once", func(t *testing.T) {
+		i := is.New(t)
+		s := &scriptedStore{
+			listings: []answer{{changes: listing(1, 9)}, {changes: listing(1, 40)}},
+			watches:  []answer{{err: fmt.Errorf("watch: %w", ErrTooLarge)}, {err: errNoPeers}},
+		}
+		r := startReading(t, s, noPeers{})
+		assertPosition(t, r, identifier.Position{Era: 1, Revision: 40})
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		i.Equal(s.listed, 2)
+	})
 }
 
 // endlessChanges implements Store: each watch returns a change at once.
