Keep one engine decoding when a large pool orders several at once

With as many settled decode engines as orders at once, all of them were ordered, while others had yet to switch.

--- a/stager/stager.go
+++ b/stager/stager.go
@@ -134,16 +134,17 @@
 	if s.target.size == 0 || delta == 0 {
 		return nil
 	}
-	from, stage := s.replaceable(decode, now), registrar.StagePrefill
+	from, stage := s.settled(decode, now), registrar.StagePrefill
+	available := len(from) - 1 // one that decodes already always stays
 	if delta < 0 {
 		from, stage = prefill, registrar.StageDecode
-		delta = -delta
+		delta, available = -delta, len(prefill)
 	}
 	if stage != s.lastStage && s.mayNotReverse(now) {
 		return nil
 	}
-	count := min(delta, maxConcurrentOrders(len(prefill)+len(decode)), len(from))
-	if count == 0 {
+	count := min(delta, maxConcurrentOrders(len(prefill)+len(decode)), available)
+	if count <= 0 {
 		return nil
 	}
 	orders := s.recordOrders(pickAcrossDataCenters(from, count), stage, now)
@@ -173,18 +174,14 @@
 	return true
 }
 
-// replaceable returns the decode engines that may be ordered to prefill. One that
-// decodes already always stays, and engines that are about to decode don't count.
-func (s *Stager) replaceable(decode []*registrar.Endpoint, now time.Time) []*registrar.Endpoint {
+// settled returns the engines that aren't in transition.
+func (s *Stager) settled(engines []*registrar.Endpoint, now time.Time) []*registrar.Endpoint {
 	var settled []*registrar.Endpoint
-	for _, e := range decode {
+	for _, e := range engines {
 		if !s.InTransition(e, now) {
 			settled = append(settled, e)
 		}
 	}
-	if len(settled) < 2 {
-		return nil
-	}
 	return settled
 }
 
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -302,7 +302,8 @@
 		i := is.New(t)
 		s := stager.New()
 		m := trainedModel(time.Duration(rapid.IntRange(1, 10_000).Draw(t, "response-ms")) * time.Millisecond)
-		all := enginePool(rapid.IntRange(0, 4).Draw(t, "prefill"), rapid.IntRange(0, 4).Draw(t, "decode"))
+		largest := rapid.SampledFrom([]int{4, 40}).Draw(t, "largest")
+		all := enginePool(rapid.IntRange(0, largest).Draw(t, "prefill"), rapid.IntRange(0, 4).Draw(t, "decode"))
 		now := start
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(100, 10_000).Draw(t, "pause-ms")) * time.Millisecond)
