Bound the latency histograms in number

Change: at most 1,024 histograms; the requests of further routes are recorded together, and what such a route's requests take is unknown, as for a new route.

TestManyRoutes fails before and holds after.

--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 	"net/http"
+	"path"
 	"strconv"
 	"sync"
 	"time"
@@ -21,6 +22,12 @@
 	maxLatencyMs     = 60_000
 	latencyPrecision = 2 // significant figures
 
+	// maxHistograms bounds the latency histograms, of about 10 kB each. Configurations
+	// may have thousands of routes, and other ones in each version. The requests of
+	// further routes are recorded together, as those of otherRoutes.
+	maxHistograms = 1024
+	otherRoutes   = "(other)"
+
 	// answeredSuffix names the histogram of a route's requests that got an endpoint's
 	// whole answer.
 	answeredSuffix = ".answered"
@@ -120,6 +127,9 @@
 func (m *metrics) record(name string, d time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.latencies[name] == nil && len(m.latencies) >= maxHistograms {
+		name = otherRoutes + path.Ext(name)
+	}
 	h := m.latencies[name]
 	if h == nil {
 		h = hdrhistogram.New(minLatencyMs, maxLatencyMs, latencyPrecision)
--- a/hoster/metrics_test.go
+++ b/hoster/metrics_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -33,3 +34,18 @@
 		i.True(expected >= 4*time.Second && expected < 4100*time.Millisecond)
 	})
 }
+
+// Each route that ever got a request had histograms of its own: 80 MB with a large
+// configuration.
+func TestManyRoutes(t *testing.T) {
+	i, m := is.New(t), newMetrics()
+	for n := range 4000 {
+		for range minExpectedSamples {
+			m.observe(&forwarder.Observation{Route: &registrar.Route{Name: fmt.Sprint("route-", n)}, Duration: time.Second})
+		}
+	}
+	i.True(len(m.latencies) <= maxHistograms+2) // those of the other routes, whole and answered
+	i.True(m.expectedDuration(&registrar.Route{Name: "route-0"}) > 0)
+	i.Equal(m.expectedDuration(&registrar.Route{Name: "route-3999"}), 0*time.Second)
+	i.Equal(m.latencies[otherRoutes+answeredSuffix].TotalCount(), int64(minExpectedSamples*(4000-maxHistograms/2)))
+}
