--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 	"net/http"
+	"path"
 	"strconv"
 	"sync"
 	"time"
@@ -21,6 +22,12 @@
 	maxLatencyMs     = 60_000
 	latencyPrecision = 2 // significant figures
 
+	// maxHistograms bounds the latency histograms, of about 10 kB each. Configurations
+	// may have thousands of routes, and other ones in each version. The requests of
+	// further routes are recorded together, as those of otherRoutes.
+	maxHistograms = 1024
+	otherRoutes   = "(other)"
+
 	// answeredSuffix names the histogram of a route's requests that got an endpoint's
 	// whole answer.
 	answeredSuffix = ".answered"
@@ -71,6 +78,7 @@
 	m.root.Set("store-connected", expvar.Func(func() any { return h.replicator.Load().Connected() }))
 	m.root.Set("store-revision", expvar.Func(func() any { return h.replicator.Load().Replica().Position().Revision }))
 	m.root.Set("store-items-retained", expvar.Func(func() any { return h.replicator.Load().Retained() }))
+	m.root.Set("store-log-bytes", expvar.Func(func() any { return h.replicator.Load().Replica().LogBytes() }))
 	m.root.Set("store-era", expvar.Func(func() any { return h.replicator.Load().Replica().Position().Era }))
 }
 
@@ -119,6 +127,9 @@
 func (m *metrics) record(name string, d time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.latencies[name] == nil && len(m.latencies) >= maxHistograms {
+		name = otherRoutes + path.Ext(name)
+	}
 	h := m.latencies[name]
 	if h == nil {
 		h = hdrhistogram.New(minLatencyMs, maxLatencyMs, latencyPrecision)
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -58,6 +58,9 @@
 	// ErrHistoryLost reports that the store doesn't have the changes after a
 	// revision, so that all items have to be listed again.
 	ErrHistoryLost = errors.New("store doesn't have the changes after this revision")
+	// ErrTooLarge reports that the changes after a revision take more memory than this
+	// host has for an answer, so that all items have to be listed again.
+	ErrTooLarge = errors.New("answer with the changes is too large")
 	// ErrEraChanged reports that the store was restored during a listing.
 	ErrEraChanged = errors.New("store was restored during the listing")
 )
@@ -68,7 +71,8 @@
 	// meanwhile.
 	List(ctx context.Context) (ChangeSet, error)
 	// Watch waits, for at most wait, for changes after a position. It returns
-	// ErrHistoryLost if the store doesn't have them. If the result has a later era,
+	// ErrHistoryLost if the store doesn't have them, and ErrTooLarge if they are too
+	// large for one answer. If the result has a later era,
 	// the store was restored, and its changes aren't those after the position.
 	Watch(ctx context.Context, after identifier.Position, wait time.Duration) (ChangeSet, error)
 }
@@ -100,7 +104,7 @@
 	Log       *zap.Logger
 }
 
-// Options are the timing parameters of a Replicator.
+// Options are the timing parameters and bounds of a Replicator.
 type Options struct {
 	// WatchWait is how long the store may hold a watch open without a change.
 	WatchWait time.Duration
@@ -137,6 +141,9 @@
 	// used in place of the older one that the store has. It is longer than the store
 	// keeps items that their writers have to keep alive.
 	OutdatedHold time.Duration
+	// MaxLogBytes bounds the memory of the changes that are kept for peers. A peer
+	// that is further behind gets a whole copy.
+	MaxLogBytes int64
 }
 
 // DefaultOptions returns options that suit stores that answer within
@@ -158,6 +165,7 @@
 		OutageAfter:        1500 * time.Millisecond,
 		DeletionGrace:      2 * time.Second,
 		OutdatedHold:       10 * time.Second,
+		MaxLogBytes:        DefaultMaxLogBytes,
 	}
 }
 
@@ -189,7 +197,7 @@
 	r := &Replicator{
 		deps:         d,
 		options:      o,
-		replica:      NewReplica(),
+		replica:      NewReplica(o.MaxLogBytes),
 		started:      time.Now(),
 		retention:    newRetention(o, d.Permanent),
 		connectivity: connectivity{options: o},
