Charge requests to quotas that hold for all hosts together

Package charger connects lender to requests and other hosts. A host borrows what a request needs from the nearest lending host that may have it, else in parts from several, and what its callers will need within 100 ms. What isn't used goes back. Rationer tells which hosts are known, as for the limits that endpoints name.

--- /dev/null
+++ b/charger/borrowing.go
@@ -0,0 +1,250 @@
+package charger
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/jackdawthread/jackdawthread/authenticator"
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/gossiper"
+	"github.com/jackdawthread/jackdawthread/lender"
+	"github.com/jackdawthread/jackdawthread/peerwire"
+)
+
+// partAttempts is how often a request tries to borrow from several hosts, which tell how much
+// they have when they are first asked.
+const partAttempts = 2
+
+// borrowing borrows the units for one request.
+type borrowing struct {
+	charger  *Charger
+	customer *authenticator.Customer
+	cost     float64
+	share    lender.Share
+	// nearest are the granting hosts in the order in which they are asked for the whole amount,
+	// and granters in the order for parts; size is an equal part of the cost for each.
+	nearest, granters []gossiper.Member
+	size              float64
+	known             int
+	// answered is set once a granting host has answered, or is known to have too little.
+	answered bool
+	// parts are what was borrowed from several hosts.
+	parts []lender.Return
+}
+
+// borrow obtains the units that are missing for a request, and spends them.
+func (c *Charger) borrow(ctx context.Context, customer *authenticator.Customer, cost float64) (retryAfter time.Duration, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, maxWait)
+	defer cancel()
+	b := c.newBorrowing(customer, cost)
+	if b.whole(ctx) {
+		return 0, true
+	}
+	for range partAttempts {
+		if b.inParts(ctx) {
+			return 0, true
+		}
+	}
+	b.giveBack()
+	return b.conclude(time.Now())
+}
+
+func (c *Charger) newBorrowing(customer *authenticator.Customer, cost float64) *borrowing {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all, known := c.granters.of(customer.Name, c.deps, now)
+	return &borrowing{
+		charger: c, customer: customer, cost: cost, known: known,
+		share:    lender.ShareOf(customer.Quota, len(all)),
+		size:     cost / float64(max(1, len(all))),
+		nearest:  c.nearest(all, now),
+		granters: c.askable(all, now),
+	}
+}
+
+// whole borrows all that is missing from one host.
+func (b *borrowing) whole(ctx context.Context) bool {
+	for _, m := range b.nearest {
+		o := b.offer(m)
+		b.answered = b.answered || o.told
+		if o.units < o.missing {
+			continue
+		}
+		if b.ask(ctx, m, o.missing, o.missing+o.ahead) {
+			return true
+		}
+		if ctx.Err() != nil {
+			return false
+		}
+	}
+	return false
+}
+
+// inParts borrows what is missing from several hosts, if they have enough together. All requests
+// ask in the same order, so that of two that compete one gets all its parts.
+func (b *borrowing) inParts(ctx context.Context) bool {
+	for _, m := range b.granters {
+		if missing, sum := b.available(); ctx.Err() != nil || sum < missing {
+			return false
+		}
+		o := b.offer(m)
+		amount := min(o.missing, o.units)
+		if amount > 0 && b.ask(ctx, m, amount, amount) {
+			return true
+		}
+	}
+	return false
+}
+
+// offer is what a host may lend for a request.
+type offer struct {
+	// missing is what the request needs, and ahead what to borrow beyond that.
+	missing, ahead float64
+	// units are what the host may have; told if it has said so lately.
+	units float64
+	told  bool
+}
+
+func (b *borrowing) offer(m gossiper.Member) offer {
+	now, c := time.Now(), b.charger
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o := offer{
+		missing: c.borrower.Missing(b.customer.Name, b.cost, now),
+		ahead:   c.borrower.Ahead(b.customer.Name, b.cost, now),
+	}
+	if !now.Before(c.bypassed[m.Host]) {
+		o.units, o.told = c.borrower.Expect(b.customer.Name, m.Host, b.share, b.size, now)
+	}
+	return o
+}
+
+// available returns what is missing for the request, and what all hosts that answer may have.
+func (b *borrowing) available() (missing, sum float64) {
+	for _, m := range b.granters {
+		o := b.offer(m)
+		missing = o.missing
+		sum += o.units
+	}
+	return missing, sum
+}
+
+// ask asks a granting host for units. It reports whether the request now has enough, and has
+// spent them.
+func (b *borrowing) ask(ctx context.Context, m gossiper.Member, least, most float64) bool {
+	asked, c := time.Now(), b.charger
+	a := lender.Ask{Customer: b.customer.Name, Least: least, Most: most, Size: b.size}
+	var l lender.Loan
+	var ready bool
+	if m.Host == c.deps.Host {
+		l, ready = c.lend(a, asked)
+	} else {
+		l, ready = c.askPeer(ctx, m, a)
+	}
+	if !ready {
+		return false
+	}
+	b.answered = true
+	return b.add(m.Host, l, asked)
+}
+
+// add adds a loan, and spends it if that is enough for the request.
+func (b *borrowing) add(from identifier.Host, l lender.Loan, asked time.Time) bool {
+	now, c := time.Now(), b.charger
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setAlone(false)
+	late := c.borrower.Add(b.customer.Name, from, l, asked, now)
+	c.unused.add(lender.Return{Granter: from, Customer: b.customer.Name, Amount: late})
+	if l.Amount > 0 {
+		b.parts = append(b.parts, lender.Return{Granter: from, Customer: b.customer.Name, Amount: l.Amount})
+	}
+	return c.borrower.Spend(b.customer.Name, b.cost, now)
+}
+
+// giveBack returns the parts of a request that got too few, at once, as others wait for them.
+func (b *borrowing) giveBack() {
+	if len(b.parts) == 0 {
+		return
+	}
+	c := b.charger
+	c.mu.Lock()
+	for _, p := range b.parts {
+		p.Amount = c.borrower.Remove(p.Customer, p.Granter, p.Amount)
+		c.unused.add(p)
+	}
+	c.mu.Unlock()
+	c.returnUnused(time.Now())
+}
+
+// conclude decides on a request for which nothing could be borrowed: if no granting host
+// answered, this host may admit it alone.
+func (b *borrowing) conclude(now time.Time) (retryAfter time.Duration, ok bool) {
+	c := b.charger
+	quota, name := b.customer.Quota, b.customer.Name
+	part := 1 / float64(max(1, b.known))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	share := lender.Share{Rate: aloneShare * part * quota.Rate, Burst: aloneShare * part * quota.Burst}
+	missing, available := b.cost, 0.0
+	rate := b.share.Rate * float64(max(1, len(b.granters)))
+	if !b.answered {
+		c.setAlone(true)
+		l := c.alone.Lend(lender.Ask{Customer: name, Least: b.cost, Most: b.cost, Size: b.cost}, share, now)
+		if l.Amount > 0 {
+			c.borrower.RecordAlone(name, b.cost, now)
+			return 0, true
+		}
+		available, rate = l.Level, share.Rate
+	} else {
+		missing = c.borrower.Missing(name, b.cost, now)
+		for _, m := range b.granters {
+			units, _ := c.borrower.Expect(name, m.Host, b.share, b.size, now)
+			available += units
+		}
+	}
+	wait := time.Duration(max(0, missing-available) / rate * float64(time.Second))
+	return c.borrower.Refuse(name, b.cost, max(minRetryAfter, wait), share.Rate, now), false
+}
+
+// setAlone records whether this host reaches granting hosts. c.mu must be held.
+func (c *Charger) setAlone(alone bool) {
+	if c.isAlone == alone {
+		return
+	}
+	c.isAlone = alone
+	if alone {
+		c.deps.Log.Warn("quota-hosts-unreachable")
+	} else {
+		c.deps.Log.Info("quota-hosts-reached")
+	}
+}
+
+// askPeer asks another host for units.
+func (c *Charger) askPeer(ctx context.Context, m gossiper.Member, a lender.Ask) (l lender.Loan, ready bool) {
+	asked := time.Now()
+	call, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	request := &peerwire.QuotaRequest{Asks: []peerwire.QuotaAsk{encodeAsk(a)}}
+	var reply peerwire.QuotaReply
+	err := c.deps.Links.Call(call, m.Address, peerwire.KindQuota, request, &reply)
+	if err == nil {
+		l, ready, err = decodeLoan(&reply, a)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts.Asked++
+	switch {
+	case err != nil && ctx.Err() != nil && time.Since(asked) < askTimeout: // the request waits no longer
+	case err != nil:
+		c.counts.Unanswered++
+		c.bypassed[m.Host] = time.Now().Add(bypassTime)
+		c.deps.Log.Info("quota-host-unreachable", zap.String("customer", string(a.Customer)), zap.String("peer", string(m.Host)), zap.Error(err))
+	case !ready:
+		c.bypassed[m.Host] = time.Now().Add(unreadyTime)
+	}
+	return l, ready
+}
--- /dev/null
+++ b/charger/faults_test.go
@@ -0,0 +1,217 @@
+package charger_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// fault disturbs a fleet until it is ended by heal.
+type fault func(f *fleet)
+
+// partition cuts off a data center.
+func partition(f *fleet) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	cut := f.random.IntN(dataCenters)
+	for n, h := range f.hosts {
+		if h.index%dataCenters == cut {
+			f.side[n] = 1
+		}
+	}
+}
+
+// isolate cuts off single hosts, a twentieth of all.
+func isolate(f *fleet) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for n := range max(1, len(f.hosts)/20) {
+		f.side[f.random.IntN(len(f.hosts))] = 2 + n
+	}
+}
+
+// lose loses a tenth of the messages.
+func lose(f *fleet) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lost = 0.1
+}
+
+// heal ends partitions and losses.
+func heal(f *fleet) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.side)
+	f.lost = 0
+}
+
+// some returns a third of the hosts.
+func (f *fleet) some() []*host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []*host
+	for range (len(f.hosts) + 2) / 3 {
+		list = append(list, f.hosts[f.random.IntN(len(f.hosts))])
+	}
+	return list
+}
+
+// restart replaces the processes of some hosts, those that lend among them.
+func restart(f *fleet) {
+	for _, h := range f.some() {
+		h.kill()
+		h.start()
+	}
+}
+
+// pause makes some hosts stand still for a time.
+func pause(f *fleet) {
+	for _, h := range f.some() {
+		h.mu.Lock()
+		h.pausedUntil = time.Now().Add(3 * time.Second)
+		h.mu.Unlock()
+	}
+}
+
+// TestFaults guards against hosts that together admit more than a quota while hosts or links
+// fail, or messages are lost.
+func TestFaults(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults []fault
+	}{
+		{"without faults", nil},
+		{"a data center is cut off", []fault{partition, heal}},
+		{"single hosts are cut off", []fault{isolate, heal}},
+		{"messages are lost", []fault{lose, heal}},
+		{"restarts", []fault{restart}},
+		{"pauses", []fault{pause}},
+		{"all faults", []fault{partition, restart, heal, pause, lose, restart, isolate, heal}},
+	}
+	for _, hosts := range []int{9, 70, 300} {
+		for _, c := range cases {
+			t.Run(c.name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					q := tokens(363_222)
+					f := newFleet(t, hosts, q, uint64(hosts))
+					defer f.stop()
+					time.Sleep(5 * time.Second)
+					weights := f.uneven()
+					for n := range 8 {
+						if len(c.faults) > 0 {
+							c.faults[n%len(c.faults)](f)
+						}
+						f.load(2*q.Rate, weights, 3*time.Second)
+					}
+					t.Logf("%d hosts: %.3f of the quota in all", hosts, f.units(time.Time{}, time.Now())/(24*q.Rate+q.Burst))
+					assertWithinQuota(t, f, q)
+				})
+			})
+		}
+	}
+}
+
+// TestLendingHostFails answers the loss, and the pause, of a host that lends: the callers of a
+// customer at its usual load are refused nothing, and with all callers above the quota most of it
+// stays usable.
+func TestLendingHostFails(t *testing.T) {
+	q := tokens(363_222)
+	fails := map[string]func(f *fleet, h *host){
+		"dies": func(f *fleet, h *host) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.side[h.index] = 1
+		},
+		"pauses": func(_ *fleet, h *host) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.pausedUntil = time.Now().Add(6 * time.Second)
+		},
+	}
+	run := func(t *testing.T, fail func(*fleet, *host), rate float64) *fleet {
+		f := newFleet(t, 70, q, 6)
+		time.Sleep(5 * time.Second)
+		lending := f.hosts[0].charger.Granters(f.customer.Name)[0]
+		weights := f.uneven()
+		for n, h := range f.hosts {
+			if h.name() == lending {
+				weights[n] = 0
+				f.load(rate, weights, 3*time.Second)
+				fail(f, h)
+			}
+		}
+		f.load(rate, weights, 5*time.Second)
+		return f
+	}
+	for name, fail := range fails {
+		t.Run(name+" at the usual load", func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := run(t, fail, q.Rate/headroom)
+				defer f.stop()
+				is.New(t).Equal(f.refusals(), 0)
+			})
+		})
+		t.Run(name+" above the quota", func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := run(t, fail, 2*q.Rate)
+				defer f.stop()
+				got := f.units(time.Now().Add(-4*time.Second), time.Now()) / (4 * q.Rate)
+				t.Logf("%.3f of the quota", got)
+				is.New(t).True(got >= 0.8)
+				assertWithinQuota(t, f, q)
+			})
+		})
+	}
+}
+
+// TestIsolatedHost answers a host that reaches no other: it serves on with a small share.
+func TestIsolatedHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := tokens(363_222)
+		f := newFleet(t, 70, q, 7)
+		defer f.stop()
+		time.Sleep(5 * time.Second)
+		h := f.borrowing()
+		f.mu.Lock()
+		f.side[h.index] = 1
+		f.mu.Unlock()
+		f.load(q.Rate, f.oneHost(h.index), 20*time.Second)
+		got := f.units(time.Time{}, time.Now()) / (20 * q.Rate)
+		t.Logf("%.4f of the quota", got)
+		is.True(got > 0.4/70)
+		is.True(got < 0.6/70)
+		is.True(h.charger.Stats().Alone)
+	})
+}
+
+// TestRefund answers requests that don't run after their charge: what they were charged can be
+// used by others.
+func TestRefund(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := tokens(47_000)
+		f := newFleet(t, 9, q, 8)
+		defer f.stop()
+		time.Sleep(5 * time.Second)
+		c := f.hosts[0].charger
+		charge := func() (n int) {
+			for ; n < 100; n++ {
+				if _, ok := c.Charge(context.Background(), f.customer, 5000); !ok {
+					break
+				}
+			}
+			return n
+		}
+		first := charge()
+		is.True(first >= 9)
+		for range first {
+			c.Refund(f.customer, 5000)
+		}
+		time.Sleep(60 * time.Millisecond)
+		is.True(charge() >= first-2)
+	})
+}
--- /dev/null
+++ b/charger/granters.go
@@ -0,0 +1,80 @@
+package charger
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/gossiper"
+	"github.com/jackdawthread/jackdawthread/lender"
+)
+
+// choiceTime is how long a choice of granting hosts is used while the view is the same. Which
+// hosts are known depends on the time too.
+const choiceTime = time.Second
+
+// granters remembers the granting hosts of customers.
+type granters struct {
+	view   *gossiper.View
+	at     time.Time
+	known  []gossiper.Member
+	chosen map[identifier.Customer][]gossiper.Member
+}
+
+// of returns a customer's granting hosts, live or not, and the number of known hosts.
+func (g *granters) of(c identifier.Customer, d Deps, now time.Time) (list []gossiper.Member, known int) {
+	if v := d.Members.View(); g.view != v || now.Sub(g.at) >= choiceTime {
+		g.view, g.at = v, now
+		g.known = d.Hosts.KnownHosts(now)
+		g.chosen = map[identifier.Customer][]gossiper.Member{}
+	}
+	list, ok := g.chosen[c]
+	if !ok {
+		key := xxhash.Sum64String("quota\x00" + string(c))
+		list = gossiper.Spread(g.known, "", key, lender.Granters)
+		g.chosen[c] = list
+	}
+	return list, len(g.known)
+}
+
+func isLive(m gossiper.Member) bool {
+	return m.State == gossiper.StateAlive || m.State == gossiper.StateSuspect
+}
+
+// distance orders granting hosts: this one, those in its data center, the others, and last
+// those that are taken for dead.
+func (c *Charger) distance(m gossiper.Member) int {
+	switch {
+	case m.Host == c.deps.Host:
+		return 0
+	case !isLive(m):
+		return 3
+	case m.DataCenter == c.deps.DataCenter:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// askable returns granting hosts without those that are bypassed. c.mu must be held.
+func (c *Charger) askable(all []gossiper.Member, now time.Time) []gossiper.Member {
+	var list []gossiper.Member
+	for _, m := range all {
+		if !now.Before(c.bypassed[m.Host]) {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// nearest returns the granting hosts that may be asked, the nearest first. c.mu must be held.
+func (c *Charger) nearest(all []gossiper.Member, now time.Time) []gossiper.Member {
+	list := c.askable(all, now)
+	rand.Shuffle(len(list), func(a, b int) { list[a], list[b] = list[b], list[a] })
+	slices.SortStableFunc(list, func(a, b gossiper.Member) int { return cmp.Compare(c.distance(a), c.distance(b)) })
+	return list
+}
--- a/rationer/granters.go
+++ b/rationer/granters.go
@@ -78,6 +78,19 @@
 	return all
 }
 
+// KnownHosts returns the hosts among which granting hosts are chosen, live or not.
+func (r *Rationer) KnownHosts(now time.Time) []gossiper.Member {
+	v := r.deps.Members.View()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.granters.known(v, now)
+}
+
+// Ready reports whether this host knows the other hosts well enough to grant anything.
+func (r *Rationer) Ready(now time.Time) bool {
+	return r.untilReady(now) <= 0
+}
+
 // of returns the granting hosts of an endpoint, live or not.
 func (g *granters) of(e *registrar.Endpoint, v *gossiper.View, now time.Time) []gossiper.Member {
 	if g.view != v {
