Refuse requests over a customer's quota with 429

A request is charged before it is forwarded, if its customer has a quota. Over it, it gets 429 at once with the time at which it conforms. What was charged goes back if the request ends as not run. Without customers in the declarations nothing is charged.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -52,6 +52,8 @@
 	sent int
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
+	// charged is what the customer's quota was charged for the request.
+	charged float64
 	// enginesLost counts the endpoints that broke the request off before they began to
 	// answer it.
 	enginesLost int
@@ -217,6 +219,10 @@
 		e.fail(err)
 		return
 	}
+	if err := e.chargeQuota(); err != nil {
+		e.fail(err)
+		return
+	}
 	ctx, cancel := context.WithDeadlineCause(e.request.Context(), e.call.Deadline, errDeadline)
 	defer cancel()
 	e.forwarder.deps.Budget.RecordFirstAttempt(e.service.Name)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -10,8 +10,9 @@
 // # Error responses
 //
 // A failed request gets its final response immediately. 503 promises that the
-// request has not run and never will, and usually carries a Retry-After header; 502
-// and 504 promise nothing. If a stream can't be completed, its connection is aborted,
+// request has not run and never will, and usually carries a Retry-After header; 429
+// promises the same of a request over its customer's quota; 502 and 504 promise
+// nothing. If a stream can't be completed, its connection is aborted,
 // so that the caller can't mistake it for complete.
 //
 // # Retries
@@ -199,6 +200,8 @@
 	Exclusions Exclusions
 	// Limits keeps calls within the limits that endpoints name; nil for none.
 	Limits *rationer.Rationer
+	// Quotas are the customers' limits; nil for none.
+	Quotas Quotas
 	// Isolator keeps requests that end engines away from them; nil for none.
 	Isolator *isolator.Isolator
 	Observer Observer
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -53,15 +53,25 @@
 	e.respondEmpty(status)
 }
 
-// refuse responds with 503, which promises that the request has not run, and sets
+// refuse responds with a status that promises that the request has not run, and sets
 // Retry-After.
 func (e *exchange) refuse(c *classifier.Error) {
+	e.refundQuota()
+	status := refusalStatus(c.Reason)
 	e.observation.Err = c
-	e.observation.Status = http.StatusServiceUnavailable
+	e.observation.Status = status
 	if c.RetryAfter > 0 {
 		e.writer.Header().Set("Retry-After", strconv.FormatFloat(c.RetryAfter.Seconds(), 'f', 3, 64))
 	}
-	e.respondEmpty(http.StatusServiceUnavailable)
+	e.respondEmpty(status)
+}
+
+// refusalStatus returns the status of a request that did not run.
+func refusalStatus(r classifier.Reason) int {
+	if r == classifier.ReasonLimit {
+		return http.StatusTooManyRequests
+	}
+	return http.StatusServiceUnavailable
 }
 
 func (e *exchange) respondEmpty(status int) {
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -29,6 +29,7 @@
 	"go.uber.org/zap"
 
 	"github.com/jackdawthread/jackdawthread/acceptor"
+	"github.com/jackdawthread/jackdawthread/charger"
 	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/common/socket"
@@ -95,6 +96,8 @@
 	interceptor *interceptor.Interceptor
 	// rationer keeps calls within the limits that endpoints name.
 	rationer *rationer.Rationer
+	// charger keeps customers within their quotas.
+	charger *charger.Charger
 	// isolator keeps requests that end engines away from them.
 	isolator  *isolator.Isolator
 	reserver  *reserver.Reserver
@@ -250,6 +253,18 @@
 	})
 	h.rationer.Register(h.messenger)
 	h.deps.Platform.Intercept(h.interceptor, h.rationer)
+	h.charger = charger.New(charger.Deps{
+		Host:       s.Host,
+		DataCenter: s.DataCenter,
+		Registry:   h.registry,
+		Hosts:      h.rationer,
+		Members:    h.gossiper,
+		Links:      h.messenger,
+		Timer:      h.timer,
+		Group:      h.group,
+		Log:        h.log,
+	})
+	h.charger.Register(h.messenger)
 	h.isolator = isolator.New(isolator.Deps{
 		Self:         h.incarnation,
 		Members:      h.gossiper,
@@ -301,6 +316,7 @@
 		Placer:            h.placer,
 		Exclusions:        h.interceptor,
 		Limits:            h.rationer,
+		Quotas:            h.charger,
 		Isolator:          h.isolator,
 		Observer:          h,
 		AwaitConfirmation: h.awaitConfirmation,
--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -65,6 +65,7 @@
 	m.root.Set("connections", expvar.Func(func() any { return h.deps.Platform.Exchanger().Stats() }))
 	m.root.Set("exclusions", expvar.Func(func() any { return h.interceptor.Stats() }))
 	m.root.Set("endpoint-limits", expvar.Func(func() any { return h.rationer.Stats() }))
+	m.root.Set("quotas", expvar.Func(func() any { return h.charger.Stats() }))
 	m.root.Set("quarantine", expvar.Func(func() any { return h.isolator.Stats() }))
 	m.root.Set("links", expvar.Func(func() any { return h.messenger.Stats() }))
 	m.root.Set("membership", expvar.Func(func() any { return h.gossiper.Stats() }))
