Grant the slots of plain services by their placing hosts

Cause: where many hosts share few plain endpoints, each sees a small part of their load. Bursts are shed by some endpoints while others have free slots.

Change: package assigner decides, by expected finish, which endpoint gets a call; reserver's placing host keeps a queue for each plain service, ordered by admitter, and grants slots by KindSlot and KindSlotReturn. Finding the placing host, its pings and the breaker are shared with reservations. Placer tells which endpoints are healthiest. Nothing asks for slots yet.

Checked: go test -race ./assigner ./reserver ./placer, go test ./peerwire.

--- a/peerwire/compatibility_test.go
+++ b/peerwire/compatibility_test.go
@@ -33,6 +33,7 @@
 		&peerwire.ReservationOutcome{}, &peerwire.ReservationPing{}, &peerwire.ReservationPong{}, &peerwire.EngineModel{},
 		&peerwire.CrashNews{}, &peerwire.LimitNews{}, &peerwire.PermitRequest{}, &peerwire.PermitReply{}, &peerwire.PermitReturn{},
 		&peerwire.TrialRequest{}, &peerwire.TrialReply{},
+		&peerwire.SlotRequest{}, &peerwire.SlotReply{}, &peerwire.SlotReturn{},
 	}
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -189,6 +189,40 @@
 	})
 }
 
+// Healthiest returns the endpoints of the best health that any has, without those that are
+// excluded, leaving or unreachable.
+func (p *Placer) Healthiest(all []*registrar.Endpoint, exclude []identifier.Endpoint, now time.Time) []*registrar.Endpoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var best []*registrar.Endpoint
+	least := rankCount
+	for _, e := range all {
+		if e.Leaving || p.state(e).unreachable || contains(exclude, e.Name) {
+			continue
+		}
+		k := p.rank(e, now)
+		if k < least {
+			best, least = nil, k
+		}
+		if k == least {
+			best = append(best, e)
+		}
+	}
+	return best
+}
+
+// FailureFactor returns the factor by which the failures of e raise its cost; at least 1.
+func (p *Placer) FailureFactor(e *registrar.Endpoint) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state(e).failureFactor()
+}
+
+// failureFactor returns the inverse of the success rate, raised to a power.
+func (s *endpointState) failureFactor() float64 {
+	return 1 / math.Pow(max(0.05, 1-s.failureRate), successRateExponent)
+}
+
 // unmeasuredLatency returns the latency in seconds that is assumed of an endpoint
 // without measurements: no more than the least that was measured at the others, so that
 // it gets calls and can be measured. The caller must hold p.mu.
@@ -210,8 +244,7 @@
 	if now.Sub(s.loadReportedAt) < loadReportTTL {
 		inFlight = max(inFlight, float64(s.load.Running+s.load.Waiting))
 	}
-	successRate := math.Pow(max(0.05, 1-s.failureRate), successRateExponent)
-	return (1 + inFlight/slots) / successRate * p.localityFactor(e)
+	return (1 + inFlight/slots) * s.failureFactor() * p.localityFactor(e)
 }
 
 func decodeLocalityFactor(e *registrar.Endpoint, near identifier.DataCenter) float64 {
@@ -252,7 +285,7 @@
 		if e.DataCenter != d.PreferredDataCenter {
 			cost += remotePrefillTokens
 		}
-		return cost / math.Pow(max(0.05, 1-s.failureRate), successRateExponent)
+		return cost * s.failureFactor()
 	})
 	if rank == rankAvoided {
 		return nil
@@ -323,7 +356,7 @@
 				return math.Inf(1)
 			}
 			cost := (float64(s.tokens) + baseCostTokens) * s.slowness.At(now)
-			return cost * decodeLocalityFactor(e, preferred) / math.Pow(max(0.05, 1-s.failureRate), successRateExponent)
+			return cost * decodeLocalityFactor(e, preferred) * s.failureFactor()
 		})
 		if e == nil || rank != rankHealthy && anyHealthy {
 			return list
--- a/reserver/fleet_test.go
+++ b/reserver/fleet_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/tinylib/msgp/msgp"
 	"go.uber.org/zap"
 
 	"github.com/jackdawthread/jackdawthread/admitter"
@@ -19,6 +20,7 @@
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/gossiper"
 	"github.com/jackdawthread/jackdawthread/messenger"
+	"github.com/jackdawthread/jackdawthread/peerwire"
 	"github.com/jackdawthread/jackdawthread/placer"
 	"github.com/jackdawthread/jackdawthread/registrar"
 	"github.com/jackdawthread/jackdawthread/reserver"
@@ -179,6 +181,22 @@
 	reserver  *reserver.Reserver
 	messenger *messenger.Messenger
 	gossiper  *gossiper.Gossiper
+	address   identifier.Address
+	// gate is locked while the reserver's handlers are paused.
+	gate sync.RWMutex
+}
+
+// gatedRegistry registers handlers that wait for a host's gate.
+type gatedRegistry struct {
+	*host
+}
+
+func (g gatedRegistry) Handle(k peerwire.Kind, h messenger.Handler) {
+	g.messenger.Handle(k, func(ctx context.Context, from messenger.Peer, payload []byte) (msgp.Marshaler, error) {
+		g.gate.RLock()
+		defer g.gate.RUnlock()
+		return h(ctx, from, payload)
+	})
 }
 
 func newFleet(t *testing.T, hosts int) *fleet {
@@ -227,13 +245,14 @@
 	m := messenger.New(messenger.Peer{Host: name, Incarnation: incarnation, DataCenter: "a"}, messenger.Options{}, f.group)
 	g := gossiper.New(gossiper.Member{Host: name, Incarnation: incarnation, DataCenter: "a", Address: address},
 		gossiper.Options{SeedPeriod: 100 * time.Millisecond, ProbePeriod: 100 * time.Millisecond, ProbeTimeout: 50 * time.Millisecond}, m, t, f.group)
-	h := &host{messenger: m, gossiper: g}
+	h := &host{messenger: m, gossiper: g, address: address}
 	h.reserver = reserver.New(reserver.Deps{
 		Self: incarnation, Registry: registry, Engines: f.engines, Members: g, Links: m, Timer: t, Group: f.group,
 		Exclusions: hostExclusions{engines: f.excluded, host: n},
 		Placer:     placer.New(placer.Options{DataCenter: "a"}, uint64(n)), Log: zap.NewNop(), Seed: uint64(n),
+		SharedSlots: 2,
 	})
-	h.reserver.Register(m)
+	h.reserver.Register(gatedRegistry{h})
 	m.Serve(ln)
 	return h, address
 }
--- a/reserver/grants.go
+++ b/reserver/grants.go
@@ -132,7 +132,7 @@
 	r.revokeGrants(func(g *grant) bool { return now.After(g.expires) })
 }
 
-// revokeDeadOrigins revokes the grants of dead hosts.
+// revokeDeadOrigins revokes the grants and slots of dead hosts.
 func (r *Reserver) revokeDeadOrigins(v *gossiper.View) {
 	dead := map[identifier.Incarnation]bool{}
 	for _, m := range v.Members() {
@@ -141,6 +141,7 @@
 		}
 	}
 	r.revokeGrants(func(g *grant) bool { return dead[g.origin] })
+	r.revokeSlots(func(g *slotGrant) bool { return dead[g.origin] })
 }
 
 // revokeGrants removes the matching grants, which their origin will no longer end,
--- a/reserver/links.go
+++ b/reserver/links.go
@@ -45,6 +45,8 @@
 	to.Handle(peerwire.KindReservationOutcome, r.handleOutcome)
 	to.Handle(peerwire.KindReservationPing, handlePing)
 	to.Handle(peerwire.KindReservationCancel, r.handleCancel)
+	to.Handle(peerwire.KindSlot, r.handleSlot)
+	to.Handle(peerwire.KindSlotReturn, r.handleSlotReturn)
 }
 
 // owner returns the placing host of a service, and whether it is another host.
@@ -66,37 +68,50 @@
 	return ok && e.Reason == classifier.ReasonHostUnreachable
 }
 
-// placeRemotely requests placement from the placing host, and pings it while the
-// response is outstanding.
+// pingSchedule is how a placing host is checked while its reply is outstanding.
+type pingSchedule struct {
+	period, timeout time.Duration
+}
+
+// placeRemotely requests placement from the placing host.
 func (r *Reserver) placeRemotely(ctx context.Context, owner gossiper.Member, req *PlacementRequest) (Plan, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
 	message := encodeRequest(req, time.Now())
 	message.ID = r.outgoingSeq.Next()
 	r.serviceQueue(req.Service).exchangeModel(message, owner.Incarnation, time.Now())
 	var reply peerwire.ReservationReply
+	lost, err := r.callOwner(ctx, owner, peerwire.KindReserve, message, &reply, pingSchedule{pingPeriod, pingTimeout})
+	if lost {
+		r.sendCancel(owner, message.ID)
+	}
+	if err != nil {
+		return Plan{}, err
+	}
+	r.serviceQueue(req.Service).replaceModel(reply.Model)
+	return r.decodeReply(owner, req, &reply)
+}
+
+// callOwner calls a placing host, and pings it while the reply is outstanding. Its error is
+// NotRun; lost reports whether the placing host may have replied nevertheless.
+func (r *Reserver) callOwner(ctx context.Context, owner gossiper.Member, kind peerwire.Kind, request msgp.Marshaler, reply msgp.Unmarshaler, p pingSchedule) (lost bool, err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	done := make(chan error, 1)
 	r.deps.Group.Run(func(context.Context) {
-		done <- r.deps.Links.Call(ctx, owner.Address, peerwire.KindReserve, message, &reply)
+		done <- r.deps.Links.Call(ctx, owner.Address, kind, request, reply)
 	})
-	pings := time.NewTicker(pingPeriod)
+	pings := time.NewTicker(p.period)
 	defer pings.Stop()
 	for {
 		select {
 		case err := <-done:
 			if err != nil {
-				if classifier.VerdictOf(err) != classifier.VerdictNotRun {
-					r.sendCancel(owner, message.ID)
-				}
-				return Plan{}, asNotRun(err)
+				return classifier.VerdictOf(err) != classifier.VerdictNotRun, asNotRun(err)
 			}
-			r.serviceQueue(req.Service).replaceModel(reply.Model)
-			return r.decodeReply(owner, req, &reply)
+			return false, nil
 		case <-pings.C:
-			if !r.ping(ctx, owner) && ctx.Err() == nil {
+			if !r.ping(ctx, owner, p.timeout) && ctx.Err() == nil {
 				cancel(errPingFailed)
-				r.sendCancel(owner, message.ID)
-				return Plan{}, errPingFailed
+				return true, errPingFailed
 			}
 		}
 	}
@@ -134,8 +149,8 @@
 	return &failure
 }
 
-func (r *Reserver) ping(ctx context.Context, owner gossiper.Member) bool {
-	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+func (r *Reserver) ping(ctx context.Context, owner gossiper.Member, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return r.deps.Links.Call(ctx, owner.Address, peerwire.KindReservationPing, &peerwire.ReservationPing{}, &peerwire.ReservationPong{}) == nil
 }
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -35,6 +35,21 @@
 //
 // Requests don't wait long for a placing host that has failed: it is pinged while
 // an answer is outstanding.
+//
+// # Slots of plain services
+//
+// Where a plain service's endpoints have few slots for the number of hosts, each host
+// sees too little of their load. The service's placing host then grants their slots to
+// the calls of all hosts (package assigner) and keeps the queue of those that wait:
+//
+//	if r.SharesSlots(service) {
+//		slot, err := r.AcquireSlot(ctx, reserver.SlotRequest{...})
+//		...
+//		r.EndSlot(slot, outcome)
+//	}
+//
+// A slot is a permission and nothing that endpoints know of: a host that reaches no
+// placing host sends its calls without one.
 package reserver
 
 import (
@@ -110,6 +125,9 @@
 	OrderOptions OrderOptions
 	// Knowledge returns how current this host's knowledge of the store is.
 	Knowledge func() Knowledge
+	// SharedSlots is the number of slots for each host below which the slots of a plain
+	// service are granted by its placing host; 0 for none.
+	SharedSlots float64
 }
 
 // PlacementRequest is a request for placement.
@@ -159,13 +177,17 @@
 
 	mu            sync.Mutex // acquired after serviceQueue.mu
 	serviceQueues map[identifier.Service]*serviceQueue
+	slotQueues    map[identifier.Service]*slotQueue
 	grants        grants
 }
 
 // New returns a Reserver and registers its timers and its membership listener.
 func New(d Deps) *Reserver {
-	r := &Reserver{deps: d, serviceQueues: map[identifier.Service]*serviceQueue{}, grants: newGrants()}
-	d.Timer.Every(expiryPeriod, func(now time.Time) { r.expireGrants(now) })
+	r := &Reserver{deps: d, serviceQueues: map[identifier.Service]*serviceQueue{}, slotQueues: map[identifier.Service]*slotQueue{}, grants: newGrants()}
+	d.Timer.Every(expiryPeriod, func(now time.Time) {
+		r.expireGrants(now)
+		r.expireSlots(now)
+	})
 	d.Timer.Every(rebalancePeriod, r.rebalance)
 	d.Members.Subscribe(r.revokeDeadOrigins)
 	return r
--- /dev/null
+++ b/reserver/slot_queue.go
@@ -0,0 +1,325 @@
+package reserver
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/jackdawthread/jackdawthread/admitter"
+	"github.com/jackdawthread/jackdawthread/assigner"
+	"github.com/jackdawthread/jackdawthread/common/classifier"
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/placer"
+	"github.com/jackdawthread/jackdawthread/registrar"
+)
+
+const (
+	// slotTick is the time between two looks at the requests that wait for a slot, for
+	// those that can't start in time any more and for slots that become free by themselves.
+	slotTick = 10 * time.Millisecond
+	// slotMargin is how long after its request's deadline a slot counts as in use if its
+	// origin doesn't end it.
+	slotMargin = 500 * time.Millisecond
+	// maxSkipped is the number of waiting requests that are passed over because no
+	// endpoint with a slot is good for them.
+	maxSkipped = 8
+)
+
+// slotGrant is a slot that this host has granted.
+type slotGrant struct {
+	origin    identifier.Incarnation
+	originSeq uint64 // the origin's number for the request; 0 for this host's own
+	endpoint  *registrar.Endpoint
+	expires   time.Time
+}
+
+// slotResult is the result of a request for a slot.
+type slotResult struct {
+	slot Slot
+	err  error
+}
+
+// slotWaiter is a request that waits for a slot.
+type slotWaiter struct {
+	*SlotRequest
+	origin    identifier.Incarnation
+	originSeq uint64
+	queuedAt  time.Time
+	result    chan slotResult
+}
+
+// slotQueue grants the slots of one plain service's endpoints, in the order of its
+// admitter.Queue.
+type slotQueue struct {
+	reserver *Reserver
+	service  identifier.Service
+	breaker  breaker
+
+	mu        sync.Mutex
+	admission *admitter.Queue
+	waiters   map[admitter.Key]*slotWaiter
+	lastKey   admitter.Key
+	assigner  *assigner.Assigner
+	lastGrant grantID
+	grants    map[grantID]*slotGrant
+	// watched is set while a goroutine looks at the waiting requests.
+	watched bool
+	stats   SlotStats
+}
+
+func newSlotQueue(r *Reserver, s identifier.Service) *slotQueue {
+	return &slotQueue{
+		reserver:  r,
+		service:   s,
+		admission: admitter.New(admitter.Options{Seed: r.deps.Seed}),
+		waiters:   map[admitter.Key]*slotWaiter{},
+		assigner:  assigner.New(),
+		lastGrant: firstGrant(r.deps.Self),
+		grants:    map[grantID]*slotGrant{},
+	}
+}
+
+// firstGrant returns the number before that of a queue's first grant. It differs between
+// the incarnations of a host, which may be told of the slots of an earlier one.
+func firstGrant(self identifier.Incarnation) grantID {
+	return grantID(uint64(self) << 32)
+}
+
+// acquire waits for a slot on behalf of an origin host, which numbered the request with
+// originSeq. Its error is NotRun.
+func (q *slotQueue) acquire(ctx context.Context, origin identifier.Incarnation, originSeq uint64, req *SlotRequest) (Slot, error) {
+	now := time.Now()
+	w := &slotWaiter{SlotRequest: req, origin: origin, originSeq: originSeq, queuedAt: now, result: make(chan slotResult, 1)}
+	if err := q.enqueue(w, now); err != nil {
+		return Slot{}, err
+	}
+	select {
+	case p := <-w.result:
+		return p.slot, p.err
+	case <-ctx.Done():
+	}
+	q.abandon(w)
+	return Slot{}, classifier.NotRun(classifier.ReasonCanceled, 0, "canceled while waiting for a slot at service %q: %w", q.service, context.Cause(ctx))
+}
+
+// enqueue grants a slot if one is free and nobody waits, and queues the request otherwise.
+func (q *slotQueue) enqueue(w *slotWaiter, now time.Time) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	all := q.candidates(now)
+	if !anyLeft(all, w.Exclude) {
+		return classifier.NotRun(classifier.ReasonNoEndpoint, 0, "service %q has no further endpoint for the request", q.service)
+	}
+	q.lastKey++
+	w.Key = q.lastKey
+	work := q.assigner.Work()
+	w.Work = work
+	w.LatestOnTimeStart = w.OnTimeBy.Add(-work)
+	w.LatestStart = w.Deadline.Add(-work)
+	if q.admission.Len() == 0 && q.grant(w, all, 0, now) {
+		return nil
+	}
+	if w.NoWait {
+		return classifier.NotRun(classifier.ReasonQueueFull, 0, "service %q has no free slot", q.service)
+	}
+	if retryAfter, ok := q.admission.Push(w.Entry, now); !ok {
+		return q.refusal(w, retryAfter, "queue of service %q is full: its %d requests are more than can be served in time", q.service, q.admission.Len())
+	}
+	q.waiters[w.Key] = w
+	q.watch()
+	return nil
+}
+
+// anyLeft reports whether a request doesn't exclude all candidates.
+func anyLeft(all []assigner.Candidate, exclude []identifier.Endpoint) bool {
+	excluded := make(map[identifier.Endpoint]bool, len(exclude))
+	for _, name := range exclude {
+		excluded[name] = true
+	}
+	for _, c := range all {
+		if !excluded[c.Name] {
+			return true
+		}
+	}
+	return false
+}
+
+// candidates returns the endpoints that may get calls now.
+func (q *slotQueue) candidates(now time.Time) []assigner.Candidate {
+	r := q.reserver
+	usable := r.usableEngines(r.deps.Registry.Snapshot().Endpoints(q.service))
+	healthy := r.deps.Placer.Healthiest(usable, nil, now)
+	all := make([]assigner.Candidate, len(healthy))
+	for i, e := range healthy {
+		all[i] = assigner.Candidate{Endpoint: e, HealthFactor: r.deps.Placer.FailureFactor(e)}
+	}
+	return all
+}
+
+// grant grants a slot to a request if there is one for it. Some requests may wait before it.
+// q.mu must be held.
+func (q *slotQueue) grant(w *slotWaiter, all []assigner.Candidate, ahead int, now time.Time) bool {
+	at := q.assigner.Choose(all, assigner.Demand{
+		PreferredDataCenter: w.preferredDataCenter,
+		Exclude:             w.Exclude,
+		Ahead:               ahead,
+		Waited:              now.Sub(w.queuedAt),
+	}, now)
+	if at == nil {
+		return false
+	}
+	slot := Slot{Endpoint: at, Expected: q.assigner.Expected(at, now)}
+	q.assigner.Begin(at)
+	q.lastGrant++
+	slot.grant = q.lastGrant
+	q.grants[slot.grant] = &slotGrant{origin: w.origin, originSeq: w.originSeq, endpoint: at, expires: w.Deadline.Add(slotMargin)}
+	q.stats.Granted++
+	q.admission.RecordGrant(&w.Entry, now)
+	w.result <- slotResult{slot: slot}
+	return true
+}
+
+// assign grants free slots to waiting requests, and refuses those that can't start in
+// time any more. q.mu must be held.
+func (q *slotQueue) assign(now time.Time) {
+	if len(q.waiters) == 0 {
+		return
+	}
+	for _, k := range q.admission.RemoveExpired(now) {
+		w := q.waiters[k]
+		delete(q.waiters, k)
+		w.result <- slotResult{err: q.refusal(w, q.admission.RetryAfter(now), "no slot at service %q in time", q.service)}
+	}
+	all := q.candidates(now)
+	var skipped []admitter.Entry
+	for len(skipped) < maxSkipped && q.assigner.HasSlot(all, now) {
+		k, ok := q.admission.Next(now)
+		if !ok {
+			break
+		}
+		e, _ := q.admission.Take(k, now)
+		if !q.grant(q.waiters[k], all, len(skipped), now) {
+			skipped = append(skipped, e)
+			continue
+		}
+		delete(q.waiters, k)
+	}
+	for _, e := range skipped {
+		q.admission.Requeue(e)
+	}
+}
+
+// refusal returns the error of a request that gets no slot. q.mu must be held.
+func (q *slotQueue) refusal(w *slotWaiter, retryAfter time.Duration, format string, args ...any) error {
+	q.stats.Refused++
+	q.reserver.deps.Log.Info("slot-refused",
+		zap.String("request", string(w.Request)), zap.String("service", string(q.service)), zap.Duration("age", time.Since(w.Arrived)),
+		zap.Int("waiting", len(q.waiters)), zap.Duration("retry-after", retryAfter))
+	return classifier.NotRun(classifier.ReasonQueueFull, retryAfter, format, args...)
+}
+
+// watch starts a goroutine that looks at the waiting requests until there are none. q.mu
+// must be held.
+func (q *slotQueue) watch() {
+	if q.watched {
+		return
+	}
+	q.watched = true
+	q.reserver.deps.Group.Run(func(ctx context.Context) {
+		ticker := time.NewTicker(slotTick)
+		defer ticker.Stop()
+		for q.look(time.Now()) {
+			select {
+			case <-ticker.C:
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+}
+
+// look assigns slots, and reports whether any request still waits.
+func (q *slotQueue) look(now time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.assign(now)
+	q.watched = len(q.waiters) > 0
+	return q.watched
+}
+
+// abandon removes a request that isn't wanted any more, and ends a slot that was granted
+// to it in the meantime.
+func (q *slotQueue) abandon(w *slotWaiter) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.admission.Remove(w.Key)
+	delete(q.waiters, w.Key)
+	select {
+	case p := <-w.result:
+		if p.err == nil {
+			q.remove(p.slot.grant, assigner.Result{}, time.Now())
+		}
+	default:
+	}
+}
+
+// end ends a slot that was granted to an origin.
+func (q *slotQueue) end(id grantID, o SlotOutcome, origin identifier.Incarnation) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	g := q.grants[id]
+	if g == nil || g.origin != origin {
+		return // expired or revoked
+	}
+	if origin != q.reserver.deps.Self { // this host's own outcomes are recorded by the calls
+		q.reserver.recordEndpointOutcome(g.endpoint, placer.Outcome{Verdict: o.Verdict})
+	}
+	result := assigner.Result{Load: o.Load, Refused: o.Verdict == placer.VerdictAtCapacity}
+	if o.Verdict == placer.VerdictSuccess {
+		result.Took = o.Latency
+	}
+	q.remove(id, result, time.Now())
+}
+
+// remove ends a grant and assigns its slot anew. q.mu must be held.
+func (q *slotQueue) remove(id grantID, result assigner.Result, now time.Time) {
+	q.assigner.End(q.grants[id].endpoint, result, now)
+	delete(q.grants, id)
+	q.assign(now)
+}
+
+// revoke ends the matching grants, which their origins will not end.
+func (q *slotQueue) revoke(match func(*slotGrant) bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for id, g := range q.grants {
+		if match(g) {
+			q.stats.Revoked++
+			q.remove(id, assigner.Result{}, time.Now())
+		}
+	}
+}
+
+func (q *slotQueue) forget(registered func(identifier.Endpoint) bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.assigner.Forget(registered)
+}
+
+func (q *slotQueue) countUnreachable() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.stats.Unreachable++
+}
+
+func (q *slotQueue) currentStats() SlotStats {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s := q.stats
+	s.Waiting = len(q.waiters)
+	s.InUse = len(q.grants)
+	s.WorkMs = q.assigner.Work().Milliseconds()
+	return s
+}
