--- a/commander/experiment.go
+++ b/commander/experiment.go
@@ -19,6 +19,7 @@
 			placementCommand(s),
 			limitsCommand(s),
 			stormCommand(s),
+			slotsCommand(s),
 		},
 	}
 }
@@ -91,6 +92,19 @@
 	}
 }
 
+func slotsCommand(s Streams) *cli.Command {
+	return &cli.Command{
+		Name:        "slots",
+		Usage:       "compare who chooses among a few plain endpoints that many hosts share",
+		Description: "Example: jackdawthread experiment slots --seed 2",
+		Flags:       []cli.Flag{seedFlag(), outputFlag()},
+		Action: func(_ context.Context, c *cli.Command) error {
+			figures := experimenter.RunSlots(c.Uint64("seed"))
+			return printExperiment(c, s, figures, experimenter.SlotTable(figures))
+		},
+	}
+}
+
 func seedFlag() cli.Flag {
 	return &cli.Uint64Flag{Name: "seed", Usage: "seed of all random draws", Value: 1}
 }
--- a/experimenter/benchmark.go
+++ b/experimenter/benchmark.go
@@ -34,7 +34,7 @@
 	prefillEngines []*prefillEngine
 	decodeEngines  []*decodeEngine
 	link           *link
-	placer         placer
+	placer         requestPlacer
 	tally          tally
 }
 
--- a/experimenter/experimenter.go
+++ b/experimenter/experimenter.go
@@ -230,7 +230,7 @@
 	return []string{"early-binding", "no-affinity", "perfect-events"}
 }
 
-func newPlacer(b *benchmark, policy string) placer {
+func newPlacer(b *benchmark, policy string) requestPlacer {
 	switch policy {
 	case "plan", "perfect-events":
 		return newPoolPlacer(b, allocator.Options{LateBinding: true})
--- a/experimenter/request.go
+++ b/experimenter/request.go
@@ -83,8 +83,8 @@
 	running     map[identifier.Attempt]*request
 }
 
-// placer is the interface of the placement policies.
-type placer interface {
+// requestPlacer is the interface of the placement policies.
+type requestPlacer interface {
 	// submit requests a placement for a new attempt.
 	submit(r *request)
 	// decodeEngineFor returns the decode engine for a prefilled attempt, or nil
