Use shared slots for calls to plain services with few of them

Change: the forwarder asks for a slot before each plain call where a service has fewer slots than slots.shared-below (2) for each host; elsewhere nothing changes. Without a placing host it chooses as before. Exclusions, limits and health of the own host hold: endpoints that it can't use are excluded, and a slot without a permit goes back. A hedge goes when a slot is free, and not before the first call has taken twice the expected time.

--- a/forwarder/choice.go
+++ b/forwarder/choice.go
@@ -8,6 +8,7 @@
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/registrar"
+	"github.com/jackdawthread/jackdawthread/reserver"
 )
 
 const (
@@ -22,13 +23,32 @@
 	patientFullShare = 0.3
 )
 
+// target is where a plain call is sent.
+type target struct {
+	*registrar.Endpoint
+	// slot is zero if the call needs none.
+	slot reserver.Slot
+}
+
 // plainChoice chooses the endpoint of a plain call, with a permit if it has named a limit.
-type plainChoice func(ctx context.Context) (*registrar.Endpoint, *classifier.Error)
+type plainChoice func(ctx context.Context) (target, *classifier.Error)
+
+// choosePlain implements plainChoice for calls other than hedges. Where slots are shared, it
+// waits for one.
+func (e *exchange) choosePlain(ctx context.Context) (target, *classifier.Error) {
+	if e.sharesSlots() {
+		if t, err, ok := e.chooseShared(ctx, e.usableEndpoints(), false); ok {
+			return t, err
+		}
+	}
+	at, err := e.chooseAlone(ctx)
+	return target{Endpoint: at}, err
+}
 
-// choosePlain implements plainChoice for calls other than hedges. An endpoint that has named a
-// limit is chosen like any other, but only with a permit. If no endpoint is left, the request
-// waits for a permit.
-func (e *exchange) choosePlain(ctx context.Context) (*registrar.Endpoint, *classifier.Error) {
+// chooseAlone chooses an endpoint by what this host knows of their load. One that has named
+// a limit is chosen like any other, but only with a permit. If no endpoint is left, the
+// request waits for a permit.
+func (e *exchange) chooseAlone(ctx context.Context) (*registrar.Endpoint, *classifier.Error) {
 	limits := e.forwarder.deps.Limits
 	all := e.usableEndpoints()
 	if at := limits.Choose(ctx, all, e.exclude, e.call.ID, e.cheapest); at != nil {
@@ -57,14 +77,20 @@
 }
 
 // chooseHedge implements plainChoice for hedges, for which the limits of endpoints leave no
-// room.
-func (e *exchange) chooseHedge(context.Context) (*registrar.Endpoint, *classifier.Error) {
+// room. Where slots are shared, one must be free if that is known.
+func (e *exchange) chooseHedge(ctx context.Context) (target, *classifier.Error) {
 	all := e.usableEndpoints()
-	at := e.cheapest(e.forwarder.deps.Limits.Unlimited(all), e.exclude)
+	unlimited := e.forwarder.deps.Limits.Unlimited(all)
+	if e.sharesSlots() {
+		if t, err, ok := e.chooseShared(ctx, unlimited, true); ok {
+			return t, err
+		}
+	}
+	at := e.cheapest(unlimited, e.exclude)
 	if at == nil {
-		return nil, e.noEndpoint(all)
+		return target{}, e.noEndpoint(all)
 	}
-	return at, nil
+	return target{Endpoint: at}, nil
 }
 
 // noEndpoint returns the refusal of a request for which no endpoint is left.
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -50,6 +50,8 @@
 	// sent counts the calls to endpoints that may run the request, without
 	// prefills.
 	sent int
+	// expected is how long the last plain call is expected to take; 0 if unknown.
+	expected time.Duration
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
 	// enginesLost counts the endpoints that broke the request off before they began to
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -81,6 +81,17 @@
 	Cancel(p reserver.Plan)
 }
 
+// Slots grants slots at the endpoints of plain services.
+type Slots interface {
+	// SharesSlots reports whether the calls of a service need slots.
+	SharesSlots(s identifier.Service) bool
+	// AcquireSlot waits until a slot is granted. Its errors have the verdict not-run;
+	// unless reserver.RefusedSlot returns true for it, no host could be asked.
+	AcquireSlot(ctx context.Context, r reserver.SlotRequest) (reserver.Slot, error)
+	// EndSlot ends the use of a slot, whether or not a call was sent.
+	EndSlot(s reserver.Slot, o reserver.SlotOutcome)
+}
+
 // Exclusions knows the endpoints that asked for no calls.
 type Exclusions interface {
 	// Usable returns the endpoints that may get new calls.
@@ -197,6 +208,8 @@
 	Placer       *placer.Placer
 	// Exclusions is optional; without it, no endpoints are excluded.
 	Exclusions Exclusions
+	// Slots grants the slots of plain services with few of them; nil for none.
+	Slots Slots
 	// Limits keeps calls within the limits that endpoints name; nil for none.
 	Limits *rationer.Rationer
 	// Isolator keeps requests that end engines away from them; nil for none.
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -16,6 +16,7 @@
 	"github.com/jackdawthread/jackdawthread/placer"
 	"github.com/jackdawthread/jackdawthread/quarantiner"
 	"github.com/jackdawthread/jackdawthread/registrar"
+	"github.com/jackdawthread/jackdawthread/reserver"
 )
 
 // noTimeout is a timer duration that is longer than any request takes.
@@ -25,13 +26,23 @@
 // call without a response is also sent to a second endpoint.
 const hedgeDelayFraction = 0.6
 
+const (
+	// hedgeRetryDelay is the time until a hedge that found no free slot is tried again, and
+	// maxHedgeTries how often one is tried.
+	hedgeRetryDelay = 40 * time.Millisecond
+	maxHedgeTries   = 4
+	// hedgeLateness is how many times as long as expected the first call may take before.
+	hedgeLateness = 2
+)
+
 // endpointResponse is an endpoint's complete response, or the error of the call.
 type endpointResponse struct {
 	endpoint *registrar.Endpoint
 	status   int
 	header   http.Header
 	body     []byte
-	err      error // a *classifier.Error
+	load     placer.Load // zero if none was reported
+	err      error       // a *classifier.Error
 }
 
 // succeeded reports whether the endpoint responded without a server error.
@@ -62,6 +73,7 @@
 	}
 	hedge := e.hedgeTimer()
 	defer hedge.Stop()
+	hedgeTries := 0
 	var last *endpointResponse
 	for outstanding > 0 {
 		select {
@@ -75,12 +87,15 @@
 			e.countLost(isolator.BrokenOff(a.err))
 			if ctx.Err() == nil && e.mayResend(ctx, a.err) {
 				e.logDecision("request-retried", a.endpoint, a.err, zap.Int("status", a.status))
-				if err := start(e.choosePlain); err != nil && outstanding == 0 && last.err != nil {
+				if err := start(e.retryChoice(outstanding)); err != nil && outstanding == 0 && last.err != nil {
 					last.err = err
 				}
 			}
 		case <-hedge.C:
-			e.hedge(ctx, func() *classifier.Error { return start(e.chooseHedge) })
+			hedgeTries++
+			if !e.hedge(ctx, func() *classifier.Error { return start(e.chooseHedge) }) && e.sharesSlots() && hedgeTries < maxHedgeTries {
+				hedge.Reset(hedgeRetryDelay)
+			}
 		case <-ctx.Done():
 			if a := readyResponse(responses); a != nil {
 				e.writeResponse(a)
@@ -93,6 +108,15 @@
 	e.writeFailure(last)
 }
 
+// retryChoice returns the choice for a repeated call. While another call may succeed, it
+// waits for no slot.
+func (e *exchange) retryChoice(outstanding int) plainChoice {
+	if outstanding > 0 && e.sharesSlots() {
+		return e.chooseHedge
+	}
+	return e.choosePlain
+}
+
 // readyResponse returns a success that has arrived, or nil.
 func readyResponse(responses <-chan *endpointResponse) *endpointResponse {
 	for {
@@ -121,34 +145,47 @@
 	if !e.route.Repeatable() || e.route.Attempts < 2 || e.route.Objective <= 0 {
 		return time.NewTimer(noTimeout)
 	}
-	return time.NewTimer(time.Duration(hedgeDelayFraction * float64(e.route.Objective)))
+	return time.NewTimer(e.hedgeDelay(time.Now()))
+}
+
+// hedgeDelay returns the time from the first call to the hedge. A call that had to wait for
+// its slot is given the time that it is expected to take, with a margin.
+func (e *exchange) hedgeDelay(now time.Time) time.Duration {
+	usual := time.Duration(hedgeDelayFraction * float64(e.route.Objective))
+	if e.expected == 0 {
+		return usual
+	}
+	return max(hedgeLateness*e.expected, usual-now.Sub(e.observation.Started))
 }
 
 // hedge sends the call to a second endpoint if the attempts and the retry budget
-// allow it.
-func (e *exchange) hedge(ctx context.Context, start func() *classifier.Error) {
+// allow it. It reports whether it has, or never will.
+func (e *exchange) hedge(ctx context.Context, start func() *classifier.Error) bool {
 	if e.sent >= e.route.Attempts || e.forwarder.deps.Isolator.OnTrial(e.call.Traits) || !e.forwarder.deps.Budget.Take(e.service.Name) {
-		return
+		return true
 	}
 	if err := start(); err != nil {
 		e.forwarder.deps.Budget.Return(e.service.Name)
 		if ctx.Err() == nil {
 			e.logDecision("hedge-not-sent", nil, err)
 		}
-		return
+		return false
 	}
 	e.mayHaveRun = true
 	e.observation.Hedged = true
+	return true
 }
 
 // startCall sends the call to another endpoint. Its response is sent on the
 // channel.
 func (e *exchange) startCall(ctx context.Context, choose plainChoice, responses chan<- *endpointResponse) *classifier.Error {
 	f := e.forwarder
-	endpoint, err := choose(ctx)
+	to, err := choose(ctx)
 	if err != nil {
 		return err
 	}
+	endpoint := to.Endpoint
+	e.expected = to.slot.Expected
 	now := time.Now()
 	e.observation.addAttempt(endpoint)
 	e.sent++
@@ -158,7 +195,9 @@
 		a := e.callIsolated(ctx, endpoint)
 		f.deps.Limits.Drop(endpoint, e.call.ID)
 		f.deps.Placer.End(endpoint, placer.Size{})
-		f.recordOutcome(endpoint, plainOutcome(ctx, a, time.Since(now)))
+		o := plainOutcome(ctx, a, time.Since(now))
+		f.recordOutcome(endpoint, o)
+		f.endSlot(to.slot, reserver.SlotOutcome{Outcome: o, Load: a.load})
 		responses <- a
 	})
 	return nil
@@ -205,6 +244,7 @@
 	defer response.Close()
 	if l, ok := f.deps.Endpoints.Load(response); ok {
 		f.deps.Placer.RecordLoad(e, l, time.Now())
+		a.load = l
 	}
 	a.status = response.Status
 	a.header = response.Header
--- a/forwarder/plain_stream.go
+++ b/forwarder/plain_stream.go
@@ -6,6 +6,7 @@
 	"github.com/jackdawthread/jackdawthread/exchanger"
 	"github.com/jackdawthread/jackdawthread/placer"
 	"github.com/jackdawthread/jackdawthread/quarantiner"
+	"github.com/jackdawthread/jackdawthread/reserver"
 )
 
 // relayPlainStream handles a streaming request to a plain service. It makes a
@@ -21,10 +22,11 @@
 
 func (s *stream) attemptPlain(ctx context.Context) error {
 	f := s.forwarder
-	at, refusal := s.choosePlain(ctx)
+	to, refusal := s.choosePlain(ctx)
 	if refusal != nil {
 		return refusal
 	}
+	at := to.Endpoint
 	defer f.deps.Limits.Drop(at, s.call.ID)
 	s.sent++
 	s.observation.addAttempt(at)
@@ -46,5 +48,6 @@
 	}
 	f.deps.Placer.End(at, placer.Size{})
 	f.recordOutcome(at, o)
+	f.endSlot(to.slot, reserver.SlotOutcome{Outcome: placer.Outcome{Verdict: o.Verdict}})
 	return err
 }
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -288,7 +288,8 @@
 			Holder:  s.Host,
 			Lease:   s.Orders.Lease,
 		},
-		Knowledge: h.knowledge,
+		Knowledge:   h.knowledge,
+		SharedSlots: s.Slots.SharedBelow,
 	})
 	h.reserver.Register(h.messenger)
 	h.forwarder = forwarder.New(forwarder.Deps{
@@ -300,6 +301,7 @@
 		Budget:            h.budgets,
 		Placer:            h.placer,
 		Exclusions:        h.interceptor,
+		Slots:             h.reserver,
 		Limits:            h.rationer,
 		Isolator:          h.isolator,
 		Observer:          h,
--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -62,6 +62,7 @@
 	m.root.Set("running", expvar.Func(func() any { return h.forwarder.Running() }))
 	m.root.Set("waiting", expvar.Func(func() any { return h.reserver.Waiting() }))
 	m.root.Set("engine-models", expvar.Func(func() any { return h.reserver.Models() }))
+	m.root.Set("shared-slots", expvar.Func(func() any { return h.reserver.SlotStats() }))
 	m.root.Set("connections", expvar.Func(func() any { return h.deps.Platform.Exchanger().Stats() }))
 	m.root.Set("exclusions", expvar.Func(func() any { return h.interceptor.Stats() }))
 	m.root.Set("endpoint-limits", expvar.Func(func() any { return h.rationer.Stats() }))
--- a/hoster/settings.go
+++ b/hoster/settings.go
@@ -25,6 +25,7 @@
 	Stop      Stop        `toml:"stop"`
 	Limits    Limits      `toml:"limits"`
 	Orders    Orders      `toml:"orders"`
+	Slots     Slots       `toml:"slots"`
 	Log       LogSettings `toml:"log"`
 	// Quarantine takes effect at once when the settings are reloaded.
 	Quarantine Quarantine `toml:"quarantine"`
@@ -81,6 +82,13 @@
 	Lease time.Duration `toml:"lease" validate:"gte=0,lte=1m"`
 }
 
+// Slots configure whose calls to plain services need slots that one host grants for all.
+type Slots struct {
+	// SharedBelow is the number of slots for each host below which a service's slots are
+	// granted; 0 for none.
+	SharedBelow float64 `toml:"shared-below" validate:"gte=0,lte=1000"`
+}
+
 // Stop configures the planned stop of the process.
 type Stop struct {
 	// Announce is how long the process accepts new connections after it reports
@@ -122,6 +130,7 @@
 	s.Retries = Retries{Ratio: 0.1, Slack: 10, Window: 10 * time.Second, Settle: 3 * time.Second}
 	s.Stop = Stop{Announce: 3 * time.Second, Limit: 10 * time.Second}
 	s.Orders = Orders{Enabled: true, Lease: 3 * time.Second}
+	s.Slots = Slots{SharedBelow: 2}
 	s.Limits = Limits{MaxRequests: 4000}
 	s.Log = LogSettings{LinesPerSecond: 100, QueueLines: 1024}
 }
