--- a/reserver/fleet_test.go
+++ b/reserver/fleet_test.go
@@ -184,6 +184,29 @@
 	address   identifier.Address
 	// gate is locked while the reserver's handlers are paused.
 	gate sync.RWMutex
+	// cut is set while the reserver's messages to other hosts are lost.
+	cut atomic.Bool
+}
+
+// cuttableLinks loses a host's messages while it is cut off.
+type cuttableLinks struct {
+	*host
+}
+
+var errCut = classifier.NotRun(classifier.ReasonHostUnreachable, 0, "host is cut off")
+
+func (l cuttableLinks) Call(ctx context.Context, to identifier.Address, kind peerwire.Kind, request msgp.Marshaler, reply msgp.Unmarshaler) error {
+	if l.cut.Load() {
+		return errCut
+	}
+	return l.messenger.Call(ctx, to, kind, request, reply)
+}
+
+func (l cuttableLinks) Send(ctx context.Context, to identifier.Address, kind peerwire.Kind, message msgp.Marshaler) error {
+	if l.cut.Load() {
+		return errCut
+	}
+	return l.messenger.Send(ctx, to, kind, message)
 }
 
 // gatedRegistry registers handlers that wait for a host's gate.
@@ -247,7 +270,7 @@
 		gossiper.Options{SeedPeriod: 100 * time.Millisecond, ProbePeriod: 100 * time.Millisecond, ProbeTimeout: 50 * time.Millisecond}, m, t, f.group)
 	h := &host{messenger: m, gossiper: g, address: address}
 	h.reserver = reserver.New(reserver.Deps{
-		Self: incarnation, Registry: registry, Engines: f.engines, Members: g, Links: m, Timer: t, Group: f.group,
+		Self: incarnation, Registry: registry, Engines: f.engines, Members: g, Links: cuttableLinks{h}, Timer: t, Group: f.group,
 		Exclusions: hostExclusions{engines: f.excluded, host: n},
 		Placer:     placer.New(placer.Options{DataCenter: "a"}, uint64(n)), Log: zap.NewNop(), Seed: uint64(n),
 		SharedSlots: 2,
--- a/reserver/slots_test.go
+++ b/reserver/slots_test.go
@@ -223,6 +223,20 @@
 			return f.hosts[granting].reserver.SlotStats()["desk"].Granted >= 1 && f.slotsInUse() == 0
 		})
 	})
+	t.Run("a host is cut off from it: it chooses alone, and is granted slots after that", func(t *testing.T) {
+		f := newDesk(t, 3)
+		granting, other := f.slotHost()
+		held := f.acquire(other)
+		f.hosts[other].cut.Store(true)
+		f.hosts[other].reserver.EndSlot(held, unused) // is lost
+		f.is.True(!reserver.RefusedSlot(f.assertRefused(other, slotRequest(longWait), askWait)))
+		f.hosts[other].cut.Store(false)
+		f.eventually("it is granted slots", func() bool {
+			_, err := f.hosts[other].reserver.AcquireSlot(t.Context(), slotRequest(longWait))
+			return err == nil
+		})
+		f.is.Equal(f.hosts[granting].reserver.SlotStats()["desk"].InUse, 2) // the lost one has not expired
+	})
 	t.Run("a host dies: its slots are free again", func(t *testing.T) {
 		f := newDesk(t, 3)
 		granting, other := f.slotHost()
