Keep a slot whose endpoint's entry changed while the request waited

Cause: endpoints were compared by their entries, which the store's changes replace; the request returned its slot, asked twice more and chose alone.

Change: they are compared by name. Checked: TestSharedSlots, which failed before (3 requests in place of 1), go test -race -run 'Slot|Hedge|Property' ./forwarder.

--- a/forwarder/slots.go
+++ b/forwarder/slots.go
@@ -37,7 +37,7 @@
 		if err != nil {
 			return target{}, classifier.Of(err), reserver.RefusedSlot(err) || ctx.Err() != nil
 		}
-		if slices.Contains(among, slot.Endpoint) && f.deps.Limits.Acquire(ctx, slot.Endpoint, e.call.ID, 0) == nil {
+		if names(among, slot.Endpoint) && f.deps.Limits.Acquire(ctx, slot.Endpoint, e.call.ID, 0) == nil {
 			return target{Endpoint: slot.Endpoint, slot: slot}, nil, true
 		}
 		f.deps.Slots.EndSlot(slot, reserver.SlotOutcome{Outcome: placer.Outcome{Verdict: placer.VerdictNone}})
@@ -46,6 +46,12 @@
 	return target{}, nil, false
 }
 
+// names reports whether a list has an endpoint of e's name. The entry may have changed while
+// the request waited.
+func names(list []*registrar.Endpoint, e *registrar.Endpoint) bool {
+	return slices.ContainsFunc(list, func(o *registrar.Endpoint) bool { return o.Name == e.Name })
+}
+
 func without(all []*registrar.Endpoint, e *registrar.Endpoint) []*registrar.Endpoint {
 	return slices.DeleteFunc(slices.Clone(all), func(o *registrar.Endpoint) bool { return o.Name == e.Name })
 }
@@ -71,7 +77,7 @@
 		r.OnTimeBy = e.observation.Started.Add(e.route.Objective)
 	}
 	for _, o := range e.forwarder.deps.Registry.Snapshot().Endpoints(e.service.Name) {
-		if !slices.Contains(among, o) {
+		if !names(among, o) {
 			r.Exclude = append(r.Exclude, o.Name)
 		}
 	}
--- a/forwarder/slots_test.go
+++ b/forwarder/slots_test.go
@@ -157,6 +157,18 @@
 		i.Equal(s.slots.ended[0].Verdict, placer.VerdictSuccess)
 		i.Equal(s.slots.ended[0].Load.Slowdown, 1.5)
 	})
+	t.Run("an endpoint's entry may change while the request waits", func(t *testing.T) {
+		i := is.New(t)
+		s := newSlotSite(t, registrar.KindUnrepeatable)
+		s.slots.acquire = func(context.Context, reserver.SlotRequest) (reserver.Slot, error) {
+			changed := *s.endpoints[1]
+			changed.Slots++
+			return reserver.Slot{Endpoint: &changed}, nil
+		}
+		i.Equal(s.request().Code, http.StatusOK)
+		i.Equal(len(s.slots.requests), 1)
+		i.Equal(s.calls, map[identifier.Endpoint]int{"p2": 1})
+	})
 	t.Run("without a host that grants slots, a call is sent once", func(t *testing.T) {
 		i := is.New(t)
 		s := newSlotSite(t, registrar.KindUnrepeatable)
