--- a/peerwire/compatibility_test.go
+++ b/peerwire/compatibility_test.go
@@ -34,6 +34,7 @@
 		&peerwire.CrashNews{}, &peerwire.LimitNews{}, &peerwire.PermitRequest{}, &peerwire.PermitReply{}, &peerwire.PermitReturn{},
 		&peerwire.TrialRequest{}, &peerwire.TrialReply{},
 		&peerwire.QuotaRequest{}, &peerwire.QuotaReply{}, &peerwire.QuotaReturn{},
+		&peerwire.SlotRequest{}, &peerwire.SlotReply{}, &peerwire.SlotReturn{},
 	}
 }
 
--- a/reserver/fleet_test.go
+++ b/reserver/fleet_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/tinylib/msgp/msgp"
 	"go.uber.org/zap"
 
 	"github.com/jackdawthread/jackdawthread/admitter"
@@ -19,6 +20,7 @@
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/gossiper"
 	"github.com/jackdawthread/jackdawthread/messenger"
+	"github.com/jackdawthread/jackdawthread/peerwire"
 	"github.com/jackdawthread/jackdawthread/placer"
 	"github.com/jackdawthread/jackdawthread/registrar"
 	"github.com/jackdawthread/jackdawthread/reserver"
@@ -179,6 +181,45 @@
 	reserver  *reserver.Reserver
 	messenger *messenger.Messenger
 	gossiper  *gossiper.Gossiper
+	address   identifier.Address
+	// gate is locked while the reserver's handlers are paused.
+	gate sync.RWMutex
+	// cut is set while the reserver's messages to other hosts are lost.
+	cut atomic.Bool
+}
+
+// cuttableLinks loses a host's messages while it is cut off.
+type cuttableLinks struct {
+	*host
+}
+
+var errCut = classifier.NotRun(classifier.ReasonHostUnreachable, 0, "host is cut off")
+
+func (l cuttableLinks) Call(ctx context.Context, to identifier.Address, kind peerwire.Kind, request msgp.Marshaler, reply msgp.Unmarshaler) error {
+	if l.cut.Load() {
+		return errCut
+	}
+	return l.messenger.Call(ctx, to, kind, request, reply)
+}
+
+func (l cuttableLinks) Send(ctx context.Context, to identifier.Address, kind peerwire.Kind, message msgp.Marshaler) error {
+	if l.cut.Load() {
+		return errCut
+	}
+	return l.messenger.Send(ctx, to, kind, message)
+}
+
+// gatedRegistry registers handlers that wait for a host's gate.
+type gatedRegistry struct {
+	*host
+}
+
+func (g gatedRegistry) Handle(k peerwire.Kind, h messenger.Handler) {
+	g.messenger.Handle(k, func(ctx context.Context, from messenger.Peer, payload []byte) (msgp.Marshaler, error) {
+		g.gate.RLock()
+		defer g.gate.RUnlock()
+		return h(ctx, from, payload)
+	})
 }
 
 func newFleet(t *testing.T, hosts int) *fleet {
@@ -227,13 +268,14 @@
 	m := messenger.New(messenger.Peer{Host: name, Incarnation: incarnation, DataCenter: "a"}, messenger.Options{}, f.group)
 	g := gossiper.New(gossiper.Member{Host: name, Incarnation: incarnation, DataCenter: "a", Address: address},
 		gossiper.Options{SeedPeriod: 100 * time.Millisecond, ProbePeriod: 100 * time.Millisecond, ProbeTimeout: 50 * time.Millisecond}, m, t, f.group)
-	h := &host{messenger: m, gossiper: g}
+	h := &host{messenger: m, gossiper: g, address: address}
 	h.reserver = reserver.New(reserver.Deps{
-		Self: incarnation, Registry: registry, Engines: f.engines, Members: g, Links: m, Timer: t, Group: f.group,
+		Self: incarnation, Registry: registry, Engines: f.engines, Members: g, Links: cuttableLinks{h}, Timer: t, Group: f.group,
 		Exclusions: hostExclusions{engines: f.excluded, host: n},
 		Placer:     placer.New(placer.Options{DataCenter: "a"}, uint64(n)), Log: zap.NewNop(), Seed: uint64(n),
+		SharedSlots: 2,
 	})
-	h.reserver.Register(m)
+	h.reserver.Register(gatedRegistry{h})
 	m.Serve(ln)
 	return h, address
 }
