--- a/charger/borrowing.go
+++ b/charger/borrowing.go
@@ -23,9 +23,9 @@
 	customer *authenticator.Customer
 	cost     float64
 	share    lender.Share
-	// nearest are the granting hosts in the order in which they are asked for the whole amount,
+	// fullest are the granting hosts in the order in which they are asked for the whole amount,
 	// and granters in the order for parts; size is an equal part of the cost for each.
-	nearest, granters []gossiper.Member
+	fullest, granters []gossiper.Member
 	size              float64
 	known             int
 	// answered is set once a granting host has answered, or is known to have too little.
@@ -56,18 +56,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	all, known := c.granters.of(customer.Name, c.deps, now)
+	share := lender.ShareOf(customer.Quota, len(all))
 	return &borrowing{
-		charger: c, customer: customer, cost: cost, known: known,
-		share:    lender.ShareOf(customer.Quota, len(all)),
+		charger: c, customer: customer, cost: cost, known: known, share: share,
 		size:     cost / float64(max(1, len(all))),
-		nearest:  c.nearest(all, now),
+		fullest:  c.fullest(customer.Name, all, share, now),
 		granters: c.askable(all, now),
 	}
 }
 
 // whole borrows all that is missing from one host.
 func (b *borrowing) whole(ctx context.Context) bool {
-	for _, m := range b.nearest {
+	for _, m := range b.fullest {
 		o := b.offer(m)
 		b.answered = b.answered || o.told
 		if o.units < o.missing {
--- a/charger/charger.go
+++ b/charger/charger.go
@@ -12,8 +12,8 @@
 //
 // A few hosts lend a customer's quota, each an equal share. They are chosen by hashing among the
 // known hosts, live or not, first one in each data center. So a data center that is cut off keeps
-// a part of each quota. A request that this host has no units for borrows them from one granting
-// host, or, if none has enough, from several. What is borrowed ahead is spent without a message.
+// a part of each quota. A request that this host has no units for borrows them from the granting
+// host that has most, or, if none has enough, from several. What is borrowed ahead is spent without a message.
 //
 // A granting host that doesn't answer isn't asked for a second. A host that reaches none of them
 // uses a small share of the quota alone.
@@ -52,7 +52,7 @@
 	prunePeriod = 5 * time.Second
 	// aloneShare is the part of an equal share of a quota, among all known hosts, that a host
 	// uses that reaches no granting host.
-	aloneShare = 0.5
+	aloneShare = 0.4
 	// minRetryAfter is the shortest time after which a caller is told to return.
 	minRetryAfter = 10 * time.Millisecond
 )
--- a/charger/granters.go
+++ b/charger/granters.go
@@ -45,6 +45,9 @@
 	return m.State == gossiper.StateAlive || m.State == gossiper.StateSuspect
 }
 
+// deadDistance is the distance of a host that is taken for dead.
+const deadDistance = 3
+
 // distance orders granting hosts: this one, those in its data center, the others, and last
 // those that are taken for dead.
 func (c *Charger) distance(m gossiper.Member) int {
@@ -52,7 +55,7 @@
 	case m.Host == c.deps.Host:
 		return 0
 	case !isLive(m):
-		return 3
+		return deadDistance
 	case m.DataCenter == c.deps.DataCenter:
 		return 1
 	default:
@@ -71,10 +74,17 @@
 	return list
 }
 
-// nearest returns the granting hosts that may be asked, the nearest first. c.mu must be held.
-func (c *Charger) nearest(all []gossiper.Member, now time.Time) []gossiper.Member {
+// fullest returns the granting hosts that may be asked: first those that have most left, as full
+// buckets waste what they are filled with, and of these the nearest. c.mu must be held.
+func (c *Charger) fullest(customer identifier.Customer, all []gossiper.Member, s lender.Share, now time.Time) []gossiper.Member {
 	list := c.askable(all, now)
 	rand.Shuffle(len(list), func(a, b int) { list[a], list[b] = list[b], list[a] })
-	slices.SortStableFunc(list, func(a, b gossiper.Member) int { return cmp.Compare(c.distance(a), c.distance(b)) })
+	slices.SortStableFunc(list, func(a, b gossiper.Member) int {
+		if dead := cmp.Compare(c.distance(a)/deadDistance, c.distance(b)/deadDistance); dead != 0 {
+			return dead
+		}
+		left := func(m gossiper.Member) float64 { return c.borrower.Estimate(customer, m.Host, s, now) }
+		return cmp.Or(cmp.Compare(left(b), left(a)), cmp.Compare(c.distance(a), c.distance(b)))
+	})
 	return list
 }
--- a/lender/borrower.go
+++ b/lender/borrower.go
@@ -21,6 +21,8 @@
 	// levelTime is how long what a granting host said of its bucket is relied on. Units that
 	// come back may raise it.
 	levelTime = 50 * time.Millisecond
+	// levelRetention is how long it is used to choose among granting hosts.
+	levelRetention = 2 * time.Second
 	// accountRetention is how long an account without units is kept after its last use.
 	accountRetention = 10 * time.Minute
 	// maxReturn is the longest time after which a caller is told to return.
@@ -203,6 +205,15 @@
 	return min(most, l.level+s.Rate*now.Sub(l.toldAt).Seconds()), true
 }
 
+// Estimate returns the number of units that a granting host has if no other host borrows from it.
+func (b *Borrower) Estimate(c identifier.Customer, granter identifier.Host, s Share, now time.Time) float64 {
+	l := b.account(c).find(granter)
+	if l == nil {
+		return s.Burst
+	}
+	return min(s.Burst, l.level+s.Rate*now.Sub(l.toldAt).Seconds())
+}
+
 func (a *account) find(granter identifier.Host) *loan {
 	for n := range a.loans {
 		if a.loans[n].granter == granter {
@@ -305,7 +316,7 @@
 				l.amount = 0
 			}
 		}
-		a.loans = slices.DeleteFunc(a.loans, func(l loan) bool { return l.amount == 0 && now.Sub(l.toldAt) >= loanTime })
+		a.loans = slices.DeleteFunc(a.loans, func(l loan) bool { return l.amount == 0 && now.Sub(l.toldAt) >= levelRetention })
 		if len(a.loans) == 0 {
 			delete(b.withLoans, c)
 		}
