--- a/reserver/fleet_test.go
+++ b/reserver/fleet_test.go
@@ -186,6 +186,8 @@
 	gate sync.RWMutex
 	// cut is set while the reserver's messages to other hosts are lost.
 	cut atomic.Bool
+	// lostSends counts the messages without a reply that were lost.
+	lostSends atomic.Int32
 }
 
 // cuttableLinks loses a host's messages while it is cut off.
@@ -204,6 +206,7 @@
 
 func (l cuttableLinks) Send(ctx context.Context, to identifier.Address, kind peerwire.Kind, message msgp.Marshaler) error {
 	if l.cut.Load() {
+		l.lostSends.Add(1)
 		return errCut
 	}
 	return l.messenger.Send(ctx, to, kind, message)
--- a/reserver/slots_test.go
+++ b/reserver/slots_test.go
@@ -228,7 +228,8 @@
 		granting, other := f.slotHost()
 		held := f.acquire(other)
 		f.hosts[other].cut.Store(true)
-		f.hosts[other].reserver.EndSlot(held, unused) // is lost
+		f.hosts[other].reserver.EndSlot(held, unused)
+		f.eventually("the message that ends the slot is lost", func() bool { return f.hosts[other].lostSends.Load() > 0 })
 		f.is.True(!reserver.RefusedSlot(f.assertRefused(other, slotRequest(longWait), askWait)))
 		f.hosts[other].cut.Store(false)
 		f.eventually("it is granted slots", func() bool {
