Order waiting requests by what their delay costs callers

Late urgent requests fell behind on-time patient ones, whatever either of them had to lose, and repeats of rejected requests were unknown to the queue.

admitter's policy now has one order: on-time requests by priority, sizes granted too seldom, returning callers, spent work, customers' recent work, slack and work; late ones by priority, with the oldest a fixed part of their turns. A late request goes before less urgent ones at its last chance. The expected schedule rejects what a more urgent request displaces. Retry times are staggered by priority and stay within the time that callers wait. A caller that returns when it was told goes first in its rank, and its objective counts from its first attempt.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -18,21 +18,28 @@
 // During a burst, more requests wait than can be answered on time. In FIFO order
 // every one of them would be slightly late and most of the responses' value
 // would be lost. Requests that can still meet their objective therefore go first,
-// by priority and then by arrival. Late requests follow, oldest first. They get a
-// fixed share of the grants in any case, so that they don't starve while new
-// requests keep arriving.
+// by priority. Late requests follow, also by priority. A late request goes before
+// less urgent on-time ones if all of these can still meet their objective after it,
+// or if it would otherwise be lost. Late requests get a fixed share of the grants in
+// any case, and the oldest of them a fixed part of that, so that none starve while
+// new requests keep arriving.
 //
 // Among on-time requests of one priority, sizes that are granted much less often
 // than others go first: the memory that one completion frees is seldom enough for
-// a large request, and small requests would take it each time.
+// a large request, and small requests would take it each time. Callers that return
+// after a rejection, at the time that they were told, follow. Then come the customers
+// that were granted the least work lately, and last the requests that have to start
+// soonest.
 //
 // # Admission
 //
-// A request is rejected on arrival, or once it is late, if it isn't expected to
-// start in time in that order. An on-time request waits only for the on-time
-// requests ahead of it, a late one for the grants that late requests get. The
-// retry times given to rejected callers are staggered: each falls after the
-// current queue has drained and after the callers rejected earlier have retried.
+// A request is rejected on arrival, or once its turn is out of reach, if it isn't
+// expected to start in time in that order. An on-time request waits only for the
+// on-time requests ahead of it, a late one for the grants that late requests get.
+// A more urgent request thus displaces the last ones of the queue, which are told
+// at once. The retry times given to rejected callers are staggered: each falls after
+// the requests of the same or a higher priority have drained and after the callers
+// of such priorities that were rejected earlier have retried.
 package admitter
 
 import (
@@ -50,6 +57,8 @@
 	// intervalWeight is the weight of one sample in the moving average of the
 	// interval between grants.
 	intervalWeight = 0.15
+	// workWeight is the weight of one sample in the moving average of the work.
+	workWeight = 0.05
 	// maxGrantInterval caps a single sample of that average.
 	maxGrantInterval = time.Second
 	// burstHorizon is how long on-time requests are expected to take precedence
@@ -81,11 +90,16 @@
 	Tokens identifier.Tokens
 	// LatestStart is the latest start that is still useful.
 	LatestStart time.Time
+	// Deadline is when the caller gives up; zero if unknown.
+	Deadline time.Time
 	// Earmarked is set while an engine is earmarked for it: it starts as soon as
 	// that engine has enough free memory, regardless of the queue.
 	Earmarked bool
 	// EarmarkFailed is set once no engine could be earmarked for it in time.
 	EarmarkFailed bool
+	// Returning is set by the queue if the caller was rejected before and has returned
+	// when it was told to.
+	Returning bool
 }
 
 // Options configures a Queue; zero fields get defaults.
@@ -99,14 +113,19 @@
 
 // Queue orders waiting requests. It is not safe for concurrent use.
 type Queue struct {
-	options     Options
-	random      *rand.Rand
-	waiting     []Entry
-	lateCredit  float64 // grants owed to late requests
-	grants      grantInterval
-	lateGrants  grantInterval
-	fairness    fairness
-	lastRetryAt time.Time // latest retry time given to a rejected caller, without jitter
+	options    Options
+	random     *rand.Rand
+	waiting    []Entry
+	lateCredit float64 // grants owed to late requests
+	lateTurns  int     // grants that late requests were owed
+	grants     grantInterval
+	lateGrants grantInterval
+	meanWork   float64 // moving average of the work of grants; 0: unknown
+	fairness   fairness
+	shares     shares
+	refusals   refusals
+	retries    retries
+	statistics statistics
 }
 
 // grantInterval is a moving average of the time between grants while requests
@@ -151,51 +170,44 @@
 // Push queues a request. If the request isn't expected to start in time, it is
 // rejected: ok is false, and retryAfter is the delay before a retry.
 func (q *Queue) Push(e Entry, now time.Time) (retryAfter time.Duration, ok bool) {
-	if len(q.waiting) > 0 && q.cannotStartInTime(&e, now) {
-		q.fairness.add(e.Tokens, false)
-		return q.RetryAfter(now), false
+	if len(q.waiting) == 0 {
+		q.Admit(e)
+		return 0, true
 	}
-	q.Admit(e)
-	return 0, true
+	q.Recognize(&e, now)
+	q.waiting = append(q.waiting, e)
+	if !q.plan(now)[e.Key].After(e.LatestStart) {
+		return 0, true
+	}
+	q.waiting = q.waiting[:len(q.waiting)-1]
+	return q.reject(&e, now), false
 }
 
 // Admit queues a request without admission control.
 func (q *Queue) Admit(e Entry) {
+	q.Recognize(&e, e.Arrived)
 	q.waiting = append(q.waiting, e)
 }
 
-// cannotStartInTime reports whether a new request is expected to start neither
-// while it is on time nor, once it is late, before its LatestStart.
-func (q *Queue) cannotStartInTime(e *Entry, now time.Time) bool {
-	ahead, late := 0, 0
-	for i := range q.waiting {
-		o := &q.waiting[i]
-		switch {
-		case now.After(o.LatestOnTimeStart):
-			late++
-		case !q.precedes(e, o):
-			ahead++
-		}
+// Recognize marks a request whose caller was rejected before. Its objective counts
+// from the caller's first attempt. Push and Admit do so for their copy.
+func (q *Queue) Recognize(e *Entry, now time.Time) {
+	if e.Returning {
+		return
 	}
-	starts := q.onTimeStarts(e.LatestOnTimeStart.Sub(now), late > 0)
-	if ahead <= starts {
-		return false
+	if f, ok := q.refusals.find(e, now); ok {
+		e.Returning = true
+		e.LatestOnTimeStart = e.LatestOnTimeStart.Add(f.arrived.Sub(e.Arrived))
 	}
-	late += ahead - starts // these will be late too, and go before e
-	return latest(now, e.LatestOnTimeStart).Add(q.lateWait(late)).After(e.LatestStart)
 }
 
-// onTimeStarts returns how many on-time requests are expected to start within d.
-// late says whether late requests take their share of the grants.
-func (q *Queue) onTimeStarts(d time.Duration, late bool) int {
-	if q.grants.mean == 0 {
-		return math.MaxInt
-	}
-	starts := max(0, d.Seconds()) / q.grants.mean
-	if late {
-		starts *= 1 - q.options.LateShare
-	}
-	return int(starts)
+// reject records a rejection and returns the delay before a retry.
+func (q *Queue) reject(e *Entry, now time.Time) time.Duration {
+	retryAfter := min(q.retryAfter(e.Priority, now), patience(e, now))
+	q.refusals.add(e, now.Add(retryAfter))
+	q.fairness.add(e.Tokens, false)
+	q.statistics.reject(e)
+	return retryAfter
 }
 
 func latest(a, b time.Time) time.Time {
@@ -213,9 +225,19 @@
 // RetryAfter returns the retry delay for a caller that is rejected now: after the
 // queue has drained and after the callers rejected earlier have retried.
 func (q *Queue) RetryAfter(now time.Time) time.Duration {
-	drained := now.Add(q.ExpectedWait())
-	q.lastRetryAt = latest(drained, q.lastRetryAt.Add(q.grants.wait(1)))
-	return q.jitter(q.lastRetryAt.Sub(now))
+	return q.retryAfter(math.MaxInt, now)
+}
+
+// retryAfter returns the retry delay for a caller of a priority.
+func (q *Queue) retryAfter(priority int, now time.Time) time.Duration {
+	ahead := 0
+	for i := range q.waiting {
+		if q.waiting[i].Priority <= priority {
+			ahead++
+		}
+	}
+	at := q.retries.next(priority, now.Add(q.grants.wait(ahead)), q.grants.wait(1))
+	return q.jitter(at.Sub(now))
 }
 
 // jitter returns a random delay around d, so that callers don't retry
@@ -235,42 +257,81 @@
 	return true
 }
 
+// Rejection is a request that was removed from the queue since it can't start in time.
+type Rejection struct {
+	Entry      Entry
+	RetryAfter time.Duration
+	// DisplacedBy is the latest more urgent request that arrived after it; 0 if there is
+	// none.
+	DisplacedBy Key
+}
+
 // RemoveExpired removes and returns the requests that can no longer start in
-// time: their LatestStart has passed, or they are late behind too many other
-// late requests.
+// time: their LatestStart has passed, or too many others are before them.
 func (q *Queue) RemoveExpired(now time.Time) []Key {
 	var expired []Key
-	late := q.lateRanks(now)
+	for _, r := range q.Reject(now) {
+		expired = append(expired, r.Entry.Key)
+	}
+	return expired
+}
+
+// Reject is RemoveExpired with what to tell the callers. The most urgent are first.
+func (q *Queue) Reject(now time.Time) []Rejection {
+	if len(q.waiting) == 0 {
+		return nil
+	}
+	var rejected []Rejection
+	starts := q.plan(now)
 	q.waiting = slices.DeleteFunc(q.waiting, func(e Entry) bool {
-		starts := now
-		if n, ok := late[e.Key]; ok {
-			starts = now.Add(q.lateWait(n))
-		}
-		if starts.Before(e.LatestStart) {
+		if starts[e.Key].Before(e.LatestStart) || now.Before(e.LatestStart) && q.keepsTurn(&e, now) {
 			return false
 		}
-		expired = append(expired, e.Key)
-		q.fairness.add(e.Tokens, false)
+		rejected = append(rejected, Rejection{Entry: e})
 		return true
 	})
-	return expired
+	slices.SortFunc(rejected, func(a, b Rejection) int { return q.compareLate(&a.Entry, &b.Entry) })
+	for i := range rejected {
+		r := &rejected[i]
+		r.DisplacedBy = q.displacer(&r.Entry)
+		r.RetryAfter = q.reject(&r.Entry, now)
+		q.statistics.displace(r)
+	}
+	return rejected
+}
+
+// keepsTurn reports whether a request that was admitted keeps its turn, whatever the
+// expected time of that is: it is on time, and no more urgent request has come since or its
+// size is granted too seldom already.
+func (q *Queue) keepsTurn(e *Entry, now time.Time) bool {
+	return !e.late(now) && (q.Underserved(e) || q.displacer(e) == 0)
 }
 
-// lateRanks returns each late request's position among the late requests.
-// Earmarked requests don't count as late, since they don't wait for a turn.
-func (q *Queue) lateRanks(now time.Time) map[Key]int {
-	var late []Entry
-	for _, e := range q.waiting {
-		if now.After(e.LatestOnTimeStart) && !e.Earmarked {
-			late = append(late, e)
+// displacer returns the latest more urgent request that arrived after e.
+func (q *Queue) displacer(e *Entry) Key {
+	var last *Entry
+	for i := range q.waiting {
+		o := &q.waiting[i]
+		if o.Priority < e.Priority && o.Arrived.After(e.Arrived) && (last == nil || o.Arrived.After(last.Arrived)) {
+			last = o
 		}
 	}
-	slices.SortFunc(late, func(a, b Entry) int { return a.Arrived.Compare(b.Arrived) })
-	ranks := make(map[Key]int, len(late))
-	for n, e := range late {
-		ranks[e.Key] = n
+	if last == nil {
+		return 0
+	}
+	return last.Key
+}
+
+// countLate returns the number of late requests. Earmarked requests don't count as
+// late, since they don't wait for a turn.
+func (q *Queue) countLate(now time.Time) int {
+	n := 0
+	for i := range q.waiting {
+		if e := &q.waiting[i]; e.late(now) && !e.Earmarked {
+			n++
+		}
 	}
-	return ranks
+	return n
 }
 
 // Contains reports whether a request is queued. One that was removed by Take is
@@ -281,45 +342,11 @@
 
 // Next returns the request to serve next, without removing it.
 func (q *Queue) Next(now time.Time) (Key, bool) {
-	onTime, late := q.heads(now)
-	switch {
-	case onTime < 0 && late < 0:
+	i := q.next(now)
+	if i < 0 {
 		return 0, false
-	case onTime < 0 || late >= 0 && q.lateCredit >= 1:
-		return q.waiting[late].Key, true
-	default:
-		return q.waiting[onTime].Key, true
 	}
-}
-
-// heads returns the indexes of the first on-time and of the first late request,
-// or -1 if there is none.
-func (q *Queue) heads(now time.Time) (onTime, late int) {
-	onTime, late = -1, -1
-	for i := range q.waiting {
-		e := &q.waiting[i]
-		if now.After(e.LatestOnTimeStart) {
-			if late < 0 || e.Arrived.Before(q.waiting[late].Arrived) {
-				late = i
-			}
-			continue
-		}
-		if onTime < 0 || q.precedes(e, &q.waiting[onTime]) {
-			onTime = i
-		}
-	}
-	return onTime, late
-}
-
-// precedes reports whether on-time request a is served before b.
-func (q *Queue) precedes(a, b *Entry) bool {
-	if a.Priority != b.Priority {
-		return a.Priority < b.Priority
-	}
-	if u := q.Underserved(a); u != q.Underserved(b) {
-		return u
-	}
-	return a.Arrived.Before(b.Arrived)
+	return q.waiting[i].Key, true
 }
 
 // Underserved reports whether requests of e's size class are granted much less
@@ -364,8 +391,11 @@
 // RecordGrant records that a request removed by Take was given capacity.
 func (q *Queue) RecordGrant(e *Entry, now time.Time) {
 	q.fairness.add(e.Tokens, true)
+	q.shares.add(e.Customer, q.cost(e), now)
+	q.recordWork(e.Work)
+	q.statistics.grant(e, now)
 	q.grants.record(now, len(q.waiting))
-	late := len(q.lateRanks(now))
+	late := q.countLate(now)
 	switch {
 	case now.After(e.LatestOnTimeStart):
 		q.lateGrants.record(now, late)
@@ -377,6 +407,17 @@
 	}
 }
 
+// recordWork adds the work of a grant to the moving average.
+func (q *Queue) recordWork(work time.Duration) {
+	switch {
+	case work <= 0:
+	case q.meanWork == 0:
+		q.meanWork = float64(work)
+	default:
+		q.meanWork += workWeight * (float64(work) - q.meanWork)
+	}
+}
+
 // lateWait returns the expected wait of a late request with count late requests
 // ahead of it: at the rate of late grants up to burstHorizon, and at the rate of
 // all grants after that.
@@ -392,12 +433,13 @@
 // updateLateCredit updates the number of grants owed to late requests when e is
 // taken.
 func (q *Queue) updateLateCredit(e *Entry, now time.Time) {
-	onTime, late := q.heads(now)
-	if onTime < 0 || late < 0 {
+	h := q.heads(now)
+	if h.onTime < 0 || h.late < 0 {
 		q.lateCredit = 0
 		return
 	}
-	if now.After(e.LatestOnTimeStart) {
+	if e.late(now) {
+		q.lateTurns++
 		q.lateCredit = max(0, q.lateCredit-1)
 		return
 	}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -97,6 +97,7 @@
 		Body:              body,
 		Deadline:          e.requestDeadline(parameters),
 		AtMostOnce:        !route.Repeatable(),
+		Priority:          route.Priority,
 	}
 	e.observation.Fingerprints = e.fingerprints()
 	e.call.Traits = append(slices.Clip(parameters.SharedParts), quarantiner.RequestTraits(e.observation.Fingerprints)...)
--- a/forwarder/placement.go
+++ b/forwarder/placement.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/jackdawthread/jackdawthread/admitter"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/reserver"
@@ -22,7 +24,7 @@
 func (s *stream) placementRequest() reserver.PlacementRequest {
 	started := s.observation.Started
 	w := reserver.PlacementRequest{
-		Entry:          admitter.Entry{Arrived: started, Priority: s.route.Priority},
+		Entry:          s.queueEntry(),
 		Service:        s.service.Name,
 		Request:        s.call.ID,
 		Prompt:         s.call.Prompt,
@@ -41,6 +43,20 @@
 	return w
 }
 
+// queueEntry returns what the request's place in the queue depends on.
+func (s *stream) queueEntry() admitter.Entry {
+	e := admitter.Entry{
+		Arrived:     s.observation.Started,
+		Priority:    s.call.Priority,
+		Spent:       s.observation.Prefill,
+		Fingerprint: xxhash.Sum64String(string(s.observation.Fingerprints.Caller)),
+	}
+	if c := s.call.Customer; c != nil {
+		e.Customer = c.Name
+	}
+	return e
+}
+
 // callerEventTimeout is the assumed time that the caller waits for an event before
 // it cancels the request.
 func (s *stream) callerEventTimeout() time.Duration {
--- a/reserver/model.go
+++ b/reserver/model.go
@@ -108,6 +108,17 @@
 	}
 }
 
+// work returns the engines' time that a request is expected to take: that of its
+// response, by its share of an engine's memory; 0 if unknown. q.mu must be held.
+func (q *serviceQueue) work(req *PlacementRequest) time.Duration {
+	response, ok := q.model.Response(req.Prompt, req.output())
+	memory := engineConfig(q.reserver.deps.Registry.Snapshot(), q.service).Memory
+	if !ok || memory <= 0 {
+		return 0
+	}
+	return time.Duration(float64(response) * float64(req.Tokens) / float64(memory))
+}
+
 // unconditional returns the request's queue entry without the estimates that could
 // reject it.
 func (r *PlacementRequest) unconditional() admitter.Entry {
--- a/reserver/service_queue.go
+++ b/reserver/service_queue.go
@@ -109,8 +109,12 @@
 	q.lastKey++
 	req.Key = q.lastKey
 	req.Entry.Tokens = req.Tokens
+	req.Entry.Deadline = req.Deadline
+	req.Work = q.work(req)
 	q.setStartTimes(req)
-	if retryAfter, ok := q.admit(req, time.Now()); !ok {
+	now := time.Now()
+	q.admission.Recognize(&req.Entry, now)
+	if retryAfter, ok := q.admit(req, now); !ok {
 		q.log("placement-rejected", req, zap.Duration("expected-wait", q.admission.ExpectedWait()), zap.Duration("retry-after", retryAfter))
 		return nil, classifier.NotRun(classifier.ReasonQueueFull, retryAfter, "queue of service %q is full: its %d requests are more than can be served in time", q.service, q.admission.Len())
 	}
@@ -223,13 +227,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
-	for _, k := range q.admission.RemoveExpired(now) {
-		err := classifier.NotRun(classifier.ReasonDeadline, q.admission.RetryAfter(now), "no capacity at service %q in time", q.service)
-		q.log("placement-rejected", q.waiters[k].PlacementRequest, zap.Error(err))
-		q.waiters[k].result <- placeResult{err: err}
-		q.earmarks.Release(k)
-		delete(q.waiters, k)
-	}
+	q.rejectExpired(now)
 	k, ok := q.earmarkedWithCapacity(now)
 	if !ok && q.canEarmark() {
 		k, ok = q.admission.MostUnderserved()
@@ -245,6 +243,22 @@
 	return q.waiters[k]
 }
 
+// rejectExpired rejects the requests that can't start in time. q.mu must be held.
+func (q *serviceQueue) rejectExpired(now time.Time) {
+	for _, r := range q.admission.Reject(now) {
+		a := q.waiters[r.Entry.Key]
+		err := classifier.NotRun(classifier.ReasonDeadline, r.RetryAfter, "no capacity at service %q in time", q.service)
+		extra := []zap.Field{zap.Error(err), zap.Duration("retry-after", r.RetryAfter)}
+		if by := q.waiters[r.DisplacedBy]; by != nil {
+			extra = append(extra, zap.String("displaced-by", string(by.Request)))
+		}
+		q.log("placement-rejected", a.PlacementRequest, extra...)
+		a.result <- placeResult{err: err}
+		q.earmarks.Release(a.Key)
+		delete(q.waiters, a.Key)
+	}
+}
+
 // requeue returns a request to the queue after an unsuccessful search.
 func (q *serviceQueue) requeue(a *waiter) {
 	q.mu.Lock()
@@ -279,12 +293,23 @@
 
 // log logs a decision on a request. q.mu must be held.
 func (q *serviceQueue) log(event string, req *PlacementRequest, extra ...zap.Field) {
+	now := time.Now()
 	fields := []zap.Field{
 		zap.String("request", string(req.Request)),
 		zap.String("service", string(q.service)),
-		zap.Duration("age", time.Since(req.Arrived)),
+		zap.Duration("age", now.Sub(req.Arrived)),
 		zap.Uint32("tokens", uint32(req.Tokens)),
 		zap.Int("waiting", q.admission.Len()),
+		zap.Int("priority", req.Priority),
+		zap.Bool("returning", req.Returning),
+		zap.Int("rank", q.admission.Rank(&req.Entry, now)),
+		zap.Duration("slack", req.LatestOnTimeStart.Sub(now)),
+	}
+	if req.Work > 0 {
+		fields = append(fields, zap.Duration("work", req.Work))
+	}
+	if req.Customer != "" {
+		fields = append(fields, zap.String("customer", string(req.Customer)))
 	}
 	fields = append(fields, q.modelFields(req)...)
 	q.reserver.deps.Log.Info(event, append(fields, extra...)...)
