Compare orders of a queue under shortage, and count what becomes of requests

The order had no comparison with others, and no figures by priority and customer.

'experiment shortage' plays first come, priority, earliest deadline, least work, the previous order, admitter's and a schedule with full knowledge. Metrics placement-queues count waiting, granted, late, refused, displaced and refused again by priority and customer. An on-time request that can't start in time keeps its turn until grants to late requests were measured.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -19,10 +19,10 @@
 // every one of them would be slightly late and most of the responses' value
 // would be lost. Requests that can still meet their objective therefore go first,
 // by priority. Late requests follow, also by priority. A late request goes before
-// less urgent on-time ones if all of these can still meet their objective after it,
-// or if it would otherwise be lost. Late requests get a fixed share of the grants in
-// any case, and the oldest of them a fixed part of that, so that none starve while
-// new requests keep arriving.
+// less urgent on-time ones shortly before its latest start, since it would be lost
+// behind them. Late requests get a fixed share of the grants in any case, and the
+// oldest of them a fixed part of that, so that none starve while new requests keep
+// arriving.
 //
 // Among on-time requests of one priority, sizes that are granted much less often
 // than others go first: the memory that one completion frees is seldom enough for
@@ -290,7 +290,7 @@
 		rejected = append(rejected, Rejection{Entry: e})
 		return true
 	})
-	slices.SortFunc(rejected, func(a, b Rejection) int { return q.compareLate(&a.Entry, &b.Entry) })
+	slices.SortFunc(rejected, func(a, b Rejection) int { return compareLate(candidate{Entry: &a.Entry}, candidate{Entry: &b.Entry}) })
 	for i := range rejected {
 		r := &rejected[i]
 		r.DisplacedBy = q.displacer(&r.Entry)
@@ -342,11 +342,11 @@
 
 // Next returns the request to serve next, without removing it.
 func (q *Queue) Next(now time.Time) (Key, bool) {
-	i := q.next(now)
-	if i < 0 {
+	e := q.next(now)
+	if e == nil {
 		return 0, false
 	}
-	return q.waiting[i].Key, true
+	return e.Key, true
 }
 
 // Underserved reports whether requests of e's size class are granted much less
@@ -434,7 +434,7 @@
 // taken.
 func (q *Queue) updateLateCredit(e *Entry, now time.Time) {
 	h := q.heads(now)
-	if h.onTime < 0 || h.late < 0 {
+	if h.onTime.Entry == nil || h.late.Entry == nil {
 		q.lateCredit = 0
 		return
 	}
--- a/admitter/schedule.go
+++ b/admitter/schedule.go
@@ -6,17 +6,17 @@
 )
 
 // sorted returns the late or the on-time requests in their order.
-func (q *Queue) sorted(now time.Time, late bool) []*Entry {
-	var all []*Entry
+func (q *Queue) sorted(now time.Time, late bool) []candidate {
+	all := make([]candidate, 0, len(q.waiting))
 	for i := range q.waiting {
 		if q.waiting[i].late(now) == late {
-			all = append(all, &q.waiting[i])
+			all = append(all, q.candidate(&q.waiting[i]))
 		}
 	}
 	if late {
-		slices.SortFunc(all, q.compareLate)
+		slices.SortFunc(all, compareLate)
 	} else {
-		slices.SortFunc(all, q.compareOnTime)
+		slices.SortFunc(all, compareOnTime)
 	}
 	return all
 }
@@ -52,25 +52,29 @@
 		if turn.After(e.LatestOnTimeStart) {
 			late = append(late, e)
 		}
-		turn = turn.Add(time.Duration(float64(q.grantTime(e)) / share))
+		turn = turn.Add(time.Duration(float64(q.grantTime(e.Entry)) / share))
 	}
 	ahead := 0
 	for _, e := range late {
-		if e.Earmarked {
+		switch _, hasTurn := starts[e.Key]; {
+		case e.Earmarked:
 			starts[e.Key] = now
-			continue
+		case hasTurn && q.lateGrants.mean == 0:
+			// What late requests get has not been measured, so it keeps its turn.
+		default:
+			starts[e.Key] = latest(e.LatestOnTimeStart, now).Add(q.lateWait(ahead))
+			ahead++
 		}
-		starts[e.Key] = latest(e.LatestOnTimeStart, now).Add(q.lateWait(ahead))
-		ahead++
 	}
 	return starts
 }
 
 // Rank returns the number of queued requests that go before a request.
 func (q *Queue) Rank(e *Entry, now time.Time) int {
+	c := q.candidate(e)
 	ahead := 0
 	for i := range q.waiting {
-		if o := &q.waiting[i]; o.Key != e.Key && q.precedes(o, e, now) {
+		if o := &q.waiting[i]; o.Key != e.Key && precedes(q.candidate(o), c, now) {
 			ahead++
 		}
 	}
@@ -78,16 +82,11 @@
 }
 
 // precedes reports whether a goes before b unless late requests are owed a turn.
-func (q *Queue) precedes(a, b *Entry, now time.Time) bool {
+func precedes(a, b candidate, now time.Time) bool {
 	if late := a.late(now); late != b.late(now) {
 		return !late
 	} else if late {
-		return q.compareLate(a, b) < 0
+		return compareLate(a, b) < 0
 	}
-	return q.compareOnTime(a, b) < 0
-}
-
-// Outranks reports whether a less urgent request waits behind a request.
-func (q *Queue) Outranks(e *Entry) bool {
-	return slices.ContainsFunc(q.waiting, func(o Entry) bool { return e.Priority < o.Priority })
+	return compareOnTime(a, b) < 0
 }
--- a/admitter/shares.go
+++ b/admitter/shares.go
@@ -1,7 +1,6 @@
 package admitter
 
 import (
-	"cmp"
 	"math"
 	"time"
 
@@ -53,16 +52,8 @@
 	}
 }
 
-// compare puts the customer first that got less. Requests without a customer share as
-// one.
-func (s *shares) compare(a, b identifier.Customer) int {
-	if a == b {
-		return 0
-	}
-	return cmp.Compare(s.level(a), s.level(b))
-}
-
-// level returns the power of two of a customer's work.
+// level returns the power of two of a customer's work. Customers of a lower level go
+// first. Requests without a customer share as one.
 func (s *shares) level(c identifier.Customer) int {
 	return int(math.Log2(1 + s.work[c]))
 }
--- a/commander/experiment.go
+++ b/commander/experiment.go
@@ -19,6 +19,7 @@
 			placementCommand(s),
 			limitsCommand(s),
 			stormCommand(s),
+			shortageCommand(s),
 		},
 	}
 }
@@ -91,6 +92,19 @@
 	}
 }
 
+func shortageCommand(s Streams) *cli.Command {
+	return &cli.Command{
+		Name:        "shortage",
+		Usage:       "compare orders of a queue when there is too little room",
+		Description: "Example: jackdawthread experiment shortage --seed 2",
+		Flags:       []cli.Flag{seedFlag(), outputFlag()},
+		Action: func(_ context.Context, c *cli.Command) error {
+			figures := experimenter.RunShortage(c.Uint64("seed"))
+			return printExperiment(c, s, figures, experimenter.ShortageTable(figures))
+		},
+	}
+}
+
 func seedFlag() cli.Flag {
 	return &cli.Uint64Flag{Name: "seed", Usage: "seed of all random draws", Value: 1}
 }
--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -61,6 +61,7 @@
 	m.root.Set("caller-connections", expvar.Func(func() any { return h.acceptor.Open() }))
 	m.root.Set("running", expvar.Func(func() any { return h.forwarder.Running() }))
 	m.root.Set("waiting", expvar.Func(func() any { return h.reserver.Waiting() }))
+	m.root.Set("placement-queues", expvar.Func(func() any { return h.reserver.Queues() }))
 	m.root.Set("engine-models", expvar.Func(func() any { return h.reserver.Models() }))
 	m.root.Set("connections", expvar.Func(func() any { return h.deps.Platform.Exchanger().Stats() }))
 	m.root.Set("exclusions", expvar.Func(func() any { return h.interceptor.Stats() }))
--- a/reserver/earmark.go
+++ b/reserver/earmark.go
@@ -14,7 +14,7 @@
 )
 
 // tryEarmark earmarks an engine for a request that found no capacity, if its size
-// is underserved or if less urgent requests would take the memory that is released. It chooses the engine that is predicted to have enough free
+// is underserved. It chooses the engine that is predicted to have enough free
 // memory first.
 func (q *serviceQueue) tryEarmark(all []*registrar.Endpoint, a *waiter) {
 	now := time.Now()
@@ -29,7 +29,7 @@
 		a.Earmarked = false
 		q.log("earmark-released", a.PlacementRequest, zap.String("endpoint", string(e)))
 	}
-	if a.Earmarked || a.EarmarkFailed || !q.deservesEarmark(a) || !q.earmarks.CanEarmark(countDecoders(all)) {
+	if a.Earmarked || a.EarmarkFailed || !q.admission.Underserved(&a.Entry) || !q.earmarks.CanEarmark(countDecoders(all)) {
 		return
 	}
 	exclude = append(exclude, q.earmarks.EnginesOfOthers(a.Key)...)
@@ -49,12 +49,6 @@
 	q.log("engine-earmarked", a.PlacementRequest, zap.String("endpoint", string(e)), zap.Duration("expected-wait", at.Sub(now)))
 }
 
-// deservesEarmark reports whether others would take a request's turn time and again
-// without an earmark. q.mu must be held.
-func (q *serviceQueue) deservesEarmark(a *waiter) bool {
-	return q.admission.Underserved(&a.Entry)
-}
-
 // runningRequests returns the requests that this host has placed, with their
 // predicted ends. Without measurements these are their starts, which have passed.
 func (r *Reserver) runningRequests(m *estimator.Model) []earmarker.RunningRequest {
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -38,6 +38,7 @@
 package reserver
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -114,7 +115,8 @@
 
 // PlacementRequest is a request for placement.
 type PlacementRequest struct {
-	// Entry needs only Arrived and Priority; the placing host sets the rest.
+	// Entry needs only Arrived, Priority and what is known of Customer, Fingerprint and
+	// Spent; the placing host sets the rest.
 	admitter.Entry
 	Service identifier.Service
 	Request identifier.Request
@@ -219,6 +221,26 @@
 	return n
 }
 
+// QueueStatus counts the requests of one priority and customer for a service.
+type QueueStatus struct {
+	Service  identifier.Service  `json:"service"`
+	Priority int                 `json:"priority"`
+	Customer identifier.Customer `json:"customer,omitempty"`
+	admitter.Counts
+}
+
+// Queues returns what became of the requests for placement at this host.
+func (r *Reserver) Queues() []QueueStatus {
+	all := []QueueStatus{}
+	for _, q := range r.allQueues() {
+		all = append(all, q.statuses()...)
+	}
+	slices.SortFunc(all, func(a, b QueueStatus) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Customer, b.Customer))
+	})
+	return all
+}
+
 func (r *Reserver) allQueues() []*serviceQueue {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/reserver/service_queue.go
+++ b/reserver/service_queue.go
@@ -85,6 +85,16 @@
 	return len(q.waiters)
 }
 
+func (q *serviceQueue) statuses() []QueueStatus {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var all []QueueStatus
+	for g, c := range q.admission.Statistics() {
+		all = append(all, QueueStatus{Service: q.service, Priority: g.Priority, Customer: g.Customer, Counts: c})
+	}
+	return all
+}
+
 // place waits for capacity. Its error is NotRun.
 func (q *serviceQueue) place(ctx context.Context, origin identifier.Incarnation, originSeq uint64, req *PlacementRequest) (Plan, error) {
 	a, err := q.enqueue(origin, originSeq, req)
