Tell rejected callers when their request would have started

A request is rejected since it would start too late, but its caller was told to return when the queue of the moment had drained, often within 0.3 s, and was rejected again.

The retry time is now at least the expected start that led to the rejection. Holding returning callers instead, telling engines the priority of prefills, and an engine kept free for urgent requests were tried and not kept.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -176,11 +176,12 @@
 	}
 	q.Recognize(&e, now)
 	q.waiting = append(q.waiting, e)
-	if !q.plan(now)[e.Key].After(e.LatestStart) {
+	start := q.plan(now)[e.Key]
+	if !start.After(e.LatestStart) {
 		return 0, true
 	}
 	q.waiting = q.waiting[:len(q.waiting)-1]
-	return q.reject(&e, now), false
+	return q.reject(&e, start, now), false
 }
 
 // Admit queues a request without admission control.
@@ -201,9 +202,10 @@
 	}
 }
 
-// reject records a rejection and returns the delay before a retry.
-func (q *Queue) reject(e *Entry, now time.Time) time.Duration {
-	retryAfter := min(q.retryAfter(e.Priority, now), patience(e, now))
+// reject records the rejection of a request that was expected to start at a time, and
+// returns the delay before a retry.
+func (q *Queue) reject(e *Entry, start, now time.Time) time.Duration {
+	retryAfter := min(q.retryAfter(e.Priority, start, now), patience(e, now))
 	q.refusals.add(e, now.Add(retryAfter))
 	q.fairness.add(e.Tokens, false)
 	q.statistics.reject(e)
@@ -225,18 +227,19 @@
 // RetryAfter returns the retry delay for a caller that is rejected now: after the
 // queue has drained and after the callers rejected earlier have retried.
 func (q *Queue) RetryAfter(now time.Time) time.Duration {
-	return q.retryAfter(math.MaxInt, now)
+	return q.retryAfter(math.MaxInt, now, now)
 }
 
-// retryAfter returns the retry delay for a caller of a priority.
-func (q *Queue) retryAfter(priority int, now time.Time) time.Duration {
+// retryAfter returns the retry delay for a caller of a priority whose request was
+// expected to start at a time.
+func (q *Queue) retryAfter(priority int, start, now time.Time) time.Duration {
 	ahead := 0
 	for i := range q.waiting {
 		if q.waiting[i].Priority <= priority {
 			ahead++
 		}
 	}
-	at := q.retries.next(priority, now.Add(q.grants.wait(ahead)), q.grants.wait(1))
+	at := q.retries.next(priority, latest(start, now.Add(q.grants.wait(ahead))), q.grants.wait(1))
 	return q.jitter(at.Sub(now))
 }
 
@@ -294,7 +297,7 @@
 	for i := range rejected {
 		r := &rejected[i]
 		r.DisplacedBy = q.displacer(&r.Entry)
-		r.RetryAfter = q.reject(&r.Entry, now)
+		r.RetryAfter = q.reject(&r.Entry, starts[r.Entry.Key], now)
 		q.statistics.displace(r)
 	}
 	return rejected
--- a/admitter/order_test.go
+++ b/admitter/order_test.go
@@ -229,6 +229,19 @@
 		patient, urgent := reject(100, 1), reject(101, 0)
 		i.True(urgent > 0 && urgent < patient)
 	})
+	t.Run("the time is not before the request was expected to start", func(t *testing.T) {
+		i := is.New(t)
+		q := admitter.New(admitter.Options{})
+		now := measure(q, 100*time.Millisecond)
+		for k := range admitter.Key(100) {
+			q.Admit(entry(k, now))
+		}
+		e := entry(101, now)
+		e.LatestStart = at(now + time.Second)
+		retryAfter, ok := q.Push(e, at(now))
+		i.True(!ok)
+		i.True(retryAfter >= 4*time.Second) // 100 grants, less the jitter
+	})
 	t.Run("no caller is told more than it waits", func(t *testing.T) {
 		i := is.New(t)
 		q := admitter.New(admitter.Options{})
