--- a/reserver/slot_queue.go
+++ b/reserver/slot_queue.go
@@ -118,6 +118,7 @@
 	w.Work = work
 	w.LatestOnTimeStart = w.OnTimeBy.Add(-work)
 	w.LatestStart = w.Deadline.Add(-work)
+	w.Entry.Deadline = w.Deadline
 	if q.admission.Len() == 0 && q.grant(w, all, 0, now) {
 		return nil
 	}
@@ -187,10 +188,10 @@
 	if len(q.waiters) == 0 {
 		return
 	}
-	for _, k := range q.admission.RemoveExpired(now) {
-		w := q.waiters[k]
-		delete(q.waiters, k)
-		w.result <- slotResult{err: q.refusal(w, q.admission.RetryAfter(now), "no slot at service %q in time", q.service)}
+	for _, r := range q.admission.Reject(now) {
+		w := q.waiters[r.Entry.Key]
+		delete(q.waiters, r.Entry.Key)
+		w.result <- slotResult{err: q.refusal(w, r.RetryAfter, "no slot at service %q in time", q.service)}
 	}
 	all := q.candidates(now)
 	var skipped []admitter.Entry
