--- a/hoster/settings.go
+++ b/hoster/settings.go
@@ -96,6 +96,8 @@
 	MaxRequests int64 `toml:"max-requests" validate:"gt=0,lte=10000000"`
 	// MemoryBytes is the memory available to the process; 0 if unknown.
 	MemoryBytes int64 `toml:"memory-bytes" validate:"gte=0"`
+	// MaxDescriptors is the number of descriptors that the process may open; 0 if unknown.
+	MaxDescriptors int `toml:"max-descriptors" validate:"gte=0"`
 }
 
 // bufferedShare is the part of the process's memory for buffered responses. Their buffers
