Account for connections, heads and bodies together, and bound them

Cause: each body, head and connection had a limit of its own, if any; together they had none. A host of 134 MB ended under 23 bodies of 4 MiB.

Change: budgeter accounts for what callers and endpoints make a host hold, with a part reserved for small requests, and lets go of what makes the least progress for what it holds. The acceptor counts heads line by line before net/http parses them, and closes a connection without a whole request for a new one when there are too many. The forwarder takes a body's memory before it reads it, and reads it into one buffer; the exchanger sends it without a copy. Readiness and metrics get bounds of their own.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -42,6 +42,11 @@
 // then. In the same way the largest header limit since a request's first byte
 // applies to its header.
 //
+// Bounds limit what connections and heads take. A head is counted line by line while it
+// is read, before net/http allocates memory for its lines; one that is too large is refused
+// with 431, and one for which memory is short with 503. When there are too many
+// connections, one without a whole request ends for the next one.
+//
 // The context of a request whose connection the host closes ends with a *Closing as
 // its cause.
 package acceptor
@@ -55,6 +60,7 @@
 	"sync"
 	"time"
 
+	"github.com/jackdawthread/jackdawthread/budgeter"
 	"github.com/jackdawthread/jackdawthread/common/sleeper"
 )
 
@@ -88,6 +94,7 @@
 	net.Listener
 	observe    Observe
 	allowHTTP2 bool
+	bounds     Bounds
 
 	mu       sync.Mutex
 	open     map[*Connection]struct{}
@@ -101,7 +108,12 @@
 
 // New returns an Acceptor of connections that ln accepts.
 func New(ln net.Listener, observe Observe) *Acceptor {
-	return &Acceptor{Listener: ln, observe: observe, open: map[*Connection]struct{}{}}
+	return &Acceptor{
+		Listener: ln,
+		observe:  observe,
+		bounds:   Bounds{Memory: budgeter.New(budgeter.Options{})},
+		open:     map[*Connection]struct{}{},
+	}
 }
 
 // AllowHTTP2 lets callers use HTTP/2 without TLS. It must be called before Accept.
@@ -116,7 +128,10 @@
 		draining := a.limitAccept(time.Now())
 		raw, err := a.Listener.Accept()
 		if err == nil {
-			return a.add(raw, time.Now()), nil
+			if c := a.admit(raw); c != nil {
+				return c, nil
+			}
+			continue
 		}
 		if !draining && a.isDraining() && errors.Is(err, os.ErrDeadlineExceeded) {
 			continue // Drain has interrupted the wait: accept what is in the queue
@@ -165,7 +180,15 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.closed = false // an error before was temporary
-	c := &Connection{Conn: raw, acceptor: a, accepted: now, since: now, limit: a.limits.Idle}
+	c := &Connection{
+		Conn:     raw,
+		acceptor: a,
+		accepted: now,
+		since:    now,
+		limit:    a.limits.Idle,
+		own:      a.bounds.Memory.Open(budgeter.KindConnection, now, nil),
+		head:     a.bounds.Memory.Open(budgeter.KindHead, now, nil),
+	}
 	a.open[c] = struct{}{}
 	return c
 }
@@ -206,6 +229,12 @@
 		if a.isDraining() || ok && c.isLast() {
 			w.Header().Set("Connection", "close")
 		}
+		if ok && !c.settleHead(r, time.Now()) {
+			w.Header().Set("Connection", "close")
+			w.Header().Set("Retry-After", "0.5")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		next.ServeHTTP(w, r)
 	})
 }
--- a/acceptor/closing.go
+++ b/acceptor/closing.go
@@ -15,6 +15,15 @@
 	ReasonIdle Reason = "idle"
 	// ReasonHeader means that a request's header didn't arrive within its limit.
 	ReasonHeader Reason = "header-timeout"
+	// ReasonHeadTooLarge means that a request's header exceeded its limit.
+	ReasonHeadTooLarge Reason = "head-too-large"
+	// ReasonMemory means that the memory for requests was short while a request's header
+	// arrived.
+	ReasonMemory Reason = "memory"
+	// ReasonCrowded means that the connection had no whole request when there was no
+	// room for another one, and ReasonRefused that there was none for this one.
+	ReasonCrowded Reason = "crowded"
+	ReasonRefused Reason = "refused"
 	// ReasonStop means that no request came in a planned stop.
 	ReasonStop Reason = "stop"
 	// ReasonStopLimit means that the time of a planned stop was over.
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jackdawthread/jackdawthread/budgeter"
 	"github.com/jackdawthread/jackdawthread/common/socket"
 )
 
@@ -41,6 +42,12 @@
 	net.Conn
 	acceptor *Acceptor
 	accepted time.Time
+	// own and head account for the connection and for its current head.
+	own, head *budgeter.Holder
+	// taken is what head has, and receiving is set while the head arrives. The goroutine
+	// that serves the connection has both.
+	taken     int64
+	receiving bool
 
 	mu    sync.Mutex
 	phase phase
@@ -54,6 +61,10 @@
 	last bool
 	// readAhead is set if a byte of the next request has been read during phaseServing.
 	readAhead bool
+	// scanner counts the current head.
+	scanner headScanner
+	// served is set once the connection has had a whole request.
+	served bool
 	// cancel ends the contexts of the connection's requests.
 	cancel context.CancelCauseFunc
 	closed bool
@@ -76,7 +87,11 @@
 	for {
 		n, err := c.Conn.Read(b)
 		if n > 0 {
-			c.noteRead(time.Now(), b[:n], len(b))
+			now := time.Now()
+			c.noteRead(now, b[:n], len(b))
+			if closing := c.accountHead(b[:n], now); closing != nil {
+				return 0, c.end(closing)
+			}
 			return n, err
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -125,6 +140,7 @@
 // startHeader begins phaseHeader. The caller holds the lock.
 func (c *Connection) startHeader(now time.Time, l Limits) {
 	c.enter(phaseHeader, now, l.Header)
+	c.scanner = headScanner{}
 	_ = c.Conn.SetReadDeadline(time.Time{}) // fails only if the connection is closed
 }
 
@@ -138,17 +154,20 @@
 
 // startServing records that net/http has read a request's header.
 func (c *Connection) startServing() {
+	c.keepHead()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.isHTTP2.Load() {
 		return
 	}
+	c.served = true
 	c.enter(phaseServing, time.Now(), 0)
 	_ = c.Conn.SetReadDeadline(time.Time{}) // fails only if the connection is closed
 }
 
 // startWaiting records that an answer is complete.
 func (c *Connection) startWaiting(now time.Time, l Limits) {
+	c.releaseHead()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.isHTTP2.Load() {
@@ -200,12 +219,18 @@
 		return nil, false
 	}
 	_ = c.Conn.SetReadDeadline(time.Time{}) // fails only if the connection is closed
-	if c.asked != "" && socket.NothingToRead(c.Conn) {
+	if c.asked != "" && (c.endsAtOnce() || socket.NothingToRead(c.Conn)) {
 		return c.close(c.asked, now), false
 	}
 	return nil, true
 }
 
+// endsAtOnce reports whether the rest of a header isn't waited for, since there is no room
+// for it. The caller holds the lock.
+func (c *Connection) endsAtOnce() bool {
+	return c.phase == phaseHeader && (c.asked == ReasonCrowded || c.asked == ReasonMemory)
+}
+
 // close marks the connection as closed. The caller holds the lock.
 func (c *Connection) close(r Reason, now time.Time) *Closing {
 	c.closed = true
@@ -226,9 +251,12 @@
 // end closes a connection without a whole request, on behalf of its reader.
 func (c *Connection) end(closing *Closing) error {
 	c.acceptor.observe(closing)
-	if closing.Reason == ReasonHeader {
+	if answer := c.refusal(closing.Reason); answer != "" {
 		_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
-		_, _ = io.WriteString(c.Conn, headerTimeoutAnswer) // the caller may be gone
+		_, _ = io.WriteString(c.Conn, answer) // the caller may be gone
+	}
+	if closing.Reason == ReasonHeadTooLarge || closing.Reason == ReasonMemory {
+		c.linger()
 	}
 	_ = c.Conn.Close() // net/http may read or write again after an error
 	return io.EOF
@@ -292,6 +320,8 @@
 	if cancel != nil {
 		cancel(context.Canceled)
 	}
+	c.own.Close()
+	c.head.Close()
 	c.acceptor.remove(c)
 	return c.Conn.Close()
 }
--- a/common/classifier/classifier.go
+++ b/common/classifier/classifier.go
@@ -79,6 +79,7 @@
 	ReasonInternal         Reason = "internal"
 	ReasonAllocatorUnknown Reason = "allocator-unknown"
 	ReasonQuarantined      Reason = "quarantined"
+	ReasonMemory           Reason = "memory"
 )
 
 // Error is a failure with its verdict.
--- a/exchanger/buffers.go
+++ b/exchanger/buffers.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"sync"
+	"time"
 
+	"github.com/jackdawthread/jackdawthread/budgeter"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 )
 
@@ -28,6 +30,8 @@
 // use.
 type buffers struct {
 	limit int64
+	// shared has the same memory in the host's account; nil if there is none.
+	shared *budgeter.Holder
 
 	mu         sync.Mutex
 	taken      int64
@@ -49,6 +53,9 @@
 	if b.taken+n > b.limit {
 		return ErrBuffersFull
 	}
+	if b.shared != nil && b.shared.Take(n, time.Now()) != nil {
+		return ErrBuffersFull
+	}
 	b.taken += n
 	b.byEndpoint[a] += n
 	return nil
@@ -59,6 +66,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.taken -= n
+	if b.shared != nil {
+		b.shared.Return(n)
+	}
 	b.byEndpoint[a] -= n
 	if b.byEndpoint[a] == 0 {
 		delete(b.byEndpoint, a)
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -46,6 +46,7 @@
 	"sync"
 	"time"
 
+	"github.com/jackdawthread/jackdawthread/budgeter"
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/common/socket"
@@ -171,6 +172,12 @@
 	return x
 }
 
+// ShareMemory makes the bodies that ReadAll returns count in b too. It must be called
+// before Send.
+func (x *Exchanger) ShareMemory(b *budgeter.Budgeter) {
+	x.buffers.shared = b.Open(budgeter.KindAnswer, time.Now(), nil)
+}
+
 // Stats returns the current counts.
 func (x *Exchanger) Stats() Stats {
 	x.mu.Lock()
@@ -375,12 +382,21 @@
 	socket.Reset(c.conn)
 }
 
-// write sends the request headers and body in one write.
+// maxCopiedBytes is the size of the largest body that is sent in one piece with the head.
+const maxCopiedBytes = 4 << 10
+
+// write sends the request headers and body in one write. A large body isn't copied.
 func (c *connection) write(r *Request) error {
-	head := appendHead(make([]byte, 0, typicalHeadBytes+len(r.Body)), r)
 	c.requests++
-	n, err := c.conn.Write(append(head, r.Body...))
-	c.bytesWritten = n
+	if len(r.Body) <= maxCopiedBytes {
+		head := appendHead(make([]byte, 0, typicalHeadBytes+len(r.Body)), r)
+		n, err := c.conn.Write(append(head, r.Body...))
+		c.bytesWritten = n
+		return err
+	}
+	parts := net.Buffers{appendHead(make([]byte, 0, typicalHeadBytes), r), r.Body}
+	n, err := parts.WriteTo(c.conn)
+	c.bytesWritten = int(n)
 	return err
 }
 
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/jackdawthread/jackdawthread/budgeter"
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/fingerprinter"
@@ -30,6 +30,9 @@
 	// stoppingRetryAfter is the Retry-After hint of a stopping host. Another host can
 	// serve the request at once.
 	stoppingRetryAfter = 50 * time.Millisecond
+	// memoryRetryAfter is the Retry-After hint of a host whose memory for requests is
+	// short.
+	memoryRetryAfter = 500 * time.Millisecond
 	// maxBufferedBytes limits the size of buffered responses, and of request bodies
 	// if the declarations set no limit.
 	maxBufferedBytes = 16 << 20
@@ -43,6 +46,7 @@
 	observation *Observation
 
 	call    Call
+	body    *budgeter.Holder // of the body's memory; nil if there is none
 	route   *registrar.Route
 	service *registrar.Service
 	// exclude lists the endpoints that failed or refused the request.
@@ -84,7 +88,7 @@
 	e.route = route
 	e.observation.Route = route
 	e.observation.Version = d.Version
-	body, err := e.readBody(d.Limits.BodyBytes)
+	body, err := e.readBody(d.Limits, e.requestDeadline(parameters))
 	if err != nil {
 		return err
 	}
@@ -178,25 +182,6 @@
 	return e.observation.Started.Add(timeout)
 }
 
-// readBody reads the whole body, since calls are forwarded with a Content-Length
-// and may have to be resent.
-func (e *exchange) readBody(limit int64) ([]byte, error) {
-	if e.request.ContentLength == 0 {
-		return nil, nil
-	}
-	if limit <= 0 {
-		limit = maxBufferedBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(e.writer, e.request.Body, limit))
-	if err == nil {
-		return body, nil
-	}
-	if _, ok := errors.AsType[*http.MaxBytesError](err); ok {
-		return nil, &statusError{status: http.StatusRequestEntityTooLarge, cause: err}
-	}
-	return nil, &statusError{status: http.StatusBadRequest, cause: err}
-}
-
 // requestTarget returns the request target in origin form, unmodified otherwise.
 func requestTarget(r *http.Request) string {
 	target := r.RequestURI
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -35,6 +35,7 @@
 	"go.uber.org/zap"
 
 	"github.com/jackdawthread/jackdawthread/authenticator"
+	"github.com/jackdawthread/jackdawthread/budgeter"
 	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/exchanger"
@@ -210,6 +211,8 @@
 	ExpectedDuration func(r *registrar.Route) time.Duration
 	Group            *grouper.Group
 	Log              *zap.Logger
+	// Memory accounts for requests' bodies; nil sets no limit.
+	Memory *budgeter.Budgeter
 }
 
 // Options configures a Forwarder.
@@ -229,6 +232,8 @@
 	options Options
 	running atomic.Int64
 	stop    atomic.Pointer[PlannedStop]
+	// waitingBodies counts the requests that wait for memory for their body.
+	waitingBodies atomic.Int64
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -239,6 +244,9 @@
 	if o.DefaultTimeout <= 0 {
 		o.DefaultTimeout = defaultTimeout
 	}
+	if d.Memory == nil {
+		d.Memory = budgeter.New(budgeter.Options{})
+	}
 	return &Forwarder{
 		deps:    d,
 		options: o,
@@ -280,6 +288,7 @@
 		f.deps.Observer.Observe(o)
 	}()
 	e := &exchange{forwarder: f, writer: w, request: r, observation: o}
+	defer e.releaseBody()
 	if f.options.MaxConcurrent > 0 && held > f.options.MaxConcurrent {
 		e.refuse(overloaded(f.options.MaxConcurrent))
 		return
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -29,6 +29,7 @@
 	"go.uber.org/zap"
 
 	"github.com/jackdawthread/jackdawthread/acceptor"
+	"github.com/jackdawthread/jackdawthread/budgeter"
 	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/common/socket"
@@ -102,6 +103,8 @@
 	budgets   *budgets
 	metrics   *metrics
 	acceptor  *acceptor.Acceptor
+	// memory accounts for what callers and endpoints make the host hold.
+	memory *budgeter.Budgeter
 
 	callers   *http.Server
 	addresses Addresses
@@ -126,9 +129,12 @@
 	// requestHeadTimeout bounds the time to read the headers of a request for
 	// readiness or metrics.
 	requestHeadTimeout = 10 * time.Second
-	// defaultHeaderBytes bounds the size of a request's headers; declarations set
-	// a lower limit.
+	// defaultHeaderBytes bounds the size of a request's headers; the limits of
+	// declarations are lower.
 	defaultHeaderBytes = 64 << 10
+	// operatorsHeadBytes bounds the size of the headers of a request for readiness or
+	// metrics.
+	operatorsHeadBytes = 4 << 10
 	// Timing of the membership protocol between hosts.
 	probePeriod      = time.Second
 	probeTimeout     = 500 * time.Millisecond
@@ -146,6 +152,7 @@
 		registry:    registrar.New(),
 		items:       itemCache{},
 		metrics:     newMetrics(),
+		memory:      budgeter.New(s.Limits.memory()),
 	}
 	l, err := h.listen(ctx)
 	if err != nil {
@@ -250,6 +257,7 @@
 	})
 	h.rationer.Register(h.messenger)
 	h.deps.Platform.Intercept(h.interceptor, h.rationer)
+	h.deps.Platform.Exchanger().ShareMemory(h.memory)
 	h.isolator = isolator.New(isolator.Deps{
 		Self:         h.incarnation,
 		Members:      h.gossiper,
@@ -305,6 +313,7 @@
 		Observer:          h,
 		AwaitConfirmation: h.awaitConfirmation,
 		ExpectedDuration:  h.metrics.expectedDuration,
+		Memory:            h.memory,
 		Group:             h.group,
 		Log:               h.log,
 	}, forwarder.Options{MaxConcurrent: s.Limits.MaxRequests, Seed: uint64(h.incarnation)})
@@ -342,6 +351,11 @@
 	h.timer.Every(avoidedProbePeriod, h.probeAvoided)
 	h.watchSuspension()
 	h.acceptor = acceptor.New(l.callers, h.observeClosing)
+	h.acceptor.Bound(acceptor.Bounds{
+		Memory:      h.memory,
+		Connections: h.settings.Limits.maxConnections(),
+		HeadBytes:   defaultHeaderBytes,
+	})
 	h.sweepConnections(time.Now())
 	h.timer.Every(sweepConnectionsPeriod, h.sweepConnections)
 	h.callers = &http.Server{
@@ -352,10 +366,22 @@
 		ErrorLog:       zap.NewStdLog(h.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
 	h.serveListener(h.acceptor, h.callers)
-	h.serveListener(l.readiness, &http.Server{Handler: http.HandlerFunc(h.serveReadiness), ReadHeaderTimeout: requestHeadTimeout})
+	h.serveOperators(l.readiness, http.HandlerFunc(h.serveReadiness))
 	if l.metrics != nil {
-		h.serveListener(l.metrics, &http.Server{Handler: h.metrics, ReadHeaderTimeout: requestHeadTimeout})
+		h.serveOperators(l.metrics, h.metrics)
+	}
+}
+
+// serveOperators serves readiness or metrics on ln, with bounds of its own.
+func (h *Host) serveOperators(ln net.Listener, handler http.Handler) {
+	a := acceptor.New(ln, h.observeClosing)
+	a.Bound(acceptor.Bounds{Connections: h.settings.Limits.maxOperators(), HeadBytes: operatorsHeadBytes})
+	sweep := func(now time.Time) {
+		a.Sweep(now, acceptor.Limits{Idle: defaultIdleTimeout, Header: requestHeadTimeout})
 	}
+	sweep(time.Now())
+	h.timer.Every(sweepConnectionsPeriod, sweep)
+	h.serveListener(a, &http.Server{Handler: a.Handler(handler), ConnContext: a.Context, ConnState: a.ObserveState})
 }
 
 // serveListener runs an HTTP server on ln until the group ends.
--- a/hoster/limits_test.go
+++ b/hoster/limits_test.go
@@ -11,3 +11,15 @@
 	i.Equal(Limits{MemoryBytes: 100 << 20}.MaxBuffered(), int64(20<<20))
 	i.Equal(Limits{}.MaxBuffered(), int64(0)) // unknown
 }
+
+func TestSharesOfTheMachine(t *testing.T) {
+	i := is.New(t)
+	l := Limits{MemoryBytes: 100 << 20, MaxDescriptors: 4100}
+	i.Equal(l.memory().Limit, int64(40<<20))
+	i.Equal(l.memory().Reserved, int64(8<<20))
+	i.Equal(l.maxConnections(), 1845)
+	i.Equal(l.maxOperators(), 164)
+	i.Equal(Limits{}.memory().Limit, int64(0)) // unknown
+	i.Equal(Limits{}.maxConnections(), 0)
+	i.Equal(Limits{}.maxOperators(), 0)
+}
--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -59,6 +59,7 @@
 // registerGauges publishes the statistics of the host's components.
 func (m *metrics) registerGauges(h *Host) {
 	m.root.Set("caller-connections", expvar.Func(func() any { return h.acceptor.Open() }))
+	m.root.Set("memory", expvar.Func(func() any { return h.memory.Stats() }))
 	m.root.Set("running", expvar.Func(func() any { return h.forwarder.Running() }))
 	m.root.Set("waiting", expvar.Func(func() any { return h.reserver.Waiting() }))
 	m.root.Set("engine-models", expvar.Func(func() any { return h.reserver.Models() }))
--- a/hoster/settings.go
+++ b/hoster/settings.go
@@ -1,11 +1,13 @@
 package hoster
 
 import (
+	"math"
 	"os"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/jackdawthread/jackdawthread/budgeter"
 	"github.com/jackdawthread/jackdawthread/common/decoder"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 )
@@ -110,6 +112,37 @@
 	return int64(bufferedShare * float64(l.MemoryBytes))
 }
 
+const (
+	// memoryShare is the part of the process's memory for requests, and reservedShare the
+	// part of that which only small ones take. The rest is for the configuration, peers
+	// and garbage.
+	memoryShare   = 0.4
+	reservedShare = 0.2
+	// connectionsShare is the part of the process's descriptors for callers' connections.
+	// Each may need another one to an endpoint. The rest is for peers, the store,
+	// readiness and files.
+	connectionsShare = 0.45
+	// operatorsShare is the part of each of the listeners for readiness and metrics.
+	operatorsShare = 0.04
+)
+
+// memory returns the options of the account of the memory for requests.
+func (l Limits) memory() budgeter.Options {
+	limit := memoryShare * float64(l.MemoryBytes)
+	return budgeter.Options{Limit: int64(limit), Reserved: int64(reservedShare * limit)}
+}
+
+// maxConnections returns the largest number of callers' connections; 0 means no limit.
+func (l Limits) maxConnections() int {
+	return int(connectionsShare * float64(l.MaxDescriptors))
+}
+
+// maxOperators returns the largest number of connections for readiness, and for metrics; 0
+// means no limit.
+func (l Limits) maxOperators() int {
+	return int(math.Ceil(operatorsShare * float64(l.MaxDescriptors)))
+}
+
 // LogSettings bound the volume of the log.
 type LogSettings struct {
 	// LinesPerSecond bounds the lines of each event.
