Bound what connections of peers may take before their hello

Cause: a connection of anyone could send a first frame of 4 MiB, and there could be any number of them.

Change: a first frame has at most 16 KiB, and 256 accepted connections at most are without one; others are closed, and a peer dials again.

--- a/messenger/hello.go
+++ b/messenger/hello.go
@@ -38,6 +38,9 @@
 	return newConnection(m, conn, frames, peer, true), nil
 }
 
+// maxHelloBytes limits the size of a peer's first frame.
+const maxHelloBytes = 16 << 10
+
 // serverHandshake exchanges hellos on an accepted connection. A rejected peer
 // receives a failure frame with the reason.
 func (m *Messenger) serverHandshake(conn net.Conn) (*connection, error) {
@@ -72,7 +75,10 @@
 
 func (m *Messenger) readHello(conn net.Conn, frames *FrameReader) (Peer, error) {
 	var e peerwire.Envelope
+	limit := frames.maxBytes
+	frames.maxBytes = min(limit, maxHelloBytes)
 	payload, err := frames.Read(&e)
+	frames.maxBytes = limit
 	if err != nil {
 		return Peer{}, err
 	}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -87,6 +87,8 @@
 	buffers  sync.Pool
 	calls    sync.Pool
 	counters counters
+	// handshakes is the number of accepted connections whose peer hasn't said who it is.
+	handshakes atomic.Int64
 
 	mu          sync.Mutex
 	closed      bool
@@ -251,12 +253,29 @@
 			}
 			return
 		}
+		if !m.beginHandshake() {
+			_ = raw.Close() // the peer dials again
+			continue
+		}
 		if !m.start(func(ctx context.Context) { m.serve(ctx, raw) }) {
+			m.handshakes.Add(-1)
 			_ = raw.Close()
 		}
 	}
 }
 
+// maxHandshakes limits the accepted connections whose peer hasn't said who it is.
+const maxHandshakes = 256
+
+// beginHandshake returns false if there are too many handshakes.
+func (m *Messenger) beginHandshake() bool {
+	if m.handshakes.Add(1) <= maxHandshakes {
+		return true
+	}
+	m.handshakes.Add(-1)
+	return false
+}
+
 func (m *Messenger) serve(ctx context.Context, raw net.Conn) {
 	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
 	defer stop()
@@ -265,6 +284,7 @@
 		conn = tls.Server(raw, m.options.TLS)
 	}
 	c, err := m.serverHandshake(conn)
+	m.handshakes.Add(-1)
 	if err != nil {
 		m.logRefusal(raw.RemoteAddr(), err)
 		_ = conn.Close()
