Let go of callers that read large answers too slowly when memory is short

Cause: buffered answers counted apart from bodies, and stayed until their caller had read them.

Change: answers count in the host's account too. They may use the reserved part, since their requests have run. While one is written, in pieces, it can be let go of like a body that arrives.

--- a/acceptor/bounds.go
+++ b/acceptor/bounds.go
@@ -181,7 +181,7 @@
 	}
 	if !c.receiving {
 		c.receiving = true
-		c.head.Receive(now, func() { c.ask(ReasonMemory) })
+		c.head.Await(now, func() { c.ask(ReasonMemory) })
 	}
 	c.head.Progress(int64(len(b)), now)
 	return nil
--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -16,8 +16,8 @@
 // # Policy
 //
 // A part of the memory is reserved for small holders, so that ordinary requests are served
-// while large ones take the rest. A Take that finds no room is refused, and holders that
-// wait for their sender are let go of: those first that make the least progress for what
+// while large ones take the rest; answers may use it too. A Take that finds no room is refused, and holders that
+// wait for their caller are let go of: those first that make the least progress for what
 // they hold, until there will be room for it. A holder that all has arrived for is
 // never let go of.
 package budgeter
@@ -50,7 +50,7 @@
 	SmallBytes = 64 << 10
 	// patience is the time that a holder is given before its progress is judged.
 	patience = time.Second
-	// minProgress is the share of its memory, per second, that has to arrive for a
+	// minProgress is the share of its memory, per second, that has to pass for a
 	// holder that isn't let go of.
 	minProgress = 0.01
 	// scanPeriod is the least time between two searches for holders to let go of.
@@ -88,16 +88,16 @@
 	// leaving is what the holders have that were let go of.
 	leaving int64
 	kinds   map[Kind]*Usage
-	// receiving are the holders that may be let go of.
-	receiving map[*Holder]struct{}
-	scanned   time.Time
+	// awaiting are the holders that may be let go of.
+	awaiting map[*Holder]struct{}
+	scanned  time.Time
 	// freed is closed at the next return of memory; nil if nobody waits for it.
 	freed chan struct{}
 }
 
 // New returns an account from which nothing is taken.
 func New(o Options) *Budgeter {
-	b := &Budgeter{options: o, kinds: map[Kind]*Usage{}, receiving: map[*Holder]struct{}{}}
+	b := &Budgeter{options: o, kinds: map[Kind]*Usage{}, awaiting: map[*Holder]struct{}{}}
 	for _, k := range []Kind{KindConnection, KindHead, KindBody, KindAnswer} {
 		b.kinds[k] = &Usage{}
 	}
@@ -113,32 +113,33 @@
 	bytes int64
 	// leaving is set once the holder was let go of, and closed by Close.
 	leaving, closed bool
-	// since is the start of the interval in which received bytes arrived.
-	since    time.Time
-	received int64
+	// since is the start of the interval in which passed bytes came or went.
+	since  time.Time
+	passed int64
 }
 
 // Open returns a holder that has nothing yet. If letGo isn't nil, the holder waits for a
-// sender: letGo is called at most once, and must make the holder close soon. It must neither
+// caller: letGo is called at most once, and must make the holder close soon. It must neither
 // block nor call the account.
 func (b *Budgeter) Open(k Kind, now time.Time, letGo func()) *Holder {
 	h := &Holder{account: b, kind: k}
 	if letGo != nil {
-		h.Receive(now, letGo)
+		h.Await(now, letGo)
 	}
 	return h
 }
 
-// Receive makes the holder wait for a sender, as Open does.
-func (h *Holder) Receive(now time.Time, letGo func()) {
+// Await makes the holder wait for a caller, as Open does: until it has sent, or received,
+// what the memory is for.
+func (h *Holder) Await(now time.Time, letGo func()) {
 	b := h.account
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.options.Limit <= 0 || h.closed {
 		return
 	}
-	h.letGo, h.since, h.received = letGo, now, 0
-	b.receiving[h] = struct{}{}
+	h.letGo, h.since, h.passed = letGo, now, 0
+	b.awaiting[h] = struct{}{}
 }
 
 // Take takes n more bytes. It returns ErrShort, and takes nothing, if there is no room,
@@ -150,7 +151,7 @@
 	if h.closed {
 		return ErrShort
 	}
-	if missing := b.taken + n - b.room(h.bytes+n); missing > 0 {
+	if missing := b.taken + n - b.room(h.kind, h.bytes+n); missing > 0 {
 		b.kinds[h.kind].Refused++
 		b.makeRoom(missing-b.leaving, h, now)
 		return ErrShort
@@ -159,12 +160,13 @@
 	return nil
 }
 
-// room returns the memory for all holders that a holder may use who then has n bytes.
-func (b *Budgeter) room(n int64) int64 {
+// room returns the memory for all holders that a holder may use who then has n bytes. An
+// answer may use all of it, since its request has run.
+func (b *Budgeter) room(k Kind, n int64) int64 {
 	switch {
 	case b.options.Limit <= 0:
 		return 1 << 62
-	case n > SmallBytes:
+	case n > SmallBytes && k != KindAnswer:
 		return b.options.Limit - b.options.Reserved
 	default:
 		return b.options.Limit
@@ -195,7 +197,7 @@
 	}
 	b.scanned = now
 	var slow []*Holder
-	for c := range b.receiving {
+	for c := range b.awaiting {
 		if c != h && c.bytes > 0 && c.isSlow(now) {
 			slow = append(slow, c)
 		}
@@ -217,27 +219,27 @@
 	}
 }
 
-// progress returns the share of the holder's memory that arrived per second.
+// progress returns the share of the holder's memory that passes per second.
 func (h *Holder) progress(now time.Time) float64 {
-	return float64(h.received) / float64(h.bytes) / now.Sub(h.since).Seconds()
+	return float64(h.passed) / float64(h.bytes) / now.Sub(h.since).Seconds()
 }
 
 func (h *Holder) isSlow(now time.Time) bool {
 	return now.Sub(h.since) >= patience && h.progress(now) < minProgress
 }
 
-// Progress records that n bytes have arrived.
+// Progress records that n bytes have come from, or gone to, the caller.
 func (h *Holder) Progress(n int64, now time.Time) {
 	h.account.mu.Lock()
 	defer h.account.mu.Unlock()
-	if now.Sub(h.since) >= patience { // what arrived long ago says nothing about now
+	if now.Sub(h.since) >= patience { // what passed long ago says nothing about now
 		h.since = now.Add(-patience / 2)
-		h.received = 0
+		h.passed = 0
 	}
-	h.received += n
+	h.passed += n
 }
 
-// Keep ends the waiting for a sender: the holder isn't let go of any more.
+// Keep ends the waiting for the caller: the holder isn't let go of any more.
 func (h *Holder) Keep() {
 	h.account.mu.Lock()
 	defer h.account.mu.Unlock()
@@ -247,7 +249,7 @@
 // keep is Keep for a caller that holds the lock.
 func (b *Budgeter) keep(h *Holder) {
 	h.letGo = nil
-	delete(b.receiving, h)
+	delete(b.awaiting, h)
 }
 
 // Return returns n bytes of those that the holder has.
--- a/budgeter/budgeter_test.go
+++ b/budgeter/budgeter_test.go
@@ -137,7 +137,7 @@
 				h.Release()
 				want[h] = 0
 			case 6:
-				pick().Receive(now, func() {})
+				pick().Await(now, func() {})
 			default:
 				h := pick()
 				h.Close()
@@ -150,8 +150,8 @@
 			want[h] = 0
 		}
 		check()
-		if len(b.receiving) != 0 || b.leaving != 0 {
-			r.Fatalf("%d holders are left, %d bytes are leaving", len(b.receiving), b.leaving)
+		if len(b.awaiting) != 0 || b.leaving != 0 {
+			r.Fatalf("%d holders are left, %d bytes are leaving", len(b.awaiting), b.leaving)
 		}
 	})
 }
--- a/exchanger/buffers.go
+++ b/exchanger/buffers.go
@@ -30,8 +30,8 @@
 // use.
 type buffers struct {
 	limit int64
-	// shared has the same memory in the host's account; nil if there is none.
-	shared *budgeter.Holder
+	// shared is the host's account, which counts the same memory.
+	shared *budgeter.Budgeter
 
 	mu         sync.Mutex
 	taken      int64
@@ -39,12 +39,12 @@
 }
 
 func newBuffers(limit int64) *buffers {
-	return &buffers{limit: limit, byEndpoint: map[identifier.Address]int64{}}
+	return &buffers{limit: limit, shared: budgeter.New(budgeter.Options{}), byEndpoint: map[identifier.Address]int64{}}
 }
 
-// take takes n bytes for a body from an endpoint. Its errors are ErrTooLarge, if the
+// take takes n bytes for a body from an endpoint, of which h has the memory. Its errors are ErrTooLarge, if the
 // endpoint has taken its share, and ErrBuffersFull.
-func (b *buffers) take(a identifier.Address, n int64) error {
+func (b *buffers) take(a identifier.Address, h *budgeter.Holder, n int64) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if share := int64(endpointShare * float64(b.limit)); b.byEndpoint[a]+n > share {
@@ -53,7 +53,7 @@
 	if b.taken+n > b.limit {
 		return ErrBuffersFull
 	}
-	if b.shared != nil && b.shared.Take(n, time.Now()) != nil {
+	if h.Take(n, time.Now()) != nil {
 		return ErrBuffersFull
 	}
 	b.taken += n
@@ -66,9 +66,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.taken -= n
-	if b.shared != nil {
-		b.shared.Return(n)
-	}
 	b.byEndpoint[a] -= n
 	if b.byEndpoint[a] == 0 {
 		delete(b.byEndpoint, a)
@@ -78,6 +75,7 @@
 // buffer is the memory of one body.
 type buffer struct {
 	account *buffers
+	holder  *budgeter.Holder // in the host's account; nil if nothing is taken
 	address identifier.Address
 	bytes   []byte
 	taken   int64
@@ -87,7 +85,10 @@
 func (b *buffer) grow(limit int64) error {
 	size := min(limit, max(initialBufferBytes, 2*int64(cap(b.bytes))))
 	if more := size - freeBufferBytes - b.taken; more > 0 {
-		if err := b.account.take(b.address, more); err != nil {
+		if b.holder == nil {
+			b.holder = b.account.shared.Open(budgeter.KindAnswer, time.Now(), nil)
+		}
+		if err := b.account.take(b.address, b.holder, more); err != nil {
 			return err
 		}
 		b.taken += more
@@ -101,15 +102,19 @@
 	if b.taken > 0 {
 		b.account.release(b.address, b.taken)
 		b.taken = 0
+		b.holder.Close()
 	}
 }
 
 // KeepBody lets the memory of the body that ReadAll has returned count as used until
-// ctx ends, instead of until Close.
-func (r *Response) KeepBody(ctx context.Context) {
+// ctx ends, instead of until Close. It returns who has the memory in the host's account; nil
+// for a small body.
+func (r *Response) KeepBody(ctx context.Context) *budgeter.Holder {
 	kept := r.buffer
 	r.buffer = nil
-	if kept != nil {
-		context.AfterFunc(ctx, kept.release)
+	if kept == nil {
+		return nil
 	}
+	context.AfterFunc(ctx, kept.release)
+	return kept.holder
 }
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -175,7 +175,7 @@
 // ShareMemory makes the bodies that ReadAll returns count in b too. It must be called
 // before Send.
 func (x *Exchanger) ShareMemory(b *budgeter.Budgeter) {
-	x.buffers.shared = b.Open(budgeter.KindAnswer, time.Now(), nil)
+	x.buffers.shared = b
 }
 
 // Stats returns the current counts.
--- a/forwarder/body_test.go
+++ b/forwarder/body_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -179,3 +181,34 @@
 	h.assertReturned(t)
 	i.Equal(memory.Stats().Kinds[budgeter.KindBody].LetGo, uint64(1))
 }
+
+// A caller that doesn't read its large answer is let go of when another one needs the memory.
+func TestSlowReader(t *testing.T) {
+	i := is.New(t)
+	const size = 16 << 20 // more than the sockets' buffers take
+	memory := budgeter.New(budgeter.Options{Limit: size})
+	delivered := make(chan error, 1)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		a := &endpointResponse{body: make([]byte, size), memory: memory.Open(budgeter.KindAnswer, time.Now(), nil)}
+		defer a.memory.Close()
+		_ = a.memory.Take(size, time.Now()) // the test checks that it is taken
+		delivered <- (&exchange{writer: w, request: r}).deliver(a)
+	}))
+	defer s.Close()
+	c, err := net.Dial("tcp", strings.TrimPrefix(s.URL, "http://"))
+	i.NoErr(err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: test.example\r\n\r\n")
+	i.NoErr(err)
+	other := memory.Open(budgeter.KindBody, time.Now(), nil)
+	for end := time.Now().Add(10 * time.Second); memory.Stats().Bytes < size && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	later := time.Now().Add(time.Hour)
+	i.True(other.Take(1<<20, later) != nil)
+	i.True(errors.Is(<-delivered, os.ErrDeadlineExceeded))
+	for end := time.Now().Add(10 * time.Second); memory.Stats().Bytes > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	i.NoErr(other.Take(1<<20, later))
+}
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/jackdawthread/jackdawthread/budgeter"
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/exchanger"
@@ -31,7 +33,8 @@
 	status   int
 	header   http.Header
 	body     []byte
-	err      error // a *classifier.Error
+	memory   *budgeter.Holder // of a large body; nil for others
+	err      error            // a *classifier.Error
 }
 
 // succeeded reports whether the endpoint responded without a server error.
@@ -212,7 +215,7 @@
 	if a.err != nil {
 		return a
 	}
-	response.KeepBody(ctx) // until the request ends
+	a.memory = response.KeepBody(ctx) // until the request ends
 	a.err = f.checkResponse(response, e)
 	return a
 }
@@ -283,11 +286,34 @@
 		h.Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
 	e.writer.WriteHeader(a.status)
-	if _, err := e.writer.Write(a.body); err != nil {
+	if err := e.deliver(a); err != nil {
 		e.logDecision("response-not-delivered", a.endpoint, err)
 	}
 }
 
+// deliverPiece is the part of a large body, in bytes, that is written at once.
+const deliverPiece = 64 << 10
+
+// deliver writes the body. A caller that reads a large one too slowly is let go of when memory
+// is short.
+func (e *exchange) deliver(a *endpointResponse) error {
+	if a.memory == nil {
+		_, err := e.writer.Write(a.body)
+		return err
+	}
+	control := http.NewResponseController(e.writer)
+	a.memory.Await(time.Now(), func() { _ = control.SetWriteDeadline(expired) }) // unsupported in tests only
+	defer a.memory.Keep()
+	for piece := range slices.Chunk(a.body, deliverPiece) {
+		n, err := e.writer.Write(piece)
+		a.memory.Progress(int64(n), time.Now())
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func bodyAllowed(status int) bool {
 	return status != http.StatusNoContent && status != http.StatusNotModified
 }
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -275,8 +275,8 @@
 	if err != nil {
 		return err
 	}
-	r.KeepBody(s.request.Context())
-	s.engineFailure = &endpointResponse{endpoint: at, status: r.Status, header: r.Header, body: body}
+	memory := r.KeepBody(s.request.Context())
+	s.engineFailure = &endpointResponse{endpoint: at, status: r.Status, header: r.Header, body: body, memory: memory}
 	return classifier.Ran(classifier.ReasonEndpointFailed, "engine %q responded with status %d", at.Name, r.Status)
 }
 
