Close idle connections when requests need their memory

Cause: connections that send nothing could hold most of the account.

Change: a connection without a request can be let go of like a body that has stopped. A holder that was let go of and stays isn't counted as leaving.

--- a/acceptor/bounds.go
+++ b/acceptor/bounds.go
@@ -75,6 +75,7 @@
 		if a.hasRoom() {
 			c := a.add(raw, now)
 			if c.own.Take(connectionBytes, now) == nil {
+				c.own.Await(now, c.giveWay)
 				return c
 			}
 			a.remove(c)
@@ -155,6 +156,11 @@
 	return true
 }
 
+// giveWay asks the connection to end, as its memory is needed.
+func (c *Connection) giveWay() {
+	c.ask(ReasonCrowded)
+}
+
 // refuse answers a connection for which there is no room, without reading from it.
 func (a *Acceptor) refuse(raw net.Conn, now time.Time) {
 	a.observe(&Closing{Reason: ReasonRefused, Remote: raw.RemoteAddr().String()})
--- a/acceptor/bounds_test.go
+++ b/acceptor/bounds_test.go
@@ -138,6 +138,23 @@
 		next.assertAnswered(false)
 		slow.assertRefused(http.StatusServiceUnavailable)
 	})
+	t.Run("one without a request gives way to a body that needs its memory", func(t *testing.T) {
+		memory := budgeter.New(budgeter.Options{Limit: 100 << 10})
+		s := startBounded(t, answer, acceptor.Bounds{Memory: memory})
+		idle := s.call(t)
+		idle.send()
+		idle.assertAnswered(false)
+		time.Sleep(patience)
+		body := memory.Open(budgeter.KindBody, time.Now(), nil)
+		s.is.True(body.Take(100<<10, time.Now()) != nil)
+		idle.assertEnded()
+		freed := memory.Freed()
+		for memory.Stats().Bytes > 0 {
+			await(t, freed)
+			freed = memory.Freed()
+		}
+		s.is.NoErr(body.Take(100<<10, time.Now()))
+	})
 	t.Run("a new one is refused while all have requests", func(t *testing.T) {
 		running, finish := make(chan struct{}, 1), make(chan struct{})
 		s := startBounded(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -88,7 +88,9 @@
 		n, err := c.Conn.Read(b)
 		if n > 0 {
 			now := time.Now()
-			c.noteRead(now, b[:n], len(b))
+			if c.noteRead(now, b[:n], len(b)) {
+				c.own.Keep()
+			}
 			if closing := c.accountHead(b[:n], now); closing != nil {
 				return 0, c.end(closing)
 			}
@@ -107,8 +109,9 @@
 	}
 }
 
-// noteRead records that b was read into a buffer of the given size.
-func (c *Connection) noteRead(now time.Time, b []byte, size int) {
+// noteRead records that b was read into a buffer of the given size. It returns true if a
+// request begins with it.
+func (c *Connection) noteRead(now time.Time, b []byte, size int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.recognize(b)
@@ -117,10 +120,12 @@
 	case c.phase == phaseWaiting:
 		c.last = c.asked != ""
 		c.startHeader(now, c.acceptor.currentLimits())
+		return true
 	case c.phase == phaseServing:
 		// net/http watches for the caller's disconnect with reads of one byte.
 		c.readAhead = c.readAhead || size == 1
 	}
+	return false
 }
 
 // recognize sets isHTTP2 from the connection's first bytes. The caller holds the lock.
@@ -155,6 +160,7 @@
 // startServing records that net/http has read a request's header.
 func (c *Connection) startServing() {
 	c.keepHead()
+	c.own.Keep()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.isHTTP2.Load() {
@@ -168,6 +174,7 @@
 // startWaiting records that an answer is complete.
 func (c *Connection) startWaiting(now time.Time, l Limits) {
 	c.releaseHead()
+	c.own.Await(now, c.giveWay)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.isHTTP2.Load() {
--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -241,9 +241,14 @@
 
 // Keep ends the waiting for the caller: the holder isn't let go of any more.
 func (h *Holder) Keep() {
-	h.account.mu.Lock()
-	defer h.account.mu.Unlock()
-	h.account.keep(h)
+	b := h.account
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.keep(h)
+	if h.leaving { // it was let go of, and stays
+		h.leaving = false
+		b.leaving -= h.bytes
+	}
 }
 
 // keep is Keep for a caller that holds the lock.
--- a/messenger/strangers_test.go
+++ b/messenger/strangers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"io"
 	"net"
 	"testing"
@@ -33,7 +34,7 @@
 		}
 		i.NoErr(last.SetDeadline(time.Now().Add(10 * time.Second)))
 		_, err := last.Read(make([]byte, 1))
-		i.True(err == io.EOF)
+		i.True(errors.Is(err, io.EOF))
 	})
 	t.Run("that announce a large hello are refused before it arrives", func(t *testing.T) {
 		i := is.New(t)
