--- a/cmd/entry-host/memory_test.go
+++ b/cmd/entry-host/memory_test.go
@@ -319,7 +319,9 @@
 // await waits until done returns true.
 func (h *host) await(what string, done func() bool) {
 	h.t.Helper()
-	for end := time.Now().Add(answerTimeout); !done(); time.Sleep(retryPause) {
+	began := time.Now()
+	defer func() { h.t.Logf("%s after %v", what, time.Since(began)) }()
+	for end := began.Add(answerTimeout); !done(); time.Sleep(retryPause) {
 		select {
 		case <-h.exited:
 			h.t.Fatalf("the process ended before %s\n%s", what, h.logEnd())
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -85,21 +85,36 @@
 
 // read reads a body of the announced length; a negative one is unknown.
 func (r *bodyReader) read(length int64) ([]byte, error) {
-	if length > r.limit {
+	switch {
+	case length > r.limit:
 		return nil, tooLarge(r.limit)
+	case length >= 0:
+		return r.readAnnounced(length)
+	default:
+		return r.readChunks()
 	}
-	size := length
-	if size < 0 {
-		size = min(firstChunkBytes, r.limit+1)
-	}
-	if err := r.take(size); err != nil {
+}
+
+// readAnnounced reads a body of a known length.
+func (r *bodyReader) readAnnounced(length int64) ([]byte, error) {
+	if err := r.take(length); err != nil {
 		return nil, err
 	}
-	b := make([]byte, 0, size)
-	for int64(len(b)) != length {
-		if int64(len(b)) > r.limit {
-			return nil, tooLarge(r.limit)
+	b := make([]byte, length)
+	for have := 0; have < len(b); {
+		n, err := r.readSome(b[have:])
+		have += n
+		if err != nil && have < len(b) {
+			return nil, r.failure(err)
 		}
+	}
+	return b, nil
+}
+
+// readChunks reads a body of unknown length.
+func (r *bodyReader) readChunks() ([]byte, error) {
+	var b []byte
+	for int64(len(b)) <= r.limit {
 		if len(b) == cap(b) {
 			var err error
 			if b, err = r.grow(b); err != nil {
@@ -108,22 +123,19 @@
 		}
 		n, err := r.readSome(b[len(b):cap(b)])
 		b = b[:len(b)+n]
-		if errors.Is(err, io.EOF) && (length < 0 || int64(len(b)) == length) {
-			break
+		if errors.Is(err, io.EOF) && int64(len(b)) <= r.limit {
+			return b, nil
 		}
-		if err != nil {
+		if err != nil && !errors.Is(err, io.EOF) {
 			return nil, r.failure(err)
 		}
 	}
-	if int64(len(b)) > r.limit {
-		return nil, tooLarge(r.limit)
-	}
-	return b, nil
+	return nil, tooLarge(r.limit)
 }
 
 // grow returns b in a larger buffer, for which there is room.
 func (r *bodyReader) grow(b []byte) ([]byte, error) {
-	size := min(r.limit+1, 2*int64(cap(b)))
+	size := min(r.limit+1, max(firstChunkBytes, 2*int64(cap(b))))
 	if err := r.take(size); err != nil {
 		return nil, err
 	}
