--- a/server/guard_test.go
+++ b/server/guard_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -110,3 +111,22 @@
 		i.Equal(r.Header.Get(HeaderVerdict), "not-run")
 	})
 }
+
+func TestLargeHeader(t *testing.T) {
+	url := startListener(t, func(http.ResponseWriter, *http.Request) {})
+	for version, c := range clients() {
+		t.Run("is refused over "+version, func(t *testing.T) {
+			i := is.New(t)
+			for size, accepted := range map[int]bool{maxHeaderBytes / 2: true, 2 * maxHeaderBytes: false} {
+				r, err := http.NewRequest(http.MethodGet, url, nil)
+				i.NoErr(err)
+				r.Header.Set("Name", strings.Repeat("x", size))
+				response, err := c.Do(r)
+				if err == nil {
+					i.NoErr(response.Body.Close())
+				}
+				i.Equal(err == nil && response.StatusCode == http.StatusOK, accepted)
+			}
+		})
+	}
+}
--- a/server/listener.go
+++ b/server/listener.go
@@ -49,6 +49,9 @@
 	log      *zap.Logger
 }
 
+// maxHeaderBytes bounds the size of a request's header.
+const maxHeaderBytes = 64 << 10
+
 // sweepPeriod is the time between two checks of connections for their limits.
 const sweepPeriod = time.Second
 
@@ -65,6 +68,7 @@
 			Handler:           limitTime(h, o),
 			ReadHeaderTimeout: o.HeaderTimeout,
 			IdleTimeout:       o.IdleTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
 			Protocols:         protocols,
 			TLSConfig:         o.TLS,
 			ErrorLog:          zap.NewStdLog(log),
@@ -81,6 +85,7 @@
 func (l *Listener) useAcceptor(g *grouper.Group, ln net.Listener) net.Listener {
 	l.acceptor = acceptor.New(ln, l.observeClosing)
 	l.acceptor.AllowHTTP2()
+	l.acceptor.Bound(acceptor.Bounds{HeadBytes: maxHeaderBytes})
 	l.acceptor.Sweep(time.Now(), l.limits)
 	l.server.Handler = l.acceptor.Handler(l.server.Handler)
 	l.server.ConnContext = l.acceptor.Context
