--- a/cmd/entry-host/memory_test.go
+++ b/cmd/entry-host/memory_test.go
@@ -61,6 +61,7 @@
 	{"heads_of_odd_lines", headCrowd, sendText(fillHead(func(n int) string { return fmt.Sprintf("%x!:\r\n", n) }))},
 	{"heads_without_end", headCrowd, sendText(requestLine + strings.Repeat("b: c\r\n", endlessBytes/6))},
 	{"lines_without_end", headCrowd, sendText(requestLine + "b: " + strings.Repeat("c", endlessBytes))},
+	{"silent_connections", headCrowd, sendText("")},
 	{"empty_lines", headCrowd, sendText(strings.Repeat("\r\n", endlessBytes/2))},
 	{"bodies_a_byte_short", bodyCrowd, sendBody(bodyBytes - 1)},
 	{"chunked_bodies_a_byte_short", bodyCrowd, sendChunks},
