--- a/hoster/settings.go
+++ b/hoster/settings.go
@@ -1,11 +1,13 @@
 package hoster
 
 import (
+	"math"
 	"os"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/jackdawthread/jackdawthread/budgeter"
 	"github.com/jackdawthread/jackdawthread/common/decoder"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/replicator"
@@ -105,6 +107,8 @@
 	MaxRequests int64 `toml:"max-requests" validate:"gt=0,lte=10000000"`
 	// MemoryBytes is the memory available to the process; 0 if unknown.
 	MemoryBytes int64 `toml:"memory-bytes" validate:"gte=0"`
+	// MaxDescriptors is the number of descriptors that the process may open; 0 if unknown.
+	MaxDescriptors int `toml:"max-descriptors" validate:"gte=0"`
 }
 
 // bufferedShare is the part of the process's memory for buffered responses. Their buffers
@@ -130,6 +134,37 @@
 	return min(replicator.DefaultMaxLogBytes, int64(storeLogShare*float64(l.MemoryBytes)))
 }
 
+const (
+	// memoryShare is the part of the process's memory for requests, and reservedShare the
+	// part of that which only small ones take. The rest is for the configuration, peers
+	// and garbage.
+	memoryShare   = 0.4
+	reservedShare = 0.2
+	// connectionsShare is the part of the process's descriptors for callers' connections.
+	// Each may need another one to an endpoint. The rest is for peers, the store,
+	// readiness and files.
+	connectionsShare = 0.45
+	// operatorsShare is the part of each of the listeners for readiness and metrics.
+	operatorsShare = 0.04
+)
+
+// memory returns the options of the account of the memory for requests.
+func (l Limits) memory() budgeter.Options {
+	limit := memoryShare * float64(l.MemoryBytes)
+	return budgeter.Options{Limit: int64(limit), Reserved: int64(reservedShare * limit)}
+}
+
+// maxConnections returns the largest number of callers' connections; 0 means no limit.
+func (l Limits) maxConnections() int {
+	return int(connectionsShare * float64(l.MaxDescriptors))
+}
+
+// maxOperators returns the largest number of connections for readiness, and for metrics; 0
+// means no limit.
+func (l Limits) maxOperators() int {
+	return int(math.Ceil(operatorsShare * float64(l.MaxDescriptors)))
+}
+
 // LogSettings bound the volume of the log.
 type LogSettings struct {
 	// LinesPerSecond bounds the lines of each event.
