Survive a slot revoked before its waiter takes it

Cause: a slot can be revoked (a withdrawn request, a dead origin, an expiry after a pause) between its grant and the moment that its waiter leaves; abandon then ended it again and dereferenced a grant that was gone.

Change: a grant that has ended is not ended again. TestRevokedBeforeTaken panicked before.

--- a/reserver/slot_queue.go
+++ b/reserver/slot_queue.go
@@ -283,9 +283,13 @@
 	q.remove(id, result, time.Now())
 }
 
-// remove ends a grant and assigns its slot anew. q.mu must be held.
+// remove ends a grant, unless it has ended, and assigns its slot anew. q.mu must be held.
 func (q *slotQueue) remove(id grantID, result assigner.Result, now time.Time) {
-	q.assigner.End(q.grants[id].endpoint, result, now)
+	g := q.grants[id]
+	if g == nil {
+		return // expired or revoked
+	}
+	q.assigner.End(g.endpoint, result, now)
 	delete(q.grants, id)
 	q.assign(now)
 }
--- /dev/null
+++ b/reserver/slot_queue_test.go
@@ -0,0 +1,61 @@
+package reserver
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/jackdawthread/jackdawthread/admitter"
+	"github.com/jackdawthread/jackdawthread/common/grouper"
+	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/placer"
+	"github.com/jackdawthread/jackdawthread/registrar"
+)
+
+const (
+	testHost identifier.Incarnation = 1
+	testWait                        = 10 * time.Second
+)
+
+// newTestQueue returns a queue for two endpoints with one slot each. Nothing looks at it
+// by itself.
+func newTestQueue(t *testing.T) *slotQueue {
+	t.Helper()
+	g := grouper.New(context.Background())
+	t.Cleanup(func() {
+		g.Stop()
+		_ = g.Wait() // its goroutines return no errors
+	})
+	registry := registrar.New()
+	registry.SetEndpoints([]*registrar.Endpoint{
+		{Name: "p1", Service: "desk", Slots: 1}, {Name: "p2", Service: "desk", Slots: 1},
+	})
+	r := &Reserver{deps: Deps{Self: testHost, Registry: registry, Placer: placer.New(placer.Options{}, 1), Group: g, Log: zap.NewNop()}}
+	q := newSlotQueue(r, "desk")
+	q.watched = true
+	return q
+}
+
+func newTestWaiter(now time.Time) *slotWaiter {
+	return &slotWaiter{
+		SlotRequest: &SlotRequest{
+			Entry: admitter.Entry{Arrived: now}, Service: "desk", Request: "q", OnTimeBy: now.Add(testWait), Deadline: now.Add(testWait),
+		},
+		origin: testHost, queuedAt: now, result: make(chan slotResult, 1),
+	}
+}
+
+func allGrants(*slotGrant) bool { return true }
+
+func TestRevokedBeforeTaken(t *testing.T) {
+	q := newTestQueue(t)
+	now := time.Now()
+	w := newTestWaiter(now)
+	is.New(t).NoErr(q.enqueue(w, now))
+	q.revoke(allGrants)
+	q.abandon(w)
+	is.New(t).Equal(q.currentStats().InUse, 0)
+}
