Share slots only where endpoints share their machines

Cause: slots were shared wherever they were few for the number of hosts, by default, which changed how earlier deployments are served.

Change: a service's slots are shared only once one of its endpoints has reported its machine's slowdown (Placer.SharesMachines, kept while the endpoint is registered). The placing host learns it from returned slots too. The added case of TestSharedSlots failed without the check.

--- a/placer/outcome.go
+++ b/placer/outcome.go
@@ -151,6 +151,20 @@
 	s := p.state(e)
 	s.load = l
 	s.loadReportedAt = now
+	s.sharesMachine = s.sharesMachine || l.Slowdown > 0
+}
+
+// SharesMachines reports whether any of the endpoints shares its machine with others: whether
+// it has ever reported a slowdown of it.
+func (p *Placer) SharesMachines(all []*registrar.Endpoint) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range all {
+		if p.state(e).sharesMachine {
+			return true
+		}
+	}
+	return false
 }
 
 func (s *endpointState) clearFailures() {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -130,6 +130,7 @@
 	slowness       estimator.Slowness
 	load           Load
 	loadReportedAt time.Time
+	sharesMachine  bool // has reported a slowdown of its machine
 
 	consecutiveFailures int
 	// unreachable is set by a failed connection attempt and cleared by a
@@ -153,12 +154,12 @@
 	}
 }
 
-// state returns the state of e, which is reset if e has restarted. The caller
-// must hold p.mu.
+// state returns the state of e, which is reset if e has restarted, but for whether it
+// shares its machine. The caller must hold p.mu.
 func (p *Placer) state(e *registrar.Endpoint) *endpointState {
 	s := p.states[e.Name]
 	if s == nil || s.started != e.StartID {
-		s = &endpointState{started: e.StartID}
+		s = &endpointState{started: e.StartID, sharesMachine: s != nil && s.sharesMachine}
 		p.states[e.Name] = s
 	}
 	return s
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -104,6 +104,22 @@
 	})
 }
 
+func TestSharedMachines(t *testing.T) {
+	i := is.New(t)
+	p, all := newPlacer(), threeEndpoints(registrar.StageAny)
+	p.RecordLoad(all[0], placer.Load{Running: 1, Slots: 4}, at(0))
+	i.True(!p.SharesMachines(all)) // no slowdown reported
+	p.RecordLoad(all[1], placer.Load{Running: 1, Slots: 4, Slowdown: 1}, at(0))
+	p.RecordLoad(all[1], placer.Load{Running: 1, Slots: 4}, at(0))
+	i.True(p.SharesMachines(all))
+	i.True(!p.SharesMachines(all[:1]))
+	restarted := *all[1]
+	restarted.StartID++
+	i.True(p.SharesMachines([]*registrar.Endpoint{&restarted}))
+	p.Forget(func(identifier.Endpoint) bool { return false })
+	i.True(!p.SharesMachines(all))
+}
+
 // TestPartiallyFailingEndpoint checks that an endpoint that fails 40% of its calls
 // while reporting itself healthy gets fewer calls.
 func TestPartiallyFailingEndpoint(t *testing.T) {
--- a/reserver/fleet_test.go
+++ b/reserver/fleet_test.go
@@ -181,6 +181,7 @@
 	reserver  *reserver.Reserver
 	messenger *messenger.Messenger
 	gossiper  *gossiper.Gossiper
+	placer    *placer.Placer
 	address   identifier.Address
 	// gate is locked while the reserver's handlers are paused.
 	gate sync.RWMutex
@@ -271,11 +272,11 @@
 	m := messenger.New(messenger.Peer{Host: name, Incarnation: incarnation, DataCenter: "a"}, messenger.Options{}, f.group)
 	g := gossiper.New(gossiper.Member{Host: name, Incarnation: incarnation, DataCenter: "a", Address: address},
 		gossiper.Options{SeedPeriod: 100 * time.Millisecond, ProbePeriod: 100 * time.Millisecond, ProbeTimeout: 50 * time.Millisecond}, m, t, f.group)
-	h := &host{messenger: m, gossiper: g, address: address}
+	h := &host{messenger: m, gossiper: g, placer: placer.New(placer.Options{DataCenter: "a"}, uint64(n)), address: address}
 	h.reserver = reserver.New(reserver.Deps{
 		Self: incarnation, Registry: registry, Engines: f.engines, Members: g, Links: cuttableLinks{h}, Timer: t, Group: f.group,
 		Exclusions: hostExclusions{engines: f.excluded, host: n},
-		Placer:     placer.New(placer.Options{DataCenter: "a"}, uint64(n)), Log: zap.NewNop(), Seed: uint64(n),
+		Placer:     h.placer, Log: zap.NewNop(), Seed: uint64(n),
 		SharedSlots: 2,
 	})
 	h.reserver.Register(gatedRegistry{h})
--- a/reserver/slot_queue.go
+++ b/reserver/slot_queue.go
@@ -275,6 +275,9 @@
 	}
 	if origin != q.reserver.deps.Self { // this host's own outcomes are recorded by the calls
 		q.reserver.recordEndpointOutcome(g.endpoint, placer.Outcome{Verdict: o.Verdict})
+		if o.Load.Slowdown > 0 {
+			q.reserver.deps.Placer.RecordLoad(g.endpoint, o.Load, time.Now())
+		}
 	}
 	result := assigner.Result{Load: o.Load, Refused: o.Verdict == placer.VerdictAtCapacity}
 	if o.Verdict == placer.VerdictSuccess {
--- a/reserver/slots.go
+++ b/reserver/slots.go
@@ -60,7 +60,8 @@
 }
 
 // SharesSlots reports whether the slots of a service are granted by its placing host:
-// whether its endpoints have few for the number of hosts.
+// whether its endpoints have few for the number of hosts, and share their machines with
+// others as far as this host knows.
 func (r *Reserver) SharesSlots(s identifier.Service) bool {
 	if r.deps.SharedSlots <= 0 {
 		return false
@@ -74,13 +75,14 @@
 	}
 	enough := r.deps.SharedSlots * float64(liveHosts(r.deps.Members.View()))
 	slots := 0
-	for _, e := range snapshot.Endpoints(s) {
+	all := snapshot.Endpoints(s)
+	for _, e := range all {
 		slots += max(1, e.Slots)
 		if float64(slots) >= enough {
 			return false
 		}
 	}
-	return slots > 0
+	return slots > 0 && r.deps.Placer.SharesMachines(all)
 }
 
 // liveHosts returns the number of hosts that are taken for live.
--- a/reserver/slots_test.go
+++ b/reserver/slots_test.go
@@ -41,9 +41,17 @@
 		{Name: "p2", Service: "desk", DataCenter: "a", Slots: deskSlots},
 		{Name: "d1", Service: "notes", DataCenter: "a", Slots: 1},
 	})
+	for h := range f.hosts {
+		f.reportSlowdown(h, 1)
+	}
 	return f
 }
 
+// reportSlowdown makes p1 report the slowdown of its machine to a host; 0 for none.
+func (f *fleet) reportSlowdown(h int, slowdown float64) {
+	f.hosts[h].placer.RecordLoad(f.registry.Snapshot().Endpoint("p1"), placer.Load{Slots: deskSlots, Slowdown: slowdown}, time.Now())
+}
+
 func slotRequest(wait time.Duration) reserver.SlotRequest {
 	now := time.Now()
 	return reserver.SlotRequest{
@@ -177,6 +185,20 @@
 		}
 		f.is.True(!newDesk(t, 2).hosts[0].reserver.SharesSlots("desk"))
 	})
+	t.Run("only services whose endpoints report slowdowns of shared machines are shared", func(t *testing.T) {
+		f := newDesk(t, 3)
+		granting, other := f.slotHost()
+		s := f.acquire(other)
+		for _, h := range f.hosts {
+			h.placer.Forget(func(identifier.Endpoint) bool { return false })
+		}
+		f.reportSlowdown(granting, 0)
+		f.is.True(!f.hosts[granting].reserver.SharesSlots("desk"))
+		f.hosts[other].reserver.EndSlot(s, reserver.SlotOutcome{Load: placer.Load{Slots: deskSlots, Slowdown: 1.5}})
+		f.eventually("the granting host learns it from the slot's return", func() bool {
+			return f.hosts[granting].reserver.SharesSlots("desk")
+		})
+	})
 }
 
 // waitingForSlots and slotsInUse sum up all hosts.
