Release waiting requests whose endpoints are all gone

Cause: a request that waited for a slot while its endpoints drained or became unreachable was held until its deadline.

Change: at each look, such requests get the no-endpoint result, and their homes choose alone. TestEndpointsOfWaitingRequestGone failed before: both requests still waited.

--- a/reserver/slot_queue.go
+++ b/reserver/slot_queue.go
@@ -110,7 +110,7 @@
 	defer q.mu.Unlock()
 	all := q.candidates(now)
 	if !anyLeft(all, w.Exclude) {
-		return classifier.NotRun(classifier.ReasonNoEndpoint, 0, "service %q has no further endpoint for the request", q.service)
+		return q.noEndpoint()
 	}
 	q.lastKey++
 	w.Key = q.lastKey
@@ -244,11 +244,31 @@
 func (q *slotQueue) look(now time.Time) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.dismissStranded(now)
 	q.assign(now)
 	q.watched = len(q.waiters) > 0
 	return q.watched
 }
 
+// dismissStranded ends the wait of requests for which no endpoint is left, so that their homes
+// choose alone. q.mu must be held.
+func (q *slotQueue) dismissStranded(now time.Time) {
+	all := q.candidates(now)
+	for k, w := range q.waiters {
+		if anyLeft(all, w.Exclude) {
+			continue
+		}
+		q.admission.Remove(k)
+		delete(q.waiters, k)
+		w.result <- slotResult{err: q.noEndpoint()}
+	}
+}
+
+// noEndpoint returns the error of a request for which no endpoint is left.
+func (q *slotQueue) noEndpoint() error {
+	return classifier.NotRun(classifier.ReasonNoEndpoint, 0, "service %q has no further endpoint for the request", q.service)
+}
+
 // abandon removes a request that isn't wanted any more, and ends a slot that was granted
 // to it in the meantime.
 func (q *slotQueue) abandon(w *slotWaiter) {
--- a/reserver/slot_queue_test.go
+++ b/reserver/slot_queue_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/jackdawthread/jackdawthread/admitter"
+	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/placer"
@@ -18,6 +19,9 @@
 const (
 	testHost identifier.Incarnation = 1
 	testWait                        = 10 * time.Second
+	// testCapacity is the number of calls that the endpoints get: one in a slot and one that
+	// waits at each.
+	testCapacity = 4
 )
 
 // newTestQueue returns a queue for two endpoints with one slot each. Nothing looks at it
@@ -59,3 +63,33 @@
 	q.abandon(w)
 	is.New(t).Equal(q.currentStats().InUse, 0)
 }
+
+// enqueueWaiters enqueues requests that exclude endpoints. Those that get no slot wait.
+func enqueueWaiters(t *testing.T, q *slotQueue, count int, now time.Time, exclude ...identifier.Endpoint) (all []*slotWaiter) {
+	t.Helper()
+	for range count {
+		w := newTestWaiter(now)
+		w.Exclude = exclude
+		is.New(t).NoErr(q.enqueue(w, now))
+		all = append(all, w)
+	}
+	return all
+}
+
+func TestEndpointsOfWaitingRequestGone(t *testing.T) {
+	i := is.New(t)
+	q := newTestQueue(t)
+	now := time.Now()
+	enqueueWaiters(t, q, testCapacity, now)
+	stranded := enqueueWaiters(t, q, 1, now, "p1")[0]
+	waiting := enqueueWaiters(t, q, 1, now)[0]
+	q.reserver.deps.Registry.SetEndpoints([]*registrar.Endpoint{{Name: "p1", Service: "desk", Slots: 1}})
+	i.True(q.look(now))
+	i.Equal(q.currentStats().Waiting, 1)
+	err := (<-stranded.result).err
+	i.Equal(classifier.Of(err).Reason, classifier.ReasonNoEndpoint)
+	i.Equal(classifier.VerdictOf(err), classifier.VerdictNotRun)
+	q.reserver.deps.Registry.SetEndpoints(nil)
+	i.True(!q.look(now))
+	i.Equal(classifier.Of((<-waiting.result).err).Reason, classifier.ReasonNoEndpoint)
+}
