Return slots at endpoints that began to drain

Cause: a slot granted while its endpoint began to drain, or was gone, was used: the endpoint was compared with the list from before the wait only.

Change: it must be usable and not leaving at the time of the grant; otherwise the slot is returned. The two added cases of TestSharedSlots failed before.

--- a/forwarder/slots.go
+++ b/forwarder/slots.go
@@ -37,7 +37,7 @@
 		if err != nil {
 			return target{}, classifier.Of(err), reserver.RefusedSlot(err) || ctx.Err() != nil
 		}
-		if names(among, slot.Endpoint) && f.deps.Limits.Acquire(ctx, slot.Endpoint, e.call.ID, 0) == nil {
+		if names(among, slot.Endpoint) && e.stillUsable(slot.Endpoint) && f.deps.Limits.Acquire(ctx, slot.Endpoint, e.call.ID, 0) == nil {
 			return target{Endpoint: slot.Endpoint, slot: slot}, nil, true
 		}
 		f.deps.Slots.EndSlot(slot, reserver.SlotOutcome{Outcome: placer.Outcome{Verdict: placer.VerdictNone}})
@@ -46,6 +46,12 @@
 	return target{}, nil, false
 }
 
+// stillUsable reports whether an endpoint may get calls now. It may have begun to drain while
+// the request waited.
+func (e *exchange) stillUsable(at *registrar.Endpoint) bool {
+	return slices.ContainsFunc(e.usableEndpoints(), func(o *registrar.Endpoint) bool { return o.Name == at.Name && !o.Leaving })
+}
+
 // names reports whether a list has an endpoint of e's name. The entry may have changed while
 // the request waited.
 func names(list []*registrar.Endpoint, e *registrar.Endpoint) bool {
--- a/forwarder/slots_test.go
+++ b/forwarder/slots_test.go
@@ -83,6 +83,7 @@
 type slotSite struct {
 	*countingEndpoints
 	forwarder *Forwarder
+	registry  *registrar.Registrar
 	group     *grouper.Group
 	slots     *fakeSlots
 	endpoints []*registrar.Endpoint
@@ -113,6 +114,7 @@
 		Attempts: 2, Objective: hedgeObjective, Splits: []registrar.Split{{Service: "desk"}},
 	}}, []*registrar.Service{{Name: "desk"}}, registrar.Limits{}))
 	registry.SetEndpoints(s.endpoints)
+	s.registry = registry
 	s.forwarder = New(Deps{
 		Registry: registry, Endpoints: s.countingEndpoints, Dialect: plainDialect{}, Budget: &fixedBudget{left: 10}, Slots: s.slots,
 		Placer: placer.New(placer.Options{}, 1), Observer: ignoredObservations{}, AwaitConfirmation: func(context.Context) {},
@@ -169,6 +171,27 @@
 		i.Equal(len(s.slots.requests), 1)
 		i.Equal(s.calls, map[identifier.Endpoint]int{"p2": 1})
 	})
+	for name, after := range map[string]func(s *slotSite) []*registrar.Endpoint{
+		"leaving": func(s *slotSite) []*registrar.Endpoint {
+			leaving := *s.endpoints[0]
+			leaving.Leaving = true
+			return []*registrar.Endpoint{&leaving, s.endpoints[1]}
+		},
+		"gone": func(s *slotSite) []*registrar.Endpoint { return s.endpoints[1:] },
+	} {
+		t.Run("a slot is returned if its endpoint is "+name+" when it is granted", func(t *testing.T) {
+			i := is.New(t)
+			s := newSlotSite(t, registrar.KindUnrepeatable)
+			s.slots.acquire = func(context.Context, reserver.SlotRequest) (reserver.Slot, error) {
+				s.registry.SetEndpoints(after(s))
+				return reserver.Slot{Endpoint: s.endpoints[min(1, s.slots.granted)]}, nil
+			}
+			i.Equal(s.request().Code, http.StatusOK)
+			i.Equal(s.calls, map[identifier.Endpoint]int{"p2": 1})
+			i.Equal(len(s.slots.ended), 2)
+			i.Equal(s.slots.ended[0].Verdict, placer.VerdictNone)
+		})
+	}
 	t.Run("without a host that grants slots, a call is sent once", func(t *testing.T) {
 		i := is.New(t)
 		s := newSlotSite(t, registrar.KindUnrepeatable)
