Tell lack of slots from a placing host that can't decide

Cause: a full send queue and a placing host that ends have the same reasons as lack of room, so callers were refused although their homes could have chosen alone.

Change: the reply says that there is no slot (SlotReply.Refused), and only that counts (ErrNoSlot). Three cases of the forwarder's TestSharedSlots and one of TestSlotHostLost failed before. The fakes of the forwarder's tests refuse by ErrNoSlot.

--- a/forwarder/slots_test.go
+++ b/forwarder/slots_test.go
@@ -130,11 +130,14 @@
 	}
 }
 
-// refuse makes the slot host fail requests.
-func (s *slotSite) refuse(r classifier.Reason, retryAfter time.Duration) {
-	s.slots.acquire = func(context.Context, reserver.SlotRequest) (reserver.Slot, error) {
-		return reserver.Slot{}, classifier.NotRun(r, retryAfter, "no slot")
-	}
+// fail makes requests to the slot host fail.
+func (s *slotSite) fail(err error) {
+	s.slots.acquire = func(context.Context, reserver.SlotRequest) (reserver.Slot, error) { return reserver.Slot{}, err }
+}
+
+// noSlot is the refusal of a request for which there is no slot.
+func noSlot(retryAfter time.Duration) error {
+	return classifier.NotRun(classifier.ReasonQueueFull, retryAfter, "refused: %w", reserver.ErrNoSlot)
 }
 
 // request sends a request and returns the response once all its calls have ended.
@@ -192,17 +195,20 @@
 			i.Equal(s.slots.ended[0].Verdict, placer.VerdictNone)
 		})
 	}
-	t.Run("without a host that grants slots, a call is sent once", func(t *testing.T) {
-		i := is.New(t)
-		s := newSlotSite(t, registrar.KindUnrepeatable)
-		s.refuse(classifier.ReasonHostUnreachable, 0)
-		i.Equal(s.request().Code, http.StatusOK)
-		i.Equal(s.count(), 1)
-	})
+	// A link's full queue and a host that ends have other reasons than an unreachable one.
+	for _, r := range []classifier.Reason{classifier.ReasonHostUnreachable, classifier.ReasonQueueFull, classifier.ReasonCanceled, classifier.ReasonDeadline} {
+		t.Run("without a host that grants slots, a call is sent once: "+string(r), func(t *testing.T) {
+			i := is.New(t)
+			s := newSlotSite(t, registrar.KindUnrepeatable)
+			s.fail(classifier.NotRun(r, 0, "not asked"))
+			i.Equal(s.request().Code, http.StatusOK)
+			i.Equal(s.count(), 1)
+		})
+	}
 	t.Run("a request that gets no slot is refused, and told when to return", func(t *testing.T) {
 		i := is.New(t)
 		s := newSlotSite(t, registrar.KindIdempotent)
-		s.refuse(classifier.ReasonQueueFull, time.Second)
+		s.fail(noSlot(time.Second))
 		w := s.request()
 		i.Equal(w.Code, http.StatusServiceUnavailable)
 		i.True(w.Header().Get("Retry-After") != "")
@@ -239,7 +245,7 @@
 				return reserver.Slot{Endpoint: s.endpoints[0]}, nil
 			}
 			if tries++; tries == 1 {
-				return reserver.Slot{}, classifier.NotRun(classifier.ReasonQueueFull, 0, "no slot is free")
+				return reserver.Slot{}, noSlot(0)
 			}
 			return reserver.Slot{Endpoint: s.endpoints[1]}, nil
 		}
--- a/peerwire/slots.go
+++ b/peerwire/slots.go
@@ -27,7 +27,7 @@
 	NoWait bool `msg:"no-wait"`
 }
 
-// SlotReply grants a slot.
+// SlotReply grants a slot, or says that there is none.
 type SlotReply struct {
 	// Grant identifies the slot at the host that granted it.
 	Grant    uint64 `msg:"grant"`
@@ -35,6 +35,10 @@
 	// ExpectedUs is how long the call is expected to take, in microseconds; 0 means
 	// unknown.
 	ExpectedUs int64 `msg:"expected-us"`
+	// Refused is set if there is no slot for the request, which may be repeated after
+	// RetryAfterMs milliseconds.
+	Refused      bool  `msg:"refused"`
+	RetryAfterMs int64 `msg:"retry-after-ms"`
 }
 
 // SlotReturn ends the use of a slot.
--- a/peerwire/slots_gen.go
+++ b/peerwire/slots_gen.go
@@ -42,6 +42,18 @@
 				err = msgp.WrapError(err, "ExpectedUs")
 				return
 			}
+		case "refused":
+			z.Refused, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Refused")
+				return
+			}
+		case "retry-after-ms":
+			z.RetryAfterMs, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "RetryAfterMs")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -54,10 +66,10 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z SlotReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+func (z *SlotReply) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 5
 	// write "grant"
-	err = en.Append(0x83, 0xa5, 0x67, 0x72, 0x61, 0x6e, 0x74)
+	err = en.Append(0x85, 0xa5, 0x67, 0x72, 0x61, 0x6e, 0x74)
 	if err != nil {
 		return
 	}
@@ -86,15 +98,35 @@
 		err = msgp.WrapError(err, "ExpectedUs")
 		return
 	}
+	// write "refused"
+	err = en.Append(0xa7, 0x72, 0x65, 0x66, 0x75, 0x73, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Refused)
+	if err != nil {
+		err = msgp.WrapError(err, "Refused")
+		return
+	}
+	// write "retry-after-ms"
+	err = en.Append(0xae, 0x72, 0x65, 0x74, 0x72, 0x79, 0x2d, 0x61, 0x66, 0x74, 0x65, 0x72, 0x2d, 0x6d, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.RetryAfterMs)
+	if err != nil {
+		err = msgp.WrapError(err, "RetryAfterMs")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z SlotReply) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *SlotReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 5
 	// string "grant"
-	o = append(o, 0x83, 0xa5, 0x67, 0x72, 0x61, 0x6e, 0x74)
+	o = append(o, 0x85, 0xa5, 0x67, 0x72, 0x61, 0x6e, 0x74)
 	o = msgp.AppendUint64(o, z.Grant)
 	// string "endpoint"
 	o = append(o, 0xa8, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74)
@@ -102,6 +134,12 @@
 	// string "expected-us"
 	o = append(o, 0xab, 0x65, 0x78, 0x70, 0x65, 0x63, 0x74, 0x65, 0x64, 0x2d, 0x75, 0x73)
 	o = msgp.AppendInt64(o, z.ExpectedUs)
+	// string "refused"
+	o = append(o, 0xa7, 0x72, 0x65, 0x66, 0x75, 0x73, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Refused)
+	// string "retry-after-ms"
+	o = append(o, 0xae, 0x72, 0x65, 0x74, 0x72, 0x79, 0x2d, 0x61, 0x66, 0x74, 0x65, 0x72, 0x2d, 0x6d, 0x73)
+	o = msgp.AppendInt64(o, z.RetryAfterMs)
 	return
 }
 
@@ -141,6 +179,18 @@
 				err = msgp.WrapError(err, "ExpectedUs")
 				return
 			}
+		case "refused":
+			z.Refused, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Refused")
+				return
+			}
+		case "retry-after-ms":
+			z.RetryAfterMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RetryAfterMs")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -154,8 +204,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z SlotReply) Msgsize() (s int) {
-	s = 1 + 6 + msgp.Uint64Size + 9 + msgp.StringPrefixSize + len(z.Endpoint) + 12 + msgp.Int64Size
+func (z *SlotReply) Msgsize() (s int) {
+	s = 1 + 6 + msgp.Uint64Size + 9 + msgp.StringPrefixSize + len(z.Endpoint) + 12 + msgp.Int64Size + 8 + msgp.BoolSize + 15 + msgp.Int64Size
 	return
 }
 
--- a/reserver/slot_queue.go
+++ b/reserver/slot_queue.go
@@ -122,7 +122,7 @@
 		return nil
 	}
 	if w.NoWait {
-		return classifier.NotRun(classifier.ReasonQueueFull, 0, "service %q has no free slot", q.service)
+		return noSlot(0, "service %q has no free slot", q.service)
 	}
 	if retryAfter, ok := q.admission.Push(w.Entry, now); !ok {
 		return q.refusal(w, retryAfter, "queue of service %q is full: its %d requests are more than can be served in time", q.service, q.admission.Len())
@@ -217,7 +217,7 @@
 	q.reserver.deps.Log.Info("slot-refused",
 		zap.String("request", string(w.Request)), zap.String("service", string(q.service)), zap.Duration("age", time.Since(w.Arrived)),
 		zap.Int("waiting", len(q.waiters)), zap.Duration("retry-after", retryAfter))
-	return classifier.NotRun(classifier.ReasonQueueFull, retryAfter, format, args...)
+	return noSlot(retryAfter, format, args...)
 }
 
 // watch starts a goroutine that looks at the waiting requests until there are none. q.mu
--- a/reserver/slots.go
+++ b/reserver/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/tinylib/msgp/msgp"
@@ -98,7 +99,7 @@
 
 // AcquireSlot waits until the request is granted a slot. Its error is NotRun. A request that
 // is refused for lack of room has an error for which RefusedSlot returns true; any
-// other means that no host could be asked.
+// other means that the host that grants slots could not decide.
 func (r *Reserver) AcquireSlot(ctx context.Context, req SlotRequest) (Slot, error) {
 	req.preferredDataCenter = r.deps.DataCenter
 	if req.NoWait {
@@ -124,15 +125,18 @@
 	return slot, err
 }
 
-// RefusedSlot reports whether a request was refused for lack of room, or ended while it
-// waited for a slot.
+// ErrNoSlot is in the chain of an error of AcquireSlot if there is no slot for the request.
+var ErrNoSlot = errors.New("no slot")
+
+// RefusedSlot reports whether a request was refused for lack of room. Other errors, as of a
+// link or a placing host that has too much to do or ends, say nothing of the endpoints.
 func RefusedSlot(err error) bool {
-	switch classifier.Of(err).Reason {
-	case classifier.ReasonQueueFull, classifier.ReasonDeadline, classifier.ReasonCanceled:
-		return true
-	default:
-		return false
-	}
+	return errors.Is(err, ErrNoSlot)
+}
+
+// noSlot returns the error of a request for which there is no slot.
+func noSlot(retryAfter time.Duration, format string, args ...any) error {
+	return classifier.NotRun(classifier.ReasonQueueFull, retryAfter, format+": %w", append(args, ErrNoSlot)...)
 }
 
 func (r *Reserver) acquireRemotely(ctx context.Context, owner gossiper.Member, req *SlotRequest) (Slot, error) {
@@ -146,6 +150,9 @@
 	if err != nil {
 		return Slot{}, err
 	}
+	if reply.Refused {
+		return Slot{}, noSlot(time.Duration(max(0, reply.RetryAfterMs))*time.Millisecond, "host %q refused a slot at service %q", owner.Host, req.Service)
+	}
 	slot := Slot{
 		Endpoint:  r.deps.Registry.Snapshot().Endpoint(identifier.Endpoint(reply.Endpoint)),
 		Expected:  time.Duration(max(0, reply.ExpectedUs)) * time.Microsecond,
@@ -188,6 +195,9 @@
 	req.preferredDataCenter = from.DataCenter
 	q := r.slotQueue(req.Service)
 	slot, err := q.acquire(ctx, from.Incarnation, m.ID, req)
+	if RefusedSlot(err) {
+		return &peerwire.SlotReply{Refused: true, RetryAfterMs: classifier.Of(err).RetryAfter.Milliseconds()}, nil
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/reserver/slots_test.go
+++ b/reserver/slots_test.go
@@ -245,6 +245,21 @@
 			return f.hosts[granting].reserver.SlotStats()["desk"].Granted >= 1 && f.slotsInUse() == 0
 		})
 	})
+	t.Run("it ends while a request waits: the request's host is told to choose alone", func(t *testing.T) {
+		f := newDesk(t, 2)
+		granting, other := f.slotHost()
+		f.fillDesk(granting)
+		ended := make(chan error, 1)
+		f.group.Run(func(context.Context) {
+			_, err := f.hosts[other].reserver.AcquireSlot(t.Context(), slotRequest(longWait))
+			ended <- err
+		})
+		f.eventually("the request waits", func() bool { return f.waitingForSlots() == 1 })
+		f.hosts[granting].messenger.Close()
+		err := <-ended
+		f.is.True(err != nil)
+		f.is.True(!reserver.RefusedSlot(err))
+	})
 	t.Run("a host is cut off from it: it chooses alone, and is granted slots after that", func(t *testing.T) {
 		f := newDesk(t, 3)
 		granting, other := f.slotHost()
