Deliver responses while a hedge asks for its slot

Cause: the hedge's choice ran in the loop that takes responses and could hold back one that had arrived for 50 ms, four times. When it timed out, it counted as a placing host that is not reached, and the hedge was sent without a slot.

Change: a successful response ends the choice, and a slot granted nevertheless is returned. A request that doesn't wait and times out gets no slot. The added cases of the forwarder's TestSharedSlots and of TestSlotHostLost failed before.

--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -59,9 +59,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	responses := make(chan *endpointResponse, max(2, e.route.Attempts)+1)
+	unanswered, answered := context.WithCancel(ctx)
+	defer answered()
+	chooseHedge := e.hedgeChoice(unanswered)
 	outstanding := 0
 	start := func(choose plainChoice) *classifier.Error {
-		if err := e.startCall(ctx, choose, responses); err != nil {
+		if err := e.startCall(ctx, choose, responses, answered); err != nil {
 			return err
 		}
 		outstanding++
@@ -87,13 +90,13 @@
 			e.countLost(isolator.BrokenOff(a.err))
 			if ctx.Err() == nil && e.mayResend(ctx, a.err) {
 				e.logDecision("request-retried", a.endpoint, a.err, zap.Int("status", a.status))
-				if err := start(e.retryChoice(outstanding)); err != nil && outstanding == 0 && last.err != nil {
+				if err := start(e.retryChoice(outstanding, chooseHedge)); err != nil && outstanding == 0 && last.err != nil {
 					last.err = err
 				}
 			}
 		case <-hedge.C:
 			hedgeTries++
-			if !e.hedge(ctx, func() *classifier.Error { return start(e.chooseHedge) }) && e.sharesSlots() && hedgeTries < maxHedgeTries {
+			if !e.hedge(ctx, func() *classifier.Error { return start(chooseHedge) }) && e.sharesSlots() && hedgeTries < maxHedgeTries {
 				hedge.Reset(hedgeRetryDelay)
 			}
 		case <-ctx.Done():
@@ -110,13 +113,27 @@
 
 // retryChoice returns the choice for a repeated call. While another call may succeed, it
 // waits for no slot.
-func (e *exchange) retryChoice(outstanding int) plainChoice {
+func (e *exchange) retryChoice(outstanding int, chooseHedge plainChoice) plainChoice {
 	if outstanding > 0 && e.sharesSlots() {
-		return e.chooseHedge
+		return chooseHedge
 	}
 	return e.choosePlain
 }
 
+// hedgeChoice returns the choice for hedges, which ends without an endpoint when unanswered
+// ends: the choice must not hold back a response that has arrived.
+func (e *exchange) hedgeChoice(unanswered context.Context) plainChoice {
+	return func(context.Context) (target, *classifier.Error) {
+		to, err := e.chooseHedge(unanswered)
+		if err != nil || unanswered.Err() == nil {
+			return to, err
+		}
+		e.forwarder.deps.Limits.Drop(to.Endpoint, e.call.ID)
+		e.forwarder.endSlot(to.slot, reserver.SlotOutcome{Outcome: placer.Outcome{Verdict: placer.VerdictNone}})
+		return target{}, classifier.NotRun(classifier.ReasonCanceled, 0, "the call was answered, or ended")
+	}
+}
+
 // readyResponse returns a success that has arrived, or nil.
 func readyResponse(responses <-chan *endpointResponse) *endpointResponse {
 	for {
@@ -177,8 +194,8 @@
 }
 
 // startCall sends the call to another endpoint. Its response is sent on the
-// channel.
-func (e *exchange) startCall(ctx context.Context, choose plainChoice, responses chan<- *endpointResponse) *classifier.Error {
+// channel; after a success, answered is called.
+func (e *exchange) startCall(ctx context.Context, choose plainChoice, responses chan<- *endpointResponse, answered func()) *classifier.Error {
 	f := e.forwarder
 	to, err := choose(ctx)
 	if err != nil {
@@ -198,7 +215,11 @@
 		o := plainOutcome(ctx, a, time.Since(now))
 		f.recordOutcome(endpoint, o)
 		f.endSlot(to.slot, reserver.SlotOutcome{Outcome: o, Load: a.load})
+		succeeded := a.succeeded()
 		responses <- a
+		if succeeded {
+			answered()
+		}
 	})
 	return nil
 }
--- a/forwarder/slots_test.go
+++ b/forwarder/slots_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -84,6 +85,7 @@
 	*countingEndpoints
 	forwarder *Forwarder
 	registry  *registrar.Registrar
+	budget    *fixedBudget
 	group     *grouper.Group
 	slots     *fakeSlots
 	endpoints []*registrar.Endpoint
@@ -95,7 +97,7 @@
 		_, _ = w.Write([]byte("done")) // the caller has left if it fails
 	}))
 	t.Cleanup(server.Close)
-	s := &slotSite{group: grouper.New(context.Background()), slots: &fakeSlots{}}
+	s := &slotSite{group: grouper.New(context.Background()), slots: &fakeSlots{}, budget: &fixedBudget{left: 10}}
 	t.Cleanup(func() {
 		s.group.Stop()
 		_ = s.group.Wait() // its goroutines return no errors
@@ -116,7 +118,7 @@
 	registry.SetEndpoints(s.endpoints)
 	s.registry = registry
 	s.forwarder = New(Deps{
-		Registry: registry, Endpoints: s.countingEndpoints, Dialect: plainDialect{}, Budget: &fixedBudget{left: 10}, Slots: s.slots,
+		Registry: registry, Endpoints: s.countingEndpoints, Dialect: plainDialect{}, Budget: s.budget, Slots: s.slots,
 		Placer: placer.New(placer.Options{}, 1), Observer: ignoredObservations{}, AwaitConfirmation: func(context.Context) {},
 		Group: s.group, Log: zap.NewNop(),
 	}, Options{})
@@ -254,4 +256,23 @@
 		i.Equal(s.calls, map[identifier.Endpoint]int{"p1": 1, "p2": 1})
 		i.Equal(len(s.slots.ended), 2)
 	})
+	t.Run("a response is not held back by the choice of a hedge", func(t *testing.T) {
+		i := is.New(t)
+		s := newSlotSite(t, registrar.KindIdempotent)
+		s.took["p1"] = 2 * hedgeObjective
+		s.slots.acquire = func(ctx context.Context, r reserver.SlotRequest) (reserver.Slot, error) {
+			if r.NoWait {
+				<-ctx.Done() // when the response has arrived
+				i.True(errors.Is(ctx.Err(), context.Canceled))
+				if s.slots.granted == 1 {
+					return reserver.Slot{Endpoint: s.endpoints[1]}, nil
+				}
+			}
+			return reserver.Slot{Endpoint: s.endpoints[0]}, nil
+		}
+		i.Equal(s.request().Code, http.StatusOK)
+		i.Equal(s.calls, map[identifier.Endpoint]int{"p1": 1}) // the hedge was not sent
+		i.Equal(len(s.slots.ended), 2)
+		i.Equal(s.budget.returned, 1)
+	})
 }
--- a/reserver/slots.go
+++ b/reserver/slots.go
@@ -116,6 +116,9 @@
 		return Slot{}, classifier.NotRun(classifier.ReasonHostUnreachable, 0, "host %q, which grants the slots of service %q, was unreachable just now", owner.Host, req.Service)
 	}
 	slot, err := r.acquireRemotely(ctx, owner, &req)
+	if err != nil && req.NoWait && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return Slot{}, noSlot(0, "host %q granted no slot within %v", owner.Host, noWaitTimeout)
+	}
 	if isUnreachable(err) && ctx.Err() == nil {
 		q.breaker.trip(owner.Incarnation, time.Now())
 		q.countUnreachable()
--- a/reserver/slots_test.go
+++ b/reserver/slots_test.go
@@ -245,6 +245,14 @@
 			return f.hosts[granting].reserver.SlotStats()["desk"].Granted >= 1 && f.slotsInUse() == 0
 		})
 	})
+	t.Run("it pauses: a request that doesn't wait gets no slot", func(t *testing.T) {
+		f := newDesk(t, 3)
+		granting, other := f.slotHost()
+		defer f.pause(granting)()
+		r := slotRequest(longWait)
+		r.NoWait = true
+		f.is.True(reserver.RefusedSlot(f.assertRefused(other, r, askWait)))
+	})
 	t.Run("it ends while a request waits: the request's host is told to choose alone", func(t *testing.T) {
 		f := newDesk(t, 2)
 		granting, other := f.slotHost()
