Grant a slot that was passed over to new requests at once

Cause: a new request waited for the next look, up to 10 ms, if others waited that can't use the free slot. Requests that a look passed over counted as served, which changed the share of late ones.

Change: assign after each enqueued request, and take a request from the queue only with a slot (admitter.Queue.SetAside). Both cases of TestSlotPassedOver failed before.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -361,6 +361,18 @@
 	return e, true
 }
 
+// SetAside removes and returns a request that is passed over for now, until Requeue.
+// Unlike Take, it doesn't count as a turn. It returns false if the request isn't queued.
+func (q *Queue) SetAside(k Key) (Entry, bool) {
+	at := slices.IndexFunc(q.waiting, func(e Entry) bool { return e.Key == k })
+	if at < 0 {
+		return Entry{}, false
+	}
+	e := q.waiting[at]
+	q.waiting = slices.Delete(q.waiting, at, at+1)
+	return e, true
+}
+
 // RecordGrant records that a request removed by Take was given capacity.
 func (q *Queue) RecordGrant(e *Entry, now time.Time) {
 	q.fairness.add(e.Tokens, true)
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -187,6 +187,22 @@
 	})
 }
 
+func TestSetAside(t *testing.T) {
+	i := is.New(t)
+	q := admitter.New(admitter.Options{LateShare: 1})
+	q.Push(entry(1, 0), at(0))
+	q.Push(entry(2, time.Second), at(0))
+	now := time.Second
+	e, ok := q.SetAside(2)
+	i.True(ok)
+	_, ok = q.SetAside(2)
+	i.True(!ok)
+	q.Requeue(e)
+	i.Equal(grantNext(t, q, now), admitter.Key(2)) // the late one was owed no turn for it
+	q.Push(entry(3, time.Second), at(now))
+	i.Equal(grantNext(t, q, now), admitter.Key(1))
+}
+
 func TestRefusals(t *testing.T) {
 	t.Run("are immediate if the queue is too long", func(t *testing.T) {
 		i := is.New(t)
--- a/reserver/slot_queue.go
+++ b/reserver/slot_queue.go
@@ -118,8 +118,11 @@
 	w.Work = work
 	w.LatestOnTimeStart = w.OnTimeBy.Add(-work)
 	w.LatestStart = w.Deadline.Add(-work)
-	if q.admission.Len() == 0 && q.grant(w, all, 0, now) {
-		return nil
+	if q.admission.Len() == 0 {
+		if at := q.choose(w, all, 0, now); at != nil {
+			q.grant(w, at, now)
+			return nil
+		}
 	}
 	if w.NoWait {
 		return noSlot(0, "service %q has no free slot", q.service)
@@ -128,6 +131,7 @@
 		return q.refusal(w, retryAfter, "queue of service %q is full: its %d requests are more than can be served in time", q.service, q.admission.Len())
 	}
 	q.waiters[w.Key] = w
+	q.assign(now) // those before it may not want the slot that is free
 	q.watch()
 	return nil
 }
@@ -158,18 +162,19 @@
 	return all
 }
 
-// grant grants a slot to a request if there is one for it. Some requests may wait before it.
-// q.mu must be held.
-func (q *slotQueue) grant(w *slotWaiter, all []assigner.Candidate, ahead int, now time.Time) bool {
-	at := q.assigner.Choose(all, assigner.Demand{
+// choose returns an endpoint with a slot for a request, or nil. Some requests may wait before
+// it. q.mu must be held.
+func (q *slotQueue) choose(w *slotWaiter, all []assigner.Candidate, ahead int, now time.Time) *registrar.Endpoint {
+	return q.assigner.Choose(all, assigner.Demand{
 		PreferredDataCenter: w.preferredDataCenter,
 		Exclude:             w.Exclude,
 		Ahead:               ahead,
 		Waited:              now.Sub(w.queuedAt),
 	}, now)
-	if at == nil {
-		return false
-	}
+}
+
+// grant grants a slot at an endpoint to a request. q.mu must be held.
+func (q *slotQueue) grant(w *slotWaiter, at *registrar.Endpoint, now time.Time) {
 	slot := Slot{Endpoint: at, Expected: q.assigner.Expected(at, now)}
 	q.assigner.Begin(at)
 	q.lastGrant++
@@ -178,7 +183,6 @@
 	q.stats.Granted++
 	q.admission.RecordGrant(&w.Entry, now)
 	w.result <- slotResult{slot: slot}
-	return true
 }
 
 // assign grants free slots to waiting requests, and refuses those that can't start in
@@ -199,11 +203,15 @@
 		if !ok {
 			break
 		}
-		e, _ := q.admission.Take(k, now)
-		if !q.grant(q.waiters[k], all, len(skipped), now) {
+		w := q.waiters[k]
+		at := q.choose(w, all, len(skipped), now)
+		if at == nil {
+			e, _ := q.admission.SetAside(k)
 			skipped = append(skipped, e)
 			continue
 		}
+		q.admission.Take(k, now)
+		q.grant(w, at, now)
 		delete(q.waiters, k)
 	}
 	for _, e := range skipped {
--- a/reserver/slot_queue_test.go
+++ b/reserver/slot_queue_test.go
@@ -93,3 +93,47 @@
 	i.True(!q.look(now))
 	i.Equal(classifier.Of((<-waiting.result).err).Reason, classifier.ReasonNoEndpoint)
 }
+
+// endAt ends a grant at an endpoint.
+func endAt(t *testing.T, q *slotQueue, name identifier.Endpoint) {
+	t.Helper()
+	for id, g := range q.grants {
+		if g.endpoint.Name == name {
+			q.end(id, SlotOutcome{Outcome: placer.Outcome{Verdict: placer.VerdictNone}}, testHost)
+			return
+		}
+	}
+	t.Fatalf("no grant at %s", name)
+}
+
+func TestSlotPassedOver(t *testing.T) {
+	t.Run("it goes at once to a new request that can use it", func(t *testing.T) {
+		i := is.New(t)
+		q := newTestQueue(t)
+		now := time.Now()
+		enqueueWaiters(t, q, testCapacity, now)
+		enqueueWaiters(t, q, 1, now, "p1")
+		endAt(t, q, "p1")
+		i.Equal(len(enqueueWaiters(t, q, 1, now)[0].result), 1)
+		i.Equal(q.currentStats().Waiting, 1)
+	})
+	// A late request is due after ten grants to others, by its share; one more for rounding.
+	t.Run("looks don't change the share of late requests", func(t *testing.T) {
+		i := is.New(t)
+		q := newTestQueue(t)
+		now := time.Now()
+		enqueueWaiters(t, q, testCapacity, now)
+		endAt(t, q, "p2") // free, but no request can use it
+		late := newTestWaiter(now)
+		late.Exclude, late.OnTimeBy = []identifier.Endpoint{"p2"}, now.Add(-time.Millisecond)
+		i.NoErr(q.enqueue(late, now))
+		enqueueWaiters(t, q, 2*maxSkipped, now, "p2")
+		turns := 0
+		for ; len(late.result) == 0; turns++ {
+			q.look(now)
+			endAt(t, q, "p1")
+		}
+		i.True(turns >= 11)
+		i.True(turns <= 12)
+	})
+}
