Refuse slots of services whose endpoints may not be known

Cause: a placing host with an old copy of the store granted only the endpoints that it knew, also to hosts that knew more.

Change: if its copy is over 2 s old, it refuses requests of hosts that know a later position of the store, which then choose alone. While the store is down for all, hosts with the same knowledge share slots as before. The added case of TestSlotHostLost failed without the check.

--- a/peerwire/slots.go
+++ b/peerwire/slots.go
@@ -1,5 +1,10 @@
 package peerwire
 
+import "github.com/jackdawthread/jackdawthread/common/identifier"
+
+//msgp:replace identifier.Revision with:uint64
+//msgp:replace identifier.Era with:uint64
+
 //go:generate go tool msgp -file slots.go -tests=false
 
 // SlotRequest requests a slot at one of a plain service's endpoints from the host that
@@ -25,6 +30,9 @@
 	Exclude []string `msg:"exclude,limit=65536"`
 	// NoWait asks for a slot that is free now, or none.
 	NoWait bool `msg:"no-wait"`
+	// Revision and Era are the position of the store that the sending host knows.
+	Revision identifier.Revision `msg:"revision"`
+	Era      identifier.Era      `msg:"era"`
 }
 
 // SlotReply grants a slot, or says that there is none.
--- a/peerwire/slots_gen.go
+++ b/peerwire/slots_gen.go
@@ -3,6 +3,7 @@
 package peerwire
 
 import (
+	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/tinylib/msgp/msgp"
 )
 
@@ -316,6 +317,26 @@
 				err = msgp.WrapError(err, "NoWait")
 				return
 			}
+		case "revision":
+			{
+				var zb0003 uint64
+				zb0003, err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "Revision")
+					return
+				}
+				z.Revision = identifier.Revision(zb0003)
+			}
+		case "era":
+			{
+				var zb0004 uint64
+				zb0004, err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "Era")
+					return
+				}
+				z.Era = identifier.Era(zb0004)
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -329,9 +350,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *SlotRequest) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 12
+	// map header, size 14
 	// write "service"
-	err = en.Append(0x8c, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	err = en.Append(0x8e, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	if err != nil {
 		return
 	}
@@ -457,15 +478,35 @@
 		err = msgp.WrapError(err, "NoWait")
 		return
 	}
+	// write "revision"
+	err = en.Append(0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(uint64(z.Revision))
+	if err != nil {
+		err = msgp.WrapError(err, "Revision")
+		return
+	}
+	// write "era"
+	err = en.Append(0xa3, 0x65, 0x72, 0x61)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(uint64(z.Era))
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *SlotRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 12
+	// map header, size 14
 	// string "service"
-	o = append(o, 0x8c, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = append(o, 0x8e, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	o = msgp.AppendString(o, z.Service)
 	// string "request"
 	o = append(o, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
@@ -503,6 +544,12 @@
 	// string "no-wait"
 	o = append(o, 0xa7, 0x6e, 0x6f, 0x2d, 0x77, 0x61, 0x69, 0x74)
 	o = msgp.AppendBool(o, z.NoWait)
+	// string "revision"
+	o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, uint64(z.Revision))
+	// string "era"
+	o = append(o, 0xa3, 0x65, 0x72, 0x61)
+	o = msgp.AppendUint64(o, uint64(z.Era))
 	return
 }
 
@@ -613,6 +660,26 @@
 				err = msgp.WrapError(err, "NoWait")
 				return
 			}
+		case "revision":
+			{
+				var zb0003 uint64
+				zb0003, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Revision")
+					return
+				}
+				z.Revision = identifier.Revision(zb0003)
+			}
+		case "era":
+			{
+				var zb0004 uint64
+				zb0004, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Era")
+					return
+				}
+				z.Era = identifier.Era(zb0004)
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -631,7 +698,7 @@
 	for za0001 := range z.Exclude {
 		s += msgp.StringPrefixSize + len(z.Exclude[za0001])
 	}
-	s += 8 + msgp.BoolSize
+	s += 8 + msgp.BoolSize + 9 + msgp.Uint64Size + 4 + msgp.Uint64Size
 	return
 }
 
--- a/reserver/fleet_test.go
+++ b/reserver/fleet_test.go
@@ -183,6 +183,8 @@
 	gossiper  *gossiper.Gossiper
 	placer    *placer.Placer
 	address   identifier.Address
+	// known is what the host knows of the store; nil for nothing.
+	known atomic.Pointer[reserver.Knowledge]
 	// gate is locked while the reserver's handlers are paused.
 	gate sync.RWMutex
 	// cut is set while the reserver's messages to other hosts are lost.
@@ -191,6 +193,13 @@
 	lostSends atomic.Int32
 }
 
+func (h *host) knowledge() reserver.Knowledge {
+	if k := h.known.Load(); k != nil {
+		return *k
+	}
+	return reserver.Knowledge{}
+}
+
 // cuttableLinks loses a host's messages while it is cut off.
 type cuttableLinks struct {
 	*host
@@ -277,7 +286,7 @@
 		Self: incarnation, Registry: registry, Engines: f.engines, Members: g, Links: cuttableLinks{h}, Timer: t, Group: f.group,
 		Exclusions: hostExclusions{engines: f.excluded, host: n},
 		Placer:     h.placer, Log: zap.NewNop(), Seed: uint64(n),
-		SharedSlots: 2,
+		SharedSlots: 2, Knowledge: h.knowledge,
 	})
 	h.reserver.Register(gatedRegistry{h})
 	m.Serve(ln)
--- a/reserver/slots.go
+++ b/reserver/slots.go
@@ -145,6 +145,8 @@
 func (r *Reserver) acquireRemotely(ctx context.Context, owner gossiper.Member, req *SlotRequest) (Slot, error) {
 	message := encodeSlotRequest(req, time.Now())
 	message.ID = r.outgoingSeq.Next()
+	known := r.deps.Knowledge().Position
+	message.Revision, message.Era = known.Revision, known.Era
 	var reply peerwire.SlotReply
 	lost, err := r.callOwner(ctx, owner, peerwire.KindSlot, message, &reply, slotPings)
 	if lost {
@@ -194,6 +196,9 @@
 	if _, err := m.UnmarshalMsg(payload); err != nil {
 		return nil, classifier.NotRun(classifier.ReasonBadRequest, 0, "malformed SlotRequest message: %w", err)
 	}
+	if known := r.deps.Knowledge(); known.Age > maxKnowledgeAge && known.Position.Before(identifier.Position{Era: m.Era, Revision: m.Revision}) {
+		return nil, classifier.NotRun(classifier.ReasonHostUnreachable, 0, "host's copy of the store is %v old, and older than that of host %q", known.Age, from.Host)
+	}
 	req := decodeSlotRequest(&m, time.Now())
 	req.preferredDataCenter = from.DataCenter
 	q := r.slotQueue(req.Service)
--- a/reserver/slots_test.go
+++ b/reserver/slots_test.go
@@ -253,6 +253,20 @@
 		r.NoWait = true
 		f.is.True(reserver.RefusedSlot(f.assertRefused(other, r, askWait)))
 	})
+	t.Run("its copy of the store is old: hosts that know more choose alone, others are granted slots", func(t *testing.T) {
+		f := newDesk(t, 3)
+		granting, other := f.slotHost()
+		f.hosts[granting].known.Store(&reserver.Knowledge{Position: identifier.Position{Era: 1, Revision: 4}, Age: time.Minute})
+		f.hosts[other].known.Store(&reserver.Knowledge{Position: identifier.Position{Era: 1, Revision: 4}, Age: time.Minute})
+		f.acquire(other) // as when the store is down for all
+		f.hosts[other].known.Store(&reserver.Knowledge{Position: identifier.Position{Era: 1, Revision: 5}})
+		f.is.True(!reserver.RefusedSlot(f.assertRefused(other, slotRequest(longWait), askWait)))
+		f.hosts[granting].known.Store(&reserver.Knowledge{Position: identifier.Position{Era: 1, Revision: 4}}) // about to learn it
+		f.eventually("it grants slots", func() bool {
+			_, err := f.hosts[other].reserver.AcquireSlot(t.Context(), slotRequest(longWait))
+			return err == nil
+		})
+	})
 	t.Run("it ends while a request waits: the request's host is told to choose alone", func(t *testing.T) {
 		f := newDesk(t, 2)
 		granting, other := f.slotHost()
--- a/reserver/stages.go
+++ b/reserver/stages.go
@@ -36,7 +36,8 @@
 	// maxKnowledgeAge is the age of a host's knowledge from which it doesn't order
 	// engines that check no fencing tokens: another host, which knows a later
 	// revision, may have taken over. It is longer than the store holds a watch open
-	// without a change, and shorter than a lease.
+	// without a change, and shorter than a lease. It grants no slots either to hosts that
+	// know a later revision.
 	maxKnowledgeAge = 2 * time.Second
 )
 
