Ping a placing host once for all waiting requests of a host

Cause: each waiting request pinged the host that grants slots every 30 ms, most when queues are longest: 40 requests of one host by 33 pings a second each. The timeout of 40 ms was tighter than that for engines.

Change: a host's requests for slots share one pinger for each placing host, with the timeout of engines, 80 ms. Requests for placement at engines ping as before. The added case of TestSlotHostLost failed before: 20 requests made more than one ping each 30 ms.

--- a/reserver/fleet_test.go
+++ b/reserver/fleet_test.go
@@ -189,6 +189,8 @@
 	gate sync.RWMutex
 	// cut is set while the reserver's messages to other hosts are lost.
 	cut atomic.Bool
+	// pings counts the pings to placing hosts.
+	pings atomic.Int32
 	// lostSends counts the messages without a reply that were lost.
 	lostSends atomic.Int32
 }
@@ -208,6 +210,9 @@
 var errCut = classifier.NotRun(classifier.ReasonHostUnreachable, 0, "host is cut off")
 
 func (l cuttableLinks) Call(ctx context.Context, to identifier.Address, kind peerwire.Kind, request msgp.Marshaler, reply msgp.Unmarshaler) error {
+	if kind == peerwire.KindReservationPing {
+		l.pings.Add(1)
+	}
 	if l.cut.Load() {
 		return errCut
 	}
--- a/reserver/links.go
+++ b/reserver/links.go
@@ -18,10 +18,6 @@
 )
 
 const (
-	// pingPeriod is the interval between pings to the placing host while a
-	// response is outstanding; pingTimeout is the timeout of each.
-	pingPeriod  = 100 * time.Millisecond
-	pingTimeout = 80 * time.Millisecond
 	// breakerOpenTime is how long an unreachable placing host is bypassed.
 	breakerOpenTime = time.Second
 	// sendTimeout limits the queueing time of one-way messages.
@@ -60,26 +56,18 @@
 	return xxhash.Sum64String("room\x00" + string(s))
 }
 
-// errPingFailed is returned if the placing host doesn't answer a ping.
-var errPingFailed = classifier.NotRun(classifier.ReasonHostUnreachable, 0, "placing host did not answer a ping")
-
 func isUnreachable(err error) bool {
 	e, ok := errors.AsType[*classifier.Error](err)
 	return ok && e.Reason == classifier.ReasonHostUnreachable
 }
 
-// pingSchedule is how a placing host is checked while its reply is outstanding.
-type pingSchedule struct {
-	period, timeout time.Duration
-}
-
 // placeRemotely requests placement from the placing host.
 func (r *Reserver) placeRemotely(ctx context.Context, owner gossiper.Member, req *PlacementRequest) (Plan, error) {
 	message := encodeRequest(req, time.Now())
 	message.ID = r.outgoingSeq.Next()
 	r.serviceQueue(req.Service).exchangeModel(message, owner.Incarnation, time.Now())
 	var reply peerwire.ReservationReply
-	lost, err := r.callOwner(ctx, owner, peerwire.KindReserve, message, &reply, pingSchedule{pingPeriod, pingTimeout})
+	lost, err := r.callOwner(ctx, owner, peerwire.KindReserve, message, &reply, newPingers(r, pingPeriod))
 	if lost {
 		r.sendCancel(owner, message.ID)
 	}
@@ -90,30 +78,26 @@
 	return r.decodeReply(owner, req, &reply)
 }
 
-// callOwner calls a placing host, and pings it while the reply is outstanding. Its error is
+// callOwner calls a placing host, until it is taken for unreachable by its pings. Its error is
 // NotRun; lost reports whether the placing host may have replied nevertheless.
-func (r *Reserver) callOwner(ctx context.Context, owner gossiper.Member, kind peerwire.Kind, request msgp.Marshaler, reply msgp.Unmarshaler, p pingSchedule) (lost bool, err error) {
+func (r *Reserver) callOwner(ctx context.Context, owner gossiper.Member, kind peerwire.Kind, request msgp.Marshaler, reply msgp.Unmarshaler, p *pingers) (lost bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	done := make(chan error, 1)
 	r.deps.Group.Run(func(context.Context) {
 		done <- r.deps.Links.Call(ctx, owner.Address, kind, request, reply)
 	})
-	pings := time.NewTicker(p.period)
-	defer pings.Stop()
-	for {
-		select {
-		case err := <-done:
-			if err != nil {
-				return classifier.VerdictOf(err) != classifier.VerdictNotRun, asNotRun(err)
-			}
-			return false, nil
-		case <-pings.C:
-			if !r.ping(ctx, owner, p.timeout) && ctx.Err() == nil {
-				cancel(errPingFailed)
-				return true, errPingFailed
-			}
+	unreachable, stop := p.start(owner)
+	defer stop()
+	select {
+	case err := <-done:
+		if err != nil {
+			return classifier.VerdictOf(err) != classifier.VerdictNotRun, asNotRun(err)
 		}
+		return false, nil
+	case <-unreachable:
+		cancel(errPingFailed)
+		return true, errPingFailed
 	}
 }
 
@@ -149,12 +133,6 @@
 	return &failure
 }
 
-func (r *Reserver) ping(ctx context.Context, owner gossiper.Member, timeout time.Duration) bool {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	return r.deps.Links.Call(ctx, owner.Address, peerwire.KindReservationPing, &peerwire.ReservationPing{}, &peerwire.ReservationPong{}) == nil
-}
-
 func handlePing(context.Context, messenger.Peer, []byte) (msgp.Marshaler, error) {
 	return &peerwire.ReservationPong{}, nil
 }
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -174,6 +174,7 @@
 	deps        Deps
 	breaker     breaker
 	outgoingSeq identifier.Sequence // numbers the calls to placing hosts
+	slotPingers *pingers
 
 	mu            sync.Mutex // acquired after serviceQueue.mu
 	serviceQueues map[identifier.Service]*serviceQueue
@@ -184,6 +185,7 @@
 // New returns a Reserver and registers its timers and its membership listener.
 func New(d Deps) *Reserver {
 	r := &Reserver{deps: d, serviceQueues: map[identifier.Service]*serviceQueue{}, slotQueues: map[identifier.Service]*slotQueue{}, grants: newGrants()}
+	r.slotPingers = newPingers(r, slotPingPeriod)
 	d.Timer.Every(expiryPeriod, func(now time.Time) {
 		r.expireGrants(now)
 		r.expireSlots(now)
--- a/reserver/slots.go
+++ b/reserver/slots.go
@@ -18,10 +18,6 @@
 	"github.com/jackdawthread/jackdawthread/registrar"
 )
 
-// slotPings is tighter than the schedule for reservations: a plain call takes no longer
-// than a few pings.
-var slotPings = pingSchedule{period: 30 * time.Millisecond, timeout: 40 * time.Millisecond}
-
 // noWaitTimeout bounds the wait for the reply to a request that doesn't queue.
 const noWaitTimeout = 50 * time.Millisecond
 
@@ -148,7 +144,7 @@
 	known := r.deps.Knowledge().Position
 	message.Revision, message.Era = known.Revision, known.Era
 	var reply peerwire.SlotReply
-	lost, err := r.callOwner(ctx, owner, peerwire.KindSlot, message, &reply, slotPings)
+	lost, err := r.callOwner(ctx, owner, peerwire.KindSlot, message, &reply, r.slotPingers)
 	if lost {
 		r.sendSlotReturn(owner.Address, &peerwire.SlotReturn{Service: message.Service, ID: message.ID, Verdict: uint8(placer.VerdictNone)})
 	}
--- a/reserver/slots_test.go
+++ b/reserver/slots_test.go
@@ -306,6 +306,32 @@
 			return f.hosts[granting].reserver.SlotStats()["desk"].InUse == 0
 		})
 	})
+	t.Run("its waiting requests share the pings, and all notice that it is cut off", func(t *testing.T) {
+		const (
+			requests = 20
+			period   = 30 * time.Millisecond
+			watched  = 20 * period
+		)
+		f := newDesk(t, 3)
+		granting, other := f.slotHost()
+		f.fillDesk(granting)
+		ended := make(chan error, requests)
+		began := time.Now()
+		for range requests {
+			f.group.Run(func(context.Context) {
+				_, err := f.hosts[other].reserver.AcquireSlot(t.Context(), slotRequest(longWait))
+				ended <- err
+			})
+		}
+		f.eventually("the requests wait", func() bool { return f.waitingForSlots() == requests })
+		time.Sleep(watched)
+		f.is.True(f.hosts[other].pings.Load() > 0)
+		f.is.True(time.Duration(f.hosts[other].pings.Load()) <= time.Since(began)/period+1)
+		f.hosts[other].cut.Store(true)
+		for range requests {
+			f.is.Equal(classifier.Of(<-ended).Reason, classifier.ReasonHostUnreachable)
+		}
+	})
 	t.Run("a lost return: the slot expires after the deadline", func(t *testing.T) {
 		f := newDesk(t, 2)
 		s, err := f.hosts[0].reserver.AcquireSlot(t.Context(), slotRequest(100*time.Millisecond))
