Refuse late requests for slots from the tick only

Cause: each returned slot sorted all late waiting requests to find those that can't start in time, most often when the queue was longest.

TestLooksRefuse failed before.

--- a/reserver/slot_queue.go
+++ b/reserver/slot_queue.go
@@ -185,17 +185,11 @@
 	w.result <- slotResult{slot: slot}
 }
 
-// assign grants free slots to waiting requests, and refuses those that can't start in
-// time any more. q.mu must be held.
+// assign grants free slots to waiting requests. q.mu must be held.
 func (q *slotQueue) assign(now time.Time) {
 	if len(q.waiters) == 0 {
 		return
 	}
-	for _, k := range q.admission.RemoveExpired(now) {
-		w := q.waiters[k]
-		delete(q.waiters, k)
-		w.result <- slotResult{err: q.refusal(w, q.admission.RetryAfter(now), "no slot at service %q in time", q.service)}
-	}
 	all := q.candidates(now)
 	var skipped []admitter.Entry
 	for len(skipped) < maxSkipped && q.assigner.HasSlot(all, now) {
@@ -248,16 +242,26 @@
 	})
 }
 
-// look assigns slots, and reports whether any request still waits.
+// look ends the wait of requests that can't be granted a slot, assigns slots, and reports whether any request still waits.
 func (q *slotQueue) look(now time.Time) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.refuseExpired(now)
 	q.dismissStranded(now)
 	q.assign(now)
 	q.watched = len(q.waiters) > 0
 	return q.watched
 }
 
+// refuseExpired refuses requests that can't start in time any more. q.mu must be held.
+func (q *slotQueue) refuseExpired(now time.Time) {
+	for _, k := range q.admission.RemoveExpired(now) {
+		w := q.waiters[k]
+		delete(q.waiters, k)
+		w.result <- slotResult{err: q.refusal(w, q.admission.RetryAfter(now), "no slot at service %q in time", q.service)}
+	}
+}
+
 // dismissStranded ends the wait of requests for which no endpoint is left, so that their homes
 // choose alone. q.mu must be held.
 func (q *slotQueue) dismissStranded(now time.Time) {
--- a/reserver/slot_queue_test.go
+++ b/reserver/slot_queue_test.go
@@ -137,3 +137,21 @@
 		i.True(turns <= 12)
 	})
 }
+
+// TestLooksRefuse checks that slots that end cost no search for late requests, of which there
+// may be many.
+func TestLooksRefuse(t *testing.T) {
+	i := is.New(t)
+	q := newTestQueue(t)
+	now := time.Now()
+	enqueueWaiters(t, q, testCapacity, now)
+	w := newTestWaiter(now)
+	w.Exclude = []identifier.Endpoint{"p2"}
+	w.OnTimeBy, w.Deadline = now, now.Add(time.Millisecond)
+	i.NoErr(q.enqueue(w, now))
+	time.Sleep(2 * time.Millisecond)
+	endAt(t, q, "p2")
+	i.Equal(len(w.result), 0)
+	i.True(!q.look(time.Now()))
+	i.True(RefusedSlot((<-w.result).err))
+}
