--- a/forwarder/slots_test.go
+++ b/forwarder/slots_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -83,6 +84,8 @@
 type slotSite struct {
 	*countingEndpoints
 	forwarder *Forwarder
+	registry  *registrar.Registrar
+	budget    *fixedBudget
 	group     *grouper.Group
 	slots     *fakeSlots
 	endpoints []*registrar.Endpoint
@@ -94,7 +97,7 @@
 		_, _ = w.Write([]byte("done")) // the caller has left if it fails
 	}))
 	t.Cleanup(server.Close)
-	s := &slotSite{group: grouper.New(context.Background()), slots: &fakeSlots{}}
+	s := &slotSite{group: grouper.New(context.Background()), slots: &fakeSlots{}, budget: &fixedBudget{left: 10}}
 	t.Cleanup(func() {
 		s.group.Stop()
 		_ = s.group.Wait() // its goroutines return no errors
@@ -113,8 +116,9 @@
 		Attempts: 2, Objective: hedgeObjective, Splits: []registrar.Split{{Service: "desk"}},
 	}}, []*registrar.Service{{Name: "desk"}}, registrar.Limits{}))
 	registry.SetEndpoints(s.endpoints)
+	s.registry = registry
 	s.forwarder = New(Deps{
-		Registry: registry, Endpoints: s.countingEndpoints, Dialect: plainDialect{}, Budget: &fixedBudget{left: 10}, Slots: s.slots,
+		Registry: registry, Endpoints: s.countingEndpoints, Dialect: plainDialect{}, Budget: s.budget, Slots: s.slots,
 		Placer: placer.New(placer.Options{}, 1), Observer: ignoredObservations{}, AwaitConfirmation: func(context.Context) {},
 		Group: s.group, Log: zap.NewNop(),
 	}, Options{})
@@ -128,11 +132,14 @@
 	}
 }
 
-// refuse makes the slot host fail requests.
-func (s *slotSite) refuse(r classifier.Reason, retryAfter time.Duration) {
-	s.slots.acquire = func(context.Context, reserver.SlotRequest) (reserver.Slot, error) {
-		return reserver.Slot{}, classifier.NotRun(r, retryAfter, "no slot")
-	}
+// fail makes requests to the slot host fail.
+func (s *slotSite) fail(err error) {
+	s.slots.acquire = func(context.Context, reserver.SlotRequest) (reserver.Slot, error) { return reserver.Slot{}, err }
+}
+
+// noSlot is the refusal of a request for which there is no slot.
+func noSlot(retryAfter time.Duration) error {
+	return classifier.NotRun(classifier.ReasonQueueFull, retryAfter, "refused: %w", reserver.ErrNoSlot)
 }
 
 // request sends a request and returns the response once all its calls have ended.
@@ -169,17 +176,41 @@
 		i.Equal(len(s.slots.requests), 1)
 		i.Equal(s.calls, map[identifier.Endpoint]int{"p2": 1})
 	})
-	t.Run("without a host that grants slots, a call is sent once", func(t *testing.T) {
-		i := is.New(t)
-		s := newSlotSite(t, registrar.KindUnrepeatable)
-		s.refuse(classifier.ReasonHostUnreachable, 0)
-		i.Equal(s.request().Code, http.StatusOK)
-		i.Equal(s.count(), 1)
-	})
+	for name, after := range map[string]func(s *slotSite) []*registrar.Endpoint{
+		"leaving": func(s *slotSite) []*registrar.Endpoint {
+			leaving := *s.endpoints[0]
+			leaving.Leaving = true
+			return []*registrar.Endpoint{&leaving, s.endpoints[1]}
+		},
+		"gone": func(s *slotSite) []*registrar.Endpoint { return s.endpoints[1:] },
+	} {
+		t.Run("a slot is returned if its endpoint is "+name+" when it is granted", func(t *testing.T) {
+			i := is.New(t)
+			s := newSlotSite(t, registrar.KindUnrepeatable)
+			s.slots.acquire = func(context.Context, reserver.SlotRequest) (reserver.Slot, error) {
+				s.registry.SetEndpoints(after(s))
+				return reserver.Slot{Endpoint: s.endpoints[min(1, s.slots.granted)]}, nil
+			}
+			i.Equal(s.request().Code, http.StatusOK)
+			i.Equal(s.calls, map[identifier.Endpoint]int{"p2": 1})
+			i.Equal(len(s.slots.ended), 2)
+			i.Equal(s.slots.ended[0].Verdict, placer.VerdictNone)
+		})
+	}
+	// A link's full queue and a host that ends have other reasons than an unreachable one.
+	for _, r := range []classifier.Reason{classifier.ReasonHostUnreachable, classifier.ReasonQueueFull, classifier.ReasonCanceled, classifier.ReasonDeadline} {
+		t.Run("without a host that grants slots, a call is sent once: "+string(r), func(t *testing.T) {
+			i := is.New(t)
+			s := newSlotSite(t, registrar.KindUnrepeatable)
+			s.fail(classifier.NotRun(r, 0, "not asked"))
+			i.Equal(s.request().Code, http.StatusOK)
+			i.Equal(s.count(), 1)
+		})
+	}
 	t.Run("a request that gets no slot is refused, and told when to return", func(t *testing.T) {
 		i := is.New(t)
 		s := newSlotSite(t, registrar.KindIdempotent)
-		s.refuse(classifier.ReasonQueueFull, time.Second)
+		s.fail(noSlot(time.Second))
 		w := s.request()
 		i.Equal(w.Code, http.StatusServiceUnavailable)
 		i.True(w.Header().Get("Retry-After") != "")
@@ -216,7 +247,7 @@
 				return reserver.Slot{Endpoint: s.endpoints[0]}, nil
 			}
 			if tries++; tries == 1 {
-				return reserver.Slot{}, classifier.NotRun(classifier.ReasonQueueFull, 0, "no slot is free")
+				return reserver.Slot{}, noSlot(0)
 			}
 			return reserver.Slot{Endpoint: s.endpoints[1]}, nil
 		}
@@ -225,4 +256,23 @@
 		i.Equal(s.calls, map[identifier.Endpoint]int{"p1": 1, "p2": 1})
 		i.Equal(len(s.slots.ended), 2)
 	})
+	t.Run("a response is not held back by the choice of a hedge", func(t *testing.T) {
+		i := is.New(t)
+		s := newSlotSite(t, registrar.KindIdempotent)
+		s.took["p1"] = 5 * hedgeObjective
+		s.slots.acquire = func(ctx context.Context, r reserver.SlotRequest) (reserver.Slot, error) {
+			if r.NoWait {
+				<-ctx.Done() // when the response has arrived
+				i.True(errors.Is(ctx.Err(), context.Canceled))
+				if s.slots.granted == 1 {
+					return reserver.Slot{Endpoint: s.endpoints[1]}, nil
+				}
+			}
+			return reserver.Slot{Endpoint: s.endpoints[0]}, nil
+		}
+		i.Equal(s.request().Code, http.StatusOK)
+		i.Equal(s.calls, map[identifier.Endpoint]int{"p1": 1}) // the hedge was not sent
+		i.Equal(len(s.slots.ended), 2)
+		i.Equal(s.budget.returned, 1)
+	})
 }
--- a/peerwire/slots.go
+++ b/peerwire/slots.go
@@ -1,5 +1,10 @@
 package peerwire
 
+import "github.com/jackdawthread/jackdawthread/common/identifier"
+
+//msgp:replace identifier.Revision with:uint64
+//msgp:replace identifier.Era with:uint64
+
 //go:generate go tool msgp -file slots.go -tests=false
 
 // SlotRequest requests a slot at one of a plain service's endpoints from the host that
@@ -25,9 +30,12 @@
 	Exclude []string `msg:"exclude,limit=65536"`
 	// NoWait asks for a slot that is free now, or none.
 	NoWait bool `msg:"no-wait"`
+	// Revision and Era are the position of the store that the sending host knows.
+	Revision identifier.Revision `msg:"revision"`
+	Era      identifier.Era      `msg:"era"`
 }
 
-// SlotReply grants a slot.
+// SlotReply grants a slot, or says that there is none.
 type SlotReply struct {
 	// Grant identifies the slot at the host that granted it.
 	Grant    uint64 `msg:"grant"`
@@ -35,6 +43,10 @@
 	// ExpectedUs is how long the call is expected to take, in microseconds; 0 means
 	// unknown.
 	ExpectedUs int64 `msg:"expected-us"`
+	// Refused is set if there is no slot for the request, which may be repeated after
+	// RetryAfterMs milliseconds.
+	Refused      bool  `msg:"refused"`
+	RetryAfterMs int64 `msg:"retry-after-ms"`
 }
 
 // SlotReturn ends the use of a slot.
--- a/peerwire/slots_gen.go
+++ b/peerwire/slots_gen.go
@@ -3,6 +3,7 @@
 package peerwire
 
 import (
+	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/tinylib/msgp/msgp"
 )
 
@@ -42,6 +43,18 @@
 				err = msgp.WrapError(err, "ExpectedUs")
 				return
 			}
+		case "refused":
+			z.Refused, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Refused")
+				return
+			}
+		case "retry-after-ms":
+			z.RetryAfterMs, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "RetryAfterMs")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -54,10 +67,10 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z SlotReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+func (z *SlotReply) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 5
 	// write "grant"
-	err = en.Append(0x83, 0xa5, 0x67, 0x72, 0x61, 0x6e, 0x74)
+	err = en.Append(0x85, 0xa5, 0x67, 0x72, 0x61, 0x6e, 0x74)
 	if err != nil {
 		return
 	}
@@ -86,15 +99,35 @@
 		err = msgp.WrapError(err, "ExpectedUs")
 		return
 	}
+	// write "refused"
+	err = en.Append(0xa7, 0x72, 0x65, 0x66, 0x75, 0x73, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Refused)
+	if err != nil {
+		err = msgp.WrapError(err, "Refused")
+		return
+	}
+	// write "retry-after-ms"
+	err = en.Append(0xae, 0x72, 0x65, 0x74, 0x72, 0x79, 0x2d, 0x61, 0x66, 0x74, 0x65, 0x72, 0x2d, 0x6d, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.RetryAfterMs)
+	if err != nil {
+		err = msgp.WrapError(err, "RetryAfterMs")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z SlotReply) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *SlotReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 5
 	// string "grant"
-	o = append(o, 0x83, 0xa5, 0x67, 0x72, 0x61, 0x6e, 0x74)
+	o = append(o, 0x85, 0xa5, 0x67, 0x72, 0x61, 0x6e, 0x74)
 	o = msgp.AppendUint64(o, z.Grant)
 	// string "endpoint"
 	o = append(o, 0xa8, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74)
@@ -102,6 +135,12 @@
 	// string "expected-us"
 	o = append(o, 0xab, 0x65, 0x78, 0x70, 0x65, 0x63, 0x74, 0x65, 0x64, 0x2d, 0x75, 0x73)
 	o = msgp.AppendInt64(o, z.ExpectedUs)
+	// string "refused"
+	o = append(o, 0xa7, 0x72, 0x65, 0x66, 0x75, 0x73, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Refused)
+	// string "retry-after-ms"
+	o = append(o, 0xae, 0x72, 0x65, 0x74, 0x72, 0x79, 0x2d, 0x61, 0x66, 0x74, 0x65, 0x72, 0x2d, 0x6d, 0x73)
+	o = msgp.AppendInt64(o, z.RetryAfterMs)
 	return
 }
 
@@ -141,6 +180,18 @@
 				err = msgp.WrapError(err, "ExpectedUs")
 				return
 			}
+		case "refused":
+			z.Refused, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Refused")
+				return
+			}
+		case "retry-after-ms":
+			z.RetryAfterMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RetryAfterMs")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -154,8 +205,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z SlotReply) Msgsize() (s int) {
-	s = 1 + 6 + msgp.Uint64Size + 9 + msgp.StringPrefixSize + len(z.Endpoint) + 12 + msgp.Int64Size
+func (z *SlotReply) Msgsize() (s int) {
+	s = 1 + 6 + msgp.Uint64Size + 9 + msgp.StringPrefixSize + len(z.Endpoint) + 12 + msgp.Int64Size + 8 + msgp.BoolSize + 15 + msgp.Int64Size
 	return
 }
 
@@ -266,6 +317,26 @@
 				err = msgp.WrapError(err, "NoWait")
 				return
 			}
+		case "revision":
+			{
+				var zb0003 uint64
+				zb0003, err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "Revision")
+					return
+				}
+				z.Revision = identifier.Revision(zb0003)
+			}
+		case "era":
+			{
+				var zb0004 uint64
+				zb0004, err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "Era")
+					return
+				}
+				z.Era = identifier.Era(zb0004)
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -279,9 +350,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *SlotRequest) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 12
+	// map header, size 14
 	// write "service"
-	err = en.Append(0x8c, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	err = en.Append(0x8e, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	if err != nil {
 		return
 	}
@@ -407,15 +478,35 @@
 		err = msgp.WrapError(err, "NoWait")
 		return
 	}
+	// write "revision"
+	err = en.Append(0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(uint64(z.Revision))
+	if err != nil {
+		err = msgp.WrapError(err, "Revision")
+		return
+	}
+	// write "era"
+	err = en.Append(0xa3, 0x65, 0x72, 0x61)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(uint64(z.Era))
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *SlotRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 12
+	// map header, size 14
 	// string "service"
-	o = append(o, 0x8c, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = append(o, 0x8e, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	o = msgp.AppendString(o, z.Service)
 	// string "request"
 	o = append(o, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
@@ -453,6 +544,12 @@
 	// string "no-wait"
 	o = append(o, 0xa7, 0x6e, 0x6f, 0x2d, 0x77, 0x61, 0x69, 0x74)
 	o = msgp.AppendBool(o, z.NoWait)
+	// string "revision"
+	o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, uint64(z.Revision))
+	// string "era"
+	o = append(o, 0xa3, 0x65, 0x72, 0x61)
+	o = msgp.AppendUint64(o, uint64(z.Era))
 	return
 }
 
@@ -563,6 +660,26 @@
 				err = msgp.WrapError(err, "NoWait")
 				return
 			}
+		case "revision":
+			{
+				var zb0003 uint64
+				zb0003, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Revision")
+					return
+				}
+				z.Revision = identifier.Revision(zb0003)
+			}
+		case "era":
+			{
+				var zb0004 uint64
+				zb0004, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Era")
+					return
+				}
+				z.Era = identifier.Era(zb0004)
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -581,7 +698,7 @@
 	for za0001 := range z.Exclude {
 		s += msgp.StringPrefixSize + len(z.Exclude[za0001])
 	}
-	s += 8 + msgp.BoolSize
+	s += 8 + msgp.BoolSize + 9 + msgp.Uint64Size + 4 + msgp.Uint64Size
 	return
 }
 
--- a/reserver/fleet_test.go
+++ b/reserver/fleet_test.go
@@ -181,15 +181,27 @@
 	reserver  *reserver.Reserver
 	messenger *messenger.Messenger
 	gossiper  *gossiper.Gossiper
+	placer    *placer.Placer
 	address   identifier.Address
+	// known is what the host knows of the store; nil for nothing.
+	known atomic.Pointer[reserver.Knowledge]
 	// gate is locked while the reserver's handlers are paused.
 	gate sync.RWMutex
 	// cut is set while the reserver's messages to other hosts are lost.
 	cut atomic.Bool
+	// pings counts the pings to placing hosts.
+	pings atomic.Int32
 	// lostSends counts the messages without a reply that were lost.
 	lostSends atomic.Int32
 }
 
+func (h *host) knowledge() reserver.Knowledge {
+	if k := h.known.Load(); k != nil {
+		return *k
+	}
+	return reserver.Knowledge{}
+}
+
 // cuttableLinks loses a host's messages while it is cut off.
 type cuttableLinks struct {
 	*host
@@ -198,6 +210,9 @@
 var errCut = classifier.NotRun(classifier.ReasonHostUnreachable, 0, "host is cut off")
 
 func (l cuttableLinks) Call(ctx context.Context, to identifier.Address, kind peerwire.Kind, request msgp.Marshaler, reply msgp.Unmarshaler) error {
+	if kind == peerwire.KindReservationPing {
+		l.pings.Add(1)
+	}
 	if l.cut.Load() {
 		return errCut
 	}
@@ -271,12 +286,12 @@
 	m := messenger.New(messenger.Peer{Host: name, Incarnation: incarnation, DataCenter: "a"}, messenger.Options{}, f.group)
 	g := gossiper.New(gossiper.Member{Host: name, Incarnation: incarnation, DataCenter: "a", Address: address},
 		gossiper.Options{SeedPeriod: 100 * time.Millisecond, ProbePeriod: 100 * time.Millisecond, ProbeTimeout: 50 * time.Millisecond}, m, t, f.group)
-	h := &host{messenger: m, gossiper: g, address: address}
+	h := &host{messenger: m, gossiper: g, placer: placer.New(placer.Options{DataCenter: "a"}, uint64(n)), address: address}
 	h.reserver = reserver.New(reserver.Deps{
 		Self: incarnation, Registry: registry, Engines: f.engines, Members: g, Links: cuttableLinks{h}, Timer: t, Group: f.group,
 		Exclusions: hostExclusions{engines: f.excluded, host: n},
-		Placer:     placer.New(placer.Options{DataCenter: "a"}, uint64(n)), Log: zap.NewNop(), Seed: uint64(n),
-		SharedSlots: 2,
+		Placer:     h.placer, Log: zap.NewNop(), Seed: uint64(n),
+		SharedSlots: 2, Knowledge: h.knowledge,
 	})
 	h.reserver.Register(gatedRegistry{h})
 	m.Serve(ln)
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -38,8 +38,8 @@
 //
 // # Slots of plain services
 //
-// Where a plain service's endpoints have few slots for the number of hosts, each host
-// sees too little of their load. The service's placing host then grants their slots to
+// Where a plain service's endpoints have few slots for the number of hosts and share their
+// machines with others, each host sees too little of their load. The service's placing host then grants their slots to
 // the calls of all hosts (package assigner) and keeps the queue of those that wait:
 //
 //	if r.SharesSlots(service) {
@@ -176,6 +176,7 @@
 	deps        Deps
 	breaker     breaker
 	outgoingSeq identifier.Sequence // numbers the calls to placing hosts
+	slotPingers *pingers
 
 	mu            sync.Mutex // acquired after serviceQueue.mu
 	serviceQueues map[identifier.Service]*serviceQueue
@@ -186,6 +187,7 @@
 // New returns a Reserver and registers its timers and its membership listener.
 func New(d Deps) *Reserver {
 	r := &Reserver{deps: d, serviceQueues: map[identifier.Service]*serviceQueue{}, slotQueues: map[identifier.Service]*slotQueue{}, grants: newGrants()}
+	r.slotPingers = newPingers(r, slotPingPeriod)
 	d.Timer.Every(expiryPeriod, func(now time.Time) {
 		r.expireGrants(now)
 		r.expireSlots(now)
--- a/reserver/slot_queue.go
+++ b/reserver/slot_queue.go
@@ -110,7 +110,7 @@
 	defer q.mu.Unlock()
 	all := q.candidates(now)
 	if !anyLeft(all, w.Exclude) {
-		return classifier.NotRun(classifier.ReasonNoEndpoint, 0, "service %q has no further endpoint for the request", q.service)
+		return q.noEndpoint()
 	}
 	q.lastKey++
 	w.Key = q.lastKey
@@ -119,16 +119,21 @@
 	w.LatestOnTimeStart = w.OnTimeBy.Add(-work)
 	w.LatestStart = w.Deadline.Add(-work)
 	w.Entry.Deadline = w.Deadline
-	if q.admission.Len() == 0 && q.grant(w, all, 0, now) {
-		return nil
+	q.admission.Recognize(&w.Entry, now)
+	if q.admission.Len() == 0 {
+		if at := q.choose(w, all, 0, now); at != nil {
+			q.grant(w, at, now)
+			return nil
+		}
 	}
 	if w.NoWait {
-		return classifier.NotRun(classifier.ReasonQueueFull, 0, "service %q has no free slot", q.service)
+		return noSlot(0, "service %q has no free slot", q.service)
 	}
 	if retryAfter, ok := q.admission.Push(w.Entry, now); !ok {
 		return q.refusal(w, retryAfter, "queue of service %q is full: its %d requests are more than can be served in time", q.service, q.admission.Len())
 	}
 	q.waiters[w.Key] = w
+	q.assign(now) // those before it may not want the slot that is free
 	q.watch()
 	return nil
 }
@@ -159,18 +164,19 @@
 	return all
 }
 
-// grant grants a slot to a request if there is one for it. Some requests may wait before it.
-// q.mu must be held.
-func (q *slotQueue) grant(w *slotWaiter, all []assigner.Candidate, ahead int, now time.Time) bool {
-	at := q.assigner.Choose(all, assigner.Demand{
+// choose returns an endpoint with a slot for a request, or nil. Some requests may wait before
+// it. q.mu must be held.
+func (q *slotQueue) choose(w *slotWaiter, all []assigner.Candidate, ahead int, now time.Time) *registrar.Endpoint {
+	return q.assigner.Choose(all, assigner.Demand{
 		PreferredDataCenter: w.preferredDataCenter,
 		Exclude:             w.Exclude,
 		Ahead:               ahead,
 		Waited:              now.Sub(w.queuedAt),
 	}, now)
-	if at == nil {
-		return false
-	}
+}
+
+// grant grants a slot at an endpoint to a request. q.mu must be held.
+func (q *slotQueue) grant(w *slotWaiter, at *registrar.Endpoint, now time.Time) {
 	slot := Slot{Endpoint: at, Expected: q.assigner.Expected(at, now)}
 	q.assigner.Begin(at)
 	q.lastGrant++
@@ -179,20 +185,13 @@
 	q.stats.Granted++
 	q.admission.RecordGrant(&w.Entry, now)
 	w.result <- slotResult{slot: slot}
-	return true
 }
 
-// assign grants free slots to waiting requests, and refuses those that can't start in
-// time any more. q.mu must be held.
+// assign grants free slots to waiting requests. q.mu must be held.
 func (q *slotQueue) assign(now time.Time) {
 	if len(q.waiters) == 0 {
 		return
 	}
-	for _, r := range q.admission.Reject(now) {
-		w := q.waiters[r.Entry.Key]
-		delete(q.waiters, r.Entry.Key)
-		w.result <- slotResult{err: q.refusal(w, r.RetryAfter, "no slot at service %q in time", q.service)}
-	}
 	all := q.candidates(now)
 	var skipped []admitter.Entry
 	for len(skipped) < maxSkipped && q.assigner.HasSlot(all, now) {
@@ -200,11 +199,15 @@
 		if !ok {
 			break
 		}
-		e, _ := q.admission.Take(k, now)
-		if !q.grant(q.waiters[k], all, len(skipped), now) {
+		w := q.waiters[k]
+		at := q.choose(w, all, len(skipped), now)
+		if at == nil {
+			e, _ := q.admission.SetAside(k)
 			skipped = append(skipped, e)
 			continue
 		}
+		q.admission.Take(k, now)
+		q.grant(w, at, now)
 		delete(q.waiters, k)
 	}
 	for _, e := range skipped {
@@ -218,7 +221,7 @@
 	q.reserver.deps.Log.Info("slot-refused",
 		zap.String("request", string(w.Request)), zap.String("service", string(q.service)), zap.Duration("age", time.Since(w.Arrived)),
 		zap.Int("waiting", len(q.waiters)), zap.Duration("retry-after", retryAfter))
-	return classifier.NotRun(classifier.ReasonQueueFull, retryAfter, format, args...)
+	return noSlot(retryAfter, format, args...)
 }
 
 // watch starts a goroutine that looks at the waiting requests until there are none. q.mu
@@ -241,15 +244,46 @@
 	})
 }
 
-// look assigns slots, and reports whether any request still waits.
+// look ends the wait of requests that can't be granted a slot, assigns slots, and reports
+// whether any request still waits.
 func (q *slotQueue) look(now time.Time) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.refuseExpired(now)
+	q.dismissStranded(now)
 	q.assign(now)
 	q.watched = len(q.waiters) > 0
 	return q.watched
 }
 
+// refuseExpired refuses requests that can't start in time any more. q.mu must be held.
+func (q *slotQueue) refuseExpired(now time.Time) {
+	for _, r := range q.admission.Reject(now) {
+		w := q.waiters[r.Entry.Key]
+		delete(q.waiters, r.Entry.Key)
+		w.result <- slotResult{err: q.refusal(w, r.RetryAfter, "no slot at service %q in time", q.service)}
+	}
+}
+
+// dismissStranded ends the wait of requests for which no endpoint is left, so that their homes
+// choose alone. q.mu must be held.
+func (q *slotQueue) dismissStranded(now time.Time) {
+	all := q.candidates(now)
+	for k, w := range q.waiters {
+		if anyLeft(all, w.Exclude) {
+			continue
+		}
+		q.admission.Remove(k)
+		delete(q.waiters, k)
+		w.result <- slotResult{err: q.noEndpoint()}
+	}
+}
+
+// noEndpoint returns the error of a request for which no endpoint is left.
+func (q *slotQueue) noEndpoint() error {
+	return classifier.NotRun(classifier.ReasonNoEndpoint, 0, "service %q has no further endpoint for the request", q.service)
+}
+
 // abandon removes a request that isn't wanted any more, and ends a slot that was granted
 // to it in the meantime.
 func (q *slotQueue) abandon(w *slotWaiter) {
@@ -276,6 +310,9 @@
 	}
 	if origin != q.reserver.deps.Self { // this host's own outcomes are recorded by the calls
 		q.reserver.recordEndpointOutcome(g.endpoint, placer.Outcome{Verdict: o.Verdict})
+		if o.Load.Slowdown > 0 {
+			q.reserver.deps.Placer.RecordLoad(g.endpoint, o.Load, time.Now())
+		}
 	}
 	result := assigner.Result{Load: o.Load, Refused: o.Verdict == placer.VerdictAtCapacity}
 	if o.Verdict == placer.VerdictSuccess {
@@ -284,9 +321,13 @@
 	q.remove(id, result, time.Now())
 }
 
-// remove ends a grant and assigns its slot anew. q.mu must be held.
+// remove ends a grant, unless it has ended, and assigns its slot anew. q.mu must be held.
 func (q *slotQueue) remove(id grantID, result assigner.Result, now time.Time) {
-	q.assigner.End(q.grants[id].endpoint, result, now)
+	g := q.grants[id]
+	if g == nil {
+		return // expired or revoked
+	}
+	q.assigner.End(g.endpoint, result, now)
 	delete(q.grants, id)
 	q.assign(now)
 }
--- a/reserver/slots.go
+++ b/reserver/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/tinylib/msgp/msgp"
@@ -17,10 +18,6 @@
 	"github.com/jackdawthread/jackdawthread/registrar"
 )
 
-// slotPings is tighter than the schedule for reservations: a plain call takes no longer
-// than a few pings.
-var slotPings = pingSchedule{period: 30 * time.Millisecond, timeout: 40 * time.Millisecond}
-
 // noWaitTimeout bounds the wait for the reply to a request that doesn't queue.
 const noWaitTimeout = 50 * time.Millisecond
 
@@ -60,7 +57,8 @@
 }
 
 // SharesSlots reports whether the slots of a service are granted by its placing host:
-// whether its endpoints have few for the number of hosts.
+// whether its endpoints have few for the number of hosts, and share their machines with
+// others as far as this host knows.
 func (r *Reserver) SharesSlots(s identifier.Service) bool {
 	if r.deps.SharedSlots <= 0 {
 		return false
@@ -74,13 +72,14 @@
 	}
 	enough := r.deps.SharedSlots * float64(liveHosts(r.deps.Members.View()))
 	slots := 0
-	for _, e := range snapshot.Endpoints(s) {
+	all := snapshot.Endpoints(s)
+	for _, e := range all {
 		slots += max(1, e.Slots)
 		if float64(slots) >= enough {
 			return false
 		}
 	}
-	return slots > 0
+	return slots > 0 && r.deps.Placer.SharesMachines(all)
 }
 
 // liveHosts returns the number of hosts that are taken for live.
@@ -96,7 +95,7 @@
 
 // AcquireSlot waits until the request is granted a slot. Its error is NotRun. A request that
 // is refused for lack of room has an error for which RefusedSlot returns true; any
-// other means that no host could be asked.
+// other means that the host that grants slots could not decide.
 func (r *Reserver) AcquireSlot(ctx context.Context, req SlotRequest) (Slot, error) {
 	req.preferredDataCenter = r.deps.DataCenter
 	if req.NoWait {
@@ -113,6 +112,9 @@
 		return Slot{}, classifier.NotRun(classifier.ReasonHostUnreachable, 0, "host %q, which grants the slots of service %q, was unreachable just now", owner.Host, req.Service)
 	}
 	slot, err := r.acquireRemotely(ctx, owner, &req)
+	if err != nil && req.NoWait && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return Slot{}, noSlot(0, "host %q granted no slot within %v", owner.Host, noWaitTimeout)
+	}
 	if isUnreachable(err) && ctx.Err() == nil {
 		q.breaker.trip(owner.Incarnation, time.Now())
 		q.countUnreachable()
@@ -122,28 +124,36 @@
 	return slot, err
 }
 
-// RefusedSlot reports whether a request was refused for lack of room, or ended while it
-// waited for a slot.
+// ErrNoSlot is in the chain of an error of AcquireSlot if there is no slot for the request.
+var ErrNoSlot = errors.New("no slot")
+
+// RefusedSlot reports whether a request was refused for lack of room. Other errors, as of a
+// link or a placing host that has too much to do or ends, say nothing of the endpoints.
 func RefusedSlot(err error) bool {
-	switch classifier.Of(err).Reason {
-	case classifier.ReasonQueueFull, classifier.ReasonDeadline, classifier.ReasonCanceled:
-		return true
-	default:
-		return false
-	}
+	return errors.Is(err, ErrNoSlot)
+}
+
+// noSlot returns the error of a request for which there is no slot.
+func noSlot(retryAfter time.Duration, format string, args ...any) error {
+	return classifier.NotRun(classifier.ReasonQueueFull, retryAfter, format+": %w", append(args, ErrNoSlot)...)
 }
 
 func (r *Reserver) acquireRemotely(ctx context.Context, owner gossiper.Member, req *SlotRequest) (Slot, error) {
 	message := encodeSlotRequest(req, time.Now())
 	message.ID = r.outgoingSeq.Next()
+	known := r.deps.Knowledge().Position
+	message.Revision, message.Era = known.Revision, known.Era
 	var reply peerwire.SlotReply
-	lost, err := r.callOwner(ctx, owner, peerwire.KindSlot, message, &reply, slotPings)
+	lost, err := r.callOwner(ctx, owner, peerwire.KindSlot, message, &reply, r.slotPingers)
 	if lost {
 		r.sendSlotReturn(owner.Address, &peerwire.SlotReturn{Service: message.Service, ID: message.ID, Verdict: uint8(placer.VerdictNone)})
 	}
 	if err != nil {
 		return Slot{}, err
 	}
+	if reply.Refused {
+		return Slot{}, noSlot(time.Duration(max(0, reply.RetryAfterMs))*time.Millisecond, "host %q refused a slot at service %q", owner.Host, req.Service)
+	}
 	slot := Slot{
 		Endpoint:  r.deps.Registry.Snapshot().Endpoint(identifier.Endpoint(reply.Endpoint)),
 		Expected:  time.Duration(max(0, reply.ExpectedUs)) * time.Microsecond,
@@ -182,10 +192,16 @@
 	if _, err := m.UnmarshalMsg(payload); err != nil {
 		return nil, classifier.NotRun(classifier.ReasonBadRequest, 0, "malformed SlotRequest message: %w", err)
 	}
+	if known := r.deps.Knowledge(); known.Age > maxKnowledgeAge && known.Position.Before(identifier.Position{Era: m.Era, Revision: m.Revision}) {
+		return nil, classifier.NotRun(classifier.ReasonHostUnreachable, 0, "host's copy of the store is %v old, and older than that of host %q", known.Age, from.Host)
+	}
 	req := decodeSlotRequest(&m, time.Now())
 	req.preferredDataCenter = from.DataCenter
 	q := r.slotQueue(req.Service)
 	slot, err := q.acquire(ctx, from.Incarnation, m.ID, req)
+	if RefusedSlot(err) {
+		return &peerwire.SlotReply{Refused: true, RetryAfterMs: classifier.Of(err).RetryAfter.Milliseconds()}, nil
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/reserver/slots_test.go
+++ b/reserver/slots_test.go
@@ -41,9 +41,17 @@
 		{Name: "p2", Service: "desk", DataCenter: "a", Slots: deskSlots},
 		{Name: "d1", Service: "notes", DataCenter: "a", Slots: 1},
 	})
+	for h := range f.hosts {
+		f.reportSlowdown(h, 1)
+	}
 	return f
 }
 
+// reportSlowdown makes p1 report the slowdown of its machine to a host; 0 for none.
+func (f *fleet) reportSlowdown(h int, slowdown float64) {
+	f.hosts[h].placer.RecordLoad(f.registry.Snapshot().Endpoint("p1"), placer.Load{Slots: deskSlots, Slowdown: slowdown}, time.Now())
+}
+
 func slotRequest(wait time.Duration) reserver.SlotRequest {
 	now := time.Now()
 	return reserver.SlotRequest{
@@ -177,6 +185,20 @@
 		}
 		f.is.True(!newDesk(t, 2).hosts[0].reserver.SharesSlots("desk"))
 	})
+	t.Run("only services whose endpoints report slowdowns of shared machines are shared", func(t *testing.T) {
+		f := newDesk(t, 3)
+		granting, other := f.slotHost()
+		s := f.acquire(other)
+		for _, h := range f.hosts {
+			h.placer.Forget(func(identifier.Endpoint) bool { return false })
+		}
+		f.reportSlowdown(granting, 0)
+		f.is.True(!f.hosts[granting].reserver.SharesSlots("desk"))
+		f.hosts[other].reserver.EndSlot(s, reserver.SlotOutcome{Load: placer.Load{Slots: deskSlots, Slowdown: 1.5}})
+		f.eventually("the granting host learns it from the slot's return", func() bool {
+			return f.hosts[granting].reserver.SharesSlots("desk")
+		})
+	})
 }
 
 // waitingForSlots and slotsInUse sum up all hosts.
@@ -223,6 +245,43 @@
 			return f.hosts[granting].reserver.SlotStats()["desk"].Granted >= 1 && f.slotsInUse() == 0
 		})
 	})
+	t.Run("it pauses: a request that doesn't wait gets no slot", func(t *testing.T) {
+		f := newDesk(t, 3)
+		granting, other := f.slotHost()
+		defer f.pause(granting)()
+		r := slotRequest(longWait)
+		r.NoWait = true
+		f.is.True(reserver.RefusedSlot(f.assertRefused(other, r, askWait)))
+	})
+	t.Run("its copy of the store is old: hosts that know more choose alone, others are granted slots", func(t *testing.T) {
+		f := newDesk(t, 3)
+		granting, other := f.slotHost()
+		f.hosts[granting].known.Store(&reserver.Knowledge{Position: identifier.Position{Era: 1, Revision: 4}, Age: time.Minute})
+		f.hosts[other].known.Store(&reserver.Knowledge{Position: identifier.Position{Era: 1, Revision: 4}, Age: time.Minute})
+		f.acquire(other) // as when the store is down for all
+		f.hosts[other].known.Store(&reserver.Knowledge{Position: identifier.Position{Era: 1, Revision: 5}})
+		f.is.True(!reserver.RefusedSlot(f.assertRefused(other, slotRequest(longWait), askWait)))
+		f.hosts[granting].known.Store(&reserver.Knowledge{Position: identifier.Position{Era: 1, Revision: 4}}) // about to learn it
+		f.eventually("it grants slots", func() bool {
+			_, err := f.hosts[other].reserver.AcquireSlot(t.Context(), slotRequest(longWait))
+			return err == nil
+		})
+	})
+	t.Run("it ends while a request waits: the request's host is told to choose alone", func(t *testing.T) {
+		f := newDesk(t, 2)
+		granting, other := f.slotHost()
+		f.fillDesk(granting)
+		ended := make(chan error, 1)
+		f.group.Run(func(context.Context) {
+			_, err := f.hosts[other].reserver.AcquireSlot(t.Context(), slotRequest(longWait))
+			ended <- err
+		})
+		f.eventually("the request waits", func() bool { return f.waitingForSlots() == 1 })
+		f.hosts[granting].messenger.Close()
+		err := <-ended
+		f.is.True(err != nil)
+		f.is.True(!reserver.RefusedSlot(err))
+	})
 	t.Run("a host is cut off from it: it chooses alone, and is granted slots after that", func(t *testing.T) {
 		f := newDesk(t, 3)
 		granting, other := f.slotHost()
@@ -247,6 +306,33 @@
 			return f.hosts[granting].reserver.SlotStats()["desk"].InUse == 0
 		})
 	})
+	t.Run("its waiting requests share the pings, and all notice that it is cut off", func(t *testing.T) {
+		const (
+			requests = 20
+			period   = 30 * time.Millisecond
+			watched  = 20 * period
+		)
+		f := newDesk(t, 3)
+		granting, other := f.slotHost()
+		f.fillDesk(granting)
+		ended := make(chan error, requests)
+		began, before := time.Now(), f.hosts[other].pings.Load()
+		for range requests {
+			f.group.Run(func(context.Context) {
+				_, err := f.hosts[other].reserver.AcquireSlot(t.Context(), slotRequest(longWait))
+				ended <- err
+			})
+		}
+		f.eventually("the requests wait", func() bool { return f.waitingForSlots() == requests })
+		time.Sleep(watched)
+		pings := f.hosts[other].pings.Load() - before
+		f.is.True(pings > 0)
+		f.is.True(time.Duration(pings) <= time.Since(began)/period+1)
+		f.hosts[other].cut.Store(true)
+		for range requests {
+			f.is.Equal(classifier.Of(<-ended).Reason, classifier.ReasonHostUnreachable)
+		}
+	})
 	t.Run("a lost return: the slot expires after the deadline", func(t *testing.T) {
 		f := newDesk(t, 2)
 		s, err := f.hosts[0].reserver.AcquireSlot(t.Context(), slotRequest(100*time.Millisecond))
