Lend quotas only once another host has answered

Cause: after a restart of all hosts each took itself for the only one until it learned of others, and used 0.4 of the whole quota alone; a host that restarted while cut off lent itself the whole quota once ready. Change: a host neither lends nor admits alone before another host has told it which hosts there are (rationer.Acquainted); a host without seeds that knows no other is the only one.

--- a/charger/borrowing.go
+++ b/charger/borrowing.go
@@ -193,6 +193,9 @@
 	rate := b.share.Rate * float64(max(1, len(b.granters)))
 	if !b.answered {
 		c.setAlone(true)
+		if !c.deps.Hosts.Acquainted() { // how many hosts share the quota isn't known
+			return c.borrower.Refuse(name, b.cost, strangerRetryAfter, share.Rate, now), false
+		}
 		l := c.alone.Lend(lender.Ask{Customer: name, Least: b.cost, Most: b.cost, Size: b.cost}, share, now)
 		if l.Amount > 0 {
 			c.borrower.RecordAlone(name, b.cost, now)
--- a/charger/charger.go
+++ b/charger/charger.go
@@ -16,7 +16,8 @@
 // host that has most, or, if none has enough, from several. What is borrowed ahead is spent without a message.
 //
 // A granting host that doesn't answer isn't asked for a second. A host that reaches none of them
-// uses a small share of the quota alone.
+// uses a small share of the quota alone, but nothing before any other host has told it which hosts
+// there are.
 package charger
 
 import (
@@ -53,6 +54,9 @@
 	// aloneShare is the part of an equal share of a quota, among all known hosts, that a host
 	// uses that reaches no granting host.
 	aloneShare = 0.4
+	// strangerRetryAfter is the time after which a caller is told to return by a host that
+	// doesn't know the others yet.
+	strangerRetryAfter = 300 * time.Millisecond
 	// minRetryAfter is the shortest time after which a caller is told to return.
 	minRetryAfter = 10 * time.Millisecond
 )
@@ -63,6 +67,9 @@
 	KnownHosts(now time.Time) []gossiper.Member
 	// Ready reports whether this host knows the others well enough to lend.
 	Ready(now time.Time) bool
+	// Acquainted reports whether another host has told this one which hosts there are, or it
+	// is the only one. Before, what it knows is no base for a share.
+	Acquainted() bool
 }
 
 // Deps are the dependencies of a Charger.
--- a/charger/fleet_test.go
+++ b/charger/fleet_test.go
@@ -82,6 +82,8 @@
 	group       *grouper.Group
 	started     time.Time
 	pausedUntil time.Time
+	// strangerUntil is until when the process knows only itself.
+	strangerUntil time.Time
 }
 
 func newFleet(t *testing.T, hosts int, q authenticator.Quota, seed uint64) *fleet {
@@ -145,7 +147,20 @@
 func (f *fleet) View() *gossiper.View { return f.view }
 
 // KnownHosts implements charger.Hosts.
-func (h *host) KnownHosts(time.Time) []gossiper.Member { return h.fleet.view.Members() }
+func (h *host) KnownHosts(time.Time) []gossiper.Member {
+	if h.Acquainted() {
+		return h.fleet.view.Members()
+	}
+	self, _ := h.fleet.view.ByHost(h.name())
+	return []gossiper.Member{self}
+}
+
+// Acquainted implements charger.Hosts.
+func (h *host) Acquainted() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !time.Now().Before(h.strangerUntil)
+}
 
 // Ready implements charger.Hosts.
 func (h *host) Ready(now time.Time) bool {
@@ -186,6 +201,15 @@
 	h.mu.Unlock()
 }
 
+// restart replaces the host's process by one that knows only itself for a time.
+func (h *host) restart(stranger time.Duration) {
+	h.kill()
+	h.mu.Lock()
+	h.strangerUntil = time.Now().Add(stranger)
+	h.mu.Unlock()
+	h.start()
+}
+
 func (h *host) kill() {
 	h.group.Stop()
 	_ = h.group.Wait() // its goroutines return no error
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -250,6 +250,7 @@
 		Timer:    h.timer,
 		Group:    h.group,
 		Log:      h.log,
+		Seeded:   len(s.Seeds) > 0,
 	})
 	h.rationer.Register(h.messenger)
 	h.deps.Platform.Intercept(h.interceptor, h.rationer)
--- a/rationer/fleet_test.go
+++ b/rationer/fleet_test.go
@@ -136,6 +136,7 @@
 	r := rationer.New(rationer.Deps{
 		Self: h.incarnation, Host: h.name(), Registry: h.fleet.registry, Members: h, Links: node,
 		Timer: timer.New(h.group), Group: h.group, Log: zap.NewNop(),
+		Seeded: len(h.fleet.hosts) > 1,
 	})
 	r.Register(node)
 	h.mu.Lock()
--- a/rationer/granters.go
+++ b/rationer/granters.go
@@ -91,6 +91,12 @@
 	return r.untilReady(now) <= 0
 }
 
+// Acquainted reports whether another host has told this one which hosts there are, or there is
+// none according to the settings.
+func (r *Rationer) Acquainted() bool {
+	return r.answered.Load() || !r.deps.Seeded && len(r.deps.Members.View().Members()) <= 1
+}
+
 // of returns the granting hosts of an endpoint, live or not.
 func (g *granters) of(e *registrar.Endpoint, v *gossiper.View, now time.Time) []gossiper.Member {
 	if g.view != v {
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -71,6 +71,8 @@
 	Timer    *timer.Service
 	Group    *grouper.Group
 	Log      *zap.Logger
+	// Seeded is set if the settings name other hosts.
+	Seeded bool
 }
 
 // Rationer grants, holds and checks permits. It is safe for concurrent use. A nil *Rationer
