Spread the lending hosts of a quota evenly over data centers

Cause: only the first lending host of each data center was spread; one data center had four of six for 173 of 1000 customers, and more than a third for 864. Change: gossiper.SpreadEvenly goes over the data centers in rounds. Endpoints' limits keep Spread. Test: TestGrantersInDataCenters failed before (1, 4 and 1); TestSpreadEvenly is new.

--- a/charger/charger.go
+++ b/charger/charger.go
@@ -11,7 +11,7 @@
 // # Granting hosts
 //
 // A few hosts lend a customer's quota, each an equal share. They are chosen by hashing among the
-// known hosts, live or not, first one in each data center. So a data center that is cut off keeps
+// known hosts, live or not, in equal numbers in each data center. So a data center that is cut off keeps
 // a part of each quota. A request that this host has no units for borrows them from the granting
 // host that has most, or, if none has enough, from several. What is borrowed ahead is spent without a message.
 //
--- a/charger/granters.go
+++ b/charger/granters.go
@@ -35,7 +35,7 @@
 	list, ok := g.chosen[c]
 	if !ok {
 		key := xxhash.Sum64String("quota\x00" + string(c))
-		list = gossiper.Spread(g.known, "", key, lender.Granters)
+		list = gossiper.SpreadEvenly(g.known, key, lender.Granters)
 		g.chosen[c] = list
 	}
 	return list, len(g.known)
--- a/gossiper/spread.go
+++ b/gossiper/spread.go
@@ -36,6 +36,24 @@
 	return all[:min(count, len(all))]
 }
 
+// SpreadEvenly returns up to count members in the rendezvous order of key, spread over data
+// centers in rounds: the first of each data center, then the second of each, and so on. It depends
+// on the names of the members only, not on their states.
+func SpreadEvenly(members []Member, key uint64, count int) []Member {
+	used := map[identifier.DataCenter]int{}
+	var rounds [][]Member
+	for _, n := range byScore(members, key) {
+		round := used[n.DataCenter]
+		used[n.DataCenter]++
+		if round == len(rounds) {
+			rounds = append(rounds, nil)
+		}
+		rounds[round] = append(rounds[round], n.Member)
+	}
+	all := slices.Concat(rounds...)
+	return all[:min(count, len(all))]
+}
+
 // byScore returns the members in the rendezvous order of key.
 func byScore(members []Member, key uint64) []scoredMember {
 	all := make([]scoredMember, 0, len(members))
