Charge quotas within the request's deadline

Cause: the charge ran before the context of the deadline was made. Change: serve makes it first; a charge that ends with it gives the deadline's error, no 429.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -232,12 +232,12 @@
 		e.fail(err)
 		return
 	}
-	if err := e.chargeQuota(); err != nil {
+	ctx, cancel := context.WithDeadlineCause(e.request.Context(), e.call.Deadline, errDeadline)
+	defer cancel()
+	if err := e.chargeQuota(ctx); err != nil {
 		e.fail(err)
 		return
 	}
-	ctx, cancel := context.WithDeadlineCause(e.request.Context(), e.call.Deadline, errDeadline)
-	defer cancel()
 	e.forwarder.deps.Budget.RecordFirstAttempt(e.service.Name)
 	if e.service.Engine != nil && e.route.Kind == registrar.KindStream {
 		e.generate(ctx)
--- a/forwarder/quota.go
+++ b/forwarder/quota.go
@@ -18,14 +18,17 @@
 }
 
 // chargeQuota charges the request to its customer's quota, or refuses it.
-func (e *exchange) chargeQuota() error {
+func (e *exchange) chargeQuota(ctx context.Context) error {
 	q, c := e.forwarder.deps.Quotas, e.call.Customer
 	if q == nil || c == nil || !c.Quota.Limited() {
 		return nil
 	}
 	cost := c.Quota.Cost(e.call.Prompt, e.call.MaxOutput)
-	retryAfter, ok := q.Charge(e.request.Context(), c, cost)
-	if !ok {
+	retryAfter, ok := q.Charge(ctx, c, cost)
+	switch {
+	case !ok && ctx.Err() != nil:
+		return classifier.NotRun(classifier.ReasonCanceled, 0, "canceled while charging the quota: %w", context.Cause(ctx))
+	case !ok:
 		return classifier.NotRun(classifier.ReasonLimit, retryAfter, "customer %q is over its limit of %g %s a second, the request takes %g",
 			c.Name, c.Quota.Rate, c.Quota.Unit, cost)
 	}
