Don't take a caller that leaves for isolation; refund alone charges

Cause: a request whose caller had left was admitted alone, and the host counted as isolated. A refund of units that no lending host had lent went to one. Change: borrow returns if the request has ended; the borrower remembers what was admitted alone, and refunds go back to that first.

--- a/charger/borrowing.go
+++ b/charger/borrowing.go
@@ -36,18 +36,21 @@
 
 // borrow obtains the units that are missing for a request, and spends them.
 func (c *Charger) borrow(ctx context.Context, customer *authenticator.Customer, cost float64) (retryAfter time.Duration, ok bool) {
-	ctx, cancel := context.WithTimeout(ctx, maxWait)
+	waiting, cancel := context.WithTimeout(ctx, maxWait)
 	defer cancel()
 	b := c.newBorrowing(customer, cost)
-	if b.whole(ctx) {
+	if b.whole(waiting) {
 		return 0, true
 	}
 	for range partAttempts {
-		if b.inParts(ctx) {
+		if b.inParts(waiting) {
 			return 0, true
 		}
 	}
 	b.giveBack()
+	if ctx.Err() != nil { // the caller has left, which says nothing about the other hosts
+		return minRetryAfter, false
+	}
 	return b.conclude(time.Now())
 }
 
@@ -185,10 +188,9 @@
 func (b *borrowing) conclude(now time.Time) (retryAfter time.Duration, ok bool) {
 	c := b.charger
 	quota, name := b.customer.Quota, b.customer.Name
-	part := 1 / float64(max(1, b.known))
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	share := lender.Share{Rate: aloneShare * part * quota.Rate, Burst: aloneShare * part * quota.Burst}
+	share := aloneShareOf(quota, b.known)
 	missing, available := b.cost, 0.0
 	rate := b.share.Rate * float64(max(1, len(b.granters)))
 	if !b.answered {
@@ -213,6 +215,12 @@
 	return c.borrower.Refuse(name, b.cost, max(minRetryAfter, wait), share.Rate, now), false
 }
 
+// aloneShareOf returns what a host may use of a quota without any granting host.
+func aloneShareOf(q authenticator.Quota, known int) lender.Share {
+	part := aloneShare / float64(max(1, known))
+	return lender.Share{Rate: part * q.Rate, Burst: part * q.Burst}
+}
+
 // setAlone records whether this host reaches granting hosts. c.mu must be held.
 func (c *Charger) setAlone(alone bool) {
 	if c.isAlone == alone {
--- a/charger/charger.go
+++ b/charger/charger.go
@@ -178,9 +178,15 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, r := range c.borrower.Refund(customer.Name, cost) {
+	returns, alone := c.borrower.Refund(customer.Name, cost)
+	for _, r := range returns {
 		c.unused.add(r)
 	}
+	if alone > 0 {
+		now := time.Now()
+		_, known := c.granters.of(customer.Name, c.deps, now)
+		c.alone.TakeBack(customer.Name, aloneShareOf(customer.Quota, known), alone, now)
+	}
 }
 
 // prune removes state that isn't needed any more.
--- a/charger/faults_test.go
+++ b/charger/faults_test.go
@@ -215,3 +215,44 @@
 		is.True(charge() >= first-2)
 	})
 }
+
+// TestCallerLeaves guards against a caller that leaves while its request waits for units, and is
+// taken for a sign that this host reaches no other.
+func TestCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 70, tokens(363_222), 9)
+		defer f.stop()
+		time.Sleep(5 * time.Second)
+		c := f.borrowing().charger
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, ok := c.Charge(ctx, f.customer, 10)
+		is.True(!ok)
+		is.True(!c.Stats().Alone)
+	})
+}
+
+// TestRefundAlone guards against a refund to lending hosts of what they haven't lent.
+func TestRefundAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := tokens(363_222)
+		f := newFleet(t, 70, q, 10)
+		defer f.stop()
+		time.Sleep(5 * time.Second)
+		h := f.borrowing()
+		_, ok := h.charger.Charge(context.Background(), f.customer, 5000)
+		is.True(ok)
+		time.Sleep(time.Second) // what was borrowed ahead goes back
+		f.mu.Lock()
+		f.side[h.index] = 1
+		f.mu.Unlock()
+		cost := 0.3 * q.Burst / 70
+		for range 5 { // the share holds one such request
+			_, ok = h.charger.Charge(context.Background(), f.customer, cost)
+			is.True(ok)
+			h.charger.Refund(f.customer, cost)
+		}
+	})
+}
--- a/charger/granters.go
+++ b/charger/granters.go
@@ -24,7 +24,7 @@
 	known []gossiper.Member
 	// changedAt is when other hosts became known, or hosts unknown.
 	changedAt time.Time
-	chosen map[identifier.Customer][]gossiper.Member
+	chosen    map[identifier.Customer][]gossiper.Member
 }
 
 // of returns a customer's granting hosts, live or not, and the number of known hosts.
--- a/lender/borrower.go
+++ b/lender/borrower.go
@@ -47,6 +47,9 @@
 	// demand and admitted are the units a second that callers have asked for, and got.
 	demand, admitted average
 	usedAt           time.Time
+	// alone are the units of requests that were admitted without a granting host, and that
+	// weren't refunded.
+	alone float64
 	// sources are the hosts whose units were spent, and how many weren't refunded.
 	sources []source
 	// returnAt is when the caller that was refused last was told to return.
@@ -281,12 +284,15 @@
 }
 
 // Refund gives back the units of a request that did not run: to the granting hosts whose shares
-// were used most, as each takes back what its share has room for.
-func (b *Borrower) Refund(c identifier.Customer, cost float64) []Return {
+// were used most, as each takes back what its share has room for. Units that no granting host has
+// lent don't go back to any; they are returned as alone.
+func (b *Borrower) Refund(c identifier.Customer, cost float64) (all []Return, alone float64) {
 	a := b.account(c)
 	a.counts.Refunded += cost
+	alone = min(cost, a.alone)
+	a.alone -= alone
+	cost -= alone
 	slices.SortFunc(a.sources, func(x, y source) int { return cmp.Compare(y.spent, x.spent) })
-	var all []Return
 	for n := range a.sources {
 		part := min(cost, a.sources[n].spent)
 		if part <= 0 {
@@ -296,7 +302,7 @@
 		cost -= part
 		all = append(all, Return{Granter: a.sources[n].granter, Customer: c, Amount: part})
 	}
-	return all
+	return all, alone
 }
 
 // RecordAlone counts a request that was admitted without a granting host.
@@ -304,6 +310,7 @@
 	a := b.account(c)
 	a.admit(cost, now)
 	a.counts.Alone++
+	a.alone += cost
 }
 
 // Expire removes loans that are over, and returns what goes back.
