Leave room for silent lending hosts

Cause: two lending hosts that didn't answer used up the 100 ms of a request, and were asked first again each second. Change: a host is waited for for a quarter of the time; one that didn't answer is asked after the others until it answers, for 10 s at most. Cuts in the tests are silent for 10 s in place of failing at once, which is stricter.

--- a/charger/borrowing.go
+++ b/charger/borrowing.go
@@ -253,9 +253,13 @@
 	case err != nil:
 		c.counts.Unanswered++
 		c.bypassed[m.Host] = time.Now().Add(bypassTime)
+		c.silent[m.Host] = time.Now()
 		c.deps.Log.Info("quota-host-unreachable", zap.String("customer", string(a.Customer)), zap.String("peer", string(m.Host)), zap.Error(err))
 	case !ready:
 		c.bypassed[m.Host] = time.Now().Add(unreadyTime)
 	}
+	if err == nil {
+		delete(c.silent, m.Host)
+	}
 	return l, ready
 }
--- a/charger/charger.go
+++ b/charger/charger.go
@@ -22,6 +22,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,7 +43,7 @@
 	// maxWait bounds the time for which a request waits for units, and askTimeout the wait for
 	// one granting host.
 	maxWait    = 100 * time.Millisecond
-	askTimeout = 50 * time.Millisecond
+	askTimeout = maxWait / 4
 	// bypassTime is how long a granting host that didn't answer isn't asked, and unreadyTime
 	// one that doesn't lend yet.
 	bypassTime  = time.Second
@@ -51,6 +52,8 @@
 	// minRunTime how long its process must have run. Then the loans of an earlier one are over.
 	settleTime = 200 * time.Millisecond
 	minRunTime = 300 * time.Millisecond
+	// silentTime is how long a granting host that didn't answer is asked after the others.
+	silentTime = 10 * time.Second
 	// returnPeriod is the time between two returns of what was not used.
 	returnPeriod = 50 * time.Millisecond
 	// settlePeriod is the time between two looks at which hosts are known, until this host lends.
@@ -104,8 +107,10 @@
 	granters      granters
 	// bypassed has until when granting hosts aren't asked.
 	bypassed map[identifier.Host]time.Time
-	unused   unused
-	isAlone  bool
+	// silent has when granting hosts didn't answer, until they do.
+	silent  map[identifier.Host]time.Time
+	unused  unused
+	isAlone bool
 	// lends is set once this host knows the others well enough to lend.
 	lends  bool
 	counts messageCounts
@@ -121,6 +126,7 @@
 		lender:   lender.New(now),
 		alone:    lender.New(now),
 		bypassed: map[identifier.Host]time.Time{},
+		silent:   map[identifier.Host]time.Time{},
 		unused:   newUnused(),
 	}
 	c.quotas.Store(&quotas{})
@@ -201,5 +207,6 @@
 			delete(c.bypassed, h)
 		}
 	}
+	maps.DeleteFunc(c.silent, func(_ identifier.Host, at time.Time) bool { return now.Sub(at) >= silentTime })
 	c.unused.prune(c.deps.Members.View())
 }
--- a/charger/faults_test.go
+++ b/charger/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -256,3 +257,35 @@
 		}
 	})
 }
+
+// TestSilentHosts answers three of the six lending hosts that fall silent at once, so that whoever
+// asks them hears nothing: a customer at 0.3 of its quota is refused nothing.
+func TestSilentHosts(t *testing.T) {
+	for seed := range uint64(4) {
+		synctest.Test(t, func(t *testing.T) {
+			q := tokens(363_222)
+			f := newFleet(t, 70, q, 52+seed)
+			defer f.stop()
+			time.Sleep(5 * time.Second)
+			silent := f.hosts[0].charger.Granters(f.customer.Name)[:3]
+			weights := f.uneven()
+			for n, h := range f.hosts {
+				if slices.Contains(silent, h.name()) {
+					weights[n] = 0
+				}
+			}
+			f.load(0.3*q.Rate, weights, 3*time.Second)
+			f.mu.Lock()
+			for n, h := range f.hosts {
+				if slices.Contains(silent, h.name()) {
+					f.side[n] = 1
+				}
+			}
+			f.mu.Unlock()
+			f.load(0.3*q.Rate, weights, 5*time.Second)
+			time.Sleep(maxWait)
+			t.Logf("%d of %d refused", f.refusals(), len(f.asked))
+			is.New(t).Equal(f.refusals(), 0)
+		})
+	}
+}
--- a/charger/fleet_test.go
+++ b/charger/fleet_test.go
@@ -215,16 +215,22 @@
 	_ = h.group.Wait() // its goroutines return no error
 }
 
+// cutTime is the time after which a message that can't arrive fails. Its sender hears nothing
+// before.
+const cutTime = 10 * time.Second
+
 // reaches reports whether a message arrives. It waits while the receiver is paused.
 func (f *fleet) reaches(from, to identifier.Address) bool {
 	a, b := f.byAddress[from], f.byAddress[to]
 	f.mu.Lock()
 	ok := f.side[a.index] == f.side[b.index] && f.random.Float64() >= f.lost
 	f.mu.Unlock()
-	if ok {
-		b.awaitResume()
+	if !ok {
+		time.Sleep(cutTime)
+		return false
 	}
-	return ok
+	b.awaitResume()
+	return true
 }
 
 // awaitResume waits until the host isn't paused.
--- a/charger/granters.go
+++ b/charger/granters.go
@@ -84,7 +84,16 @@
 	}
 }
 
-// askable returns granting hosts without those that are bypassed. c.mu must be held.
+// doubt is 1 for a host that may not answer, as it is taken for dead or didn't lately.
+func (c *Charger) doubt(m gossiper.Member, now time.Time) int {
+	at, silent := c.silent[m.Host]
+	if m.Host != c.deps.Host && (!isLive(m) || silent && now.Sub(at) < silentTime) {
+		return 1
+	}
+	return 0
+}
+
+// askable returns granting hosts without those that are bypassed, and those in doubt last. c.mu must be held.
 func (c *Charger) askable(all []gossiper.Member, now time.Time) []gossiper.Member {
 	var list []gossiper.Member
 	for _, m := range all {
@@ -92,6 +101,7 @@
 			list = append(list, m)
 		}
 	}
+	slices.SortStableFunc(list, func(a, b gossiper.Member) int { return cmp.Compare(c.doubt(a, now), c.doubt(b, now)) })
 	return list
 }
 
@@ -101,8 +111,8 @@
 	list := c.askable(all, now)
 	rand.Shuffle(len(list), func(a, b int) { list[a], list[b] = list[b], list[a] })
 	slices.SortStableFunc(list, func(a, b gossiper.Member) int {
-		if dead := cmp.Compare(c.distance(a)/deadDistance, c.distance(b)/deadDistance); dead != 0 {
-			return dead
+		if doubt := cmp.Compare(c.doubt(a, now), c.doubt(b, now)); doubt != 0 {
+			return doubt
 		}
 		left := func(m gossiper.Member) float64 { return c.borrower.Estimate(customer, m.Host, s, now) }
 		return cmp.Or(cmp.Compare(left(b), left(a)), cmp.Compare(c.distance(a), c.distance(b)))
