--- a/charger/charger.go
+++ b/charger/charger.go
@@ -11,16 +11,18 @@
 // # Granting hosts
 //
 // A few hosts lend a customer's quota, each an equal share. They are chosen by hashing among the
-// known hosts, live or not, first one in each data center. So a data center that is cut off keeps
+// known hosts, live or not, in equal numbers in each data center. So a data center that is cut off keeps
 // a part of each quota. A request that this host has no units for borrows them from the granting
 // host that has most, or, if none has enough, from several. What is borrowed ahead is spent without a message.
 //
 // A granting host that doesn't answer isn't asked for a second. A host that reaches none of them
-// uses a small share of the quota alone.
+// uses a small share of the quota alone, but nothing before any other host has told it which hosts
+// there are.
 package charger
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,18 +43,29 @@
 	// maxWait bounds the time for which a request waits for units, and askTimeout the wait for
 	// one granting host.
 	maxWait    = 100 * time.Millisecond
-	askTimeout = 50 * time.Millisecond
+	askTimeout = maxWait / 4
 	// bypassTime is how long a granting host that didn't answer isn't asked, and unreadyTime
 	// one that doesn't lend yet.
 	bypassTime  = time.Second
-	unreadyTime = 200 * time.Millisecond
+	unreadyTime = 50 * time.Millisecond
+	// settleTime is how long the known hosts must have been the same until this host lends, and
+	// minRunTime how long its process must have run. Then the loans of an earlier one are over.
+	settleTime = 200 * time.Millisecond
+	minRunTime = 300 * time.Millisecond
+	// silentTime is how long a granting host that didn't answer is asked after the others.
+	silentTime = 10 * time.Second
 	// returnPeriod is the time between two returns of what was not used.
 	returnPeriod = 50 * time.Millisecond
+	// settlePeriod is the time between two looks at which hosts are known, until this host lends.
+	settlePeriod = 25 * time.Millisecond
 	// prunePeriod is the time between two removals of state that isn't needed.
 	prunePeriod = 5 * time.Second
 	// aloneShare is the part of an equal share of a quota, among all known hosts, that a host
 	// uses that reaches no granting host.
 	aloneShare = 0.4
+	// strangerRetryAfter is the time after which a caller is told to return by a host that
+	// doesn't know the others yet.
+	strangerRetryAfter = 300 * time.Millisecond
 	// minRetryAfter is the shortest time after which a caller is told to return.
 	minRetryAfter = 10 * time.Millisecond
 )
@@ -63,6 +76,9 @@
 	KnownHosts(now time.Time) []gossiper.Member
 	// Ready reports whether this host knows the others well enough to lend.
 	Ready(now time.Time) bool
+	// Acquainted reports whether another host has told this one which hosts there are, or it
+	// is the only one. Before, what it knows is no base for a share.
+	Acquainted() bool
 }
 
 // Deps are the dependencies of a Charger.
@@ -80,8 +96,9 @@
 
 // Charger charges requests to quotas. It is safe for concurrent use.
 type Charger struct {
-	deps   Deps
-	quotas atomic.Pointer[quotas]
+	deps    Deps
+	started time.Time
+	quotas  atomic.Pointer[quotas]
 
 	mu       sync.Mutex
 	borrower *lender.Borrower
@@ -90,9 +107,13 @@
 	granters      granters
 	// bypassed has until when granting hosts aren't asked.
 	bypassed map[identifier.Host]time.Time
-	unused   unused
-	isAlone  bool
-	counts   messageCounts
+	// silent has when granting hosts didn't answer, until they do.
+	silent  map[identifier.Host]time.Time
+	unused  unused
+	isAlone bool
+	// lends is set once this host knows the others well enough to lend.
+	lends  bool
+	counts messageCounts
 }
 
 // New returns a Charger and registers its timers.
@@ -100,20 +121,44 @@
 	now := time.Now()
 	c := &Charger{
 		deps:     d,
+		started:  now,
 		borrower: lender.NewBorrower(),
 		lender:   lender.New(now),
 		alone:    lender.New(now),
 		bypassed: map[identifier.Host]time.Time{},
+		silent:   map[identifier.Host]time.Time{},
 		unused:   newUnused(),
 	}
 	c.quotas.Store(&quotas{})
 	c.declare(d.Registry.Snapshot())
 	d.Registry.Subscribe(c.declare)
 	d.Timer.Every(returnPeriod, c.returnUnused)
+	d.Timer.Every(settlePeriod, c.settle)
 	d.Timer.Every(prunePeriod, c.prune)
 	return c
 }
 
+// settle begins to lend once another host has told of the others, and which hosts are known has
+// been the same for settleTime, or is known otherwise.
+func (c *Charger) settle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lends {
+		return
+	}
+	acquainted := c.deps.Hosts.Acquainted()
+	c.granters.refresh(c.deps, now)
+	if !acquainted {
+		c.granters.changedAt = now
+		return
+	}
+	settled := now.Sub(c.granters.changedAt) >= settleTime && now.Sub(c.started) >= minRunTime
+	if settled || c.deps.Hosts.Ready(now) {
+		c.lends = true
+		c.deps.Log.Info("quota-lending-began", zap.Int("hosts", len(c.granters.known)))
+	}
+}
+
 // Charge charges a request to its customer's quota. If the quota allows none, it returns the
 // time after which a request like this conforms. It waits for at most maxWait, and not at all if
 // units were borrowed ahead.
@@ -139,9 +184,15 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, r := range c.borrower.Refund(customer.Name, cost) {
+	returns, alone := c.borrower.Refund(customer.Name, cost)
+	for _, r := range returns {
 		c.unused.add(r)
 	}
+	if alone > 0 {
+		now := time.Now()
+		_, known := c.granters.of(customer.Name, c.deps, now)
+		c.alone.TakeBack(customer.Name, aloneShareOf(customer.Quota, known), alone, now)
+	}
 }
 
 // prune removes state that isn't needed any more.
@@ -156,5 +207,6 @@
 			delete(c.bypassed, h)
 		}
 	}
+	maps.DeleteFunc(c.silent, func(_ identifier.Host, at time.Time) bool { return now.Sub(at) >= silentTime })
 	c.unused.prune(c.deps.Members.View())
 }
