--- a/charger/charger.go
+++ b/charger/charger.go
@@ -99,6 +99,7 @@
 	deps    Deps
 	started time.Time
 	quotas  atomic.Pointer[quotas]
+	timers  sync.Once
 
 	mu       sync.Mutex
 	borrower *lender.Borrower
@@ -116,7 +117,7 @@
 	counts messageCounts
 }
 
-// New returns a Charger and registers its timers.
+// New returns a Charger. Its timers start with the first quota.
 func New(d Deps) *Charger {
 	now := time.Now()
 	c := &Charger{
@@ -132,12 +133,17 @@
 	c.quotas.Store(&quotas{})
 	c.declare(d.Registry.Snapshot())
 	d.Registry.Subscribe(c.declare)
-	d.Timer.Every(returnPeriod, c.returnUnused)
-	d.Timer.Every(settlePeriod, c.settle)
-	d.Timer.Every(prunePeriod, c.prune)
 	return c
 }
 
+// startTimers starts the periodic work. It is called once the first quota is in force, so that
+// hosts without quotas do none of it.
+func (c *Charger) startTimers() {
+	c.deps.Timer.Every(returnPeriod, c.returnUnused)
+	c.deps.Timer.Every(settlePeriod, c.settle)
+	c.deps.Timer.Every(prunePeriod, c.prune)
+}
+
 // settle begins to lend once another host has told of the others, and which hosts are known has
 // been the same for settleTime, or is known otherwise.
 func (c *Charger) settle(now time.Time) {
--- a/charger/lending.go
+++ b/charger/lending.go
@@ -52,6 +52,9 @@
 		}
 	}
 	c.quotas.Store(fresh)
+	if len(fresh.byCustomer) > 0 {
+		c.timers.Do(c.startTimers)
+	}
 	c.deps.Log.Info("quotas-in-force", zap.Uint64("version", uint64(s.Declarations.Version)),
 		zap.Int("customers", len(fresh.byCustomer)), zap.Int("changed", changed))
 }
