--- a/admitter/order.go
+++ b/admitter/order.go
@@ -12,9 +12,9 @@
 	// oldestLateTurn is the turn of late requests, of so many, that the oldest one
 	// gets regardless of its priority.
 	oldestLateTurn = 10
-	// lastCall is the time before its latest start at which a late request goes
+	// lostSoonMargin is the time before its latest start from which a late request goes
 	// before less urgent on-time ones, so that it isn't lost behind them.
-	lastCall = 250 * time.Millisecond
+	lostSoonMargin = 250 * time.Millisecond
 	// minCost and maxCost bound how much a request's work counts against that of the
 	// mean request.
 	minCost = 0.25
@@ -129,7 +129,7 @@
 			return h.oldest.Entry
 		}
 		return h.late.Entry
-	case h.late.Priority < h.onTime.Priority && h.late.LatestStart.Sub(now) < lastCall:
+	case h.late.Priority < h.onTime.Priority && h.late.LatestStart.Sub(now) < lostSoonMargin:
 		return h.late.Entry
 	default:
 		return h.onTime.Entry
