--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -28,6 +28,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/jackdawthread/jackdawthread/common/identifier"
@@ -137,7 +138,7 @@
 	least := math.Inf(1)
 	unmeasured := a.leastWork(all)
 	for _, c := range all {
-		if d.excludes(c.Name) {
+		if slices.Contains(d.Exclude, c.Name) {
 			continue
 		}
 		if !a.hasSlot(c.Endpoint, now) {
@@ -177,15 +178,6 @@
 	return (float64(ahead+1) + slots) / rate
 }
 
-func (d *Demand) excludes(name identifier.Endpoint) bool {
-	for _, n := range d.Exclude {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
-
 // leastWork returns the least work in seconds that was measured at the candidates. It is
 // assumed of those without measurements, so that they get calls.
 func (a *Assigner) leastWork(all []Candidate) float64 {
@@ -203,12 +195,7 @@
 
 // HasSlot reports whether any of the candidates has a slot.
 func (a *Assigner) HasSlot(all []Candidate, now time.Time) bool {
-	for _, c := range all {
-		if a.hasSlot(c.Endpoint, now) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(all, func(c Candidate) bool { return a.hasSlot(c.Endpoint, now) })
 }
 
 func (a *Assigner) hasSlot(e *registrar.Endpoint, now time.Time) bool {
@@ -234,7 +221,7 @@
 	return float64(s.calls) + math.Floor(float64(s.others)*halved(now.Sub(s.othersAt), othersHalfLife))
 }
 
-// expected returns the time in seconds until a call would be finished.
+// expected returns the time in seconds until a call that is sent now would be finished.
 func (a *Assigner) expected(e *registrar.Endpoint, unmeasured float64, now time.Time) float64 {
 	s := a.state(e)
 	slots := float64(s.slotsOf(e))
