--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -39,8 +39,9 @@
 // # Slots of plain services
 //
 // Where a plain service's endpoints have few slots for the number of hosts and share their
-// machines with others, each host sees too little of their load. The service's placing host then grants their slots to
-// the calls of all hosts (package assigner) and keeps the queue of those that wait:
+// machines with others, each host sees too little of their load. The service's placing
+// host then grants their slots to the calls of all hosts (package assigner) and keeps the
+// queue of those that wait:
 //
 //	if r.SharesSlots(service) {
 //		slot, err := r.AcquireSlot(ctx, reserver.SlotRequest{...})
--- a/reserver/slot_queue.go
+++ b/reserver/slot_queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,9 +17,9 @@
 )
 
 const (
-	// slotTick is the time between two looks at the requests that wait for a slot, for
-	// those that can't start in time any more and for slots that become free by themselves.
-	slotTick = 10 * time.Millisecond
+	// slotCheckPeriod is the interval between checks of the waiting requests: some can't
+	// start in time any more, and some slots become free without a message.
+	slotCheckPeriod = 10 * time.Millisecond
 	// slotMargin is how long after its request's deadline a slot counts as in use if its
 	// origin doesn't end it.
 	slotMargin = 500 * time.Millisecond
@@ -140,16 +141,7 @@
 
 // anyLeft reports whether a request doesn't exclude all candidates.
 func anyLeft(all []assigner.Candidate, exclude []identifier.Endpoint) bool {
-	excluded := make(map[identifier.Endpoint]bool, len(exclude))
-	for _, name := range exclude {
-		excluded[name] = true
-	}
-	for _, c := range all {
-		if !excluded[c.Name] {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(all, func(c assigner.Candidate) bool { return !slices.Contains(exclude, c.Name) })
 }
 
 // candidates returns the endpoints that may get calls now.
@@ -232,7 +224,7 @@
 	}
 	q.watched = true
 	q.reserver.deps.Group.Run(func(ctx context.Context) {
-		ticker := time.NewTicker(slotTick)
+		ticker := time.NewTicker(slotCheckPeriod)
 		defer ticker.Stop()
 		for q.look(time.Now()) {
 			select {
@@ -244,13 +236,13 @@
 	})
 }
 
-// look ends the wait of requests that can't be granted a slot, assigns slots, and reports
-// whether any request still waits.
+// look refuses requests that can't be granted a slot, assigns slots, and reports whether any
+// request still waits.
 func (q *slotQueue) look(now time.Time) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.refuseExpired(now)
-	q.dismissStranded(now)
+	q.refuseWithoutEndpoint(now)
 	q.assign(now)
 	q.watched = len(q.waiters) > 0
 	return q.watched
@@ -265,9 +257,9 @@
 	}
 }
 
-// dismissStranded ends the wait of requests for which no endpoint is left, so that their homes
+// refuseWithoutEndpoint refuses requests for which no endpoint is left, so that their homes
 // choose alone. q.mu must be held.
-func (q *slotQueue) dismissStranded(now time.Time) {
+func (q *slotQueue) refuseWithoutEndpoint(now time.Time) {
 	all := q.candidates(now)
 	for k, w := range q.waiters {
 		if anyLeft(all, w.Exclude) {
