--- a/forwarder/admission.go
+++ b/forwarder/admission.go
@@ -11,6 +11,10 @@
 	"github.com/jackdawthread/jackdawthread/registrar"
 )
 
+// priorityLevels is the number of routes' priorities that are told apart among requests of
+// equal customers.
+const priorityLevels = 10
+
 var errUnknownKey = errors.New("the key belongs to no customer")
 
 // resolve finds the request's route and customer by the declarations. The key is checked
@@ -61,7 +65,3 @@
 	}
 	return first*priorityLevels + min(max(0, e.route.Priority), priorityLevels-1)
 }
-
-// priorityLevels is the number of routes' priorities that are told apart among requests of
-// equal customers.
-const priorityLevels = 10
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -42,8 +42,8 @@
 	// stall is how long the body may make no progress.
 	stall    time.Duration
 	deadline time.Time
-	// let is set once the account has let go of the body.
-	let atomic.Bool
+	// interrupted is set once the account has let go of the body.
+	interrupted atomic.Bool
 }
 
 // readBody reads the whole body, since calls are forwarded with a Content-Length and may
@@ -79,7 +79,7 @@
 
 // letGo interrupts the reading.
 func (r *bodyReader) letGo() {
-	r.let.Store(true)
+	r.interrupted.Store(true)
 	_ = r.control.SetReadDeadline(expired) // unsupported in tests only
 }
 
@@ -147,7 +147,7 @@
 // readSome reads what has arrived, unless nothing does for too long.
 func (r *bodyReader) readSome(b []byte) (int, error) {
 	_ = r.control.SetReadDeadline(time.Now().Add(r.stall)) // unsupported in tests only
-	if r.let.Load() {
+	if r.interrupted.Load() {
 		return 0, budgeter.ErrShort
 	}
 	n, err := r.exchange.request.Body.Read(b)
@@ -158,7 +158,7 @@
 // failure returns the error of a request whose body ended with err.
 func (r *bodyReader) failure(err error) error {
 	switch {
-	case r.let.Load():
+	case r.interrupted.Load():
 		return r.short()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &statusError{status: http.StatusRequestTimeout, cause: err}
@@ -183,7 +183,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.exchange.request.Context(), end)
 	defer cancel()
-	for ctx.Err() == nil && !r.let.Load() {
+	for ctx.Err() == nil && !r.interrupted.Load() {
 		freed := f.deps.Memory.Freed()
 		if r.holder.Take(n, time.Now()) == nil {
 			return nil
@@ -205,7 +205,7 @@
 		zap.String("request", string(e.observation.ID)),
 		zap.String("remote", e.request.RemoteAddr),
 		zap.Int64("length", e.request.ContentLength),
-		zap.Bool("let-go", r.let.Load()),
+		zap.Bool("let-go", r.interrupted.Load()),
 		zap.Int64("limit", s.Limit),
 		zap.Int64("connections", s.Kinds[budgeter.KindConnection].Bytes),
 		zap.Int64("heads", s.Kinds[budgeter.KindHead].Bytes),
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -99,6 +99,15 @@
 			return err
 		}
 	}
+	e.setCall(d, parameters, body)
+	if err := e.checkStop(time.Now()); err != nil {
+		return err
+	}
+	return e.chooseService(d)
+}
+
+// setCall sets the call to be sent to endpoints.
+func (e *exchange) setCall(d *registrar.Declarations, parameters RequestParameters, body []byte) {
 	e.call = Call{
 		RequestParameters: parameters,
 		Customer:          e.customer,
@@ -114,14 +123,11 @@
 	e.observation.Fingerprints = e.fingerprints()
 	e.call.Traits = append(slices.Clip(parameters.SharedParts), quarantiner.RequestTraits(e.observation.Fingerprints)...)
 	e.call.MayWrite = e.checkQuarantine
-	f.deps.Dialect.Strip(e.call.Header)
+	dialect := e.forwarder.deps.Dialect
+	dialect.Strip(e.call.Header)
 	if d.Customers != nil {
-		f.deps.Dialect.StripCustomer(e.call.Header)
+		dialect.StripCustomer(e.call.Header)
 	}
-	if err := e.checkStop(time.Now()); err != nil {
-		return err
-	}
-	return e.chooseService(d)
 }
 
 // callerHeaders are the fields that name a caller, besides its address.
