--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -61,49 +61,60 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	responses := make(chan *endpointResponse, max(2, e.route.Attempts)+1)
 	unanswered, answered := context.WithCancel(ctx)
 	defer answered()
-	chooseHedge := e.hedgeChoice(unanswered)
-	outstanding := 0
-	start := func(choose plainChoice) *classifier.Error {
-		if err := e.startCall(ctx, choose, responses, answered); err != nil {
-			return err
-		}
-		outstanding++
-		return nil
+	c := &plainCalls{
+		exchange:    e,
+		responses:   make(chan *endpointResponse, max(2, e.route.Attempts)+1),
+		answered:    answered,
+		chooseHedge: e.hedgeChoice(unanswered),
 	}
-	if err := start(e.choosePlain); err != nil {
+	if err := c.start(ctx, e.choosePlain); err != nil {
 		e.fail(err)
 		return
 	}
-	hedge := e.hedgeTimer()
-	defer hedge.Stop()
-	hedgeTries := 0
-	var last *endpointResponse
-	for outstanding > 0 {
+	c.hedge = e.hedgeTimer()
+	defer c.hedge.Stop()
+	c.run(ctx)
+}
+
+// plainCalls holds the calls to endpoints for one request.
+type plainCalls struct {
+	exchange    *exchange
+	responses   chan *endpointResponse
+	answered    func() // called after a success
+	chooseHedge plainChoice
+	hedge       *time.Timer
+	hedgeTries  int
+	outstanding int
+	last        *endpointResponse // the most informative failure; nil if there is none
+}
+
+// start sends the call to another endpoint.
+func (c *plainCalls) start(ctx context.Context, choose plainChoice) *classifier.Error {
+	if err := c.exchange.startCall(ctx, choose, c.responses, c.answered); err != nil {
+		return err
+	}
+	c.outstanding++
+	return nil
+}
+
+// run retries and hedges until the request has its response or no call is left.
+func (c *plainCalls) run(ctx context.Context) {
+	e := c.exchange
+	for c.outstanding > 0 {
 		select {
-		case a := <-responses:
-			outstanding--
+		case a := <-c.responses:
+			c.outstanding--
 			if a.succeeded() {
 				e.writeResponse(a)
 				return
 			}
-			last = moreInformative(last, a)
-			e.countLost(isolator.BrokenOff(a.err))
-			if ctx.Err() == nil && e.mayResend(ctx, a.err) {
-				e.logDecision("request-retried", a.endpoint, a.err, zap.Int("status", a.status))
-				if err := start(e.retryChoice(outstanding, chooseHedge)); err != nil && outstanding == 0 && last.err != nil {
-					last.err = err
-				}
-			}
-		case <-hedge.C:
-			hedgeTries++
-			if !e.hedge(ctx, func() *classifier.Error { return start(chooseHedge) }) && e.sharesSlots() && hedgeTries < maxHedgeTries {
-				hedge.Reset(hedgeRetryDelay)
-			}
+			c.handleFailure(ctx, a)
+		case <-c.hedge.C:
+			c.tryHedge(ctx)
 		case <-ctx.Done():
-			if a := readyResponse(responses); a != nil {
+			if a := readyResponse(c.responses); a != nil {
 				e.writeResponse(a)
 				return
 			}
@@ -111,7 +122,31 @@
 			return
 		}
 	}
-	e.writeFailure(last)
+	e.writeFailure(c.last)
+}
+
+// handleFailure repeats a failed call if it may be resent.
+func (c *plainCalls) handleFailure(ctx context.Context, a *endpointResponse) {
+	e := c.exchange
+	c.last = moreInformative(c.last, a)
+	e.countLost(isolator.BrokenOff(a.err))
+	if ctx.Err() != nil || !e.mayResend(ctx, a.err) {
+		return
+	}
+	e.logDecision("request-retried", a.endpoint, a.err, zap.Int("status", a.status))
+	if err := c.start(ctx, e.retryChoice(c.outstanding, c.chooseHedge)); err != nil && c.outstanding == 0 && c.last.err != nil {
+		c.last.err = err
+	}
+}
+
+// tryHedge sends a hedge, or plans another try if no slot is free.
+func (c *plainCalls) tryHedge(ctx context.Context) {
+	e := c.exchange
+	c.hedgeTries++
+	settled := e.hedge(ctx, func() *classifier.Error { return c.start(ctx, c.chooseHedge) })
+	if !settled && e.sharesSlots() && c.hedgeTries < maxHedgeTries {
+		c.hedge.Reset(hedgeRetryDelay)
+	}
 }
 
 // retryChoice returns the choice for a repeated call. While another call may succeed, it
