--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -33,7 +33,8 @@
 	// maxHedgeTries how often one is tried.
 	hedgeRetryDelay = 40 * time.Millisecond
 	maxHedgeTries   = 4
-	// hedgeLateness is how many times as long as expected the first call may take before.
+	// hedgeLateness is the multiple of its expected duration after which a call is hedged at
+	// the earliest.
 	hedgeLateness = 2
 )
 
--- a/forwarder/slots.go
+++ b/forwarder/slots.go
@@ -37,7 +37,7 @@
 		if err != nil {
 			return target{}, classifier.Of(err), reserver.RefusedSlot(err) || ctx.Err() != nil
 		}
-		if names(among, slot.Endpoint) && e.stillUsable(slot.Endpoint) && f.deps.Limits.Acquire(ctx, slot.Endpoint, e.call.ID, 0) == nil {
+		if containsName(among, slot.Endpoint) && e.stillUsable(slot.Endpoint) && f.deps.Limits.Acquire(ctx, slot.Endpoint, e.call.ID, 0) == nil {
 			return target{Endpoint: slot.Endpoint, slot: slot}, nil, true
 		}
 		f.deps.Slots.EndSlot(slot, reserver.SlotOutcome{Outcome: placer.Outcome{Verdict: placer.VerdictNone}})
@@ -52,9 +52,9 @@
 	return slices.ContainsFunc(e.usableEndpoints(), func(o *registrar.Endpoint) bool { return o.Name == at.Name && !o.Leaving })
 }
 
-// names reports whether a list has an endpoint of e's name. The entry may have changed while
+// containsName reports whether a list has an endpoint of e's name. The entry may have changed while
 // the request waited.
-func names(list []*registrar.Endpoint, e *registrar.Endpoint) bool {
+func containsName(list []*registrar.Endpoint, e *registrar.Endpoint) bool {
 	return slices.ContainsFunc(list, func(o *registrar.Endpoint) bool { return o.Name == e.Name })
 }
 
@@ -83,7 +83,7 @@
 		r.OnTimeBy = e.observation.Started.Add(e.route.Objective)
 	}
 	for _, o := range e.forwarder.deps.Registry.Snapshot().Endpoints(e.service.Name) {
-		if !names(among, o) {
+		if !containsName(among, o) {
 			r.Exclude = append(r.Exclude, o.Name)
 		}
 	}
