--- a/experimenter/shortage.go
+++ b/experimenter/shortage.go
@@ -1,6 +1,7 @@
 package experimenter
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -278,7 +279,7 @@
 // servedOfLargest returns the share of the largest requests that were served.
 func servedOfLargest(requests []shortageRequest) float64 {
 	bySize := slices.Clone(requests)
-	slices.SortFunc(bySize, func(a, b shortageRequest) int { return int(math.Copysign(1, b.size-a.size)) })
+	slices.SortFunc(bySize, func(a, b shortageRequest) int { return cmp.Compare(b.size, a.size) })
 	count, served := int(math.Ceil(largestShare*float64(len(bySize)))), 0.0
 	for _, r := range bySize[:count] {
 		if r.started {
--- a/experimenter/slot_policies.go
+++ b/experimenter/slot_policies.go
@@ -34,7 +34,7 @@
 	queue     *admitter.Queue
 	waiting   map[admitter.Key]*slotWait
 	lastKey   admitter.Key
-	// watched is set while a tick is due.
+	// watched is set while a check is due.
 	watched bool
 }
 
@@ -71,18 +71,18 @@
 	s.waiting[e.Key] = w
 	if !s.watched {
 		s.watched = true
-		s.benchmark.clock.after(slotTick, s.tick)
+		s.benchmark.clock.after(slotCheckPeriod, s.check)
 	}
 }
 
-// slotTick is the time between two looks at waiting requests.
-const slotTick = 10 * time.Millisecond
+// slotCheckPeriod is the interval between checks of the waiting requests.
+const slotCheckPeriod = 10 * time.Millisecond
 
-func (s *sharedSlots) tick() {
+func (s *sharedSlots) check() {
 	s.assign(s.benchmark.clock.now())
 	s.watched = s.queue.Len() > 0
 	if s.watched {
-		s.benchmark.clock.after(slotTick, s.tick)
+		s.benchmark.clock.after(slotCheckPeriod, s.check)
 	}
 }
 
