Name the grace period of budgeter's holders, and split makeRoom

makeRoom both chose the holders and let go of them; letGoOf has the second part. The package comment spoke of arrival only, but a holder may also wait until its caller has received an answer.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -16,10 +16,10 @@
 // # Policy
 //
 // A part of the memory is reserved for small holders, so that ordinary requests are served
-// while large ones take the rest; answers may use it too. A Take that finds no room is refused, and holders that
-// wait for their caller are let go of: those first that make the least progress for what
-// they hold, until there will be room for it. A holder that all has arrived for is
-// never let go of.
+// while large ones take the rest; answers may use it too. A Take that finds no room is
+// refused, and holders that wait for their caller are let go of: those first that make the
+// least progress for what they hold, until there will be room for it. A holder that no
+// longer waits is never let go of.
 package budgeter
 
 import (
@@ -48,8 +48,8 @@
 const (
 	// SmallBytes is the most that a small holder has.
 	SmallBytes = 64 << 10
-	// patience is the time that a holder is given before its progress is judged.
-	patience = time.Second
+	// gracePeriod is the time that a holder is given before its progress is judged.
+	gracePeriod = time.Second
 	// minProgress is the share of its memory, per second, that has to pass for a
 	// holder that isn't let go of.
 	minProgress = 0.01
@@ -210,30 +210,36 @@
 			return
 		}
 		missing -= c.bytes
-		b.kinds[c.kind].LetGo++
-		c.leaving = true
-		b.leaving += c.bytes
-		letGo := c.letGo
-		b.keep(c)
-		letGo()
+		b.letGoOf(c)
 	}
 }
 
-// progress returns the share of the holder's memory that passes per second.
+// letGoOf interrupts a holder that waits for its caller. The caller holds the lock.
+func (b *Budgeter) letGoOf(h *Holder) {
+	b.kinds[h.kind].LetGo++
+	h.leaving = true
+	b.leaving += h.bytes
+	letGo := h.letGo
+	b.keep(h)
+	letGo()
+}
+
+// progress returns the share of the holder's memory that passes per second. The caller
+// holds the lock.
 func (h *Holder) progress(now time.Time) float64 {
 	return float64(h.passed) / float64(h.bytes) / now.Sub(h.since).Seconds()
 }
 
 func (h *Holder) isSlow(now time.Time) bool {
-	return now.Sub(h.since) >= patience && h.progress(now) < minProgress
+	return now.Sub(h.since) >= gracePeriod && h.progress(now) < minProgress
 }
 
 // Progress records that n bytes have come from, or gone to, the caller.
 func (h *Holder) Progress(n int64, now time.Time) {
 	h.account.mu.Lock()
 	defer h.account.mu.Unlock()
-	if now.Sub(h.since) >= patience { // what passed long ago says nothing about now
-		h.since = now.Add(-patience / 2)
+	if now.Sub(h.since) >= gracePeriod { // what passed long ago says nothing about now
+		h.since = now.Add(-gracePeriod / 2)
 		h.passed = 0
 	}
 	h.passed += n
