Split the end of a borrowing in charger

conclude decided both on requests that granting hosts can't serve and on those of a host that reaches none; admitAlone has the second part. Names and comments that needed explaining are replaced.

--- a/charger/borrowing.go
+++ b/charger/borrowing.go
@@ -13,8 +13,8 @@
 	"github.com/jackdawthread/jackdawthread/peerwire"
 )
 
-// partAttempts is how often a request tries to borrow from several hosts, which tell how much
-// they have when they are first asked.
+// partAttempts is how often a request tries to borrow from several hosts: the first attempt
+// tells how much each of them has.
 const partAttempts = 2
 
 // borrowing borrows the units for one request.
@@ -27,7 +27,8 @@
 	// and granters in the order for parts; size is an equal part of the cost for each.
 	fullest, granters []gossiper.Member
 	size              float64
-	known             int
+	// known is the number of known hosts.
+	known int
 	// answered is set once a granting host has answered, or is known to have too little.
 	answered bool
 	// parts are what was borrowed from several hosts.
@@ -183,36 +184,50 @@
 	c.returnUnused(time.Now())
 }
 
-// conclude decides on a request for which nothing could be borrowed: if no granting host
+// conclude decides on a request for which too little could be borrowed: if no granting host
 // answered, this host may admit it alone.
 func (b *borrowing) conclude(now time.Time) (retryAfter time.Duration, ok bool) {
 	c := b.charger
-	quota, name := b.customer.Quota, b.customer.Name
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	share := aloneShareOf(quota, b.known)
-	missing, available := b.cost, 0.0
-	rate := b.share.Rate * float64(max(1, len(b.granters)))
 	if !b.answered {
-		c.setAlone(true)
-		if !c.deps.Hosts.Acquainted() { // how many hosts share the quota isn't known
-			return c.borrower.Refuse(name, b.cost, strangerRetryAfter, share.Rate, now), false
-		}
-		l := c.alone.Lend(lender.Ask{Customer: name, Least: b.cost, Most: b.cost, Size: b.cost}, share, now)
-		if l.Amount > 0 {
-			c.borrower.RecordAlone(name, b.cost, now)
-			return 0, true
-		}
-		available, rate = l.Level, share.Rate
-	} else {
-		missing = c.borrower.Missing(name, b.cost, now)
-		for _, m := range b.granters {
-			units, _ := c.borrower.Expect(name, m.Host, b.share, b.size, now)
-			available += units
-		}
+		return b.admitAlone(now)
 	}
-	wait := time.Duration(max(0, missing-available) / rate * float64(time.Second))
-	return c.borrower.Refuse(name, b.cost, max(minRetryAfter, wait), share.Rate, now), false
+	available := 0.0
+	for _, m := range b.granters {
+		units, _ := c.borrower.Expect(b.customer.Name, m.Host, b.share, b.size, now)
+		available += units
+	}
+	missing := c.borrower.Missing(b.customer.Name, b.cost, now) - available
+	return b.refuse(waitFor(missing, b.share.Rate*float64(max(1, len(b.granters)))), now), false
+}
+
+// admitAlone admits a request without a granting host, within a small share of the quota. c.mu
+// must be held.
+func (b *borrowing) admitAlone(now time.Time) (retryAfter time.Duration, ok bool) {
+	c, name := b.charger, b.customer.Name
+	c.setAlone(true)
+	if !c.deps.Hosts.Acquainted() { // how many hosts share the quota isn't known
+		return b.refuse(unacquaintedRetryAfter, now), false
+	}
+	share := aloneShareOf(b.customer.Quota, b.known)
+	l := c.alone.Lend(lender.Ask{Customer: name, Least: b.cost, Most: b.cost, Size: b.cost}, share, now)
+	if l.Amount > 0 {
+		c.borrower.RecordAlone(name, b.cost, now)
+		return 0, true
+	}
+	return b.refuse(waitFor(b.cost-l.Level, share.Rate), now), false
+}
+
+// waitFor returns the time until the missing units are there, at least minRetryAfter.
+func waitFor(missing, rate float64) time.Duration {
+	return max(minRetryAfter, time.Duration(max(0, missing)/rate*float64(time.Second)))
+}
+
+// refuse refuses the request; its caller may return after wait or later. c.mu must be held.
+func (b *borrowing) refuse(wait time.Duration, now time.Time) (retryAfter time.Duration) {
+	leastRate := aloneShareOf(b.customer.Quota, b.known).Rate
+	return b.charger.borrower.Refuse(b.customer.Name, b.cost, wait, leastRate, now)
 }
 
 // aloneShareOf returns what a host may use of a quota without any granting host.
@@ -254,7 +269,8 @@
 		c.counts.Unanswered++
 		c.bypassed[m.Host] = time.Now().Add(bypassTime)
 		c.silent[m.Host] = time.Now()
-		c.deps.Log.Info("quota-host-unreachable", zap.String("customer", string(a.Customer)), zap.String("peer", string(m.Host)), zap.Error(err))
+		c.deps.Log.Info("quota-host-unreachable", zap.String("customer", string(a.Customer)),
+			zap.String("peer", string(m.Host)), zap.Error(err))
 	case !ready:
 		c.bypassed[m.Host] = time.Now().Add(unreadyTime)
 	}
--- a/charger/charger.go
+++ b/charger/charger.go
@@ -11,9 +11,10 @@
 // # Granting hosts
 //
 // A few hosts lend a customer's quota, each an equal share. They are chosen by hashing among the
-// known hosts, live or not, in equal numbers in each data center. So a data center that is cut off keeps
-// a part of each quota. A request that this host has no units for borrows them from the granting
-// host that has most, or, if none has enough, from several. What is borrowed ahead is spent without a message.
+// known hosts, live or not, in equal numbers in each data center. So a data center that is cut
+// off keeps a part of each quota. A request that this host has no units for borrows them from the
+// granting host that has most, or, if none has enough, from several. What is borrowed ahead is
+// spent without a message.
 //
 // A granting host that doesn't answer isn't asked for a second. A host that reaches none of them
 // uses a small share of the quota alone, but nothing before any other host has told it which hosts
@@ -63,9 +64,9 @@
 	// aloneShare is the part of an equal share of a quota, among all known hosts, that a host
 	// uses that reaches no granting host.
 	aloneShare = 0.4
-	// strangerRetryAfter is the time after which a caller is told to return by a host that
+	// unacquaintedRetryAfter is the time after which a caller is told to return by a host that
 	// doesn't know the others yet.
-	strangerRetryAfter = 300 * time.Millisecond
+	unacquaintedRetryAfter = 300 * time.Millisecond
 	// minRetryAfter is the shortest time after which a caller is told to return.
 	minRetryAfter = 10 * time.Millisecond
 )
--- a/charger/granters.go
+++ b/charger/granters.go
@@ -84,7 +84,8 @@
 	}
 }
 
-// doubt is 1 for a host that may not answer, as it is taken for dead or didn't lately.
+// doubt is 1 for a host that may not answer, as it is taken for dead or didn't lately; otherwise
+// 0. c.mu must be held.
 func (c *Charger) doubt(m gossiper.Member, now time.Time) int {
 	at, silent := c.silent[m.Host]
 	if m.Host != c.deps.Host && (!isLive(m) || silent && now.Sub(at) < silentTime) {
@@ -93,7 +94,8 @@
 	return 0
 }
 
-// askable returns granting hosts without those that are bypassed, and those in doubt last. c.mu must be held.
+// askable returns granting hosts without those that are bypassed, and those in doubt last. c.mu
+// must be held.
 func (c *Charger) askable(all []gossiper.Member, now time.Time) []gossiper.Member {
 	var list []gossiper.Member
 	for _, m := range all {
--- a/lender/borrower.go
+++ b/lender/borrower.go
@@ -226,8 +226,8 @@
 	return nil
 }
 
-// Add adds a loan that was asked for at a time. It reports the units that go back as the loan is
-// already over.
+// Add adds a loan that was asked for at a time. It returns the units that go back, as this loan
+// or the earlier one of the same host is over.
 func (b *Borrower) Add(c identifier.Customer, granter identifier.Host, l Loan, asked, now time.Time) (late float64) {
 	a := b.account(c)
 	p := a.find(granter)
