--- a/acceptor/bounds.go
+++ b/acceptor/bounds.go
@@ -12,9 +12,9 @@
 const (
 	// connectionBytes is what an open connection takes: its buffers and its goroutine's stack.
 	connectionBytes = 20 << 10
-	// patience is how long a connection may stay without a whole request before it can be
+	// gracePeriod is how long a connection may stay without a whole request before it can be
 	// closed for another one.
-	patience = time.Second
+	gracePeriod = time.Second
 	// roomTimeout bounds the wait for a connection that was asked to end, and
 	// roomPollPeriod is the time between two checks.
 	roomTimeout    = 50 * time.Millisecond
@@ -75,12 +75,12 @@
 		if a.hasRoom() {
 			c := a.add(raw, now)
 			if c.own.Take(connectionBytes, now) == nil {
-				c.own.Await(now, c.giveWay)
+				c.own.Await(now, c.endForRoom)
 				return c
 			}
 			a.remove(c)
 		}
-		if !a.letGoOfOne(now) || now.After(end) {
+		if !a.askOneToEnd(now) || now.After(end) {
 			a.refuse(raw, now)
 			return nil
 		}
@@ -88,15 +88,16 @@
 	}
 }
 
+// hasRoom reports whether another connection may be open.
 func (a *Acceptor) hasRoom() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.bounds.Connections <= 0 || len(a.open) < a.bounds.Connections
 }
 
-// letGoOfOne asks a connection without a whole request to end, unless one is about to
+// askOneToEnd asks a connection without a whole request to end, unless one is about to
 // end already. It returns false if there is none.
-func (a *Acceptor) letGoOfOne(now time.Time) bool {
+func (a *Acceptor) askOneToEnd(now time.Time) bool {
 	var chosen *Connection
 	var best idleness
 	for _, c := range a.connections() {
@@ -138,7 +139,7 @@
 	}
 	return idleness{
 		ending: c.asked == ReasonCrowded,
-		waits:  c.asked == "" && now.Sub(c.since) >= patience,
+		waits:  c.asked == "" && now.Sub(c.since) >= gracePeriod,
 		fresh:  !c.served,
 		since:  c.since,
 	}
@@ -156,8 +157,8 @@
 	return true
 }
 
-// giveWay asks the connection to end, as its memory is needed.
-func (c *Connection) giveWay() {
+// endForRoom asks the connection to end, as its memory is needed.
+func (c *Connection) endForRoom() {
 	c.ask(ReasonCrowded)
 }
 
@@ -207,6 +208,7 @@
 	return c.scanner.cost() - before, c.scanner.done, limit > 0 && c.scanner.bytes > limit
 }
 
+// closeFor marks the connection as closed for a reason that has no time limit.
 func (c *Connection) closeFor(r Reason, now time.Time) *Closing {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -239,7 +241,7 @@
 	return true
 }
 
-// keepHead records that the head has arrived, and releaseHead that its request has ended.
+// keepHead records that the head has arrived.
 func (c *Connection) keepHead() {
 	if c.receiving {
 		c.receiving = false
@@ -247,6 +249,7 @@
 	}
 }
 
+// releaseHead records that the head's request has ended.
 func (c *Connection) releaseHead() {
 	if c.taken > 0 {
 		c.taken = 0
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -174,7 +174,7 @@
 // startWaiting records that an answer is complete.
 func (c *Connection) startWaiting(now time.Time, l Limits) {
 	c.releaseHead()
-	c.own.Await(now, c.giveWay)
+	c.own.Await(now, c.endForRoom)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.isHTTP2.Load() {
