--- a/exchanger/buffers.go
+++ b/exchanger/buffers.go
@@ -42,8 +42,8 @@
 	return &buffers{limit: limit, shared: budgeter.New(budgeter.Options{}), byEndpoint: map[identifier.Address]int64{}}
 }
 
-// take takes n bytes for a body from an endpoint, of which h has the memory. Its errors are ErrTooLarge, if the
-// endpoint has taken its share, and ErrBuffersFull.
+// take takes n bytes for a body from an endpoint, also for h in the host's account. Its
+// errors are ErrTooLarge, if the endpoint has taken its share, and ErrBuffersFull.
 func (b *buffers) take(a identifier.Address, h *budgeter.Holder, n int64) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/replicator/history.go
+++ b/replicator/history.go
@@ -31,8 +31,8 @@
 	states map[string][]state // oldest first
 	latest map[string]Change
 	order  []string // the key of each state, oldest first
-	// All states of the current era with revisions after start, up to the replica's
-	// position, are known. changes are the revisions of the last changes.
+	// start is the revision after which all states of the current era, up to the
+	// replica's position, are known. changes are the revisions of the last changes.
 	start   identifier.Revision
 	changes []identifier.Revision
 }
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -72,8 +72,8 @@
 	List(ctx context.Context) (ChangeSet, error)
 	// Watch waits, for at most wait, for changes after a position. It returns
 	// ErrHistoryLost if the store doesn't have them, and ErrTooLarge if they are too
-	// large for one answer. If the result has a later era,
-	// the store was restored, and its changes aren't those after the position.
+	// large for one answer. If the result has a later era, the store was restored, and
+	// its changes aren't those after the position.
 	Watch(ctx context.Context, after identifier.Position, wait time.Duration) (ChangeSet, error)
 }
 
