--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -346,6 +346,21 @@
 // serve starts the listener for peers first, so that peers can be queried while
 // this host has no data yet.
 func (h *Host) serve(l *listeners) {
+	h.startReplicator()
+	h.messenger.Serve(l.peers)
+	h.timer.Every(budgetTick, h.budgets.tick)
+	h.timer.Every(sweepPeriod, h.sweep)
+	h.timer.Every(avoidedProbePeriod, h.probeAvoided)
+	h.watchSuspension()
+	h.serveCallers(l.callers)
+	h.serveOperators(l.readiness, http.HandlerFunc(h.serveReadiness))
+	if l.metrics != nil {
+		h.serveOperators(l.metrics, h.metrics)
+	}
+}
+
+// startReplicator replicates the store, and answers peers that ask for its changes.
+func (h *Host) startReplicator() {
 	p := &peers{messenger: h.messenger, gossiper: h.gossiper, self: h.incarnation, dataCenter: h.settings.DataCenter}
 	p.answer = func(ctx context.Context, after identifier.Position, wait time.Duration) replicator.ChangeSet {
 		return h.replicator.Load().WaitForChanges(ctx, after, wait)
@@ -366,12 +381,11 @@
 		Log:   h.log,
 	}, o)
 	h.replicator.Store(r)
-	h.messenger.Serve(l.peers)
-	h.timer.Every(budgetTick, h.budgets.tick)
-	h.timer.Every(sweepPeriod, h.sweep)
-	h.timer.Every(avoidedProbePeriod, h.probeAvoided)
-	h.watchSuspension()
-	h.acceptor = acceptor.New(l.callers, h.observeClosing)
+}
+
+// serveCallers serves callers on ln, with the account of memory for requests.
+func (h *Host) serveCallers(ln net.Listener) {
+	h.acceptor = acceptor.New(ln, h.observeClosing)
 	h.acceptor.Bound(acceptor.Bounds{
 		Memory:      h.memory,
 		Connections: h.settings.Limits.maxConnections(),
@@ -387,10 +401,6 @@
 		ErrorLog:       zap.NewStdLog(h.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
 	h.serveListener(h.acceptor, h.callers)
-	h.serveOperators(l.readiness, http.HandlerFunc(h.serveReadiness))
-	if l.metrics != nil {
-		h.serveOperators(l.metrics, h.metrics)
-	}
 }
 
 // serveOperators serves readiness or metrics on ln, with bounds of its own.
