--- a/lender/borrower.go
+++ b/lender/borrower.go
@@ -25,8 +25,8 @@
 	levelRetention = 2 * time.Second
 	// accountRetention is how long an account without units is kept after its last use.
 	accountRetention = 10 * time.Minute
-	// maxReturn is the longest time after which a caller is told to return.
-	maxReturn = 10 * time.Second
+	// maxRetryAfter is the longest time after which a refused caller is told to return.
+	maxRetryAfter = 10 * time.Second
 	// maxSources bounds the hosts to which refunds may go.
 	maxSources = 2 * Granters
 	// rounding is the share of a cost that may be missing because of rounding.
@@ -52,9 +52,9 @@
 	alone float64
 	// sources are the hosts whose units were spent, and how many weren't refunded.
 	sources []source
-	// returnAt is when the caller that was refused last was told to return.
-	returnAt time.Time
-	counts   Counts
+	// retryAt is when the caller that was refused last may return.
+	retryAt time.Time
+	counts  Counts
 }
 
 // loan is what one granting host has lent, and what it said last of its bucket.
@@ -270,16 +270,16 @@
 func (b *Borrower) Refuse(c identifier.Customer, cost float64, wait time.Duration, leastRate float64, now time.Time) time.Duration {
 	a := b.account(c)
 	a.counts.Refused++
-	at := now.Add(min(wait, maxReturn))
+	at := now.Add(min(wait, maxRetryAfter))
 	rate := max(leastRate, a.admitted.current(admittedTime, now))
-	step := min(maxReturn.Seconds(), cost/rate)
-	if next := a.returnAt.Add(time.Duration(step * float64(time.Second))); next.After(at) {
+	step := min(maxRetryAfter.Seconds(), cost/rate)
+	if next := a.retryAt.Add(time.Duration(step * float64(time.Second))); next.After(at) {
 		at = next
 	}
-	if latest := now.Add(maxReturn); at.After(latest) {
+	if latest := now.Add(maxRetryAfter); at.After(latest) {
 		at = latest
 	}
-	a.returnAt = at
+	a.retryAt = at
 	return at.Sub(now)
 }
 
