Judge the requests of a queue before any of them is removed

Cause: Reject asked who displaces a request while it compacted the list of waiting ones, so that a request was rejected or not by its position relative to a more urgent one that expired at the same time; the log then named nobody. Found by a newcomer's reading.

Change: expired requests are removed first and displace nobody; the others are judged before any of them is removed. TestExpiredDisplaceNobody fails in 2 of 3 orders before.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -284,15 +284,11 @@
 	if len(q.waiting) == 0 {
 		return nil
 	}
-	var rejected []Rejection
 	starts := q.plan(now)
-	q.waiting = slices.DeleteFunc(q.waiting, func(e Entry) bool {
-		if starts[e.Key].Before(e.LatestStart) || now.Before(e.LatestStart) && q.keepsTurn(&e, now) {
-			return false
-		}
-		rejected = append(rejected, Rejection{Entry: e})
-		return true
-	})
+	rejected := q.removeIf(func(e *Entry) bool { return !now.Before(e.LatestStart) })
+	rejected = append(rejected, q.removeIf(func(e *Entry) bool { // the ones before displace nobody
+		return !starts[e.Key].Before(e.LatestStart) && !q.keepsTurn(e, now)
+	})...)
 	slices.SortFunc(rejected, func(a, b Rejection) int { return compareLate(candidate{Entry: &a.Entry}, candidate{Entry: &b.Entry}) })
 	for i := range rejected {
 		r := &rejected[i]
@@ -303,6 +299,22 @@
 	return rejected
 }
 
+// removeIf removes and returns the requests for which reject returns true. It is called for
+// all of them before any is removed.
+func (q *Queue) removeIf(reject func(*Entry) bool) []Rejection {
+	var rejected []Rejection
+	kept := make([]Entry, 0, len(q.waiting))
+	for i := range q.waiting {
+		if e := &q.waiting[i]; reject(e) {
+			rejected = append(rejected, Rejection{Entry: *e})
+			continue
+		}
+		kept = append(kept, q.waiting[i])
+	}
+	q.waiting = kept
+	return rejected
+}
+
 // keepsTurn reports whether a request that was admitted keeps its turn, whatever the
 // expected time of that is: it is on time, and no more urgent request has come since or its
 // size is granted too seldom already.
--- a/admitter/order_test.go
+++ b/admitter/order_test.go
@@ -395,3 +395,28 @@
 		q.Next(at(now))
 	}
 }
+
+// TestExpiredDisplaceNobody guards against the failure that a request was rejected or not by its
+// position relative to a more urgent one that expired at the same time.
+func TestExpiredDisplaceNobody(t *testing.T) {
+	reject := func(order ...int) []admitter.Key {
+		q := admitter.New(admitter.Options{})
+		end := measure(q, 2*time.Second)
+		ahead, patient := rankedEntry(1, 1, end), rankedEntry(2, 1, end)
+		for _, e := range []*admitter.Entry{&ahead, &patient} {
+			e.LatestOnTimeStart, e.LatestStart = at(end+400*time.Millisecond), at(end+700*time.Millisecond)
+		}
+		expired := rankedEntry(3, 0, end+time.Millisecond)
+		expired.LatestOnTimeStart, expired.LatestStart = at(end), at(end+2*time.Millisecond)
+		all := []admitter.Entry{ahead, patient, expired}
+		for _, n := range order {
+			q.Admit(all[n])
+		}
+		return q.RemoveExpired(at(end + 10*time.Millisecond))
+	}
+	for _, order := range [][]int{{0, 1, 2}, {2, 0, 1}, {0, 2, 1}} {
+		t.Run(fmt.Sprint(order), func(t *testing.T) {
+			is.New(t).Equal(reject(order...), []admitter.Key{3})
+		})
+	}
+}
