Let go of senders that trickle

Found by a newcomer's reading.

Change: a holder is judged from its first second on, and what passed long ago counts by its rate. TestTrickle fails before at each of its intervals.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -113,9 +113,10 @@
 	bytes int64
 	// leaving is set once the holder was let go of, and closed by Close.
 	leaving, closed bool
-	// since is the start of the interval in which passed bytes came or went.
-	since  time.Time
-	passed int64
+	// awaited is since when the holder waits for a caller. Since the start of the interval,
+	// passed bytes have come or gone.
+	awaited, since time.Time
+	passed         int64
 }
 
 // Open returns a holder that has nothing yet. If letGo isn't nil, the holder waits for a
@@ -138,7 +139,7 @@
 	if b.options.Limit <= 0 || h.closed {
 		return
 	}
-	h.letGo, h.since, h.passed = letGo, now, 0
+	h.letGo, h.awaited, h.since, h.passed = letGo, now, now, 0
 	b.awaiting[h] = struct{}{}
 }
 
@@ -231,16 +232,16 @@
 }
 
 func (h *Holder) isSlow(now time.Time) bool {
-	return now.Sub(h.since) >= gracePeriod && h.progress(now) < minProgress
+	return now.Sub(h.awaited) >= gracePeriod && h.progress(now) < minProgress
 }
 
 // Progress records that n bytes have come from, or gone to, the caller.
 func (h *Holder) Progress(n int64, now time.Time) {
 	h.account.mu.Lock()
 	defer h.account.mu.Unlock()
-	if now.Sub(h.since) >= gracePeriod { // what passed long ago says nothing about now
+	if age := now.Sub(h.since); age >= gracePeriod { // what passed long ago says little about now
 		h.since = now.Add(-gracePeriod / 2)
-		h.passed = 0
+		h.passed = int64(float64(h.passed) * float64(gracePeriod/2) / float64(age))
 	}
 	h.passed += n
 }
--- a/budgeter/budgeter_test.go
+++ b/budgeter/budgeter_test.go
@@ -155,3 +155,37 @@
 		}
 	})
 }
+
+// TestTrickle guards against the failure that a sender of tiny pieces at short intervals
+// was never let go of.
+func TestTrickle(t *testing.T) {
+	const size = 10 << 20
+	for _, interval := range []time.Duration{time.Millisecond, 10 * time.Millisecond, 100 * time.Millisecond, 400 * time.Millisecond} {
+		t.Run(interval.String(), func(t *testing.T) {
+			i := is.New(t)
+			b := New(Options{Limit: size})
+			var gone bool
+			slow := b.Open(KindBody, began, func() { gone = true })
+			i.NoErr(slow.Take(size, began))
+			other := b.Open(KindBody, began, func() {})
+			now := began
+			for ; !gone && now.Sub(began) < 10*time.Second; now = now.Add(interval) {
+				slow.Progress(1, now)
+				i.Equal(other.Take(size/2, now), ErrShort)
+			}
+			i.True(gone)
+		})
+	}
+	t.Run("but not a sender that goes on at a steady pace", func(t *testing.T) {
+		i := is.New(t)
+		b := New(Options{Limit: size})
+		steady := b.Open(KindBody, began, mustStay(t))
+		i.NoErr(steady.Take(size, began))
+		other := b.Open(KindBody, began, func() {})
+		const interval = 50 * time.Millisecond
+		for now := began; now.Sub(began) < 10*time.Second; now = now.Add(interval) {
+			steady.Progress(size/20/20, now) // a twentieth a second
+			i.Equal(other.Take(size/2, now), ErrShort)
+		}
+	})
+}
