--- a/charger/fleet_test.go
+++ b/charger/fleet_test.go
@@ -244,6 +244,8 @@
 // uneven returns weights of hosts as callers hash to them: a few get many times the mean.
 func (f *fleet) uneven() []float64 {
 	weights := make([]float64, len(f.hosts))
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for n := range weights {
 		weights[n] = f.random.ExpFloat64()
 	}
--- a/forwarder/admission.go
+++ b/forwarder/admission.go
@@ -33,7 +33,7 @@
 
 // authenticate finds the customer that the caller is.
 func (e *exchange) authenticate(d *registrar.Declarations, key authenticator.Key) error {
-	e.customer = nil
+	e.customer, e.observation.Customer = nil, ""
 	if d.Customers == nil {
 		return nil
 	}
