Let requests of a host that has just started wait for the hosts that lend quotas

Cause: after a loss of all hosts no host lends for 0.3 s and more, and limited customers were refused at once.

Change: while no host lends yet, a request waits until 1 s after its host's start, within its deadline.

--- a/charger/borrowing.go
+++ b/charger/borrowing.go
@@ -8,6 +8,7 @@
 
 	"github.com/jackdawthread/jackdawthread/authenticator"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/common/sleeper"
 	"github.com/jackdawthread/jackdawthread/gossiper"
 	"github.com/jackdawthread/jackdawthread/lender"
 	"github.com/jackdawthread/jackdawthread/peerwire"
@@ -35,24 +36,40 @@
 	parts []lender.Return
 }
 
-// borrow obtains the units that are missing for a request, and spends them.
+// borrow obtains the units that are missing for a request, and spends them. A process that has
+// just started waits for the granting hosts, which may have started with it.
 func (c *Charger) borrow(ctx context.Context, customer *authenticator.Customer, cost float64) (retryAfter time.Duration, ok bool) {
-	waiting, cancel := context.WithTimeout(ctx, maxWait)
+	for {
+		b := c.newBorrowing(customer, cost)
+		if b.obtain(ctx) {
+			return 0, true
+		}
+		if ctx.Err() != nil { // the caller has left, which says nothing about the other hosts
+			return minRetryAfter, false
+		}
+		now := time.Now()
+		if b.answered || now.Sub(c.started) >= maxStartWait {
+			return b.conclude(now)
+		}
+		_ = sleeper.Sleep(ctx, unreadyTime) // ended early if the caller leaves
+	}
+}
+
+// obtain borrows and spends the units that are missing, within maxWait. It keeps none if there are
+// too few.
+func (b *borrowing) obtain(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, maxWait)
 	defer cancel()
-	b := c.newBorrowing(customer, cost)
-	if b.whole(waiting) {
-		return 0, true
+	if b.whole(ctx) {
+		return true
 	}
 	for range partAttempts {
-		if b.inParts(waiting) {
-			return 0, true
+		if b.inParts(ctx) {
+			return true
 		}
 	}
 	b.giveBack()
-	if ctx.Err() != nil { // the caller has left, which says nothing about the other hosts
-		return minRetryAfter, false
-	}
-	return b.conclude(time.Now())
+	return false
 }
 
 func (c *Charger) newBorrowing(customer *authenticator.Customer, cost float64) *borrowing {
--- a/charger/charger.go
+++ b/charger/charger.go
@@ -55,6 +55,9 @@
 	minRunTime = 300 * time.Millisecond
 	// silentTime is how long a granting host that didn't answer is asked after the others.
 	silentTime = 10 * time.Second
+	// maxStartWait is how long after the start of this process its requests wait for granting hosts
+	// of which none lends yet.
+	maxStartWait = time.Second
 	// returnPeriod is the time between two returns of what was not used.
 	returnPeriod = 50 * time.Millisecond
 	// settlePeriod is the time between two looks at which hosts are known, until this host lends.
