--- a/forwarder/admission.go
+++ b/forwarder/admission.go
@@ -31,6 +31,16 @@
 	return e.authenticate(d, key)
 }
 
+// recheckKey checks the key again if the declarations changed while the body arrived. The route
+// stays that of the declarations before, by which the request was accepted.
+func (e *exchange) recheckKey(before *registrar.Declarations, key authenticator.Key) error {
+	now := e.forwarder.deps.Registry.Snapshot().Declarations
+	if now == before || before.Customers == nil || now.Customers == nil {
+		return nil
+	}
+	return e.authenticate(now, key)
+}
+
 // authenticate finds the customer that the caller is.
 func (e *exchange) authenticate(d *registrar.Declarations, key authenticator.Key) error {
 	e.customer, e.observation.Customer = nil, ""
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -93,11 +93,8 @@
 	if err != nil {
 		return err
 	}
-	if now := f.deps.Registry.Snapshot().Declarations; now != d { // changed while the body arrived
-		d = now
-		if err := e.resolve(d, parameters.Key); err != nil {
-			return err
-		}
+	if err := e.recheckKey(d, parameters.Key); err != nil {
+		return err
 	}
 	e.setCall(d, parameters, body)
 	if err := e.checkStop(time.Now()); err != nil {
