--- a/reserver/service_queue.go
+++ b/reserver/service_queue.go
@@ -310,18 +310,19 @@
 		zap.Duration("age", now.Sub(req.Arrived)),
 		zap.Uint32("tokens", uint32(req.Tokens)),
 		zap.Int("waiting", q.admission.Len()),
+	}
+	fields = append(fields, q.modelFields(req)...)
+	fields = append(fields,
 		zap.Int("priority", req.Priority),
 		zap.Bool("returning", req.Returning),
 		zap.Int("rank", q.admission.Rank(&req.Entry, now)),
-		zap.Duration("slack", req.LatestOnTimeStart.Sub(now)),
-	}
+		zap.Duration("slack", req.LatestOnTimeStart.Sub(now)))
 	if req.Work > 0 {
 		fields = append(fields, zap.Duration("work", req.Work))
 	}
 	if req.Customer != "" {
 		fields = append(fields, zap.String("customer", string(req.Customer)))
 	}
-	fields = append(fields, q.modelFields(req)...)
 	q.reserver.deps.Log.Info(event, append(fields, extra...)...)
 }
 
