Count once what a holder returns that is let go of twice

Cause: a holder that waited for its caller again before it closed could be let go of again, and what it has counted twice as about to be returned; afterwards fewer slow holders than needed were let go of.

Change: it counts once.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -218,8 +218,10 @@
 // letGoOf interrupts a holder that waits for its caller. The caller holds the lock.
 func (b *Budgeter) letGoOf(h *Holder) {
 	b.kinds[h.kind].LetGo++
-	h.leaving = true
-	b.leaving += h.bytes
+	if !h.leaving { // it may wait again before it closes
+		h.leaving = true
+		b.leaving += h.bytes
+	}
 	letGo := h.letGo
 	b.keep(h)
 	letGo()
--- a/budgeter/budgeter_test.go
+++ b/budgeter/budgeter_test.go
@@ -189,3 +189,22 @@
 		}
 	})
 }
+
+// TestLetGoTwice guards against the failure that what a holder has was counted twice as about to
+// be returned, if it waited for its caller again before it closed.
+func TestLetGoTwice(t *testing.T) {
+	i := is.New(t)
+	b := New(Options{Limit: 100})
+	i.NoErr(b.Open(KindConnection, began, nil).Take(20, began))
+	slow := b.Open(KindBody, began, func() {})
+	i.NoErr(slow.Take(80, began))
+	other := b.Open(KindBody, began, func() {})
+	now := began
+	for range 2 {
+		now = now.Add(2 * gracePeriod)
+		i.Equal(other.Take(95, now), ErrShort)
+		slow.Await(now, func() {})
+	}
+	slow.Close()
+	i.Equal(b.leaving, int64(0))
+}
