--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -17,15 +17,11 @@
 
 import (
 	"context"
-	"errors"
 	"math"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/jackdawthread/jackdawthread/acceptor"
@@ -33,14 +29,12 @@
 	"github.com/jackdawthread/jackdawthread/charger"
 	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
-	"github.com/jackdawthread/jackdawthread/common/socket"
 	"github.com/jackdawthread/jackdawthread/exchanger"
 	"github.com/jackdawthread/jackdawthread/forwarder"
 	"github.com/jackdawthread/jackdawthread/gossiper"
 	"github.com/jackdawthread/jackdawthread/interceptor"
 	"github.com/jackdawthread/jackdawthread/isolator"
 	"github.com/jackdawthread/jackdawthread/messenger"
-	"github.com/jackdawthread/jackdawthread/peerwire"
 	"github.com/jackdawthread/jackdawthread/placer"
 	"github.com/jackdawthread/jackdawthread/quarantiner"
 	"github.com/jackdawthread/jackdawthread/rationer"
@@ -129,19 +123,6 @@
 	// avoidedProbePeriod is the time between two checks for avoided endpoints that
 	// are due for a probe.
 	avoidedProbePeriod = 100 * time.Millisecond
-	// requestHeadTimeout bounds the time to read the headers of a request for
-	// readiness or metrics.
-	requestHeadTimeout = 10 * time.Second
-	// defaultHeaderBytes bounds the size of a request's headers; the limits of
-	// declarations are lower.
-	defaultHeaderBytes = 64 << 10
-	// operatorsHeadBytes bounds the size of the headers of a request for readiness or
-	// metrics.
-	operatorsHeadBytes = 4 << 10
-	// Timing of the membership protocol between hosts.
-	probePeriod      = time.Second
-	probeTimeout     = 500 * time.Millisecond
-	suspicionTimeout = 2 * time.Second
 )
 
 // Start builds and starts a host.
@@ -178,263 +159,6 @@
 	return h, nil
 }
 
-// listeners are the host's open listeners; metrics may be nil.
-type listeners struct {
-	callers, readiness, peers, metrics net.Listener
-}
-
-// listen opens all listeners or none.
-func (h *Host) listen(ctx context.Context) (*listeners, error) {
-	l := &listeners{}
-	var opened []net.Listener
-	for _, open := range []struct {
-		address identifier.Address
-		target  *net.Listener
-	}{
-		{h.settings.Listeners.Peers, &l.peers},
-		{h.settings.Listeners.Readiness, &l.readiness},
-		{h.settings.Listeners.Callers, &l.callers},
-		{h.settings.Listeners.Metrics, &l.metrics},
-	} {
-		if open.address == "" {
-			continue
-		}
-		ln, err := socket.Listen(ctx, string(open.address))
-		if err != nil {
-			for _, other := range opened {
-				_ = other.Close()
-			}
-			return nil, eris.Wrapf(err, "host %q could not listen", h.settings.Host)
-		}
-		*open.target = ln
-		opened = append(opened, ln)
-	}
-	return l, nil
-}
-
-func addressOf(ln net.Listener) identifier.Address {
-	if ln == nil {
-		return ""
-	}
-	return identifier.Address(ln.Addr().String())
-}
-
-// buildComponents creates the host's components in the order of their
-// dependencies.
-func (h *Host) buildComponents() {
-	s := h.settings
-	h.timer = timer.New(h.group)
-	dialer := socket.Dialer(probeTimeout)
-	h.messenger = messenger.New(
-		messenger.Peer{Host: s.Host, Incarnation: h.incarnation, DataCenter: s.DataCenter},
-		messenger.Options{
-			KeepAlive: probePeriod,
-			Dial: func(ctx context.Context, to identifier.Address) (net.Conn, error) {
-				return dialer.DialContext(ctx, "tcp", string(to))
-			},
-			Logger: h.log,
-		}, h.group)
-	h.gossiper = gossiper.New(gossiper.Member{
-		Host:        s.Host,
-		Incarnation: h.incarnation,
-		DataCenter:  s.DataCenter,
-		Address:     h.addresses.Peers,
-	}, gossiper.Options{
-		ProbePeriod:      probePeriod,
-		ProbeTimeout:     probeTimeout,
-		SuspicionTimeout: suspicionTimeout,
-		SeedPeriod:       seedPeriod,
-		Logger:           h.log,
-	}, h.messenger, h.timer, h.group)
-	h.gossiper.Seed(s.Seeds)
-	h.interceptor = interceptor.New(interceptor.Deps{Registry: h.registry, Gossip: h.gossiper, Timer: h.timer, Log: h.log})
-	h.rationer = rationer.New(rationer.Deps{
-		Self:     h.incarnation,
-		Host:     s.Host,
-		Registry: h.registry,
-		Members:  h.gossiper,
-		Links:    h.messenger,
-		Timer:    h.timer,
-		Group:    h.group,
-		Log:      h.log,
-		Seeded:   len(s.Seeds) > 0,
-	})
-	h.rationer.Register(h.messenger)
-	h.deps.Platform.Intercept(h.interceptor, h.rationer)
-	h.charger = charger.New(charger.Deps{
-		Host:       s.Host,
-		DataCenter: s.DataCenter,
-		Registry:   h.registry,
-		Hosts:      h.rationer,
-		Members:    h.gossiper,
-		Links:      h.messenger,
-		Timer:      h.timer,
-		Group:      h.group,
-		Log:        h.log,
-	})
-	h.charger.Register(h.messenger)
-	h.deps.Platform.Exchanger().ShareMemory(h.memory)
-	h.isolator = isolator.New(isolator.Deps{
-		Self:         h.incarnation,
-		Members:      h.gossiper,
-		Links:        h.messenger,
-		Connect:      h.deps.Platform.Exchanger().Probe,
-		Idle:         h.deps.Platform.Exchanger().Idle,
-		Registered:   h.registered,
-		Alternatives: h.alternatives,
-		Timer:        h.timer,
-		Group:        h.group,
-		Log:          h.log,
-	})
-	h.isolator.Override(s.Quarantine.Released, s.Quarantine.Pinned)
-	h.isolator.Register(h.messenger)
-	h.placer = placer.New(placer.Options{DataCenter: s.DataCenter}, uint64(h.incarnation))
-	h.budgets = newBudgets(s.Retries, rand.Float64())
-	h.gossiper.Subscribe(func(v *gossiper.View) { h.budgets.observeHosts(len(v.Members())) })
-	h.reserver = reserver.New(reserver.Deps{
-		Self:       h.incarnation,
-		DataCenter: s.DataCenter,
-		Registry:   h.registry,
-		Engines:    h.deps.Platform,
-		Exclusions: h.interceptor,
-		Limits:     h.rationer,
-		Placer:     h.placer,
-		Members:    h.gossiper,
-		Links:      h.messenger,
-		Timer:      h.timer,
-		Group:      h.group,
-		Log:        h.log,
-		Seed:       uint64(h.incarnation),
-		Orders:     h.deps.Platform,
-		OrderOptions: reserver.OrderOptions{
-			Enabled: s.Orders.Enabled,
-			Fenced:  s.Orders.Fenced,
-			Holder:  s.Host,
-			Lease:   s.Orders.Lease,
-		},
-		Knowledge:   h.knowledge,
-		SharedSlots: s.Slots.SharedBelow,
-	})
-	h.reserver.Register(h.messenger)
-	h.forwarder = forwarder.New(forwarder.Deps{
-		Registry:          h.registry,
-		Endpoints:         h.deps.Platform,
-		Engines:           h.deps.Platform,
-		Reservations:      h.reserver,
-		Dialect:           h.deps.Platform,
-		Budget:            h.budgets,
-		Placer:            h.placer,
-		Exclusions:        h.interceptor,
-		Slots:             h.reserver,
-		Limits:            h.rationer,
-		Quotas:            h.charger,
-		Isolator:          h.isolator,
-		Observer:          h,
-		AwaitConfirmation: h.awaitConfirmation,
-		ExpectedDuration:  h.metrics.expectedDuration,
-		Memory:            h.memory,
-		Group:             h.group,
-		Log:               h.log,
-	}, forwarder.Options{MaxConcurrent: s.Limits.MaxRequests, Seed: uint64(h.incarnation)})
-	h.metrics.registerGauges(h)
-}
-
-// seedPeriod is short because hosts that start together can discover each other
-// only through their seeds.
-const seedPeriod = time.Second
-
-// serve starts the listener for peers first, so that peers can be queried while
-// this host has no data yet.
-func (h *Host) serve(l *listeners) {
-	h.startReplicator()
-	h.messenger.Serve(l.peers)
-	h.timer.Every(budgetTick, h.budgets.tick)
-	h.timer.Every(sweepPeriod, h.sweep)
-	h.timer.Every(avoidedProbePeriod, h.probeAvoided)
-	h.watchSuspension()
-	h.serveCallers(l.callers)
-	h.serveOperators(l.readiness, http.HandlerFunc(h.serveReadiness))
-	if l.metrics != nil {
-		h.serveOperators(l.metrics, h.metrics)
-	}
-}
-
-// startReplicator replicates the store, and answers peers that ask for its changes.
-func (h *Host) startReplicator() {
-	p := &peers{messenger: h.messenger, gossiper: h.gossiper, self: h.incarnation, dataCenter: h.settings.DataCenter}
-	p.answer = func(ctx context.Context, after identifier.Position, wait time.Duration) replicator.ChangeSet {
-		return h.replicator.Load().WaitForChanges(ctx, after, wait)
-	}
-	h.messenger.Handle(peerwire.KindChanges, p.handleChanges)
-	o := replicator.DefaultOptions()
-	o.MaxLogBytes = h.settings.Limits.MaxStoreLog()
-	r := replicator.Start(replicator.Deps{
-		Store:      h.deps.Platform,
-		Peers:      p,
-		ReadsStore: p.ReadsStore,
-		OnChange:   h.applyItems,
-		Permanent: func(known, restored replicator.Item) bool {
-			return isFinal(h.deps.Platform.Read, known, restored)
-		},
-		Timer: h.timer,
-		Group: h.group,
-		Log:   h.log,
-	}, o)
-	h.replicator.Store(r)
-}
-
-// serveCallers serves callers on ln, with the account of memory for requests.
-func (h *Host) serveCallers(ln net.Listener) {
-	h.acceptor = acceptor.New(ln, h.observeClosing)
-	h.acceptor.Bound(acceptor.Bounds{
-		Memory:      h.memory,
-		Connections: h.settings.Limits.maxConnections(),
-		HeadBytes:   defaultHeaderBytes,
-	})
-	h.sweepConnections(time.Now())
-	h.timer.Every(sweepConnectionsPeriod, h.sweepConnections)
-	h.callers = &http.Server{
-		Handler:        h.acceptor.Handler(h.forwarder),
-		MaxHeaderBytes: defaultHeaderBytes,
-		ConnContext:    h.acceptor.Context,
-		ConnState:      h.acceptor.ObserveState,
-		ErrorLog:       zap.NewStdLog(h.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
-	}
-	h.serveListener(h.acceptor, h.callers)
-}
-
-// serveOperators serves readiness or metrics on ln, with bounds of its own.
-func (h *Host) serveOperators(ln net.Listener, handler http.Handler) {
-	a := acceptor.New(ln, h.observeClosing)
-	a.Bound(acceptor.Bounds{Connections: h.settings.Limits.maxOperators(), HeadBytes: operatorsHeadBytes})
-	sweep := func(now time.Time) {
-		a.Sweep(now, acceptor.Limits{Idle: defaultIdleTimeout, Header: requestHeadTimeout})
-	}
-	sweep(time.Now())
-	h.timer.Every(sweepConnectionsPeriod, sweep)
-	h.serveListener(a, &http.Server{Handler: a.Handler(handler), ConnContext: a.Context, ConnState: a.ObserveState})
-}
-
-// serveListener runs an HTTP server on ln until the group ends.
-func (h *Host) serveListener(ln net.Listener, s *http.Server) {
-	h.group.Run(func(ctx context.Context) {
-		stop := context.AfterFunc(ctx, func() { _ = s.Close() })
-		defer stop()
-		if err := s.Serve(ln); err != nil && ctx.Err() == nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-			h.log.Error("listener-failed", zap.String("address", ln.Addr().String()), zap.Error(err))
-		}
-	})
-}
-
-// serveReadiness tells the load balancer whether to send new connections.
-func (h *Host) serveReadiness(w http.ResponseWriter, _ *http.Request) {
-	if h.Ready() {
-		w.WriteHeader(http.StatusOK)
-		return
-	}
-	w.WriteHeader(http.StatusServiceUnavailable)
-}
-
 // Ready reports whether the host has data to serve from and isn't stopping.
 func (h *Host) Ready() bool {
 	s := h.registry.Snapshot()
