Name the connection and its past in the log line of an endpoint's refusal

Change: a Response has an Attribution, which stands in the error of each refusal and so in request-retried, prefill-failed, decode-failed and request-ended. Two counts are new, repeated-ids and unnamed-answers. What is decided stays the same.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -132,9 +132,10 @@
 	dial    func(ctx context.Context, address string) (net.Conn, error)
 	buffers *buffers
 
-	mu    sync.Mutex
-	idle  map[identifier.Address][]*connection
-	stats Stats
+	mu     sync.Mutex
+	idle   map[identifier.Address][]*connection
+	opened uint64 // connections so far
+	stats  Stats
 }
 
 // Stats counts the connections and mismatched responses of an Exchanger.
@@ -143,6 +144,11 @@
 	FailedDials         uint64 `json:"failed-dials"`
 	ReusedConnections   uint64 `json:"reused"`
 	MismatchedResponses uint64 `json:"foreign-answers"`
+	// RepeatedIDs counts the requests whose connection has carried their ID before.
+	RepeatedIDs uint64 `json:"repeated-ids"`
+	// UnnamedResponses counts the responses without an ID, to requests that have one, on
+	// connections that have carried others.
+	UnnamedResponses uint64 `json:"unnamed-answers"`
 	// OversizedResponses counts the responses of which a part exceeded its limit.
 	OversizedResponses uint64 `json:"oversized"`
 	Idle               int    `json:"idle"`
@@ -234,7 +240,10 @@
 		c.close()
 		return nil, err
 	}
-	response := &Response{exchanger: x, connection: c, ctx: ctx}
+	response := &Response{exchanger: x, connection: c, ctx: ctx, Attribution: c.attribute(r)}
+	if response.Attribution.Repeated {
+		x.updateStats(func(s *Stats) { s.RepeatedIDs++ })
+	}
 	response.stopWatch = context.AfterFunc(ctx, c.abort)
 	writeErr := c.write(r)
 	if writeErr != nil && c.bytesWritten == 0 {
@@ -287,7 +296,15 @@
 		return nil, classifier.NotRun(classifier.ReasonHostUnreachable, 0, "failed to connect to %s: %w", a, err)
 	}
 	limit := &limitedReader{source: raw, left: unlimited}
-	return &connection{address: a, conn: raw, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}, nil
+	return &connection{number: x.nextNumber(), address: a, conn: raw, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}, nil
+}
+
+// nextNumber returns the number of a new connection.
+func (x *Exchanger) nextNumber() uint64 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.opened++
+	return x.opened
 }
 
 // Probe checks that address a is reachable by opening a connection, which is
@@ -361,16 +378,24 @@
 // connection is a connection to an endpoint with its read buffer and reuse
 // state.
 type connection struct {
+	number       uint64
 	address      identifier.Address
 	conn         net.Conn
 	limit        *limitedReader // from which reader reads
 	reader       *bufio.Reader
-	requests     int // requests that it has carried, the current one included
-	bytesWritten int // bytes of the current request
+	requests     int   // requests that it has carried, the current one included
+	ids          idSet // of these requests
+	bytesWritten int   // bytes of the current request
 	idleSince    time.Time
 	usableUntil  time.Time
 }
 
+// attribute returns the attribution, so far, of the response to a request that is about to
+// be written.
+func (c *connection) attribute(r *Request) Attribution {
+	return Attribution{Connection: c.number, Earlier: c.requests, Repeated: c.ids.has(r.ID)}
+}
+
 func (c *connection) close() {
 	_ = c.conn.Close() // a close error doesn't affect the response already read
 }
@@ -388,6 +413,7 @@
 // write sends the request headers and body in one write. A large body isn't copied.
 func (c *connection) write(r *Request) error {
 	c.requests++
+	c.ids.add(r.ID)
 	if len(r.Body) <= maxCopiedBytes {
 		head := appendHead(make([]byte, 0, typicalHeadBytes+len(r.Body)), r)
 		n, err := c.conn.Write(append(head, r.Body...))
--- a/exchanger/response.go
+++ b/exchanger/response.go
@@ -66,6 +66,7 @@
 	// Unattributed is set if the response doesn't name its request, on a connection that has
 	// carried others: it may be a repetition of an earlier response.
 	Unattributed bool
+	Attribution  Attribution
 
 	exchanger  *Exchanger
 	connection *connection
@@ -90,6 +91,7 @@
 			r.accept(q, response)
 			return nil
 		}
+		r.Attribution.Discarded++
 		r.exchanger.updateStats(func(s *Stats) { s.MismatchedResponses++ })
 		if err := discardBody(response); err != nil {
 			return err
@@ -137,6 +139,10 @@
 func (r *Response) accept(q *Request, response *http.Response) {
 	unnamed := q.ID != "" && response.Header.Get(r.exchanger.options.IDHeader) == ""
 	r.Unattributed = unnamed && r.connection.requests > 1
+	r.Attribution.Named = q.ID != "" && !unnamed
+	if r.Unattributed {
+		r.exchanger.updateStats(func(s *Stats) { s.UnnamedResponses++ })
+	}
 	r.Status = response.StatusCode
 	r.Header = response.Header
 	r.body = response.Body
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -322,10 +322,10 @@
 func (f *Forwarder) checkResponse(r *exchanger.Response, e *registrar.Endpoint) error {
 	if f.deps.Endpoints.Refused(r) && r.Unattributed {
 		r.Discard()
-		return classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "refusal by endpoint %q, with status %d, doesn't name the request and may be of an earlier one", e.Name, r.Status)
+		return classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "refusal by endpoint %q, with status %d, doesn't name the request and may be of an earlier one (%v)", e.Name, r.Status, r.Attribution)
 	}
 	if f.deps.Endpoints.Refused(r) {
-		return classifier.NotRun(classifier.ReasonEndpointRefused, f.retryAfter(e.Service, overloadedRetryAfter), "endpoint %q refused the request with status %d", e.Name, r.Status)
+		return classifier.NotRun(classifier.ReasonEndpointRefused, f.retryAfter(e.Service, overloadedRetryAfter), "endpoint %q refused the request with status %d (%v)", e.Name, r.Status, r.Attribution)
 	}
 	if r.Status < http.StatusMultipleChoices && !f.deps.Dialect.Signed(r.Header) {
 		return classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "response from endpoint %q is not signed", e.Name)
