Show that a copied refusal is taken for the answer to the next sending of its request

Cause: an endpoint that refuses a request may write that refusal again, with the request's ID, when the same request is under way on the same connection. exchanger matches responses by the ID alone. What callers see: 503 and its promise, though the request runs.

Refusals with 503, 429 and 421, one to five copies, at once, late or on the idle connection, with 0, 1 and 20 requests between.

--- a/exchanger/attribution_test.go
+++ b/exchanger/attribution_test.go
@@ -1,8 +1,16 @@
 package exchanger_test
 
 import (
+	"bufio"
 	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -51,3 +59,108 @@
 		is.New(t).Equal(a.String(), "connection=7 earlier=3 discarded=1 named=true repeated-id=false")
 	})
 }
+
+// copier is an endpoint that refuses a request when it first gets it, runs it when it gets
+// it again, and writes copies of the refusal before the answer.
+type copier struct {
+	*scriptedServer
+	status int
+	copies int
+	// delay is the time from a request's arrival to the copies.
+	delay time.Duration
+	// early copies are written after the refusal instead, on an idle connection.
+	early bool
+
+	mu       sync.Mutex
+	refused  map[string]bool
+	repeated []string // IDs that arrived twice on a connection
+}
+
+func newCopier(t *testing.T, c *copier) *copier {
+	t.Helper()
+	c.refused = map[string]bool{}
+	c.scriptedServer = listen(t, c.serve)
+	return c
+}
+
+// first reports whether a request arrives for the first time. Requests that aren't to be
+// refused never do.
+func (c *copier) first(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.refused[id]
+	c.refused[id] = true
+	return !known && strings.HasPrefix(id, "refused")
+}
+
+func (c *copier) serve(e *scriptedServer, conn net.Conn, r *bufio.Reader) {
+	carried, copies := map[string]bool{}, ""
+	for {
+		id, ok := e.read(r)
+		if !ok {
+			return
+		}
+		if carried[id] {
+			c.mu.Lock()
+			c.repeated = append(c.repeated, id)
+			c.mu.Unlock()
+		}
+		carried[id] = true
+		if c.first(id) {
+			refusal := fmt.Sprintf("HTTP/1.1 %d Refused\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", c.status, idHeader, id)
+			_, _ = io.WriteString(conn, refusal) // the caller reads until it gets its answer
+			copies = strings.Repeat(refusal, c.copies)
+			if c.early {
+				time.Sleep(c.delay)
+				_, _ = io.WriteString(conn, copies)
+				copies = ""
+			}
+			continue
+		}
+		if copies != "" {
+			time.Sleep(c.delay)
+			_, _ = io.WriteString(conn, copies)
+			copies = ""
+		}
+		_, _ = io.WriteString(conn, completeResponse(id, "answer to "+id))
+	}
+}
+
+// TestCopiedRefusals guards against taking the copy of a refusal, which names its request, for
+// the answer to the next sending of that request: what ran was called not run.
+func TestCopiedRefusals(t *testing.T) {
+	const lateDelay = 30 * time.Millisecond
+	forms := []struct {
+		name  string
+		delay time.Duration
+		early bool
+	}{
+		{"at once", 0, false}, {"late", lateDelay, false}, {"before the next request", lateDelay / 3, true},
+	}
+	ctx := context.Background()
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusMisdirectedRequest} {
+		for _, form := range forms {
+			for _, copies := range []int{1, 2, 5} {
+				for _, between := range []int{0, 1, 20} {
+					t.Run(fmt.Sprintf("%d copies of a %d %s, %d requests between", copies, status, form.name, between), func(t *testing.T) {
+						i := is.New(t)
+						c := newCopier(t, &copier{status: status, copies: copies, delay: form.delay, early: form.early})
+						x := newExchanger()
+						all := attributions(t, x, c.scriptedServer, "refused")
+						i.Equal(all[0].Repeated, false)
+						for n := range between {
+							id := fmt.Sprintf("other %d", n)
+							body, err := exchange(ctx, x, c.scriptedServer, request(id))
+							i.NoErr(err)
+							i.Equal(body, "answer to "+id)
+						}
+						body, err := exchange(ctx, x, c.scriptedServer, request("refused"))
+						i.NoErr(err)
+						i.Equal(body, "answer to refused")
+						i.Equal(len(c.repeated), 0)
+					})
+				}
+			}
+		}
+	}
+}
