Send no request on a connection that has carried its ID

What callers saw: 503 with its promise for a request that ran; with another endpoint at hand it ran twice.

Cause: a response was matched to its request by the ID alone. The ID proves which request a response answers only while it is unique on its connection; prefills that are repeated, and engines that change their stage between a prefill and a decode, get an ID twice.

Change: an idle connection that has carried the ID is left to other requests, and another one is taken or opened. A connection remembers the IDs it has carried by 8 bytes each and is closed after 512 requests. One on which a response too many was seen is closed after the current call. Up to 8 responses to other requests are skipped, so that an answer behind five copies is delivered. Attribution.Certain is the one rule for what a response proves.

TestConnectionsWithID is new.

Why this works: a copy names an ID that the connection carried earlier. No request under way there has that ID, so that the copy is never taken for its answer.

--- a/exchanger/attribution.go
+++ b/exchanger/attribution.go
@@ -13,35 +13,54 @@
 	Connection uint64
 	// Earlier is the number of requests that the connection carried before this one.
 	Earlier int
+	// Avoided is the number of idle connections that were not used, as they had carried the
+	// request's ID.
+	Avoided int
 	// Discarded is the number of responses to other requests that arrived before this one.
 	Discarded int
 	// Named is set if the response states the request's ID.
 	Named bool
-	// Repeated is set if an earlier request on the connection had the same ID.
-	Repeated bool
+}
+
+// Certain reports whether nothing that the connection carried before can have caused the
+// response: it names the request, whose ID the connection has carried once, or the request
+// is the connection's first.
+func (a Attribution) Certain() bool {
+	return a.Named || a.Earlier == 0
 }
 
 // String returns the attribution as it stands in the log lines of decisions.
 func (a Attribution) String() string {
-	return fmt.Sprintf("connection=%d earlier=%d discarded=%d named=%t repeated-id=%t",
-		a.Connection, a.Earlier, a.Discarded, a.Named, a.Repeated)
+	return fmt.Sprintf("connection=%d earlier=%d avoided=%d discarded=%d named=%t",
+		a.Connection, a.Earlier, a.Avoided, a.Discarded, a.Named)
 }
 
-// idSeed is the seed of the hashes in an idSet.
+// maxRequests is the number of requests that a connection carries at most, which bounds the
+// memory for its IDs to 4 KiB.
+const maxRequests = 512
+
+// idHash stands for a request ID in an idSet. Two IDs have the same one with a probability of one
+// in 2^64; their requests are then sent on different connections. 0 stands for no ID.
+type idHash uint64
+
 var idSeed = maphash.MakeSeed()
 
-// idSet is a set of request IDs, of 8 bytes each. Two IDs may count as the same, with a
-// probability of one in 2^64.
-type idSet struct {
-	hashes []uint64
+func hashID(id string) idHash {
+	if id == "" {
+		return 0
+	}
+	return idHash(maphash.String(idSeed, id))
 }
 
-func (s *idSet) has(id string) bool {
-	return id != "" && slices.Contains(s.hashes, maphash.String(idSeed, id))
+// idSet is the set of the IDs that a connection has carried.
+type idSet []idHash
+
+func (s idSet) has(h idHash) bool {
+	return h != 0 && slices.Contains(s, h)
 }
 
-func (s *idSet) add(id string) {
-	if id != "" {
-		s.hashes = append(s.hashes, maphash.String(idSeed, id))
+func (s *idSet) add(h idHash) {
+	if h != 0 {
+		*s = append(*s, h)
 	}
 }
--- a/exchanger/attribution_test.go
+++ b/exchanger/attribution_test.go
@@ -56,7 +56,7 @@
 	})
 	t.Run("as text", func(t *testing.T) {
 		a := exchanger.Attribution{Connection: 7, Earlier: 3, Discarded: 1, Named: true}
-		is.New(t).Equal(a.String(), "connection=7 earlier=3 discarded=1 named=true repeated-id=false")
+		is.New(t).Equal(a.String(), "connection=7 earlier=3 avoided=0 discarded=1 named=true")
 	})
 }
 
@@ -146,8 +146,7 @@
 						i := is.New(t)
 						c := newCopier(t, &copier{status: status, copies: copies, delay: form.delay, early: form.early})
 						x := newExchanger()
-						all := attributions(t, x, c.scriptedServer, "refused")
-						i.Equal(all[0].Repeated, false)
+						attributions(t, x, c.scriptedServer, "refused")
 						for n := range between {
 							id := fmt.Sprintf("other %d", n)
 							body, err := exchange(ctx, x, c.scriptedServer, request(id))
@@ -164,3 +163,47 @@
 		}
 	}
 }
+
+func TestConnectionsWithID(t *testing.T) {
+	answer := respondWith(func(id string) string { return completeResponse(id, id) })
+	t.Run("are left to other requests", func(t *testing.T) {
+		i := is.New(t)
+		e, x := listen(t, answer), newExchanger()
+		all := attributions(t, x, e, "one", "one", "two")
+		i.Equal(all[1], exchanger.Attribution{Connection: 2, Avoided: 1, Named: true})
+		i.Equal(all[2], exchanger.Attribution{Connection: 2, Earlier: 1, Named: true})
+		i.Equal(x.Stats().AvoidedConnections, uint64(1))
+		i.Equal(x.Stats().Idle, 2)
+	})
+	t.Run("are kept for requests without an ID", func(t *testing.T) {
+		i := is.New(t)
+		e, x := listen(t, answer), newExchanger()
+		for range 3 {
+			_, err := exchange(context.Background(), x, e, &exchanger.Request{Method: http.MethodGet, Target: "/", Host: "h"})
+			i.NoErr(err)
+		}
+		opened, _ := e.counts()
+		i.Equal(opened, 1)
+	})
+	t.Run("are closed before their IDs take much memory", func(t *testing.T) {
+		i := is.New(t)
+		e, x := listen(t, answer), newExchanger()
+		const requests, perConnection = 1200, 512
+		for n := range requests {
+			_, err := exchange(context.Background(), x, e, request(fmt.Sprint(n)))
+			i.NoErr(err)
+		}
+		opened, _ := e.counts()
+		i.Equal(opened, (requests+perConnection-1)/perConnection)
+		i.Equal(x.Stats().RetiredConnections, uint64(requests/perConnection))
+	})
+	t.Run("are closed after a response too many", func(t *testing.T) {
+		i := is.New(t)
+		e := listen(t, respondWith(func(id string) string { return completeResponse("other", "extra") + completeResponse(id, id) }))
+		x := newExchanger()
+		all := attributions(t, x, e, "one", "two")
+		i.Equal(all[0], exchanger.Attribution{Connection: 1, Discarded: 1, Named: true})
+		i.Equal(all[1].Connection, uint64(2))
+		i.Equal(x.Stats().DoubtfulConnections, uint64(2))
+	})
+}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -18,11 +18,17 @@
 // turns out to be dead, and accepts whatever arrives next as the response. The
 // former can run a call twice; the latter can return another request's
 // response to a caller. This package reuses a connection only if the last
-// response was length-delimited or chunked, was read to its end, did not carry
-// another request's ID and was not followed by further bytes, and if no data
-// has arrived since. A response with another request's ID is discarded, and
-// the matching one is read after it. A response without an ID is marked as
-// unattributed if the connection has carried other requests.
+// response was length-delimited or chunked, was read to its end and was neither
+// preceded by responses to other requests nor followed by further bytes, and if no
+// data has arrived since.
+//
+// # Attribution
+//
+// An endpoint may send a response too many, such as a copy of an earlier one, where the
+// next is due. A response with another request's ID is discarded, and the matching one is
+// read after it. The ID proves this only while it is unique on its connection: a request is
+// never sent on a connection that has carried its ID. A response without an ID proves nothing
+// on a connection that has carried other requests; see [Attribution.Certain].
 //
 // # Limits
 //
@@ -41,6 +47,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -144,8 +151,14 @@
 	FailedDials         uint64 `json:"failed-dials"`
 	ReusedConnections   uint64 `json:"reused"`
 	MismatchedResponses uint64 `json:"foreign-answers"`
-	// RepeatedIDs counts the requests whose connection has carried their ID before.
-	RepeatedIDs uint64 `json:"repeated-ids"`
+	// AvoidedConnections counts the idle connections instead of which a new one was opened, as
+	// they had carried the request's ID.
+	AvoidedConnections uint64 `json:"avoided-for-id"`
+	// RetiredConnections counts the connections that were closed as they had carried as many
+	// requests as they may.
+	RetiredConnections uint64 `json:"retired"`
+	// DoubtfulConnections counts the connections that were closed after a response too many.
+	DoubtfulConnections uint64 `json:"doubtful"`
 	// UnnamedResponses counts the responses without an ID, to requests that have one, on
 	// connections that have carried others.
 	UnnamedResponses uint64 `json:"unnamed-answers"`
@@ -232,7 +245,7 @@
 	if err := r.mayOpen(); err != nil {
 		return nil, err
 	}
-	c, err := x.connect(ctx, a, r.MaxIdle)
+	c, avoided, err := x.connect(ctx, a, r)
 	if err != nil {
 		return nil, err
 	}
@@ -240,10 +253,8 @@
 		c.close()
 		return nil, err
 	}
-	response := &Response{exchanger: x, connection: c, ctx: ctx, Attribution: c.attribute(r)}
-	if response.Attribution.Repeated {
-		x.updateStats(func(s *Stats) { s.RepeatedIDs++ })
-	}
+	response := &Response{exchanger: x, connection: c, ctx: ctx}
+	response.Attribution = Attribution{Connection: c.number, Earlier: c.requests, Avoided: avoided}
 	response.stopWatch = context.AfterFunc(ctx, c.abort)
 	writeErr := c.write(r)
 	if writeErr != nil && c.bytesWritten == 0 {
@@ -273,18 +284,25 @@
 	return classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "endpoint at %s sent no response: %w", a, err)
 }
 
-// connect returns a usable idle connection or opens a new one.
-func (x *Exchanger) connect(ctx context.Context, a identifier.Address, maxIdle time.Duration) (*connection, error) {
-	now := time.Now()
-	for c := x.popIdle(a); c != nil; c = x.popIdle(a) {
-		recentlyUsed := maxIdle == 0 || now.Sub(c.idleSince) <= maxIdle
+// connect returns a usable idle connection that hasn't carried the request's ID, or opens a
+// new one. It also returns the number of idle connections that had carried the ID.
+func (x *Exchanger) connect(ctx context.Context, a identifier.Address, r *Request) (c *connection, avoided int, err error) {
+	now, id := time.Now(), hashID(r.ID)
+	for {
+		c, avoided = x.popIdle(a, id)
+		if c == nil {
+			break
+		}
+		recentlyUsed := r.MaxIdle == 0 || now.Sub(c.idleSince) <= r.MaxIdle
 		if recentlyUsed && now.Before(c.usableUntil) && socket.NothingToRead(c.conn) {
 			c.bytesWritten = 0
-			return c, nil
+			return c, avoided, nil
 		}
 		c.close()
 	}
-	return x.open(ctx, a)
+	x.updateStats(func(s *Stats) { s.AvoidedConnections += uint64(avoided) })
+	c, err = x.open(ctx, a)
+	return c, avoided, err
 }
 
 // open dials a new connection.
@@ -345,19 +363,22 @@
 	return open
 }
 
-// popIdle removes and returns the most recently used idle connection to a.
-func (x *Exchanger) popIdle(a identifier.Address) *connection {
+// popIdle removes and returns the most recently used idle connection to a that hasn't carried
+// the ID, or nil. It also returns the number of more recently used ones.
+func (x *Exchanger) popIdle(a identifier.Address, id idHash) (c *connection, avoided int) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	list := x.idle[a]
-	if len(list) == 0 {
-		return nil
+	for n, c := range slices.Backward(list) {
+		if c.ids.has(id) {
+			avoided++
+			continue
+		}
+		x.idle[a] = slices.Delete(list, n, n+1)
+		x.stats.ReusedConnections++
+		return c, avoided
 	}
-	c := list[len(list)-1]
-	list[len(list)-1] = nil
-	x.idle[a] = list[:len(list)-1]
-	x.stats.ReusedConnections++
-	return c
+	return nil, avoided
 }
 
 // putIdle returns a connection to the pool, or closes it if the pool already
@@ -390,12 +411,6 @@
 	usableUntil  time.Time
 }
 
-// attribute returns the attribution, so far, of the response to a request that is about to
-// be written.
-func (c *connection) attribute(r *Request) Attribution {
-	return Attribution{Connection: c.number, Earlier: c.requests, Repeated: c.ids.has(r.ID)}
-}
-
 func (c *connection) close() {
 	_ = c.conn.Close() // a close error doesn't affect the response already read
 }
@@ -413,7 +428,7 @@
 // write sends the request headers and body in one write. A large body isn't copied.
 func (c *connection) write(r *Request) error {
 	c.requests++
-	c.ids.add(r.ID)
+	c.ids.add(hashID(r.ID))
 	if len(r.Body) <= maxCopiedBytes {
 		head := appendHead(make([]byte, 0, typicalHeadBytes+len(r.Body)), r)
 		n, err := c.conn.Write(append(head, r.Body...))
--- a/exchanger/response.go
+++ b/exchanger/response.go
@@ -14,7 +14,7 @@
 const (
 	// maxMismatchedResponses is the number of responses to other requests
 	// that are discarded before the request fails.
-	maxMismatchedResponses = 2
+	maxMismatchedResponses = 8
 	// maxMismatchedBytes limits the body size of a discarded response.
 	maxMismatchedBytes = 64 << 10
 )
@@ -63,10 +63,8 @@
 	Status  int
 	Header  http.Header
 	Framing Framing
-	// Unattributed is set if the response doesn't name its request, on a connection that has
-	// carried others: it may be a repetition of an earlier response.
-	Unattributed bool
-	Attribution  Attribution
+	// Attribution is what relates the response to its request.
+	Attribution Attribution
 
 	exchanger  *Exchanger
 	connection *connection
@@ -137,17 +135,29 @@
 }
 
 func (r *Response) accept(q *Request, response *http.Response) {
-	unnamed := q.ID != "" && response.Header.Get(r.exchanger.options.IDHeader) == ""
-	r.Unattributed = unnamed && r.connection.requests > 1
-	r.Attribution.Named = q.ID != "" && !unnamed
-	if r.Unattributed {
+	r.Attribution.Named = q.ID != "" && response.Header.Get(r.exchanger.options.IDHeader) == q.ID
+	if q.ID != "" && !r.Attribution.Certain() {
 		r.exchanger.updateStats(func(s *Stats) { s.UnnamedResponses++ })
 	}
 	r.Status = response.StatusCode
 	r.Header = response.Header
 	r.body = response.Body
 	r.Framing = framingOf(response)
-	r.reusable = r.Framing != FramingConnection && !response.Close
+	r.reusable = r.Framing != FramingConnection && !response.Close && r.mayCarryMore()
+}
+
+// mayCarryMore reports whether the connection may carry further requests after this one.
+func (r *Response) mayCarryMore() bool {
+	switch {
+	case r.Attribution.Discarded > 0:
+		r.exchanger.updateStats(func(s *Stats) { s.DoubtfulConnections++ })
+		return false
+	case r.connection.requests >= maxRequests:
+		r.exchanger.updateStats(func(s *Stats) { s.RetiredConnections++ })
+		return false
+	default:
+		return true
+	}
 }
 
 // Read implements io.Reader for the body. Only io.EOF indicates that the body
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -320,7 +320,7 @@
 // checkResponse checks the status and headers of a response. It returns an error if
 // the endpoint refused the call, or if a successful response is not signed.
 func (f *Forwarder) checkResponse(r *exchanger.Response, e *registrar.Endpoint) error {
-	if f.deps.Endpoints.Refused(r) && r.Unattributed {
+	if f.deps.Endpoints.Refused(r) && !r.Attribution.Certain() {
 		r.Discard()
 		return classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "refusal by endpoint %q, with status %d, doesn't name the request and may be of an earlier one (%v)", e.Name, r.Status, r.Attribution)
 	}
