Skip a copy of an earlier answer before the answer to a call without an ID

What callers saw: nothing directly. A reservation, or an order, was taken as refused as the copy of a refused request's answer came first; the true answer then stood where that to the next request was due, which ended with 502 if it must not be repeated.

Cause: responses to calls without an ID were not matched at all.

Change: a response to such a call that names an ID which its connection has carried is skipped.

Evidence: TestCopiesBeforeCallsWithoutID got the refusal in place of the reservation before, and passes now.

--- a/exchanger/attribution_test.go
+++ b/exchanger/attribution_test.go
@@ -207,3 +207,23 @@
 		i.Equal(x.Stats().DoubtfulConnections, uint64(2))
 	})
 }
+
+// TestCopiesBeforeCallsWithoutID guards against taking the copy of an earlier answer, which
+// names its request, for the answer to a call that has no ID, such as a reservation.
+func TestCopiesBeforeCallsWithoutID(t *testing.T) {
+	i := is.New(t)
+	const refusal = "HTTP/1.1 503 Refused\r\n" + idHeader + ": refused\r\nContent-Length: 0\r\n\r\n"
+	e := listen(t, respondWith(func(id string) string {
+		if id == "" {
+			return refusal + "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhold"
+		}
+		return refusal
+	}))
+	x := newExchanger()
+	attributions(t, x, e, "refused")
+	body, err := exchange(context.Background(), x, e, &exchanger.Request{Method: http.MethodPost, Target: "/reserve", Host: "h"})
+	i.NoErr(err)
+	i.Equal(body, "hold")
+	opened, _ := e.counts()
+	i.Equal(opened, 1)
+}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -100,7 +100,7 @@
 	Header http.Header
 	Body   []byte
 	// ID is the value of Options.IDHeader that the response is matched
-	// against. If empty, responses are not checked.
+	// against. If empty, only responses to earlier requests on the connection are recognized.
 	ID string
 	// MaxIdle is the maximum time that a reused connection may have been
 	// idle. Calls that can't be retried set it low, since they would fail on
--- a/exchanger/response.go
+++ b/exchanger/response.go
@@ -112,10 +112,14 @@
 	return nil, fmt.Errorf("%w: more than %d informational responses", ErrHeadTooLarge, maxInformational)
 }
 
-// mismatched reports whether the response carries the ID of another request.
+// mismatched reports whether the response carries the ID of another request. That of a request
+// without an ID may name one that no earlier request had.
 func (r *Response) mismatched(q *Request, response *http.Response) bool {
 	echoed := response.Header.Get(r.exchanger.options.IDHeader)
-	return q.ID != "" && echoed != "" && echoed != q.ID
+	if q.ID == "" {
+		return r.connection.ids.has(hashID(echoed))
+	}
+	return echoed != "" && echoed != q.ID
 }
 
 // discardBody reads the body to its end. It fails if the body is delimited
