Doubt unsigned answers without an ID on connections that have carried others

What callers saw: the late answer to a control call, such as 404 for a reservation that is gone, as the answer to their request.

Cause: of answers without an ID only refusals were doubted.

Change: any answer that names no request on a connection that has carried others is believed only if the endpoint has signed it and it is no refusal.

--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -317,17 +317,17 @@
 	return a
 }
 
-// checkResponse checks the status and headers of a response. It returns an error if
-// the endpoint refused the call, or if a successful response is not signed.
+// checkResponse checks the status and headers of a response. It returns an error if the
+// endpoint refused the call, or if the response is no proof of what it states.
 func (f *Forwarder) checkResponse(r *exchanger.Response, e *registrar.Endpoint) error {
-	if f.deps.Endpoints.Refused(r) && !r.Attribution.Certain() {
+	refused, signed := f.deps.Endpoints.Refused(r), f.deps.Dialect.Signed(r.Header)
+	switch {
+	case !r.Attribution.Certain() && (refused || !signed):
 		r.Discard()
-		return classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "refusal by endpoint %q, with status %d, doesn't name the request and may be of an earlier one (%v)", e.Name, r.Status, r.Attribution)
-	}
-	if f.deps.Endpoints.Refused(r) {
+		return classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "response from endpoint %q, with status %d, doesn't name the request and may be of an earlier one (%v)", e.Name, r.Status, r.Attribution)
+	case refused:
 		return classifier.NotRun(classifier.ReasonEndpointRefused, f.retryAfter(e.Service, overloadedRetryAfter), "endpoint %q refused the request with status %d (%v)", e.Name, r.Status, r.Attribution)
-	}
-	if r.Status < http.StatusMultipleChoices && !f.deps.Dialect.Signed(r.Header) {
+	case r.Status < http.StatusMultipleChoices && !signed:
 		return classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "response from endpoint %q is not signed", e.Name)
 	}
 	return nil
