Pass no status on that states "not run" without a proof

What callers saw: 408, 429 or 503 for a request that may run once and had run; they may repeat it, and it runs again.

Cause: an endpoint's answer was passed on with its status as long as it was whole. Callers read these statuses as a promise, which only an endpoint that states it has made.

Change: for requests that may run at most once, such an answer counts as "may have run"; the caller gets 502. Idempotent requests get the answer as it is.

--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -313,13 +313,13 @@
 		return a
 	}
 	a.memory = response.KeepBody(ctx) // until the request ends
-	a.err = f.checkResponse(response, e)
+	a.err = f.checkResponse(response, e, c)
 	return a
 }
 
-// checkResponse checks the status and headers of a response. It returns an error if the
+// checkResponse checks the status and headers of the response to c. It returns an error if the
 // endpoint refused the call, or if the response is no proof of what it states.
-func (f *Forwarder) checkResponse(r *exchanger.Response, e *registrar.Endpoint) error {
+func (f *Forwarder) checkResponse(r *exchanger.Response, e *registrar.Endpoint, c *Call) error {
 	refused, signed := f.deps.Endpoints.Refused(r), f.deps.Dialect.Signed(r.Header)
 	switch {
 	case !r.Attribution.Certain() && (refused || !signed):
@@ -327,12 +327,25 @@
 		return classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "response from endpoint %q, with status %d, doesn't name the request and may be of an earlier one (%v)", e.Name, r.Status, r.Attribution)
 	case refused:
 		return classifier.NotRun(classifier.ReasonEndpointRefused, f.retryAfter(e.Service, overloadedRetryAfter), "endpoint %q refused the request with status %d (%v)", e.Name, r.Status, r.Attribution)
+	case c.AtMostOnce && statesNotRun(r.Status):
+		return classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "endpoint %q responded with status %d (%v) without stating that the request has not run", e.Name, r.Status, r.Attribution)
 	case r.Status < http.StatusMultipleChoices && !signed:
 		return classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "response from endpoint %q is not signed", e.Name)
 	}
 	return nil
 }
 
+// statesNotRun reports whether callers take the status as a statement that their request has not
+// run.
+func statesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // recordOutcome reports the outcome of a call to the placer.
 func (f *Forwarder) recordOutcome(e *registrar.Endpoint, o placer.Outcome) {
 	if f.deps.Placer.RecordOutcome(e, o, time.Now()) {
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -265,7 +265,7 @@
 	if l, ok := s.forwarder.deps.Endpoints.Load(r); ok {
 		s.forwarder.deps.Placer.RecordLoad(at, l, time.Now())
 	}
-	if err := s.forwarder.checkResponse(r, at); err != nil {
+	if err := s.forwarder.checkResponse(r, at, &s.call); err != nil {
 		return err
 	}
 	if r.Status < http.StatusMultipleChoices {
