Don't avoid endpoints whose status is withheld from callers

What callers saw: nothing directly. An endpoint that answered 408, 429 or 503 in full, without X-Not-Run, to a request that may run once was avoided like one that had broken the call off, and counted against its data centre.

Change: the call has succeeded as before; the status is withheld where the response is written to the caller, for plain services and engines alike.

Why this works: what callers read into a status is a matter of the response to the caller only; nothing before it depends on that reading.

--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -44,9 +44,11 @@
 	status   int
 	header   http.Header
 	body     []byte
-	load     placer.Load      // zero if none was reported
-	memory   *budgeter.Holder // of a large body; nil for others
-	err      error            // a *classifier.Error
+	// attribution relates the response to the call.
+	attribution exchanger.Attribution
+	load        placer.Load      // zero if none was reported
+	memory      *budgeter.Holder // of a large body; nil for others
+	err         error            // a *classifier.Error
 }
 
 // succeeded reports whether the endpoint responded without a server error.
@@ -308,18 +310,19 @@
 	}
 	a.status = response.Status
 	a.header = response.Header
+	a.attribution = response.Attribution
 	a.body, a.err = response.ReadAll(maxBufferedBytes)
 	if a.err != nil {
 		return a
 	}
 	a.memory = response.KeepBody(ctx) // until the request ends
-	a.err = f.checkResponse(response, e, c)
+	a.err = f.checkResponse(response, e)
 	return a
 }
 
-// checkResponse checks the status and headers of the response to c. It returns an error if the
+// checkResponse checks the status and headers of a response. It returns an error if the
 // endpoint refused the call, or if the response is no proof of what it states.
-func (f *Forwarder) checkResponse(r *exchanger.Response, e *registrar.Endpoint, c *Call) error {
+func (f *Forwarder) checkResponse(r *exchanger.Response, e *registrar.Endpoint) error {
 	refused, signed := f.deps.Endpoints.Refused(r), f.deps.Dialect.Signed(r.Header)
 	switch {
 	case !r.Attribution.Certain() && (refused || !signed):
@@ -327,8 +330,6 @@
 		return classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "response from endpoint %q, with status %d, doesn't name the request and may be of an earlier one (%v)", e.Name, r.Status, r.Attribution)
 	case refused:
 		return classifier.NotRun(classifier.ReasonEndpointRefused, f.retryAfter(e.Service, overloadedRetryAfter), "endpoint %q refused the request with status %d (%v)", e.Name, r.Status, r.Attribution)
-	case c.AtMostOnce && statesNotRun(r.Status):
-		return classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "endpoint %q responded with status %d (%v) without stating that the request has not run", e.Name, r.Status, r.Attribution)
 	case r.Status < http.StatusMultipleChoices && !signed:
 		return classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "response from endpoint %q is not signed", e.Name)
 	}
@@ -383,8 +384,13 @@
 	}
 }
 
-// writeResponse sends an endpoint's response to the caller.
+// writeResponse sends an endpoint's response to the caller, unless its status promises what the
+// endpoint hasn't stated.
 func (e *exchange) writeResponse(a *endpointResponse) {
+	if e.call.AtMostOnce && statesNotRun(a.status) {
+		e.fail(classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "endpoint %q responded with status %d (%v) without stating that the request has not run", a.endpoint.Name, a.status, a.attribution))
+		return
+	}
 	e.observation.Status = a.status
 	e.observation.RespondedBy = a.endpoint.Name
 	h := e.writer.Header()
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -265,7 +265,7 @@
 	if l, ok := s.forwarder.deps.Endpoints.Load(r); ok {
 		s.forwarder.deps.Placer.RecordLoad(at, l, time.Now())
 	}
-	if err := s.forwarder.checkResponse(r, at, &s.call); err != nil {
+	if err := s.forwarder.checkResponse(r, at); err != nil {
 		return err
 	}
 	if r.Status < http.StatusMultipleChoices {
@@ -276,7 +276,7 @@
 		return err
 	}
 	memory := r.KeepBody(s.request.Context())
-	s.engineFailure = &endpointResponse{endpoint: at, status: r.Status, header: r.Header, body: body, memory: memory}
+	s.engineFailure = &endpointResponse{endpoint: at, status: r.Status, header: r.Header, attribution: r.Attribution, body: body, memory: memory}
 	return classifier.Ran(classifier.ReasonEndpointFailed, "engine %q responded with status %d", at.Name, r.Status)
 }
 
