Take no response that names several requests for a proof

What callers saw: nothing known; found in review. A response with two ID headers, the first of them that of the request under way, was a proof, though the second one named a request that the connection had carried. Before calls without an ID, it was skipped only if the first one did.

Cause: only the first value of the header was compared.

Change: all values are. A response is named if all of them are the request's ID. It is of another request if none is; before calls without an ID, if any is of an earlier request.

Why this works: a copy names its request in some value, whichever other values it has.

--- a/exchanger/attribution.go
+++ b/exchanger/attribution.go
@@ -18,7 +18,7 @@
 	Avoided int
 	// Discarded is the number of responses to other requests that arrived before this one.
 	Discarded int
-	// Named is set if the response states the request's ID.
+	// Named is set if the response states the request's ID, and no other.
 	Named bool
 }
 
--- a/exchanger/attribution_test.go
+++ b/exchanger/attribution_test.go
@@ -227,3 +227,50 @@
 	opened, _ := e.counts()
 	i.Equal(opened, 1)
 }
+
+// TestResponsesWithSeveralIDs guards against taking the copy of an earlier answer for that to the
+// request under way since it names both: what ran was called not run.
+func TestResponsesWithSeveralIDs(t *testing.T) {
+	named := func(ids ...string) string {
+		var b strings.Builder
+		b.WriteString("HTTP/1.1 200 OK\r\n")
+		for _, id := range ids {
+			fmt.Fprintf(&b, "%s: %s\r\n", idHeader, id)
+		}
+		b.WriteString("Content-Length: 4\r\n\r\n")
+		return b.String()
+	}
+	t.Run("prove nothing if one is of another request", func(t *testing.T) {
+		for _, ids := range [][]string{{"two", "one"}, {"one", "two"}} {
+			i := is.New(t)
+			e := listen(t, respondWith(func(id string) string {
+				if id == "two" {
+					return named(ids...) + "both"
+				}
+				return completeResponse(id, id)
+			}))
+			all := attributions(t, newExchanger(), e, "one", "two")
+			i.True(!all[1].Certain())
+		}
+	})
+	t.Run("prove what they state if all are the same", func(t *testing.T) {
+		i := is.New(t)
+		e := listen(t, respondWith(func(id string) string { return named(id, id) + "both" }))
+		all := attributions(t, newExchanger(), e, "one", "two")
+		i.True(all[1].Certain())
+	})
+	t.Run("are skipped before calls without an ID", func(t *testing.T) {
+		i := is.New(t)
+		e := listen(t, respondWith(func(id string) string {
+			if id == "" {
+				return named("unknown", "one") + "copy" + "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhold"
+			}
+			return completeResponse(id, id)
+		}))
+		x := newExchanger()
+		attributions(t, x, e, "one")
+		body, err := exchange(context.Background(), x, e, &exchanger.Request{Method: http.MethodPost, Target: "/reserve", Host: "h"})
+		i.NoErr(err)
+		i.Equal(body, "hold")
+	})
+}
--- a/exchanger/response.go
+++ b/exchanger/response.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/jackdawthread/jackdawthread/common/classifier"
@@ -115,11 +116,23 @@
 // mismatched reports whether the response carries the ID of another request. That of a request
 // without an ID may name one that no earlier request had.
 func (r *Response) mismatched(q *Request, response *http.Response) bool {
-	echoed := response.Header.Get(r.exchanger.options.IDHeader)
+	echoed := r.echoedIDs(response)
 	if q.ID == "" {
-		return r.connection.ids.has(hashID(echoed))
+		return slices.ContainsFunc(echoed, func(id string) bool { return r.connection.ids.has(hashID(id)) })
 	}
-	return echoed != "" && echoed != q.ID
+	return len(echoed) > 0 && !slices.Contains(echoed, q.ID)
+}
+
+// names reports whether the response carries the ID of the request, and no other.
+func (r *Response) names(q *Request, response *http.Response) bool {
+	echoed := r.echoedIDs(response)
+	return len(echoed) > 0 && !slices.ContainsFunc(echoed, func(id string) bool { return id != q.ID })
+}
+
+// echoedIDs returns the IDs that the response carries.
+func (r *Response) echoedIDs(response *http.Response) []string {
+	values := response.Header.Values(r.exchanger.options.IDHeader)
+	return slices.DeleteFunc(slices.Clone(values), func(id string) bool { return id == "" })
 }
 
 // discardBody reads the body to its end. It fails if the body is delimited
@@ -139,7 +152,7 @@
 }
 
 func (r *Response) accept(q *Request, response *http.Response) {
-	r.Attribution.Named = q.ID != "" && response.Header.Get(r.exchanger.options.IDHeader) == q.ID
+	r.Attribution.Named = r.names(q, response)
 	if q.ID != "" && !r.Attribution.Certain() {
 		r.exchanger.updateStats(func(s *Stats) { s.UnnamedResponses++ })
 	}
