Prove nothing by an unnamed response after one to another request

What callers saw: nothing known; found in review. On a new connection, a refusal without an ID was a proof also after a response to another request, which shows that the connection's order is broken.

Cause: a connection's first request was taken to be answered by whatever came, as nothing had been sent before it.

Change: only the first response to it is certain without an ID.

--- a/exchanger/attribution.go
+++ b/exchanger/attribution.go
@@ -23,10 +23,10 @@
 }
 
 // Certain reports whether nothing that the connection carried before can have caused the
-// response: it names the request, whose ID the connection has carried once, or the request
-// is the connection's first.
+// response: it names the request, whose ID the connection has carried once, or it is the first
+// response to the connection's first request.
 func (a Attribution) Certain() bool {
-	return a.Named || a.Earlier == 0
+	return a.Named || a.Earlier == 0 && a.Discarded == 0
 }
 
 // String returns the attribution as it stands in the log lines of decisions.
--- a/exchanger/attribution_test.go
+++ b/exchanger/attribution_test.go
@@ -274,3 +274,14 @@
 		i.Equal(body, "hold")
 	})
 }
+
+// TestUnnamedResponsesAfterOthers guards against taking a response without an ID for a proof on a
+// new connection that has already carried a response to another request.
+func TestUnnamedResponsesAfterOthers(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Refused\r\nContent-Length: 0\r\n\r\n"
+	i := is.New(t)
+	e := listen(t, respondWith(func(id string) string { return completeResponse("other", "extra") + refusal + completeResponse(id, id) }))
+	all := attributions(t, newExchanger(), e, "one")
+	i.Equal(all[0], exchanger.Attribution{Connection: 1, Discarded: 1})
+	i.True(!all[0].Certain())
+}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -28,7 +28,8 @@
 // next is due. A response with another request's ID is discarded, and the matching one is
 // read after it. The ID proves this only while it is unique on its connection: a request is
 // never sent on a connection that has carried its ID. A response without an ID proves nothing
-// on a connection that has carried other requests; see [Attribution.Certain].
+// on a connection that has carried other requests, or responses to such; see
+// [Attribution.Certain].
 //
 // # Limits
 //
@@ -159,8 +160,7 @@
 	RetiredConnections uint64 `json:"retired"`
 	// DoubtfulConnections counts the connections that were closed after a response too many.
 	DoubtfulConnections uint64 `json:"doubtful"`
-	// UnnamedResponses counts the responses without an ID, to requests that have one, on
-	// connections that have carried others.
+	// UnnamedResponses counts the responses to requests that have an ID which aren't certain.
 	UnnamedResponses uint64 `json:"unnamed-answers"`
 	// OversizedResponses counts the responses of which a part exceeded its limit.
 	OversizedResponses uint64 `json:"oversized"`
