Skip no response on a connection that has carried HEAD

What callers saw: nothing known; found in review. A response to HEAD has no body whatever its headers say. If a copy of another answer came first, its body was read as responses, and if the copy was that of a response to HEAD, the next answer's head was taken for its body. A body that quotes a refusal with the request's ID was then a proof.

Cause: the method of the request under way was taken for that of the request which the skipped response belongs to.

Change: on a connection that has carried HEAD, a response to another request ends the call, which may have run.

--- a/exchanger/attribution_test.go
+++ b/exchanger/attribution_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/exchanger"
 )
 
@@ -285,3 +286,38 @@
 	i.Equal(all[0], exchanger.Attribution{Connection: 1, Discarded: 1})
 	i.True(!all[0].Certain())
 }
+
+// TestCopiesBesideHEAD guards against reading a copy's body as a response: that to HEAD has none,
+// whatever its headers say, so that a copy's end isn't known on a connection that carried HEAD.
+func TestCopiesBesideHEAD(t *testing.T) {
+	const quoted = "HTTP/1.1 503 Refused\r\n" + idHeader + ": two\r\nContent-Length: 0\r\n\r\n"
+	head := func(id string) *exchanger.Request {
+		return &exchanger.Request{Method: http.MethodHead, Target: "/", Host: "h", Header: http.Header{idHeader: {id}}, ID: id}
+	}
+	withoutBody := func(id string, length int) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", idHeader, id, length)
+	}
+	answer := completeResponse("two", quoted)
+	cases := []struct {
+		name, first, second string
+		requests            []*exchanger.Request
+	}{
+		{"of another request", completeResponse("one", quoted), completeResponse("one", quoted) + withoutBody("two", 4), []*exchanger.Request{request("one"), head("two")}},
+		{"itself", withoutBody("one", 60), withoutBody("one", len(answer)-len(quoted)) + answer, []*exchanger.Request{head("one"), request("two")}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			e := listen(t, respondWith(func(id string) string {
+				if id == "one" {
+					return c.first
+				}
+				return c.second
+			}))
+			x := newExchanger()
+			_, err := exchange(context.Background(), x, e, c.requests[0])
+			is.New(t).NoErr(err)
+			_, err = exchange(context.Background(), x, e, c.requests[1])
+			assertVerdict(t, err, classifier.VerdictMayHaveRun)
+		})
+	}
+}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -406,6 +406,7 @@
 	reader       *bufio.Reader
 	requests     int   // requests that it has carried, the current one included
 	ids          idSet // of these requests
+	carriedHead  bool  // whether the method of one of them was HEAD
 	bytesWritten int   // bytes of the current request
 	idleSince    time.Time
 	usableUntil  time.Time
@@ -429,6 +430,7 @@
 func (c *connection) write(r *Request) error {
 	c.requests++
 	c.ids.add(hashID(r.ID))
+	c.carriedHead = c.carriedHead || r.Method == http.MethodHead
 	if len(r.Body) <= maxCopiedBytes {
 		head := appendHead(make([]byte, 0, typicalHeadBytes+len(r.Body)), r)
 		n, err := c.conn.Write(append(head, r.Body...))
--- a/exchanger/response.go
+++ b/exchanger/response.go
@@ -23,6 +23,10 @@
 // ErrTooLarge indicates that a response body exceeds the limit.
 var ErrTooLarge = errors.New("response body is too large")
 
+// errUnknownEnd indicates a response to another request that may be one to HEAD, which has no
+// body, or may have a body.
+var errUnknownEnd = errors.New("response to another request may have a body or none")
+
 // Framing is how the end of a response's body is known.
 type Framing uint8
 
@@ -92,6 +96,9 @@
 		}
 		r.Attribution.Discarded++
 		r.exchanger.updateStats(func(s *Stats) { s.MismatchedResponses++ })
+		if r.connection.carriedHead {
+			return errUnknownEnd
+		}
 		if err := discardBody(response); err != nil {
 			return err
 		}
