--- a/exchanger/attribution_test.go
+++ b/exchanger/attribution_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/exchanger"
 )
 
@@ -227,3 +228,96 @@
 	opened, _ := e.counts()
 	i.Equal(opened, 1)
 }
+
+// TestResponsesWithSeveralIDs guards against taking the copy of an earlier answer for that to the
+// request under way since it names both: what ran was called not run.
+func TestResponsesWithSeveralIDs(t *testing.T) {
+	named := func(ids ...string) string {
+		var b strings.Builder
+		b.WriteString("HTTP/1.1 200 OK\r\n")
+		for _, id := range ids {
+			fmt.Fprintf(&b, "%s: %s\r\n", idHeader, id)
+		}
+		b.WriteString("Content-Length: 4\r\n\r\n")
+		return b.String()
+	}
+	t.Run("prove nothing if one is of another request", func(t *testing.T) {
+		for _, ids := range [][]string{{"two", "one"}, {"one", "two"}} {
+			i := is.New(t)
+			e := listen(t, respondWith(func(id string) string {
+				if id == "two" {
+					return named(ids...) + "both"
+				}
+				return completeResponse(id, id)
+			}))
+			all := attributions(t, newExchanger(), e, "one", "two")
+			i.True(!all[1].Certain())
+		}
+	})
+	t.Run("prove what they state if all are the same", func(t *testing.T) {
+		i := is.New(t)
+		e := listen(t, respondWith(func(id string) string { return named(id, id) + "both" }))
+		all := attributions(t, newExchanger(), e, "one", "two")
+		i.True(all[1].Certain())
+	})
+	t.Run("are skipped before calls without an ID", func(t *testing.T) {
+		i := is.New(t)
+		e := listen(t, respondWith(func(id string) string {
+			if id == "" {
+				return named("unknown", "one") + "copy" + "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhold"
+			}
+			return completeResponse(id, id)
+		}))
+		x := newExchanger()
+		attributions(t, x, e, "one")
+		body, err := exchange(context.Background(), x, e, &exchanger.Request{Method: http.MethodPost, Target: "/reserve", Host: "h"})
+		i.NoErr(err)
+		i.Equal(body, "hold")
+	})
+}
+
+// TestUnnamedResponsesAfterOthers guards against taking a response without an ID for a proof on a
+// new connection that has already carried a response to another request.
+func TestUnnamedResponsesAfterOthers(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Refused\r\nContent-Length: 0\r\n\r\n"
+	i := is.New(t)
+	e := listen(t, respondWith(func(id string) string { return completeResponse("other", "extra") + refusal + completeResponse(id, id) }))
+	all := attributions(t, newExchanger(), e, "one")
+	i.Equal(all[0], exchanger.Attribution{Connection: 1, Discarded: 1})
+	i.True(!all[0].Certain())
+}
+
+// TestCopiesBesideHEAD guards against reading a copy's body as a response: that to HEAD has none,
+// whatever its headers say, so that a copy's end isn't known on a connection that carried HEAD.
+func TestCopiesBesideHEAD(t *testing.T) {
+	const quoted = "HTTP/1.1 503 Refused\r\n" + idHeader + ": two\r\nContent-Length: 0\r\n\r\n"
+	head := func(id string) *exchanger.Request {
+		return &exchanger.Request{Method: http.MethodHead, Target: "/", Host: "h", Header: http.Header{idHeader: {id}}, ID: id}
+	}
+	withoutBody := func(id string, length int) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", idHeader, id, length)
+	}
+	answer := completeResponse("two", quoted)
+	cases := []struct {
+		name, first, second string
+		requests            []*exchanger.Request
+	}{
+		{"of another request", completeResponse("one", quoted), completeResponse("one", quoted) + withoutBody("two", 4), []*exchanger.Request{request("one"), head("two")}},
+		{"itself", withoutBody("one", 60), withoutBody("one", len(answer)-len(quoted)) + answer, []*exchanger.Request{head("one"), request("two")}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			e := listen(t, respondWith(func(id string) string {
+				if id == "one" {
+					return c.first
+				}
+				return c.second
+			}))
+			x := newExchanger()
+			_, err := exchange(context.Background(), x, e, c.requests[0])
+			is.New(t).NoErr(err)
+			_, err = exchange(context.Background(), x, e, c.requests[1])
+			assertVerdict(t, err, classifier.VerdictMayHaveRun)
+		})
+	}
+}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -28,7 +28,8 @@
 // next is due. A response with another request's ID is discarded, and the matching one is
 // read after it. The ID proves this only while it is unique on its connection: a request is
 // never sent on a connection that has carried its ID. A response without an ID proves nothing
-// on a connection that has carried other requests; see [Attribution.Certain].
+// on a connection that has carried other requests, or responses to such; see
+// [Attribution.Certain].
 //
 // # Limits
 //
@@ -159,8 +160,7 @@
 	RetiredConnections uint64 `json:"retired"`
 	// DoubtfulConnections counts the connections that were closed after a response too many.
 	DoubtfulConnections uint64 `json:"doubtful"`
-	// UnnamedResponses counts the responses without an ID, to requests that have one, on
-	// connections that have carried others.
+	// UnnamedResponses counts the responses to requests that have an ID which aren't certain.
 	UnnamedResponses uint64 `json:"unnamed-answers"`
 	// OversizedResponses counts the responses of which a part exceeded its limit.
 	OversizedResponses uint64 `json:"oversized"`
@@ -406,6 +406,7 @@
 	reader       *bufio.Reader
 	requests     int   // requests that it has carried, the current one included
 	ids          idSet // of these requests
+	carriedHead  bool  // whether the method of one of them was HEAD
 	bytesWritten int   // bytes of the current request
 	idleSince    time.Time
 	usableUntil  time.Time
@@ -429,6 +430,7 @@
 func (c *connection) write(r *Request) error {
 	c.requests++
 	c.ids.add(hashID(r.ID))
+	c.carriedHead = c.carriedHead || r.Method == http.MethodHead
 	if len(r.Body) <= maxCopiedBytes {
 		head := appendHead(make([]byte, 0, typicalHeadBytes+len(r.Body)), r)
 		n, err := c.conn.Write(append(head, r.Body...))
