Let runners copy refusals in the soak, and check that no connection carries an ID twice

A second series of faults, which overlaps with all others and with the restarts of hosts: the runners of a service refuse requests and write copies of their refusals (early, late, at the request's repetition; one, two or five; as 503, 429 or 421), or an engine changes its stage several times, which its hosts learn later. Callers send half of the refused requests again with their ID, and requests sent again are judged by their last sending; the first must not have run either, as runs are counted over both.

The new guarantee is that a runner's connection carries an ID once.

--- a/emulator/soaker/callers.go
+++ b/emulator/soaker/callers.go
@@ -24,6 +24,8 @@
 	// configurations don't allow.
 	largeShare   = 12
 	largePadding = 5000
+	// One refused request in repeatShare is sent again with its ID.
+	repeatShare = 2
 	// One request in strangerShare has a key that nobody holds.
 	strangerShare = 40
 )
@@ -61,7 +63,7 @@
 	c := &caller{system: s, number: number, random: rand.New(rand.NewPCG(s.options.Seed, uint64(number))), kept: map[int][]*connection{}}
 	for n := 0; ctx.Err() == nil; n++ {
 		c.call(n)
-		time.Sleep(time.Duration(c.random.Int64N(int64(2 * meanCallPause))))
+		c.pause()
 	}
 	for _, all := range c.kept {
 		for _, k := range all {
@@ -87,11 +89,26 @@
 	if c.random.IntN(splitShare) == 0 {
 		split = time.Duration(1 + c.random.Int64N(int64(maxSplit)))
 	}
+	c.send(&o, split)
+	if o.complete && refused(o.status) && c.random.IntN(repeatShare) == 0 {
+		c.pause()
+		o = o.repetition()
+		c.send(&o, split)
+	}
+	c.system.outcomeLog.add(&o)
+}
+
+// pause waits for the time between two requests.
+func (c *caller) pause() {
+	time.Sleep(time.Duration(c.random.Int64N(int64(2 * meanCallPause))))
+}
+
+// send sends a request if its host can be reached.
+func (c *caller) send(o *outcome, split time.Duration) {
 	k, err := c.take(o.host)
 	if err == nil {
-		c.put(o.host, k, k.exchange(&o, split))
+		c.put(o.host, k, k.exchange(o, split))
 	}
-	c.system.outcomeLog.add(&o)
 }
 
 // take returns a kept connection, or a new one if there are few.
--- a/emulator/soaker/checks.go
+++ b/emulator/soaker/checks.go
@@ -20,6 +20,7 @@
 	answeredInTime guarantee = "a sent request is answered by its deadline"
 	survives       guarantee = "a runner's silence interrupts no stream"
 	runsOnce       guarantee = "a request runs no more often than its route allows"
+	sentOnce       guarantee = "a runner's connection carries an ID once"
 	notRun         guarantee = "a refused request has not run"
 	unchanged      guarantee = "requests and responses pass unchanged"
 	permitted      guarantee = "a permitted request isn't denied"
@@ -78,6 +79,8 @@
 	id       string
 	service  string
 	received []standin.Received
+	// repeated are the calls whose ID their connection had carried before.
+	repeated []standin.Received
 	runs     []standin.Run
 	// pause is how long a pause it asks for.
 	pause time.Duration
@@ -124,6 +127,7 @@
 	}
 	for i := range c.runners {
 		c.checkRunner(&c.runners[i])
+		c.checkRepeated(&c.runners[i])
 		c.checkLeaving(&c.runners[i])
 		c.checkPauses(&c.runners[i])
 		c.checkLimits(&c.runners[i])
@@ -142,7 +146,7 @@
 	for i := range c.runners {
 		r := &c.runners[i]
 		for _, a := range r.received {
-			if a.ID != "" {
+			if a.ID != "" && !c.earlier(a) {
 				c.reached[a.ID] = append(c.reached[a.ID], reached{
 					runner: r, at: a.At, prefill: a.Stage == "prefill", customer: a.Customer, withKey: a.Key != "",
 				})
@@ -154,6 +158,12 @@
 	}
 }
 
+// earlier reports whether a call belongs to an earlier sending of a request that was sent again.
+func (c *checker) earlier(a standin.Received) bool {
+	o := c.byID[a.ID]
+	return o != nil && o.again && a.At.Before(o.sentAt)
+}
+
 // report records a violation with the faults of the subjects since from.
 func (c *checker) report(g guarantee, from, to time.Time, subjects []string, format string, args ...any) {
 	v := Violation{Guarantee: g, Detail: fmt.Sprintf(format, args...)}
@@ -322,6 +332,15 @@
 	}
 }
 
+// checkRepeated checks that no connection to a runner has carried an ID twice: a copy of the
+// first answer can't be told from the second one.
+func (c *checker) checkRepeated(r *runnerRecord) {
+	for _, a := range r.repeated {
+		c.report(sentOnce, a.At, a.At, []string{runnerName(r.id), linkName(r.id)},
+			"a connection to runner %s carried %q again, to %s with stage %q, at %s", r.id, a.ID, a.Target, a.Stage, a.At.UTC().Format("15:04:05.000"))
+	}
+}
+
 // hostExcused reports whether a host was restarted or paused in the interval.
 func (c *checker) hostExcused(host int, from, to time.Time) bool {
 	return c.history.has(hostName(host), from, to, hostKilled, hostPaused, hostSlowed, hostStopped)
@@ -334,7 +353,7 @@
 		known := c.leavingKnown(r, &f)
 		for _, a := range r.received {
 			o := c.byID[a.ID]
-			if o == nil || !f.overlaps(a.At, a.At) {
+			if o == nil || !f.overlaps(a.At, a.At) || c.earlier(a) {
 				continue
 			}
 			since, ok := known[o.host]
--- a/emulator/soaker/checks_test.go
+++ b/emulator/soaker/checks_test.go
@@ -254,6 +254,44 @@
 	})
 }
 
+func TestRepeatedIDs(t *testing.T) {
+	c := newChecker([]outcome{served("a", 0)}, nil)
+	c.runners[0].repeated = []standin.Received{received("a", time.Millisecond)}
+	assertBroken(t, c, sentOnce)
+}
+
+// TestRequestsSentAgain checks requests whose first sending was refused.
+func TestRequestsSentAgain(t *testing.T) {
+	const first, second = time.Millisecond, time.Second
+	again := func(status int) outcome {
+		o := served("a", second)
+		o.status, o.again = status, true
+		return o
+	}
+	run := standin.Run{ID: "a", Body: "body of a", Started: after(second), Ended: after(second)}
+	check := func(t *testing.T, o outcome, runs []standin.Run, want ...guarantee) {
+		t.Helper()
+		c := newChecker([]outcome{o}, []standin.Received{received("a", first), received("a", second)})
+		c.runners[0].runs = runs
+		c.budget = budget{}
+		assertBroken(t, c, want...)
+	}
+	t.Run("may run once in all, and their first arrival is no retry", func(t *testing.T) {
+		check(t, again(http.StatusOK), []standin.Run{run})
+	})
+	t.Run("that run twice", func(t *testing.T) {
+		check(t, again(http.StatusOK), []standin.Run{run, run}, runsOnce)
+	})
+	t.Run("that are refused again and ran", func(t *testing.T) {
+		check(t, again(http.StatusServiceUnavailable), []standin.Run{run}, notRun)
+	})
+	t.Run("that end without an answer", func(t *testing.T) {
+		o := cut("/locks/", second, 0, "")
+		o.again, o.sentAt = true, after(second/2)
+		check(t, o, nil, answered)
+	})
+}
+
 // TestHistory checks when a fault counts as on.
 func TestHistory(t *testing.T) {
 	i := is.New(t)
--- a/emulator/soaker/connection.go
+++ b/emulator/soaker/connection.go
@@ -41,6 +41,9 @@
 	// sentAt is when the last byte was sent; zero if the request was not sent
 	// completely. endedAt is when the response, or the connection, ended.
 	sentAt, endedAt time.Time
+	// again is set if the request had been sent before, with the same ID to the same host, and
+	// refused. The rest is about the last sending.
+	again bool
 	// reused is set if the connection had carried a request before.
 	reused bool
 	status int // 0 if there was no response
@@ -59,13 +62,17 @@
 	surplus int
 }
 
+// repetition returns the outcome of sending the request again.
+func (o *outcome) repetition() outcome {
+	return outcome{id: o.id, path: o.path, host: o.host, customer: o.customer, stranger: o.stranger, padding: o.padding, again: true}
+}
+
 // requestBody returns the body that the request is sent with.
 func (o *outcome) requestBody() string {
 	return "body of " + string(o.id) + strings.Repeat(".", o.padding)
 }
 
-// connection is a caller's persistent connection to a host. It sends each
-// request once.
+// connection is a caller's persistent connection to a host.
 type connection struct {
 	raw    net.Conn
 	reader *bufio.Reader
--- a/emulator/soaker/faults.go
+++ b/emulator/soaker/faults.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/platform/standin"
 )
 
@@ -67,6 +68,8 @@
 // They may overlap, but not with others of the same kind and subject.
 func (s *system) injectFaults(ctx context.Context) {
 	deadline := time.Now().Add(s.options.Duration)
+	copies := grouper.New(ctx)
+	copies.Run(func(ctx context.Context) { s.injectCopies(ctx, deadline) })
 	families := []func() injection{
 		s.processFault, s.processFault, s.linkFault, s.storeLinkFault, s.runnerFault,
 		s.runnerFault, s.silence, s.membershipFault, s.configurationFault, s.storeFault,
@@ -91,6 +94,7 @@
 	for range running {
 		<-ended
 	}
+	_ = copies.Wait() // its goroutine returns no error
 }
 
 // processFault kills, pauses, slows, stops or reloads one host. Each fault takes
--- a/emulator/soaker/history.go
+++ b/emulator/soaker/history.go
@@ -25,6 +25,8 @@
 	configurationSent faultKind = "changed"
 
 	runnerRejects        faultKind = "rejects"
+	runnerCopies         faultKind = "writes copies of refusals"
+	runnerChangesStage   faultKind = "changes its stage"
 	runnerDrops          faultKind = "drops responses"
 	runnerHangs          faultKind = "hangs"
 	runnerTruncates      faultKind = "truncates"
--- a/emulator/soaker/soaker.go
+++ b/emulator/soaker/soaker.go
@@ -13,8 +13,9 @@
 // Signals kill, pause, gracefully stop and reload processes, and slow them down
 // by pausing them in short turns. Connections to runners and to the store pass
 // through proxies that delay, drop (in one or both directions) or reset them.
-// Runners lose responses, break off, refuse, slow down, fall silent and go on,
-// ask for pauses, name limits, announce that they leave, and leave. The store is restored from
+// Runners lose responses, break off, refuse, write copies of refusals, slow down, fall
+// silent and go on, ask for pauses, name limits, change their stage, announce that they
+// leave, and leave. The store is restored from
 // an older copy. Configurations change in idle timeout, body limit and routes.
 // Faults are injected in series and overlap. Only processes started by the soak
 // are terminated, by their process ids. Options.OtherBinary mixes two builds.
@@ -23,7 +24,9 @@
 //
 // Each guarantee is a constant; checker compares what callers saw with what
 // runners saw. Callers use their connections until these end, and state no
-// preference among hosts. A request that was sent completely must end with a
+// preference among hosts. Some send a refused request again, with its ID, to the same
+// host. Runners record the IDs that each of their connections has carried: none may
+// arrive twice. A request that was sent completely must end with a
 // complete answer, unless its host was killed or paused or a runner broke it off.
 //
 // # Replays
@@ -76,7 +79,8 @@
 
 // Report is the result of a soak.
 type Report struct {
-	// Sent counts requests that were sent completely. Failed ones got no answer
+	// Sent counts requests that were sent completely; one that is sent again counts once, by
+	// its last outcome. Failed ones got no answer
 	// or a failure.
 	Sent, Served, Refused, Failed int
 	// Statuses counts the sent requests by status; 0 is a connection that ended.
@@ -212,7 +216,7 @@
 	c := &checker{outcomes: s.outcomeLog.outcomes, history: s.history, budget: retryBudget}
 	for _, r := range s.runners {
 		c.runners = append(c.runners, runnerRecord{
-			id: r.Options().ID, service: r.Options().Service, received: r.AllReceived(), runs: r.Runs(), pause: askedPause,
+			id: r.Options().ID, service: r.Options().Service, received: r.AllReceived(), repeated: r.Repeated(), runs: r.Runs(), pause: askedPause,
 		})
 	}
 	s.report.Violations = c.check()
@@ -332,7 +336,7 @@
 			return err
 		}
 	}
-	if err := s.startRunner(standin.RunnerOptions{ID: "prefill-0", Service: "notes", Stage: "prefill", Slots: s.slots(), Memory: runnerMemory, Work: prefillWork}); err != nil {
+	if err := s.startRunner(standin.RunnerOptions{ID: "prefill-0", Service: "notes", Stage: "prefill", Slots: s.slots(), Memory: runnerMemory, Work: prefillWork, Events: streamEvents}); err != nil {
 		return err
 	}
 	if err := os.MkdirAll(s.options.Directory, 0o755); err != nil {
