Report no generation as not run whose prefill has run

Over the own protocol a caller was told not-run (code unavailable) though an engine had run the prefill, or had even sent tokens, if the last step was refused: the attempt took the verdict of the step that failed, and a RefusalDetail of an import or a decode is a proof about that step only. docs/callers.md and caller.proto promise that nothing ran, no part of the request; Bind already kept to that.

An attempt now notes that its prefill has run. Whatever it fails with after that has at least the verdict may-have-run. Retries, exclusions and what the allocator is told go by the reason, and stay as they were.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -41,6 +41,7 @@
 	a := &attempt{generation: g, grant: grant}
 	err = a.run(ctx)
 	if err != nil {
+		err = a.afterPrefill(err)
 		a.cancelAtEngines()
 		g.excluded = append(g.excluded, a.endpoint.Name)
 		d.deps.Log.Debug("attempt-failed",
@@ -80,6 +81,8 @@
 	// engine may hold resources for the attempt.
 	prefillMayHold bool
 	decodeMayHold  bool
+	// prefilled is set once an engine has run the prefill, a part of the request.
+	prefilled bool
 	// decoding is the decode at the isolator, and chunks the number received from it.
 	decoding *isolator.Call
 	chunks   int
@@ -127,6 +130,7 @@
 		return nil, err
 	}
 	c.Prefilled()
+	a.prefilled = true
 	a.generation.dispatcher.deps.Allocator.Progress(a.grant, allocator.PhasePrefilled)
 	return response.Msg, nil
 }
@@ -242,6 +246,17 @@
 	return e
 }
 
+// afterPrefill returns the attempt's error with the verdict of the whole attempt: a refusal of the
+// transfer or of the decode says nothing about the prefill before it.
+func (a *attempt) afterPrefill(err error) error {
+	if !a.prefilled {
+		return err
+	}
+	failure := *classifier.Of(err)
+	failure.Verdict = classifier.Worst(failure.Verdict, classifier.VerdictMayHaveRun)
+	return &failure
+}
+
 // cancelAtEngines cancels the attempt at each engine that may hold resources for
 // it. It does not wait.
 func (a *attempt) cancelAtEngines() {
