Answer calls that may have run with neither 429 nor resource_exhausted

Over the own protocol a failure with the reason queue-full or limit had the code resource_exhausted, 429 over HTTP, whatever its verdict. A call with a ticket whose issuer couldn't be asked, as the queue to that host was full, has the reason queue-full and the verdict may-have-run, since an earlier copy of the call may have run: its caller got the status that promises the opposite, which generic clients and load balancers act on.

TestStatusesPromiseNotRun writes the errors of all reasons as HTTP responses.

--- a/common/converter/code.go
+++ b/common/converter/code.go
@@ -15,8 +15,6 @@
 	classifier.ReasonUnknownCustomer: connect.CodePermissionDenied,
 	classifier.ReasonDeadline:        connect.CodeDeadlineExceeded,
 	classifier.ReasonCanceled:        connect.CodeCanceled,
-	classifier.ReasonQueueFull:       connect.CodeResourceExhausted,
-	classifier.ReasonLimit:           connect.CodeResourceExhausted,
 	classifier.ReasonTicketRequired:  connect.CodeFailedPrecondition,
 	classifier.ReasonTicketUsed:      connect.CodeAlreadyExists,
 	classifier.ReasonTakenOver:       connect.CodeAborted,
@@ -24,8 +22,9 @@
 }
 
 // CodeOf returns the Connect code of a failure. Generic clients and load
-// balancers retry CodeUnavailable on their own, so it is used only if the
-// request provably did not run.
+// balancers retry CodeUnavailable and CodeResourceExhausted, which are 503 and 429
+// over HTTP, on their own, so they are used only if the request provably did not
+// run.
 func CodeOf(e *classifier.Error) connect.Code {
 	if code, ok := codeByReason[e.Reason]; ok {
 		return code
@@ -33,8 +32,12 @@
 	if e.Verdict != classifier.VerdictNotRun {
 		return connect.CodeAborted
 	}
-	if e.Reason == classifier.ReasonTicketUnknown {
+	switch e.Reason {
+	case classifier.ReasonTicketUnknown:
 		return connect.CodeFailedPrecondition
+	case classifier.ReasonQueueFull, classifier.ReasonLimit:
+		return connect.CodeResourceExhausted
+	default:
+		return connect.CodeUnavailable
 	}
-	return connect.CodeUnavailable
 }
--- a/common/converter/converter_test.go
+++ b/common/converter/converter_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -83,6 +85,34 @@
 	is.Equal(converter.CodeOf(notRun), connect.CodeUnavailable)
 }
 
+// TestStatusesPromiseNotRun guards against calls that may have run and were answered with a status of
+// HTTP that states the opposite, such as 429.
+func TestStatusesPromiseNotRun(t *testing.T) {
+	promises := []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+	for _, r := range []classifier.Reason{
+		classifier.ReasonQueueFull, classifier.ReasonLimit, classifier.ReasonDeadline, classifier.ReasonCanceled,
+		classifier.ReasonNoEndpoint, classifier.ReasonEndpointFailed, classifier.ReasonEndpointRefused,
+		classifier.ReasonHostUnreachable, classifier.ReasonStopping, classifier.ReasonNotReady,
+		classifier.ReasonTicketUnknown, classifier.ReasonTicketUsed, classifier.ReasonTakenOver,
+		classifier.ReasonTooLarge, classifier.ReasonInternal, classifier.ReasonAllocatorUnknown,
+		classifier.ReasonQuarantined, classifier.ReasonMemory,
+	} {
+		for _, err := range []error{classifier.MayHaveRun(r, time.Second, "lost"), classifier.Ran(r, "lost")} {
+			t.Run(err.Error(), func(t *testing.T) {
+				is := is.New(t)
+				w := httptest.NewRecorder()
+				request := httptest.NewRequest(http.MethodPost, "/", strings.NewReader("{}"))
+				request.Header.Set("Content-Type", "application/json")
+				is.NoErr(connect.NewErrorWriter().Write(w, request, converter.ToConnect(err)))
+				is.True(!slices.Contains(promises, w.Code))
+			})
+		}
+	}
+	t.Run("one that has not run is refused with 429", func(t *testing.T) {
+		is.New(t).Equal(converter.CodeOf(classifier.NotRun(classifier.ReasonQueueFull, 0, "full")), connect.CodeResourceExhausted)
+	})
+}
+
 // failingEngine fails every prefill with err, or by aborting the connection if
 // err is nil.
 type failingEngine struct {
