Deliver no response that doesn't name its request

The Go client took whatever response came next as the one to its call, also one that named another request_id or none. Over HTTP/1.1, its default transport, responses are paired with requests by their order only: a late or repeated one that a faulty proxy lets through would have been delivered as the payload of the next call, or as the text of another generation, and an empty response as an empty payload.

Hosts name the request in every response to Call and in the first message of a stream (caller.proto). The client now checks that; otherwise the call ends as a broken stream with may-have-run, and a retry with the same ticket or offset follows as after a reset. The hosts of the tests now name the request as caller.proto demands.

A failure still names no request: FailureDetail has no field for it.

--- a/client/call.go
+++ b/client/call.go
@@ -82,9 +82,22 @@
 		v.verdict = classifier.Worst(v.verdict, failure.Verdict)
 		return nil, failure
 	}
+	if failure := checkRequest(response.Msg.GetRequestId(), v.request.ID); failure != nil {
+		v.verdict = classifier.Worst(v.verdict, failure.Verdict)
+		return nil, failure
+	}
 	return response.Msg.GetPayload(), nil
 }
 
+// checkRequest returns a failure unless a response names the request that it is taken for. HTTP/1.1
+// pairs them by their order only, which a faulty proxy may break.
+func checkRequest(named string, id identifier.Request) *classifier.Error {
+	if named == string(id) {
+		return nil
+	}
+	return brokenStreamFailure("response to request %q names request %q", id, named)
+}
+
 // requestTicket requests a ticket. Every failure has verdict not-run, since the
 // call itself has not been sent yet.
 func (v *invocation) requestTicket(ctx context.Context) *classifier.Error {
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -39,6 +39,8 @@
 	issued    int
 	// hosts records the Host header of each request.
 	hosts []string
+	// named is the request that responses to calls name; nil for that of the call.
+	named *string
 }
 
 func (h *fakeHost) Generate(ctx context.Context, r *connect.Request[callerwire.GenerateRequest], s *generateStream) error {
@@ -54,7 +56,11 @@
 	if err != nil {
 		return nil, converter.ToConnect(err)
 	}
-	return connect.NewResponse(&callerwire.CallResponse{Payload: payload}), nil
+	id := r.Msg.GetRequestId()
+	if h.named != nil {
+		id = *h.named
+	}
+	return connect.NewResponse(&callerwire.CallResponse{RequestId: id, Payload: payload}), nil
 }
 
 func (h *fakeHost) IssueTicket(context.Context, *connect.Request[callerwire.IssueTicketRequest]) (*connect.Response[callerwire.IssueTicketResponse], error) {
@@ -129,14 +135,21 @@
 }
 
 func send(offset, tokens uint32, text string) generateStep {
-	return func(_ context.Context, _ *callerwire.GenerateRequest, s *generateStream) error {
-		return s.Send(&callerwire.GenerateResponse{TokenOffset: offset, Tokens: tokens, Text: text})
+	return func(_ context.Context, r *callerwire.GenerateRequest, s *generateStream) error {
+		return s.Send(&callerwire.GenerateResponse{RequestId: r.GetRequestId(), TokenOffset: offset, Tokens: tokens, Text: text})
 	}
 }
 
 func complete(total uint32) generateStep {
+	return func(_ context.Context, r *callerwire.GenerateRequest, s *generateStream) error {
+		return s.Send(&callerwire.GenerateResponse{RequestId: r.GetRequestId(), Completion: &callerwire.Completion{TotalTokens: total, Attempts: 1}})
+	}
+}
+
+// sendNamed sends a chunk that names a request.
+func sendNamed(id string) generateStep {
 	return func(_ context.Context, _ *callerwire.GenerateRequest, s *generateStream) error {
-		return s.Send(&callerwire.GenerateResponse{Completion: &callerwire.Completion{TotalTokens: total, Attempts: 1}})
+		return s.Send(&callerwire.GenerateResponse{RequestId: id, Tokens: 1, Text: "foreign "})
 	}
 }
 
--- a/client/generate.go
+++ b/client/generate.go
@@ -127,9 +127,9 @@
 		cancel(nil)        // otherwise Close would drain the rest of the stream
 		_ = stream.Close() // irrelevant: the answer is complete or will be resumed
 	}()
-	for stream.Receive() {
+	for first := true; stream.Receive(); first = false {
 		stallTimer.Reset(g.stallTimeout())
-		completion, failure := g.receive(stream.Msg())
+		completion, failure := g.receive(stream.Msg(), first)
 		if failure != nil {
 			return Completion{}, failure
 		}
@@ -185,8 +185,14 @@
 }
 
 // receive delivers a message's text if it continues what was received, ignores
-// it if it is a duplicate, and fails on a gap or a partial overlap.
-func (g *generation) receive(m *callerwire.GenerateResponse) (*callerwire.Completion, *classifier.Error) {
+// it if it is a duplicate, and fails on a gap or a partial overlap. The first
+// message of a stream has to name the request.
+func (g *generation) receive(m *callerwire.GenerateResponse, first bool) (*callerwire.Completion, *classifier.Error) {
+	if first {
+		if failure := checkRequest(m.GetRequestId(), g.id); failure != nil {
+			return nil, failure
+		}
+	}
 	offset, tokens := identifier.Tokens(m.GetTokenOffset()), identifier.Tokens(m.GetTokens())
 	switch {
 	case tokens == 0 && m.GetText() == "":
--- a/loader/caller_test.go
+++ b/loader/caller_test.go
@@ -59,7 +59,7 @@
 	if r.Msg.GetTicket() != "t" {
 		return nil, connect.NewError(connect.CodeFailedPrecondition, nil)
 	}
-	return connect.NewResponse(&callerwire.CallResponse{Payload: r.Msg.GetPayload()}), nil
+	return connect.NewResponse(&callerwire.CallResponse{RequestId: r.Msg.GetRequestId(), Payload: r.Msg.GetPayload()}), nil
 }
 
 func TestCallers(t *testing.T) {
