Check that a status from in between is no proof of what it states

Only a RefusalDetail or a failed dial is a proof that an endpoint has not run a call, and only a FailureDetail or a failed dial that a host has not. TestStatusesFromInBetween adds the cases that had no test: a bare 408, 421, 429 or 503, as a proxy sends it, and a failure with the detail of the callers' API from an endpoint.

--- a/common/converter/converter_test.go
+++ b/common/converter/converter_test.go
@@ -193,6 +193,31 @@
 	})
 }
 
+// TestStatusesFromInBetween guards against taking a status of a proxy, or the detail of another
+// service's failure, for an endpoint's or a host's statement that it has not run a call.
+func TestStatusesFromInBetween(t *testing.T) {
+	foreign := connect.NewError(connect.CodeUnavailable, errors.New("not run"))
+	detail, err := connect.NewErrorDetail(&callerwire.FailureDetail{Verdict: callerwire.Verdict_VERDICT_NOT_RUN, Reason: string(classifier.ReasonStopping)})
+	is.New(t).NoErr(err)
+	foreign.AddDetail(detail)
+	t.Run("a failure of a host, from an endpoint", func(t *testing.T) {
+		err := prefill(t, serveEngine(t, &failingEngine{err: foreign}))
+		assertVerdict(t, err, classifier.VerdictMayHaveRun, classifier.ReasonEndpointFailed)
+	})
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+		t.Cleanup(server.Close)
+		t.Run(fmt.Sprintf("%d to a host", status), func(t *testing.T) {
+			assertVerdict(t, prefill(t, server.URL), classifier.VerdictMayHaveRun, classifier.ReasonEndpointFailed)
+		})
+		t.Run(fmt.Sprintf("%d to a caller", status), func(t *testing.T) {
+			client := callerwireconnect.NewCallerServiceClient(server.Client(), server.URL)
+			_, err := client.Call(t.Context(), connect.NewRequest(&callerwire.CallRequest{}))
+			is.New(t).Equal(converter.FromConnect(err).Verdict, classifier.VerdictMayHaveRun)
+		})
+	}
+}
+
 func TestCanceledAtEndpoint(t *testing.T) {
 	t.Run("by the endpoint", func(t *testing.T) {
 		err := prefill(t, serveEngine(t, &failingEngine{err: connect.NewError(connect.CodeCanceled, errors.New("canceled"))}))
