Answer requests that are still arriving at the end of a planned stop

Callers whose header or body was still on its way when a planned stop reached its end saw their connection reset, without an answer, though nothing had been sent to an endpoint. Others got 502 or 503.

Cause: the end of a stop cancels the contexts of requests. The reading of a body doesn't watch the context, and a connection whose header is incomplete has no context to cancel; both were closed 200 ms later.

Now the end of the context interrupts the reading of a body, and a connection without a whole request is asked to end: its reader answers 503 if a header has begun. Both answers are true, since nothing is sent before a request is whole.

Requests that have been sent, and streams, were answered or aborted as promised before, too.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -277,7 +277,7 @@
 }
 
 // CancelRequests ends the contexts of all requests in progress, so that they can be
-// answered before CloseAll.
+// answered before CloseAll. Requests whose header hasn't arrived are refused.
 func (a *Acceptor) CancelRequests(r Reason) {
 	now := time.Now()
 	for _, c := range a.connections() {
--- a/acceptor/bounds.go
+++ b/acceptor/bounds.go
@@ -26,8 +26,8 @@
 )
 
 const (
-	// crowdedAnswer and headTooLargeAnswer refuse requests that weren't read.
-	crowdedAnswer      = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// unreadAnswer and headTooLargeAnswer refuse requests that weren't read.
+	unreadAnswer       = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	headTooLargeAnswer = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
 
@@ -44,7 +44,7 @@
 	case r == ReasonHeadTooLarge:
 		return headTooLargeAnswer
 	default:
-		return crowdedAnswer
+		return unreadAnswer
 	}
 }
 
@@ -166,8 +166,8 @@
 func (a *Acceptor) refuse(raw net.Conn, now time.Time) {
 	a.observe(&Closing{Reason: ReasonRefused, Remote: raw.RemoteAddr().String()})
 	_ = raw.SetWriteDeadline(now.Add(refusalTimeout))
-	_, _ = io.WriteString(raw, crowdedAnswer) // the caller may be gone
-	_ = raw.Close()                           // as above
+	_, _ = io.WriteString(raw, unreadAnswer) // the caller may be gone
+	_ = raw.Close()                          // as above
 }
 
 // accountHead accounts for b, which was read. It returns why the connection has to end,
--- a/acceptor/closing.go
+++ b/acceptor/closing.go
@@ -40,10 +40,11 @@
 	Remote string
 	// Age is the time since the connection was accepted.
 	Age time.Duration
-	// Idle is the time since the last answer, since the connection was accepted, or,
-	// with ReasonHeader, since the first byte of the request.
+	// Idle is the time since the last answer, since the connection was accepted, or, while
+	// a request's header arrives, since its first byte.
 	Idle time.Duration
-	// Limit is the limit that Idle exceeded; 0 with ReasonStopLimit and ReasonKill.
+	// Limit is the limit that Idle exceeded. It has no meaning with ReasonStopLimit and
+	// ReasonKill.
 	Limit time.Duration
 }
 
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -233,9 +233,12 @@
 }
 
 // endsAtOnce reports whether the rest of a header isn't waited for, since there is no room
-// for it. The caller holds the lock.
+// for it, or no time. The caller holds the lock.
 func (c *Connection) endsAtOnce() bool {
-	return c.phase == phaseHeader && (c.asked == ReasonCrowded || c.asked == ReasonMemory)
+	if c.phase != phaseHeader {
+		return false
+	}
+	return c.asked == ReasonCrowded || c.asked == ReasonMemory || c.asked == ReasonStopLimit
 }
 
 // close marks the connection as closed. The caller holds the lock.
@@ -262,15 +265,20 @@
 		_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
 		_, _ = io.WriteString(c.Conn, answer) // the caller may be gone
 	}
-	if closing.Reason == ReasonHeadTooLarge || closing.Reason == ReasonMemory {
+	switch closing.Reason {
+	case ReasonHeadTooLarge, ReasonMemory, ReasonStopLimit:
 		c.linger()
 	}
 	_ = c.Conn.Close() // net/http may read or write again after an error
 	return io.EOF
 }
 
-// cancelRequest ends the context of the connection's requests.
+// cancelRequest ends the context of the connection's requests. Without a whole request, it asks
+// the connection to end.
 func (c *Connection) cancelRequest(r Reason, now time.Time) {
+	if c.ask(r) {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase != phaseServing || c.cancel == nil {
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -69,6 +69,7 @@
 	}
 	e.body = e.forwarder.deps.Memory.Open(budgeter.KindBody, time.Now(), r.letGo)
 	r.holder = e.body
+	defer context.AfterFunc(e.request.Context(), r.interrupt)()
 	body, err := r.read(e.request.ContentLength)
 	if err != nil {
 		e.writer.Header().Set("Connection", "close") // the rest of the body isn't read
@@ -79,9 +80,14 @@
 	return body, nil
 }
 
-// letGo interrupts the reading.
+// letGo interrupts the reading for lack of memory.
 func (r *bodyReader) letGo() {
 	r.interrupted.Store(true)
+	r.interrupt()
+}
+
+// interrupt ends a read that is under way.
+func (r *bodyReader) interrupt() {
 	_ = r.control.SetReadDeadline(expired) // unsupported in tests only
 }
 
@@ -162,16 +168,28 @@
 	if r.interrupted.Load() {
 		return 0, budgeter.ErrShort
 	}
+	if r.ended() {
+		return 0, context.Canceled
+	}
 	n, err := r.exchange.request.Body.Read(b)
 	r.holder.Progress(int64(n), time.Now())
 	return n, err
 }
 
+// ended reports whether this host has ended the request. After an error of the connection,
+// net/http cancels the context without a cause.
+func (r *bodyReader) ended() bool {
+	ctx := r.exchange.request.Context()
+	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), context.Canceled)
+}
+
 // failure returns the error of a request whose body ended with err.
 func (r *bodyReader) failure(err error) error {
 	switch {
 	case r.interrupted.Load():
 		return r.short()
+	case r.ended():
+		return contextError(r.exchange.request.Context(), classifier.VerdictNotRun)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &statusError{status: http.StatusRequestTimeout, cause: err}
 	default:
