Refuse late requests of a planned stop that are known not to end in time

In a planned stop, requests that came after the load balancers' time were passed on and cut at its end (502, or a stream without its end), though this host could know that they would not end in time.

Cause: two gaps in checkStop. It takes the longest measured duration of the route for certain, also when endpoints have become slower since and older requests of the route are still running after that time. And it is asked once, before a request waits for an engine, a slot or a permit; the request was sent when too little time was left.

Now what was measured counts only while no request of the route has been in progress for longer; otherwise the deadline decides. And a request that nothing may have run is checked again when it has its endpoint, right before it is sent; what it was granted goes back. Requests of the load balancers' time are served as before.

Not covered: a request that comes before any other of its route has outlasted the measured time.

--- a/forwarder/choice.go
+++ b/forwarder/choice.go
@@ -33,9 +33,28 @@
 // plainChoice chooses the endpoint of a plain call, with a permit if it has named a limit.
 type plainChoice func(ctx context.Context) (target, *classifier.Error)
 
-// choosePlain implements plainChoice for calls other than hedges. Where slots are shared, it
-// waits for one.
+// choosePlain implements plainChoice for calls other than hedges. It refuses a first call that
+// has waited until a planned stop would interrupt it.
 func (e *exchange) choosePlain(ctx context.Context) (target, *classifier.Error) {
+	to, err := e.awaitEndpoint(ctx)
+	if err != nil || e.mayHaveRun {
+		return to, err
+	}
+	if refusal := e.checkStop(time.Now()); refusal != nil {
+		e.giveBack(to)
+		return target{}, refusal
+	}
+	return to, nil
+}
+
+// giveBack returns what an endpoint was chosen with if it gets no call.
+func (e *exchange) giveBack(to target) {
+	e.forwarder.deps.Limits.Drop(to.Endpoint, e.call.ID)
+	e.forwarder.endSlot(to.slot, reserver.SlotOutcome{Outcome: unusedOutcome})
+}
+
+// awaitEndpoint chooses an endpoint. Where slots are shared, it waits for one.
+func (e *exchange) awaitEndpoint(ctx context.Context) (target, *classifier.Error) {
 	if e.sharesSlots() {
 		if t, err, ok := e.chooseShared(ctx, e.usableEndpoints(), false); ok {
 			return t, err
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -89,6 +89,7 @@
 	if err := e.resolve(d, parameters.Key); err != nil {
 		return err
 	}
+	f.inProgress.begin(e)
 	body, err := e.readBody(d.Limits, e.requestDeadline(parameters))
 	if err != nil {
 		return err
@@ -97,8 +98,8 @@
 		return err
 	}
 	e.setCall(d, parameters, body)
-	if err := e.checkStop(time.Now()); err != nil {
-		return err
+	if refusal := e.checkStop(time.Now()); refusal != nil {
+		return refusal
 	}
 	return e.chooseService(d)
 }
@@ -153,8 +154,8 @@
 	})
 }
 
-// checkStop refuses a request that a planned stop would interrupt.
-func (e *exchange) checkStop(now time.Time) error {
+// checkStop refuses a request that a planned stop would interrupt; nil if there is none.
+func (e *exchange) checkStop(now time.Time) *classifier.Error {
 	p := e.forwarder.stop.Load()
 	if p == nil || !p.refuses(e.observation.Started, e.expectedEnd(now)) {
 		return nil
@@ -163,10 +164,14 @@
 }
 
 // expectedEnd returns the time by which the request will have ended: its deadline, or
-// earlier if the route's requests are known to take less time.
+// earlier if the route's requests are known to take less time. What was measured isn't known
+// to hold while one of them has taken longer.
 func (e *exchange) expectedEnd(now time.Time) time.Time {
 	expected := e.forwarder.deps.ExpectedDuration(e.route)
-	if end := now.Add(expected); expected > 0 && end.Before(e.call.Deadline) {
+	if expected == 0 || e.forwarder.inProgress.longest(e.route.Name, now) > expected {
+		return e.call.Deadline
+	}
+	if end := now.Add(expected); end.Before(e.call.Deadline) {
 		return end
 	}
 	return e.call.Deadline
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -251,6 +251,8 @@
 	options Options
 	running atomic.Int64
 	stop    atomic.Pointer[PlannedStop]
+	// inProgress has the requests whose route is known.
+	inProgress progress
 	// waitingBodies counts the requests that wait for memory for their body.
 	waitingBodies atomic.Int64
 
@@ -308,6 +310,7 @@
 	}()
 	e := &exchange{forwarder: f, writer: w, request: r, observation: o}
 	defer e.releaseBody()
+	defer f.inProgress.end(e)
 	if f.options.MaxConcurrent > 0 && held > f.options.MaxConcurrent {
 		e.refuse(overloaded(f.options.MaxConcurrent))
 		return
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -167,8 +167,7 @@
 		if err != nil || unanswered.Err() == nil {
 			return to, err
 		}
-		e.forwarder.deps.Limits.Drop(to.Endpoint, e.call.ID)
-		e.forwarder.endSlot(to.slot, reserver.SlotOutcome{Outcome: placer.Outcome{Verdict: placer.VerdictNone}})
+		e.giveBack(to)
 		return target{}, classifier.NotRun(classifier.ReasonCanceled, 0, "the call was answered, or ended")
 	}
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -108,13 +108,20 @@
 		append(s.observation.Stream.LogFields(), zap.String("last-event", s.lastEventID), zap.Int("round", s.placements))...)
 }
 
-// place prepares an engine and starts the decode there.
+// place prepares an engine and starts the decode there, unless it is the first one and a
+// planned stop would interrupt it.
 func (s *stream) place(ctx context.Context) (*decoding, error) {
 	s.placements++
 	p, err := s.prepareEngine(ctx, s.placementRequest())
 	if err != nil {
 		return nil, err
 	}
+	if !s.mayHaveRun {
+		if refusal := s.checkStop(time.Now()); refusal != nil {
+			s.release(p)
+			return nil, &hostRefusal{cause: refusal}
+		}
+	}
 	return s.start(ctx, p), nil
 }
 
