Count the memory of events in the account of buffered responses

A host of 112 MB could run out of memory when endpoints sent events without end to many streams at once, and all other requests on it would have ended with it.

Cause: an event may have 256 KiB, and its buffer was in no account: neither in that of buffered responses, which bounds all calls together and each endpoint, nor in the host's. Only the number of streams bounded it.

Now a stream's event grows in memory from the account of buffered responses, beyond its first 4 KiB. Where there is no room, the stream is broken off as one whose event is too large; if the account is full by others, its endpoint isn't blamed.

Evidence: TestEndlessEndpoints starts the host as a process with 112 MB stated, and 1500 calls to five such endpoints at once.

--- a/cmd/entry-host/memory_test.go
+++ b/cmd/entry-host/memory_test.go
@@ -138,10 +138,17 @@
 	return binary
 }
 
+// machine is what the host's settings state of its machine.
+type machine struct {
+	// memory is in bytes.
+	memory, descriptors int
+}
+
 // host is a host's process, with a platform of its own.
 type host struct {
 	t         *testing.T
 	is        *is.I
+	machine   machine
 	callers   string
 	readiness string
 	process   *os.Process
@@ -152,16 +159,22 @@
 	peakMemory, peakDescriptors int
 }
 
-// startHost starts a platform and a host, and waits until it is ready.
+// startHost starts a platform and a host on a small machine, and waits until it is ready.
 func startHost(t *testing.T, binary string) *host {
 	t.Helper()
-	h := &host{t: t, is: is.New(t), exited: make(chan struct{}), log: filepath.Join(t.TempDir(), "log")}
+	return startHostOn(t, binary, machine{memory: machineMemory, descriptors: machineDescriptors}, startPlatform)
+}
+
+// startHostOn is startHost for any machine and platform.
+func startHostOn(t *testing.T, binary string, m machine, platform func(*testing.T, *grouper.Group) identifier.Address) *host {
+	t.Helper()
+	h := &host{t: t, is: is.New(t), machine: m, exited: make(chan struct{}), log: filepath.Join(t.TempDir(), "log")}
 	group := grouper.New(context.Background())
 	t.Cleanup(func() {
 		group.Stop()
 		_ = group.Wait() // its functions return no error
 	})
-	h.run(group, binary, h.writeSettings(startPlatform(t, group)))
+	h.run(group, binary, h.writeSettings(platform(t, group)))
 	group.Run(h.sample)
 	h.await("readiness", func() bool { return h.get("http://"+h.readiness+"/") == nil })
 	return h
@@ -197,7 +210,7 @@
 listeners = { callers = %q, readiness = %q, peers = %q }
 store = { address = %q }
 limits = { memory-bytes = %d, max-descriptors = %d }
-`, ports[0], ports[1], ports[2], store, machineMemory, machineDescriptors), 0o600))
+`, ports[0], ports[1], ports[2], store, h.machine.memory, h.machine.descriptors), 0o600))
 	return path
 }
 
@@ -352,10 +365,10 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.t.Logf("peaks: %d bytes, %d descriptors", h.peakMemory, h.peakDescriptors)
-	if h.peakMemory > machineMemory {
-		h.t.Errorf("anonymous memory of %d bytes, the machine has %d", h.peakMemory, machineMemory)
+	if h.peakMemory > h.machine.memory {
+		h.t.Errorf("anonymous memory of %d bytes, the machine has %d", h.peakMemory, h.machine.memory)
 	}
-	if h.peakDescriptors > machineDescriptors {
-		h.t.Errorf("%d open descriptors, the machine allows %d", h.peakDescriptors, machineDescriptors)
+	if h.peakDescriptors > h.machine.descriptors {
+		h.t.Errorf("%d open descriptors, the machine allows %d", h.peakDescriptors, h.machine.descriptors)
 	}
 }
--- a/exchanger/buffers.go
+++ b/exchanger/buffers.go
@@ -15,8 +15,10 @@
 	// defaultMaxBuffered is the memory for the buffered bodies of all calls, in bytes.
 	defaultMaxBuffered = 32 << 20
 	// freeBufferBytes of each body don't count, so that small responses are received
-	// while large ones take all the memory.
+	// while large ones take all the memory, and freePartBytes of each body that is read in
+	// parts.
 	freeBufferBytes = 64 << 10
+	freePartBytes   = initialBufferBytes
 	// initialBufferBytes is the first size of a buffer, which doubles as it fills.
 	initialBufferBytes = 4 << 10
 	// endpointShare is the part of the memory that the bodies of one endpoint may take.
@@ -77,6 +79,7 @@
 	account *buffers
 	holder  *budgeter.Holder // in the host's account; nil if nothing is taken
 	address identifier.Address
+	free    int64 // bytes that don't count
 	bytes   []byte
 	taken   int64
 }
@@ -84,7 +87,7 @@
 // grow makes room for more bytes, of at most limit in all.
 func (b *buffer) grow(limit int64) error {
 	size := min(limit, max(initialBufferBytes, 2*int64(cap(b.bytes))))
-	if more := size - freeBufferBytes - b.taken; more > 0 {
+	if more := size - b.free - b.taken; more > 0 {
 		if b.holder == nil {
 			b.holder = b.account.shared.Open(budgeter.KindAnswer, time.Now(), nil)
 		}
--- a/exchanger/response.go
+++ b/exchanger/response.go
@@ -181,7 +181,7 @@
 // Close. The verdict of its errors is never not-run.
 func (r *Response) ReadAll(limit int64) ([]byte, error) {
 	a := r.connection.address
-	r.buffer = &buffer{account: r.exchanger.buffers, address: a}
+	r.buffer = &buffer{account: r.exchanger.buffers, address: a, free: freeBufferBytes}
 	body, err := r.fill(r.buffer, limit)
 	switch {
 	case err == nil:
@@ -196,6 +196,22 @@
 	}
 }
 
+// GrowBuffer returns a larger buffer, of at most limit bytes, with the content of b, which is
+// nil or was returned before. It is for a caller that reads the body in parts and keeps one of them:
+// the buffer's memory counts as used until Close, as that of ReadAll does. The errors are
+// ErrTooLarge and ErrBuffersFull.
+func (r *Response) GrowBuffer(b []byte, limit int64) ([]byte, error) {
+	if r.buffer == nil {
+		r.buffer = &buffer{account: r.exchanger.buffers, address: r.connection.address, free: freePartBytes}
+	}
+	r.buffer.bytes = b
+	if err := r.buffer.grow(limit); err != nil {
+		r.exchanger.countOversized(err)
+		return nil, err
+	}
+	return r.buffer.bytes, nil
+}
+
 // fill reads the body into a buffer and returns it.
 func (r *Response) fill(b *buffer, limit int64) ([]byte, error) {
 	for {
--- a/forwarder/engine_call.go
+++ b/forwarder/engine_call.go
@@ -85,7 +85,7 @@
 // readEvents hands over the events of a stream. A stream whose end is only the end of
 // its connection isn't complete without an event, since it may have been broken off.
 func (c *engineCall) readEvents(r *exchanger.Response) callEnd {
-	events := newEventReader(r)
+	events := newEventReader(r, func(b []byte) ([]byte, error) { return r.GrowBuffer(b, maxEventBuffer) })
 	for count := 0; ; count++ {
 		event, err := events.next()
 		switch {
@@ -135,7 +135,11 @@
 }
 
 func (c *engineCall) interrupted(err error) error {
-	return classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "stream from engine %q was interrupted: %w", c.at.Name, err)
+	reason := classifier.ReasonEndpointFailed
+	if errors.Is(err, exchanger.ErrBuffersFull) {
+		reason = classifier.ReasonQueueFull
+	}
+	return classifier.MayHaveRun(reason, 0, "stream from engine %q was interrupted: %w", c.at.Name, err)
 }
 
 // handOver waits until the part has been handled, or until the call is canceled before
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -8,9 +8,13 @@
 	"strconv"
 )
 
-// maxEventBytes is the maximum size of an event, which holds a few tokens. Each stream
-// may need as much memory.
-const maxEventBytes = 256 << 10
+const (
+	// maxEventBytes is the maximum size of an event, which holds a few tokens. Its last line
+	// end may exceed it.
+	maxEventBytes = 256 << 10
+	// maxEventBuffer is the largest buffer of an event.
+	maxEventBuffer = maxEventBytes + 1
+)
 
 var (
 	errEventTooLarge = errors.New("event is too large")
@@ -24,6 +28,8 @@
 type eventReader struct {
 	reader *bufio.Reader
 	event  []byte
+	// grow returns a larger buffer with the content of b.
+	grow func(b []byte) ([]byte, error)
 	// id is the ID of the event that next has returned; empty if it has none.
 	id string
 	// hasData reports whether that event has data. Others, such as comments, are not
@@ -35,8 +41,8 @@
 
 const eventBufferBytes = 4 << 10
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(r, eventBufferBytes)}
+func newEventReader(r io.Reader, grow func(b []byte) ([]byte, error)) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(r, eventBufferBytes), grow: grow}
 }
 
 // lineEnd is how a line ends.
@@ -85,7 +91,9 @@
 		if len(r.event) >= maxEventBytes {
 			return 0, errEventTooLarge
 		}
-		r.event = append(r.event, b)
+		if err := r.push(b); err != nil {
+			return 0, err
+		}
 		switch {
 		case b == '\n':
 			return lineEndLF, nil
@@ -107,8 +115,20 @@
 		return lineEndCR, nil
 	}
 	_, _ = r.reader.Discard(1) // can't fail for peeked data
-	r.event = append(r.event, '\n')
-	return lineEndCRLF, nil
+	return lineEndCRLF, r.push('\n')
+}
+
+// push appends a byte to the event.
+func (r *eventReader) push(b byte) error {
+	if len(r.event) == cap(r.event) {
+		larger, err := r.grow(r.event)
+		if err != nil {
+			return err
+		}
+		r.event = larger
+	}
+	r.event = append(r.event, b)
+	return nil
 }
 
 // parseLine takes from a line of an event what decides about forwarding.
--- a/forwarder/events_test.go
+++ b/forwarder/events_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"slices"
 	"strings"
 	"testing"
 
@@ -12,7 +13,7 @@
 // readEvents reads a stream to its end and returns its events, the last ID and the
 // bytes after the last event.
 func readEvents(text string) (events []string, id, rest string, err error) {
-	r := newEventReader(strings.NewReader(text))
+	r := newEventReader(strings.NewReader(text), growFreely)
 	for {
 		event, err := r.next()
 		if err != nil {
@@ -94,3 +95,8 @@
 		i.Equal(strings.Join(events, "")+rest, text)
 	})
 }
+
+// growFreely returns a larger buffer with the content of b.
+func growFreely(b []byte) ([]byte, error) {
+	return slices.Grow(b, 1), nil
+}
--- a/forwarder/property_test.go
+++ b/forwarder/property_test.go
@@ -111,7 +111,7 @@
 			if broken {
 				sent = sent[:rapid.IntRange(0, len(sent)).Draw(t, "cut")]
 			}
-			r := newEventReader(strings.NewReader(sent))
+			r := newEventReader(strings.NewReader(sent), growFreely)
 			for {
 				b, err := r.next()
 				if err != nil {
