Take no copy of an earlier answer of the store for the answer to the next call

What callers saw: nothing that was reported. A host that lists the store beside copies would lose all endpoints of a prefix, and refuse their requests; a host that watches it would keep a configuration that had been replaced, until the next one.

Cause: answers of the store have no ID, its calls share connections, and all kinds of answers are JSON objects of which no field was required. An answer to a watch read as a page is an empty page, so that what it should hold is removed; a page read as an answer to a watch has no changes, but a later revision, which skips the changes in between.

Change: pages of a listing, which can remove items, are read on connections that have carried nothing else (exchanger.Request.Fresh), so that no copy can arrive there.

--- a/exchanger/attribution_test.go
+++ b/exchanger/attribution_test.go
@@ -54,6 +54,19 @@
 		i.Equal(all[1], exchanger.Attribution{Connection: 1, Earlier: 1})
 		i.Equal(x.Stats().UnnamedResponses, uint64(1))
 	})
+	t.Run("of responses to fresh requests is certain, with an idle connection at hand", func(t *testing.T) {
+		i := is.New(t)
+		e := listen(t, respondWith(func(string) string { return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" }))
+		x := newExchanger()
+		attributions(t, x, e, "one")
+		fresh := request("two")
+		fresh.Fresh = true
+		response, err := x.Send(context.Background(), e.address, fresh)
+		i.NoErr(err)
+		defer response.Close()
+		i.Equal(response.Attribution, exchanger.Attribution{Connection: 2})
+		i.True(response.Attribution.Certain())
+	})
 	t.Run("as text", func(t *testing.T) {
 		a := exchanger.Attribution{Connection: 7, Earlier: 3, Discarded: 1, Named: true}
 		is.New(t).Equal(a.String(), "connection=7 earlier=3 avoided=0 discarded=1 named=true")
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -106,6 +106,9 @@
 	// idle. Calls that can't be retried set it low, since they would fail on
 	// a stale connection. 0 means Options.IdleTimeout.
 	MaxIdle time.Duration
+	// Fresh makes Send open a new connection, so that nothing sent before can have caused the
+	// response.
+	Fresh bool
 	// MayWrite is called before a connection is opened, and again before the first
 	// byte is written, since opening one takes time. If it returns an error,
 	// nothing is sent and Send returns that error. Nil allows every request.
@@ -288,7 +291,7 @@
 // new one. It also returns the number of idle connections that had carried the ID.
 func (x *Exchanger) connect(ctx context.Context, a identifier.Address, r *Request) (c *connection, avoided int, err error) {
 	now, id := time.Now(), hashID(r.ID)
-	for {
+	for !r.Fresh {
 		c, avoided = x.popIdle(a, id)
 		if c == nil {
 			break
