Take no copy of an engine's answer to an earlier reservation for one of its own

What callers saw: nothing that was reported. Two requests go to an engine with one reservation; the second has no room there and waits or is refused after its prefill.

Cause: calls for reservations have no ID, which engines wouldn't name either, and share connections that are kept. A copy of the answer to an earlier one was taken as it was. An answer to another call, which has no reservation, was taken for one without a name, as of engines that have none.

Change: a connection remembers what its responses have handed out (Response.IsNew), like the IDs that it has carried.

Why this works: a copy stands on the connection of the answer that it was made of, and every answer on a kept connection was read. A restarted engine may use a name again, as it has new connections.

Open: a copied refusal is still taken for a reservation's. The answer to that may then be taken for the next one's, which has a reservation of its own, but of another size. Closing the connection after each refusal without an ID would cost a connection for each engine that is full.

--- a/exchanger/attribution.go
+++ b/exchanger/attribution.go
@@ -35,8 +35,20 @@
 		a.Connection, a.Earlier, a.Avoided, a.Discarded, a.Named)
 }
 
+// IsNew records what a response hands out for one use, such as a reservation, and reports whether
+// no earlier response on the connection has handed out the same. A copy of an earlier response
+// hands out nothing new.
+func (r *Response) IsNew(handle string) bool {
+	h := hashID(handle)
+	if r.connection.handles.has(h) {
+		return false
+	}
+	r.connection.handles.add(h)
+	return true
+}
+
 // maxRequests is the number of requests that a connection carries at most, which bounds the
-// memory for its IDs to 4 KiB.
+// memory for its IDs to 4 KiB, and that for what its responses have handed out to the same.
 const maxRequests = 512
 
 // idHash stands for a request ID in an idSet. Two IDs have the same one with a probability of one
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -409,6 +409,7 @@
 	reader       *bufio.Reader
 	requests     int   // requests that it has carried, the current one included
 	ids          idSet // of these requests
+	handles      idSet // what its responses have handed out
 	bytesWritten int   // bytes of the current request
 	idleSince    time.Time
 	usableUntil  time.Time
