Take REFUSED_STREAM and GOAWAY for the refusals that they are

All ended as may-have-run: a call that may run once failed at the planned restart of an endpoint, where it used to be sent again.

A connection of connector now reads a reset with PROTOCOL_ERROR as one with INTERNAL_ERROR, of which net/http doesn't take it that the request may be sent again. What it would still send again is what the endpoint has promised not to have run, so that the call ends as not-run with the reason endpoint-refused, like one with a RefusalDetail, and the retrier sends it to another endpoint. The guard moves from converter to connector, as it is right for such connections only.

--- a/common/converter/converter.go
+++ b/common/converter/converter.go
@@ -18,9 +18,8 @@
 //	failure := converter.FromEndpoint(err)
 //
 // A failed connection proves this only for a POST request sent by an
-// http.Client that follows no redirects and resends no call that was sent, since
-// a redirect or a reset shows that the endpoint may have seen the call.
-// [HTTPClient] returns such a client.
+// http.Client that follows no redirects, since a redirect shows that the
+// endpoint has seen the call. [HTTPClient] returns such a client.
 package converter
 
 import (
@@ -169,11 +168,10 @@
 	return uint32(min(max(n, 0), math.MaxUint32))
 }
 
-// HTTPClient returns a client for calls to endpoints. It follows no redirects, and sends each call
-// once: unless none of its message was sent, it fails where net/http would send it again.
+// HTTPClient returns a client for calls to endpoints. It follows no redirects.
 func HTTPClient(t http.RoundTripper) *http.Client {
 	return &http.Client{
-		Transport: singleSender{transport: t},
+		Transport: t,
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -1,5 +1,6 @@
 // Package connector manages the clients with which an entry host calls endpoints.
-// All calls to an endpoint share its connections.
+// All calls to an endpoint share its connections. Each call is sent once: what net/http would
+// send again by itself ends with an error instead.
 //
 // # Usage
 //
@@ -70,7 +71,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	transport := &http.Transport{
-		DialContext: o.Dial,
+		DialContext: filterResets(o.Dial),
 		Protocols:   protocols,
 		HTTP2:       &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
 
@@ -78,7 +79,7 @@
 	}
 	return &Connector{
 		transport: transport,
-		client:    converter.HTTPClient(transport),
+		client:    converter.HTTPClient(singleSender{transport: transport}),
 		maxBytes:  o.MaxMessageBytes,
 	}
 }
