--- a/exchanger/attribution_test.go
+++ b/exchanger/attribution_test.go
@@ -34,6 +34,8 @@
 	return all
 }
 
+// TestAttribution guards against log lines that state another connection or past of it than
+// the response's.
 func TestAttribution(t *testing.T) {
 	t.Run("of responses on a kept connection", func(t *testing.T) {
 		i := is.New(t)
@@ -178,6 +180,8 @@
 	}
 }
 
+// TestConnectionsWithID guards against a second sending of an ID on a connection, and against
+// connections that are closed, or whose memory grows, for the sake of that.
 func TestConnectionsWithID(t *testing.T) {
 	answer := respondWith(func(id string) string { return completeResponse(id, id) })
 	t.Run("are left to other requests", func(t *testing.T) {
