Answer the requests that the end of a planned stop cancels, on the callers' own protocol

When drain.limit was over, callers of the own protocol saw their connections end without an answer, those of calls that may run once included. So they couldn't know that a request which was still waiting had not run.

Cause: Listener.Stop closed all connections at the end of its context, and the end of the context during drain.announce did the same at once.

Now Stop cancels the contexts of the requests first, with the reason that the host has stopped, and waits up to 200 ms for their answers. The dispatcher puts its verdict of the phase into the answer. A read of a body that is still arriving ends too, with the verdict not-run.

The verdicts are those that a caller's deadline gets.

--- a/launcher/host.go
+++ b/launcher/host.go
@@ -166,15 +166,13 @@
 	return identifier.Address(ln.Addr().String())
 }
 
-// Stop shuts the host down gracefully. Requests in progress are aborted only if
-// ctx is done before they complete.
+// Stop shuts the host down gracefully. Requests in progress are canceled, and answered, only
+// if ctx is done before they complete.
 func (h *Host) Stop(ctx context.Context) error {
 	h.setState(server.StateDraining)
 	h.log.Info("drain-started", zap.Int64("running", h.dispatcher.Running()))
 	h.publish()
-	if err := sleeper.Sleep(ctx, h.settings.Drain.Announce); err != nil {
-		return h.abortDrain(err)
-	}
+	_ = sleeper.Sleep(ctx, h.settings.Drain.Announce) // the listener reports the end of ctx
 	h.gossiper.Leave(ctx)
 	if err := h.callers.Stop(ctx); err != nil {
 		return h.abortDrain(err)
--- a/server/guard.go
+++ b/server/guard.go
@@ -39,12 +39,31 @@
 	}
 }
 
+// expired is a deadline in the past.
+var expired = time.Unix(1, 0)
+
+// interruptReads ends a read of the request's body, which doesn't end with ctx by itself. The
+// function that it returns must be called before the handler returns.
+func interruptReads(ctx context.Context, c *http.ResponseController) (stop func()) {
+	interrupted := make(chan struct{})
+	cancel := context.AfterFunc(ctx, func() {
+		defer close(interrupted)
+		_ = c.SetReadDeadline(expired) // unsupported in tests only
+	})
+	return func() {
+		if !cancel() {
+			<-interrupted
+		}
+	}
+}
+
 // limitTime limits how long a slow sender may take for a request's body and how
 // long a slow reader may block a write.
 func limitTime(next http.Handler, o ListenerOptions) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := http.NewResponseController(w)
 		_ = c.SetReadDeadline(time.Now().Add(o.BodyTimeout)) // unsupported in tests only
+		defer interruptReads(r.Context(), c)()
 		w.Header().Set(HeaderVerdict, "not-run")
 		x := &exchange{controller: c, header: w.Header()}
 		r = r.WithContext(context.WithValue(r.Context(), exchangeKey{}, x))
--- a/server/listener.go
+++ b/server/listener.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/jackdawthread/jackdawthread/acceptor"
+	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/sleeper"
 )
@@ -47,13 +48,22 @@
 	acceptor *acceptor.Acceptor
 	limits   acceptor.Limits
 	log      *zap.Logger
+	// cancel ends the contexts of all requests.
+	cancel context.CancelCauseFunc
 }
 
 // maxHeaderBytes bounds the size of a request's header.
 const maxHeaderBytes = 64 << 10
 
-// sweepPeriod is the time between two checks of connections for their limits.
-const sweepPeriod = time.Second
+const (
+	// sweepPeriod is the time between two checks of connections for their limits.
+	sweepPeriod = time.Second
+	// cancelTimeout bounds the time for the answers to requests that Stop cancels.
+	cancelTimeout = 200 * time.Millisecond
+)
+
+// errStopped ends the requests that are in progress at the end of Stop.
+var errStopped = classifier.NotRun(classifier.ReasonStopping, 0, "host has stopped")
 
 // Listen starts serving h on ln in a goroutine of g.
 func Listen(g *grouper.Group, ln net.Listener, h http.Handler, o ListenerOptions, log *zap.Logger) *Listener {
@@ -61,7 +71,9 @@
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
+	base, cancel := context.WithCancelCause(context.Background())
 	l := &Listener{
+		cancel: cancel,
 		log:    log,
 		limits: acceptor.Limits{Idle: o.IdleTimeout, Header: o.HeaderTimeout},
 		server: &http.Server{
@@ -72,6 +84,7 @@
 			Protocols:         protocols,
 			TLSConfig:         o.TLS,
 			ErrorLog:          zap.NewStdLog(log),
+			BaseContext:       func(net.Listener) context.Context { return base },
 		},
 	}
 	if o.TLS == nil {
@@ -121,16 +134,29 @@
 }
 
 // Stop stops accepting connections and waits until all requests are answered. If
-// ctx ends first, it closes the remaining connections.
+// ctx ends first, it cancels the others, waits up to cancelTimeout for their answers, and closes
+// the remaining connections.
 func (l *Listener) Stop(ctx context.Context) error {
 	l.drain(ctx)
 	err := l.server.Shutdown(ctx)
 	if err != nil {
-		_ = l.server.Close() // the error of Shutdown is more informative
+		l.cancelRequests()
+		l.Close()
 	}
 	return err
 }
 
+// cancelRequests ends the contexts of the requests in progress, and waits for their answers.
+func (l *Listener) cancelRequests() {
+	l.cancel(errStopped)
+	if l.acceptor != nil {
+		l.acceptor.CancelRequests(acceptor.ReasonStopLimit)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	_ = l.server.Shutdown(ctx) // Close ends those that remain
+}
+
 // drain ends the connections of HTTP/1.1 after their answers: once Shutdown is called,
 // net/http drops the requests that it reads from them. Those of HTTP/2 are told to
 // use another connection by their next answer, the others by Shutdown.
@@ -145,4 +171,5 @@
 // Close closes the listener and all connections immediately.
 func (l *Listener) Close() {
 	_ = l.server.Close() // there is no way to handle an error here
+	l.cancel(errStopped)
 }
