End responses of the own protocol at the limit of a message

An endpoint of the own protocol that sends a response, an error or a message of a stream without end held its call until the deadline, and was read all the time.

Cause: Connect refuses a message over its limit, but reads the rest of it first, so that the connection can be used again. Memory was bounded.

Now a body fails at the limit of a message: one that isn't a stream after that many bytes and 64 KiB more for compression, a stream at the head of a message that announces more.

Evidence: TestEndlessEndpoints of connector: before, three of six subtests fail, as the calls end after 5.0 s, at their deadline; with it, they pass. Compressed messages that are large once inflated, and informational responses without end, were bounded before too.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -78,7 +78,7 @@
 	}
 	return &Connector{
 		transport: transport,
-		client:    converter.HTTPClient(transport),
+		client:    converter.HTTPClient(&boundedTransport{RoundTripper: transport, maxBytes: int64(o.MaxMessageBytes)}),
 		maxBytes:  o.MaxMessageBytes,
 	}
 }
