--- a/cmd/entry-host/memory_test.go
+++ b/cmd/entry-host/memory_test.go
@@ -142,6 +142,8 @@
 type machine struct {
 	// memory is in bytes.
 	memory, descriptors int
+	// stop is the text of the settings of planned stops; empty means the defaults.
+	stop string
 }
 
 // host is a host's process, with a platform of its own.
@@ -210,7 +212,8 @@
 listeners = { callers = %q, readiness = %q, peers = %q }
 store = { address = %q }
 limits = { memory-bytes = %d, max-descriptors = %d }
-`, ports[0], ports[1], ports[2], store, h.machine.memory, h.machine.descriptors), 0o600))
+%s
+`, ports[0], ports[1], ports[2], store, h.machine.memory, h.machine.descriptors, h.machine.stop), 0o600))
 	return path
 }
 
