--- a/connector/connector.go
+++ b/connector/connector.go
@@ -79,7 +79,7 @@
 	}
 	return &Connector{
 		transport: transport,
-		client:    converter.HTTPClient(singleSender{transport: transport}),
+		client:    converter.HTTPClient(singleSender{transport: &boundedTransport{RoundTripper: transport, maxBytes: int64(o.MaxMessageBytes)}}),
 		maxBytes:  o.MaxMessageBytes,
 	}
 }
