End no other grant on the outcome of one that an earlier process has issued

What callers saw: nothing that was reported. After a restart of a placing host, reservations that had just been granted counted as ended, so that requests went to engines that were full, and waited or were refused after their prefill.

Cause: grants of engines were numbered from 1 in each process, and ended by the number alone. Hosts that still ran requests placed by the earlier process reported their outcomes to its address; these ended the new process's grants of the same numbers, of whatever host. Numbers of slots differ between processes and are checked with their holder since they exist.

Change: grants are numbered like slots (firstGrant), and an outcome ends a grant only if it comes from the host that holds it.

Evidence: TestStaleOutcomes failed in 3 of 3 runs on: outcomes of the numbers 1 to 100 ended the one grant in use. (Its case of another host's outcome failed too, but after that; it wasn't run there alone.) It passes in 5 of 5 runs.

--- a/reserver/grants.go
+++ b/reserver/grants.go
@@ -16,9 +16,15 @@
 	expiryPeriod = time.Second
 )
 
-// grantID identifies a grant of this host.
+// grantID identifies a grant of this process.
 type grantID uint64
 
+// firstGrant returns the number before that of the first grant. It differs between the
+// incarnations of a host, which may be told of the grants of an earlier one.
+func firstGrant(self identifier.Incarnation) grantID {
+	return grantID(uint64(self) << 32)
+}
+
 // grant is engine capacity that this host has assigned to a request.
 type grant struct {
 	origin    identifier.Incarnation
@@ -54,8 +60,8 @@
 	all  map[grantID]*grant
 }
 
-func newGrants() grants {
-	return grants{all: map[grantID]*grant{}}
+func newGrants(self identifier.Incarnation) grants {
+	return grants{last: firstGrant(self), all: map[grantID]*grant{}}
 }
 
 // addGrant records a grant and adds its load to the engines.
@@ -103,11 +109,22 @@
 	return &ended
 }
 
-// endGrant processes the outcome of a part of a grant that this host issued.
+// holdsGrant reports whether a grant is in use by a host.
+func (r *Reserver) holdsGrant(id grantID, origin identifier.Incarnation) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	g := r.grants.all[id]
+	return g != nil && g.origin == origin
+}
+
+// endGrant processes the outcome of a part of a grant that this host issued to an origin.
 func (r *Reserver) endGrant(id grantID, prefill bool, o placer.Outcome, origin identifier.Incarnation) {
+	if !r.holdsGrant(id, origin) {
+		return // expired or revoked, or of an earlier process
+	}
 	g := r.removeGrant(id, prefill)
 	if g == nil {
-		return // expired or revoked
+		return // revoked just now
 	}
 	q := r.serviceQueue(g.service)
 	now := time.Now()
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -187,7 +187,7 @@
 
 // New returns a Reserver and registers its timers and its membership listener.
 func New(d Deps) *Reserver {
-	r := &Reserver{deps: d, serviceQueues: map[identifier.Service]*serviceQueue{}, slotQueues: map[identifier.Service]*slotQueue{}, grants: newGrants()}
+	r := &Reserver{deps: d, serviceQueues: map[identifier.Service]*serviceQueue{}, slotQueues: map[identifier.Service]*slotQueue{}, grants: newGrants(d.Self)}
 	r.slotPingers = newPingers(r, slotPingPeriod)
 	d.Timer.Every(expiryPeriod, func(now time.Time) {
 		r.expireGrants(now)
--- a/reserver/slot_queue.go
+++ b/reserver/slot_queue.go
@@ -82,12 +82,6 @@
 	}
 }
 
-// firstGrant returns the number before that of a queue's first grant. It differs between
-// the incarnations of a host, which may be told of the slots of an earlier one.
-func firstGrant(self identifier.Incarnation) grantID {
-	return grantID(uint64(self) << 32)
-}
-
 // acquire waits for a slot on behalf of an origin host, which numbered the request with
 // originSeq. Its error is NotRun.
 func (q *slotQueue) acquire(ctx context.Context, origin identifier.Incarnation, originSeq uint64, req *SlotRequest) (Slot, error) {
