Count begun answers once that arrive from their host and by way of another

What callers saw: nothing that was reported. A trait of requests that end engines could be cleared, so that more engines ended.

Cause: hosts tell each other how many answers to requests with a suspected trait have begun, which speak against a verdict, and add up what they are told. If the host that passes news on doesn't answer within 200 ms, the news is sent to all directly too, and counts twice when it arrives both ways. Ends and verdicts are recognized when they are repeated; counts had nothing to tell them by.

Change: news states the process that counted and numbers its counts; a repeated number is ignored. Counts without a number, of earlier versions, are added up as before.

Which of the two ways news takes was read, not measured.

--- a/charger/decode_test.go
+++ b/charger/decode_test.go
@@ -70,8 +70,8 @@
 	is.Equal(len(u.take()), 0)
 	u.add(lender.Return{Granter: "a", Customer: "x", Amount: 1})
 	second := u.take()["a"]
-	is.True(u.accept(1, first.Sequence))
-	is.True(!u.accept(1, first.Sequence))
-	is.True(u.accept(2, first.Sequence))
-	is.True(u.accept(1, second.Sequence))
+	is.True(u.accepted.Accept(1, first.Sequence))
+	is.True(!u.accepted.Accept(1, first.Sequence))
+	is.True(u.accepted.Accept(2, first.Sequence))
+	is.True(u.accepted.Accept(1, second.Sequence))
 }
--- a/charger/lending.go
+++ b/charger/lending.go
@@ -130,7 +130,7 @@
 		return nil, err
 	}
 	c.mu.Lock()
-	fresh := c.unused.accept(from.Incarnation, m.Sequence)
+	fresh := c.unused.accepted.Accept(from.Incarnation, m.Sequence)
 	c.mu.Unlock()
 	if !fresh {
 		return nil, nil
--- a/charger/unused.go
+++ b/charger/unused.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/jackdawthread/jackdawthread/common/deduper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/gossiper"
 	"github.com/jackdawthread/jackdawthread/lender"
@@ -16,23 +17,16 @@
 // unused collects what goes back to granting hosts.
 type unused struct {
 	amounts map[identifier.Host]map[identifier.Customer]float64
-	// sequence numbers the returns of this process, and accepted has the numbers of each
-	// process that returned something to this host.
+	// sequence numbers the returns of this process, and accepted knows those that other
+	// processes have sent to this host.
 	sequence uint64
-	accepted map[identifier.Incarnation]accepted
-}
-
-// accepted are the last numbers that were accepted from a process.
-type accepted struct {
-	highest uint64
-	// seen has a bit for each of the numbers up to the highest, which is bit 0.
-	seen uint64
+	accepted *deduper.Deduper
 }
 
 func newUnused() unused {
 	return unused{
 		amounts:  map[identifier.Host]map[identifier.Customer]float64{},
-		accepted: map[identifier.Incarnation]accepted{},
+		accepted: deduper.New(),
 	}
 }
 
@@ -67,30 +61,12 @@
 	return all
 }
 
-// accept reports whether a return of a process is a new one. Returns may arrive out of order; one
-// that is far behind counts as a repeated one.
-func (u *unused) accept(from identifier.Incarnation, sequence uint64) bool {
-	a := u.accepted[from]
-	if sequence > a.highest {
-		a.seen <<= sequence - a.highest // 0 if all are far behind
-		a.highest = sequence
-	}
-	bit := uint64(1) << (a.highest - sequence)
-	if bit == 0 || sequence == 0 || a.seen&bit != 0 {
-		return false
-	}
-	a.seen |= bit
-	u.accepted[from] = a
-	return true
-}
-
 // prune forgets the processes that the view no longer has.
 func (u *unused) prune(v *gossiper.View) {
-	for i := range u.accepted {
-		if _, ok := v.ByIncarnation(i); !ok {
-			delete(u.accepted, i)
-		}
-	}
+	u.accepted.Prune(func(i identifier.Incarnation) bool {
+		_, ok := v.ByIncarnation(i)
+		return ok
+	})
 }
 
 // returnUnused sends what is not used back to the granting hosts.
--- a/isolator/codec.go
+++ b/isolator/codec.go
@@ -19,7 +19,7 @@
 // encodeNews converts news to a message. Times become ages, since the hosts' clocks
 // differ.
 func encodeNews(n news, now time.Time) *peerwire.CrashNews {
-	m := &peerwire.CrashNews{}
+	m := &peerwire.CrashNews{Origin: uint64(n.origin), Sequence: n.sequence}
 	for _, e := range n.ends {
 		m.Ends = append(m.Ends, encodeEnd(e, now))
 	}
@@ -47,7 +47,7 @@
 // decodeNews converts a message to news. It rejects a message that no host of this
 // program sends.
 func decodeNews(m *peerwire.CrashNews, now time.Time) (news, error) {
-	var n news
+	n := news{origin: identifier.Incarnation(m.Origin), sequence: m.Sequence}
 	if len(m.Ends) > maxEntries || len(m.Begun) > maxEntries || len(m.Verdicts) > maxEntries {
 		return n, malformed("too many entries")
 	}
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -41,6 +41,7 @@
 
 	"github.com/jackdawthread/jackdawthread/announcer"
 	"github.com/jackdawthread/jackdawthread/common/classifier"
+	"github.com/jackdawthread/jackdawthread/common/deduper"
 	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/common/sleeper"
@@ -109,6 +110,10 @@
 
 	mu          sync.Mutex
 	quarantiner *quarantiner.Quarantiner
+	// sequence numbers the counts of begun answers that this process tells of, and counted knows
+	// those of other processes.
+	sequence identifier.Sequence
+	counted  *deduper.Deduper
 	// trials are the traits on trial that a call of this host has, and trialEnded is closed
 	// and replaced whenever one of the trials ends.
 	trials     map[identifier.Trait]bool
@@ -137,6 +142,7 @@
 	i := &Isolator{
 		deps:        d,
 		quarantiner: quarantiner.New(),
+		counted:     deduper.New(),
 		trials:      map[identifier.Trait]bool{},
 		trialEnded:  make(chan struct{}),
 		leases:      map[identifier.Trait]lease{},
@@ -205,7 +211,7 @@
 		i.logVerdict(v, "own", now)
 	}
 	if len(decided) > 0 || len(begun) > 0 {
-		i.tell(news{begun: begun, verdicts: decided})
+		i.tell(news{begun: begun, verdicts: decided, origin: i.deps.Self, sequence: i.sequence.Next()})
 	}
 }
 
@@ -226,6 +232,7 @@
 	i.mu.Lock()
 	lapsed := i.quarantiner.Update(now)
 	i.dropLeases(now)
+	i.counted.Prune(i.isMember)
 	for _, g := range lapsed {
 		delete(i.refused, g)
 	}
@@ -235,6 +242,12 @@
 	}
 }
 
+// isMember reports whether a process is one of the fleet, as far as known.
+func (i *Isolator) isMember(h identifier.Incarnation) bool {
+	_, known := i.deps.Members.View().ByIncarnation(h)
+	return known
+}
+
 // reportEnd records and tells that an endpoint has ended.
 func (i *Isolator) reportEnd(e quarantiner.End) {
 	i.mu.Lock()
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -411,6 +411,22 @@
 	return reply.(*peerwire.CrashNews), nil
 }
 
+// receiveEnd receives the end of an engine under a request with the trait.
+func (h *host) receiveEnd(n int, g string) {
+	h.is.Helper()
+	_, err := h.receive(&peerwire.CrashNews{Ends: []peerwire.EngineEnd{{
+		Engine: fmt.Sprint("e", n), StartID: 1, Calls: []peerwire.BrokenCall{{Request: fmt.Sprint("r", n), Traits: []string{g}}},
+	}}})
+	h.is.NoErr(err)
+}
+
+// receiveBegun receives a begun answer to a request with the trait, in a message with a number.
+func (h *host) receiveBegun(g string, sequence uint64) {
+	h.is.Helper()
+	_, err := h.receive(&peerwire.CrashNews{Begun: []peerwire.BegunCount{{Trait: g, Count: 1}}, Origin: 3, Sequence: sequence})
+	h.is.NoErr(err)
+}
+
 func TestNewsOfOtherHosts(t *testing.T) {
 	t.Run("ends count like own ones", func(t *testing.T) {
 		h := newHost(t)
@@ -423,6 +439,40 @@
 		}
 		h.assertQuarantined("a")
 	})
+	// Begun answers speak against a verdict: counted twice, they outweighed the ends.
+	t.Run("begun answers that arrive from their host and by way of another one count once", func(t *testing.T) {
+		h := newHost(t)
+		h.receiveEnd(0, "a")
+		for range 5 {
+			h.receiveBegun("a", 7)
+		}
+		for n := 1; n < 4; n++ {
+			h.receiveEnd(n, "a")
+		}
+		h.assertQuarantined("a") // 4 ends, 1 begun answer
+	})
+	t.Run("begun answers of several messages count together", func(t *testing.T) {
+		h := newHost(t)
+		h.receiveEnd(0, "a")
+		for n := range uint64(2) {
+			h.receiveBegun("a", n+1)
+		}
+		for n := 1; n < 4; n++ {
+			h.receiveEnd(n, "a")
+		}
+		h.assertFree("a")
+	})
+	t.Run("begun answers of hosts that don't number them count", func(t *testing.T) {
+		h := newHost(t)
+		h.receiveEnd(0, "a")
+		for range 2 {
+			h.receiveBegun("a", 0)
+		}
+		for n := 1; n < 4; n++ {
+			h.receiveEnd(n, "a")
+		}
+		h.assertFree("a")
+	})
 	t.Run("verdicts are taken over and passed on to a host that asks", func(t *testing.T) {
 		h := newHost(t)
 		_, err := h.receive(&peerwire.CrashNews{Verdicts: []peerwire.TraitVerdict{{Trait: "a", Ends: 3, Requests: 3}}})
--- a/isolator/news.go
+++ b/isolator/news.go
@@ -9,6 +9,7 @@
 
 	"github.com/jackdawthread/jackdawthread/announcer"
 	"github.com/jackdawthread/jackdawthread/common/classifier"
+	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/gossiper"
 	"github.com/jackdawthread/jackdawthread/messenger"
 	"github.com/jackdawthread/jackdawthread/peerwire"
@@ -26,6 +27,10 @@
 	ends     []quarantiner.End
 	begun    []quarantiner.BegunCount
 	verdicts []quarantiner.Verdict
+	// origin is the process that counted begun, and sequence the number of these counts; 0 if it
+	// numbers none.
+	origin   identifier.Incarnation
+	sequence uint64
 }
 
 func (n *news) empty() bool {
@@ -84,10 +89,9 @@
 			i.stats.EndsTold++
 		}
 	}
-	for _, b := range n.begun {
-		if i.quarantiner.AddBegun(b) {
-			fresh.begun = append(fresh.begun, b)
-		}
+	if n.sequence == 0 || i.counted.Accept(n.origin, n.sequence) {
+		fresh.begun = i.addBegun(n.begun)
+		fresh.origin, fresh.sequence = n.origin, n.sequence
 	}
 	for _, v := range n.verdicts {
 		if i.quarantiner.Merge(v, now) {
@@ -102,6 +106,18 @@
 	return fresh
 }
 
+// addBegun records begun answers, and returns those that may matter to others. The mutex must be
+// held.
+func (i *Isolator) addBegun(all []quarantiner.BegunCount) []quarantiner.BegunCount {
+	var fresh []quarantiner.BegunCount
+	for _, b := range all {
+		if i.quarantiner.AddBegun(b) {
+			fresh = append(fresh, b)
+		}
+	}
+	return fresh
+}
+
 // known returns the verdicts in force and the newest ends.
 func (i *Isolator) known(now time.Time) news {
 	i.mu.Lock()
--- a/peerwire/quarantine.go
+++ b/peerwire/quarantine.go
@@ -8,6 +8,10 @@
 	Ends     []EngineEnd    `msg:"ends,limit=65536"`
 	Begun    []BegunCount   `msg:"begun,limit=65536"`
 	Verdicts []TraitVerdict `msg:"verdicts,limit=65536"`
+	// Origin is the process that counted Begun, and Sequence numbers these counts of it, from 1, as
+	// they may arrive from it and by way of another host. Sequence is 0 from hosts of earlier versions.
+	Origin   uint64 `msg:"origin"`
+	Sequence uint64 `msg:"sequence"`
 	// Forward asks the receiver to pass on to all hosts what is news to it.
 	Forward bool `msg:"forward"`
 	// Want asks for what the receiver knows, as a CrashNews.
--- a/peerwire/quarantine_gen.go
+++ b/peerwire/quarantine_gen.go
@@ -460,6 +460,18 @@
 					return
 				}
 			}
+		case "origin":
+			z.Origin, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Origin")
+				return
+			}
+		case "sequence":
+			z.Sequence, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Sequence")
+				return
+			}
 		case "forward":
 			z.Forward, err = dc.ReadBool()
 			if err != nil {
@@ -491,9 +503,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *CrashNews) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
+	// map header, size 8
 	// write "ends"
-	err = en.Append(0x86, 0xa4, 0x65, 0x6e, 0x64, 0x73)
+	err = en.Append(0x88, 0xa4, 0x65, 0x6e, 0x64, 0x73)
 	if err != nil {
 		return
 	}
@@ -569,6 +581,26 @@
 			return
 		}
 	}
+	// write "origin"
+	err = en.Append(0xa6, 0x6f, 0x72, 0x69, 0x67, 0x69, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Origin)
+	if err != nil {
+		err = msgp.WrapError(err, "Origin")
+		return
+	}
+	// write "sequence"
+	err = en.Append(0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Sequence)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
 	// write "forward"
 	err = en.Append(0xa7, 0x66, 0x6f, 0x72, 0x77, 0x61, 0x72, 0x64)
 	if err != nil {
@@ -605,9 +637,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *CrashNews) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 8
 	// string "ends"
-	o = append(o, 0x86, 0xa4, 0x65, 0x6e, 0x64, 0x73)
+	o = append(o, 0x88, 0xa4, 0x65, 0x6e, 0x64, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Ends)))
 	for za0001 := range z.Ends {
 		o, err = z.Ends[za0001].MarshalMsg(o)
@@ -641,6 +673,12 @@
 			return
 		}
 	}
+	// string "origin"
+	o = append(o, 0xa6, 0x6f, 0x72, 0x69, 0x67, 0x69, 0x6e)
+	o = msgp.AppendUint64(o, z.Origin)
+	// string "sequence"
+	o = append(o, 0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
+	o = msgp.AppendUint64(o, z.Sequence)
 	// string "forward"
 	o = append(o, 0xa7, 0x66, 0x6f, 0x72, 0x77, 0x61, 0x72, 0x64)
 	o = msgp.AppendBool(o, z.Forward)
@@ -779,6 +817,18 @@
 					return
 				}
 			}
+		case "origin":
+			z.Origin, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Origin")
+				return
+			}
+		case "sequence":
+			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sequence")
+				return
+			}
 		case "forward":
 			z.Forward, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -823,7 +873,7 @@
 	for za0003 := range z.Verdicts {
 		s += z.Verdicts[za0003].Msgsize()
 	}
-	s += 8 + msgp.BoolSize + 5 + msgp.BoolSize + 7 + msgp.BoolSize
+	s += 7 + msgp.Uint64Size + 9 + msgp.Uint64Size + 8 + msgp.BoolSize + 5 + msgp.BoolSize + 7 + msgp.BoolSize
 	return
 }
 
