--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -43,14 +43,10 @@
 package exchanger
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
 	"net/http"
-	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -211,36 +207,6 @@
 	return s
 }
 
-// CloseIdle closes connections whose idle timeout has expired, and all
-// connections to addresses for which keep returns false. A nil keep retains
-// all addresses.
-func (x *Exchanger) CloseIdle(now time.Time, keep func(identifier.Address) bool) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	for a, list := range x.idle {
-		kept := list[:0]
-		for _, c := range list {
-			if now.Before(c.usableUntil) && (keep == nil || keep(a)) {
-				kept = append(kept, c)
-				continue
-			}
-			c.close()
-		}
-		clear(list[len(kept):])
-		if len(kept) == 0 {
-			delete(x.idle, a)
-			continue
-		}
-		x.idle[a] = kept
-	}
-}
-
-// CloseAll closes all idle connections, for example after the process was
-// suspended.
-func (x *Exchanger) CloseAll() {
-	x.CloseIdle(time.Now(), func(identifier.Address) bool { return false })
-}
-
 // Send sends r to the endpoint at address a and waits for the response
 // headers. The connection is closed when ctx ends, even while the response
 // body is being read.
@@ -287,58 +253,6 @@
 	return classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "endpoint at %s sent no response: %w", a, err)
 }
 
-// connect returns a usable idle connection that hasn't carried the request's ID, or opens a
-// new one. It also returns the number of idle connections that had carried the ID.
-func (x *Exchanger) connect(ctx context.Context, a identifier.Address, r *Request) (c *connection, avoided int, err error) {
-	now, id := time.Now(), hashID(r.ID)
-	for !r.Fresh {
-		c, avoided = x.popIdle(a, id)
-		if c == nil {
-			break
-		}
-		recentlyUsed := r.MaxIdle == 0 || now.Sub(c.idleSince) <= r.MaxIdle
-		if recentlyUsed && now.Before(c.usableUntil) && socket.NothingToRead(c.conn) {
-			c.bytesWritten = 0
-			return c, avoided, nil
-		}
-		c.close()
-	}
-	x.updateStats(func(s *Stats) { s.AvoidedConnections += uint64(avoided) })
-	c, err = x.open(ctx, a)
-	return c, avoided, err
-}
-
-// open dials a new connection.
-func (x *Exchanger) open(ctx context.Context, a identifier.Address) (*connection, error) {
-	x.updateStats(func(s *Stats) { s.Dials++ })
-	raw, err := x.dial(ctx, string(a))
-	if err != nil {
-		x.updateStats(func(s *Stats) { s.FailedDials++ })
-		return nil, classifier.NotRun(classifier.ReasonHostUnreachable, 0, "failed to connect to %s: %w", a, err)
-	}
-	limit := &limitedReader{source: raw, left: unlimited}
-	return &connection{number: x.nextNumber(), address: a, conn: raw, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}, nil
-}
-
-// nextNumber returns the number of a new connection.
-func (x *Exchanger) nextNumber() uint64 {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.opened++
-	return x.opened
-}
-
-// Probe checks that address a is reachable by opening a connection, which is
-// added to the pool.
-func (x *Exchanger) Probe(ctx context.Context, a identifier.Address) error {
-	c, err := x.open(ctx, a)
-	if err != nil {
-		return err
-	}
-	x.putIdle(c, x.options.IdleTimeout)
-	return nil
-}
-
 // countOversized counts a response that failed with err if that is a limit.
 func (x *Exchanger) countOversized(err error) {
 	if errors.Is(err, ErrHeadTooLarge) || errors.Is(err, ErrTooLarge) {
@@ -351,144 +265,3 @@
 	defer x.mu.Unlock()
 	f(&x.stats)
 }
-
-// Idle returns the number of idle connections to address a that are open, which shows that the
-// process there hasn't ended.
-func (x *Exchanger) Idle(a identifier.Address) int {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	open := 0
-	for _, c := range x.idle[a] {
-		if socket.NothingToRead(c.conn) {
-			open++
-		}
-	}
-	return open
-}
-
-// popIdle removes and returns the most recently used idle connection to a that hasn't carried
-// the ID, or nil. It also returns the number of more recently used ones.
-func (x *Exchanger) popIdle(a identifier.Address, id idHash) (c *connection, avoided int) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	list := x.idle[a]
-	for n, c := range slices.Backward(list) {
-		if c.ids.has(id) {
-			avoided++
-			continue
-		}
-		x.idle[a] = slices.Delete(list, n, n+1)
-		x.stats.ReusedConnections++
-		return c, avoided
-	}
-	return nil, avoided
-}
-
-// putIdle returns a connection to the pool, or closes it if the pool already
-// holds MaxIdle connections to its address.
-func (x *Exchanger) putIdle(c *connection, timeout time.Duration) {
-	now := time.Now()
-	c.idleSince = now
-	c.usableUntil = now.Add(timeout)
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if len(x.idle[c.address]) >= x.options.MaxIdle {
-		c.close()
-		return
-	}
-	x.idle[c.address] = append(x.idle[c.address], c)
-}
-
-// connection is a connection to an endpoint with its read buffer and reuse
-// state.
-type connection struct {
-	number       uint64
-	address      identifier.Address
-	conn         net.Conn
-	limit        *limitedReader // from which reader reads
-	reader       *bufio.Reader
-	requests     int   // requests that it has carried, the current one included
-	ids          idSet // of these requests
-	carriedHead  bool  // whether the method of one of them was HEAD
-	handles      idSet // what its responses have handed out
-	bytesWritten int   // bytes of the current request
-	idleSince    time.Time
-	usableUntil  time.Time
-}
-
-func (c *connection) close() {
-	_ = c.conn.Close() // a close error doesn't affect the response already read
-}
-
-// abort resets a connection that has a request in flight. Without the reset,
-// bytes buffered during a network outage would still be delivered to the
-// endpoint after the request was abandoned.
-func (c *connection) abort() {
-	socket.Reset(c.conn)
-}
-
-// maxCopiedBytes is the size of the largest body that is sent in one piece with the head.
-const maxCopiedBytes = 4 << 10
-
-// write sends the request headers and body in one write. A large body isn't copied.
-func (c *connection) write(r *Request) error {
-	c.requests++
-	c.ids.add(hashID(r.ID))
-	c.carriedHead = c.carriedHead || r.Method == http.MethodHead
-	if len(r.Body) <= maxCopiedBytes {
-		head := appendHead(make([]byte, 0, typicalHeadBytes+len(r.Body)), r)
-		n, err := c.conn.Write(append(head, r.Body...))
-		c.bytesWritten = n
-		return err
-	}
-	parts := net.Buffers{appendHead(make([]byte, 0, typicalHeadBytes), r), r.Body}
-	n, err := parts.WriteTo(c.conn)
-	c.bytesWritten = int(n)
-	return err
-}
-
-func appendHead(b []byte, r *Request) []byte {
-	b = append(b, r.Method...)
-	b = append(b, ' ')
-	b = append(b, r.Target...)
-	b = append(b, " HTTP/1.1\r\nHost: "...)
-	b = append(b, r.Host...)
-	b = append(b, "\r\n"...)
-	for name, values := range r.Header {
-		for _, v := range values {
-			b = append(b, name...)
-			b = append(b, ": "...)
-			b = append(b, v...)
-			b = append(b, "\r\n"...)
-		}
-	}
-	if len(r.Body) > 0 || requiresContentLength(r.Method) {
-		b = append(b, "Content-Length: "...)
-		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
-		b = append(b, "\r\n"...)
-	}
-	return append(b, "\r\n"...)
-}
-
-// requiresContentLength reports whether requests with the method carry a
-// Content-Length header even if the body is empty.
-func requiresContentLength(method string) bool {
-	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
-}
-
-// idleTimeout returns how long the connection may stay idle, from the
-// endpoint's Keep-Alive header and at most limit.
-func idleTimeout(h http.Header, limit time.Duration) time.Duration {
-	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		if !strings.EqualFold(name, "timeout") {
-			continue
-		}
-		seconds, err := strconv.Atoi(strings.TrimSpace(value))
-		if err != nil {
-			return 0
-		}
-		return max(0, min(limit, time.Duration(seconds)*time.Second-keepAliveMargin))
-	}
-	return limit
-}
