Name the signature's header in the platform's stand-in

Change: standin.SignatureHeader, which the stand-in uses as well. Behaviour, bounds and assertions are as before.

--- a/cmd/entry-host/endless_test.go
+++ b/cmd/entry-host/endless_test.go
@@ -38,7 +38,7 @@
 
 // A form of answers without end: how they begin, and what is repeated after that.
 var endlessForms = []struct{ name, path, beginning, piece string }{
-	{"a_body_in_chunks", "/locks/1", "HTTP/1.1 200 OK\r\nX-Server-Stamp: x\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
+	{"a_body_in_chunks", "/locks/1", "HTTP/1.1 200 OK\r\n" + standin.SignatureHeader + ": x\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
 	{"a_head", "/locks/1", "HTTP/1.1 200 OK\r\n", "a: b\r\n"},
 	{"informational_responses", "/locks/1", "", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"},
 	{"lines_of_an_event", "/notes/1", endlessStream, "data: abcd\n"},
@@ -47,7 +47,7 @@
 }
 
 // endlessStream begins an event stream.
-const endlessStream = "HTTP/1.1 200 OK\r\nX-Server-Stamp: x\r\nContent-Type: text/event-stream\r\n\r\n"
+const endlessStream = "HTTP/1.1 200 OK\r\n" + standin.SignatureHeader + ": x\r\nContent-Type: text/event-stream\r\n\r\n"
 
 // TestEndlessEndpoints guards against a host that runs out of memory, and takes the requests of
 // others with it, because endpoints send bytes without end to many calls at once.
