Count queued bytes and reads of declarations, and model links of a given rate

The logs couldn't tell a full way out from a full way in: links have queued-bytes and most-queued-bytes, store-reads has reads begun, completed and failed with their bytes, by source.

The linker's nodes have links of a rate, in order, also for replies that nobody waits for. Behaviour of hosts is unchanged. Tests of messenger, replicator, hoster and linker pass.

--- a/emulator/linker/linker.go
+++ b/emulator/linker/linker.go
@@ -45,6 +45,8 @@
 type Node struct {
 	network *Network
 	address identifier.Address
+	// out and in are the two directions of the node's own link.
+	out, in pipe
 
 	mu       sync.Mutex
 	peer     messenger.Peer
@@ -104,11 +106,12 @@
 
 // deliver carries a message to a node, and its reply, if any, back.
 func (n *Node) deliver(to identifier.Address, k peerwire.Kind, payload []byte, reply msgp.Unmarshaler) error {
-	time.Sleep(n.network.delay)
+	receiver := n.network.Node(to)
+	n.carry(receiver, len(payload))
 	if !n.network.reaches(n.address, to) {
 		return unreachable(to)
 	}
-	handle := n.network.Node(to).handler(k)
+	handle := receiver.handler(k)
 	if handle == nil {
 		return unreachable(to)
 	}
@@ -120,11 +123,32 @@
 	if err != nil {
 		return err
 	}
-	time.Sleep(n.network.delay)
+	receiver.carry(n, len(answer))
 	_, err = reply.UnmarshalMsg(answer)
 	return err
 }
 
+// carry waits while a message passes the links of both nodes.
+func (n *Node) carry(to *Node, bytes int) {
+	n.out.pass(bytes)
+	time.Sleep(n.network.delay)
+	to.in.pass(bytes)
+}
+
+// SetLink bounds the node's own link to a number of bytes a second in each direction. Messages pass
+// in order; also those that nobody waits for any more.
+func (n *Node) SetLink(bytesPerSecond float64) {
+	n.out.setRate(bytesPerSecond)
+	n.in.setRate(bytesPerSecond)
+}
+
+// SentBytes returns the number of bytes that the node has sent.
+func (n *Node) SentBytes() int {
+	n.out.mu.Lock()
+	defer n.out.mu.Unlock()
+	return n.out.bytes
+}
+
 func unreachable(to identifier.Address) error {
 	return classifier.NotRun(classifier.ReasonHostUnreachable, 0, "no path to %s", to)
 }
--- a/emulator/linker/linker_test.go
+++ b/emulator/linker/linker_test.go
@@ -59,3 +59,27 @@
 		is.New(t).Equal(classifier.Of(err).Reason, classifier.ReasonHostUnreachable)
 	})
 }
+
+func TestLinkRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := is.New(t)
+		g := grouper.New(t.Context())
+		n := linker.New(g, time.Millisecond, func(_, _ identifier.Address) bool { return true })
+		a, b := n.Node("1"), n.Node("2")
+		a.Start(messenger.Peer{Host: "a"})
+		b.Start(messenger.Peer{Host: "b"})
+		b.Handle(peerwire.KindChanges, func(context.Context, messenger.Peer, []byte) (msgp.Marshaler, error) {
+			return &peerwire.ChangesReply{NextKey: string(make([]byte, 10_000))}, nil
+		})
+		b.SetLink(10_000)
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		i.True(a.Call(ctx, "2", peerwire.KindChanges, &peerwire.ChangesRequest{}, &peerwire.ChangesReply{}) != nil) // takes a second
+		began := time.Now()
+		i.NoErr(a.Call(t.Context(), "2", peerwire.KindChanges, &peerwire.ChangesRequest{}, &peerwire.ChangesReply{}))
+		i.True(time.Since(began) > 1900*time.Millisecond) // behind the reply that was given up
+		i.True(b.SentBytes() > 20_000)
+		g.Stop()
+		i.NoErr(g.Wait())
+	})
+}
--- a/hoster/listeners.go
+++ b/hoster/listeners.go
@@ -88,7 +88,7 @@
 
 // startReplicator replicates the store, and answers peers that ask for its changes.
 func (h *Host) startReplicator() {
-	p := &peers{messenger: h.messenger, gossiper: h.gossiper, self: h.incarnation, dataCenter: h.settings.DataCenter}
+	p := &peers{links: h.messenger, members: h.gossiper, self: h.incarnation, dataCenter: h.settings.DataCenter}
 	p.answer = func(ctx context.Context, after identifier.Position, wait time.Duration) replicator.ChangeSet {
 		return h.replicator.Load().WaitForChanges(ctx, after, wait)
 	}
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -15,10 +15,20 @@
 	"github.com/jackdawthread/jackdawthread/replicator"
 )
 
+// links carries messages to other hosts.
+type links interface {
+	Call(ctx context.Context, to identifier.Address, kind peerwire.Kind, request msgp.Marshaler, reply msgp.Unmarshaler) error
+}
+
+// members provides the current view of the fleet's hosts.
+type members interface {
+	View() *gossiper.View
+}
+
 // peers carries queries between the replicators of hosts.
 type peers struct {
-	messenger  *messenger.Messenger
-	gossiper   *gossiper.Gossiper
+	links      links
+	members    members
 	self       identifier.Incarnation
 	dataCenter identifier.DataCenter
 	answer     func(ctx context.Context, after identifier.Position, wait time.Duration) replicator.ChangeSet
@@ -30,13 +40,13 @@
 // ReadsStore reports whether this host is its data center's reader of the store,
 // or knows no live host in its data center.
 func (p *peers) ReadsStore() bool {
-	reader, ok := p.gossiper.View().Owner(p.dataCenter, readersKey)
+	reader, ok := p.members.View().Owner(p.dataCenter, readersKey)
 	return !ok || reader.Incarnation == p.self
 }
 
 // Query implements replicator.Peers: it queries a random live host.
 func (p *peers) Query(ctx context.Context, after identifier.Position) (replicator.ChangeSet, error) {
-	at, ok := p.gossiper.View().RandomPeer(p.self)
+	at, ok := p.members.View().RandomPeer(p.self)
 	if !ok {
 		return replicator.ChangeSet{}, errNoPeer
 	}
@@ -46,7 +56,7 @@
 // Follow implements replicator.Peers: it waits at the reader of this host's data
 // center.
 func (p *peers) Follow(ctx context.Context, after identifier.Position, wait time.Duration) (replicator.ChangeSet, error) {
-	at, ok := p.gossiper.View().Owner(p.dataCenter, readersKey)
+	at, ok := p.members.View().Owner(p.dataCenter, readersKey)
 	if !ok {
 		return replicator.ChangeSet{}, errNoPeer
 	}
@@ -62,7 +72,7 @@
 func (p *peers) call(ctx context.Context, at gossiper.Member, request *peerwire.ChangesRequest) (replicator.ChangeSet, error) {
 	return collectChanges(request, func(r *peerwire.ChangesRequest) (*peerwire.ChangesReply, error) {
 		reply := &peerwire.ChangesReply{}
-		return reply, p.messenger.Call(ctx, at.Address, peerwire.KindChanges, r, reply)
+		return reply, p.links.Call(ctx, at.Address, peerwire.KindChanges, r, reply)
 	})
 }
 
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -171,19 +171,28 @@
 	SentBytes   uint64 `json:"sent-bytes"`
 	Dials       uint64 `json:"dials"`
 	FailedDials uint64 `json:"failed-dials"`
+	// QueuedBytes waits to be written, and MostQueuedBytes of it on one connection.
+	QueuedBytes     int `json:"queued-bytes"`
+	MostQueuedBytes int `json:"most-queued-bytes"`
 }
 
 // Stats returns a snapshot of the current statistics.
 func (m *Messenger) Stats() Stats {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return Stats{
+	s := Stats{
 		Links:       int(m.counters.links.Load()),
 		Connections: len(m.connections),
 		SentBytes:   m.counters.sentBytes.Load(),
 		Dials:       m.counters.dials.Load(),
 		FailedDials: m.counters.failedDials.Load(),
 	}
+	for c := range m.connections {
+		queued := c.queue.queuedBytes()
+		s.QueuedBytes += queued
+		s.MostQueuedBytes = max(s.MostQueuedBytes, queued)
+	}
+	return s
 }
 
 // withConnection runs do on a connection to the address. It retries on a new
--- a/messenger/sendqueue.go
+++ b/messenger/sendqueue.go
@@ -96,6 +96,13 @@
 	return frames
 }
 
+// queuedBytes returns the size of the frames that the writer hasn't taken.
+func (q *sendQueue) queuedBytes() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.bytes
+}
+
 // close rejects further frames and discards the queued ones.
 func (q *sendQueue) close() {
 	q.mu.Lock()
--- a/replicator/reading.go
+++ b/replicator/reading.go
@@ -76,7 +76,9 @@
 	after := r.replica.Position()
 	ctx, cancel := context.WithTimeout(ctx, r.options.FollowWait+r.options.PeerQueryTimeout)
 	defer cancel()
+	r.readerReads.begun.Add(1)
 	changes, err := r.deps.Peers.Follow(ctx, after, r.options.FollowWait)
+	r.readerReads.end(changes, err)
 	if err == nil {
 		accepted := r.applyPeerChanges(changes, "reader")
 		if !accepted || changes.Age >= r.options.StaleAfter {
@@ -97,7 +99,9 @@
 		return err
 	}
 	after := r.replica.Position()
+	r.storeReads.begun.Add(1)
 	changes, err := r.listOrWatch(ctx, after, max(minWatchWait, r.options.WatchWait-waited))
+	r.storeReads.end(changes, err)
 	if err != nil {
 		r.readAt = time.Time{} // the next read waits for the backoff only
 		return err
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -182,6 +182,8 @@
 	readUntil   time.Time // used by follow only
 	readAt      time.Time // start of the last read; used by follow only
 
+	storeReads, readerReads, peerReads transferCounters
+
 	// unconfirmed is set from a suspension of the host until the next
 	// confirmation.
 	unconfirmed atomic.Bool
@@ -416,7 +418,9 @@
 		defer r.querying.Store(false)
 		ctx, cancel := context.WithTimeout(ctx, r.options.PeerQueryTimeout)
 		defer cancel()
+		r.peerReads.begun.Add(1)
 		changes, err := r.deps.Peers.Query(ctx, r.replica.Position())
+		r.peerReads.end(changes, err)
 		if err != nil {
 			r.deps.Log.Debug("peer-query-failed", zap.Error(err))
 			return
