Announce large values of the store by their digests and fetch them apart

Cause: a reader of the store sent each version whole, 250 KB, to each of its 22 followers over its own link, which is often one of 10 Mbit/s, in order with all else; time limits of 1.0 and 0.3 s didn't know the size, and replies that were given up were sent all the same. First the way out of the reader was full for 5 s, its own calls to the store behind it; then its way in, with replies to queries that it had given up.

Change: answers between hosts carry a reference in place of a value of 4 KB or more. New package distributor: values are compressed once, against an earlier value if the requester has it, and fetched in parts of 16 KB along a tree of the data centre's hosts, one fetch at a time at a host; parts have a time limit, values have none. The position and all other changes are in force at once. A host without a reachable source lists the store. Builds that know no references get whole values as before.

Why this works: news is a few hundred bytes; 1,400 routes are 21 to 27 KB compressed and a version after them some hundred bytes; a host sends them to four others.

--- a/common/identifier/identifier.go
+++ b/common/identifier/identifier.go
@@ -21,6 +21,8 @@
 	"encoding/binary"
 	"fmt"
 	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Host is the name of an entry host, unique among the entry hosts of a firm.
@@ -57,6 +59,15 @@
 // Revision is the version number of the declarations; 0 means none.
 type Revision uint64
 
+// Digest is the hash of a value of the configuration store, by which hosts identify it; 0
+// means none.
+type Digest uint64
+
+// DigestOf returns the digest of a value.
+func DigestOf(value []byte) Digest {
+	return Digest(xxhash.Sum64(value))
+}
+
 // Incarnation is a random number that identifies one run of an entry host's
 // process. A restarted host has a new one.
 type Incarnation uint64
--- a/hoster/change_parts.go
+++ b/hoster/change_parts.go
@@ -77,7 +77,7 @@
 	}
 	whole := decodeChanges(reply)
 	for reply.NextKey != "" {
-		reply, err = ask(&peerwire.ChangesRequest{Parts: true, AfterKey: reply.NextKey})
+		reply, err = ask(&peerwire.ChangesRequest{Parts: true, References: request.References, AfterKey: reply.NextKey})
 		if err != nil {
 			return replicator.ChangeSet{}, err
 		}
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -29,6 +29,7 @@
 	"github.com/jackdawthread/jackdawthread/charger"
 	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/distributor"
 	"github.com/jackdawthread/jackdawthread/exchanger"
 	"github.com/jackdawthread/jackdawthread/forwarder"
 	"github.com/jackdawthread/jackdawthread/gossiper"
@@ -86,7 +87,9 @@
 	messenger  *messenger.Messenger
 	gossiper   *gossiper.Gossiper
 	replicator atomic.Pointer[replicator.Replicator]
-	placer     *placer.Placer
+	// distributor exchanges the store's large values with peers.
+	distributor *distributor.Distributor
+	placer      *placer.Placer
 	// interceptor excludes endpoints that asked for no calls.
 	interceptor *interceptor.Interceptor
 	// rationer keeps calls within the limits that endpoints name.
--- a/hoster/listeners.go
+++ b/hoster/listeners.go
@@ -13,6 +13,7 @@
 	"github.com/jackdawthread/jackdawthread/acceptor"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/common/socket"
+	"github.com/jackdawthread/jackdawthread/distributor"
 	"github.com/jackdawthread/jackdawthread/peerwire"
 	"github.com/jackdawthread/jackdawthread/replicator"
 )
@@ -88,7 +89,19 @@
 
 // startReplicator replicates the store, and answers peers that ask for its changes.
 func (h *Host) startReplicator() {
-	p := &peers{links: h.messenger, members: h.gossiper, self: h.incarnation, dataCenter: h.settings.DataCenter}
+	h.distributor = distributor.New(distributor.Deps{
+		Self:       h.incarnation,
+		DataCenter: h.settings.DataCenter,
+		TreeKey:    readersKey,
+		Members:    h.gossiper,
+		Links:      h.messenger,
+		Log:        h.log,
+	})
+	h.distributor.Register(h.messenger)
+	p := &peers{
+		links: h.messenger, members: h.gossiper, values: h.distributor,
+		self: h.incarnation, dataCenter: h.settings.DataCenter,
+	}
 	p.answer = func(ctx context.Context, after identifier.Position, wait time.Duration) replicator.ChangeSet {
 		return h.replicator.Load().WaitForChanges(ctx, after, wait)
 	}
@@ -103,9 +116,10 @@
 		Permanent: func(known, restored replicator.Item) bool {
 			return isFinal(h.deps.Platform.Read, known, restored)
 		},
-		Timer: h.timer,
-		Group: h.group,
-		Log:   h.log,
+		Values: h.distributor,
+		Timer:  h.timer,
+		Group:  h.group,
+		Log:    h.log,
 	}, o)
 	h.replicator.Store(r)
 }
--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -84,6 +84,7 @@
 	m.root.Set("store-items-retained", expvar.Func(func() any { return h.replicator.Load().Retained() }))
 	m.root.Set("store-log-bytes", expvar.Func(func() any { return h.replicator.Load().Replica().LogBytes() }))
 	m.root.Set("store-reads", expvar.Func(func() any { return h.replicator.Load().Stats() }))
+	m.root.Set("store-values", expvar.Func(func() any { return h.distributor.Stats() }))
 	m.root.Set("store-era", expvar.Func(func() any { return h.replicator.Load().Replica().Position().Era }))
 }
 
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,7 +32,9 @@
 	members    members
 	self       identifier.Incarnation
 	dataCenter identifier.DataCenter
-	answer     func(ctx context.Context, after identifier.Position, wait time.Duration) replicator.ChangeSet
+	// values are what references to large values refer to; nil if none are sent.
+	values replicator.Values
+	answer func(ctx context.Context, after identifier.Position, wait time.Duration) replicator.ChangeSet
 }
 
 // readersKey is the rendezvous key that selects the hosts that read the store.
@@ -64,16 +67,37 @@
 }
 
 func changesRequest(after identifier.Position, wait time.Duration) *peerwire.ChangesRequest {
-	return &peerwire.ChangesRequest{After: after.Revision, Era: after.Era, WaitMs: uint32(wait.Milliseconds()), Parts: true}
+	return &peerwire.ChangesRequest{
+		After: after.Revision, Era: after.Era, WaitMs: uint32(wait.Milliseconds()), Parts: true, References: true,
+	}
 }
 
 var errNoPeer = classifier.NotRun(classifier.ReasonHostUnreachable, 0, "no other host is known")
 
 func (p *peers) call(ctx context.Context, at gossiper.Member, request *peerwire.ChangesRequest) (replicator.ChangeSet, error) {
-	return collectChanges(request, func(r *peerwire.ChangesRequest) (*peerwire.ChangesReply, error) {
+	changes, err := collectChanges(request, func(r *peerwire.ChangesRequest) (*peerwire.ChangesReply, error) {
+		ctx, cancel := context.WithTimeout(ctx, time.Duration(r.WaitMs)*time.Millisecond+messageTimeout)
+		defer cancel()
 		reply := &peerwire.ChangesReply{}
 		return reply, p.links.Call(ctx, at.Address, peerwire.KindChanges, r, reply)
 	})
+	attributeReferences(&changes, at.Address)
+	return changes, err
+}
+
+// messageTimeout bounds the time of one message of an answer, without the time that the peer waits
+// for changes.
+const messageTimeout = 300 * time.Millisecond
+
+// attributeReferences states which host announced the values that changes refer to.
+func attributeReferences(c *replicator.ChangeSet, from identifier.Address) {
+	now := time.Now()
+	for _, change := range c.Changes {
+		change.Missing.Attribute(from, now)
+	}
+	for _, k := range c.Kept {
+		k.Known.Missing.Attribute(from, now)
+	}
 }
 
 // handleChanges answers a peer's query.
@@ -84,7 +108,42 @@
 	}
 	wait := min(maxPeerWait, time.Duration(request.WaitMs)*time.Millisecond)
 	after := identifier.Position{Era: request.Era, Revision: request.After}
-	return answerInParts(&request, p.answer(ctx, after, wait)), nil
+	changes := p.answer(ctx, after, wait)
+	if !request.References || p.values == nil {
+		if lacksValue(&changes) {
+			return nil, classifier.NotRun(classifier.ReasonNotReady, 0, "host doesn't have all values yet")
+		}
+		return answerInParts(&request, changes), nil
+	}
+	return answerInParts(&request, p.withReferences(changes)), nil
+}
+
+// lacksValue reports whether a change refers to a value that this host doesn't have.
+func lacksValue(c *replicator.ChangeSet) bool {
+	missing := func(i replicator.Item) bool { return i.Missing != nil }
+	return slices.ContainsFunc(c.Changes, func(c replicator.Change) bool { return missing(c.Item) }) ||
+		slices.ContainsFunc(c.Kept, func(k replicator.Kept) bool { return missing(k.Known.Item) })
+}
+
+// withReferences returns changes with references in place of large values, which are kept for the peer.
+func (p *peers) withReferences(c replicator.ChangeSet) replicator.ChangeSet {
+	for n := range c.Changes {
+		c.Changes[n].Item = p.reference(c.Changes[n].Item)
+	}
+	for n := range c.Kept {
+		c.Kept[n].Known.Item = p.reference(c.Kept[n].Known.Item)
+	}
+	return c
+}
+
+func (p *peers) reference(i replicator.Item) replicator.Item {
+	if len(i.Value) < replicator.MinReferenceBytes {
+		return i
+	}
+	p.values.Keep(i.Value)
+	i.Missing = &replicator.Reference{Digest: identifier.DigestOf(i.Value), Bytes: len(i.Value)}
+	i.Value = nil
+	return i
 }
 
 // maxPeerWait bounds how long this host holds a peer's query open.
@@ -111,7 +170,11 @@
 }
 
 func encodeChange(c replicator.Change) peerwire.StoreItem {
-	return peerwire.StoreItem{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted, Era: c.Era}
+	i := peerwire.StoreItem{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted, Era: c.Era}
+	if c.Missing != nil {
+		i.Digest, i.Bytes = c.Missing.Digest, uint32(c.Missing.Bytes)
+	}
+	return i
 }
 
 func decodeChanges(reply *peerwire.ChangesReply) replicator.ChangeSet {
@@ -134,8 +197,12 @@
 }
 
 func decodeChange(i peerwire.StoreItem) replicator.Change {
-	return replicator.Change{
+	c := replicator.Change{
 		Item:    replicator.Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Era: i.Era},
 		Deleted: i.Deleted,
 	}
+	if i.Digest != 0 && !i.Deleted {
+		c.Missing = &replicator.Reference{Digest: i.Digest, Bytes: int(i.Bytes)}
+	}
+	return c
 }
--- a/peerwire/changes.go
+++ b/peerwire/changes.go
@@ -4,6 +4,7 @@
 
 //msgp:replace identifier.Revision with:uint64
 //msgp:replace identifier.Era with:uint64
+//msgp:replace identifier.Digest with:uint64
 
 //go:generate go tool msgp -file changes.go -tests=false
 
@@ -21,6 +22,8 @@
 	// next one with AfterKey, the NextKey of the last one.
 	Parts    bool   `msg:"parts"`
 	AfterKey string `msg:"after-key"`
+	// References is set if the requester takes references in place of large values.
+	References bool `msg:"references"`
 }
 
 // ChangesReply replies to a ChangesRequest.
@@ -60,4 +63,8 @@
 	// Era is the era in which the item is known to have been written; 0 if that
 	// isn't known.
 	Era identifier.Era `msg:"era"`
+	// Digest is set in place of a large Value, which has Bytes bytes. It is requested
+	// with a ValueRequest.
+	Digest identifier.Digest `msg:"digest"`
+	Bytes  uint32            `msg:"bytes"`
 }
--- a/peerwire/changes_gen.go
+++ b/peerwire/changes_gen.go
@@ -556,6 +556,12 @@
 				err = msgp.WrapError(err, "AfterKey")
 				return
 			}
+		case "references":
+			z.References, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "References")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -569,9 +575,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *ChangesRequest) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
+	// map header, size 6
 	// write "after"
-	err = en.Append(0x85, 0xa5, 0x61, 0x66, 0x74, 0x65, 0x72)
+	err = en.Append(0x86, 0xa5, 0x61, 0x66, 0x74, 0x65, 0x72)
 	if err != nil {
 		return
 	}
@@ -620,15 +626,25 @@
 		err = msgp.WrapError(err, "AfterKey")
 		return
 	}
+	// write "references"
+	err = en.Append(0xaa, 0x72, 0x65, 0x66, 0x65, 0x72, 0x65, 0x6e, 0x63, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.References)
+	if err != nil {
+		err = msgp.WrapError(err, "References")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *ChangesRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "after"
-	o = append(o, 0x85, 0xa5, 0x61, 0x66, 0x74, 0x65, 0x72)
+	o = append(o, 0x86, 0xa5, 0x61, 0x66, 0x74, 0x65, 0x72)
 	o = msgp.AppendUint64(o, uint64(z.After))
 	// string "era"
 	o = append(o, 0xa3, 0x65, 0x72, 0x61)
@@ -642,6 +658,9 @@
 	// string "after-key"
 	o = append(o, 0xa9, 0x61, 0x66, 0x74, 0x65, 0x72, 0x2d, 0x6b, 0x65, 0x79)
 	o = msgp.AppendString(o, z.AfterKey)
+	// string "references"
+	o = append(o, 0xaa, 0x72, 0x65, 0x66, 0x65, 0x72, 0x65, 0x6e, 0x63, 0x65, 0x73)
+	o = msgp.AppendBool(o, z.References)
 	return
 }
 
@@ -701,6 +720,12 @@
 				err = msgp.WrapError(err, "AfterKey")
 				return
 			}
+		case "references":
+			z.References, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "References")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -715,7 +740,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ChangesRequest) Msgsize() (s int) {
-	s = 1 + 6 + msgp.Uint64Size + 4 + msgp.Uint64Size + 8 + msgp.Uint32Size + 6 + msgp.BoolSize + 10 + msgp.StringPrefixSize + len(z.AfterKey)
+	s = 1 + 6 + msgp.Uint64Size + 4 + msgp.Uint64Size + 8 + msgp.Uint32Size + 6 + msgp.BoolSize + 10 + msgp.StringPrefixSize + len(z.AfterKey) + 11 + msgp.BoolSize
 	return
 }
 
@@ -940,6 +965,22 @@
 				}
 				z.Era = identifier.Era(zb0003)
 			}
+		case "digest":
+			{
+				var zb0004 uint64
+				zb0004, err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "Digest")
+					return
+				}
+				z.Digest = identifier.Digest(zb0004)
+			}
+		case "bytes":
+			z.Bytes, err = dc.ReadUint32()
+			if err != nil {
+				err = msgp.WrapError(err, "Bytes")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -953,9 +994,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *StoreItem) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
+	// map header, size 7
 	// write "key"
-	err = en.Append(0x85, 0xa3, 0x6b, 0x65, 0x79)
+	err = en.Append(0x87, 0xa3, 0x6b, 0x65, 0x79)
 	if err != nil {
 		return
 	}
@@ -1004,15 +1045,35 @@
 		err = msgp.WrapError(err, "Era")
 		return
 	}
+	// write "digest"
+	err = en.Append(0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(uint64(z.Digest))
+	if err != nil {
+		err = msgp.WrapError(err, "Digest")
+		return
+	}
+	// write "bytes"
+	err = en.Append(0xa5, 0x62, 0x79, 0x74, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint32(z.Bytes)
+	if err != nil {
+		err = msgp.WrapError(err, "Bytes")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *StoreItem) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 7
 	// string "key"
-	o = append(o, 0x85, 0xa3, 0x6b, 0x65, 0x79)
+	o = append(o, 0x87, 0xa3, 0x6b, 0x65, 0x79)
 	o = msgp.AppendString(o, z.Key)
 	// string "value"
 	o = append(o, 0xa5, 0x76, 0x61, 0x6c, 0x75, 0x65)
@@ -1026,6 +1087,12 @@
 	// string "era"
 	o = append(o, 0xa3, 0x65, 0x72, 0x61)
 	o = msgp.AppendUint64(o, uint64(z.Era))
+	// string "digest"
+	o = append(o, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
+	o = msgp.AppendUint64(o, uint64(z.Digest))
+	// string "bytes"
+	o = append(o, 0xa5, 0x62, 0x79, 0x74, 0x65, 0x73)
+	o = msgp.AppendUint32(o, z.Bytes)
 	return
 }
 
@@ -1085,6 +1152,22 @@
 				}
 				z.Era = identifier.Era(zb0003)
 			}
+		case "digest":
+			{
+				var zb0004 uint64
+				zb0004, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Digest")
+					return
+				}
+				z.Digest = identifier.Digest(zb0004)
+			}
+		case "bytes":
+			z.Bytes, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Bytes")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1099,6 +1182,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *StoreItem) Msgsize() (s int) {
-	s = 1 + 4 + msgp.StringPrefixSize + len(z.Key) + 6 + msgp.BytesPrefixSize + len(z.Value) + 9 + msgp.Uint64Size + 8 + msgp.BoolSize + 4 + msgp.Uint64Size
+	s = 1 + 4 + msgp.StringPrefixSize + len(z.Key) + 6 + msgp.BytesPrefixSize + len(z.Value) + 9 + msgp.Uint64Size + 8 + msgp.BoolSize + 4 + msgp.Uint64Size + 7 + msgp.Uint64Size + 6 + msgp.Uint32Size
 	return
 }
--- a/peerwire/compatibility_test.go
+++ b/peerwire/compatibility_test.go
@@ -29,6 +29,7 @@
 		&peerwire.Gossip{}, &peerwire.SyncRequest{}, &peerwire.SyncReply{}, &peerwire.Update{},
 		&peerwire.IndirectProbe{}, &peerwire.IndirectProbeReply{}, &peerwire.LoadDigest{},
 		&peerwire.ChangesRequest{}, &peerwire.ChangesReply{}, &peerwire.StoreItem{},
+		&peerwire.ValueRequest{}, &peerwire.ValueReply{},
 		&peerwire.ReservationRequest{}, &peerwire.ReservationReply{}, &peerwire.ReservationCancel{},
 		&peerwire.ReservationOutcome{}, &peerwire.ReservationPing{}, &peerwire.ReservationPong{}, &peerwire.EngineModel{},
 		&peerwire.CrashNews{}, &peerwire.LimitNews{}, &peerwire.PermitRequest{}, &peerwire.PermitReply{}, &peerwire.PermitReturn{},
--- a/peerwire/kinds.go
+++ b/peerwire/kinds.go
@@ -85,4 +85,6 @@
 	KindSlot
 	// KindSlotReturn ends the use of a slot. It has no reply.
 	KindSlotReturn
+	// KindValue requests a part of a large value of the configuration store.
+	KindValue
 )
--- a/replicator/change_log.go
+++ b/replicator/change_log.go
@@ -44,6 +44,16 @@
 	l.changes = slices.Delete(l.changes, 0, dropped)
 }
 
+// fill adds the value that a change lacked.
+func (l *changeLog) fill(i Item) {
+	for n, c := range l.changes {
+		if c.Key == i.Key && c.Revision == i.Revision && c.Missing != nil {
+			l.bytes += int64(len(i.Value))
+			l.changes[n].Item = i
+		}
+	}
+}
+
 // since returns the changes after a revision; false if the log doesn't reach back
 // that far.
 func (l *changeLog) since(after identifier.Revision) ([]Change, bool) {
--- a/replicator/reading.go
+++ b/replicator/reading.go
@@ -26,6 +26,8 @@
 	errEarlierEra = errors.New("store's answer is from an earlier era")
 	// errReaderStale reports that a reader's answer is stale or from an earlier era.
 	errReaderStale = errors.New("reader's data is stale: the store has not confirmed it recently")
+	// errNoValues reports that large values can't be fetched from peers.
+	errNoValues = errors.New("no peer sends large values")
 )
 
 // follow keeps the replica up to date until the group ends.
@@ -74,14 +76,13 @@
 
 func (r *Replicator) followReader(ctx context.Context) error {
 	after := r.replica.Position()
-	ctx, cancel := context.WithTimeout(ctx, r.options.FollowWait+r.options.PeerQueryTimeout)
-	defer cancel()
 	r.readerReads.begun.Add(1)
 	changes, err := r.deps.Peers.Follow(ctx, after, r.options.FollowWait)
 	r.readerReads.end(changes, err)
 	if err == nil {
-		accepted := r.applyPeerChanges(changes, "reader")
-		if !accepted || changes.Age >= r.options.StaleAfter {
+		var accepted bool
+		accepted, err = r.applyPeerChanges(ctx, changes, "reader")
+		if err == nil && (!accepted || changes.Age >= r.options.StaleAfter) {
 			err = errReaderStale
 		}
 	}
--- a/replicator/replica.go
+++ b/replicator/replica.go
@@ -14,6 +14,8 @@
 type Item struct {
 	Key   string
 	Value []byte
+	// Missing is set in place of a large value that this host doesn't have yet.
+	Missing *Reference
 	// Revision is the store's revision at the item's last change.
 	Revision identifier.Revision
 	// Era is the era in which the item is known to have been written; 0 if that
@@ -80,8 +82,10 @@
 // different eras can't be compared, so only a complete change set leads from one
 // era to another. Replica is safe for concurrent use.
 type Replica struct {
-	mu       sync.Mutex
-	items    map[string]Item
+	mu    sync.Mutex
+	items map[string]Item
+	// whole has the last value of each item whose latest one is missing.
+	whole    map[string]Item
 	log      changeLog // all in the era of position
 	position identifier.Position
 	history  history
@@ -93,6 +97,7 @@
 func NewReplica(maxLogBytes int64) *Replica {
 	return &Replica{
 		items:   map[string]Item{},
+		whole:   map[string]Item{},
 		log:     changeLog{maxBytes: maxLogBytes},
 		history: newHistory(),
 		changed: make(chan struct{}),
@@ -122,11 +127,24 @@
 	return r.changed
 }
 
-// Items returns all items, sorted by key.
+// Items returns all items, sorted by key. In place of an item whose latest value is missing it returns
+// the one before, if there is one.
 func (r *Replica) Items() []Item {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.sorted()
+	all := r.sorted()
+	usable := all[:0]
+	for _, i := range all {
+		if i.Missing != nil {
+			before, ok := r.whole[i.Key]
+			if !ok {
+				continue
+			}
+			i = before
+		}
+		usable = append(usable, i)
+	}
+	return usable
 }
 
 // Item returns the item with a key.
@@ -200,16 +218,23 @@
 // applied; r.mu must be held.
 func (r *Replica) apply(applied []Change, c Change) []Change {
 	old, known := r.items[c.Key]
+	if known && old.Missing != nil && old.Revision == c.Revision && c.Missing == nil && !c.Deleted {
+		r.fill(old, c.Value)
+		return append(applied, c)
+	}
 	if known && old.Revision >= c.Revision || !known && c.Deleted {
 		return applied
 	}
+	if c.Missing != nil {
+		c.Item = r.reuse(c.Item)
+	}
 	r.appendLog(c)
 	r.remember(old, known, c)
 	if !c.Deleted {
-		r.items[c.Key] = c.Item
+		r.set(old, known, c.Item)
 		return append(applied, c)
 	}
-	delete(r.items, c.Key)
+	r.remove(c.Key)
 	return append(applied, Change{Item: old, Deleted: true})
 }
 
@@ -228,7 +253,7 @@
 func (r *Replica) reset(c ChangeSet) []Change {
 	applied := r.applyAll(c)
 	for key, old := range r.missing(c) {
-		delete(r.items, key)
+		r.remove(key)
 		r.remember(old, true, Change{Item: Item{Key: key, Revision: c.Position.Revision}, Deleted: true})
 		applied = append(applied, Change{Item: old, Deleted: true})
 	}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -77,7 +77,8 @@
 	Watch(ctx context.Context, after identifier.Position, wait time.Duration) (ChangeSet, error)
 }
 
-// Peers gives access to the replicas of other hosts.
+// Peers gives access to the replicas of other hosts. An answer may take several messages; implementations
+// bound the time of each, and not of the whole, which depends on its size.
 type Peers interface {
 	// Query asks a random host for the changes after a position.
 	Query(ctx context.Context, after identifier.Position) (ChangeSet, error)
@@ -99,9 +100,11 @@
 	// one that a restored store has, however long nobody writes it again. If nil,
 	// there is no such state.
 	Permanent func(known, restored Item) bool
-	Timer     *timer.Service
-	Group     *grouper.Group
-	Log       *zap.Logger
+	// Values exchanges large values with peers; nil if peers send none apart.
+	Values Values
+	Timer  *timer.Service
+	Group  *grouper.Group
+	Log    *zap.Logger
 }
 
 // Options are the timing parameters and bounds of a Replicator.
@@ -129,8 +132,6 @@
 	// PeerQueryPeriod is the time between two queries to a peer, and
 	// OutageQueryPeriod that while reads fail or the replica is empty or stale.
 	PeerQueryPeriod, OutageQueryPeriod time.Duration
-	// PeerQueryTimeout bounds a query to a peer.
-	PeerQueryTimeout time.Duration
 	// OutageAfter is how long no host may have reached the store before this
 	// counts as an outage.
 	OutageAfter time.Duration
@@ -161,7 +162,6 @@
 		DirectReadPeriod:   4 * time.Second,
 		PeerQueryPeriod:    time.Second,
 		OutageQueryPeriod:  200 * time.Millisecond,
-		PeerQueryTimeout:   300 * time.Millisecond,
 		OutageAfter:        1500 * time.Millisecond,
 		DeletionGrace:      2 * time.Second,
 		OutdatedHold:       10 * time.Second,
@@ -182,6 +182,9 @@
 	readUntil   time.Time // used by follow only
 	readAt      time.Time // start of the last read; used by follow only
 
+	// missing signals that the replica lacks a value.
+	missing chan struct{}
+
 	storeReads, readerReads, peerReads transferCounters
 
 	// unconfirmed is set from a suspension of the host until the next
@@ -203,8 +206,10 @@
 		started:      time.Now(),
 		retention:    newRetention(o, d.Permanent),
 		connectivity: connectivity{options: o},
+		missing:      make(chan struct{}, 1),
 	}
 	d.Group.Run(r.follow)
+	d.Group.Run(r.fetchMissing)
 	d.Timer.Every(o.OutageQueryPeriod, r.tick)
 	return r
 }
@@ -309,38 +314,59 @@
 }
 
 // applyPeerChanges applies a peer's answer. It reports false if the answer is from
-// an earlier era: it then changes and confirms nothing.
-func (r *Replicator) applyPeerChanges(c ChangeSet, source string) bool {
+// an earlier era, and returns an error if a value of a complete one can't be had: it then
+// changes and confirms nothing.
+func (r *Replicator) applyPeerChanges(ctx context.Context, c ChangeSet, source string) (accepted bool, err error) {
 	if !r.replica.Accepts(c) {
-		return false
+		return false, nil
+	}
+	c, err = r.fillAll(ctx, c)
+	if err != nil {
+		return false, err
 	}
 	r.peerConfirmed(c.Age)
 	r.applyChanges(c, source)
-	r.learnKept(c)
-	return true
+	r.learnKept(ctx, c)
+	return true, nil
 }
 
 // learnKept takes over what a peer of the same era keeps in use.
-func (r *Replicator) learnKept(c ChangeSet) {
+func (r *Replicator) learnKept(ctx context.Context, c ChangeSet) {
+	unknown := r.unknownKept(c)
+	if len(unknown) == 0 {
+		return
+	}
+	unknown = r.fillKept(ctx, unknown)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if c.Position.Era != r.replica.Position().Era {
 		return
 	}
 	now := time.Now()
-	learned := r.retention.learn(c.Kept, r.replica.Item, now)
+	learned := r.retention.learn(unknown, r.replica.Item, now)
 	if len(learned) > 0 {
 		r.logOutdated(learned, "peer")
 		r.publish(now)
 	}
 }
 
+// unknownKept returns what a peer keeps and this host would take over.
+func (r *Replicator) unknownKept(c ChangeSet) []Kept {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c.Position.Era != r.replica.Position().Era {
+		return nil
+	}
+	return r.retention.unknown(c.Kept, r.replica.Item)
+}
+
 // applyChanges applies changes to the replica and publishes the items if any
 // changed.
 func (r *Replicator) applyChanges(c ChangeSet, source string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	previous := r.replica.Position()
+	r.keepValues(c.Changes)
 	applied := r.replica.Apply(c)
 	if len(applied.Changes) == 0 && !applied.Restored {
 		return
@@ -356,6 +382,7 @@
 		zap.Int("changes", len(applied.Changes)),
 		zap.Int("doubted", r.retention.active()))...)
 	r.publish(now)
+	r.signalMissing()
 }
 
 // logRestore logs that the store was restored, and each item that it has set back.
@@ -416,8 +443,6 @@
 	}
 	r.deps.Group.Run(func(ctx context.Context) {
 		defer r.querying.Store(false)
-		ctx, cancel := context.WithTimeout(ctx, r.options.PeerQueryTimeout)
-		defer cancel()
 		r.peerReads.begun.Add(1)
 		changes, err := r.deps.Peers.Query(ctx, r.replica.Position())
 		r.peerReads.end(changes, err)
@@ -425,7 +450,9 @@
 			r.deps.Log.Debug("peer-query-failed", zap.Error(err))
 			return
 		}
-		r.applyPeerChanges(changes, "peer")
+		if _, err := r.applyPeerChanges(ctx, changes, "peer"); err != nil {
+			r.deps.Log.Info("peer-copy-incomplete", zap.Error(err))
+		}
 	})
 }
 
--- a/replicator/restore.go
+++ b/replicator/restore.go
@@ -1,8 +1,6 @@
 package replicator
 
 import (
-	"bytes"
-
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 )
 
@@ -14,7 +12,7 @@
 		if latest, ok := r.latest(key); ok {
 			r.history.add(latest) // the next restore may bring back an older item
 		}
-		delete(r.items, key)
+		r.remove(key)
 		applied.Changes = append(applied.Changes, Change{Item: old, Deleted: true})
 	}
 	for _, change := range c.Changes {
@@ -39,7 +37,7 @@
 	if verdict == originKnown {
 		i.Era = known.Era
 	}
-	r.items[i.Key] = i
+	r.set(old, present, i)
 	switch verdict {
 	case originOutdated, originDoubtful:
 		r.history.add(known) // it is no longer among the items
@@ -94,7 +92,7 @@
 // held.
 func (r *Replica) origin(i Item, known Change, era identifier.Era) origin {
 	switch {
-	case !known.Deleted && i.Revision == known.Revision && bytes.Equal(i.Value, known.Value):
+	case stateOf(Change{Item: i}) == stateOf(known):
 		return originKnown
 	case i.Era == era: // a peer knows
 		return originNew
--- a/replicator/retention.go
+++ b/replicator/retention.go
@@ -56,15 +56,25 @@
 	}
 }
 
-// learn takes over what a peer keeps in place of items that the store has, where
-// this host knows of nothing. It returns these items.
-func (t *retention) learn(all []Kept, stored func(key string) (Item, bool), now time.Time) []Outdated {
-	var learned []Outdated
+// unknown returns what a peer keeps in place of items that the store has, where
+// this host knows of nothing.
+func (t *retention) unknown(all []Kept, stored func(key string) (Item, bool)) []Kept {
+	var unknown []Kept
 	for _, k := range all {
 		i, ok := stored(k.Known.Key)
 		if _, known := t.entries[k.Known.Key]; known || !ok || i.Revision != k.RestoredRevision {
 			continue
 		}
+		unknown = append(unknown, k)
+	}
+	return unknown
+}
+
+// learn takes over what a peer keeps and this host doesn't know. It returns these items.
+func (t *retention) learn(all []Kept, stored func(key string) (Item, bool), now time.Time) []Outdated {
+	var learned []Outdated
+	for _, k := range t.unknown(all, stored) {
+		i, _ := stored(k.Known.Key)
 		o := Outdated{Item: i, Known: k.Known, Certain: true}
 		t.keepKnown(o, now.Add(min(k.Left, t.options.OutdatedHold)))
 		learned = append(learned, o)
