Refuse what outdated declarations lack as not run, or wait for later ones

What callers saw: 404 on a declared route, at a host that had been without the store for seconds, or had heard of a later configuration. A 404 is final; callers don't come back.

Cause: a route or key that a host doesn't know was taken for one that doesn't exist, however old its declarations were.

Change: while the value of a later configuration is on its way, the request waits for it, for up to 0.5 s and a quarter of the caller's timeout. Otherwise, and at a host whose declarations the store hasn't confirmed for 2 s, it is refused with 503 and Retry-After. What the declarations have is served as before, so that a host that is cut off serves on.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -86,7 +86,8 @@
 		return &statusError{status: http.StatusBadRequest, cause: err}
 	}
 	e.observation.ID = parameters.ID
-	if err := e.resolve(d, parameters.Key); err != nil {
+	d, err = e.resolveCurrent(d, parameters)
+	if err != nil {
 		return err
 	}
 	f.inProgress.begin(e)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -225,6 +225,8 @@
 	// AwaitConfirmation waits, for a bounded time, until the replicated state is
 	// confirmed to be current, for example after the process was suspended.
 	AwaitConfirmation func(ctx context.Context)
+	// Currency returns how current the declarations are; if nil, they always count as confirmed.
+	Currency func() Currency
 	// ExpectedDuration returns how long requests of a route take at most, as far as
 	// measured; 0 if unknown.
 	ExpectedDuration func(r *registrar.Route) time.Duration
--- a/hoster/components.go
+++ b/hoster/components.go
@@ -165,6 +165,7 @@
 		Isolator:          h.isolator,
 		Observer:          h,
 		AwaitConfirmation: h.awaitConfirmation,
+		Currency:          h.currency,
 		ExpectedDuration:  h.metrics.expectedDuration,
 		Memory:            h.memory,
 		Group:             h.group,
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -223,6 +223,23 @@
 	return reserver.Knowledge{Position: r.Replica().Position(), Age: r.Age()}
 }
 
+// unconfirmedAfter is the age of the store's confirmation from which the declarations may be
+// outdated.
+const unconfirmedAfter = 2 * time.Second
+
+// currency returns how current the declarations are.
+func (h *Host) currency() forwarder.Currency {
+	r := h.replicator.Load()
+	switch {
+	case r.Pending():
+		return forwarder.CurrencyArriving
+	case r.Age() >= unconfirmedAfter:
+		return forwarder.CurrencyUnconfirmed
+	default:
+		return forwarder.CurrencyConfirmed
+	}
+}
+
 // Endpoints returns the number of registered endpoints.
 func (h *Host) Endpoints() int {
 	return h.registry.Snapshot().Count()
