--- a/replicator/missing.go
+++ b/replicator/missing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -243,6 +244,7 @@
 	if !c.Complete {
 		return c, nil
 	}
+	c.Changes = slices.Clone(c.Changes)
 	for n, change := range c.Changes {
 		i, err := r.fillItem(ctx, change.Item)
 		if err != nil {
--- a/replicator/reading_test.go
+++ b/replicator/reading_test.go
@@ -101,17 +101,27 @@
 
 // startReadingWith starts a replicator with the given options.
 func startReadingWith(t *testing.T, s Store, p Peers, reader bool, o Options) *Replicator {
+	t.Helper()
+	return startReplicator(t, Deps{Store: s, Peers: p, ReadsStore: func() bool { return reader }}, o)
+}
+
+// startReadingWithValues starts a replicator that reads a store and exchanges large values.
+func startReadingWithValues(t *testing.T, s Store, p Peers, v Values) *Replicator {
+	t.Helper()
+	return startReplicator(t, Deps{Store: s, Peers: p, ReadsStore: func() bool { return true }, Values: v}, DefaultOptions())
+}
+
+// startReplicator starts a replicator whose other dependencies are set here.
+func startReplicator(t *testing.T, d Deps, o Options) *Replicator {
 	t.Helper()
 	g := grouper.New(context.Background())
 	t.Cleanup(func() {
 		g.Stop()
 		_ = g.Wait() // its members return no errors
 	})
-	return Start(Deps{
-		Store: s, Peers: p, ReadsStore: func() bool { return reader },
-		OnChange: func([]Item, identifier.Position) {},
-		Timer:    timer.New(g), Group: g, Log: zap.NewNop(),
-	}, o)
+	d.OnChange = func([]Item, identifier.Position) {}
+	d.Timer, d.Group, d.Log = timer.New(g), g, zap.NewNop()
+	return Start(d, o)
 }
 
 // assertPosition waits until a replicator is at a position.
