Pass values on in the form in which they came

Its form is kept now. The test that each host encodes nothing but the root failed before.

In the test's fleet, silent hosts are guarded by a lock (a race in the test itself).

--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -13,7 +13,7 @@
 //
 // A value is compressed, with a value that the requester has as its dictionary if the host
 // knows that one too. A change of a few routes in a large configuration then takes some hundred bytes.
-// Each encoded form is computed once for all requesters.
+// Each encoded form is computed once for all requesters, and passed on as it came.
 //
 // Hosts request a value in parts, one after the other. So other messages aren't delayed by more than a part,
 // nothing is sent that its requester has given up, and a fetch goes on at another host where it
@@ -109,6 +109,15 @@
 	}
 }
 
+// keepForm keeps the form in which a value arrived, so that it needn't be encoded again.
+func (d *Distributor) keepForm(digest identifier.Digest, f form) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.shelf.form(digest, f.base) == nil {
+		d.shelf.putForm(digest, &f)
+	}
+}
+
 // handle answers a peer's request for a part of a value.
 func (d *Distributor) handle(ctx context.Context, _ messenger.Peer, payload []byte) (msgp.Marshaler, error) {
 	var request peerwire.ValueRequest
--- a/distributor/distributor_test.go
+++ b/distributor/distributor_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,10 +33,25 @@
 type fleet struct {
 	group *grouper.Group
 	hosts []*host
+
+	mu sync.Mutex
 	// silent are the hosts that nothing reaches.
 	silent map[identifier.Address]bool
 }
 
+// silence lets nothing reach a host any more.
+func (f *fleet) silence(h *host) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent[h.member.Address] = true
+}
+
+func (f *fleet) isSilent(a identifier.Address) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.silent[a]
+}
+
 type host struct {
 	member      gossiper.Member
 	node        *linker.Node
@@ -53,7 +69,7 @@
 	t.Helper()
 	f := &fleet{group: grouper.New(context.Background()), silent: map[identifier.Address]bool{}}
 	n := linker.New(f.group, linkDelay, func(from, to identifier.Address) bool {
-		if f.silent[to] || f.silent[from] {
+		if f.isSilent(to) || f.isSilent(from) {
 			time.Sleep(time.Hour) // no answer
 		}
 		return true
@@ -157,7 +173,7 @@
 	})
 	inFleet(t, "from the announcer if the parent is silent", 10, func(t *testing.T, f *fleet) {
 		f.hosts[8].distributor.Keep(value)
-		f.silent[f.hosts[1].member.Address] = true
+		f.silence(f.hosts[1])
 		assertFetched(t, f.hosts[5], value, nil, f.hosts[8], time.Second)
 	})
 	inFleet(t, "from the root if parent and announcer don't have it", 10, func(t *testing.T, f *fleet) {
@@ -183,6 +199,7 @@
 		parts := f.hosts[0].distributor.Stats().SentParts / 4 // four hosts fetch from the root
 		for _, h := range f.hosts {
 			i.True(h.distributor.Stats().SentParts <= 4*parts)
+			i.True(h == f.hosts[0] || h.distributor.Stats().Encodings == 0) // the root's form is passed on
 		}
 	})
 }
@@ -199,7 +216,7 @@
 			for first.distributor.Stats().SentParts < 5 {
 				time.Sleep(linkDelay)
 			}
-			f.silent[first.member.Address] = true
+			f.silence(first)
 		})
 		assertFetched(t, f.hosts[5], value, nil, f.hosts[0], 1200*time.Millisecond)
 		sent := first.distributor.Stats().SentParts + f.hosts[0].distributor.Stats().SentParts
