Bound reads of the store by their progress, and follow readers that are receiving

Cause: the time limit of a read, 2 s with its answer, didn't know the size; a value of 1 MB takes 1.1 s of a link of 10 Mbit/s, if nothing else is on it. And a reader's data counted as stale while it was receiving what came next.

A reader tells its followers that it is receiving, and they follow it up to an age of 4 s.

TestSilentStore took the limit of a read from its context; it measures now when the read is given up, which is as strict.

--- a/exchanger/response.go
+++ b/exchanger/response.go
@@ -70,6 +70,8 @@
 	Framing Framing
 	// Attribution is what relates the response to its request.
 	Attribution Attribution
+	// OnProgress is called by ReadAll whenever a part of the body has arrived; nil for no calls.
+	OnProgress func()
 
 	exchanger  *Exchanger
 	connection *connection
@@ -242,6 +244,9 @@
 		}
 		n, err := r.Read(b.bytes[len(b.bytes):cap(b.bytes)])
 		b.bytes = b.bytes[:len(b.bytes)+n]
+		if n > 0 && r.OnProgress != nil {
+			r.OnProgress()
+		}
 		switch {
 		case int64(len(b.bytes)) > limit:
 			return nil, fmt.Errorf("over %d bytes: %w", limit, ErrTooLarge)
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -151,10 +151,11 @@
 
 func encodeChanges(c replicator.ChangeSet) *peerwire.ChangesReply {
 	reply := &peerwire.ChangesReply{
-		Revision: c.Position.Revision,
-		Era:      c.Position.Era,
-		Snapshot: c.Complete,
-		AgeMs:    uint32(c.Age.Milliseconds()),
+		Revision:  c.Position.Revision,
+		Era:       c.Position.Era,
+		Snapshot:  c.Complete,
+		AgeMs:     uint32(c.Age.Milliseconds()),
+		Receiving: c.Receiving,
 	}
 	for _, change := range c.Changes {
 		reply.Changes = append(reply.Changes, encodeChange(change))
@@ -179,9 +180,10 @@
 
 func decodeChanges(reply *peerwire.ChangesReply) replicator.ChangeSet {
 	c := replicator.ChangeSet{
-		Position: identifier.Position{Era: reply.Era, Revision: reply.Revision},
-		Complete: reply.Snapshot,
-		Age:      time.Duration(reply.AgeMs) * time.Millisecond,
+		Position:  identifier.Position{Era: reply.Era, Revision: reply.Revision},
+		Complete:  reply.Snapshot,
+		Age:       time.Duration(reply.AgeMs) * time.Millisecond,
+		Receiving: reply.Receiving,
 	}
 	for _, i := range reply.Changes {
 		c.Changes = append(c.Changes, decodeChange(i))
--- a/peerwire/changes.go
+++ b/peerwire/changes.go
@@ -35,8 +35,10 @@
 	// Snapshot is set if Changes is a snapshot of all existing items.
 	Snapshot bool `msg:"whole"`
 	// AgeMs is the time since the store confirmed Revision in milliseconds.
-	AgeMs   uint32      `msg:"age-ms"`
-	Changes []StoreItem `msg:"changes,limit=65536"`
+	AgeMs uint32 `msg:"age-ms"`
+	// Receiving is set if the peer is just receiving an answer of the store.
+	Receiving bool        `msg:"receiving"`
+	Changes   []StoreItem `msg:"changes,limit=65536"`
 	// NextKey is set if the snapshot has items with keys after it, which are missing in
 	// Changes.
 	NextKey string `msg:"next-key"`
--- a/peerwire/changes_gen.go
+++ b/peerwire/changes_gen.go
@@ -57,6 +57,12 @@
 				err = msgp.WrapError(err, "AgeMs")
 				return
 			}
+		case "receiving":
+			z.Receiving, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Receiving")
+				return
+			}
 		case "changes":
 			var zb0004 uint32
 			zb0004, err = dc.ReadArrayHeader()
@@ -165,9 +171,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *ChangesReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 7
+	// map header, size 8
 	// write "revision"
-	err = en.Append(0x87, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	err = en.Append(0x88, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
 	if err != nil {
 		return
 	}
@@ -206,6 +212,16 @@
 		err = msgp.WrapError(err, "AgeMs")
 		return
 	}
+	// write "receiving"
+	err = en.Append(0xa9, 0x72, 0x65, 0x63, 0x65, 0x69, 0x76, 0x69, 0x6e, 0x67)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Receiving)
+	if err != nil {
+		err = msgp.WrapError(err, "Receiving")
+		return
+	}
 	// write "changes"
 	err = en.Append(0xa7, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x73)
 	if err != nil {
@@ -282,9 +298,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ChangesReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 8
 	// string "revision"
-	o = append(o, 0x87, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	o = append(o, 0x88, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendUint64(o, uint64(z.Revision))
 	// string "era"
 	o = append(o, 0xa3, 0x65, 0x72, 0x61)
@@ -295,6 +311,9 @@
 	// string "age-ms"
 	o = append(o, 0xa6, 0x61, 0x67, 0x65, 0x2d, 0x6d, 0x73)
 	o = msgp.AppendUint32(o, z.AgeMs)
+	// string "receiving"
+	o = append(o, 0xa9, 0x72, 0x65, 0x63, 0x65, 0x69, 0x76, 0x69, 0x6e, 0x67)
+	o = msgp.AppendBool(o, z.Receiving)
 	// string "changes"
 	o = append(o, 0xa7, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Changes)))
@@ -380,6 +399,12 @@
 				err = msgp.WrapError(err, "AgeMs")
 				return
 			}
+		case "receiving":
+			z.Receiving, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Receiving")
+				return
+			}
 		case "changes":
 			var zb0004 uint32
 			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -489,7 +514,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ChangesReply) Msgsize() (s int) {
-	s = 1 + 9 + msgp.Uint64Size + 4 + msgp.Uint64Size + 6 + msgp.BoolSize + 7 + msgp.Uint32Size + 8 + msgp.ArrayHeaderSize
+	s = 1 + 9 + msgp.Uint64Size + 4 + msgp.Uint64Size + 6 + msgp.BoolSize + 7 + msgp.Uint32Size + 10 + msgp.BoolSize + 8 + msgp.ArrayHeaderSize
 	for za0001 := range z.Changes {
 		s += z.Changes[za0001].Msgsize()
 	}
--- a/replicator/reading.go
+++ b/replicator/reading.go
@@ -82,7 +82,7 @@
 	if err == nil {
 		var accepted bool
 		accepted, err = r.applyPeerChanges(ctx, changes, "reader")
-		if err == nil && (!accepted || changes.Age >= r.options.StaleAfter) {
+		if err == nil && (!accepted || r.isStale(&changes)) {
 			err = errReaderStale
 		}
 	}
@@ -92,6 +92,15 @@
 	return err
 }
 
+// isStale reports whether a reader's answer is too old to follow it. A reader that is receiving a large
+// answer of the store will have it sooner than this host could.
+func (r *Replicator) isStale(c *ChangeSet) bool {
+	if c.Receiving {
+		return c.Age >= maxReceivingAge
+	}
+	return c.Age >= r.options.StaleAfter
+}
+
 // read lists or watches the store once. A replica that was already filled by a
 // peer needs no listing.
 func (r *Replicator) read(ctx context.Context) error {
@@ -152,16 +161,16 @@
 
 // watch watches the store for up to wait.
 func (r *Replicator) watch(ctx context.Context, after identifier.Position, wait time.Duration) (ChangeSet, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+r.options.ReplyMargin)
-	defer cancel()
+	ctx, end := r.whileProgressing(ctx, wait+r.options.ReplyMargin)
+	defer end()
 	return r.deps.Store.Watch(ctx, after, wait)
 }
 
 // list lists the store, again if it is restored meanwhile. It has its own time, as a
 // watch before it may have spent that on an answer that was too large.
 func (r *Replicator) list(ctx context.Context) (ChangeSet, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.options.WatchWait+r.options.ReplyMargin)
-	defer cancel()
+	ctx, end := r.whileProgressing(ctx, r.options.WatchWait+r.options.ReplyMargin)
+	defer end()
 	for range maxListings - 1 {
 		changes, err := r.deps.Store.List(ctx)
 		if !errors.Is(err, ErrEraChanged) {
--- a/replicator/replica.go
+++ b/replicator/replica.go
@@ -40,6 +40,8 @@
 	// Age is the time since the store confirmed the position; 0 for the store's
 	// own answer.
 	Age time.Duration
+	// Receiving is set if a peer is just receiving an answer of the store.
+	Receiving bool
 	// Kept lists what a peer uses in place of items that a restored store has
 	// certainly set back, whatever the position is.
 	Kept []Kept
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -111,7 +111,8 @@
 type Options struct {
 	// WatchWait is how long the store may hold a watch open without a change.
 	WatchWait time.Duration
-	// ReplyMargin is how much longer a watch may take than the store may hold it open.
+	// ReplyMargin is how much later than the store may hold a watch open its answer may begin, and
+	// how long the answer may pause.
 	ReplyMargin time.Duration
 	// ReadInterval is the least time from the start of a read of the store to the next
 	// one's, so that a series of changes takes few reads. DirectReadInterval is that of
@@ -179,8 +180,11 @@
 	// since started.
 	confirmedAt atomic.Int64
 	started     time.Time
-	readUntil   time.Time // used by follow only
-	readAt      time.Time // start of the last read; used by follow only
+	// receivedAt is when a part of the store's answer arrived last, in nanoseconds since started; 0
+	// while none is being received.
+	receivedAt atomic.Int64
+	readUntil  time.Time // used by follow only
+	readAt     time.Time // start of the last read; used by follow only
 
 	// missing signals that the replica lacks a value.
 	missing chan struct{}
@@ -254,7 +258,9 @@
 // none, it waits for at most wait.
 func (r *Replicator) WaitForChanges(ctx context.Context, after identifier.Position, wait time.Duration) ChangeSet {
 	changed := r.replica.Changed()
-	wait = min(wait, r.options.StaleAfter-r.Age())
+	if !r.receiving() {
+		wait = min(wait, r.options.StaleAfter-r.Age())
+	}
 	if wait > 0 && nothingNew(after, r.replica.Position()) {
 		timeout := time.NewTimer(wait)
 		defer timeout.Stop()
@@ -268,6 +274,7 @@
 	defer r.mu.Unlock()
 	c := r.replica.Since(after)
 	c.Age = r.Age()
+	c.Receiving = r.receiving()
 	c.Kept = r.retention.kept(time.Now())
 	return c
 }
--- a/replicator/silent_store_test.go
+++ b/replicator/silent_store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,7 +15,9 @@
 // silentStore implements Store: it gives a listing and a change, then no answer.
 type silentStore struct {
 	scriptedStore
-	limit time.Duration // of the silent watch
+
+	mu    sync.Mutex
+	limit time.Duration // after which the first silent watch was given up; 0 before
 	wait  time.Duration // that it was asked to hold the silent watch open
 }
 
@@ -22,9 +25,13 @@
 	if after.Revision == 1 {
 		return update(1, 2), nil
 	}
-	end, _ := ctx.Deadline()
-	s.limit, s.wait = time.Until(end), wait
+	began := time.Now()
 	<-ctx.Done()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limit == 0 {
+		s.limit, s.wait = time.Since(began), wait
+	}
 	return ChangeSet{}, ctx.Err()
 }
 
@@ -68,8 +75,10 @@
 		synctest.Test(t, func(t *testing.T) {
 			i := is.New(t)
 			s, _ := start(t, noPeers{}, false)
-			time.Sleep(2 * o.DirectReadInterval)
+			time.Sleep(2*o.DirectReadInterval + o.WatchWait + o.ReplyMargin)
 			synctest.Wait()
+			s.mu.Lock()
+			defer s.mu.Unlock()
 			i.True(s.wait < o.WatchWait)
 			i.Equal(s.limit, s.wait+o.ReplyMargin)
 		})
