Send whole copies in parts of 64 KB, and test configurations around failing hosts

A whole copy from a peer went in messages of up to 2 MB, which other messages waited for. TestReferences: what hosts of builds with and without references send each other.

--- a/hoster/change_parts.go
+++ b/hoster/change_parts.go
@@ -12,8 +12,8 @@
 	// those that a reply carries in addition for a restored store. Together, with one
 	// item over each bound, they fit in a frame. Changes that aren't a whole copy are
 	// bounded by what the replicator keeps.
-	maxPartBytes = replicator.DefaultMaxLogBytes
-	maxKeptBytes = 1 << 20
+	maxPartBytes = 64 << 10
+	maxKeptBytes = 64 << 10
 )
 
 // errCopyChanged reports that a peer's copy changed its era between two parts.
--- a/hoster/late_configurations_test.go
+++ b/hoster/late_configurations_test.go
@@ -43,6 +43,23 @@
 	network *linker.Network
 	store   *rigStore
 	hosts   []*rigHost
+
+	mu sync.Mutex
+	// silent are the hosts that nothing reaches, and that reach nothing.
+	silent map[identifier.Address]bool
+}
+
+// silence cuts a host off until the rig's end.
+func (r *rig) silence(h *rigHost) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent[h.address] = true
+}
+
+func (r *rig) isSilent(a identifier.Address) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.silent[a]
 }
 
 // rigHost is a host of a rig.
@@ -71,10 +88,16 @@
 
 func newRig(hosts, dataCenters int) *rig {
 	r := &rig{
-		group: grouper.New(context.Background()),
-		store: &rigStore{items: map[string]replicator.Item{}, changed: make(chan struct{})},
+		group:  grouper.New(context.Background()),
+		silent: map[identifier.Address]bool{},
+		store:  &rigStore{items: map[string]replicator.Item{}, changed: make(chan struct{})},
 	}
-	r.network = linker.New(r.group, rigDelay, func(_, _ identifier.Address) bool { return true })
+	r.network = linker.New(r.group, rigDelay, func(from, to identifier.Address) bool {
+		if r.isSilent(from) || r.isSilent(to) {
+			<-r.group.Context().Done() // no answer
+		}
+		return true
+	})
 	node := r.network.Node(storeAddress)
 	node.Start(messenger.Peer{Host: "store", Incarnation: 1 << 40})
 	node.Handle(peerwire.KindChanges, r.store.handle)
@@ -273,6 +296,9 @@
 func (r *rig) delays(state string, from time.Time) []time.Duration {
 	var all []time.Duration
 	for _, h := range r.hosts {
+		if r.isSilent(h.address) {
+			continue
+		}
 		at, ok := h.usedAt(state)
 		if !ok {
 			at = from.Add(time.Hour)
@@ -360,3 +386,38 @@
 		})
 	}
 }
+
+// While hosts fail that others fetch from, a storm of configurations still ends everywhere.
+func TestLateConfigurationsAroundFailures(t *testing.T) {
+	const (
+		hosts, versions, routes = 36, 12, 1400
+		// bound is the longest time until the last version is used at the last host that can be reached.
+		bound = 3 * time.Second
+	)
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				random := rand.New(rand.NewPCG(seed, seed))
+				r := newRig(hosts, 3)
+				defer r.stop()
+				r.store.put(rigConfigKey, configuration(1, 12))
+				r.start()
+				time.Sleep(5 * time.Second)
+				var state string
+				var sent time.Time
+				for version := range versions {
+					sent = time.Now()
+					state = r.store.put(rigConfigKey, configuration(version+2, routes+version))
+					if version < 8 {
+						r.silence(r.hosts[random.IntN(hosts)])
+					}
+					time.Sleep(330 * time.Millisecond)
+				}
+				time.Sleep(10 * time.Second)
+				took := r.slowest(state, sent)
+				t.Logf("the last version is used everywhere after %v", took)
+				is.New(t).True(took <= bound)
+			})
+		})
+	}
+}
--- a/hoster/peers_test.go
+++ b/hoster/peers_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/tinylib/msgp/msgp"
 
+	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/messenger"
 	"github.com/jackdawthread/jackdawthread/peerwire"
@@ -74,3 +76,66 @@
 		i.Equal(decodeChanges(&reply).Position, identifier.Position{Revision: 7})
 	})
 }
+
+// keptValues implements replicator.Values for a host that fetches none.
+type keptValues struct {
+	replicator.Values
+	kept [][]byte
+}
+
+func (k *keptValues) Keep(value []byte) {
+	k.kept = append(k.kept, value)
+}
+
+func TestReferences(t *testing.T) {
+	large := make([]byte, replicator.MinReferenceBytes)
+	position := identifier.Position{Era: 1, Revision: 7}
+	changes := replicator.ChangeSet{Position: position, Changes: []replicator.Change{
+		{Item: replicator.Item{Key: "a", Value: large, Revision: 6}},
+		{Item: replicator.Item{Key: "b", Value: []byte("small"), Revision: 7}},
+	}}
+	ask := func(t *testing.T, c replicator.ChangeSet, references bool) (replicator.ChangeSet, *keptValues, error) {
+		t.Helper()
+		i := is.New(t)
+		values := &keptValues{}
+		c.Changes = slices.Clone(c.Changes)
+		p := &peers{values: values, answer: func(context.Context, identifier.Position, time.Duration) replicator.ChangeSet { return c }}
+		frame, err := (&peerwire.ChangesRequest{After: 5, Era: 1, References: references}).MarshalMsg(nil)
+		i.NoErr(err)
+		answer, err := p.handleChanges(context.Background(), messenger.Peer{}, frame)
+		if err != nil {
+			return replicator.ChangeSet{}, values, err
+		}
+		frame, err = answer.MarshalMsg(nil)
+		i.NoErr(err)
+		var reply peerwire.ChangesReply
+		_, err = reply.UnmarshalMsg(frame)
+		i.NoErr(err)
+		return decodeChanges(&reply), values, nil
+	}
+	t.Run("stand for large values, which can be fetched", func(t *testing.T) {
+		i := is.New(t)
+		got, values, err := ask(t, changes, true)
+		i.NoErr(err)
+		i.Equal(got.Changes[0].Value, nil)
+		i.Equal(got.Changes[0].Missing, &replicator.Reference{Digest: identifier.DigestOf(large), Bytes: len(large)})
+		i.Equal(got.Changes[1], changes.Changes[1])
+		i.Equal(values.kept, [][]byte{large})
+	})
+	t.Run("aren't sent to builds that know none", func(t *testing.T) {
+		i := is.New(t)
+		got, _, err := ask(t, changes, false)
+		i.NoErr(err)
+		i.Equal(got.Changes, changes.Changes)
+	})
+	t.Run("to values that are missing here too are passed on", func(t *testing.T) {
+		i := is.New(t)
+		got, _, err := ask(t, changes, true)
+		i.NoErr(err)
+		again, _, err := ask(t, got, true)
+		i.NoErr(err)
+		i.Equal(again.Changes, got.Changes)
+		_, _, err = ask(t, got, false)
+		i.Equal(classifier.Of(err).Verdict, classifier.VerdictNotRun)
+	})
+}
