Add narrow links to the store to the soak

Every second delayed link to the store or a runner passes 256 KB a second instead, so that large configurations are longer on their way than a fault's end.

Tests of emulator/soaker pass.

--- a/emulator/soaker/faults.go
+++ b/emulator/soaker/faults.go
@@ -128,13 +128,18 @@
 
 var linkFaults = map[proxyFault]faultKind{
 	faultDelay:        linkDelayed,
+	faultNarrow:       linkNarrow,
 	faultDropBoth:     linkSilent,
 	faultDropToServer: linkSilentOneWay,
 	faultReset:        linkReset,
 }
 
 func (s *system) proxyFault(p *proxy, subject string) injection {
-	f := []proxyFault{faultDelay, faultDropBoth, faultDropToServer, faultReset}[s.random.IntN(len(linkFaults))]
+	drawn := []proxyFault{faultDelay, faultDropBoth, faultDropToServer, faultReset}
+	f := drawn[s.random.IntN(len(drawn))]
+	if f == faultDelay && s.takesAlternative(linkDelayed) {
+		f = faultNarrow
+	}
 	return lasting(linkFaults[f], subject, func() { p.setFault(f) }, func() { p.setFault(faultNone) })
 }
 
@@ -224,13 +229,18 @@
 	if !ok {
 		return f
 	}
-	s.chosen[f.kind]++
-	if (s.chosen[f.kind]+s.options.Seed)%2 == 0 {
+	if !s.takesAlternative(f.kind) {
 		return f
 	}
 	return other
 }
 
+// takesAlternative reports whether an alternative replaces a fault of a kind that is injected now.
+func (s *system) takesAlternative(k faultKind) bool {
+	s.chosen[k]++
+	return (s.chosen[k]+s.options.Seed)%2 != 0
+}
+
 // silence makes a runner send nothing for a while; its connections stay open.
 func (s *system) silence() injection {
 	r := s.runners[s.random.IntN(len(s.runners))]
--- a/emulator/soaker/history.go
+++ b/emulator/soaker/history.go
@@ -18,6 +18,7 @@
 	hostReloaded faultKind = "reloaded"
 
 	linkDelayed       faultKind = "delayed"
+	linkNarrow        faultKind = "narrow"
 	linkSilent        faultKind = "silent in both directions"
 	linkSilentOneWay  faultKind = "silent towards the server"
 	linkReset         faultKind = "reset"
--- a/emulator/soaker/proxy.go
+++ b/emulator/soaker/proxy.go
@@ -20,6 +20,8 @@
 	faultNone proxyFault = iota
 	// faultDelay delays every chunk of data by proxyDelay.
 	faultDelay
+	// faultNarrow lets proxyRate bytes a second pass in each direction.
+	faultNarrow
 	// faultDropBoth silently drops data in both directions and resets nothing.
 	faultDropBoth
 	// faultDropToServer silently drops only data sent to the server.
@@ -30,6 +32,8 @@
 
 const (
 	proxyDelay = 50 * time.Millisecond
+	// proxyRate is in bytes a second.
+	proxyRate = 256 << 10
 	// keepAliveTime is how long the end of a connection stays unknown to the side
 	// that nothing reaches any more.
 	keepAliveTime = 3 * time.Second
@@ -163,8 +167,11 @@
 	for {
 		n, err := from.Read(b)
 		f := p.currentFault()
-		if f == faultDelay {
+		switch f {
+		case faultDelay:
 			time.Sleep(proxyDelay)
+		case faultNarrow:
+			time.Sleep(time.Duration(n) * time.Second / proxyRate)
 		}
 		dropped := gap || f == faultDropBoth || f == faultDropToServer && toServer
 		gap = gap || dropped && n > 0
