Pause between listings of a store that is behind, and name parts of distributor

A host that lacked a value, and found it at no peer, listed a store that was older than its copy without a pause (found by reading; TestListingsOfAStoreThatIsBehind). The cache of values is called one; references and fetches have files of their own.

--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -80,7 +80,7 @@
 	counters counters
 
 	mu    sync.Mutex
-	shelf shelf
+	cache cache
 	// kept is closed and replaced when a value is kept.
 	kept chan struct{}
 
@@ -103,7 +103,7 @@
 	digest := identifier.DigestOf(value)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.shelf.put(digest, value) {
+	if d.cache.put(digest, value) {
 		close(d.kept)
 		d.kept = make(chan struct{})
 	}
@@ -113,8 +113,8 @@
 func (d *Distributor) keepForm(digest identifier.Digest, f form) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.shelf.form(digest, f.base) == nil {
-		d.shelf.putForm(digest, &f)
+	if d.cache.form(digest, f.base) == nil {
+		d.cache.putForm(digest, &f)
 	}
 }
 
@@ -142,7 +142,7 @@
 	defer cancel()
 	for {
 		d.mu.Lock()
-		value, kept := d.shelf.value(digest), d.kept
+		value, kept := d.cache.value(digest), d.kept
 		d.mu.Unlock()
 		if value != nil {
 			return value
@@ -160,11 +160,11 @@
 	d.encoding.Lock()
 	defer d.encoding.Unlock()
 	d.mu.Lock()
-	dictionary := d.shelf.value(base)
+	dictionary := d.cache.value(base)
 	if dictionary == nil {
 		base = 0
 	}
-	f := d.shelf.form(digest, base)
+	f := d.cache.form(digest, base)
 	d.mu.Unlock()
 	if f != nil {
 		return f, nil
@@ -180,6 +180,6 @@
 		zap.Int("bytes", len(value)), zap.Int("encoded", len(f.data)), zap.Duration("took", time.Since(began)))
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.shelf.putForm(digest, f)
+	d.cache.putForm(digest, f)
 	return f, nil
 }
--- a/distributor/form_test.go
+++ b/distributor/form_test.go
@@ -43,10 +43,10 @@
 	})
 }
 
-func TestShelf(t *testing.T) {
+func TestCache(t *testing.T) {
 	t.Run("holds the last values only", func(t *testing.T) {
 		i := is.New(t)
-		s := &shelf{}
+		s := &cache{}
 		for n := range maxKept + 3 {
 			i.True(s.put(identifier.Digest(n+1), []byte{byte(n)}))
 		}
@@ -56,7 +56,7 @@
 	})
 	t.Run("holds a value that is put again longest", func(t *testing.T) {
 		i := is.New(t)
-		s := &shelf{}
+		s := &cache{}
 		for n := range maxKept {
 			s.put(identifier.Digest(n+1), []byte{byte(n)})
 		}
@@ -67,7 +67,7 @@
 	})
 	t.Run("bounds the memory, but holds the last value", func(t *testing.T) {
 		i := is.New(t)
-		s := &shelf{}
+		s := &cache{}
 		s.put(1, make([]byte, 1<<20))
 		s.put(2, make([]byte, maxKeptBytes+1))
 		i.True(s.value(2) != nil)
@@ -75,7 +75,7 @@
 	})
 	t.Run("bounds the forms of a value", func(t *testing.T) {
 		i := is.New(t)
-		s := &shelf{}
+		s := &cache{}
 		s.put(1, []byte{1})
 		for n := range maxForms + 1 {
 			s.putForm(1, &form{base: identifier.Digest(n + 1)})
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -89,17 +88,6 @@
 // for changes.
 const messageTimeout = 300 * time.Millisecond
 
-// attributeReferences states which host announced the values that changes refer to.
-func attributeReferences(c *replicator.ChangeSet, from identifier.Address) {
-	now := time.Now()
-	for _, change := range c.Changes {
-		change.Missing.Attribute(from, now)
-	}
-	for _, k := range c.Kept {
-		k.Known.Missing.Attribute(from, now)
-	}
-}
-
 // handleChanges answers a peer's query.
 func (p *peers) handleChanges(ctx context.Context, _ messenger.Peer, payload []byte) (msgp.Marshaler, error) {
 	var request peerwire.ChangesRequest
@@ -118,34 +106,6 @@
 	return answerInParts(&request, p.withReferences(changes)), nil
 }
 
-// lacksValue reports whether a change refers to a value that this host doesn't have.
-func lacksValue(c *replicator.ChangeSet) bool {
-	missing := func(i replicator.Item) bool { return i.Missing != nil }
-	return slices.ContainsFunc(c.Changes, func(c replicator.Change) bool { return missing(c.Item) }) ||
-		slices.ContainsFunc(c.Kept, func(k replicator.Kept) bool { return missing(k.Known.Item) })
-}
-
-// withReferences returns changes with references in place of large values, which are kept for the peer.
-func (p *peers) withReferences(c replicator.ChangeSet) replicator.ChangeSet {
-	for n := range c.Changes {
-		c.Changes[n].Item = p.reference(c.Changes[n].Item)
-	}
-	for n := range c.Kept {
-		c.Kept[n].Known.Item = p.reference(c.Kept[n].Known.Item)
-	}
-	return c
-}
-
-func (p *peers) reference(i replicator.Item) replicator.Item {
-	if len(i.Value) < replicator.MinReferenceBytes {
-		return i
-	}
-	p.values.Keep(i.Value)
-	i.Missing = &replicator.Reference{Digest: identifier.DigestOf(i.Value), Bytes: len(i.Value)}
-	i.Value = nil
-	return i
-}
-
 // maxPeerWait bounds how long this host holds a peer's query open.
 const maxPeerWait = 10 * time.Second
 
--- a/replicator/missing_test.go
+++ b/replicator/missing_test.go
@@ -209,6 +209,25 @@
 	})
 }
 
+// A host that lacked a value listed a store that was behind again and again, without a pause.
+func TestListingsOfAStoreThatIsBehind(t *testing.T) {
+	i := is.New(t)
+	at := func(r identifier.Revision) identifier.Position { return identifier.Position{Era: 1, Revision: r} }
+	s := &scriptedStore{listings: []answer{
+		{changes: ChangeSet{Position: at(5), Complete: true, Changes: []Change{changeOf("a", 4, largeValue("1"))}}},
+	}}
+	peer := oncePeer{changes: make(chan ChangeSet, 1)}
+	r := startReadingWithValues(t, s, peer, &fakeValues{})
+	assertPosition(t, r, at(5))
+	peer.changes <- ChangeSet{Position: at(6), Changes: []Change{announced("a", 6, largeValue("2"))}}
+	assertPosition(t, r, at(6))
+	time.Sleep(time.Second)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i.True(s.listed <= 6)
+	i.True(s.listed >= 2)
+}
+
 // A copy of the whole store from a peer was taken with values of another time.
 func TestCopiesWithReferences(t *testing.T) {
 	second := largeValue("2")
--- a/replicator/reading.go
+++ b/replicator/reading.go
@@ -26,6 +26,8 @@
 	errEarlierEra = errors.New("store's answer is from an earlier era")
 	// errReaderStale reports that a reader's answer is stale or from an earlier era.
 	errReaderStale = errors.New("reader's data is stale: the store has not confirmed it recently")
+	// errListingOutdated reports a listing of the store from before the replica's position.
+	errListingOutdated = errors.New("store's listing is older than this host's copy")
 	// errNoValues reports that large values can't be fetched from peers.
 	errNoValues = errors.New("no peer sends large values")
 )
