Keep a value together with the form in which it came

Cause: a request that waited for the value could see it before its form, and encoded it anew: an encoding too many, no wrong answer.

No case or bound changed.

--- a/charger/bytes_test.go
+++ b/charger/bytes_test.go
@@ -55,6 +55,7 @@
 	for _, hosts := range []int{70, 1400} {
 		for _, overload := range []float64{1 / headroom, hotFactor / headroom} {
 			t.Run(fmt.Sprintf("%d hosts, %.1f times the quota", hosts, overload), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					q := tokens(float64(hosts) * 363_222 / 70)
 					f := newFleet(t, hosts, q, 9)
--- a/charger/faults_test.go
+++ b/charger/faults_test.go
@@ -95,6 +95,7 @@
 	for _, hosts := range []int{9, 70, 300} {
 		for _, c := range cases {
 			t.Run(c.name, func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					q := tokens(363_222)
 					f := newFleet(t, hosts, q, uint64(hosts))
@@ -149,6 +150,7 @@
 	}
 	for name, fail := range fails {
 		t.Run(name+" at the usual load", func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f := run(t, fail, q.Rate/headroom)
 				defer f.stop()
@@ -156,6 +158,7 @@
 			})
 		})
 		t.Run(name+" above the quota", func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f := run(t, fail, 2*q.Rate)
 				defer f.stop()
--- a/charger/load_test.go
+++ b/charger/load_test.go
@@ -40,6 +40,7 @@
 	for _, hosts := range []int{9, 70, 300} {
 		for _, c := range quotasTested {
 			t.Run(fmt.Sprintf("%s with %d hosts", c.name, hosts), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					f := newFleet(t, hosts, c.quota, 1)
 					defer f.stop()
@@ -68,6 +69,7 @@
 		for _, c := range quotasTested {
 			for _, overload := range []float64{1.2, hotFactor / headroom} {
 				t.Run(fmt.Sprintf("%s at %.1f times its quota with %d hosts", c.name, overload, hosts), func(t *testing.T) {
+					t.Parallel()
 					synctest.Test(t, func(t *testing.T) {
 						f := newFleet(t, hosts, c.quota, 5)
 						defer f.stop()
@@ -94,6 +96,7 @@
 	for _, hosts := range []int{1, 9, 70} {
 		for _, c := range quotasTested {
 			t.Run(fmt.Sprintf("%s with %d hosts", c.name, hosts), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					f := newFleet(t, hosts, c.quota, 2)
 					defer f.stop()
--- a/charger/restart_test.go
+++ b/charger/restart_test.go
@@ -14,6 +14,7 @@
 func TestAllRestart(t *testing.T) {
 	for _, stranger := range []time.Duration{0, 500 * time.Millisecond, time.Second, 3 * time.Second} {
 		t.Run(fmt.Sprintf("each knows only itself for %v", stranger), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				q := tokens(363_222)
 				f := newFleet(t, 70, q, 61)
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -100,24 +100,24 @@
 
 // Keep keeps a value for peers, in place of the one that was kept longest ago.
 func (d *Distributor) Keep(value []byte) {
+	d.keep(value, nil)
+}
+
+// keep keeps a value, and the form in which it arrived, so that it needn't be encoded again; nil for none.
+func (d *Distributor) keep(value []byte, f *form) {
 	digest := identifier.DigestOf(value)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.cache.put(digest, value) {
+	added := d.cache.put(digest, value)
+	if f != nil && d.cache.form(digest, f.base) == nil {
+		d.cache.putForm(digest, f)
+	}
+	if added {
 		close(d.kept)
 		d.kept = make(chan struct{})
 	}
 }
 
-// keepForm keeps the form in which a value arrived, so that it needn't be encoded again.
-func (d *Distributor) keepForm(digest identifier.Digest, f form) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.cache.form(digest, f.base) == nil {
-		d.cache.putForm(digest, &f)
-	}
-}
-
 // handle answers a peer's request for a part of a value.
 func (d *Distributor) handle(ctx context.Context, _ messenger.Peer, payload []byte) (msgp.Marshaler, error) {
 	var request peerwire.ValueRequest
--- a/distributor/fetch.go
+++ b/distributor/fetch.go
@@ -52,8 +52,7 @@
 		value, err := f.from(ctx, s)
 		if err == nil {
 			d.counters.fetched.Add(1)
-			d.Keep(value)
-			d.keepForm(wanted.Digest, f.assembly.form)
+			d.keep(value, &f.assembly.form)
 			d.deps.Log.Info("store-value-fetched",
 				zap.Uint64("digest", uint64(wanted.Digest)), zap.String("from", string(s.address)),
 				zap.Int("bytes", len(value)), zap.Int("encoded", f.received), zap.Duration("took", time.Since(began)))
--- a/hoster/late_configurations_test.go
+++ b/hoster/late_configurations_test.go
@@ -352,6 +352,7 @@
 	)
 	for _, c := range []struct{ hosts, versions int }{{24, 20}, {72, 20}, {300, 2}} {
 		t.Run(fmt.Sprintf("%d hosts in 3 data centers", c.hosts), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				i := is.New(t)
 				r := newRig(c.hosts, 3)
@@ -396,6 +397,7 @@
 	)
 	for seed := range uint64(4) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				random := rand.New(rand.NewPCG(seed, seed))
 				r := newRig(hosts, 3)
