Refuse answers whose status line is broken

Callers got the next answer on the connection, as a 200, if an endpoint sent a status of 000, 001, 099, +20 or 101 and another head after it; a 600 or 999 as it was; and a 200 whose status line had a control byte or another major version. 000 with a body was a 502 only because the body was read as the next head.

Cause: net/http takes any three bytes that Atoi reads as a status, and readFinalHead took each one under 200 for that of an informational response.

Change: the package inspector reads heads for the exchanger, by which the answers of endpoints, of the store and of control calls are read. A broken head ends the call at once with the verdict may-have-run, its connection is reset, and the error names the part.

--- /dev/null
+++ b/common/inspector/inspector.go
@@ -0,0 +1,46 @@
+// Package inspector reads and checks the heads of HTTP responses. net/http reads more than
+// RFC 9110 and RFC 9112 allow, such as a status of 000. Such a response isn't the one that its
+// sender meant, so that nothing in it can be believed, its body least of all.
+//
+// # Usage
+//
+// A client that reads HTTP/1.1 itself reads each head with a Reader:
+//
+//	reader := inspector.NewReader(conn, 4<<10)
+//	response, err := reader.ReadResponse(http.MethodGet)
+//
+// It returns an [*Error] for a broken head. The sender may have run the request.
+//
+// # Rules
+//
+// The status line has the version HTTP/1.0 or higher, but below 2, and a status of three digits
+// from 100 to 599, other than 101: no request asks for another protocol. The reason
+// has no control bytes. Whatever is unusual and allowed passes: informational responses, an empty
+// reason, lines that end in LF.
+package inspector
+
+import "fmt"
+
+// Part is a part of a response.
+type Part string
+
+// Parts that may be broken.
+const (
+	PartStatusLine Part = "status line"
+)
+
+// Error reports that a part of a response is broken.
+type Error struct {
+	Part Part
+	// Detail is the text, or the problem, that was found.
+	Detail string
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("response has a broken %s: %s", e.Part, e.Detail)
+}
+
+func broken(p Part, format string, args ...any) *Error {
+	return &Error{Part: p, Detail: fmt.Sprintf(format, args...)}
+}
--- /dev/null
+++ b/common/inspector/reader.go
@@ -0,0 +1,50 @@
+package inspector
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+)
+
+// Reader reads responses from a connection. It isn't safe for concurrent use.
+type Reader struct {
+	*bufio.Reader
+	source *source
+}
+
+// NewReader returns a Reader with a buffer of size bytes.
+func NewReader(r io.Reader, size int) *Reader {
+	s := &source{Reader: r}
+	return &Reader{Reader: bufio.NewReaderSize(s, size), source: s}
+}
+
+// ReadResponse reads the head of the response to a request with a method: that of an informational
+// response or of the final one. The error is an [*Error] if the head is broken, as soon as the
+// broken part has arrived.
+func (r *Reader) ReadResponse(method string) (*http.Response, error) {
+	h := &head{}
+	arrived, _ := r.Peek(r.Buffered()) // can't fail
+	if err := h.check(arrived); err != nil {
+		return nil, err
+	}
+	r.source.head = h
+	defer func() { r.source.head = nil }()
+	return http.ReadResponse(r.Reader, &http.Request{Method: method})
+}
+
+// source passes what is read from a connection on, and lets the current head check it.
+type source struct {
+	io.Reader
+	head *head // nil while no head is read
+}
+
+// Read implements io.Reader.
+func (s *source) Read(p []byte) (int, error) {
+	n, err := s.Reader.Read(p)
+	if s.head != nil {
+		if broken := s.head.check(p[:n]); broken != nil {
+			return 0, broken
+		}
+	}
+	return n, err
+}
--- /dev/null
+++ b/exchanger/broken_test.go
@@ -0,0 +1,157 @@
+package exchanger_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/jackdawthread/jackdawthread/common/classifier"
+	"github.com/jackdawthread/jackdawthread/exchanger"
+)
+
+// closeTimeout bounds the time until the connection of a broken response is closed, and
+// responseTimeout that of a call.
+const (
+	closeTimeout    = 2 * time.Second
+	responseTimeout = 2 * time.Second
+)
+
+// rawServer sends a text, as it is, in response to the first request on each connection, and
+// then waits for the end of the connection.
+type rawServer struct {
+	*scriptedServer
+	closed chan struct{}
+}
+
+func serveRaw(t *testing.T, text string) *rawServer {
+	t.Helper()
+	s := &rawServer{closed: make(chan struct{}, 1)}
+	s.scriptedServer = listen(t, func(e *scriptedServer, c net.Conn, r *bufio.Reader) {
+		if _, ok := e.read(r); !ok {
+			return
+		}
+		_, _ = io.WriteString(c, text) // the end of the connection is seen below
+		_, _ = io.Copy(io.Discard, r)
+		s.closed <- struct{}{}
+	})
+	return s
+}
+
+// exchange sends a request with an ID of 1 and reads the whole response.
+func (s *rawServer) exchange(method string) (*exchanger.Response, string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), responseTimeout)
+	defer cancel()
+	response, err := newExchanger().Send(ctx, s.address, &exchanger.Request{Method: method, Target: "/", Host: "h", ID: "1"})
+	if err != nil {
+		return nil, "", err
+	}
+	defer response.Close()
+	body, err := response.ReadAll(cutBodyLimit)
+	return response, string(body), err
+}
+
+// assertBroken checks that a response is refused for one of its parts, that its connection is
+// closed although the server sends nothing more, and that the request may have run.
+func assertBroken(t *testing.T, text, part string) {
+	t.Helper()
+	s := serveRaw(t, text)
+	response, body, err := s.exchange(http.MethodGet)
+	if err == nil {
+		t.Fatalf("accepted with status %d and the body %q", response.Status, body)
+	}
+	i := is.New(t)
+	i.Equal(classifier.Of(err).Verdict, classifier.VerdictMayHaveRun)
+	i.Equal(classifier.Of(err).Reason, classifier.ReasonEndpointFailed)
+	if !strings.Contains(err.Error(), "broken "+part) {
+		t.Errorf("error doesn't name the %s: %v", part, err)
+	}
+	select {
+	case <-s.closed:
+	case <-time.After(closeTimeout):
+		t.Error("connection is still open")
+	}
+}
+
+// wholeTail ends a head and has the body of 4 bytes that its Content-Length states.
+const wholeTail = "Call-Id: 1\r\nContent-Length: 4\r\n\r\nbody"
+
+// TestBrokenStatusLines guards against a response that has no status, or none that ends an
+// exchange, and that a caller gets as an answer, or instead of which it gets a later one.
+func TestBrokenStatusLines(t *testing.T) {
+	later := completeResponse("1", "later")
+	for _, line := range []string{
+		"HTTP/1.1 000 Trouble", "HTTP/1.1 000", "HTTP/1.1 001 Trouble", "HTTP/1.1 099 Trouble", "HTTP/1.1 +20 OK", "HTTP/1.1 -20 OK",
+		"HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 0200 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK",
+		"HTTP/1.1 101 Switching Protocols", "HTTP/1.1  OK", "HTTP/1.1", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1.10 200 OK",
+		"http/1.1 200 OK", "ICY 200 OK", "200 OK", "HTTP/1.1 200 O\x00K", "HTTP/1.1 200 O\rK", "HTTP/1.1 200 O\x7fK", "HTTP/1.1 200\tOK",
+	} {
+		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) {
+			t.Run("with a length", func(t *testing.T) { assertBroken(t, line+"\r\n"+wholeTail, "status line") })
+			t.Run("without a body, before a response", func(t *testing.T) { assertBroken(t, line+"\r\nCall-Id: 1\r\n\r\n"+later, "status line") })
+			t.Run("after an informational response", func(t *testing.T) {
+				assertBroken(t, "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"+line+"\r\n"+wholeTail, "status line")
+			})
+		})
+	}
+}
+
+// tokenCharacters are all characters of a token.
+const tokenCharacters = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+
+// TestOddResponses guards against refusing responses that are unusual and allowed.
+func TestOddResponses(t *testing.T) {
+	for _, c := range []struct {
+		name, head, body string
+		status           int
+		field, value     string // of the response; none if empty
+		method           string
+	}{
+		{name: "an empty reason", head: "HTTP/1.1 200 \r\nContent-Length: 4\r\n", body: "body"},
+		{name: "no reason and no blank", head: "HTTP/1.1 200\r\nContent-Length: 4\r\n", body: "body"},
+		{name: "a reason of several words and other bytes", head: "HTTP/1.1 200 All\tis w\xe9ll\r\nContent-Length: 4\r\n", body: "body"},
+		{name: "HTTP/1.0", head: "HTTP/1.0 200 OK\r\nContent-Length: 4\r\n", body: "body"},
+		{name: "a status without a meaning", head: "HTTP/1.1 299 Odd\r\nContent-Length: 4\r\n", body: "body", status: 299},
+		{name: "the highest status", head: "HTTP/1.1 599 Odd\r\nContent-Length: 4\r\n", body: "body", status: 599},
+		{name: "each character of a token", head: "HTTP/1.1 200 OK\r\n" + tokenCharacters + ": 1\r\nContent-Length: 4\r\n", body: "body", field: tokenCharacters, value: "1"},
+		{name: "bytes over 0x7f in a value", head: "HTTP/1.1 200 OK\r\nX-A: \x80\xff\xc3\xa9\r\nContent-Length: 4\r\n", body: "body", field: "X-A", value: "\x80\xff\xc3\xa9"},
+		{name: "an empty value", head: "HTTP/1.1 200 OK\r\nX-A:\r\nContent-Length: 4\r\n", body: "body", field: "X-A"},
+		{name: "tabs and blanks around and in a value", head: "HTTP/1.1 200 OK\r\nX-A:\t a \tb \t\r\nContent-Length: 4\r\n", body: "body", field: "X-A", value: "a \tb"},
+		{name: "colons in a value", head: "HTTP/1.1 200 OK\r\nX-A::b : c\r\nContent-Length: 4\r\n", body: "body", field: "X-A", value: ":b : c"},
+		{name: "a folded value", head: "HTTP/1.1 200 OK\r\nX-A: a\r\n\t b\r\n c\r\nContent-Length: 4\r\n", body: "body", field: "X-A", value: "a b c"},
+		{name: "one length twice", head: "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 4\r\n", body: "body"},
+		{name: "a length with zeros before it", head: "HTTP/1.1 200 OK\r\nContent-Length: 0004\r\n", body: "body"},
+		{name: "chunks in other letters", head: "HTTP/1.1 200 OK\r\ntransfer-encoding: CHUNKED\r\n", body: "4\r\nbody\r\n0\r\n\r\n"},
+		{name: "chunks and a trailer", head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-B\r\n", body: "4\r\nbody\r\n0\r\n" + tokenCharacters + ": \xff\r\nX-B: 1\r\n\r\n"},
+		{name: "no content with a length of 0", head: "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n", status: 204},
+		{name: "not modified with a length", head: "HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n", status: 304},
+		{name: "a length in the response to HEAD", head: "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n", method: http.MethodHead},
+		{name: "informational responses", head: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 199\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n", body: "body"},
+		{name: "lines that end in LF", head: "HTTP/1.1 200 OK\nX-A: 1\nContent-Length: 4\n", body: "body", field: "X-A", value: "1"},
+		{name: "fields over the size of a buffer", head: "HTTP/1.1 200 OK\r\nX-A: " + strings.Repeat("a", 9000) + "\r\nContent-Length: 4\r\n", body: "body", field: "X-A", value: strings.Repeat("a", 9000)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			i := is.New(t)
+			if c.method == "" {
+				c.method = http.MethodGet
+			}
+			if c.status == 0 {
+				c.status = http.StatusOK
+			}
+			response, body, err := serveRaw(t, c.head+"Call-Id: 1\r\n\r\n"+c.body).exchange(c.method)
+			i.NoErr(err)
+			i.Equal(response.Status, c.status)
+			i.Equal(body, strings.Repeat("body", min(1, len(c.body))))
+			if c.field != "" {
+				i.Equal(response.Header[http.CanonicalHeaderKey(c.field)], []string{c.value})
+			}
+		})
+	}
+}
--- a/exchanger/connection.go
+++ b/exchanger/connection.go
@@ -1,7 +1,6 @@
 package exchanger
 
 import (
-	"bufio"
 	"net"
 	"net/http"
 	"strconv"
@@ -9,6 +8,7 @@
 	"time"
 
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/common/inspector"
 	"github.com/jackdawthread/jackdawthread/common/socket"
 )
 
@@ -19,7 +19,7 @@
 	address      identifier.Address
 	conn         net.Conn
 	limit        *limitedReader // from which reader reads
-	reader       *bufio.Reader
+	reader       *inspector.Reader
 	requests     int   // requests that it has carried, the current one included
 	ids          idSet // of these requests
 	carriedHead  bool  // whether the method of one of them was HEAD
--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -1,13 +1,13 @@
 package exchanger
 
 import (
-	"bufio"
 	"context"
 	"slices"
 	"time"
 
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/common/inspector"
 	"github.com/jackdawthread/jackdawthread/common/socket"
 )
 
@@ -71,7 +71,7 @@
 		return nil, classifier.NotRun(classifier.ReasonHostUnreachable, 0, "failed to connect to %s: %w", a, err)
 	}
 	limit := &limitedReader{source: raw, left: unlimited}
-	return &connection{number: x.nextNumber(), address: a, conn: raw, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}, nil
+	return &connection{number: x.nextNumber(), address: a, conn: raw, limit: limit, reader: inspector.NewReader(limit, readBufferBytes)}, nil
 }
 
 // nextNumber returns the number of a new connection.
--- a/exchanger/response.go
+++ b/exchanger/response.go
@@ -114,7 +114,7 @@
 	c.limit.left = maxHeadBytes
 	defer func() { c.limit.left = unlimited }()
 	for range maxInformational + 1 {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: q.Method})
+		response, err := c.reader.ReadResponse(q.Method)
 		if err != nil || response.StatusCode >= http.StatusOK {
 			return response, err
 		}
