Refuse answers with a broken field name

Callers got a 200 with the chunks' sizes in its body, or cut short and yet complete, if an endpoint wrote a blank before the colon of Transfer-Encoding or Content-Length, and else the line itself: net/http takes blanks in names. In an informational head before the answer, such names passed too.

Cause: a name with a blank is another name, so that the framing field that it was meant to be isn't known, and the body ends with the connection.

Change: each byte of a name must be one of a token, and a colon must follow it directly. Control bytes in values, which net/http refuses, are named as such.

Control bytes in names and values were refused before: the test stays, and only the error's text changes for them.

--- a/common/inspector/head.go
+++ b/common/inspector/head.go
@@ -1,23 +1,39 @@
 package inspector
 
-import "strings"
+import (
+	"strings"
 
-// maxKept is the number of bytes that are kept of a status line. All that are compared are
-// shorter.
+	"golang.org/x/net/http/httpguts"
+)
+
+// maxKept is the number of bytes that are kept of a status line or a field name. All that are
+// compared are shorter.
 const maxKept = 32
 
+// place is where in a head the next byte is.
+type place uint8
+
+const (
+	inStatusLine place = iota
+	atLineStart
+	inName
+	inValue
+	afterHead
+)
+
 // head checks the bytes of one head as they arrive. It keeps only the beginning of a line.
 type head struct {
-	kept []byte // of the status line
+	place place
+	kept  []byte // of the status line, or the current field's name
 	// carriageReturn is set after a CR, which only LF may follow.
 	carriageReturn bool
-	checked        bool
+	fields         bool // whether a field has begun
 }
 
-// check checks the bytes up to the status line's end.
+// check checks the bytes up to the head's end; those that follow belong to the body.
 func (h *head) check(text []byte) error {
 	for _, b := range text {
-		if h.checked {
+		if h.place == afterHead {
 			return nil
 		}
 		if err := h.checkByte(b); err != nil {
@@ -29,23 +45,48 @@
 
 func (h *head) checkByte(b byte) error {
 	if h.carriageReturn && b != '\n' {
-		return broken(PartStatusLine, "CR without LF after %q", h.kept)
+		return broken(h.part(), "CR without LF after %q", h.kept)
 	}
 	h.carriageReturn = b == '\r'
 	if h.carriageReturn {
 		return nil
 	}
-	return h.checkStatusLine(b)
+	switch h.place {
+	case inStatusLine:
+		return h.checkStatusLine(b)
+	case atLineStart:
+		return h.beginLine(b)
+	case inName:
+		return h.checkName(b)
+	default:
+		return h.checkValue(b)
+	}
 }
 
-func (h *head) checkStatusLine(b byte) error {
-	if b == '\n' {
-		h.checked = true
-		return checkStatus(string(h.kept))
+// part returns the part of the head that the next byte belongs to.
+func (h *head) part() Part {
+	switch h.place {
+	case inStatusLine:
+		return PartStatusLine
+	case inValue:
+		return PartFieldValue
+	default:
+		return PartFieldName
 	}
+}
+
+func (h *head) keep(b byte) {
 	if len(h.kept) < maxKept {
 		h.kept = append(h.kept, b)
 	}
+}
+
+func (h *head) checkStatusLine(b byte) error {
+	if b == '\n' {
+		h.place = atLineStart
+		return checkStatus(string(h.kept))
+	}
+	h.keep(b)
 	if !isText(b) {
 		return broken(PartStatusLine, "control byte at the end of %q", h.kept)
 	}
@@ -80,11 +121,54 @@
 	}
 }
 
+// beginLine checks the first byte of a line after the status line.
+func (h *head) beginLine(b byte) error {
+	switch {
+	case b == '\n':
+		h.place = afterHead
+		return nil
+	case isBlank(b) && h.fields: // continues the value
+		h.place = inValue
+		return nil
+	default:
+		h.place, h.fields, h.kept = inName, true, h.kept[:0]
+		return h.checkName(b)
+	}
+}
+
+func (h *head) checkName(b byte) error {
+	if b == ':' && len(h.kept) > 0 {
+		h.place = inValue
+		return nil
+	}
+	if !httpguts.IsTokenRune(rune(b)) {
+		return broken(PartFieldName, "byte %q after %q", b, h.kept)
+	}
+	h.keep(b)
+	return nil
+}
+
+func (h *head) checkValue(b byte) error {
+	switch {
+	case b == '\n':
+		h.place = atLineStart
+		return nil
+	case !isText(b):
+		return broken(PartFieldValue, "control byte %q in the field %q", b, h.kept)
+	default:
+		return nil
+	}
+}
+
 func isDigit(b byte) bool {
 	return '0' <= b && b <= '9'
 }
 
-// isText reports whether a reason may have the byte.
+func isBlank(b byte) bool {
+	return b == ' ' || b == '\t'
+}
+
+// isText reports whether a field value or a reason may have the byte.
 func isText(b byte) bool {
 	return b >= ' ' && b != 0x7f || b == '\t'
 }
--- a/common/inspector/inspector.go
+++ b/common/inspector/inspector.go
@@ -1,6 +1,6 @@
 // Package inspector reads and checks the heads of HTTP responses. net/http reads more than
-// RFC 9110 and RFC 9112 allow, such as a status of 000. Such a response isn't the one that its
-// sender meant, so that nothing in it can be believed, its body least of all.
+// RFC 9110 and RFC 9112 allow, such as a status of 000, or blanks in field names. Such a response
+// isn't the one that its sender meant, so that nothing in it can be believed, its body least of all.
 //
 // # Usage
 //
@@ -14,9 +14,10 @@
 // # Rules
 //
 // The status line has the version HTTP/1.0 or higher, but below 2, and a status of three digits
-// from 100 to 599, other than 101: no request asks for another protocol. The reason
-// has no control bytes. Whatever is unusual and allowed passes: informational responses, an empty
-// reason, lines that end in LF.
+// from 100 to 599, other than 101: no request asks for another protocol. Field names are tokens,
+// directly followed by a colon. Neither values nor the reason have control bytes. Whatever is
+// unusual and allowed passes: informational responses, an empty reason, folded values, bytes from
+// 0x80 on, lines that end in LF.
 package inspector
 
 import "fmt"
@@ -27,6 +28,8 @@
 // Parts that may be broken.
 const (
 	PartStatusLine Part = "status line"
+	PartFieldName  Part = "field name"
+	PartFieldValue Part = "field value"
 )
 
 // Error reports that a part of a response is broken.
--- a/exchanger/broken_test.go
+++ b/exchanger/broken_test.go
@@ -103,6 +103,47 @@
 	}
 }
 
+// invalidNames are no tokens.
+var invalidNames = []string{
+	"X A", "X-A ", "X-A\t", "", "X\x00A", "X\x01A", "X\x7fA", "X\rA", "X\xe9", "X(A)", "X/A", "X@A", "X[A]", "X{A}", `X"A`, `X\A`,
+	"Content-Length ", "Transfer-Encoding ", "Content Length",
+}
+
+// TestBrokenFieldNames guards against a response with a field name that is no token, which a
+// caller gets with that field, or with another body, as the field was one of the framing.
+func TestBrokenFieldNames(t *testing.T) {
+	for _, name := range invalidNames {
+		t.Run(fmt.Sprintf("%q", name), func(t *testing.T) {
+			field := name + ": 4\r\n"
+			t.Run("first", func(t *testing.T) { assertBroken(t, "HTTP/1.1 200 OK\r\n"+field+wholeTail, "field name") })
+			t.Run("last", func(t *testing.T) {
+				assertBroken(t, "HTTP/1.1 200 OK\r\nCall-Id: 1\r\nContent-Length: 4\r\n"+field+"\r\nbody", "field name")
+			})
+			t.Run("without framing", func(t *testing.T) {
+				assertBroken(t, "HTTP/1.1 200 OK\r\nCall-Id: 1\r\n"+field+"\r\nbody", "field name")
+			})
+			t.Run("in an informational response", func(t *testing.T) {
+				assertBroken(t, "HTTP/1.1 103 Early Hints\r\n"+field+"\r\n"+completeResponse("1", "body"), "field name")
+			})
+		})
+	}
+	for _, line := range []string{"X-A", " X-A: folded without a field before", "X-A\r\n : name over two lines"} {
+		t.Run(fmt.Sprintf("line %q", line), func(t *testing.T) {
+			assertBroken(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n"+wholeTail, "field name")
+		})
+	}
+}
+
+// TestBrokenFieldValues guards against a response with control bytes in a field's value.
+func TestBrokenFieldValues(t *testing.T) {
+	for _, value := range []string{"a\x00b", "a\x01b", "a\x0bb", "a\x1bb", "a\x7fb", "a\rb", "a\r"} {
+		t.Run(fmt.Sprintf("%q", value), func(t *testing.T) {
+			assertBroken(t, "HTTP/1.1 200 OK\r\nX-A: "+value+"\r\n"+wholeTail, "field value")
+			assertBroken(t, "HTTP/1.1 200 OK\r\nX-A: b\r\n "+value+"\r\n"+wholeTail, "field value")
+		})
+	}
+}
+
 // tokenCharacters are all characters of a token.
 const tokenCharacters = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
 
