Refuse answers whose fields contradict each other about their end

Callers got an answer that named both chunks and a length, and the chunks' sizes as a part of the body if an answer in HTTP/1.0 had both.

Cause: net/http drops the Content-Length beside Transfer-Encoding, and ignores Transfer-Encoding in HTTP/1.0. Both leave no trace in what it has parsed. RFC 9112 calls both faulty; which of the fields is true isn't known.

Change: the inspector remembers which of the two fields a head has had, and its version. The errors that net/http itself has for lengths and codings are named as broken framing.

Evidence: before, 4 of the 15 cases of TestBrokenFraming were accepted, one of them with the body "4\r\nb" for "body", and chunks in HTTP/1.0 alone were waited for until the connection ended. The other ten cases were refused before: the tests stay, and only the error's text changes for them.

--- a/common/inspector/head.go
+++ b/common/inspector/head.go
@@ -6,9 +6,14 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// maxKept is the number of bytes that are kept of a status line or a field name. All that are
-// compared are shorter.
-const maxKept = 32
+const (
+	// maxKept is the number of bytes that are kept of a status line or a field name. All that
+	// are compared are shorter.
+	maxKept = 32
+
+	fieldCoding = "Transfer-Encoding"
+	fieldLength = "Content-Length"
+)
 
 // place is where in a head the next byte is.
 type place uint8
@@ -28,6 +33,8 @@
 	// carriageReturn is set after a CR, which only LF may follow.
 	carriageReturn bool
 	fields         bool // whether a field has begun
+	// version1x0 is set in HTTP/1.0.
+	version1x0, hasCoding, hasLength bool
 }
 
 // check checks the bytes up to the head's end; those that follow belong to the body.
@@ -84,7 +91,7 @@
 func (h *head) checkStatusLine(b byte) error {
 	if b == '\n' {
 		h.place = atLineStart
-		return checkStatus(string(h.kept))
+		return h.checkStatus(string(h.kept))
 	}
 	h.keep(b)
 	if !isText(b) {
@@ -94,12 +101,13 @@
 }
 
 // checkStatus checks the version and the status of a status line.
-func checkStatus(line string) error {
+func (h *head) checkStatus(line string) error {
 	version, rest, _ := strings.Cut(line, " ")
 	minor, ok := strings.CutPrefix(version, "HTTP/1.")
 	if !ok || len(minor) != 1 || !isDigit(minor[0]) {
 		return broken(PartStatusLine, "unknown version in %q", line)
 	}
+	h.version1x0 = minor == "0"
 	status, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
 	if problem := statusProblem(status); problem != "" {
 		return broken(PartStatusLine, "%s in %q", problem, line)
@@ -126,7 +134,7 @@
 	switch {
 	case b == '\n':
 		h.place = afterHead
-		return nil
+		return h.checkFraming()
 	case isBlank(b) && h.fields: // continues the value
 		h.place = inValue
 		return nil
@@ -139,6 +147,8 @@
 func (h *head) checkName(b byte) error {
 	if b == ':' && len(h.kept) > 0 {
 		h.place = inValue
+		h.hasCoding = h.hasCoding || strings.EqualFold(string(h.kept), fieldCoding)
+		h.hasLength = h.hasLength || strings.EqualFold(string(h.kept), fieldLength)
 		return nil
 	}
 	if !httpguts.IsTokenRune(rune(b)) {
@@ -160,6 +170,17 @@
 	}
 }
 
+func (h *head) checkFraming() error {
+	switch {
+	case h.hasCoding && h.hasLength:
+		return broken(PartFraming, "both %s and %s", fieldCoding, fieldLength)
+	case h.hasCoding && h.version1x0:
+		return broken(PartFraming, "%s in HTTP/1.0", fieldCoding)
+	default:
+		return nil
+	}
+}
+
 func isDigit(b byte) bool {
 	return '0' <= b && b <= '9'
 }
--- a/common/inspector/inspector.go
+++ b/common/inspector/inspector.go
@@ -1,6 +1,7 @@
 // Package inspector reads and checks the heads of HTTP responses. net/http reads more than
-// RFC 9110 and RFC 9112 allow, such as a status of 000, or blanks in field names. Such a response
-// isn't the one that its sender meant, so that nothing in it can be believed, its body least of all.
+// RFC 9110 and RFC 9112 allow, such as a status of 000, blanks in field names, or fields that contradict
+// each other about the end of the body. Such a response isn't the one that its sender meant, so
+// that nothing in it can be believed, its body least of all.
 //
 // # Usage
 //
@@ -15,12 +16,16 @@
 //
 // The status line has the version HTTP/1.0 or higher, but below 2, and a status of three digits
 // from 100 to 599, other than 101: no request asks for another protocol. Field names are tokens,
-// directly followed by a colon. Neither values nor the reason have control bytes. Whatever is
-// unusual and allowed passes: informational responses, an empty reason, folded values, bytes from
-// 0x80 on, lines that end in LF.
+// directly followed by a colon. Neither values nor the reason have control bytes. Transfer-Encoding
+// comes without a Content-Length, and not in HTTP/1.0. Whatever is unusual and allowed passes:
+// informational responses, an empty reason, folded values, bytes from 0x80 on, lines that end
+// in LF.
 package inspector
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
 
 // Part is a part of a response.
 type Part string
@@ -30,6 +35,8 @@
 	PartStatusLine Part = "status line"
 	PartFieldName  Part = "field name"
 	PartFieldValue Part = "field value"
+	// PartFraming is what states where the body ends.
+	PartFraming Part = "framing"
 )
 
 // Error reports that a part of a response is broken.
@@ -47,3 +54,9 @@
 func broken(p Part, format string, args ...any) *Error {
 	return &Error{Part: p, Detail: fmt.Sprintf(format, args...)}
 }
+
+// IsBroken reports whether err is due to a broken response.
+func IsBroken(err error) bool {
+	_, ok := errors.AsType[*Error](err)
+	return ok
+}
--- a/common/inspector/reader.go
+++ b/common/inspector/reader.go
@@ -29,7 +29,20 @@
 	}
 	r.source.head = h
 	defer func() { r.source.head = nil }()
-	return http.ReadResponse(r.Reader, &http.Request{Method: method})
+	response, err := http.ReadResponse(r.Reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, r.explain(h, err)
+	}
+	return response, nil
+}
+
+// explain returns the error of a head that could not be read. If the whole head has arrived, what
+// is wrong is the framing: net/http checks nothing else that the head doesn't.
+func (r *Reader) explain(h *head, err error) error {
+	if h.place != afterHead || IsBroken(err) {
+		return err
+	}
+	return broken(PartFraming, "%v", err)
 }
 
 // source passes what is read from a connection on, and lets the current head check it.
--- a/exchanger/broken_test.go
+++ b/exchanger/broken_test.go
@@ -144,6 +144,33 @@
 	}
 }
 
+// TestBrokenFraming guards against a response whose fields contradict each other about where
+// its body ends, so that a caller gets another body than the endpoint's.
+func TestBrokenFraming(t *testing.T) {
+	chunked := "4\r\nbody\r\n0\r\n\r\n"
+	for _, c := range []struct{ name, line, fields, body string }{
+		{"chunks and a length", "HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n", chunked},
+		{"a length and chunks", "HTTP/1.1 200 OK", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n", chunked},
+		{"folded chunks and a length", "HTTP/1.1 200 OK", "Transfer-Encoding:\r\n chunked\r\nContent-Length: 4\r\n", chunked},
+		{"two lengths", "HTTP/1.1 200 OK", "Content-Length: 4\r\nContent-Length: 3\r\n", "body"},
+		{"a list of lengths", "HTTP/1.1 200 OK", "Content-Length: 4, 3\r\n", "body"},
+		{"a signed length", "HTTP/1.1 200 OK", "Content-Length: +4\r\n", "body"},
+		{"a negative length", "HTTP/1.1 200 OK", "Content-Length: -4\r\n", "body"},
+		{"an empty length", "HTTP/1.1 200 OK", "Content-Length:\r\n", "body"},
+		{"a length that is no number", "HTTP/1.1 200 OK", "Content-Length: 4x\r\n", "body"},
+		{"a length beyond all bounds", "HTTP/1.1 200 OK", "Content-Length: 99999999999999999999\r\n", "body"},
+		{"a length that is no number, without a body", "HTTP/1.1 204 No Content", "Content-Length: 4x\r\n", ""},
+		{"an unknown coding", "HTTP/1.1 200 OK", "Transfer-Encoding: zip\r\n", "body"},
+		{"chunks twice", "HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", chunked},
+		{"chunks in HTTP/1.0", "HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n", chunked},
+		{"chunks in HTTP/1.0 with a length", "HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n", chunked},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			assertBroken(t, c.line+"\r\nCall-Id: 1\r\n"+c.fields+"\r\n"+c.body, "framing")
+		})
+	}
+}
+
 // tokenCharacters are all characters of a token.
 const tokenCharacters = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
 
