Refuse answers with a broken trailer

Callers got an answer in chunks as whole although a field name in its trailer had a blank.

Cause: net/http reads trailers as it reads heads, and nothing looked at them afterwards.

Change: Read of the body returns an error in place of its end if a name in the trailer is no token. Names that the head announced and that didn't come are left alone. What net/http refuses in trailers is named as that.

--- a/common/inspector/inspector.go
+++ b/common/inspector/inspector.go
@@ -1,5 +1,5 @@
 // Package inspector reads and checks the heads of HTTP responses. net/http reads more than
-// RFC 9110 and RFC 9112 allow, such as a status of 000, blanks in field names, or fields that contradict
+// RFC 9110 and RFC 9112 allow: a status of 000, blanks in field names, or fields that contradict
 // each other about the end of the body. Such a response isn't the one that its sender meant, so
 // that nothing in it can be believed, its body least of all.
 //
@@ -10,7 +10,8 @@
 //	reader := inspector.NewReader(conn, 4<<10)
 //	response, err := reader.ReadResponse(http.MethodGet)
 //
-// It returns an [*Error] for a broken head. The sender may have run the request.
+// It returns an [*Error] for a broken head, and Read of the response's body returns one instead
+// of io.EOF for a broken trailer. The sender may have run the request.
 //
 // # Rules
 //
@@ -25,6 +26,9 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // Part is a part of a response.
@@ -37,6 +41,7 @@
 	PartFieldValue Part = "field value"
 	// PartFraming is what states where the body ends.
 	PartFraming Part = "framing"
+	PartTrailer Part = "trailer"
 )
 
 // Error reports that a part of a response is broken.
@@ -60,3 +65,13 @@
 	_, ok := errors.AsType[*Error](err)
 	return ok
 }
+
+// checkTrailer checks the fields of a trailer. Those that were announced only have no values.
+func checkTrailer(h http.Header) error {
+	for name, values := range h {
+		if len(values) > 0 && !httpguts.ValidHeaderFieldName(name) {
+			return broken(PartTrailer, "field name %q", name)
+		}
+	}
+	return nil
+}
--- a/common/inspector/reader.go
+++ b/common/inspector/reader.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net/http"
+	"net/textproto"
 )
 
 // Reader reads responses from a connection. It isn't safe for concurrent use.
@@ -33,6 +35,9 @@
 	if err != nil {
 		return nil, r.explain(h, err)
 	}
+	if len(response.TransferEncoding) > 0 {
+		response.Body = &body{ReadCloser: response.Body, response: response}
+	}
 	return response, nil
 }
 
@@ -61,3 +66,23 @@
 	}
 	return n, err
 }
+
+// body is a body whose trailer is checked at its end.
+type body struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if broken := checkTrailer(b.response.Trailer); broken != nil {
+			return n, broken
+		}
+	}
+	if malformed, ok := errors.AsType[textproto.ProtocolError](err); ok { // the chunks are read without textproto
+		return n, broken(PartTrailer, "%v", malformed)
+	}
+	return n, err
+}
--- a/exchanger/broken_test.go
+++ b/exchanger/broken_test.go
@@ -171,6 +171,25 @@
 	}
 }
 
+// TestBrokenTrailers guards against a response that a caller gets as whole although its
+// trailer is broken.
+func TestBrokenTrailers(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nCall-Id: 1\r\nTransfer-Encoding: chunked\r\n"
+	for _, name := range invalidNames {
+		t.Run(fmt.Sprintf("%q", name), func(t *testing.T) {
+			assertBroken(t, head+"\r\n4\r\nbody\r\n0\r\nX-B: 1\r\n"+name+": 4\r\n\r\n", "trailer")
+			assertBroken(t, head+"Trailer: X-B\r\n\r\n4\r\nbody\r\n0\r\n"+name+": 4\r\n\r\n", "trailer")
+		})
+	}
+	t.Run("a control byte in a value", func(t *testing.T) {
+		assertBroken(t, head+"\r\n4\r\nbody\r\n0\r\nX-B: a\x00b\r\n\r\n", "trailer")
+	})
+	t.Run("of a response to another request", func(t *testing.T) {
+		other := strings.Replace(head, "Call-Id: 1", "Call-Id: 2", 1)
+		assertBroken(t, other+"\r\n4\r\nbody\r\n0\r\nX A: 4\r\n\r\n"+completeResponse("1", "body"), "trailer")
+	})
+}
+
 // tokenCharacters are all characters of a token.
 const tokenCharacters = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
 
