Take no end of a connection for an answer's end after a failure

Callers got the first part of an answer without a length as a complete one, if the endpoint answered before it had read a long upload and reset the connection meanwhile.

Cause: the failed write takes the socket's error, so that the next read returns the end of the connection without one. Send only made the connection not reusable.

Change: a connection remembers what has failed on it, in either direction. After that, its end doesn't end a body that only the connection ends. An answer with a length or chunks shows its own end, and passes as before, also one whose upload wasn't read.

--- a/exchanger/connection.go
+++ b/exchanger/connection.go
@@ -1,8 +1,10 @@
 package exchanger
 
 import (
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -25,8 +27,11 @@
 	carriedHead  bool  // whether the method of one of them was HEAD
 	handles      idSet // what its responses have handed out
 	bytesWritten int   // bytes of the current request
-	idleSince    time.Time
-	usableUntil  time.Time
+	// failure is what has failed on the connection, in either direction; nil if nothing has. The
+	// socket reports a reset only once, as an end afterwards.
+	failure     error
+	idleSince   time.Time
+	usableUntil time.Time
 }
 
 func (c *connection) close() {
@@ -45,6 +50,20 @@
 
 // write sends the request headers and body in one write. A large body isn't copied.
 func (c *connection) write(r *Request) error {
+	err := c.writeParts(r)
+	c.recordFailure(err)
+	return err
+}
+
+// recordFailure records an error of the connection. One by which a deadline has passed ends
+// nothing.
+func (c *connection) recordFailure(err error) {
+	if c.failure == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.failure = err
+	}
+}
+
+func (c *connection) writeParts(r *Request) error {
 	c.requests++
 	c.ids.add(hashID(r.ID))
 	c.carriedHead = c.carriedHead || r.Method == http.MethodHead
--- a/exchanger/response.go
+++ b/exchanger/response.go
@@ -186,11 +186,20 @@
 	}
 }
 
+// errEndAfterFailure indicates that a body that only its connection ends has ended after a failure
+// of the connection.
+var errEndAfterFailure = errors.New("connection ended after a failure")
+
 // Read implements io.Reader for the body. Only io.EOF indicates that the body
 // is complete.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
-	if errors.Is(err, io.EOF) {
+	switch failure := r.connection.failure; {
+	case !errors.Is(err, io.EOF):
+		r.connection.recordFailure(err)
+	case r.Framing == FramingConnection && failure != nil:
+		err = fmt.Errorf("%w: %w", errEndAfterFailure, failure)
+	default:
 		r.readToEnd = true
 	}
 	if err != nil && r.ctx.Err() != nil && !r.readToEnd {
