Keep the error of a broken head

Cause: textproto returns a line without the error that followed it, and the reader asks for more. The head's check then went on after the broken byte.

Change: a head keeps its error, and it decides about the response.

--- a/common/inspector/head.go
+++ b/common/inspector/head.go
@@ -29,6 +29,7 @@
 // head checks the bytes of one head as they arrive. It keeps only the beginning of a line.
 type head struct {
 	place place
+	err   error  // what is broken; nil if nothing is
 	kept  []byte // of the status line, or the current field's name
 	// carriageReturn is set after a CR, which only LF may follow.
 	carriageReturn bool
@@ -37,17 +38,16 @@
 	version1x0, hasCoding, hasLength bool
 }
 
-// check checks the bytes up to the head's end; those that follow belong to the body.
+// check checks the bytes up to the head's end; those that follow belong to the body. After an
+// error it returns that again.
 func (h *head) check(text []byte) error {
 	for _, b := range text {
-		if h.place == afterHead {
-			return nil
-		}
-		if err := h.checkByte(b); err != nil {
-			return err
+		if h.err != nil || h.place == afterHead {
+			break
 		}
+		h.err = h.checkByte(b)
 	}
-	return nil
+	return h.err
 }
 
 func (h *head) checkByte(b byte) error {
--- a/common/inspector/reader.go
+++ b/common/inspector/reader.go
@@ -32,8 +32,11 @@
 	r.source.head = h
 	defer func() { r.source.head = nil }()
 	response, err := http.ReadResponse(r.Reader, &http.Request{Method: method})
+	if h.err != nil { // net/http takes a line before an error for whole
+		return nil, h.err
+	}
 	if err != nil {
-		return nil, r.explain(h, err)
+		return nil, explain(h, err)
 	}
 	if len(response.TransferEncoding) > 0 {
 		response.Body = &body{ReadCloser: response.Body, response: response}
@@ -43,8 +46,8 @@
 
 // explain returns the error of a head that could not be read. If the whole head has arrived, what
 // is wrong is the framing: net/http checks nothing else that the head doesn't.
-func (r *Reader) explain(h *head, err error) error {
-	if h.place != afterHead || IsBroken(err) {
+func explain(h *head, err error) error {
+	if h.place != afterHead {
 		return err
 	}
 	return broken(PartFraming, "%v", err)
