Refuse responses of HTTP/2 with a broken status

Callers of the own protocol could be told that a call had not run, though it had: the refusal in a response was believed whatever its status was, such as 000. A status of +200 or 0200 was taken for 200.

Cause: net/http reads the pseudo header :status with Atoi, and Connect looks for an error's details in each response whose status isn't 200.

Evidence: before, 9 of the 10 broken statuses were accepted with an empty message, or believed with a refusal, in TestBrokenResponses: 000, 001, 099, 20, 2000, 600 and 999 as a refusal, +200 and 0200 as a success. What HTTP/2 handles already is tested too and passed before: 101, field names, informational responses without end, and a body shorter than its length. A stream that ends early was tested before (TestBrokenOffStreams).

--- a/common/converter/converter.go
+++ b/common/converter/converter.go
@@ -34,6 +34,7 @@
 
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/common/inspector"
 	"github.com/jackdawthread/jackdawthread/wire/callerwire"
 )
 
@@ -168,10 +169,11 @@
 	return uint32(min(max(n, 0), math.MaxUint32))
 }
 
-// HTTPClient returns a client for calls to endpoints. It follows no redirects.
+// HTTPClient returns a client for calls to endpoints. It follows no redirects, and returns no
+// broken responses.
 func HTTPClient(t http.RoundTripper) *http.Client {
 	return &http.Client{
-		Transport: t,
+		Transport: inspector.Transport{Base: t},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- a/common/inspector/inspector.go
+++ b/common/inspector/inspector.go
@@ -10,7 +10,11 @@
 //	reader := inspector.NewReader(conn, 4<<10)
 //	response, err := reader.ReadResponse(http.MethodGet)
 //
-// It returns an [*Error] for a broken head, and Read of the response's body returns one instead
+// A client of net/http has a Transport:
+//
+//	client := &http.Client{Transport: inspector.Transport{Base: http.DefaultTransport}}
+//
+// Both return an [*Error] for a broken head, and Read of the response's body returns one instead
 // of io.EOF for a broken trailer. The sender may have run the request.
 //
 // # Rules
