Refuse broken responses in the client library

Programs that use the Go client could be told that their request had not run, though it may have: a host's, or a load balancer's, refusal was believed whatever its status, such as 000 or +20, and also in a head that was broken otherwise. An answer with a blank in a field name was accepted.

Cause: as in the connector, net/http and Connect take such responses.

Change: the client checks the responses of its HTTP client, given or its own, by the inspector's rules. The commands for operators do the same.

The operators' commands have no test of their own.

--- a/client/client.go
+++ b/client/client.go
@@ -42,6 +42,7 @@
 
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/common/inspector"
 	"github.com/jackdawthread/jackdawthread/common/sleeper"
 	"github.com/jackdawthread/jackdawthread/wire/callerwire/callerwireconnect"
 )
@@ -51,7 +52,7 @@
 	// Addresses are the base URLs of entry hosts or of a load balancer.
 	Addresses []string
 	// HTTPClient sends the requests. If nil, a client that doesn't follow
-	// redirects is used.
+	// redirects is used. Broken responses that it returns are failures.
 	HTTPClient connect.HTTPClient
 	// Customer is the customer that requests are accounted to.
 	Customer identifier.Customer
@@ -102,7 +103,7 @@
 	c.nextHost.Store(o.Seed % uint64(len(o.Addresses)))
 	for _, address := range o.Addresses {
 		options := append([]connect.ClientOption{connect.WithReadMaxBytes(maxMessageBytes)}, o.Connect...)
-		caller := callerwireconnect.NewCallerServiceClient(o.HTTPClient, address, options...)
+		caller := callerwireconnect.NewCallerServiceClient(inspector.Client{Base: o.HTTPClient}, address, options...)
 		c.hosts = append(c.hosts, &host{CallerServiceClient: caller})
 	}
 	return c, nil
--- a/commander/operate.go
+++ b/commander/operate.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/common/inspector"
 	"github.com/jackdawthread/jackdawthread/settings"
 	"github.com/jackdawthread/jackdawthread/wire/operatorwire"
 	"github.com/jackdawthread/jackdawthread/wire/operatorwire/operatorwireconnect"
@@ -31,7 +32,8 @@
 }
 
 func operatorClient(address string) operatorwireconnect.OperatorServiceClient {
-	return operatorwireconnect.NewOperatorServiceClient(&http.Client{Timeout: operatorTimeout}, "http://"+address)
+	c := &http.Client{Timeout: operatorTimeout, Transport: inspector.Transport{Base: http.DefaultTransport}}
+	return operatorwireconnect.NewOperatorServiceClient(c, "http://"+address)
 }
 
 func statusCommand(s Streams) *cli.Command {
