--- a/exchanger/broken_test.go
+++ b/exchanger/broken_test.go
@@ -29,11 +29,12 @@
 type rawServer struct {
 	*scriptedServer
 	closed chan struct{}
+	client *exchanger.Exchanger
 }
 
 func serveRaw(t *testing.T, text string) *rawServer {
 	t.Helper()
-	s := &rawServer{closed: make(chan struct{}, 1)}
+	s := &rawServer{closed: make(chan struct{}, 1), client: newExchanger()}
 	s.scriptedServer = listen(t, func(e *scriptedServer, c net.Conn, r *bufio.Reader) {
 		if _, ok := e.read(r); !ok {
 			return
@@ -49,7 +50,7 @@
 func (s *rawServer) exchange(method string) (*exchanger.Response, string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), responseTimeout)
 	defer cancel()
-	response, err := newExchanger().Send(ctx, s.address, &exchanger.Request{Method: method, Target: "/", Host: "h", ID: "1"})
+	response, err := s.client.Send(ctx, s.address, &exchanger.Request{Method: method, Target: "/", Host: "h", ID: "1"})
 	if err != nil {
 		return nil, "", err
 	}
@@ -70,6 +71,7 @@
 	i := is.New(t)
 	i.Equal(classifier.Of(err).Verdict, classifier.VerdictMayHaveRun)
 	i.Equal(classifier.Of(err).Reason, classifier.ReasonEndpointFailed)
+	i.Equal(s.client.Stats().BrokenResponses, uint64(1))
 	if !strings.Contains(err.Error(), "broken "+part) {
 		t.Errorf("error doesn't name the %s: %v", part, err)
 	}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -31,6 +31,13 @@
 // on a connection that has carried other requests, or responses to such; see
 // [Attribution.Certain].
 //
+// # Broken responses
+//
+// A response that breaks the rules of HTTP is refused by the [inspector]: its connection is closed,
+// its body isn't waited for, and the request may have run. The end of a connection ends a
+// body only if nothing has failed on the connection before: after a failed write, the
+// socket reports a reset as an end.
+//
 // # Limits
 //
 // An endpoint may send bytes without end. Heads, informational responses, and bodies
@@ -53,6 +60,7 @@
 	"github.com/jackdawthread/jackdawthread/budgeter"
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/common/inspector"
 	"github.com/jackdawthread/jackdawthread/common/socket"
 )
 
@@ -163,7 +171,9 @@
 	UnnamedResponses uint64 `json:"unnamed-answers"`
 	// OversizedResponses counts the responses of which a part exceeded its limit.
 	OversizedResponses uint64 `json:"oversized"`
-	Idle               int    `json:"idle"`
+	// BrokenResponses counts the responses that break the rules of HTTP, see [inspector.Error].
+	BrokenResponses uint64 `json:"broken"`
+	Idle            int    `json:"idle"`
 }
 
 // New creates an Exchanger with an empty connection pool.
@@ -232,7 +242,7 @@
 	}
 	if err := response.readHead(r); err != nil {
 		response.Close()
-		x.countOversized(err)
+		x.countInvalid(err)
 		return nil, sendError(ctx, a, c, errors.Join(writeErr, err))
 	}
 	if writeErr != nil { // the endpoint responded without reading the whole body
@@ -253,9 +263,13 @@
 	return classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "endpoint at %s sent no response: %w", a, err)
 }
 
-// countOversized counts a response that failed with err if that is a limit.
-func (x *Exchanger) countOversized(err error) {
-	if errors.Is(err, ErrHeadTooLarge) || errors.Is(err, ErrTooLarge) {
+// countInvalid counts a response that failed with err if that is a limit, or if the response is
+// broken.
+func (x *Exchanger) countInvalid(err error) {
+	switch {
+	case inspector.IsBroken(err):
+		x.updateStats(func(s *Stats) { s.BrokenResponses++ })
+	case errors.Is(err, ErrHeadTooLarge), errors.Is(err, ErrTooLarge):
 		x.updateStats(func(s *Stats) { s.OversizedResponses++ })
 	}
 }
--- a/exchanger/response.go
+++ b/exchanger/response.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/jackdawthread/jackdawthread/common/classifier"
+	"github.com/jackdawthread/jackdawthread/common/inspector"
 )
 
 const (
@@ -195,6 +196,8 @@
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
 	switch failure := r.connection.failure; {
+	case inspector.IsBroken(err):
+		r.exchanger.countInvalid(err)
 	case !errors.Is(err, io.EOF):
 		r.connection.recordFailure(err)
 	case r.Framing == FramingConnection && failure != nil:
@@ -220,7 +223,7 @@
 	case errors.Is(err, ErrBuffersFull):
 		return nil, classifier.MayHaveRun(classifier.ReasonQueueFull, 0, "response from endpoint at %s: %w", a, err)
 	case errors.Is(err, ErrTooLarge):
-		r.exchanger.countOversized(err)
+		r.exchanger.countInvalid(err)
 		return nil, classifier.Ran(classifier.ReasonTooLarge, "response from endpoint at %s: %w", a, err)
 	default:
 		return nil, classifier.MayHaveRun(classifier.ReasonEndpointFailed, 0, "response from endpoint at %s was interrupted: %w", a, err)
@@ -237,7 +240,7 @@
 	}
 	r.buffer.bytes = b
 	if err := r.buffer.grow(limit); err != nil {
-		r.exchanger.countOversized(err)
+		r.exchanger.countInvalid(err)
 		return nil, err
 	}
 	return r.buffer.bytes, nil
