Send broken answers in the soak

The bodies are too small for a write to fail, so the soak can't show the answer to an upload that is taken for whole.

--- a/emulator/soaker/checks.go
+++ b/emulator/soaker/checks.go
@@ -261,7 +261,7 @@
 
 // brokenOff reports whether a runner may have broken off the response.
 func (c *checker) brokenOff(o *outcome) bool {
-	if c.runnersHad(o, runnerDrops, runnerTruncates, runnerBreaks, runnerBreaksUnframed, runnerEndless) {
+	if c.runnersHad(o, runnerDrops, runnerAnswersEarly, runnerTruncates, runnerSendsBroken, runnerBreaks, runnerBreaksUnframed, runnerEndless) {
 		return true
 	}
 	return slices.ContainsFunc(c.reached[o.id], func(a reached) bool {
@@ -273,6 +273,9 @@
 	if o.surplus > 0 {
 		c.reportOutcome(unchanged, o, "%d bytes followed its response", o.surplus)
 	}
+	if o.broken != nil {
+		c.reportOutcome(unchanged, o, "its host sent a broken response: %v", o.broken)
+	}
 	switch {
 	case o.status == http.StatusOK && o.complete:
 		c.checkResponse(o)
@@ -323,7 +326,7 @@
 			c.report(unchanged, n.Started, n.Started, nil, "runner %s ran request %q to %s, which no caller sent, at %s", r.id, n.ID, n.Target, n.Started.UTC().Format("15:04:05.000"))
 			continue
 		}
-		if n.Body != o.requestBody() {
+		if !n.Unread && n.Body != o.requestBody() {
 			c.reportOutcome(unchanged, o, "runner %s got another body: %q", r.id, n.Body)
 		}
 		if n.Ended.IsZero() {
--- a/emulator/soaker/checks_test.go
+++ b/emulator/soaker/checks_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/common/inspector"
 	"github.com/jackdawthread/jackdawthread/platform/standin"
 )
 
@@ -242,6 +243,16 @@
 		o.body, o.surplus = standin.ResponseBody("desk-0", "b"), 1
 		check(t, o, nil, unchanged, unchanged)
 	})
+	t.Run("a response that breaks the rules of HTTP", func(t *testing.T) {
+		o := served("a", 0)
+		o.broken = &inspector.Error{Part: inspector.PartStatusLine}
+		check(t, o, nil, unchanged)
+	})
+	t.Run("a run whose body was not read is fine", func(t *testing.T) {
+		unread := run("a")
+		unread.Body, unread.Unread = "", true
+		check(t, served("a", 0), []standin.Run{unread})
+	})
 	t.Run("a request that is denied", func(t *testing.T) {
 		o := served("a", 0)
 		o.status = http.StatusNotFound
--- a/emulator/soaker/connection.go
+++ b/emulator/soaker/connection.go
@@ -1,7 +1,6 @@
 package soaker
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -13,6 +12,7 @@
 	"time"
 
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/common/inspector"
 	"github.com/jackdawthread/jackdawthread/platform/standin"
 )
 
@@ -26,6 +26,8 @@
 	openTimeout  = time.Millisecond
 	promptTokens = 1000
 	outputTokens = 100
+
+	readBufferBytes = 4 << 10
 )
 
 // outcome is what a caller saw of one request.
@@ -58,6 +60,8 @@
 	// timedOut is set if the connection was still open callTimeout +
 	// answerMargin after the request.
 	timedOut bool
+	// broken is what is wrong with a response that breaks the rules of HTTP; nil if nothing is.
+	broken error
 	// surplus is the number of bytes received after the response.
 	surplus int
 }
@@ -75,7 +79,7 @@
 // connection is a caller's persistent connection to a host.
 type connection struct {
 	raw    net.Conn
-	reader *bufio.Reader
+	reader *inspector.Reader
 	used   bool
 }
 
@@ -84,7 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{raw: raw, reader: bufio.NewReader(raw)}, nil
+	return &connection{raw: raw, reader: inspector.NewReader(raw, readBufferBytes)}, nil
 }
 
 func (c *connection) close() {
@@ -109,7 +113,7 @@
 		return false
 	}
 	_ = c.raw.SetReadDeadline(o.sentAt.Add(callTimeout + answerMargin)) // fails if the connection has ended, as reads do
-	response, err := http.ReadResponse(c.reader, nil)
+	response, err := c.reader.ReadResponse(http.MethodPost)
 	if err != nil {
 		o.fail(err)
 		return false
@@ -129,6 +133,9 @@
 func (o *outcome) fail(err error) {
 	o.timedOut = errors.Is(err, os.ErrDeadlineExceeded)
 	o.reset = errors.Is(err, syscall.ECONNRESET)
+	if inspector.IsBroken(err) {
+		o.broken = err
+	}
 }
 
 func (c *connection) send(o *outcome, split time.Duration) bool {
--- a/emulator/soaker/faults.go
+++ b/emulator/soaker/faults.go
@@ -203,6 +203,14 @@
 	}
 }
 
+// sendBroken makes a runner send broken answers.
+func sendBroken(o *standin.RunnerOptions, on bool) {
+	o.Broken = nil
+	if on {
+		o.Broken = standin.BrokenAnswers
+	}
+}
+
 // nameLimit makes a runner name a limit.
 func nameLimit(o *standin.RunnerOptions, on bool) {
 	o.Limit = 0
@@ -218,8 +226,10 @@
 		breakStreams(o, on)
 		o.Unframed = on
 	}},
-	runnerHangs: {kind: runnerEndless, set: func(o *standin.RunnerOptions, on bool) { o.Endless = on }},
-	runnerSlow:  {kind: runnerLimits, set: nameLimit, lasts: limitDuration},
+	runnerTruncates: {kind: runnerSendsBroken, set: sendBroken},
+	runnerDrops:     {kind: runnerAnswersEarly, set: func(o *standin.RunnerOptions, on bool) { o.Early = on }},
+	runnerHangs:     {kind: runnerEndless, set: func(o *standin.RunnerOptions, on bool) { o.Endless = on }},
+	runnerSlow:      {kind: runnerLimits, set: nameLimit, lasts: limitDuration},
 }
 
 // alternate returns f, or its alternative if f was chosen the last time. Every second
--- a/emulator/soaker/history.go
+++ b/emulator/soaker/history.go
@@ -31,6 +31,8 @@
 	runnerDrops          faultKind = "drops responses"
 	runnerHangs          faultKind = "hangs"
 	runnerTruncates      faultKind = "truncates"
+	runnerSendsBroken    faultKind = "sends broken answers"
+	runnerAnswersEarly   faultKind = "answers before it has read a body"
 	runnerSendsExtra     faultKind = "sends extra responses"
 	runnerExpires        faultKind = "expires handles"
 	runnerBreaks         faultKind = "breaks off streams"
--- a/emulator/soaker/process.go
+++ b/emulator/soaker/process.go
@@ -16,6 +16,7 @@
 
 	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
+	"github.com/jackdawthread/jackdawthread/common/inspector"
 	"github.com/jackdawthread/jackdawthread/common/socket"
 	"github.com/jackdawthread/jackdawthread/platform"
 )
@@ -198,7 +199,7 @@
 }
 
 func (p *process) ready() bool {
-	c := http.Client{Timeout: time.Second}
+	c := http.Client{Timeout: time.Second, Transport: inspector.Transport{Base: http.DefaultTransport}}
 	response, err := c.Get("http://" + string(p.readiness) + "/api/readyz")
 	if err != nil {
 		return false
