--- a/emulator/soaker/faults.go
+++ b/emulator/soaker/faults.go
@@ -205,9 +205,9 @@
 
 // sendBroken makes a runner send broken answers.
 func sendBroken(o *standin.RunnerOptions, on bool) {
-	o.Broken = nil
+	o.Raw = nil
 	if on {
-		o.Broken = standin.BrokenAnswers
+		o.Raw = standin.BrokenAnswers
 	}
 }
 
--- a/exchanger/broken_test.go
+++ b/exchanger/broken_test.go
@@ -173,6 +173,22 @@
 	}
 }
 
+// TestBrokenChunks guards against a body whose chunks break the rules and that counts as whole.
+func TestBrokenChunks(t *testing.T) {
+	for _, body := range []string{
+		"+4\r\nbody\r\n0\r\n\r\n", "-4\r\nbody\r\n0\r\n\r\n", "0x4\r\nbody\r\n0\r\n\r\n", "\r\nbody\r\n0\r\n\r\n", " 4\r\nbody\r\n0\r\n\r\n",
+		"4\nbody\r\n0\r\n\r\n", "4\r\nbody0\r\n\r\n", "4\r\nbodyX\r\n0\r\n\r\n", "4\r\nbody\n0\r\n\r\n", "10000000000000004\r\nbody\r\n0\r\n\r\n", "4;a\rb\r\nbody\r\n0\r\n\r\n",
+	} {
+		t.Run(fmt.Sprintf("%q", body), func(t *testing.T) {
+			_, read, err := serveRaw(t, "HTTP/1.1 200 OK\r\nCall-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n"+body).exchange(http.MethodGet)
+			if err == nil {
+				t.Fatalf("accepted with the body %q", read)
+			}
+			is.New(t).Equal(classifier.Of(err).Verdict, classifier.VerdictMayHaveRun)
+		})
+	}
+}
+
 // TestBrokenTrailers guards against a response that a caller gets as whole although its
 // trailer is broken.
 func TestBrokenTrailers(t *testing.T) {
