Bound what the log quotes of a broken response

Cause: net/http's errors quote whole fields, of up to 16 KB each.

Change: the detail of a broken response has 200 bytes at most. The raw servers of two tests became those of httptest, as they stood twice.

--- a/client/broken_test.go
+++ b/client/broken_test.go
@@ -1,13 +1,11 @@
 package client_test
 
 import (
-	"bufio"
-	"context"
 	"encoding/base64"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/matryer/is"
@@ -15,7 +13,6 @@
 
 	"github.com/jackdawthread/jackdawthread/client"
 	"github.com/jackdawthread/jackdawthread/common/classifier"
-	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/wire/callerwire"
 )
@@ -42,25 +39,16 @@
 func callRaw(t *testing.T, id identifier.Request, text string) ([]byte, error) {
 	t.Helper()
 	i := is.New(t)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	i.NoErr(err)
-	g := grouper.New(context.Background())
-	t.Cleanup(func() {
-		_ = ln.Close() // ends the goroutine
-		_ = g.Wait()   // it returns no error
-	})
-	g.Run(func(context.Context) {
-		c, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		defer func() { _ = c.Close() }()
-		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-			_, _ = io.Copy(io.Discard, r.Body) // the client sees a failure
-			_, _ = io.WriteString(c, text)
-		}
-	})
-	c, err := client.New(client.Options{Addresses: []string{"http://" + ln.Addr().String()}, Customer: "dealer"})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, err := io.Copy(io.Discard, r.Body)
+		i.NoErr(err)
+		raw, _, err := http.NewResponseController(w).Hijack()
+		i.NoErr(err)
+		_, _ = io.WriteString(raw, text) // the client sees a failure
+		_ = raw.Close()
+	}))
+	t.Cleanup(server.Close)
+	c, err := client.New(client.Options{Addresses: []string{server.URL}, Customer: "dealer"})
 	i.NoErr(err)
 	return c.Call(t.Context(), client.CallRequest{ID: id, Service: "desk"})
 }
--- a/common/inspector/inspector.go
+++ b/common/inspector/inspector.go
@@ -51,7 +51,7 @@
 // Error reports that a part of a response is broken.
 type Error struct {
 	Part Part
-	// Detail is the text, or the problem, that was found.
+	// Detail is the problem that was found, of a limited length.
 	Detail string
 }
 
@@ -60,8 +60,12 @@
 	return fmt.Sprintf("response has a broken %s: %s", e.Part, e.Detail)
 }
 
+// maxDetail limits the bytes of a Detail, which may quote what the sender chose.
+const maxDetail = 200
+
 func broken(p Part, format string, args ...any) *Error {
-	return &Error{Part: p, Detail: fmt.Sprintf(format, args...)}
+	detail := fmt.Sprintf(format, args...)
+	return &Error{Part: p, Detail: detail[:min(len(detail), maxDetail)]}
 }
 
 // IsBroken reports whether err is due to a broken response.
--- a/common/inspector/inspector_test.go
+++ b/common/inspector/inspector_test.go
@@ -73,6 +73,20 @@
 	}
 }
 
+// TestLongDetails guards against log lines as long as a sender likes.
+func TestLongDetails(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\n" + strings.Repeat("Content-Length: 1\r\n", 1000) + "Content-Length: 2\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n" + strings.Repeat("a", 10_000) + " : 1\r\n\r\n",
+		"HTTP/1.1 " + strings.Repeat("0", 10_000) + "\r\n\r\n",
+	} {
+		i := is.New(t)
+		_, err := read(strings.NewReader(text))
+		i.True(inspector.IsBroken(err))
+		i.True(len(err.Error()) < 300)
+	}
+}
+
 // FuzzReadResponse checks that what is accepted is allowed, is what net/http reads, and doesn't
 // depend on the parts in which it arrives.
 func FuzzReadResponse(f *testing.F) {
@@ -92,7 +106,7 @@
 		if err != nil {
 			return
 		}
-		i.True(response.StatusCode >= 100 && response.StatusCode < 600 && response.StatusCode != 101)
+		i.True(response.StatusCode >= 100 && response.StatusCode < 600 && response.StatusCode != http.StatusSwitchingProtocols)
 		assertFields(t, response.Header)
 		plain, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(text)), nil)
 		i.NoErr(err)
--- a/emulator/soaker/connection_test.go
+++ b/emulator/soaker/connection_test.go
@@ -1,16 +1,13 @@
 package soaker
 
 import (
-	"bufio"
-	"context"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/matryer/is"
 
-	"github.com/jackdawthread/jackdawthread/common/grouper"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 )
 
@@ -18,25 +15,14 @@
 func exchangeWith(t *testing.T, text string) outcome {
 	t.Helper()
 	i := is.New(t)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	i.NoErr(err)
-	g := grouper.New(context.Background())
-	t.Cleanup(func() {
-		_ = ln.Close() // ends the goroutine
-		_ = g.Wait()   // it returns no error
-	})
-	g.Run(func(context.Context) {
-		c, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		defer func() { _ = c.Close() }()
-		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-			_, _ = io.Copy(io.Discard, r.Body) // the outcome shows a failure
-			_, _ = io.WriteString(c, text)
-		}
-	})
-	k, err := connect(identifier.Address(ln.Addr().String()))
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		raw, _, err := http.NewResponseController(w).Hijack()
+		i.NoErr(err)
+		_, _ = io.WriteString(raw, text) // the outcome shows a failure
+		_ = raw.Close()
+	}))
+	defer server.Close()
+	k, err := connect(identifier.Address(server.Listener.Addr().String()))
 	i.NoErr(err)
 	defer k.close()
 	o := outcome{id: "a", path: "/locks/"}
