Name a field of the head's check by what it says

Reading the diff as a newcomer: http10 in place of version1x0, and the soak's list of faults in one width. No behaviour changes; the tests of the inspector pass.

--- a/common/inspector/head.go
+++ b/common/inspector/head.go
@@ -34,8 +34,8 @@
 	// carriageReturn is set after a CR, which only LF may follow.
 	carriageReturn bool
 	fields         bool // whether a field has begun
-	// version1x0 is set in HTTP/1.0.
-	version1x0, hasCoding, hasLength bool
+	// http10 is set if the version is HTTP/1.0.
+	http10, hasCoding, hasLength bool
 }
 
 // check checks the bytes up to the head's end; those that follow belong to the body. After an
@@ -107,7 +107,7 @@
 	if !ok || len(minor) != 1 || !isDigit(minor[0]) {
 		return broken(PartStatusLine, "unknown version in %q", line)
 	}
-	h.version1x0 = minor == "0"
+	h.http10 = minor == "0"
 	status, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
 	if problem := statusProblem(status); problem != "" {
 		return broken(PartStatusLine, "%s in %q", problem, line)
@@ -174,7 +174,7 @@
 	switch {
 	case h.hasCoding && h.hasLength:
 		return broken(PartFraming, "both %s and %s", fieldCoding, fieldLength)
-	case h.hasCoding && h.version1x0:
+	case h.hasCoding && h.http10:
 		return broken(PartFraming, "%s in HTTP/1.0", fieldCoding)
 	default:
 		return nil
--- a/emulator/soaker/soaker.go
+++ b/emulator/soaker/soaker.go
@@ -13,11 +13,10 @@
 // Signals kill, pause, gracefully stop and reload processes, and slow them down
 // by pausing them in short turns. Connections to runners and to the store pass
 // through proxies that delay, drop (in one or both directions) or reset them.
-// Runners lose responses, break off, send broken answers, answer before they have read a
-// body, refuse, write copies of refusals, slow down, fall
-// silent and go on, ask for pauses, name limits, change their stage, announce that they
-// leave, and leave. The store is restored from
-// an older copy. Configurations change in idle timeout, body limit and routes.
+// Runners lose responses, break off, send broken answers, answer before they have read a body,
+// refuse, write copies of refusals, slow down, fall silent and go on, ask for pauses, name limits,
+// change their stage, announce that they leave, and leave. The store is restored from an older
+// copy. Configurations change in idle timeout, body limit and routes.
 // Faults are injected in series and overlap. Only processes started by the soak
 // are terminated, by their process ids. Options.OtherBinary mixes two builds.
 //
