--- a/exchanger/broken_test.go
+++ b/exchanger/broken_test.go
@@ -221,6 +221,7 @@
 	}{
 		{name: "an empty reason", head: "HTTP/1.1 200 \r\nContent-Length: 4\r\n", body: "body"},
 		{name: "no reason and no blank", head: "HTTP/1.1 200\r\nContent-Length: 4\r\n", body: "body"},
+		{name: "several blanks before the status", head: "HTTP/1.1   200 OK\r\nContent-Length: 4\r\n", body: "body"},
 		{name: "a reason of several words and other bytes", head: "HTTP/1.1 200 All\tis w\xe9ll\r\nContent-Length: 4\r\n", body: "body"},
 		{name: "HTTP/1.0", head: "HTTP/1.0 200 OK\r\nContent-Length: 4\r\n", body: "body"},
 		{name: "a status without a meaning", head: "HTTP/1.1 299 Odd\r\nContent-Length: 4\r\n", body: "body", status: 299},
