Count requests of the charger's fleet under its lock

Cause: load returns while its last requests are under way. refusals takes the lock; the tests counted what was asked without it. In most runs the atomic count of bytes orders the two, but not for a request that is admitted without a message.

Change: requests counts under the lock, at all five places. What the tests check is the same.

The race isn't in code of the product.

--- a/charger/bytes_test.go
+++ b/charger/bytes_test.go
@@ -62,7 +62,7 @@
 					defer f.stop()
 					time.Sleep(5 * time.Second)
 					f.load(overload*q.Rate, f.uneven(), 2*time.Second)
-					perRequest := float64(f.bytes.Load()) / float64(len(f.asked))
+					perRequest := float64(f.bytes.Load()) / float64(f.requests())
 					t.Logf("%.0f bytes a request, %.0f a second and host", perRequest, float64(f.bytes.Load())/2/float64(hosts))
 					is.New(t).True(perRequest <= mostBytes)
 				})
--- a/charger/faults_test.go
+++ b/charger/faults_test.go
@@ -287,7 +287,7 @@
 			f.mu.Unlock()
 			f.load(0.3*q.Rate, weights, 5*time.Second)
 			time.Sleep(maxWait)
-			t.Logf("%d of %d refused", f.refusals(), len(f.asked))
+			t.Logf("%d of %d refused", f.refusals(), f.requests())
 			is.New(t).Equal(f.refusals(), 0)
 		})
 	}
--- a/charger/fleet_test.go
+++ b/charger/fleet_test.go
@@ -386,6 +386,13 @@
 	return highest
 }
 
+// requests returns the number of requests that callers have sent so far.
+func (f *fleet) requests() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.asked)
+}
+
 func (f *fleet) refusals() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/charger/load_test.go
+++ b/charger/load_test.go
@@ -108,7 +108,7 @@
 						at.start()
 						f.load(c.quota.Rate/headroom, f.oneHost(at.index), 5*time.Second)
 					}
-					t.Logf("%d of %d requests refused", f.refusals(), len(f.asked))
+					t.Logf("%d of %d requests refused", f.refusals(), f.requests())
 					is.New(t).True(f.refusals() <= f.idealRefusals(c.quota))
 				})
 			})
--- a/charger/restart_test.go
+++ b/charger/restart_test.go
@@ -73,9 +73,9 @@
 			for _, h := range f.hosts {
 				h.restart(50 * time.Millisecond)
 			}
-			refused, asked = refused-f.refusals(), asked-len(f.asked)
+			refused, asked = refused-f.refusals(), asked-f.requests()
 			f.load(q.Rate/2, weights, 2*time.Second)
-			refused, asked = refused+f.refusals(), asked+len(f.asked)
+			refused, asked = refused+f.refusals(), asked+f.requests()
 			assertWithinQuota(t, f, q)
 		})
 	}
