Claim fencing tokens that no other host uses

Cause: a token was the store's revision times 1,000 plus the hash of the host's name modulo 1,000. While the revision stands still, nothing else tells two hosts apart, and a host with a lower remainder than its predecessor is refused (412). After any failure of an order the service got no orders for 30 s, and then the same number again.

Change: a holder claims a token for its tenure, above all that it has heard of, and tells the other hosts one lease before its first order (KindFence); they answer with the highest claim that they know. Hosts that know each other's names have different places.

--- a/peerwire/compatibility_test.go
+++ b/peerwire/compatibility_test.go
@@ -36,6 +36,7 @@
 		&peerwire.TrialRequest{}, &peerwire.TrialReply{},
 		&peerwire.QuotaRequest{}, &peerwire.QuotaReply{}, &peerwire.QuotaReturn{},
 		&peerwire.SlotRequest{}, &peerwire.SlotReply{}, &peerwire.SlotReturn{},
+		&peerwire.FenceClaim{},
 	}
 }
 
--- a/peerwire/kinds.go
+++ b/peerwire/kinds.go
@@ -87,4 +87,6 @@
 	KindSlotReturn
 	// KindValue requests a part of a large value of the configuration store.
 	KindValue
+	// KindFence claims a fencing token. The reply is the highest claim that is known.
+	KindFence
 )
--- a/reserver/links.go
+++ b/reserver/links.go
@@ -43,6 +43,7 @@
 	to.Handle(peerwire.KindReservationCancel, r.handleCancel)
 	to.Handle(peerwire.KindSlot, r.handleSlot)
 	to.Handle(peerwire.KindSlotReturn, r.handleSlotReturn)
+	to.Handle(peerwire.KindFence, r.handleClaim)
 }
 
 // owner returns the placing host of a service, and whether it is another host.
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -23,8 +23,9 @@
 //
 // The placing host also switches engines between stages where that raises the
 // service's capacity (package stager). It does so only after it has been the placing
-// host for longer than another host could still take itself for it, and, if engines
-// check no fencing tokens, only while its knowledge of the store is current.
+// host for longer than another host could still take itself for it, with a fencing
+// token that it has claimed and told the other hosts (package fencer), and, if engines
+// check no tokens, only while its knowledge of the store is current.
 //
 // # Measured engines
 //
--- a/reserver/service_queue.go
+++ b/reserver/service_queue.go
@@ -13,6 +13,7 @@
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/earmarker"
 	"github.com/jackdawthread/jackdawthread/estimator"
+	"github.com/jackdawthread/jackdawthread/fencer"
 	"github.com/jackdawthread/jackdawthread/stager"
 )
 
@@ -60,6 +61,7 @@
 	released     chan struct{} // signaled when capacity may have been released
 	stager       *stager.Stager
 	tenure       tenure
+	fencer       *fencer.Fencer
 	model        *estimator.Model
 	modelCopy    modelCopy
 	modelChanged time.Time
@@ -74,6 +76,7 @@
 		waiters:   map[admitter.Key]*waiter{},
 		released:  make(chan struct{}, 1),
 		stager:    stager.New(),
+		fencer:    fencer.New(r.deps.OrderOptions.Holder),
 		model:     estimator.New(),
 		earmarks:  earmarker.New(),
 	}
--- a/reserver/stages.go
+++ b/reserver/stages.go
@@ -2,15 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/common/identifier"
 	"github.com/jackdawthread/jackdawthread/estimator"
-	"github.com/jackdawthread/jackdawthread/gossiper"
+	"github.com/jackdawthread/jackdawthread/fencer"
 	"github.com/jackdawthread/jackdawthread/registrar"
 	"github.com/jackdawthread/jackdawthread/stager"
 )
@@ -19,20 +19,9 @@
 	// rebalancePeriod is the interval between checks of the engines' stages.
 	rebalancePeriod = 250 * time.Millisecond
 	orderTimeout    = time.Second
-	// refusedOrderBackoff is how long no orders are given after an order failed. An
-	// engine refuses an order if another host has used a higher fencing token.
-	refusedOrderBackoff = 30 * time.Second
-	// fencesPerRevision is the number of fencing tokens for each revision of the
-	// store. Hosts hash their names into this range, so that two hosts are unlikely to
-	// use the same token.
-	fencesPerRevision = 1000
-	// fencesPerEra is the number of fencing tokens for each era of the store. A
-	// store that is restored may lose ten million revisions until tokens are used
-	// again.
-	fencesPerEra = 10_000_000 * fencesPerRevision
-	// fenceBase makes fencing tokens exceed those of earlier versions, which were
-	// a thousand times the Unix time in milliseconds.
-	fenceBase = 2_000_000_000_000_000
+	// unknownOrderBackoff is how long no orders are given after an engine didn't know an
+	// order.
+	unknownOrderBackoff = 30 * time.Second
 	// maxKnowledgeAge is the age of a host's knowledge from which it doesn't order
 	// engines that check no fencing tokens: another host, which knows a later
 	// revision, may have taken over. It is longer than the store holds a watch open
@@ -41,14 +30,19 @@
 	maxKnowledgeAge = 2 * time.Second
 )
 
-// Fence is the fencing token of an order.
-type Fence uint64
+var (
+	// ErrOutranked reports that an engine has seen a higher fencing token.
+	ErrOutranked = errors.New("engine has seen a higher fencing token")
+	// ErrUnknownOrder reports that an engine has no such order.
+	ErrUnknownOrder = errors.New("engine doesn't know the order")
+)
 
 // Orders sends stage orders to engines.
 type Orders interface {
-	// Order switches an engine to a stage. The error of a refusal is NotRun with
-	// classifier.ReasonEndpointRefused.
-	Order(ctx context.Context, e *registrar.Endpoint, s registrar.Stage, holder identifier.Host, f Fence) error
+	// Order switches an engine to a stage. Its error is NotRun if the engine has provably
+	// not accepted the order. The cause of a refusal is ErrOutranked or
+	// ErrUnknownOrder, where that is known.
+	Order(ctx context.Context, e *registrar.Endpoint, s registrar.Stage, c fencer.Claim) error
 }
 
 // Knowledge states how current a host's knowledge of the store is.
@@ -71,14 +65,6 @@
 	Lease time.Duration
 }
 
-// tenure is the state of this host as a service's placing host.
-type tenure struct {
-	since       time.Time // start of the tenure; zero if there is none
-	pausedUntil time.Time // no orders before this time
-	lastFence   Fence
-	maxMembers  int
-}
-
 // rebalance switches engines between stages where that raises the capacity of a
 // service that this host places.
 func (r *Reserver) rebalance(now time.Time) {
@@ -107,13 +93,10 @@
 	}
 	w := stager.Workload{Model: q.model, Running: r.runningUse(q.service, now), Memory: engineConfig(s, q.service).Memory}
 	orders := q.stager.NextOrders(r.stayingEngines(s.Endpoints(q.service)), w, now)
-	fences := make([]Fence, len(orders))
-	for i := range fences {
-		fences[i] = q.tenure.nextFence(r.deps.OrderOptions.Holder, known.Position)
-	}
+	claim := q.tenure.claim
 	q.mu.Unlock()
-	for i, o := range orders {
-		r.deps.Group.Run(func(ctx context.Context) { q.order(ctx, o, fences[i]) })
+	for _, o := range orders {
+		r.deps.Group.Run(func(ctx context.Context) { q.order(ctx, o, claim) })
 	}
 }
 
@@ -131,61 +114,37 @@
 	return u
 }
 
-// mayOrder reports whether this host may give orders. It must have been the
-// placing host for longer than any other host could still take itself for it, and
-// see a majority of the hosts. q.mu must be held.
-func (q *serviceQueue) mayOrder(now time.Time) bool {
-	r := q.reserver
-	v := r.deps.Members.View()
-	_, other := r.owner(q.service)
-	alive := 0
-	for _, m := range v.Members() {
-		if m.State == gossiper.StateAlive {
-			alive++
-		}
-	}
-	q.tenure.maxMembers = max(q.tenure.maxMembers, len(v.Members()))
-	if other || 2*alive <= q.tenure.maxMembers {
-		q.tenure.since = time.Time{}
-		return false
-	}
-	if q.tenure.since.IsZero() {
-		q.tenure.since = now
-	}
-	return now.Sub(q.tenure.since) > 2*r.deps.OrderOptions.Lease && !now.Before(q.tenure.pausedUntil)
-}
-
-// nextFence returns a fencing token higher than all that this host has used, and
-// than those of hosts that knew an earlier position. Positions are the same for all
-// hosts, unlike their clocks.
-func (h *tenure) nextFence(holder identifier.Host, known identifier.Position) Fence {
-	first := fenceBase + uint64(known.Era)*fencesPerEra + uint64(known.Revision)*fencesPerRevision
-	f := Fence(first + xxhash.Sum64String(string(holder))%fencesPerRevision)
-	if f <= h.lastFence {
-		f = h.lastFence + fencesPerRevision
-	}
-	h.lastFence = f
-	return f
-}
-
-func (q *serviceQueue) order(ctx context.Context, o stager.Order, f Fence) {
+func (q *serviceQueue) order(ctx context.Context, o stager.Order, c fencer.Claim) {
 	r := q.reserver
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	err := r.deps.Orders.Order(ctx, o.Engine, o.Stage, r.deps.OrderOptions.Holder, f)
+	err := r.deps.Orders.Order(ctx, o.Engine, o.Stage, c)
 	r.deps.Log.Info("stage-ordered",
 		zap.String("endpoint", string(o.Engine.Name)),
 		zap.String("service", string(q.service)),
 		zap.Stringer("from", o.Engine.Stage),
 		zap.Stringer("to", o.Stage),
-		zap.Uint64("fence", uint64(f)),
+		zap.Uint64("fence", uint64(c.Token)),
 		zap.Error(err))
-	if err == nil || classifier.Of(err).Reason == classifier.ReasonEndpointExcluded {
+	q.settleOrder(o, c, err)
+}
+
+// settleOrder draws the conclusions from an order's outcome. An engine that may
+// have accepted an order, or carries out another one, counts as in transition until it
+// reports its stage.
+func (q *serviceQueue) settleOrder(o stager.Order, c fencer.Claim, err error) {
+	if err == nil || classifier.VerdictOf(err) != classifier.VerdictNotRun || classifier.Of(err).Reason == classifier.ReasonEndpointExcluded {
 		return
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.tenure.pausedUntil = time.Now().Add(refusedOrderBackoff)
+	q.stager.Withdraw(o)
+	switch {
+	case errors.Is(err, ErrOutranked):
+		q.tenure.lose(c, q.fencer)
+	case errors.Is(err, ErrUnknownOrder):
+		q.tenure.pausedUntil = time.Now().Add(unknownOrderBackoff)
+	}
 }
 
 // enginesInTransition returns the engines that have been ordered to another stage
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -231,6 +231,13 @@
 	return orders
 }
 
+// Withdraw records that an engine has not accepted an order.
+func (s *Stager) Withdraw(o Order) {
+	if c, ok := s.transitions[o.Engine.Name]; ok && c.stage == o.Stage && c.started == o.Engine.StartID {
+		delete(s.transitions, o.Engine.Name)
+	}
+}
+
 // InTransition reports whether an engine was ordered to another stage and has not
 // reported it yet. A restart or transitionTimeout ends the transition.
 func (s *Stager) InTransition(e *registrar.Endpoint, now time.Time) bool {
