Send late requests of a planned stop only if their deadline proves their end

Cause: a late request was accepted if the 99.9th percentile of what its route's requests had taken so far lay before the end. The past says nothing of an engine that is silent, slow or restarted now. Requests that waited for an engine, or whose body was still arriving, weren't checked at all, as the time of their arrival counted.

Others are refused as not run, with Retry-After and Connection: close: at once, also those that wait for an endpoint at that time. Why it works: the deadline ends the request before the stop does, whatever the engine does. Each answer whose head is written during a stop says Connection: close; the refusal of an upload that had begun before it didn't.

--- a/forwarder/choice.go
+++ b/forwarder/choice.go
@@ -34,17 +34,22 @@
 type plainChoice func(ctx context.Context) (target, *classifier.Error)
 
 // choosePlain implements plainChoice for calls other than hedges. It refuses a first call that
-// has waited until a planned stop would interrupt it.
+// has waited until a planned stop may interrupt it.
 func (e *exchange) choosePlain(ctx context.Context) (target, *classifier.Error) {
-	to, err := e.awaitEndpoint(ctx)
-	if err != nil || e.mayHaveRun {
+	if e.mayHaveRun {
+		return e.awaitEndpoint(ctx)
+	}
+	waiting, done := e.untilRefused(ctx)
+	defer done()
+	to, err := e.awaitEndpoint(waiting)
+	refusal := e.checkStop(time.Now())
+	if refusal == nil {
 		return to, err
 	}
-	if refusal := e.checkStop(time.Now()); refusal != nil {
+	if err == nil {
 		e.giveBack(to)
-		return target{}, refusal
 	}
-	return to, nil
+	return target{}, refusal
 }
 
 // giveBack returns what an endpoint was chosen with if it gets no call.
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -90,7 +90,6 @@
 	if err != nil {
 		return err
 	}
-	f.inProgress.begin(e)
 	body, err := e.readBody(d.Limits, e.requestDeadline(parameters))
 	if err != nil {
 		return err
@@ -155,27 +154,29 @@
 	})
 }
 
-// checkStop refuses a request that a planned stop would interrupt; nil if there is none.
+// checkStop refuses a request that hasn't been sent to an endpoint if a planned stop may interrupt
+// it; nil if it may be sent.
 func (e *exchange) checkStop(now time.Time) *classifier.Error {
 	p := e.forwarder.stop.Load()
-	if p == nil || !p.refuses(e.observation.Started, e.expectedEnd(now)) {
+	if p == nil || !p.refuses(now, e.call.Deadline) {
 		return nil
 	}
 	return classifier.NotRun(classifier.ReasonStopping, classifier.Jitter(stoppingRetryAfter), "host is stopping and ends in %v", p.End.Sub(now))
 }
 
-// expectedEnd returns the time by which the request will have ended: its deadline, or
-// earlier if the route's requests are known to take less time. What was measured isn't known
-// to hold while one of them has taken longer.
-func (e *exchange) expectedEnd(now time.Time) time.Time {
-	expected := e.forwarder.deps.ExpectedDuration(e.route)
-	if expected == 0 || e.forwarder.inProgress.longest(e.route.Name, now) > expected {
-		return e.call.Deadline
-	}
-	if end := now.Add(expected); end.Before(e.call.Deadline) {
-		return end
+// untilRefused returns a context for the wait for an endpoint, which also ends when a planned
+// stop refuses the request.
+func (e *exchange) untilRefused(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	unwatch := context.AfterFunc(e.forwarder.announced, func() {
+		if refusal := e.checkStop(time.Now()); refusal != nil {
+			cancel(refusal)
+		}
+	})
+	return ctx, func() {
+		unwatch()
+		cancel(nil)
 	}
-	return e.call.Deadline
 }
 
 var errNoRoute = errors.New("no route matches the request")
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -227,11 +227,8 @@
 	AwaitConfirmation func(ctx context.Context)
 	// Currency returns how current the declarations are; if nil, they always count as confirmed.
 	Currency func() Currency
-	// ExpectedDuration returns how long requests of a route take at most, as far as
-	// measured; 0 if unknown.
-	ExpectedDuration func(r *registrar.Route) time.Duration
-	Group            *grouper.Group
-	Log              *zap.Logger
+	Group    *grouper.Group
+	Log      *zap.Logger
 	// Memory accounts for requests' bodies; nil sets no limit.
 	Memory *budgeter.Budgeter
 }
@@ -253,8 +250,9 @@
 	options Options
 	running atomic.Int64
 	stop    atomic.Pointer[PlannedStop]
-	// inProgress has the requests whose route is known.
-	inProgress progress
+	// announced ends with endAnnouncement, at PlannedStop.Announced.
+	announced       context.Context
+	endAnnouncement context.CancelFunc
 	// waitingBodies counts the requests that wait for memory for their body.
 	waitingBodies atomic.Int64
 
@@ -270,11 +268,13 @@
 	if d.Memory == nil {
 		d.Memory = budgeter.New(budgeter.Options{})
 	}
-	return &Forwarder{
+	f := &Forwarder{
 		deps:    d,
 		options: o,
 		random:  rand.New(rand.NewPCG(o.Seed, o.Seed+1)),
 	}
+	f.announced, f.endAnnouncement = context.WithCancel(context.Background())
+	return f
 }
 
 // defaultTimeout is the default of Options.DefaultTimeout.
@@ -285,12 +285,6 @@
 	return f.running.Load()
 }
 
-// BeginStop prepares a planned stop: every further response closes its connection, and
-// requests that p refuses aren't forwarded.
-func (f *Forwarder) BeginStop(p PlannedStop) {
-	f.stop.Store(&p)
-}
-
 // randomFloat returns a random number in [0, 1).
 func (f *Forwarder) randomFloat() float64 {
 	f.mu.Lock()
@@ -312,7 +306,6 @@
 	}()
 	e := &exchange{forwarder: f, writer: w, request: r, observation: o}
 	defer e.releaseBody()
-	defer f.inProgress.end(e)
 	if f.options.MaxConcurrent > 0 && held > f.options.MaxConcurrent {
 		e.refuse(overloaded(f.options.MaxConcurrent))
 		return
--- a/forwarder/preparation.go
+++ b/forwarder/preparation.go
@@ -23,14 +23,17 @@
 	prefilledAt time.Time
 }
 
+// reservation reserves engines for a request.
+type reservation func(ctx context.Context, w reserver.PlacementRequest) (reserver.Plan, error)
+
 // prepareEngine places the request and runs its prefill. If the decode engine has begun to
 // leave, was restarted or was ordered to another stage meanwhile, the request is placed
 // again, with the same result as long as it lasts.
-func (s *stream) prepareEngine(ctx context.Context, w reserver.PlacementRequest) (*preparation, error) {
+func (s *stream) prepareEngine(ctx context.Context, w reserver.PlacementRequest, reserve reservation) (*preparation, error) {
 	reservations := s.forwarder.deps.Reservations
 	p := &preparation{}
 	for {
-		plan, err := reservations.Place(ctx, w)
+		plan, err := reserve(ctx, w)
 		if err != nil {
 			s.discard(p)
 			return nil, &hostRefusal{cause: err}
@@ -52,6 +55,9 @@
 		w.ExcludePrefill = s.excludedPrefills
 		w.Priority = -1 // a prefill's result lasts for a short time only
 		w.FirstEventBy = w.Deadline
+		if p.result != nil {
+			reserve = reservations.Place // the request was taken with its prefill
+		}
 	}
 }
 
@@ -142,7 +148,7 @@
 	w := s.placementRequest()
 	w.Exclude = append(slices.Clip(w.Exclude), current.Name)
 	s.group.Run(func(context.Context) {
-		p, err := s.prepareEngine(ctx, w)
+		p, err := s.prepareEngine(ctx, w, s.forwarder.deps.Reservations.Place)
 		r.ended <- replacementEnd{prepared: p, err: err}
 	})
 	return r, nil
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -78,6 +78,9 @@
 	h := e.writer.Header()
 	h.Set("Content-Type", "text/plain")
 	h.Set("Content-Length", "0")
+	if e.forwarder.closesConnection(e.request) { // a stop may have begun since the request came
+		h.Set("Connection", "close")
+	}
 	if e.observation.ID != "" {
 		e.forwarder.deps.Dialect.Identify(h, e.observation.ID)
 	}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -108,23 +108,36 @@
 		append(s.observation.Stream.LogFields(), zap.String("last-event", s.lastEventID), zap.Int("round", s.placements))...)
 }
 
-// place prepares an engine and starts the decode there, unless it is the first one and a
-// planned stop would interrupt it.
+// place prepares an engine and starts the decode there.
 func (s *stream) place(ctx context.Context) (*decoding, error) {
 	s.placements++
-	p, err := s.prepareEngine(ctx, s.placementRequest())
+	reserve := s.reserveFirst
+	if s.mayHaveRun {
+		reserve = s.forwarder.deps.Reservations.Place
+	}
+	p, err := s.prepareEngine(ctx, s.placementRequest(), reserve)
 	if err != nil {
 		return nil, err
 	}
-	if !s.mayHaveRun {
-		if refusal := s.checkStop(time.Now()); refusal != nil {
-			s.release(p)
-			return nil, &hostRefusal{cause: refusal}
-		}
-	}
 	return s.start(ctx, p), nil
 }
 
+// reserveFirst places a request that no engine has begun to run, unless a planned stop
+// may interrupt it.
+func (s *stream) reserveFirst(ctx context.Context, w reserver.PlacementRequest) (reserver.Plan, error) {
+	waiting, done := s.untilRefused(ctx)
+	defer done()
+	plan, err := s.forwarder.deps.Reservations.Place(waiting, w)
+	refusal := s.checkStop(time.Now())
+	if refusal == nil {
+		return plan, err
+	}
+	if err == nil {
+		s.forwarder.deps.Reservations.Release(plan)
+	}
+	return reserver.Plan{}, refusal
+}
+
 // mayRetry reports whether the request may be placed again after a failure. A
 // refusal by this host is final, and so is a stream with data that has no ID.
 func (s *stream) mayRetry(ctx context.Context, err error) bool {
--- a/hoster/components.go
+++ b/hoster/components.go
@@ -166,7 +166,6 @@
 		Observer:          h,
 		AwaitConfirmation: h.awaitConfirmation,
 		Currency:          h.currency,
-		ExpectedDuration:  h.metrics.expectedDuration,
 		Memory:            h.memory,
 		Group:             h.group,
 		Log:               h.log,
--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -13,7 +13,6 @@
 
 	"github.com/jackdawthread/jackdawthread/common/classifier"
 	"github.com/jackdawthread/jackdawthread/forwarder"
-	"github.com/jackdawthread/jackdawthread/registrar"
 )
 
 const (
@@ -31,10 +30,6 @@
 	// answeredSuffix names the histogram of a route's requests that got an endpoint's
 	// whole answer.
 	answeredSuffix = ".answered"
-	// expectedQuantile is the share of requests, in percent, that end within the
-	// expected duration, and minExpectedSamples how many must have been measured.
-	expectedQuantile   = 99.9
-	minExpectedSamples = 100
 )
 
 // metrics holds the host's counters and latency histograms.
@@ -46,6 +41,8 @@
 	moves    expvar.Map
 	// brokenOff counts the streams that engines broke off, by framing.
 	brokenOff expvar.Map
+	// stopRefusals counts the requests that a planned stop refused.
+	stopRefusals expvar.Int
 
 	mu        sync.Mutex
 	latencies map[string]*hdrhistogram.Histogram
@@ -59,6 +56,7 @@
 	m.root.Set("caller-connections-closed", m.closings.Init())
 	m.root.Set("stream-moves", m.moves.Init())
 	m.root.Set("streams-broken-off", m.brokenOff.Init())
+	m.root.Set("stop-refusals", &m.stopRefusals)
 	m.root.Set("latency-ms", expvar.Func(m.latencySummary))
 	return m
 }
@@ -100,6 +98,9 @@
 	m.requests.Add(route+"."+strconv.Itoa(o.Status), 1)
 	if f := classifier.Of(o.Err); f != nil {
 		m.failures.Add(route+"."+string(f.Reason)+"."+f.Verdict.String(), 1)
+		if f.Reason == classifier.ReasonStopping {
+			m.stopRefusals.Add(1)
+		}
 	}
 	m.moves.Add("stalled", int64(o.Moves.Stalled))
 	m.moves.Add("moved", int64(o.Moves.Moved))
@@ -144,18 +145,6 @@
 	_ = h.RecordValue(min(maxLatencyMs, max(minLatencyMs, d.Milliseconds()))) // can't fail: the value is in range
 }
 
-// expectedDuration returns how long requests of the route that are answered take at
-// most, except for a few; 0 if too few were measured.
-func (m *metrics) expectedDuration(r *registrar.Route) time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	h := m.latencies[r.Name+answeredSuffix]
-	if h == nil || h.TotalCount() < minExpectedSamples {
-		return 0
-	}
-	return time.Duration(h.ValueAtQuantile(expectedQuantile)) * time.Millisecond
-}
-
 // latencySummary returns the counts and quantiles of all latencies.
 func (m *metrics) latencySummary() any {
 	m.mu.Lock()
--- a/hoster/stop.go
+++ b/hoster/stop.go
@@ -34,19 +34,27 @@
 	ctx, cancel := context.WithDeadline(ctx, plan.End)
 	defer cancel()
 	h.forwarder.BeginStop(plan)
-	_ = sleeper.Sleep(ctx, h.settings.Stop.Announce) // only the limit can end the wait early
+	// Only the limit can end these waits early.
+	_ = sleeper.Sleep(ctx, time.Until(plan.Announced))
+	h.forwarder.EndAnnouncement()
+	_ = sleeper.Sleep(ctx, time.Until(began.Add(h.settings.Stop.Announce)))
 	h.acceptor.Drain(time.Now())
 	// The forwarder's count of requests is no substitute: net/http sends the end of an
 	// answer after the forwarder has returned.
+	interrupted := int64(0)
 	if err := h.acceptor.AwaitDrained(ctx); err != nil {
+		interrupted = h.forwarder.Running()
 		h.log.Warn("stop-timed-out",
-			zap.Int64("running", h.forwarder.Running()),
+			zap.Int64("running", interrupted),
 			zap.Int("connections", h.acceptor.Open()),
 			zap.Error(err))
 		h.cancelRequests()
 	}
 	h.gossiper.Leave(ctx)
-	h.log.Info("stop-completed", zap.Duration("took", time.Since(began)))
+	h.log.Info("stop-completed",
+		zap.Int64("refused", h.metrics.stopRefusals.Value()),
+		zap.Int64("interrupted", interrupted),
+		zap.Duration("took", time.Since(began)))
 	h.Kill()
 }
 
