Stop hosts beside silent engines in the soak

The soak's silences met stops by chance only, and no stop was shorter than the streams' deadlines. Every second graceful stop now comes with a silence of all engines that decode, at another time of the stop each; every second host has a stop limit of 2 s. A stream that came before the announcement had ended may be cut at the stop's end; any other one is a violation.

--- a/emulator/soaker/checks.go
+++ b/emulator/soaker/checks.go
@@ -43,6 +43,10 @@
 	aftermath = 3 * time.Second
 	// deadlineMargin is how long before the deadline a host may end a response.
 	deadlineMargin = 100 * time.Millisecond
+	// noticeTime is how long a process may take to notice that it should stop, and slowNoticeTime
+	// how much longer a slowed one.
+	noticeTime     = 100 * time.Millisecond
+	slowNoticeTime = time.Second
 	// leavingDelay is how long requests may reach a runner after the host has
 	// passed on that it leaves.
 	leavingDelay = 2 * time.Second
@@ -234,7 +238,7 @@
 		return
 	}
 	crossed := len(c.reached[o.id]) == 0 && o.status == 0 && took <= crossingTime
-	if crossed || took >= callTimeout-deadlineMargin || c.brokenOff(o) {
+	if crossed || took >= callTimeout-deadlineMargin || c.brokenOff(o) || c.stopInterrupted(o) {
 		return
 	}
 	if o.streams() && o.status == http.StatusOK && c.runnersHad(o, runnerSilent, runnerHangs, runnerSlow) {
@@ -251,6 +255,20 @@
 		c.history.has(host, o.sentAt.Add(-aftermath), o.endedAt, hostPaused)
 }
 
+// stopInterrupted reports whether the end of a planned stop may have interrupted the request: it came
+// before the load balancers had time to learn of the stop.
+func (c *checker) stopInterrupted(o *outcome) bool {
+	host := hostName(o.host)
+	return slices.ContainsFunc(c.history.find(host, o.sentAt, o.endedAt, hostStopped), func(f Fault) bool {
+		noticed := f.From.Add(noticeTime)
+		if c.history.has(host, f.From, o.endedAt, hostSlowed) {
+			noticed = noticed.Add(slowNoticeTime)
+		}
+		end := f.From.Add(stopLimit(o.host) - stopTail)
+		return o.sentAt.Before(noticed.Add(stopAnnounce)) && !o.endedAt.Before(end)
+	})
+}
+
 // runnersHad reports whether a runner that the request reached had a fault of one
 // of the kinds meanwhile.
 func (c *checker) runnersHad(o *outcome, kinds ...faultKind) bool {
--- a/emulator/soaker/checks_test.go
+++ b/emulator/soaker/checks_test.go
@@ -98,6 +98,27 @@
 			assertBroken(t, newChecker([]outcome{cut("/locks/", second, 0, "")}, arrival, f), answered)
 		})
 	}
+	for _, c := range []struct {
+		name       string
+		host       int
+		sent, took time.Duration // the former since the signal
+		broken     []guarantee
+	}{
+		{"a stream cut at the end of a stop that had just begun is fine", 1, 100 * time.Millisecond, 1250 * time.Millisecond, nil},
+		{"one that came later", 1, 500 * time.Millisecond, 850 * time.Millisecond, []guarantee{survives}},
+		{"one that was cut before the end", 1, 100 * time.Millisecond, time.Second, []guarantee{survives}},
+		{"one of a host that had more time", 0, 100 * time.Millisecond, 1250 * time.Millisecond, []guarantee{survives}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			const signal = 10 * time.Second
+			o := cut("/digests/", c.took, http.StatusOK, "")
+			o.host, o.sentAt = c.host, o.sentAt.Add(signal+c.sent)
+			o.endedAt = o.sentAt.Add(c.took)
+			stopped := faultBetween(hostStopped, hostName(c.host), signal, 2*signal)
+			silent := faultBetween(runnerSilent, "runner desk-0", signal, 2*signal)
+			assertBroken(t, newChecker([]outcome{o}, []standin.Received{received("a", signal+c.sent)}, stopped, silent), c.broken...)
+		})
+	}
 	t.Run("a runner that broke off excuses it", func(t *testing.T) {
 		f := faultBetween(runnerBreaks, "runner desk-0", 0, second)
 		assertBroken(t, newChecker([]outcome{cut("/locks/", second, 0, "")}, arrival, f))
--- a/emulator/soaker/faults.go
+++ b/emulator/soaker/faults.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jackdawthread/jackdawthread/common/grouper"
+	"github.com/jackdawthread/jackdawthread/common/sleeper"
 	"github.com/jackdawthread/jackdawthread/platform/standin"
 )
 
@@ -21,7 +22,11 @@
 	maxFaultDuration = 3 * time.Second
 	minSilence       = 500 * time.Millisecond
 	maxSilence       = 2500 * time.Millisecond
-	restartDelay     = 100 * time.Millisecond
+	// stopSilence is how long engines are silent during a planned stop, and silenceStep the
+	// difference between the times at which that begins.
+	stopSilence  = 1200 * time.Millisecond
+	silenceStep  = 350 * time.Millisecond
+	restartDelay = 100 * time.Millisecond
 	// A slowed host runs for slowRun of each slowRun + slowStop.
 	slowRun  = 20 * time.Millisecond
 	slowStop = 80 * time.Millisecond
@@ -113,6 +118,9 @@
 	case 1:
 		return lasting(hostPaused, hostName(n), func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT) })
 	case 2:
+		if s.takesAlternative(hostStopped) {
+			return s.stopBesideSilence(n, restart)
+		}
 		return lasting(hostStopped, hostName(n), p.stop, restart)
 	case 3:
 		return injection{kind: hostSlowed, subject: hostName(n), inject: p.slow}
@@ -126,6 +134,31 @@
 	}
 }
 
+// stopBesideSilence stops a host gracefully while all engines that decode fall silent at a time of the
+// stop that differs from one to the next.
+func (s *system) stopBesideSilence(n int, restart func()) injection {
+	offset := time.Duration(s.chosen[hostStopped]) * silenceStep % shortStopLimit
+	return injection{kind: hostStopped, subject: hostName(n), inject: func(d time.Duration) {
+		for _, r := range s.runners {
+			if r.Options().Stage != "decode" {
+				continue
+			}
+			s.group.Run(func(ctx context.Context) {
+				if sleeper.Sleep(ctx, offset) != nil {
+					return
+				}
+				finish := s.history.begin(runnerSilent, runnerName(r.Options().ID))
+				defer finish()
+				r.Silence(stopSilence)
+				_ = sleeper.Sleep(ctx, stopSilence) // the end of the soak ends it early
+			})
+		}
+		s.hosts[n].stop()
+		time.Sleep(d)
+		restart()
+	}}
+}
+
 var linkFaults = map[proxyFault]faultKind{
 	faultDelay:        linkDelayed,
 	faultNarrow:       linkNarrow,
--- a/emulator/soaker/process.go
+++ b/emulator/soaker/process.go
@@ -51,10 +51,27 @@
 slack = %d
 window = "%v"
 [stop]
-announce = "300ms"
-limit = "8s"
+announce = "%v"
+limit = "%v"
 `
 
+const (
+	// stopAnnounce, longStopLimit and shortStopLimit are settings of the hosts' planned stops.
+	stopAnnounce   = 300 * time.Millisecond
+	longStopLimit  = 8 * time.Second
+	shortStopLimit = 2 * time.Second
+	// stopTail is the part of the limit in which a host ends what still runs.
+	stopTail = 700 * time.Millisecond
+)
+
+// stopLimit returns the limit of a host's planned stops: every second host has a short one.
+func stopLimit(host int) time.Duration {
+	if host%2 == 0 {
+		return longStopLimit
+	}
+	return shortStopLimit
+}
+
 func newProcess(g *grouper.Group, o Options, n int, store identifier.Address, seeds []identifier.Address) (*process, error) {
 	p := &process{group: g, options: o, number: n, settings: filepath.Join(o.Directory, fmt.Sprintf("host-%d.toml", n))}
 	for _, address := range []*identifier.Address{&p.callers, &p.readiness, &p.peers} {
@@ -70,7 +87,8 @@
 	for i, a := range seeds {
 		quoted[i] = fmt.Sprintf("%q", a)
 	}
-	text := fmt.Sprintf(settingsTemplate, n, strings.Join(quoted, ", "), p.callers, p.readiness, p.peers, store, retryBudget.ratio, retryBudget.slack, budgetWindow)
+	text := fmt.Sprintf(settingsTemplate, n, strings.Join(quoted, ", "), p.callers, p.readiness, p.peers, store, retryBudget.ratio, retryBudget.slack, budgetWindow,
+		stopAnnounce, stopLimit(n))
 	return p, os.WriteFile(p.settings, []byte(text), 0o600)
 }
 
