Tell other hosts of the last claim too

The third claim in a row was made after the last round of messages, so a holder could order with a token that no host had heard of.

--- a/reserver/tenure.go
+++ b/reserver/tenure.go
@@ -52,31 +52,22 @@
 // majority of the hosts, and have claimed a fencing token, which the other hosts
 // had time to hear of. q.mu must be held.
 func (q *serviceQueue) mayOrder(now time.Time) bool {
-	r := q.reserver
-	v := r.deps.Members.View()
-	_, other := r.owner(q.service)
-	alive := 0
-	for _, m := range v.Members() {
-		if m.State == gossiper.StateAlive {
-			alive++
-		}
-	}
 	t := &q.tenure
-	t.maxMembers = max(t.maxMembers, len(v.Members()))
-	if other || 2*alive <= t.maxMembers {
+	v := q.reserver.deps.Members.View()
+	if !q.isHolder(v) {
 		t.end()
 		return false
 	}
 	if t.since.IsZero() {
 		t.since = now
 	}
-	lease := r.deps.OrderOptions.Lease
-	if now.Sub(t.since) > lease && t.claim.Token == 0 {
+	lease, age := q.reserver.deps.OrderOptions.Lease, now.Sub(t.since)
+	if age > lease && t.claim.Token == 0 {
 		c := q.claim(v, now)
 		t.claim = c
-		r.deps.Group.Run(func(ctx context.Context) { q.defendClaim(ctx, c) })
+		q.reserver.deps.Group.Run(func(ctx context.Context) { q.defendClaim(ctx, c) })
 	}
-	if now.Sub(t.since) <= 2*lease || now.Before(t.pausedUntil) {
+	if age <= 2*lease || now.Before(t.pausedUntil) {
 		return false
 	}
 	if q.fencer.Contested(t.claim) {
@@ -86,6 +77,20 @@
 	return true
 }
 
+// isHolder reports whether this host is the placing host and sees a majority of the hosts
+// that it has ever seen. q.mu must be held.
+func (q *serviceQueue) isHolder(v *gossiper.View) bool {
+	alive := 0
+	for _, m := range v.Members() {
+		if m.State == gossiper.StateAlive {
+			alive++
+		}
+	}
+	q.tenure.maxMembers = max(q.tenure.maxMembers, len(v.Members()))
+	_, other := q.reserver.owner(q.service)
+	return !other && 2*alive > q.tenure.maxMembers
+}
+
 // claim claims a fencing token. q.mu must be held.
 func (q *serviceQueue) claim(v *gossiper.View, now time.Time) fencer.Claim {
 	names := make([]identifier.Host, 0, len(v.Members()))
@@ -96,10 +101,14 @@
 }
 
 // defendClaim tells all other hosts of a claim, and claims a higher token if they
-// know of another claim that isn't lower.
+// know of another claim that isn't lower. After maxClaims, mayOrder ends a tenure whose
+// claim is still contested.
 func (q *serviceQueue) defendClaim(ctx context.Context, c fencer.Claim) {
-	for range maxClaims {
+	for n := 1; ; n++ {
 		q.tellClaim(ctx, c)
+		if n == maxClaims {
+			return
+		}
 		next, ok := q.raiseClaim(c, time.Now())
 		if !ok {
 			return
