--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -78,7 +78,7 @@
 	h := e.writer.Header()
 	h.Set("Content-Type", "text/plain")
 	h.Set("Content-Length", "0")
-	if e.forwarder.closesConnection(e.request) { // a stop may have begun since the request came
+	if e.forwarder.stop.Load() != nil { // it may have begun since the request came
 		h.Set("Connection", "close")
 	}
 	if e.observation.ID != "" {
